Agree the packages, shared types and messages before work goes on side by side

Cause: several maintainers start at once and must not each invent identities, messages and boundaries. Conclusion: the boundaries are enough to build the first thin path in parallel.

--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,36 @@
+// Package deps pins the libraries that the packages under construction use,
+// so that work done side by side does not edit go.mod at the same time.
+package deps
+
+import (
+	_ "connectrpc.com/connect"
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/go-chi/chi/v5"
+	_ "github.com/go-chi/chi/v5/middleware"
+	_ "github.com/goccy/go-yaml"
+	_ "github.com/goccy/go-yaml/ast"
+	_ "github.com/goccy/go-yaml/parser"
+	_ "github.com/peterbourgon/ff/v4"
+	_ "github.com/peterbourgon/ff/v4/ffhelp"
+	_ "github.com/prometheus/client_golang/prometheus"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/prometheus/client_golang/prometheus/testutil"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/net/http2"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/gonum/stat"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/plotutil"
+	_ "gonum.org/v1/plot/vg"
+	_ "google.golang.org/protobuf/proto"
+	_ "google.golang.org/protobuf/types/known/durationpb"
+	_ "google.golang.org/protobuf/types/known/timestamppb"
+	_ "gotest.tools/v3/assert"
+	_ "gotest.tools/v3/golden"
+	_ "gotest.tools/v3/poll"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/internal/wire/routing.go
@@ -0,0 +1,34 @@
+package wire
+
+import "github.com/quartzdock/quartzdock/internal/topology"
+
+// RoutingSnapshot is the whole routing data for the services asked for.
+type RoutingSnapshot struct {
+	Group    topology.GroupID
+	Revision topology.Revision
+	Services []ServiceRoutes
+	Backends []topology.Backend
+}
+
+// ServiceRoutes is a service and its shards ordered by Start.
+type ServiceRoutes struct {
+	Service topology.Service
+	Shards  []topology.Shard
+}
+
+// RoutingDelta takes a process from revision From to revision To. Applying it
+// to any revision other than From is an error; the process then asks again
+// with Hello.
+type RoutingDelta struct {
+	Group topology.GroupID
+	From  topology.Revision
+	To    topology.Revision
+	// Services created or changed (not their shards).
+	Services        []topology.Service
+	RemovedServices []topology.ServiceID
+	Backends        []topology.Backend
+	RemovedBackends []topology.BackendID
+	// Shards created or changed. RemovedShards went in a merge.
+	Shards        []topology.Shard
+	RemovedShards []topology.ShardID
+}
--- /dev/null
+++ b/internal/wire/session.go
@@ -0,0 +1,160 @@
+// Package wire holds the messages between the product's own processes. They
+// travel as gob over internal/transport. Every envelope has one field per kind
+// of message, of which exactly one is set: gob leaves out nil fields, so an
+// envelope costs one byte more than its message and no type name travels.
+package wire
+
+import (
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// Hello opens a session from a router or an agent to a controller. Exactly
+// one is sent, first.
+type Hello struct {
+	Group    topology.GroupID
+	Role     topology.Role
+	Name     string
+	Location topology.Location
+	// Boot is drawn at random at each start of the process.
+	Boot uint64
+	// Address is where the process takes requests (agent: from routers).
+	Address string
+	// Applied is the last revision the process has in force; zero asks for a
+	// snapshot.
+	Applied topology.Revision
+	// Services limits the routing data sent; empty asks for all.
+	Services []topology.ServiceID
+	// Probe asks for no session; the controller only answers Welcome.
+	Probe bool
+}
+
+// Welcome answers Hello.
+type Welcome struct {
+	// Backend is the agent's identity; zero for a router or an unknown agent.
+	Backend topology.BackendID
+	Service topology.ServiceID
+	Leader  bool
+	// LeaderAddress is where the leader takes sessions, if known.
+	LeaderAddress string
+	// LeaseDuration, RenewInterval as the group uses them.
+	LeaseDuration time.Duration
+	RenewInterval time.Duration
+	Refusal       string
+}
+
+// Renew asks the leader to renew an agent's lease and reports. SentAt is the
+// agent's own monotonic clock and is returned unread.
+type Renew struct {
+	Sequence uint64
+	SentAt   time.Duration
+	// Applied is the last revision that the process has in force.
+	Applied topology.Revision
+	// Release ends the lease at once; the agent serves nothing any more.
+	Release bool
+	// Leaving announces a planned stop or restart.
+	Leaving bool
+	Load    []ShardLoad
+	Backend BackendLoad
+}
+
+// ShardLoad is what an agent itself observed of a shard since its last report.
+type ShardLoad struct {
+	Shard topology.ShardNumber
+	// Requests completed.
+	Requests uint32
+	// BusyMicros is slot time used.
+	BusyMicros uint32
+}
+
+// BackendLoad is what an agent observed of its back end as a whole.
+type BackendLoad struct {
+	Running   uint32
+	Queued    uint32
+	Failed    uint32
+	Completed uint32
+	// Claimed is the load endpoint's own word, a hint only: busy slots.
+	Claimed uint32
+}
+
+// RenewAck answers Renew. The holder counts the lease from Renew.SentAt.
+type RenewAck struct {
+	Sequence uint64
+	SentAt   time.Duration
+	// Granted is zero where the lease is refused.
+	Granted time.Duration
+	// Revision is the newest revision that the controller has committed.
+	Revision topology.Revision
+}
+
+// Applied confirms a revision, from routers and agents.
+type Applied struct {
+	Revision topology.Revision
+}
+
+// Warmed reports that the target's back end is ready for a shard.
+type Warmed struct {
+	Shard topology.ShardID
+	// Epoch of the present owner, which tells apart repeated moves.
+	Epoch topology.Epoch
+	Error string
+}
+
+// Released is the owner's promise never again to serve a shard at Epoch.
+type Released struct {
+	Shard topology.ShardID
+	Epoch topology.Epoch
+	// RecordMoved says that the record of request ids reached the target.
+	RecordMoved bool
+}
+
+// RouterLoad is what a router saw of the back ends it sent requests to.
+type RouterLoad struct {
+	Observed []ObservedBackend
+}
+
+// ObservedBackend counts outcomes since the last report.
+type ObservedBackend struct {
+	Backend   topology.BackendID
+	Completed uint32
+	Failed    uint32
+	TimedOut  uint32
+}
+
+// ToController is what a router or an agent sends to a controller.
+type ToController struct {
+	Hello      *Hello
+	Renew      *Renew
+	Applied    *Applied
+	Warmed     *Warmed
+	Released   *Released
+	RouterLoad *RouterLoad
+}
+
+// FromController is what a controller sends to a router or an agent.
+type FromController struct {
+	Welcome  *Welcome
+	RenewAck *RenewAck
+	// Snapshot replaces all routing data; Delta advances it.
+	Snapshot *RoutingSnapshot
+	Delta    *RoutingDelta
+	// Alive says that the controller still follows a leader and names its
+	// newest committed revision; sent when nothing else is.
+	Alive *Alive
+	// Redirect asks the process to open its session elsewhere.
+	Redirect *Redirect
+}
+
+// Alive keeps a subscriber informed of the newest revision.
+type Alive struct {
+	Revision topology.Revision
+	// LeaderContact is how long ago the controller last heard from a leader
+	// that had a quorum; zero at the leader.
+	LeaderContact time.Duration
+}
+
+// Redirect names the leader's session address; empty when unknown.
+type Redirect struct {
+	LeaderAddress string
+}
