--- /dev/null
+++ b/lab/backend/fence.go
@@ -0,0 +1,84 @@
+package backend
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// fence keeps the grants that the agent gave and the highest epoch seen of
+// each shard.
+type fence struct {
+	mutex      sync.Mutex
+	validUntil time.Time
+	granted    map[string]topology.Epoch
+	highest    map[string]topology.Epoch
+}
+
+func newFence() *fence {
+	return &fence{
+		granted: make(map[string]topology.Epoch),
+		highest: make(map[string]topology.Epoch),
+	}
+}
+
+// lowerEpochError says that a grant carries a lower epoch than one seen.
+type lowerEpochError struct {
+	Shard   string         `json:"shard"`
+	Epoch   topology.Epoch `json:"epoch"`
+	Highest topology.Epoch `json:"highest"`
+}
+
+func (e *lowerEpochError) Error() string {
+	return fmt.Sprintf("shard %s: epoch %d is lower than %d", e.Shard, e.Epoch, e.Highest)
+}
+
+// apply takes a whole message or, where one epoch is too low, nothing of it.
+func (f *fence) apply(message grantsMessage, received time.Time) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, grant := range message.Grants {
+		if highest := f.highest[grant.Shard]; grant.Epoch < highest {
+			return &lowerEpochError{Shard: grant.Shard, Epoch: grant.Epoch, Highest: highest}
+		}
+	}
+	for _, shard := range message.Revoked {
+		delete(f.granted, shard)
+	}
+	for _, grant := range message.Grants {
+		f.granted[grant.Shard] = grant.Epoch
+		f.highest[grant.Shard] = grant.Epoch
+	}
+	f.validUntil = received.Add(time.Duration(message.LeaseMilliseconds) * time.Millisecond)
+	return nil
+}
+
+// check returns the reason why a request may not act at an instant, or "".
+func (f *fence) check(shard string, epoch topology.Epoch, now time.Time) string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if epoch > f.highest[shard] {
+		f.highest[shard] = epoch
+	}
+	granted, found := f.granted[shard]
+	switch {
+	case !found:
+		return "shard not granted"
+	case epoch < f.highest[shard]:
+		return "epoch lower than the highest seen"
+	case epoch != granted:
+		return "epoch not granted"
+	case !now.Before(f.validUntil):
+		return "lease over"
+	}
+	return ""
+}
+
+// grantCount returns how many shards are granted.
+func (f *fence) grantCount() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.granted)
+}
