--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,109 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"math"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	bufferSize = 8 << 10
+	// maxHeaderBytes bounds an answer's header.
+	maxHeaderBytes = 64 << 10
+)
+
+// conn is one connection. One request at a time uses it.
+type conn struct {
+	net       net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	source    limitedSource
+	sink      countingSink
+	idleSince time.Time
+}
+
+func newConn(netConn net.Conn) *conn {
+	connection := &conn{net: netConn}
+	connection.source = limitedSource{net: netConn, left: math.MaxInt64}
+	connection.sink = countingSink{net: netConn}
+	connection.reader = bufio.NewReaderSize(&connection.source, bufferSize)
+	connection.writer = bufio.NewWriterSize(&connection.sink, bufferSize)
+	return connection
+}
+
+func (connection *conn) close() { _ = connection.net.Close() }
+
+// quiet says that an idle connection is open and has nothing to read. Bytes
+// that nobody asked for would be taken for the next request's answer. The
+// check costs one system call and can't see a close that is still on its way;
+// a request that meets such a close ends with ErrInterrupted, never with a
+// second write.
+func (connection *conn) quiet() bool {
+	if connection.reader.Buffered() > 0 {
+		return false
+	}
+	withFile, ok := connection.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := withFile.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var peeked [1]byte
+	err = raw.Read(func(file uintptr) bool {
+		_, _, peekErr := syscall.Recvfrom(int(file), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = peekErr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// limitedSource reads the connection and bounds how much of it a header takes.
+type limitedSource struct {
+	net  net.Conn
+	left int64
+}
+
+func (source *limitedSource) Read(buffer []byte) (int, error) {
+	if source.left <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	if int64(len(buffer)) > source.left {
+		buffer = buffer[:source.left]
+	}
+	count, err := source.net.Read(buffer)
+	source.left -= int64(count)
+	return count, err
+}
+
+// countingSink counts what was handed to the operating system since reset.
+type countingSink struct {
+	net  net.Conn
+	sent int64
+}
+
+func (sink *countingSink) Write(buffer []byte) (int, error) {
+	count, err := sink.net.Write(buffer)
+	sink.sent += int64(count)
+	return count, err
+}
+
+// failureRecorder keeps the error of a request body's source, to tell it from
+// an error of the connection.
+type failureRecorder struct {
+	io.ReadCloser
+	err error
+}
+
+func (recorder *failureRecorder) Read(buffer []byte) (int, error) {
+	count, err := recorder.ReadCloser.Read(buffer)
+	if err != nil && err != io.EOF {
+		recorder.err = err
+	}
+	return count, err
+}
