--- /dev/null
+++ b/internal/transport/listener.go
@@ -0,0 +1,46 @@
+package transport
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+)
+
+// Listener accepts connections.
+type Listener struct {
+	socket  net.Listener
+	options Options
+}
+
+// Listen opens a listener at "IP:port". Port 0 takes a free one; see Address.
+func Listen(address string, options Options) (*Listener, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen at %s: %w", address, err)
+	}
+	return &Listener{socket: socket, options: options}, nil
+}
+
+// Accept waits for the next connection. With TLS the handshake runs within the
+// connection's first Send or Receive, so that a slow peer holds up nobody else.
+// After Close it returns ErrClosed.
+func (l *Listener) Accept() (*Conn, error) {
+	stream, err := l.socket.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		return nil, fmt.Errorf("accept at %s: %w", l.Address(), ErrClosed)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("accept at %s: %w", l.Address(), err)
+	}
+	if l.options.TLS != nil {
+		stream = tls.Server(stream, l.options.TLS)
+	}
+	return NewConn(stream, l.options), nil
+}
+
+// Address is the "IP:port" that the listener has taken.
+func (l *Listener) Address() string { return l.socket.Addr().String() }
+
+// Close stops accepting; connections already accepted live on.
+func (l *Listener) Close() error { return l.socket.Close() }
