Estimate shard load from what agents measured and find hot keys

Cause: back ends' own load figures lag and mislead, and placement needs offered load per shard and the place of hot keys.

--- /dev/null
+++ b/internal/loadtable/table.go
@@ -0,0 +1,283 @@
+// Package loadtable turns the reports of agents and routers into the load of
+// each shard and back end. Reports lag and mislead, so:
+//
+//   - Shard load comes only from what agents measured at their own limit of
+//     slots; a back end's claim is compared and counted, never used.
+//   - What callers offered counts, including requests that were refused.
+//   - A slow average keeps noise out; when the request rate leaves its
+//     confidence band, the slow average jumps to the fast one, so that a shift
+//     is seen within a second or two (change detection as in Shewhart's control
+//     charts, 1931).
+//
+// Nothing here reads a clock.
+package loadtable
+
+import (
+	"math"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/placement"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+// Time constants of the averages.
+const (
+	fastWindow = 1 * time.Second
+	slowWindow = 20 * time.Second
+	// longestInterval bounds the time that one report can stand for.
+	longestInterval = 2 * time.Second
+)
+
+const (
+	// changeDeviations is the half width of the confidence band, in standard
+	// deviations of the fast average.
+	changeDeviations = 4.0
+	// priorRequests is how many requests at the service's mean cost are mixed
+	// into a shard's own mean cost, against the noise of few samples.
+	priorRequests = 100.0
+)
+
+// Table keeps what was observed. It is not safe for concurrent use.
+type Table struct {
+	shards   map[topology.ShardID]*shard
+	backends map[topology.BackendID]*backend
+	services map[topology.ServiceID]*cost
+	// discounted counts claims that contradicted what was observed.
+	discounted uint64
+}
+
+// shard is what was observed of one shard.
+type shard struct {
+	reporter topology.BackendID
+	// fastRate and slowRate are requests offered per second.
+	fastRate, slowRate average
+	cost               cost
+	hotKeys            []wire.KeyLoad
+	// reported numbers the reporter's last report that named the shard.
+	reported uint64
+}
+
+// backend is what was observed of one back end.
+type backend struct {
+	lastReport time.Duration
+	reports    uint64
+	shards     map[topology.ShardID]bool
+	claimed    average
+	observed   average
+	completed  average
+	failed     average
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{
+		shards:   make(map[topology.ShardID]*shard),
+		backends: make(map[topology.BackendID]*backend),
+		services: make(map[topology.ServiceID]*cost),
+	}
+}
+
+// AgentReport takes an agent's report of its back end's shards.
+func (t *Table) AgentReport(service topology.ServiceID, id topology.BackendID, renew *wire.Renew, now time.Duration) {
+	reporter := t.backend(id)
+	interval := min(now-reporter.lastReport, longestInterval)
+	reporter.lastReport = now
+	reporter.reports++
+	if reporter.reports == 1 || interval <= 0 {
+		return
+	}
+	busy := 0.0
+	for _, load := range renew.Load {
+		shardID := topology.ShardID{Service: service, Shard: load.Shard}
+		t.shardReport(shardID, id, load, interval)
+		busy += float64(load.BusyMicros) / 1e6
+	}
+	t.absentShards(reporter, interval)
+	reporter.observed.add(busy/interval.Seconds(), interval, fastWindow)
+	t.claim(reporter, float64(renew.Backend.Claimed), interval)
+}
+
+// claim compares a back end's word with what its agent observed.
+func (t *Table) claim(reporter *backend, claimed float64, interval time.Duration) {
+	reporter.claimed.add(claimed, interval, fastWindow)
+	if placement.Contradicts(reporter.claimed.value(), reporter.observed.value()) {
+		t.discounted++
+	}
+}
+
+func (t *Table) shardReport(id topology.ShardID, from topology.BackendID, load wire.ShardLoad, interval time.Duration) {
+	observed, known := t.shards[id]
+	if !known {
+		observed = &shard{}
+		t.shards[id] = observed
+	}
+	if observed.reporter != from {
+		delete(t.backend(observed.reporter).shards, id)
+		observed.reporter = from
+	}
+	reporter := t.backend(from)
+	reporter.shards[id] = true
+	observed.reported = reporter.reports
+	observed.cost.add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
+	t.service(id.Service).add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
+	observed.rate(float64(load.Requests)+float64(load.Refused), interval)
+	if len(load.HotKeys) > 0 {
+		observed.hotKeys = load.HotKeys
+	}
+}
+
+// absentShards counts shards that a report left out as without requests.
+func (t *Table) absentShards(reporter *backend, interval time.Duration) {
+	for id := range reporter.shards {
+		observed := t.shards[id]
+		if observed.reported != reporter.reports {
+			observed.rate(0, interval)
+		}
+	}
+}
+
+// rate takes the requests of an interval into both averages and moves the slow
+// one if the rate has changed.
+func (s *shard) rate(requests float64, interval time.Duration) {
+	perSecond := requests / interval.Seconds()
+	s.fastRate.add(perSecond, interval, fastWindow)
+	s.slowRate.add(perSecond, interval, slowWindow)
+	slow, fast := s.slowRate.value(), s.fastRate.value()
+	// An exponential average over window w has the variance of a mean over 2w.
+	deviation := math.Sqrt(math.Max(slow, 1) / (2 * fastWindow.Seconds()))
+	if math.Abs(fast-slow) > changeDeviations*deviation {
+		s.slowRate = s.fastRate
+		s.hotKeys = nil
+	}
+}
+
+// RouterReport takes what a router saw of back ends.
+func (t *Table) RouterReport(report *wire.RouterLoad, interval time.Duration) {
+	for _, observed := range report.Observed {
+		seen := t.backend(observed.Backend)
+		seen.completed.add(float64(observed.Completed), interval, fastWindow)
+		seen.failed.add(float64(observed.Failed)+float64(observed.TimedOut), interval, fastWindow)
+	}
+}
+
+// Load returns the load that callers offer to a shard, in slots.
+func (t *Table) Load(id topology.ShardID) float64 {
+	observed, known := t.shards[id]
+	if !known {
+		return 0
+	}
+	return observed.slowRate.value() * observed.cost.perRequest(t.service(id.Service))
+}
+
+// HotKeys returns the hottest keys of a shard with their load in slots.
+func (t *Table) HotKeys(id topology.ShardID) []placement.HotKey {
+	observed, known := t.shards[id]
+	if !known {
+		return nil
+	}
+	load := t.Load(id)
+	result := make([]placement.HotKey, 0, len(observed.hotKeys))
+	for _, hot := range observed.hotKeys {
+		result = append(result, placement.HotKey{Key: hot.Key, Load: load * float64(hot.Share)})
+	}
+	return result
+}
+
+// Split divides what is known of a shard between it and its new right part.
+// Hot keys go to the part that holds them; the rest goes by width.
+func (t *Table) Split(left, right topology.ShardID, at topology.KeyHash, leftWidthShare float64) {
+	observed, known := t.shards[left]
+	if !known {
+		return
+	}
+	leftShare, hotShare := 0.0, 0.0
+	var leftKeys, rightKeys []wire.KeyLoad
+	for _, hot := range observed.hotKeys {
+		hotShare += float64(hot.Share)
+		if hot.Key < at {
+			leftShare += float64(hot.Share)
+			leftKeys = append(leftKeys, hot)
+		} else {
+			rightKeys = append(rightKeys, hot)
+		}
+	}
+	leftShare += math.Max(0, 1-hotShare) * leftWidthShare
+	part := *observed
+	part.scale(1-leftShare, rightKeys)
+	observed.scale(leftShare, leftKeys)
+	t.shards[right] = &part
+	t.backend(part.reporter).shards[right] = true
+}
+
+// scale keeps a share of a shard's rate and the given keys, whose shares grow
+// accordingly.
+func (s *shard) scale(share float64, keys []wire.KeyLoad) {
+	s.fastRate.scale(share)
+	s.slowRate.scale(share)
+	s.cost.scale(share)
+	s.hotKeys = nil
+	for _, hot := range keys {
+		grown := math.Min(1, float64(hot.Share)/math.Max(share, 1e-9))
+		s.hotKeys = append(s.hotKeys, wire.KeyLoad{Key: hot.Key, Share: float32(grown)})
+	}
+}
+
+// Merge adds what is known of the right shard to the left and forgets it.
+func (t *Table) Merge(left, right topology.ShardID) {
+	ended, known := t.shards[right]
+	if !known {
+		return
+	}
+	delete(t.shards, right)
+	delete(t.backend(ended.reporter).shards, right)
+	if kept, found := t.shards[left]; found {
+		kept.fastRate.join(ended.fastRate)
+		kept.slowRate.join(ended.slowRate)
+		kept.cost.join(ended.cost)
+	}
+}
+
+// Backend is what was observed of a back end.
+type Backend struct {
+	// Observed and Claimed load in slots.
+	Observed, Claimed float64
+	// FailureShare is the share of requests that failed at routers.
+	FailureShare float64
+}
+
+// Backend returns what was observed of a back end.
+func (t *Table) Backend(id topology.BackendID) Backend {
+	seen, known := t.backends[id]
+	if !known {
+		return Backend{}
+	}
+	result := Backend{Observed: seen.observed.value(), Claimed: seen.claimed.value()}
+	total := seen.failed.value() + seen.completed.value()
+	if total > 0 {
+		result.FailureShare = seen.failed.value() / total
+	}
+	return result
+}
+
+// Discounted returns how many reports carried a claim that contradicted what
+// was observed.
+func (t *Table) Discounted() uint64 { return t.discounted }
+
+func (t *Table) backend(id topology.BackendID) *backend {
+	known, found := t.backends[id]
+	if !found {
+		known = &backend{shards: make(map[topology.ShardID]bool)}
+		t.backends[id] = known
+	}
+	return known
+}
+
+func (t *Table) service(id topology.ServiceID) *cost {
+	known, found := t.services[id]
+	if !found {
+		known = &cost{}
+		t.services[id] = known
+	}
+	return known
+}
--- /dev/null
+++ b/internal/loadtable/table_test.go
@@ -0,0 +1,92 @@
+package loadtable_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/loadtable"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+const (
+	interval = 125 * time.Millisecond
+	work     = 5 * time.Millisecond
+)
+
+var hotShard = topology.ShardID{Service: 1, Shard: 1}
+
+// feed reports Poisson requests at a rate for a while and returns the end.
+func feed(table *loadtable.Table, random *rand.Rand, rate float64, from, until time.Duration) time.Duration {
+	for now := from; now < until; now += interval {
+		requests := poisson(random, rate*interval.Seconds())
+		table.AgentReport(1, 1, &wire.Renew{Load: []wire.ShardLoad{
+			{Shard: 1, Requests: requests, BusyMicros: requests * uint32(work.Microseconds())},
+		}}, now)
+	}
+	return until
+}
+
+func poisson(random *rand.Rand, mean float64) uint32 {
+	limit, product := math.Exp(-mean), random.Float64()
+	var count uint32
+	for product > limit {
+		count++
+		product *= random.Float64()
+	}
+	return count
+}
+
+func TestSteadyLoadIsKnownCloselyAndAShiftSeenSoon(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		table := loadtable.New()
+		now := feed(table, random, 200, 0, 30*time.Second)
+		assert.Assert(t, math.Abs(table.Load(hotShard)-1) < 0.1, "seed %d: %v slots, want 1", seed, table.Load(hotShard))
+		now = feed(table, random, 600, now, now+3*time.Second)
+		assert.Assert(t, math.Abs(table.Load(hotShard)-3) < 0.5, "seed %d: %v slots, want 3", seed, table.Load(hotShard))
+		_ = now
+	}
+}
+
+func TestShardLeftOutOfReportsCools(t *testing.T) {
+	table := loadtable.New()
+	now := feed(table, rand.New(rand.NewPCG(1, 1)), 200, 0, 10*time.Second)
+	for range 40 {
+		now += interval
+		table.AgentReport(1, 1, &wire.Renew{}, now)
+	}
+	assert.Assert(t, table.Load(hotShard) < 0.05, "%v slots", table.Load(hotShard))
+}
+
+func TestLyingClaimIsCountedAndNotUsed(t *testing.T) {
+	table := loadtable.New()
+	for now := time.Duration(0); now < 5*time.Second; now += interval {
+		table.AgentReport(1, 1, &wire.Renew{
+			Load:    []wire.ShardLoad{{Shard: 1, Requests: 100, BusyMicros: 1_000_000}},
+			Backend: wire.BackendLoad{Claimed: 0},
+		}, now)
+	}
+	assert.Assert(t, table.Discounted() > 0)
+	assert.Assert(t, math.Abs(table.Load(hotShard)-8) < 0.1, "%v slots, want 8", table.Load(hotShard))
+}
+
+func TestSplitGivesTheHotKeyItsLoad(t *testing.T) {
+	table := loadtable.New()
+	for now := time.Duration(0); now < 5*time.Second; now += interval {
+		table.AgentReport(1, 1, &wire.Renew{Load: []wire.ShardLoad{{
+			Shard: 1, Requests: 100, BusyMicros: 500_000,
+			HotKeys: []wire.KeyLoad{{Key: 1000, Share: 0.75}},
+		}}}, now)
+	}
+	right := topology.ShardID{Service: 1, Shard: 2}
+	table.Split(hotShard, right, 1000, 0.5)
+	assert.Assert(t, math.Abs(table.Load(right)-3.5) < 0.1, "right part %v", table.Load(right))
+	assert.Assert(t, math.Abs(table.Load(hotShard)-0.5) < 0.1, "left part %v", table.Load(hotShard))
+	table.Merge(hotShard, right)
+	assert.Assert(t, math.Abs(table.Load(hotShard)-4) < 0.1, "merged %v", table.Load(hotShard))
+}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -64,8 +64,24 @@
 	Shard topology.ShardNumber
 	// Requests completed.
 	Requests uint32
-	// BusyMicros is slot time used.
+	// BusyMicros is slot time used, including by requests still running.
 	BusyMicros uint32
+	// Refused requests for want of a slot or room in the queue. They are part
+	// of the load that callers offer.
+	Refused uint32
+	// HotKeys are the keys with the largest part of Requests, largest first;
+	// at most MaximumHotKeys. An agent may leave them out of most reports.
+	HotKeys []KeyLoad
+}
+
+// MaximumHotKeys bounds ShardLoad.HotKeys.
+const MaximumHotKeys = 4
+
+// KeyLoad is the estimated share of a shard's requests that one key has.
+type KeyLoad struct {
+	Key topology.KeyHash
+	// Share is from 0 to 1.
+	Share float32
 }
 
 // BackendLoad is what an agent observed of its back end as a whole.
