--- /dev/null
+++ b/internal/ownership/ownership_test.go
@@ -0,0 +1,79 @@
+package ownership_test
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/quartzdock/quartzdock/internal/ownership"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+const duration = ownership.DefaultLeaseDuration
+
+func TestNothingExpiresBeforePredecessorsLeases(t *testing.T) {
+	elected := 10 * time.Second
+	table := ownership.NewLeaseTable(duration, elected)
+	assert.Assert(t, !table.Lapsed(7, elected+duration-1))
+	assert.Assert(t, table.Lapsed(7, elected+duration))
+}
+
+func TestSecondProcessWaitsForTheFirstsLease(t *testing.T) {
+	table := ownership.NewLeaseTable(duration, 0)
+	assert.Equal(t, table.Renew(1, 100, 0), duration)
+	assert.Equal(t, table.Renew(1, 200, duration-1), time.Duration(0))
+	assert.Equal(t, table.Renew(1, 200, duration), duration)
+	assert.Equal(t, table.Renew(1, 100, duration+1), time.Duration(0))
+}
+
+func TestReleaseEndsLeaseAtOnce(t *testing.T) {
+	table := ownership.NewLeaseTable(duration, 0)
+	table.Renew(1, 100, 0)
+	table.Release(1, 200, 1)
+	assert.Assert(t, table.Live(1, 1), "released by a process that does not hold it")
+	table.Release(1, 100, 2)
+	assert.Assert(t, table.Lapsed(1, 2))
+}
+
+// TestHolderStopsBeforeGrantor draws clocks that drift within the bound and
+// messages that are late, and checks that the holder's lease ends first.
+func TestHolderStopsBeforeGrantor(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		rate := rapid.Float64Range(1-ownership.DefaultClockDrift, 1).Draw(r, "holder's clock rate")
+		sent := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(r, "sent"))
+		late := time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(r, "delay"))
+		table := ownership.NewLeaseTable(duration, 0)
+		holder := ownership.NewHolder(ownership.DefaultClockDrift)
+		received := sent + late
+		granted := table.Renew(1, 1, received)
+		holderClock := func(real time.Duration) time.Duration { return time.Duration(float64(real) * rate) }
+		holder.Granted(holderClock(sent), granted)
+		end := received + granted
+		if holder.Valid(holderClock(end)) {
+			r.Fatalf("holder serves at %s, when the grantor counts the lease as over", end)
+		}
+	})
+}
+
+func TestHolderServesOnlyWhatItOwns(t *testing.T) {
+	holder := ownership.NewHolder(0)
+	mine := topology.Shard{ID: topology.ShardID{Service: 1, Shard: 1}, Owner: 5, Epoch: 3, Phase: topology.ShardOwned}
+	leaving := topology.Shard{ID: topology.ShardID{Service: 1, Shard: 2}, Owner: 5, Epoch: 4, Phase: topology.ShardReleasing}
+	others := topology.Shard{ID: topology.ShardID{Service: 1, Shard: 3}, Owner: 6, Epoch: 1, Phase: topology.ShardOwned}
+	holder.SetShards(slices.Values([]topology.Shard{mine, leaving, others}), 5)
+
+	assert.ErrorIs(t, holder.Admits(mine.ID, 3, 0), ownership.ErrNoLease)
+	holder.Granted(0, duration)
+	assert.NilError(t, holder.Admits(mine.ID, 3, 1))
+	assert.ErrorIs(t, holder.Admits(others.ID, 1, 1), ownership.ErrNotOwner)
+	assert.ErrorIs(t, holder.Admits(leaving.ID, 4, 1), ownership.ErrReleasing)
+	assert.NilError(t, holder.Owns(leaving.ID, 4, 1), "running work may end")
+	var wrong *ownership.WrongEpochError
+	assert.Assert(t, errors.As(holder.Admits(mine.ID, 2, 1), &wrong))
+	assert.Equal(t, wrong.Held, topology.Epoch(3))
+	assert.ErrorIs(t, holder.Owns(mine.ID, 3, duration), ownership.ErrNoLease)
+}
