--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -188,6 +188,10 @@
 	return nil
 }
 
+// SetIdleTimeout changes Options.IdleTimeout for later calls of Receive. It is
+// called by the goroutine that receives.
+func (c *Conn) SetIdleTimeout(timeout time.Duration) { c.options.IdleTimeout = timeout }
+
 // finish closes the connection on an error and says which connection failed.
 // The end of the stream between two frames stays a bare io.EOF.
 func (c *Conn) finish(doing string, err error) error {
