Add the lab's fault proxy

Integration tests need the failures of a network between real processes. The proxy delays, loses one direction, swallows silently, resets, truncates and stalls, from a seed and by script or JSON over HTTP. A connection that lost bytes passes none on after healing, because TCP never delivers a stream with a gap; a stall delivers late instead.

--- /dev/null
+++ b/lab/faultproxy/proxy.go
@@ -0,0 +1,202 @@
+// Package faultproxy is a TCP proxy that injects faults: delay, loss of one
+// direction, a silent black hole, resets, truncation and late delivery. It is
+// seeded, so that random faults repeat, and controlled by calls or by JSON over
+// HTTP. It stands between processes of the product in tests.
+package faultproxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// dialTimeout bounds the connection to the target.
+const dialTimeout = 5 * time.Second
+
+// Proxy passes connections on to one target.
+type Proxy struct {
+	name     string
+	target   string
+	listener net.Listener
+	ctx      context.Context
+	stop     context.CancelFunc
+	links    sync.WaitGroup
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	changed  chan struct{}
+	counters Counters
+}
+
+// Counters count what a proxy did since its start.
+type Counters struct {
+	Connections   int   `json:"connections"`
+	Refused       int   `json:"refused"`
+	BytesForward  int64 `json:"bytes_forward"`
+	BytesBackward int64 `json:"bytes_backward"`
+	BytesDropped  int64 `json:"bytes_dropped"`
+	Truncated     int   `json:"truncated"`
+	Reset         int   `json:"reset"`
+}
+
+// Listen starts a proxy from an address to a target.
+func Listen(name, address, target string, seed uint64) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("fault proxy %s: %w", name, err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	proxy := &Proxy{
+		name:     name,
+		target:   target,
+		listener: listener,
+		ctx:      ctx,
+		stop:     stop,
+		random:   rand.New(rand.NewPCG(seed, 3)),
+		changed:  make(chan struct{}),
+	}
+	proxy.links.Go(proxy.accept)
+	return proxy, nil
+}
+
+// Name returns the name by which the control interface knows the proxy.
+func (p *Proxy) Name() string { return p.name }
+
+// Address returns the address that the proxy listens on.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set replaces the faults. They act on open connections too.
+func (p *Proxy) Set(faults Faults) error {
+	if err := errors.Join(faults.Forward.validate("forward"), faults.Backward.validate("backward")); err != nil {
+		return err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.faults = faults
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return nil
+}
+
+// Heal removes all faults.
+func (p *Proxy) Heal() { p.Set(Faults{}) }
+
+// Run sets the faults of a script at their times and returns after the last.
+func (p *Proxy) Run(ctx context.Context, script []Step) error {
+	start := time.Now()
+	for _, step := range script {
+		if err := wait(ctx, time.Until(start.Add(time.Duration(step.At)))); err != nil {
+			return err
+		}
+		if err := p.Set(step.Faults); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Counters returns what the proxy did so far.
+func (p *Proxy) Counters() Counters {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.counters
+}
+
+// Close ends all connections and the proxy.
+func (p *Proxy) Close() error {
+	p.stop()
+	err := p.listener.Close()
+	p.links.Wait()
+	return err
+}
+
+// current returns the faults in force and a channel that closes when they are
+// replaced.
+func (p *Proxy) current() (Faults, <-chan struct{}) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.faults, p.changed
+}
+
+func (p *Proxy) count(change func(*Counters)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	change(&p.counters)
+}
+
+func (p *Proxy) draw() float64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.random.Float64()
+}
+
+func (p *Proxy) accept() {
+	for {
+		connection, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.links.Go(func() { p.serve(connection.(*net.TCPConn)) })
+	}
+}
+
+func (p *Proxy) serve(near *net.TCPConn) {
+	faults, _ := p.current()
+	p.count(func(c *Counters) { c.Connections++ })
+	if faults.RefuseNew {
+		p.count(func(c *Counters) { c.Refused++ })
+		reset(near)
+		return
+	}
+	if faults.SwallowNew {
+		p.swallow(near)
+		return
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	far, err := dialer.DialContext(p.ctx, "tcp", p.target)
+	if err != nil {
+		reset(near)
+		return
+	}
+	newLink(p, near, far.(*net.TCPConn)).run()
+}
+
+// swallow reads and loses everything until the other side or the proxy ends.
+func (p *Proxy) swallow(connection *net.TCPConn) {
+	defer connection.Close()
+	stopped := context.AfterFunc(p.ctx, func() { connection.Close() })
+	defer stopped()
+	buffer := make([]byte, pieceBytes)
+	for {
+		count, err := connection.Read(buffer)
+		p.count(func(c *Counters) { c.BytesDropped += int64(count) })
+		if err != nil {
+			return
+		}
+	}
+}
+
+// reset closes a connection with RST instead of FIN.
+func reset(connection *net.TCPConn) {
+	connection.SetLinger(0)
+	connection.Close()
+}
+
+func wait(ctx context.Context, duration time.Duration) error {
+	if duration <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
