Read settings from file, environment and flags with all findings at once

Roles need one way to be set up, and an operator who mistypes three fields should learn of all three. Each role declares its fields once with default, unit, bounds and explanation; the YAML file, flags, QUARTZDOCK_ variables and examples/*.yaml derive from that. Findings carry file:line:column and field and come together; unknown fields and variables are findings with the nearest name.

--- /dev/null
+++ b/internal/settings/nearest.go
@@ -0,0 +1,37 @@
+package settings
+
+// nearestDistance is the largest edit distance at which a name is suggested.
+const nearestDistance = 3
+
+// nearest returns the known field with the least edit distance to a name, or
+// "" where none is near.
+func (set *FieldSet) nearest(name string) string {
+	best, bestDistance := "", nearestDistance+1
+	for _, field := range set.fields {
+		if distance := editDistance(name, field.Name); distance < bestDistance {
+			best, bestDistance = field.Name, distance
+		}
+	}
+	return best
+}
+
+// editDistance returns the Levenshtein distance of two texts, in bytes.
+func editDistance(a, b string) int {
+	previous := make([]int, len(b)+1)
+	for j := range previous {
+		previous[j] = j
+	}
+	for i := range len(a) {
+		current := make([]int, len(b)+1)
+		current[0] = i + 1
+		for j := range len(b) {
+			substitution := previous[j]
+			if a[i] != b[j] {
+				substitution++
+			}
+			current[j+1] = min(substitution, previous[j+1]+1, current[j]+1)
+		}
+		previous = current
+	}
+	return previous[len(b)]
+}
--- /dev/null
+++ b/internal/settings/router.go
@@ -0,0 +1,96 @@
+package settings
+
+import "time"
+
+// Router is the settings of a router, which takes callers' requests.
+type Router struct {
+	Process
+	Listen                string
+	Controllers           []string
+	CallerCertificateFile string
+	CallerKeyFile         string
+	DefaultTimeout        time.Duration
+	MaximumBodyBytes      int
+	MaximumHeaderBytes    int
+	MaximumConnections    int
+	HeaderTimeout         time.Duration
+	StaleAfter            time.Duration
+}
+
+// declare adds the fields.
+func (router *Router) declare(set *FieldSet) {
+	router.Process.declare(set, "127.0.0.1:8081")
+	set.text(&router.Listen, Field{
+		Name: "callers.listen", Default: "127.0.0.1:8080", Unit: "IP:port",
+		Usage: "Address where callers send HTTP requests, with the path prefix /SERVICE/.",
+	}, isAddress)
+	set.text(&router.CallerCertificateFile, Field{
+		Name: "callers.certificate-file", Unit: "path of a PEM file",
+		Usage: "Certificate chain shown to callers. Empty serves plain HTTP.",
+	})
+	set.text(&router.CallerKeyFile, Field{
+		Name: "callers.key-file", Unit: "path of a PEM file",
+		Usage: "Private key of callers.certificate-file.",
+	})
+	set.duration(&router.DefaultTimeout, Field{
+		Name: "callers.default-timeout", Default: "10s",
+		Usage: "Deadline of a request whose caller states none and whose service's rules state none.",
+	}, 10*time.Millisecond, time.Hour)
+	set.count(&router.MaximumBodyBytes, Field{
+		Name: "callers.maximum-body-bytes", Default: "8388608", Unit: "bytes",
+		Usage: "Largest request body. A larger one is answered 413 and never reaches a back end.",
+	}, 1, 1<<30)
+	set.count(&router.MaximumHeaderBytes, Field{
+		Name: "callers.maximum-header-bytes", Default: "16384", Unit: "bytes",
+		Usage: "Largest request header. A larger one is answered 431.",
+	}, 1024, 1<<20)
+	set.count(&router.MaximumConnections, Field{
+		Name: "callers.maximum-connections", Default: "4096", Unit: "connections",
+		Usage: "Most open connections from callers. Further ones wait in the kernel's backlog.",
+	}, 1, 1<<20)
+	set.duration(&router.HeaderTimeout, Field{
+		Name: "callers.header-timeout", Default: "5s",
+		Usage: "Longest time in which a caller must send a whole header. Slower ones are cut off.",
+	}, 100*time.Millisecond, time.Minute)
+	declareControllers(set, &router.Controllers)
+	set.duration(&router.StaleAfter, Field{
+		Name: "routing.stale-after", Default: "3s",
+		Usage: "After this time without hearing a controller that follows a leader, requests are answered 503 stale-routing.",
+	}, 500*time.Millisecond, 10*time.Minute)
+	set.check(func(report func(field, problem string)) {
+		if (router.CallerCertificateFile == "") != (router.CallerKeyFile == "") {
+			report("callers.key-file", "callers.certificate-file and callers.key-file go together")
+		}
+	})
+	router.TLS.requireOffLoopback(set, "ops.listen")
+	requireTLSTowards(set, &router.TLS, "controllers")
+}
+
+// declareControllers adds the list of session addresses.
+func declareControllers(set *FieldSet, target *[]string) {
+	set.texts(target, Field{
+		Name: "controllers", Required: true, Unit: "IP:port",
+		Example: "127.0.0.1:7101,127.0.0.2:7101,127.0.0.3:7101",
+		Usage:   "The session.listen addresses of the controllers. Any that answers is enough; the leader is found from it.",
+	}, isAddress)
+	set.check(func(report func(field, problem string)) {
+		if set.byName["controllers"].given && len(*target) == 0 && set.byName["controllers"].valid {
+			report("controllers", "at least one address is required")
+		}
+	})
+}
+
+// requireTLSTowards reports addresses off loopback that would be reached
+// without TLS.
+func requireTLSTowards(set *FieldSet, tls *TLS, name string) {
+	set.check(func(report func(field, problem string)) {
+		if tls.Enabled() {
+			return
+		}
+		for _, address := range set.byName[name].effective() {
+			if isAddress(address) == nil && !onLoopback(address) {
+				report(name, address+" is not on loopback, so tls.certificate-file, tls.key-file and tls.ca-file are required")
+			}
+		}
+	})
+}
