--- /dev/null
+++ b/internal/ops/server.go
@@ -0,0 +1,106 @@
+package ops
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// ServerConfig configures the listener for monitoring.
+type ServerConfig struct {
+	// Listen is "IP:port"; port 0 takes a free one.
+	Listen string
+	// Pprof serves /debug/pprof.
+	Pprof bool
+	// TLS, if set, serves HTTPS.
+	TLS *tls.Config
+	// Registry is served at /metrics.
+	Registry *prometheus.Registry
+	// Ready returns why the process cannot do its work now, or nil. It is
+	// called at each /readyz and must not block.
+	Ready func() error
+	// Log takes changes of state.
+	Log *slog.Logger
+}
+
+// Server serves /metrics, /healthz and /readyz.
+type Server struct {
+	server  *http.Server
+	address string
+	done    chan error
+}
+
+// StartServer listens and serves until Stop.
+func StartServer(config ServerConfig) (*Server, error) {
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("monitoring listener: %w", err)
+	}
+	server := &Server{
+		server:  NewHTTPServer(Handler(config), Limits{}, config.TLS, config.Log),
+		address: listener.Addr().String(),
+		done:    make(chan error, 1),
+	}
+	go func() { server.done <- Serve(server.server, listener) }()
+	return server, nil
+}
+
+// Address returns "IP:port" as bound.
+func (server *Server) Address() string { return server.address }
+
+// Stop finishes requests in progress and closes the listener.
+func (server *Server) Stop(ctx context.Context) error {
+	if err := server.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("stop of the monitoring listener: %w", err)
+	}
+	return <-server.done
+}
+
+// Handler returns the routes of the listener for monitoring.
+func Handler(config ServerConfig) http.Handler {
+	router := chi.NewRouter()
+	router.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(config.Registry, promhttp.HandlerOpts{Registry: config.Registry}))
+	router.Get("/healthz", serveHealth)
+	router.Get("/readyz", serveReadiness(config.Ready))
+	if config.Pprof {
+		router.Route("/debug/pprof", mountPprof)
+	}
+	return router
+}
+
+// serveHealth answers that the process runs and its HTTP server answers.
+func serveHealth(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintln(w, "ok")
+}
+
+// serveReadiness answers 200 where the process can do its work, else 503 with
+// the reason.
+func serveReadiness(ready func() error) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, "not ready: "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	}
+}
+
+// mountPprof adds the handlers of net/http/pprof below the present route.
+func mountPprof(router chi.Router) {
+	router.Get("/", pprof.Index)
+	router.Get("/cmdline", pprof.Cmdline)
+	router.Get("/profile", pprof.Profile)
+	router.Get("/symbol", pprof.Symbol)
+	router.Get("/trace", pprof.Trace)
+	router.Get("/{profile}", func(w http.ResponseWriter, r *http.Request) {
+		pprof.Handler(chi.URLParam(r, "profile")).ServeHTTP(w, r)
+	})
+}
