--- /dev/null
+++ b/lab/ledger/availability.go
@@ -0,0 +1,89 @@
+package ledger
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+// ProbedKey names a key of a service.
+type ProbedKey struct {
+	Service string
+	Key     string
+}
+
+// Gap is the longest time between two answers to the probes of a key.
+type Gap struct {
+	ProbedKey
+	// From is when the last answer before the gap came, in Unix nanoseconds.
+	From int64
+	// Length of the gap, without the interval of the probes.
+	Length time.Duration
+}
+
+// LongestGaps returns for each probed key its longest gap, longest first. An
+// answer counts when it was whole, with status 200. A probe that was held back
+// and answered late lengthens a gap just as a refused one does.
+func LongestGaps(probes []CallerEntry, interval time.Duration) []Gap {
+	answered := make(map[ProbedKey][]int64)
+	for _, probe := range probes {
+		key := ProbedKey{Service: probe.Service, Key: probe.Key}
+		if probe.Outcome == wire.OutcomeAnswered && probe.Status == http.StatusOK && probe.Damage == "" {
+			answered[key] = append(answered[key], probe.Done)
+		} else if answered[key] == nil {
+			answered[key] = []int64{}
+		}
+	}
+	gaps := make([]Gap, 0, len(answered))
+	for key, times := range answered {
+		gaps = append(gaps, longestGap(key, times, interval))
+	}
+	slices.SortFunc(gaps, func(a, b Gap) int {
+		return cmp.Or(cmp.Compare(b.Length, a.Length), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Key, b.Key))
+	})
+	return gaps
+}
+
+func longestGap(key ProbedKey, times []int64, interval time.Duration) Gap {
+	slices.Sort(times)
+	longest := Gap{ProbedKey: key}
+	for index := 1; index < len(times); index++ {
+		length := time.Duration(times[index]-times[index-1]) - interval
+		if length > longest.Length {
+			longest.Length = length
+			longest.From = times[index-1]
+		}
+	}
+	return longest
+}
+
+// Between returns the probes sent in a period of Unix nanoseconds.
+func Between(probes []CallerEntry, from, to int64) []CallerEntry {
+	var within []CallerEntry
+	for _, probe := range probes {
+		if probe.Sent >= from && probe.Sent < to {
+			within = append(within, probe)
+		}
+	}
+	return within
+}
+
+// OwnersAt returns which back end last ran a request of each key before an
+// instant.
+func OwnersAt(backends []BackendEntry, instant int64) map[ProbedKey]string {
+	last := make(map[ProbedKey]BackendEntry)
+	for _, entry := range backends {
+		key := ProbedKey{Service: entry.Service, Key: entry.Key}
+		if entry.Kind == KindRun && entry.Time < instant && entry.Time >= last[key].Time {
+			last[key] = entry
+		}
+	}
+	owners := make(map[ProbedKey]string, len(last))
+	for key, entry := range last {
+		owners[key] = entry.Backend
+	}
+	return owners
+}
--- a/lab/load/summary.go
+++ b/lab/load/summary.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
+	"io"
 	"slices"
 	"sync"
+	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -125,3 +128,19 @@
 	}
 	return total
 }
+
+// Print writes the summary as a table; latencies are in milliseconds.
+func (s *Summary) Print(output io.Writer) error {
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "operation\trequests\tanswered\tnot run\tunknown\tresent\tp50 ms\tp99 ms\t")
+	for _, row := range append(s.Rows(), s.Total()) {
+		fmt.Fprintf(table, "%s %s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t\n", row.Service, row.Operation,
+			row.Requests, row.Answered, row.NotRun, row.Unknown, row.Attempts-row.Requests,
+			milliseconds(row.Percentile(50)), milliseconds(row.Percentile(99)))
+	}
+	return table.Flush()
+}
+
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
