--- /dev/null
+++ b/internal/requestrecord/shard.go
@@ -0,0 +1,121 @@
+package requestrecord
+
+import (
+	"net/http"
+
+	"github.com/quartzdock/quartzdock/internal/requestid"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// Decision says what to do with a request that carries an id.
+type Decision uint8
+
+// Decisions of Record.Admit.
+const (
+	// Fresh: the id is admitted now and synced; the request may be sent. It
+	// must be ended by Finish, Lose or Abandon.
+	Fresh Decision = iota + 1
+	// InProgress: the id was admitted and its request has not ended.
+	InProgress
+	// Answered: the request ran; Verdict.Answer is its answer.
+	Answered
+	// AnswerGone: the request ran, its answer was not kept.
+	AnswerGone
+	// OutcomeUnknown: the request may have run.
+	OutcomeUnknown
+	// RecordLost: whether the id was ever admitted is not known.
+	RecordLost
+	// Mismatch: the id was admitted with another request.
+	Mismatch
+)
+
+// Answer is a back end's answer that is kept for repeats of its request.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Verdict is the result of Record.Admit.
+type Verdict struct {
+	Decision Decision
+	// Answer is set with Answered only. It must not be changed.
+	Answer *Answer
+}
+
+// entryState is how far the request of an entry came.
+type entryState uint8
+
+const (
+	stateRunning entryState = iota + 1
+	stateAnswered
+	stateUnknown
+)
+
+// entry is one admitted id.
+type entry struct {
+	fingerprint uint64
+	state       entryState
+	// answer is nil when it was not kept.
+	answer *Answer
+}
+
+func (kept *entry) verdict(fingerprint uint64) Verdict {
+	switch {
+	case kept.fingerprint != fingerprint:
+		return Verdict{Decision: Mismatch}
+	case kept.state == stateRunning:
+		return Verdict{Decision: InProgress}
+	case kept.state == stateUnknown:
+		return Verdict{Decision: OutcomeUnknown}
+	case kept.answer == nil:
+		return Verdict{Decision: AnswerGone}
+	}
+	return Verdict{Decision: Answered, Answer: kept.answer}
+}
+
+// shardRecord is the record of one shard. Its floor is the higher of the two.
+type shardRecord struct {
+	// epoch under which the record is exact.
+	epoch topology.Epoch
+	// begun is the epoch that this process serves at; zero after a restart
+	// until Begin.
+	begun topology.Epoch
+	// released is the highest epoch that this agent promised not to serve.
+	released topology.Epoch
+	// takeoverFloor is from the owner's beginning or from a transfer.
+	takeoverFloor int64
+	// retentionFloor is above the stamp of every entry dropped here.
+	retentionFloor int64
+	entries        map[requestid.ID]*entry
+}
+
+func newShardRecord() *shardRecord {
+	return &shardRecord{entries: make(map[requestid.ID]*entry)}
+}
+
+func (record *shardRecord) floor() int64 {
+	return max(record.takeoverFloor, record.retentionFloor)
+}
+
+// serves says that ids may be admitted at the epoch.
+func (record *shardRecord) serves(epoch topology.Epoch) bool {
+	return record != nil && record.begun == epoch && record.released < epoch
+}
+
+// continues says that the record is still exact for an owner at epoch: it is
+// of that epoch or of the one before.
+func (record *shardRecord) continues(epoch topology.Epoch) bool {
+	return record.epoch != 0 && (record.epoch == epoch || record.epoch+1 == epoch)
+}
+
+// lookup decides about an id without changing the record.
+func (record *shardRecord) lookup(id requestid.ID, fingerprint uint64) Verdict {
+	if kept, ok := record.entries[id]; ok {
+		return kept.verdict(fingerprint)
+	}
+	if id.UnixMilli() < record.floor() {
+		return Verdict{Decision: RecordLost}
+	}
+	return Verdict{Decision: Fresh}
+}
--- a/internal/wire/controller.go
+++ b/internal/wire/controller.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"github.com/quartzdock/quartzdock/internal/requestid"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
@@ -9,8 +10,8 @@
 type RecordTransfer struct {
 	Shard topology.ShardID
 	Epoch topology.Epoch
-	// CompleteSinceUnixMilli: every id with an earlier time stamp may have run
-	// without being listed.
+	// CompleteSinceUnixMilli: an id with an earlier time stamp may have run
+	// without being listed; one with this or a later stamp ran only if listed.
 	CompleteSinceUnixMilli int64
 	Entries                []RecordEntry
 	// Last is set on the last part.
@@ -19,12 +20,17 @@
 
 // RecordEntry is one request id that was admitted.
 type RecordEntry struct {
-	RequestID string
-	// Status and Body of the kept answer; Status zero means that the outcome
-	// is not known or the answer was too large to keep.
+	ID requestid.ID
+	// Fingerprint of the request that first carried the id.
+	Fingerprint uint64
+	// Answered says that the back end ran the request and answered it whole;
+	// otherwise its outcome is not known.
+	Answered bool
+	// Status, Header and Body of the kept answer; Status zero with Answered set
+	// means that the answer was too large to keep.
 	Status int
-	Body   []byte
 	Header map[string][]string
+	Body   []byte
 }
 
 // RecordTransferAck confirms that all parts are kept.
