Add the consensus core

A pure core (Tick, Step, Propose, ReadIndex, ProposeMembership, Ready, Advance) with pre-vote, check-quorum, leader lease, learners and single-server membership changes; roles are run from replica.chart. First tests run it on virtual time.

--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,360 @@
+package consensus
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	testTick  = 10 * time.Millisecond
+	testGroup = topology.GroupID(1)
+)
+
+// disk is a storage double: only what was synced outlives a crash.
+type disk struct {
+	hard     HardState
+	entries  []Entry
+	snapshot Snapshot
+}
+
+func (d *disk) write(ready Ready) {
+	if ready.Snapshot != nil {
+		d.snapshot = *ready.Snapshot
+		d.entries = nil
+	}
+	if ready.HardState != nil {
+		d.hard = *ready.HardState
+	}
+	if len(ready.Entries) > 0 {
+		kept := slices.IndexFunc(d.entries, func(e Entry) bool { return e.Index >= ready.Entries[0].Index })
+		if kept >= 0 {
+			d.entries = d.entries[:kept:kept]
+		}
+		d.entries = append(d.entries, ready.Entries...)
+	}
+}
+
+func (d disk) clone() disk {
+	d.entries = slices.Clone(d.entries)
+	return d
+}
+
+// node is one replica of a test cluster with its disk and state machine.
+type node struct {
+	member  Member
+	core    *Core
+	disk    disk
+	applied []Entry
+	reads   []ReadState
+	paused  bool
+	// inbox holds what came while paused.
+	inbox []Message
+	// full refuses entries, as a full disk does.
+	full bool
+}
+
+type delivery struct {
+	at      time.Duration
+	message Message
+}
+
+// cluster runs replicas on virtual time over a network that delays, loses and
+// reorders, all drawn from one seed.
+type cluster struct {
+	t         *testing.T
+	now       time.Duration
+	random    *rand.Rand
+	nodes     map[topology.ReplicaID]*node
+	network   []delivery
+	cut       map[[2]topology.ReplicaID]bool
+	lossRate  float64
+	maxDelay  time.Duration
+	committed map[uint64]Entry
+	leaders   map[uint64]topology.ReplicaID
+	starts    uint64
+}
+
+func newCluster(t *testing.T, seed uint64, size int) *cluster {
+	t.Helper()
+	c := &cluster{
+		t:         t,
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		nodes:     map[topology.ReplicaID]*node{},
+		cut:       map[[2]topology.ReplicaID]bool{},
+		maxDelay:  5 * time.Millisecond,
+		committed: map[uint64]Entry{},
+		leaders:   map[uint64]topology.ReplicaID{},
+	}
+	var members []Member
+	for id := range size {
+		members = append(members, testMember(topology.ReplicaID(id+1)))
+	}
+	for _, member := range members {
+		n := &node{member: member}
+		n.disk.snapshot.Meta.Membership = NewMembership(members...)
+		c.nodes[member.ID] = n
+		c.start(n)
+	}
+	return c
+}
+
+func testMember(id topology.ReplicaID) Member {
+	return Member{ID: id, Incarnation: topology.Incarnation(1000 + id), Address: fmt.Sprintf("127.0.0.%d:1", id)}
+}
+
+// ids returns the replicas in a fixed order.
+func (c *cluster) ids() []topology.ReplicaID {
+	var ids []topology.ReplicaID
+	for id := range c.nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *cluster) start(n *node) {
+	c.t.Helper()
+	c.starts++
+	core, err := New(Config{
+		Group: testGroup, ID: n.member.ID, Incarnation: n.member.Incarnation,
+		HardState: n.disk.hard, Snapshot: n.disk.snapshot.Meta, Entries: slices.Clone(n.disk.entries),
+		Now: c.now, Seed: c.random.Uint64(), MaxAppendBytes: 200, MaxInflightAppends: 4,
+	})
+	assert.NilError(c.t, err)
+	n.core = core
+	n.applied = decodeApplied(n.disk.snapshot)
+	n.paused = false
+	n.inbox = nil
+}
+
+// decodeApplied rebuilds the state machine, the list of applied entries.
+func decodeApplied(snapshot Snapshot) []Entry {
+	var applied []Entry
+	for position := 0; position+8 <= len(snapshot.Data); position += 8 {
+		applied = append(applied, Entry{Index: uint64(snapshot.Data[position]) | uint64(snapshot.Data[position+1])<<8, Data: snapshot.Data[position+2 : position+8]})
+	}
+	return applied
+}
+
+func encodeApplied(applied []Entry) []byte {
+	var data []byte
+	for _, entry := range applied {
+		record := make([]byte, 8)
+		record[0], record[1] = byte(entry.Index), byte(entry.Index>>8)
+		copy(record[2:], entry.Data)
+		data = append(data, record...)
+	}
+	return data
+}
+
+func (c *cluster) crash(id topology.ReplicaID) { c.nodes[id].core = nil }
+
+func (c *cluster) restart(id topology.ReplicaID) { c.start(c.nodes[id]) }
+
+func (c *cluster) isolate(id topology.ReplicaID) {
+	for other := range c.nodes {
+		c.cut[[2]topology.ReplicaID{id, other}] = true
+		c.cut[[2]topology.ReplicaID{other, id}] = true
+	}
+}
+
+func (c *cluster) heal() { clear(c.cut) }
+
+func (c *cluster) send(messages []Message) {
+	for _, m := range messages {
+		if c.cut[[2]topology.ReplicaID{m.From, m.To}] || c.random.Float64() < c.lossRate {
+			continue
+		}
+		if m.Kind == MessageSnapshot {
+			snapshot := c.nodes[m.From].disk.snapshot
+			m.Snapshot = &snapshot
+		}
+		delay := time.Duration(c.random.Int64N(int64(c.maxDelay)))
+		c.network = append(c.network, delivery{c.now + delay, m})
+	}
+}
+
+// work does the node's Ready work until there is none.
+func (c *cluster) work(n *node) {
+	for n.core != nil && !n.paused && n.core.HasReady() {
+		ready := n.core.Ready()
+		c.send(ready.Early)
+		if n.full {
+			ready.Entries = nil
+		}
+		n.disk.write(ready)
+		if ready.Snapshot != nil {
+			n.applied = decodeApplied(*ready.Snapshot)
+		}
+		c.send(ready.Messages)
+		for _, entry := range ready.Committed {
+			c.apply(n, entry)
+		}
+		n.reads = append(n.reads, ready.Reads...)
+		n.core.Advance(ready)
+		c.checkLeader(n)
+		if n.full {
+			return
+		}
+	}
+}
+
+// apply checks that all replicas apply the same entry at an index.
+func (c *cluster) apply(n *node, entry Entry) {
+	if earlier, ok := c.committed[entry.Index]; ok {
+		assert.Equal(c.t, earlier.Term, entry.Term, "replica %d applies another entry at %d", n.member.ID, entry.Index)
+		assert.Equal(c.t, string(earlier.Data), string(entry.Data))
+	}
+	c.committed[entry.Index] = entry
+	if entry.Kind == EntryCommand {
+		n.applied = append(n.applied, entry)
+	}
+}
+
+func (c *cluster) checkLeader(n *node) {
+	if n.core.Role() != Leader {
+		return
+	}
+	term := n.core.Status().Term
+	if other, ok := c.leaders[term]; ok {
+		assert.Equal(c.t, other, n.member.ID, "two leaders in term %d", term)
+	}
+	c.leaders[term] = n.member.ID
+	c.checkLease(n)
+}
+
+// checkLease verifies that at most one replica may act as the leader.
+func (c *cluster) checkLease(n *node) {
+	if !n.core.Status().IsLeader(c.now) {
+		return
+	}
+	for _, other := range c.nodes {
+		if other != n && other.core != nil && other.core.Status().IsLeader(c.now) {
+			c.t.Fatalf("replicas %d and %d both have a valid lease at %v", n.member.ID, other.member.ID, c.now)
+		}
+	}
+}
+
+// step moves time by one tick.
+func (c *cluster) step() {
+	c.now += testTick
+	due := c.network
+	c.network = nil
+	slices.SortStableFunc(due, func(a, b delivery) int { return int(a.at - b.at) })
+	for _, d := range due {
+		if d.at > c.now {
+			c.network = append(c.network, d)
+			continue
+		}
+		c.deliver(d.message)
+	}
+	for _, id := range c.ids() {
+		n := c.nodes[id]
+		if n.core == nil || n.paused {
+			continue
+		}
+		n.core.Tick(c.now)
+		c.work(n)
+	}
+}
+
+func (c *cluster) deliver(m Message) {
+	n, ok := c.nodes[m.To]
+	if !ok || n.core == nil {
+		return
+	}
+	if n.paused {
+		n.inbox = append(n.inbox, m)
+		return
+	}
+	assert.NilError(c.t, n.core.Step(c.now, m))
+	c.work(n)
+}
+
+// resume ends a pause: what came meanwhile is read after the first tick.
+func (c *cluster) resume(id topology.ReplicaID) {
+	n := c.nodes[id]
+	n.paused = false
+	n.core.Tick(c.now)
+	c.work(n)
+	inbox := n.inbox
+	n.inbox = nil
+	for _, m := range inbox {
+		c.deliver(m)
+	}
+}
+
+func (c *cluster) run(duration time.Duration) {
+	for end := c.now + duration; c.now < end; {
+		c.step()
+	}
+}
+
+// until runs until a condition holds, for at most ten seconds of virtual time.
+func (c *cluster) until(what string, condition func() bool) {
+	c.t.Helper()
+	for end := c.now + 10*time.Second; !condition(); {
+		if c.now >= end {
+			c.t.Fatalf("not within 10 s: %s", what)
+		}
+		c.step()
+	}
+}
+
+// leader returns the replica with a valid lease, or nil.
+func (c *cluster) leader() *node {
+	for _, id := range c.ids() {
+		n := c.nodes[id]
+		if n.core != nil && !n.paused && n.core.Status().IsLeader(c.now) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (c *cluster) waitLeader() *node {
+	c.t.Helper()
+	c.until("a leader with a lease", func() bool { return c.leader() != nil })
+	return c.leader()
+}
+
+// commit proposes at the leader and waits until it has applied the command.
+func (c *cluster) commit(data string) uint64 {
+	c.t.Helper()
+	leader := c.waitLeader()
+	index, _, err := leader.core.Propose([]byte(data))
+	assert.NilError(c.t, err)
+	c.work(leader)
+	c.until("command applied", func() bool { return leader.core.Status().Applied >= index })
+	return index
+}
+
+// change proposes a membership change at the leader and waits until it is
+// committed.
+func (c *cluster) change(change Change) {
+	c.t.Helper()
+	leader := c.waitLeader()
+	var index uint64
+	c.until(change.Kind.String()+" accepted", func() bool {
+		var err error
+		index, _, err = leader.core.ProposeMembership(change)
+		return err == nil
+	})
+	c.work(leader)
+	c.until(change.Kind.String()+" committed", func() bool { return leader.core.Status().Commit >= index })
+}
+
+func (c *cluster) allApplied(index uint64) bool {
+	for _, n := range c.nodes {
+		if n.core != nil && n.core.Status().Applied < index {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/consensus/follower.go
@@ -0,0 +1,106 @@
+package consensus
+
+import "fmt"
+
+// stepFromLeader takes a message of the leader of this replica's term.
+func (c *Core) stepFromLeader(m Message) error {
+	if c.role == Leader || (c.leader != 0 && c.leader != m.From) {
+		return fmt.Errorf("%w: term %d, replicas %d and %d", ErrTwoLeaders, c.hard.Term, c.leader, m.From)
+	}
+	c.leader = m.From
+	c.leaderIncarnation = m.FromIncarnation
+	c.leaderHeardAt = c.now
+	c.fire(eventLeaderHeard)
+	switch m.Kind {
+	case MessageAppend:
+		return c.appendFromLeader(m)
+	case MessageHeartbeat:
+		c.commitTo(min(m.Commit, c.log.lastIndex()))
+		c.send(Message{Kind: MessageHeartbeatAnswer, To: m.From, ToIncarnation: m.FromIncarnation, Round: m.Round, LogIndex: c.log.lastIndex()})
+	case MessageSnapshot:
+		c.snapshotFromLeader(m)
+	}
+	return nil
+}
+
+func (c *Core) appendFromLeader(m Message) error {
+	if m.LogIndex < c.log.committed {
+		c.acknowledge(c.log.committed)
+		return nil
+	}
+	if !c.log.matches(m.LogIndex, m.LogTerm) {
+		c.refuseAppend(m)
+		return nil
+	}
+	if err := c.mergeEntries(m.Entries); err != nil {
+		return err
+	}
+	last := m.LogIndex + uint64(len(m.Entries))
+	c.commitTo(min(m.Commit, last))
+	c.acknowledge(last)
+	return nil
+}
+
+func (c *Core) refuseAppend(m Message) {
+	index, term := c.log.conflictHint(m.LogIndex, m.LogTerm)
+	c.send(Message{
+		Kind: MessageAppendAnswer, To: m.From, ToIncarnation: m.FromIncarnation,
+		Refused: true, Rejected: m.LogIndex, LogIndex: index, LogTerm: term,
+	})
+}
+
+// mergeEntries appends what the log lacks and replaces what differs.
+func (c *Core) mergeEntries(entries []Entry) error {
+	for position, entry := range entries {
+		if c.log.matches(entry.Index, entry.Term) {
+			continue
+		}
+		if entry.Index <= c.log.committed {
+			return fmt.Errorf("%w: index %d, term %d", ErrCommittedConflict, entry.Index, entry.Term)
+		}
+		if entry.Index <= c.log.lastIndex() {
+			c.log.truncateFrom(entry.Index)
+			c.dropMembershipsFrom(entry.Index)
+		}
+		c.log.append(entries[position:]...)
+		if err := c.noteMemberships(entries[position:]); err != nil {
+			return err
+		}
+		c.membershipChanged()
+		return nil
+	}
+	return nil
+}
+
+// acknowledge answers the leader once the log is durable up to index.
+func (c *Core) acknowledge(index uint64) { c.ackUpTo = max(c.ackUpTo, index) }
+
+func (c *Core) commitTo(index uint64) {
+	if index <= c.log.committed {
+		return
+	}
+	c.log.committed = index
+	c.hard.Commit = index
+}
+
+// snapshotFromLeader replaces the log by a snapshot, unless the log already
+// holds what the snapshot covers.
+func (c *Core) snapshotFromLeader(m Message) {
+	meta := m.Snapshot.Meta
+	if meta.Index <= c.log.committed {
+		c.acknowledge(c.log.committed)
+		return
+	}
+	if c.log.matches(meta.Index, meta.Term) {
+		c.commitTo(meta.Index)
+		c.acknowledge(meta.Index)
+		return
+	}
+	c.log.restore(meta)
+	c.hard.Commit = meta.Index
+	c.snapshot = meta
+	c.installing = m.Snapshot
+	c.memberships = []membershipAt{{meta.Index, meta.Membership}}
+	c.membershipChanged()
+	c.ackUpTo = meta.Index
+}
--- /dev/null
+++ b/internal/consensus/membership.go
@@ -0,0 +1,187 @@
+package consensus
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"slices"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// Member is a replica as the group's membership names it.
+type Member struct {
+	ID          topology.ReplicaID
+	Incarnation topology.Incarnation
+	// Address takes connections of peers, "IP:port".
+	Address string
+	// Learner members receive the log but neither vote nor count.
+	Learner bool
+}
+
+// Membership lists a group's members by ascending ID.
+type Membership struct {
+	Members []Member
+	// LastID is the highest ReplicaID ever given; IDs are never used again.
+	LastID topology.ReplicaID
+}
+
+// ChangeKind is a kind of membership change.
+type ChangeKind uint8
+
+// Kinds of membership changes.
+const (
+	// AddLearner adds Member as a learner. A zero ID is replaced by a new one.
+	AddLearner ChangeKind = iota + 1
+	// Promote makes a learner that is caught up a voter.
+	Promote
+	// Remove takes a member out.
+	Remove
+)
+
+// String returns the kind's name.
+func (k ChangeKind) String() string {
+	switch k {
+	case AddLearner:
+		return "add-learner"
+	case Promote:
+		return "promote"
+	case Remove:
+		return "remove"
+	}
+	return fmt.Sprintf("change-%d", uint8(k))
+}
+
+// Change is one step of membership: at most one voter more or less, so that
+// any quorum before and any quorum after share a member (Ongaro, "Consensus:
+// Bridging Theory and Practice", section 4.1).
+type Change struct {
+	Kind   ChangeKind
+	Member Member
+}
+
+// NewMembership returns a membership of the members in ascending order.
+func NewMembership(members ...Member) Membership {
+	membership := Membership{Members: slices.Clone(members)}
+	slices.SortFunc(membership.Members, compareMembers)
+	for _, member := range members {
+		membership.LastID = max(membership.LastID, member.ID)
+	}
+	return membership
+}
+
+func compareMembers(a, b Member) int {
+	switch {
+	case a.ID < b.ID:
+		return -1
+	case a.ID > b.ID:
+		return 1
+	}
+	return 0
+}
+
+// Find returns the member with an ID.
+func (m Membership) Find(id topology.ReplicaID) (Member, bool) {
+	for _, member := range m.Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// Names reports whether the membership names this ID with this incarnation.
+func (m Membership) Names(id topology.ReplicaID, incarnation topology.Incarnation) bool {
+	member, ok := m.Find(id)
+	return ok && member.Incarnation == incarnation
+}
+
+// Voters counts the members that vote.
+func (m Membership) Voters() int {
+	voters := 0
+	for _, member := range m.Members {
+		if !member.Learner {
+			voters++
+		}
+	}
+	return voters
+}
+
+// Quorum is the least number of voters that is a majority.
+func (m Membership) Quorum() int { return m.Voters()/2 + 1 }
+
+// IsVoter reports whether the membership names this ID as a voter.
+func (m Membership) IsVoter(id topology.ReplicaID) bool {
+	member, ok := m.Find(id)
+	return ok && !member.Learner
+}
+
+// With returns the membership after a change, and the change with the ID that
+// was given.
+func (m Membership) With(change Change) (Membership, Change, error) {
+	next := Membership{Members: slices.Clone(m.Members), LastID: m.LastID}
+	switch change.Kind {
+	case AddLearner:
+		return next.withLearner(change)
+	case Promote, Remove:
+		return next.withExisting(change)
+	}
+	return m, change, &ChangeError{change, "unknown kind"}
+}
+
+func (m Membership) withLearner(change Change) (Membership, Change, error) {
+	if change.Member.Incarnation == 0 {
+		return m, change, &ChangeError{change, "no incarnation is given"}
+	}
+	for _, member := range m.Members {
+		if member.Incarnation == change.Member.Incarnation {
+			return m, change, &ChangeError{change, fmt.Sprintf("its incarnation is already replica %d", member.ID)}
+		}
+	}
+	if change.Member.ID == 0 {
+		change.Member.ID = m.LastID + 1
+	}
+	if change.Member.ID <= m.LastID {
+		return m, change, &ChangeError{change, "its ID was given before"}
+	}
+	change.Member.Learner = true
+	m.LastID = change.Member.ID
+	m.Members = append(m.Members, change.Member)
+	return m, change, nil
+}
+
+func (m Membership) withExisting(change Change) (Membership, Change, error) {
+	position := slices.IndexFunc(m.Members, func(member Member) bool { return member.ID == change.Member.ID })
+	if position < 0 {
+		return m, change, &ChangeError{change, "no such member"}
+	}
+	member := m.Members[position]
+	switch {
+	case change.Kind == Promote && !member.Learner:
+		return m, change, &ChangeError{change, "it is a voter already"}
+	case change.Kind == Promote:
+		m.Members[position].Learner = false
+	case !member.Learner && m.Voters() == 1:
+		return m, change, &ChangeError{change, "it is the last voter"}
+	default:
+		m.Members = slices.Delete(m.Members, position, position+1)
+	}
+	return m, change, nil
+}
+
+func encodeMembership(membership Membership) []byte {
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(membership); err != nil {
+		panic(err) // plain fields into memory cannot fail
+	}
+	return buffer.Bytes()
+}
+
+// DecodeMembership reads the data of an EntryMembership.
+func DecodeMembership(data []byte) (Membership, error) {
+	var membership Membership
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&membership); err != nil {
+		return Membership{}, fmt.Errorf("membership entry: %w", err)
+	}
+	return membership, nil
+}
--- /dev/null
+++ b/internal/consensus/status.go
@@ -0,0 +1,157 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/consensus/tracker"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// Status is a copy of what a replica knows of itself and its group.
+type Status struct {
+	ID          topology.ReplicaID
+	Incarnation topology.Incarnation
+	Role        Role
+	Term        uint64
+	// Leader is zero where none is known.
+	Leader    topology.ReplicaID
+	Commit    uint64
+	Applied   uint64
+	LastIndex uint64
+	// Durable is the last index synced here.
+	Durable uint64
+	// LeaseUntil is when the leader lease ends, on the clock given to Tick;
+	// zero at a replica without one. Whoever acts as the leader compares it
+	// with the time at the moment of acting.
+	LeaseUntil time.Duration
+	// LeaderHeardAt is when a leader was last heard, or the start.
+	LeaderHeardAt time.Duration
+	Membership    Membership
+	// Peers is set at the leader.
+	Peers []PeerStatus
+}
+
+// PeerStatus is what a leader knows of another member.
+type PeerStatus struct {
+	ID            topology.ReplicaID
+	Match         uint64
+	State         tracker.State
+	InflightBytes int
+	// HeardAt is when it last answered; zero is never in this term.
+	HeardAt time.Duration
+}
+
+// IsLeader reports whether the replica may act as the leader at a time on the
+// clock given to Tick.
+func (s Status) IsLeader(now time.Duration) bool {
+	return s.Role == Leader && now < s.LeaseUntil
+}
+
+// Status returns a copy of the replica's state.
+func (c *Core) Status() Status {
+	status := Status{
+		ID:            c.config.ID,
+		Incarnation:   c.config.Incarnation,
+		Role:          c.role,
+		Term:          c.hard.Term,
+		Leader:        c.leader,
+		Commit:        c.log.committed,
+		Applied:       c.log.applied,
+		LastIndex:     c.log.lastIndex(),
+		Durable:       c.log.stable,
+		LeaseUntil:    c.leaseUntil(),
+		LeaderHeardAt: c.leaderHeardAt,
+		Membership:    c.Membership(),
+	}
+	for _, member := range status.Membership.Members {
+		if progress, ok := c.leading.peers[member.ID]; ok && member.ID != c.config.ID {
+			status.Peers = append(status.Peers, PeerStatus{
+				ID: member.ID, Match: progress.Match, State: progress.State,
+				InflightBytes: progress.InflightBytes(), HeardAt: progress.HeardAt,
+			})
+		}
+	}
+	return status
+}
+
+// Membership returns the membership in force, which may not be committed yet.
+func (c *Core) Membership() Membership {
+	return c.memberships[len(c.memberships)-1].membership
+}
+
+// SnapshotMeta returns the meta data of a snapshot taken now, of all that is
+// applied.
+func (c *Core) SnapshotMeta() SnapshotMeta {
+	index := c.log.applied
+	term, _ := c.log.term(index)
+	return SnapshotMeta{Index: index, Term: term, Membership: c.membershipAt(index)}
+}
+
+// Role returns the replica's role.
+func (c *Core) Role() Role { return c.role }
+
+func (c *Core) membershipAt(index uint64) Membership {
+	found := c.memberships[0].membership
+	for _, at := range c.memberships {
+		if at.index <= index {
+			found = at.membership
+		}
+	}
+	return found
+}
+
+func (c *Core) noteMemberships(entries []Entry) error {
+	for _, entry := range entries {
+		if entry.Kind != EntryMembership {
+			continue
+		}
+		membership, err := DecodeMembership(entry.Data)
+		if err != nil {
+			return err
+		}
+		c.memberships = append(c.memberships, membershipAt{entry.Index, membership})
+	}
+	return nil
+}
+
+func (c *Core) dropMembershipsFrom(index uint64) {
+	for len(c.memberships) > 1 && c.memberships[len(c.memberships)-1].index >= index {
+		c.memberships = c.memberships[:len(c.memberships)-1]
+	}
+}
+
+// pruneMemberships drops those that the snapshot's replaces.
+func (c *Core) pruneMemberships() {
+	for len(c.memberships) > 1 && c.memberships[1].index <= c.snapshot.Index {
+		c.memberships = c.memberships[1:]
+	}
+}
+
+// membershipChanged brings role and tracking in line with the membership in
+// force. A leader that is removed leads on until its removal is committed.
+func (c *Core) membershipChanged() {
+	voter := c.Membership().IsVoter(c.config.ID) && c.Membership().Names(c.config.ID, c.config.Incarnation)
+	switch {
+	case c.role == Leader:
+		c.trackMembers()
+	case voter:
+		c.fire(eventPromoted)
+	default:
+		c.fire(eventDemoted)
+	}
+}
+
+// trackMembers keeps a progress for each other member, and for no one else.
+func (c *Core) trackMembers() {
+	membership := c.Membership()
+	for _, member := range membership.Members {
+		if _, ok := c.leading.peers[member.ID]; !ok && member.ID != c.config.ID {
+			c.leading.peers[member.ID] = tracker.New(c.log.lastIndex())
+		}
+	}
+	for id := range c.leading.peers {
+		if _, ok := membership.Find(id); !ok {
+			delete(c.leading.peers, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/consensus/types.go
@@ -0,0 +1,234 @@
+package consensus
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// EntryKind says what an entry's data is.
+type EntryKind uint8
+
+// Kinds of entries.
+const (
+	// EntryCommand is a command for the state machine.
+	EntryCommand EntryKind = iota + 1
+	// EntryNoop begins a leader's term; it has no data.
+	EntryNoop
+	// EntryMembership holds an encoded Membership, in force once appended.
+	EntryMembership
+)
+
+// Entry is one position of the replicated log.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Kind  EntryKind
+	Data  []byte
+}
+
+// HardState must be durable before any message that follows from it is sent.
+type HardState struct {
+	Term uint64
+	// Vote is whom this replica voted for in Term; zero is nobody.
+	Vote topology.ReplicaID
+	// Commit only spares work after a restart; it need not be synced.
+	Commit uint64
+}
+
+// SnapshotMeta describes a snapshot of the state machine.
+type SnapshotMeta struct {
+	// Index and Term of the last entry applied to it.
+	Index uint64
+	Term  uint64
+	// Membership in force at Index.
+	Membership Membership
+}
+
+// Snapshot is a state machine's encoded state.
+type Snapshot struct {
+	Meta SnapshotMeta
+	Data []byte
+}
+
+// MessageKind says what a message asks or answers.
+type MessageKind uint8
+
+// Kinds of messages.
+const (
+	MessagePreVote MessageKind = iota + 1
+	MessagePreVoteAnswer
+	MessageVote
+	MessageVoteAnswer
+	MessageAppend
+	MessageAppendAnswer
+	MessageHeartbeat
+	MessageHeartbeatAnswer
+	MessageSnapshot
+	MessageTimeoutNow
+)
+
+// Message passes between two replicas of a group. Replicas are named by
+// ReplicaID and Incarnation together; a message for another incarnation is
+// dropped.
+type Message struct {
+	Kind            MessageKind
+	Group           topology.GroupID
+	From            topology.ReplicaID
+	FromIncarnation topology.Incarnation
+	To              topology.ReplicaID
+	ToIncarnation   topology.Incarnation
+	Term            uint64
+	// LogIndex and LogTerm: the entry before Entries (Append), the last entry
+	// (PreVote, Vote), the last entry known to match (AppendAnswer), or where
+	// the logs may still match (refused AppendAnswer).
+	LogIndex uint64
+	LogTerm  uint64
+	Entries  []Entry
+	// Commit is the sender's commit index, as far as the receiver may use it.
+	Commit uint64
+	// Refused is set on answers. Rejected is then the LogIndex refused.
+	Refused  bool
+	Rejected uint64
+	// Round numbers a leader's heartbeats within its term; answers return it.
+	Round uint64
+	// Transfer marks a vote that the present leader asked for.
+	Transfer bool
+	// Snapshot is set on MessageSnapshot. The core leaves Data empty; the
+	// driver fills it when it sends.
+	Snapshot *Snapshot
+}
+
+// ReadState ends a ReadIndex request.
+type ReadState struct {
+	Token uint64
+	// Index must be applied before the read is answered.
+	Index uint64
+	// Failed is set where leadership ended before it was confirmed.
+	Failed bool
+}
+
+// Ready is the work that the driver must do, in this order: send Early; write
+// Snapshot, HardState and Entries and sync them if MustSync; send Messages;
+// apply Committed; answer Reads; call Advance. Where Entries cannot be written
+// for want of space, the driver clears them before Advance and they are
+// offered again.
+type Ready struct {
+	// Early messages depend on nothing unsynced and may be sent at once.
+	Early []Message
+	// HardState is nil where it has not changed.
+	HardState *HardState
+	MustSync  bool
+	// Entries follow the log's durable part; the first replaces what the log
+	// held at its index and after.
+	Entries []Entry
+	// Snapshot replaces the log and the state machine's state.
+	Snapshot  *Snapshot
+	Messages  []Message
+	Committed []Entry
+	Reads     []ReadState
+}
+
+// Errors of Propose, ProposeMembership, ReadIndex and Step.
+var (
+	ErrNotLeader         = errors.New("this replica is not the leader")
+	ErrTransferring      = errors.New("leadership is being transferred")
+	ErrTooMuchInFlight   = errors.New("too many bytes are proposed and not yet committed")
+	ErrChangeInProgress  = errors.New("another membership change is not yet committed")
+	ErrTermNotCommitted  = errors.New("the leader has not yet committed an entry of its term")
+	ErrNotCaughtUp       = errors.New("the learner does not yet hold all that is committed")
+	ErrCommittedConflict = errors.New("a leader replaces an entry that is committed here")
+	ErrTwoLeaders        = errors.New("another replica leads in this replica's own term")
+)
+
+// ChangeError says why a membership change is refused.
+type ChangeError struct {
+	Change Change
+	Reason string
+}
+
+// Error implements error.
+func (e *ChangeError) Error() string {
+	return fmt.Sprintf("membership change %s of replica %d: %s", e.Change.Kind, e.Change.Member.ID, e.Reason)
+}
+
+// Config is what a Core starts from.
+type Config struct {
+	Group       topology.GroupID
+	ID          topology.ReplicaID
+	Incarnation topology.Incarnation
+	// HardState, Snapshot and Entries are what was durable. Entries are
+	// consecutive and follow Snapshot.Index, or overlap it.
+	HardState HardState
+	Snapshot  SnapshotMeta
+	Entries   []Entry
+	// Now is the monotonic time at start. Until Now+ElectionTimeout the
+	// replica refuses votes, because it may have promised a leader so.
+	Now time.Duration
+	// HeartbeatInterval between a leader's heartbeats.
+	HeartbeatInterval time.Duration
+	// ElectionTimeout is the least time without a leader before an election;
+	// the time waited is drawn from [ElectionTimeout, 2*ElectionTimeout).
+	ElectionTimeout time.Duration
+	// MaxClockDrift bounds how much faster one replica's clock runs than
+	// another's, as a part of one. The leader lease is shorter by it.
+	MaxClockDrift float64
+	// MaxAppendBytes bounds the data of one Append.
+	MaxAppendBytes int
+	// MaxInflightAppends and MaxInflightBytes bound what is sent to a replica
+	// and not yet acknowledged.
+	MaxInflightAppends int
+	MaxInflightBytes   int
+	// MaxUncommittedBytes bounds what is proposed and not yet committed.
+	MaxUncommittedBytes int
+	// Seed of the election times.
+	Seed uint64
+}
+
+// Defaults of Config.
+const (
+	DefaultHeartbeatInterval   = 50 * time.Millisecond
+	DefaultElectionTimeout     = 300 * time.Millisecond
+	DefaultMaxClockDrift       = 0.02
+	DefaultMaxAppendBytes      = 256 << 10
+	DefaultMaxInflightAppends  = 64
+	DefaultMaxInflightBytes    = 1 << 20
+	DefaultMaxUncommittedBytes = 16 << 20
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
+	setDefault(&c.MaxClockDrift, DefaultMaxClockDrift)
+	setDefault(&c.MaxAppendBytes, DefaultMaxAppendBytes)
+	setDefault(&c.MaxInflightAppends, DefaultMaxInflightAppends)
+	setDefault(&c.MaxInflightBytes, DefaultMaxInflightBytes)
+	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c Config) validate() error {
+	var findings []error
+	if c.ID == 0 {
+		findings = append(findings, errors.New("ID: zero names no replica"))
+	}
+	if c.Incarnation == 0 {
+		findings = append(findings, errors.New("Incarnation: zero names no data folder"))
+	}
+	if c.ElectionTimeout < 2*c.HeartbeatInterval {
+		findings = append(findings, fmt.Errorf("ElectionTimeout: %v is less than two heartbeat intervals of %v", c.ElectionTimeout, c.HeartbeatInterval))
+	}
+	if c.MaxClockDrift < 0 || c.MaxClockDrift >= 0.5 {
+		findings = append(findings, fmt.Errorf("MaxClockDrift: %v is not in [0, 0.5)", c.MaxClockDrift))
+	}
+	return errors.Join(findings...)
+}
