Count a back end's lease on the back end's own clock

A grant valid for a length counted from receipt can be prolonged by a freeze: a machine that returns reads the grant left in its socket buffer and serves for a lease that ended long ago, beside the new owner. The new test sends such a late grant: refused now, kept before.

--- a/lab/backend/backend_test.go
+++ b/lab/backend/backend_test.go
@@ -135,3 +135,24 @@
 	status, _ := s.call(t, "GET", "/_quartzdock/health", "")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 }
+
+func TestLateGrantDoesNotProlongALease(t *testing.T) {
+	s := start(t, backend.Config{})
+	_, body := s.call(t, "PUT", "/_quartzdock/grants", `{"backend":1}`)
+	var reading struct {
+		Boot    string `json:"boot"`
+		ClockMS int64  `json:"clock_ms"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(body), &reading))
+	// A back end that was frozen reads this message long after it was sent.
+	ended := fmt.Sprintf(`{"backend":1,"boot":%q,"valid_until_ms":%d,"grants":[{"shard":"1/1","epoch":1}]}`,
+		reading.Boot, reading.ClockMS)
+	status, _ := s.call(t, "PUT", "/_quartzdock/grants", ended)
+	assert.Equal(t, status, http.StatusOK)
+	status, _ = s.call(t, "POST", "/a/edit/k", "", fenced("r1", 1)...)
+	assert.Equal(t, status, http.StatusPreconditionFailed)
+
+	earlierBoot := `{"backend":1,"boot":"earlier","valid_until_ms":1000000,"grants":[{"shard":"1/1","epoch":1}]}`
+	status, _ = s.call(t, "PUT", "/_quartzdock/grants", earlierBoot)
+	assert.Equal(t, status, http.StatusPreconditionFailed)
+}
--- a/lab/backend/fence.go
+++ b/lab/backend/fence.go
@@ -11,6 +11,7 @@
 // fence keeps the grants that the agent gave and the highest epoch seen of
 // each shard.
 type fence struct {
+	clock      clock
 	mutex      sync.Mutex
 	validUntil time.Time
 	granted    map[string]topology.Epoch
@@ -19,6 +20,7 @@
 
 func newFence() *fence {
 	return &fence{
+		clock:   newClock(),
 		granted: make(map[string]topology.Epoch),
 		highest: make(map[string]topology.Epoch),
 	}
@@ -37,6 +39,10 @@
 
 // apply takes a whole message or, where one epoch is too low, nothing of it.
 func (f *fence) apply(message grantsMessage, received time.Time) error {
+	validUntil, err := f.clock.validUntil(message, received)
+	if err != nil {
+		return err
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, grant := range message.Grants {
@@ -51,7 +57,7 @@
 		f.granted[grant.Shard] = grant.Epoch
 		f.highest[grant.Shard] = grant.Epoch
 	}
-	f.validUntil = received.Add(time.Duration(message.LeaseMilliseconds) * time.Millisecond)
+	f.validUntil = validUntil
 	return nil
 }
 
--- a/lab/backend/protocol.go
+++ b/lab/backend/protocol.go
@@ -14,10 +14,15 @@
 
 // grantsMessage is the body of PUT /_quartzdock/grants.
 type grantsMessage struct {
-	Backend           topology.BackendID `json:"backend"`
-	LeaseMilliseconds int64              `json:"lease_ms"`
-	Grants            []grant            `json:"grants"`
-	Revoked           []string           `json:"revoked"`
+	Backend topology.BackendID `json:"backend"`
+	// Boot and ValidUntilMilliseconds give the end of the lease as a reading of
+	// the back end's clock.
+	Boot                   string `json:"boot"`
+	ValidUntilMilliseconds int64  `json:"valid_until_ms"`
+	// LeaseMilliseconds counts from receipt; it is taken where Boot is empty.
+	LeaseMilliseconds int64    `json:"lease_ms"`
+	Grants            []grant  `json:"grants"`
+	Revoked           []string `json:"revoked"`
 }
 
 type grant struct {
@@ -63,16 +68,21 @@
 	if !readJSON(w, r, &message) {
 		return
 	}
-	err := b.fence.apply(message, time.Now())
+	received := time.Now()
+	err := b.fence.apply(message, received)
 	var lower *lowerEpochError
-	if errors.As(err, &lower) {
+	switch {
+	case errors.As(err, &lower):
 		writeJSON(w, http.StatusConflict, lower)
 		return
+	case err != nil:
+		writeJSON(w, http.StatusPreconditionFailed, b.fence.clock.read(received))
+		return
 	}
 	for _, shard := range message.Revoked {
 		b.warmth.cool(shard)
 	}
-	w.WriteHeader(http.StatusOK)
+	writeJSON(w, http.StatusOK, b.fence.clock.read(received))
 }
 
 func (b *Backend) handleWarm(w http.ResponseWriter, r *http.Request) {
