Add the quartzdock binary's frame and the operators' command line

Operators drive the system only by RPC, so each call of the schema gets a command with a table and JSON. A change reads the configuration's revision first, carries one request id through every resend, follows the leader, and explains refusals: all bad fields, who won a race, a reused id, or how to ask again where the outcome is unknown.

--- /dev/null
+++ b/internal/admin/refusal.go
@@ -0,0 +1,54 @@
+package admin
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	quartzdockv1 "github.com/quartzdock/quartzdock/api/quartzdock/v1"
+)
+
+// explain turns an error of a call into what an operator can act on.
+func explain(err error, requestID string) error {
+	if err == nil {
+		return nil
+	}
+	if violations := detailOf[*quartzdockv1.FieldViolations](err); violations != nil {
+		return explainViolations(violations)
+	}
+	if conflict := detailOf[*quartzdockv1.RevisionConflict](err); conflict != nil {
+		return fmt.Errorf("refused, nothing was changed: revision %d was expected, but %s made revision %d first; look at the change and try again",
+			conflict.GetExpectedRevision(), authorOf(conflict.GetWinningAuthor()), conflict.GetWinningRevision())
+	}
+	if reused := detailOf[*quartzdockv1.RequestIDReused](err); reused != nil {
+		return fmt.Errorf("refused, nothing was changed: request id %s was used by %s at revision %d with other content; use a new id",
+			reused.GetRequestId(), authorOf(reused.GetFirstAuthor()), reused.GetFirstRevision())
+	}
+	if errors.Is(err, ErrNoAnswer) && requestID != "" {
+		return fmt.Errorf("%w\nthe change may or may not have been made; repeat the command with --request-id %s to learn which", err, requestID)
+	}
+	var failure *connect.Error
+	if errors.As(err, &failure) && connect.IsWireError(err) {
+		return fmt.Errorf("refused (%s): %s", strings.ReplaceAll(failure.Code().String(), "_", " "), failure.Message())
+	}
+	return err
+}
+
+// explainViolations lists every bad field on a line of its own.
+func explainViolations(violations *quartzdockv1.FieldViolations) error {
+	lines := []string{"refused, nothing was changed:"}
+	for _, violation := range violations.GetViolations() {
+		lines = append(lines, fmt.Sprintf("  %s: %s", violation.GetField(), violation.GetDescription()))
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
+
+// authorOf names an author, also one that gave no name.
+func authorOf(author string) string {
+	if author == "" {
+		return "an unnamed operator"
+	}
+	return author
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,91 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+
+	"github.com/quartzdock/quartzdock/internal/admin"
+	"github.com/quartzdock/quartzdock/internal/metrics"
+	"github.com/quartzdock/quartzdock/internal/settings"
+)
+
+// Exit statuses.
+const (
+	exitDone    = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// errUsage marks errors of the operator's input.
+var errUsage = errors.New("usage")
+
+// Main parses arguments and environment, runs the selected command and
+// returns the exit status.
+func Main(ctx context.Context, arguments []string, out, errOut io.Writer) int {
+	root := newRoot(out, errOut)
+	err := root.ParseAndRun(ctx, arguments, ff.WithEnvVarPrefix(settings.EnvironmentPrefix))
+	return report(root, err, errOut)
+}
+
+// newRoot returns the command tree.
+func newRoot(out, errOut io.Writer) *ff.Command {
+	root := &ff.Command{
+		Name:      "quartzdock",
+		Usage:     "quartzdock SUBCOMMAND ...",
+		ShortHelp: "route requests to the one back end that owns their key",
+	}
+	root.Subcommands = append(root.Subcommands, roleCommands(out, errOut)...)
+	root.Subcommands = append(root.Subcommands, admin.Command(out), versionCommand(out))
+	return root
+}
+
+// versionCommand prints the build's revision.
+func versionCommand(out io.Writer) *ff.Command {
+	return &ff.Command{
+		Name:      "version",
+		Usage:     "quartzdock version",
+		ShortHelp: "print the version",
+		Exec: func(context.Context, []string) error {
+			_, err := fmt.Fprintln(out, metrics.Version())
+			return err
+		},
+	}
+}
+
+// report prints an error and returns the exit status.
+func report(root *ff.Command, err error, errOut io.Writer) int {
+	var findings settings.Findings
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.Is(err, ff.ErrHelp):
+		fmt.Fprintln(errOut, ffhelp.Command(root.GetSelected()))
+		return exitDone
+	case errors.As(err, &findings):
+		fmt.Fprintln(errOut, findings.Error())
+		fmt.Fprintf(errOut, "%d finding(s); nothing was started\n", len(findings))
+		return exitUsage
+	case isUsage(err):
+		fmt.Fprintln(errOut, ffhelp.Command(root.GetSelected()))
+		fmt.Fprintln(errOut, "error:", err)
+		return exitUsage
+	default:
+		fmt.Fprintln(errOut, "error:", err)
+		return exitFailure
+	}
+}
+
+// isUsage says whether an error is about the arguments.
+func isUsage(err error) bool {
+	for _, usage := range []error{errUsage, admin.ErrUsage, ff.ErrUnknownFlag, ff.ErrNoExec, ff.ErrDuplicateFlag} {
+		if errors.Is(err, usage) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -93,7 +93,7 @@
 }
 
 // runWith runs a lifecycle in a bubble of virtual time; script sends signals.
-func runWith(t *testing.T, work time.Duration, script func(chan<- os.Signal)) (err error, reloads int, took time.Duration) {
+func runWith(t *testing.T, work time.Duration, script func(chan<- os.Signal)) (reloads int, took time.Duration, err error) {
 	synctest.Test(t, func(t *testing.T) {
 		life := Lifecycle{
 			Run: func(ctx context.Context) error {
@@ -113,11 +113,11 @@
 		synctest.Wait()
 		time.Sleep(2 * work) // lets an abandoned Run end
 	})
-	return err, reloads, took
+	return reloads, took, err
 }
 
 func TestPlannedStopWaitsForWork(t *testing.T) {
-	err, reloads, took := runWith(t, 40*time.Second, func(signals chan<- os.Signal) {
+	reloads, took, err := runWith(t, 40*time.Second, func(signals chan<- os.Signal) {
 		signals <- syscall.SIGHUP
 		signals <- syscall.SIGTERM
 		signals <- syscall.SIGHUP // ignored while stopping
@@ -128,13 +128,13 @@
 }
 
 func TestPlannedStopIsBounded(t *testing.T) {
-	err, _, took := runWith(t, time.Hour, func(signals chan<- os.Signal) { signals <- syscall.SIGTERM })
+	_, took, err := runWith(t, time.Hour, func(signals chan<- os.Signal) { signals <- syscall.SIGTERM })
 	assert.ErrorIs(t, err, ErrStopTimeout)
 	assert.Equal(t, took, time.Minute)
 }
 
 func TestSecondSignalEndsTheWait(t *testing.T) {
-	err, _, took := runWith(t, time.Hour, func(signals chan<- os.Signal) {
+	_, took, err := runWith(t, time.Hour, func(signals chan<- os.Signal) {
 		signals <- syscall.SIGTERM
 		signals <- syscall.SIGINT
 	})
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"slices"
-	"strings"
 )
 
 // Loader reads the settings of one process; it can be used again at SIGHUP.
@@ -77,20 +76,23 @@
 	return findings
 }
 
-// Changed compares the settings in force with newly loaded ones: the
-// reloadable fields that differ, and those that need a restart.
-func Changed(inForce, loaded *FieldSet) (reloadable, needRestart []string) {
-	for i, field := range loaded.fields {
-		if slices.Equal(field.effective(), inForce.fields[i].effective()) {
+// Adopt takes newly loaded values of the reloadable fields into the fields in
+// force. It returns the names that changed, and those that differ but need a
+// restart.
+func (set *FieldSet) Adopt(loaded *FieldSet) (changed, needRestart []string) {
+	for i, field := range set.fields {
+		next := loaded.fields[i]
+		if slices.Equal(field.effective(), next.effective()) {
 			continue
 		}
-		if field.Reloadable {
-			reloadable = append(reloadable, field.Name)
-		} else {
+		if !field.Reloadable {
 			needRestart = append(needRestart, field.Name)
+			continue
 		}
+		changed = append(changed, field.Name)
+		field.given, field.values, field.origin = next.given, next.values, next.origin
 	}
-	return reloadable, needRestart
+	return changed, needRestart
 }
 
 // effective returns the values in force: those given, or the default.
@@ -100,12 +102,3 @@
 	}
 	return splitList(field.Default, field.List)
 }
-
-// Describe returns "name=value" for every field, for the log at start.
-func (set *FieldSet) Describe() string {
-	parts := make([]string, len(set.fields))
-	for i, field := range set.fields {
-		parts[i] = field.Name + "=" + strings.Join(field.effective(), ",")
-	}
-	return strings.Join(parts, " ")
-}
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -188,3 +188,6 @@
 		}
 	})
 }
+
+// Common returns the settings that every role has.
+func (process *Process) Common() *Process { return process }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -113,14 +113,17 @@
 	assert.NilError(t, err)
 }
 
-func TestChangedTellsReloadableFromRestart(t *testing.T) {
-	before, err := load(t, &Controller{}, &Controller{}, validController, nil)
+func TestAdoptTellsReloadableFromRestart(t *testing.T) {
+	inForce, err := load(t, &Controller{}, &Controller{}, validController, nil)
 	assert.NilError(t, err)
 	after, err := load(t, &Controller{}, &Controller{}, validController+"log: {level: debug}\nstop-timeout: 31s\n", nil)
 	assert.NilError(t, err)
-	reloadable, needRestart := Changed(before, after)
-	assert.DeepEqual(t, reloadable, []string{"log.level"})
+	changed, needRestart := inForce.Adopt(after)
+	assert.DeepEqual(t, changed, []string{"log.level"})
 	assert.DeepEqual(t, needRestart, []string{"stop-timeout"})
+	changed, needRestart = inForce.Adopt(after)
+	assert.Equal(t, len(changed), 0)
+	assert.DeepEqual(t, needRestart, []string{"stop-timeout"}) // still told at the next reread
 }
 
 func TestExamplesExplainEveryFieldAndLoad(t *testing.T) {
