Keep the record exact when shards are split and merged

An epoch one higher proves that no other owner came between, but not that the shard still covers the same keys: after a merge the surviving number would have continued a record that lacks the other part's ids, and run a resend twice. A record now knows the range that it covers. A part made by a split continues the record of the whole; a merge keeps both parts' entries and raises the floor. The range also travels with a transfer.

--- a/internal/requestrecord/bench_test.go
+++ b/internal/requestrecord/bench_test.go
@@ -43,7 +43,7 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { _ = record.Close() })
-	if _, err := record.Begin(shard, 1); err != nil {
+	if _, err := record.Begin(shard, 1, whole); err != nil {
 		b.Fatal(err)
 	}
 	stamp = stamp.Add(DefaultClockBound)
--- a/internal/requestrecord/changes.go
+++ b/internal/requestrecord/changes.go
@@ -21,11 +21,14 @@
 // resetChange begins a segment that repeats everything before it.
 type resetChange struct{}
 
-// begunChange: the agent serves the shard at Epoch.
+// begunChange: the agent serves the shard at Epoch. The entries of the shards
+// in From are added: a split or merge made this shard out of them.
 type begunChange struct {
 	Shard         topology.ShardID
 	Epoch         topology.Epoch
+	Covers        Range
 	TakeoverFloor int64
+	From          []topology.ShardID
 }
 
 type admittedChange struct {
@@ -62,6 +65,7 @@
 	Shard          topology.ShardID
 	Epoch          topology.Epoch
 	Released       topology.Epoch
+	Covers         Range
 	TakeoverFloor  int64
 	RetentionFloor int64
 }
@@ -75,9 +79,7 @@
 		state.order = nil
 		state.keptBytes = 0
 	case made.Begun != nil:
-		record := state.shard(made.Begun.Shard)
-		record.epoch = made.Begun.Epoch
-		record.takeoverFloor = made.Begun.TakeoverFloor
+		state.begin(made.Begun)
 	case made.Admitted != nil:
 		state.admit(made.Admitted)
 	case made.Finished != nil:
@@ -121,6 +123,19 @@
 	return record
 }
 
+func (state *state) begin(begun *begunChange) {
+	record := state.shard(begun.Shard)
+	record.epoch = begun.Epoch
+	record.covers = begun.Covers
+	record.takeoverFloor = begun.TakeoverFloor
+	for _, from := range begun.From {
+		exported := state.shard(from).export(from)
+		for _, entry := range exported.Entries {
+			state.mergeEntry(begun.Shard, record, entry)
+		}
+	}
+}
+
 func (state *state) admit(admitted *admittedChange) {
 	record := state.shard(admitted.Shard)
 	state.forgetAnswer(record.entries[admitted.ID])
@@ -162,6 +177,7 @@
 func (state *state) restore(restored *restoredChange) {
 	record := state.shard(restored.Shard)
 	record.epoch = restored.Epoch
+	record.covers = restored.Covers
 	record.released = restored.Released
 	record.takeoverFloor = restored.TakeoverFloor
 	record.retentionFloor = restored.RetentionFloor
--- a/internal/requestrecord/record.go
+++ b/internal/requestrecord/record.go
@@ -159,25 +159,50 @@
 // after no earlier owner can admit any more: the back end has accepted the
 // grant of this epoch. It reports whether the record of the previous owner is
 // at hand. ErrNotServing is returned for an epoch that was released.
-func (record *Record) Begin(shard topology.ShardID, epoch topology.Epoch) (continued bool, err error) {
+//
+// A shard that a split made continues the record of the shard that it was part
+// of, provided that it begins before that one does at its new epoch. A shard
+// that a merge extended keeps the entries of both, with a raised floor.
+func (record *Record) Begin(shard topology.ShardID, epoch topology.Epoch, covers Range) (continued bool, err error) {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 	held := record.state.shard(shard)
 	if epoch <= held.released || epoch < held.epoch {
 		return false, fmt.Errorf("begin shard %s at epoch %d: %w", shard, epoch, ErrNotServing)
 	}
-	floor := held.takeoverFloor
-	continued = held.continues(epoch)
+	continued = held.continues(epoch, covers)
 	if !continued {
-		floor = record.nowUnixMilli() + record.config.ClockBound.Milliseconds()
-	}
-	if held.epoch != epoch {
-		record.make(change{Begun: &begunChange{Shard: shard, Epoch: epoch, TakeoverFloor: floor}}, false)
+		continued = record.takeOver(shard, epoch, covers)
+	} else if held.epoch != epoch {
+		record.make(change{Begun: &begunChange{Shard: shard, Epoch: epoch, Covers: covers,
+			TakeoverFloor: held.takeoverFloor}}, false)
 	}
 	held.begun = epoch
 	return continued, nil
 }
 
+// takeOver begins without an exact record of the shard itself.
+func (record *Record) takeOver(shard topology.ShardID, epoch topology.Epoch, covers Range) (continued bool) {
+	begun := &begunChange{
+		Shard:         shard,
+		Epoch:         epoch,
+		Covers:        covers,
+		TakeoverFloor: record.nowUnixMilli() + record.config.ClockBound.Milliseconds(),
+	}
+	for id, other := range record.state.shards {
+		if id == shard || id.Service != shard.Service || !other.covers.overlaps(covers) {
+			continue
+		}
+		begun.From = append(begun.From, id)
+		if other.epoch+1 == epoch && other.covers.contains(covers) {
+			continued = true
+			begun.TakeoverFloor = other.floor()
+		}
+	}
+	record.make(change{Begun: begun}, false)
+	return continued
+}
+
 // make applies a change and appends it to the journal in the same order. The
 // caller holds the mutex.
 func (record *Record) make(made change, sync bool) *commit {
--- a/internal/requestrecord/record_test.go
+++ b/internal/requestrecord/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,7 +18,10 @@
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
-var shard = topology.ShardID{Service: 1, Shard: 2}
+var (
+	shard = topology.ShardID{Service: 1, Shard: 2}
+	whole = Range{Last: math.MaxUint64}
+)
 
 // start is the time at which the test clocks begin.
 var start = time.UnixMilli(1_800_000_000_000)
@@ -66,7 +70,7 @@
 	t.Helper()
 	config.Now = wall.Now
 	record := open(t, config)
-	continued, err := record.Begin(shard, 1)
+	continued, err := record.Begin(shard, 1, whole)
 	assert.NilError(t, err)
 	assert.Assert(t, !continued)
 	wall.advance(DefaultClockBound)
@@ -146,7 +150,7 @@
 	restarted := open(t, Config{Directory: copyJournal(t, directory), Now: wall.Now})
 	_, err := restarted.Admit(context.Background(), shard, 1, idAt(wall.Now(), 3), 7)
 	assert.ErrorIs(t, err, ErrNotServing)
-	continued, err := restarted.Begin(shard, 1)
+	continued, err := restarted.Begin(shard, 1, whole)
 	assert.NilError(t, err)
 	assert.Assert(t, continued)
 	assert.Equal(t, admit(t, restarted, 1, answered).Decision, Answered)
@@ -174,7 +178,7 @@
 			assert.NilError(t, os.WriteFile(paths[0], damage(content), 0o600))
 
 			restarted := open(t, Config{Directory: directory, Now: wall.Now})
-			_, err = restarted.Begin(shard, 1)
+			_, err = restarted.Begin(shard, 1, whole)
 			assert.NilError(t, err)
 			assert.Equal(t, admit(t, restarted, 1, id).Decision, RecordLost)
 		})
@@ -197,7 +201,7 @@
 	assert.NilError(t, newOwner.Import(transfer))
 	_, err = newOwner.Admit(context.Background(), shard, 1, answered, 7)
 	assert.ErrorIs(t, err, ErrNotServing, "holding a record is not owning the shard")
-	continued, err := newOwner.Begin(shard, 2)
+	continued, err := newOwner.Begin(shard, 2, whole)
 	assert.NilError(t, err)
 	assert.Assert(t, continued)
 	assert.Equal(t, admit(t, newOwner, 2, answered).Decision, Answered)
@@ -212,7 +216,7 @@
 	_, err := record.Export(shard, 1)
 	assert.NilError(t, err)
 	restarted := open(t, Config{Directory: copyJournal(t, directory), Now: wall.Now})
-	_, err = restarted.Begin(shard, 1)
+	_, err = restarted.Begin(shard, 1, whole)
 	assert.ErrorIs(t, err, ErrNotServing)
 }
 
@@ -225,7 +229,7 @@
 	// The new owner's clock is behind by all that is allowed.
 	behind := &clock{now: wall.Now().Add(-DefaultClockBound)}
 	newOwner := open(t, Config{Directory: t.TempDir(), Now: behind.Now})
-	continued, err := newOwner.Begin(shard, 2)
+	continued, err := newOwner.Begin(shard, 2, whole)
 	assert.NilError(t, err)
 	assert.Assert(t, !continued)
 	behind.advance(time.Hour)
@@ -239,7 +243,7 @@
 	id := idAt(wall.Now(), 1)
 	assert.Equal(t, admit(t, record, 1, id).Decision, Fresh)
 	record.Finish(shard, id, &Answer{Status: http.StatusOK})
-	continued, err := record.Begin(shard, 3)
+	continued, err := record.Begin(shard, 3, whole)
 	assert.NilError(t, err)
 	assert.Assert(t, !continued, "another agent owned epoch 2")
 	assert.Equal(t, admit(t, record, 3, id).Decision, Answered, "a fact stays a fact")
@@ -256,7 +260,7 @@
 	assert.NilError(t, err)
 
 	newOwner := open(t, Config{Directory: t.TempDir(), Now: wall.Now})
-	_, err = newOwner.Begin(shard, 2)
+	_, err = newOwner.Begin(shard, 2, whole)
 	assert.NilError(t, err)
 	held := idAt(wall.Now(), 2)
 	assert.Equal(t, admit(t, newOwner, 2, ran).Decision, RecordLost)
@@ -272,13 +276,45 @@
 	transfer, err := oldOwner.Export(shard, 1)
 	assert.NilError(t, err)
 	newOwner := open(t, Config{Directory: t.TempDir(), Now: wall.Now})
-	_, err = newOwner.Begin(shard, 3)
+	_, err = newOwner.Begin(shard, 3, whole)
 	assert.NilError(t, err)
 	assert.NilError(t, newOwner.Import(transfer))
 	assert.Equal(t, admit(t, newOwner, 3, idAt(wall.Now(), 1)).Decision, RecordLost)
 	assert.ErrorContains(t, newOwner.Import(wire.RecordTransfer{Shard: shard}), "unfinished")
 }
 
+func TestSplitAndMergeKeepTheRecord(t *testing.T) {
+	wall := &clock{now: start}
+	record := serving(t, Config{Directory: t.TempDir()}, wall)
+	id := idAt(wall.Now(), 1)
+	assert.Equal(t, admit(t, record, 1, id).Decision, Fresh)
+	record.Finish(shard, id, &Answer{Status: http.StatusOK})
+
+	const middle = 1 << 63
+	left, right := Range{Last: middle - 1}, Range{Start: middle, Last: math.MaxUint64}
+	part := topology.ShardID{Service: 1, Shard: 9}
+	continued, err := record.Begin(part, 2, right)
+	assert.NilError(t, err)
+	assert.Assert(t, continued)
+	continued, err = record.Begin(shard, 2, left)
+	assert.NilError(t, err)
+	assert.Assert(t, continued)
+	verdict, err := record.Admit(context.Background(), part, 2, id, 7)
+	assert.NilError(t, err)
+	assert.Equal(t, verdict.Decision, Answered)
+
+	onlyInPart := idAt(wall.Now(), 2)
+	verdict, err = record.Admit(context.Background(), part, 2, onlyInPart, 7)
+	assert.NilError(t, err)
+	assert.Equal(t, verdict.Decision, Fresh)
+	record.Finish(part, onlyInPart, &Answer{Status: http.StatusOK})
+	continued, err = record.Begin(shard, 3, whole)
+	assert.NilError(t, err)
+	assert.Assert(t, !continued, "the next epoch alone does not prove that the other part's record is at hand")
+	assert.Equal(t, admit(t, record, 3, onlyInPart).Decision, Answered)
+	assert.Equal(t, admit(t, record, 3, idAt(wall.Now(), 3)).Decision, RecordLost)
+}
+
 func TestDroppedEntriesRaiseTheFloor(t *testing.T) {
 	t.Run("by count", func(t *testing.T) {
 		wall := &clock{now: start}
@@ -318,7 +354,7 @@
 		record, err := Open(Config{Directory: t.TempDir()})
 		assert.NilError(t, err)
 		defer record.Close()
-		_, err = record.Begin(shard, 1)
+		_, err = record.Begin(shard, 1, whole)
 		assert.NilError(t, err)
 		time.Sleep(DefaultClockBound)
 		began := time.Now()
@@ -347,7 +383,7 @@
 	assert.Assert(t, segments[0].number > 1)
 
 	restarted := open(t, Config{Directory: directory, Now: wall.Now})
-	_, err = restarted.Begin(shard, 1)
+	_, err = restarted.Begin(shard, 1, whole)
 	assert.NilError(t, err)
 	for n := range byte(count) {
 		verdict := admit(t, restarted, 1, idAt(wall.Now(), n))
--- a/internal/requestrecord/segment.go
+++ b/internal/requestrecord/segment.go
@@ -134,7 +134,7 @@
 	var rebuilt []change
 	for id, record := range state.shards {
 		rebuilt = append(rebuilt, change{Restored: &restoredChange{
-			Shard: id, Epoch: record.epoch, Released: record.released,
+			Shard: id, Epoch: record.epoch, Covers: record.covers, Released: record.released,
 			TakeoverFloor: record.takeoverFloor, RetentionFloor: record.retentionFloor,
 		}})
 	}
--- a/internal/requestrecord/shard.go
+++ b/internal/requestrecord/shard.go
@@ -74,10 +74,24 @@
 	return Verdict{Decision: Answered, Answer: kept.answer}
 }
 
+// Range is the part of the hash space that a shard covers, both ends included.
+type Range struct {
+	Start, Last topology.KeyHash
+}
+
+func (outer Range) contains(inner Range) bool {
+	return outer.Start <= inner.Start && inner.Last <= outer.Last
+}
+
+func (one Range) overlaps(other Range) bool {
+	return one.Start <= other.Last && other.Start <= one.Last
+}
+
 // shardRecord is the record of one shard. Its floor is the higher of the two.
 type shardRecord struct {
-	// epoch under which the record is exact.
-	epoch topology.Epoch
+	// epoch under which the record is exact, for ids of keys in covers.
+	epoch  topology.Epoch
+	covers Range
 	// begun is the epoch that this process serves at; zero after a restart
 	// until Begin.
 	begun topology.Epoch
@@ -103,10 +117,11 @@
 	return record != nil && record.begun == epoch && record.released < epoch
 }
 
-// continues says that the record is still exact for an owner at epoch: it is
-// of that epoch or of the one before.
-func (record *shardRecord) continues(epoch topology.Epoch) bool {
-	return record.epoch != 0 && (record.epoch == epoch || record.epoch+1 == epoch)
+// continues says that the record is still exact for an owner of the range at
+// epoch: it is of that epoch or of the one before, and covers the range.
+func (record *shardRecord) continues(epoch topology.Epoch, covers Range) bool {
+	return record.epoch != 0 && (record.epoch == epoch || record.epoch+1 == epoch) &&
+		record.covers.contains(covers)
 }
 
 // lookup decides about an id without changing the record.
--- a/internal/requestrecord/transfer.go
+++ b/internal/requestrecord/transfer.go
@@ -12,6 +12,8 @@
 	transfer := wire.RecordTransfer{
 		Shard:                  shard,
 		Epoch:                  record.epoch,
+		RangeStart:             record.covers.Start,
+		RangeLast:              record.covers.Last,
 		CompleteSinceUnixMilli: record.floor(),
 		Entries:                make([]wire.RecordEntry, 0, len(record.entries)),
 		Last:                   true,
@@ -40,11 +42,13 @@
 	for _, entry := range transfer.Entries {
 		state.mergeEntry(transfer.Shard, record, entry)
 	}
+	covers := Range{Start: transfer.RangeStart, Last: transfer.RangeLast}
 	switch {
 	case record.epoch < transfer.Epoch:
 		record.epoch = transfer.Epoch
+		record.covers = covers
 		record.takeoverFloor = transfer.CompleteSinceUnixMilli
-	case record.epoch == transfer.Epoch+1:
+	case record.epoch == transfer.Epoch+1 && covers.contains(record.covers):
 		record.takeoverFloor = min(record.takeoverFloor, transfer.CompleteSinceUnixMilli)
 	}
 }
--- a/internal/wire/controller.go
+++ b/internal/wire/controller.go
@@ -10,6 +10,10 @@
 type RecordTransfer struct {
 	Shard topology.ShardID
 	Epoch topology.Epoch
+	// RangeStart and RangeLast bound the positions that the record covers, both
+	// included.
+	RangeStart topology.KeyHash
+	RangeLast  topology.KeyHash
 	// CompleteSinceUnixMilli: an id with an earlier time stamp may have run
 	// without being listed; one with this or a later stamp ran only if listed.
 	CompleteSinceUnixMilli int64
