--- a/internal/subscription/follow.go
+++ b/internal/subscription/follow.go
@@ -30,8 +30,7 @@
 	open.end()
 	_ = c.conn.Close()
 	sender.Wait()
-	c.counts.bytesSent.Add(c.conn.BytesSent())
-	c.counts.bytesReceived.Add(c.conn.BytesReceived())
+	c.counts.countTraffic(c.conn)
 	if c.ctx.Err() == nil {
 		c.config.Log.Info("controller session lost", slog.String("controller", c.conn.RemoteAddress()), slog.Any("error", err))
 	}
--- a/internal/subscription/statistics.go
+++ b/internal/subscription/statistics.go
@@ -1,6 +1,10 @@
 package subscription
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/quartzdock/quartzdock/internal/transport"
+)
 
 // Statistics counts what a client did since Start.
 type Statistics struct {
@@ -14,13 +18,18 @@
 	Renewals uint64
 	// BytesSent and BytesReceived on sessions, as transport counts them.
 	BytesSent, BytesReceived uint64
+	// FramesSent and FramesReceived count messages on sessions.
+	FramesSent, FramesReceived uint64
 }
 
 type counters struct {
 	sessions, failedAttempts, redirects atomic.Uint64
 	snapshots, deltas, gaps             atomic.Uint64
 	refusedReverts, renewals            atomic.Uint64
-	bytesSent, bytesReceived            atomic.Uint64 // of ended sessions
+
+	// Of ended sessions.
+	bytesSent, bytesReceived   atomic.Uint64
+	framesSent, framesReceived atomic.Uint64
 }
 
 // Statistics may be called from any goroutine.
@@ -37,10 +46,22 @@
 		Renewals:       counts.renewals.Load(),
 		BytesSent:      counts.bytesSent.Load(),
 		BytesReceived:  counts.bytesReceived.Load(),
+		FramesSent:     counts.framesSent.Load(),
+		FramesReceived: counts.framesReceived.Load(),
 	}
 	if open := c.session.Load(); open != nil {
 		statistics.BytesSent += open.conn.BytesSent()
 		statistics.BytesReceived += open.conn.BytesReceived()
+		statistics.FramesSent += open.conn.FramesSent()
+		statistics.FramesReceived += open.conn.FramesReceived()
 	}
 	return statistics
 }
+
+// countTraffic keeps the counts of a connection that has ended.
+func (c *counters) countTraffic(conn *transport.Conn) {
+	c.bytesSent.Add(conn.BytesSent())
+	c.bytesReceived.Add(conn.BytesReceived())
+	c.framesSent.Add(conn.FramesSent())
+	c.framesReceived.Add(conn.FramesReceived())
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -67,9 +67,19 @@
 	inBuf   bytes.Buffer
 	decoder *gob.Decoder
 
-	closed        atomic.Bool
-	bytesSent     atomic.Uint64
-	bytesReceived atomic.Uint64
+	closed   atomic.Bool
+	sent     counter
+	received counter
+}
+
+// counter counts one direction of a connection.
+type counter struct {
+	frames, bytes atomic.Uint64
+}
+
+func (c *counter) add(bytes uint64) {
+	c.frames.Add(1)
+	c.bytes.Add(bytes)
 }
 
 // Dial opens a connection. The context bounds the dial and, with TLS, the
@@ -153,7 +163,7 @@
 		}
 	}
 	count, err := c.stream.Write(frame)
-	c.bytesSent.Add(uint64(count))
+	c.sent.add(uint64(count))
 	return err
 }
 
@@ -178,7 +188,7 @@
 	if err := readPayload(c.reader, header, c.options.MaxFrame, &c.inBuf); err != nil {
 		return err
 	}
-	c.bytesReceived.Add(uint64(headerSize) + uint64(header.length))
+	c.received.add(uint64(headerSize) + uint64(header.length))
 	if err := c.decoder.Decode(message); err != nil {
 		return fmt.Errorf("%w: %v", ErrDamaged, err)
 	}
@@ -220,10 +230,16 @@
 
 // BytesSent counts the bytes written, frame headers included, TLS records and
 // packet headers not.
-func (c *Conn) BytesSent() uint64 { return c.bytesSent.Load() }
+func (c *Conn) BytesSent() uint64 { return c.sent.bytes.Load() }
 
 // BytesReceived counts the bytes of whole frames received.
-func (c *Conn) BytesReceived() uint64 { return c.bytesReceived.Load() }
+func (c *Conn) BytesReceived() uint64 { return c.received.bytes.Load() }
+
+// FramesSent counts frames written, for an estimate of the packets below them.
+func (c *Conn) FramesSent() uint64 { return c.sent.frames.Load() }
+
+// FramesReceived counts whole frames received.
+func (c *Conn) FramesReceived() uint64 { return c.received.frames.Load() }
 
 // RemoteAddress is the peer's "IP:port".
 func (c *Conn) RemoteAddress() string { return c.stream.RemoteAddr().String() }
