--- a/lab/hollow/events.go
+++ b/lab/hollow/events.go
@@ -21,7 +21,7 @@
 // propagation changes the configuration once and measures how long the change
 // takes to all nodes, counted from before the call, and until the controllers
 // know of it.
-func (f *fleet) propagation(ctx context.Context, number int) (Propagation, error) {
+func (f *hollowFleet) propagation(ctx context.Context, number int) (Propagation, error) {
 	service := f.service(number % f.plan.Services)
 	service.Rules[0].Timeout = durationpb.New(time.Second + time.Duration(number+1)*time.Millisecond)
 	began := time.Now()
@@ -52,7 +52,7 @@
 
 // reached waits until all nodes that are not frozen have a revision and
 // returns how long after a time they had it.
-func (f *fleet) reached(ctx context.Context, revision topology.Revision, since time.Time, except ...string) (Spread, error) {
+func (f *hollowFleet) reached(ctx context.Context, revision topology.Revision, since time.Time, except ...string) (Spread, error) {
 	var spread Spread
 	err := f.wait(ctx, fmt.Sprintf("revision %d at all nodes", revision), func() (bool, string, error) {
 		var took []time.Duration
@@ -90,7 +90,7 @@
 
 // lose freezes agents all at once, as if their machines had gone, and measures
 // the time to new owners. Afterwards they go on as if nothing had happened.
-func (f *fleet) lose(ctx context.Context, lost []int) (LossTimes, error) {
+func (f *hollowFleet) lose(ctx context.Context, lost []int) (LossTimes, error) {
 	var names []string
 	var backends []topology.BackendID
 	for _, agent := range lost {
@@ -104,6 +104,10 @@
 	if err != nil {
 		return LossTimes{}, err
 	}
+	claims, err := f.claims()
+	if err != nil {
+		return LossTimes{}, err
+	}
 	began := time.Now()
 	if _, err := f.agents.ask(order{Freeze: &namesOrder{names}}); err != nil {
 		return LossTimes{}, err
@@ -111,16 +115,24 @@
 	times, err := f.newOwners(ctx, began, names)
 	times.Agents = len(lost)
 	after, snapshotErr := f.snapshot()
+	afterLoss, claimsErr := f.claims()
 	_, thawErr := f.agents.ask(order{Thaw: &namesOrder{names}})
-	if err := errors.Join(err, snapshotErr, thawErr); err != nil {
+	afterReturn, returnErr := f.claims()
+	if err := errors.Join(err, snapshotErr, claimsErr, thawErr, returnErr); err != nil {
 		return LossTimes{}, err
 	}
 	times.GroupProcessor = compare(before, after, 0).GroupProcessor
-	return times, nil
+	return times, checkClaims(slices.Concat(claims, afterLoss, afterReturn))
+}
+
+// claims asks all agents, frozen ones too, what they would admit now.
+func (f *hollowFleet) claims() ([]claim, error) {
+	answer, err := f.agents.ask(order{Claims: &claimsOrder{}})
+	return answer.Claims, err
 }
 
 // newOwners waits until none of the watched shards is left with the lost.
-func (f *fleet) newOwners(ctx context.Context, began time.Time, lost []string) (LossTimes, error) {
+func (f *hollowFleet) newOwners(ctx context.Context, began time.Time, lost []string) (LossTimes, error) {
 	var seen Watched
 	err := f.wait(ctx, "new owners", func() (bool, string, error) {
 		answer, err := f.routers.ask(order{Watched: &watchedOrder{}})
@@ -153,7 +165,7 @@
 }
 
 // storm stops agents at once and starts them anew, with no table.
-func (f *fleet) storm(ctx context.Context, restarted []int) (StormCost, error) {
+func (f *hollowFleet) storm(ctx context.Context, restarted []int) (StormCost, error) {
 	var names []string
 	var specs []NodeSpec
 	for _, agent := range restarted {
@@ -192,7 +204,7 @@
 }
 
 // shifts makes marked shifts of load at a rate until the window is over.
-func (f *fleet) shifts(ctx context.Context, perMinute float64, window time.Duration, random *rand.Rand) error {
+func (f *hollowFleet) shifts(ctx context.Context, perMinute float64, window time.Duration, random *rand.Rand) error {
 	if perMinute <= 0 {
 		return nil
 	}
@@ -224,7 +236,7 @@
 }
 
 // changes makes changes of configuration at a rate until the window is over.
-func (f *fleet) changes(ctx context.Context, perMinute float64, window time.Duration) error {
+func (f *hollowFleet) changes(ctx context.Context, perMinute float64, window time.Duration) error {
 	if perMinute <= 0 {
 		return nil
 	}
--- a/lab/hollow/fleet.go
+++ b/lab/hollow/fleet.go
@@ -27,8 +27,8 @@
 	startPace = 5 * time.Second
 )
 
-// fleet is a running group of controllers with hollow agents and routers.
-type fleet struct {
+// hollowFleet is a running group of controllers with hollow agents and routers.
+type hollowFleet struct {
 	plan        Plan
 	settings    Settings
 	folder      string
@@ -36,13 +36,15 @@
 	controllers []*controllerProcess
 	agents      *workerProcess
 	routers     *workerProcess
-	operator    *operator
-	backends    []topology.BackendID // by agent
+	// single holds one router with a table of its own.
+	single   *workerProcess
+	operator *operator
+	backends []topology.BackendID // by agent
 }
 
 // startFleet starts all processes, configures the services and waits until
 // every shard has an owner.
-func startFleet(ctx context.Context, plan Plan, settings Settings, progress io.Writer) (*fleet, error) {
+func startFleet(ctx context.Context, plan Plan, settings Settings, progress io.Writer) (*hollowFleet, error) {
 	if err := errors.Join(plan.validate()...); err != nil {
 		return nil, err
 	}
@@ -50,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{plan: plan, settings: settings, folder: folder, progress: progress}
+	f := &hollowFleet{plan: plan, settings: settings, folder: folder, progress: progress}
 	if err := f.start(ctx); err != nil {
 		f.stop(false)
 		return nil, fmt.Errorf("start fleet (logs in %s): %w", folder, err)
@@ -58,15 +60,12 @@
 	return f, nil
 }
 
-func (f *fleet) start(ctx context.Context) (err error) {
-	f.controllers, err = startControllers(f.folder, f.settings.Program, f.plan.Controllers)
+func (f *hollowFleet) start(ctx context.Context) (err error) {
+	f.controllers, err = startControllers(f.folder, f.settings.Binaries.Product, f.plan.Controllers)
 	if err != nil {
 		return err
 	}
-	if f.agents, err = startWorker(ctx, f.folder, "agents"); err != nil {
-		return err
-	}
-	if f.routers, err = startWorker(ctx, f.folder, "routers"); err != nil {
+	if err := f.startWorkers(ctx); err != nil {
 		return err
 	}
 	var rpc []string
@@ -83,8 +82,19 @@
 	return f.settle(ctx)
 }
 
+func (f *hollowFleet) startWorkers(ctx context.Context) (err error) {
+	for name, worker := range map[string]**workerProcess{
+		"agents": &f.agents, "routers": &f.routers, "single": &f.single,
+	} {
+		if *worker, err = startWorker(ctx, f.folder, name, f.settings.Binaries.Lab); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // configure creates services and back ends and prepares the workers.
-func (f *fleet) configure(ctx context.Context) error {
+func (f *hollowFleet) configure(ctx context.Context) error {
 	for service := range f.plan.Services {
 		if err := f.operator.createService(ctx, f.service(service)); err != nil {
 			return err
@@ -105,6 +115,7 @@
 		order.Configure.Controllers = append(order.Configure.Controllers, controller.session)
 	}
 	for _, worker := range f.workers() {
+		order.Configure.OwnTables = worker == f.single
 		if _, err := worker.ask(order); err != nil {
 			return err
 		}
@@ -113,7 +124,7 @@
 }
 
 // service is the configuration of one service.
-func (f *fleet) service(service int) *quartzdockv1.Service {
+func (f *hollowFleet) service(service int) *quartzdockv1.Service {
 	return &quartzdockv1.Service{
 		Name:          serviceName(service),
 		InitialShards: uint32(f.plan.shardsOf(service)),
@@ -129,7 +140,7 @@
 	}
 }
 
-func (f *fleet) startNodes() error {
+func (f *hollowFleet) startNodes() error {
 	var agents, routers []NodeSpec
 	for agent := range f.plan.Agents {
 		agents = append(agents, agentSpec(agent))
@@ -140,6 +151,9 @@
 	if _, err := f.routers.ask(startOf(routers)); err != nil {
 		return err
 	}
+	if _, err := f.single.ask(startOf([]NodeSpec{routerSpec(f.plan.Routers)})); err != nil {
+		return err
+	}
 	_, err := f.agents.ask(startOf(agents))
 	return err
 }
@@ -151,13 +165,13 @@
 
 // settle waits until every shard has a live owner and all nodes have the
 // newest revision.
-func (f *fleet) settle(ctx context.Context) error {
+func (f *hollowFleet) settle(ctx context.Context) error {
 	return f.wait(ctx, "all shards owned and all nodes at the last revision", func() (bool, string, error) {
 		return f.settled(ctx)
 	})
 }
 
-func (f *fleet) settled(ctx context.Context) (bool, string, error) {
+func (f *hollowFleet) settled(ctx context.Context) (bool, string, error) {
 	committed, err := f.operator.committed(ctx)
 	if err != nil {
 		return false, "", err
@@ -167,15 +181,16 @@
 		return false, "", err
 	}
 	agents, routers := samples.agents, samples.routers
+	lowest := min(agents.Lowest, routers.Lowest, samples.single.Lowest)
 	state := fmt.Sprintf("%d of %d shards owned, %d of %d agents leased, revisions %d to %d of %d, %d routers",
-		agents.Owned, f.plan.Shards, agents.Leased, agents.Nodes, min(agents.Lowest, routers.Lowest), agents.Highest, committed, routers.WithTable)
+		agents.Owned, f.plan.Shards, agents.Leased, agents.Nodes, lowest, agents.Highest, committed, routers.WithTable)
 	done := agents.Owned == f.plan.Shards && agents.Leased == agents.Nodes &&
-		agents.Lowest >= committed && routers.Lowest >= committed
+		lowest >= committed
 	return done, state, nil
 }
 
 // wait polls a condition and tells what it waits for each few seconds.
-func (f *fleet) wait(ctx context.Context, what string, condition func() (done bool, state string, err error)) error {
+func (f *hollowFleet) wait(ctx context.Context, what string, condition func() (done bool, state string, err error)) error {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
 	const tellEach = 5 * time.Second
@@ -197,21 +212,24 @@
 	}
 }
 
-func (f *fleet) tell(format string, arguments ...any) {
+func (f *hollowFleet) tell(format string, arguments ...any) {
 	fmt.Fprintf(f.progress, format+"\n", arguments...)
 }
 
-func (f *fleet) workers() []*workerProcess { return []*workerProcess{f.agents, f.routers} }
+// workers are those that have started.
+func (f *hollowFleet) workers() []*workerProcess {
+	return []*workerProcess{f.agents, f.routers, f.single}
+}
 
 // stop ends all processes and, if asked, removes their files.
-func (f *fleet) stop(removeFiles bool) {
+func (f *hollowFleet) stop(removeFiles bool) {
 	for _, worker := range f.workers() {
 		if worker != nil {
 			worker.stop()
 		}
 	}
 	for _, controller := range f.controllers {
-		controller.stop()
+		controller.Stop()
 	}
 	if removeFiles {
 		_ = os.RemoveAll(filepath.Clean(f.folder))
--- a/lab/hollow/measure.go
+++ b/lab/hollow/measure.go
@@ -7,18 +7,18 @@
 )
 
 // workerSamples are those of both roles at about the same time.
-type workerSamples struct{ agents, routers Sample }
+type workerSamples struct{ agents, routers, single Sample }
 
-func (f *fleet) sampleWorkers() (workerSamples, error) {
-	agents, err := f.agents.ask(order{Sample: &sampleOrder{}})
-	if err != nil {
-		return workerSamples{}, err
-	}
-	routers, err := f.routers.ask(order{Sample: &sampleOrder{}})
-	if err != nil {
-		return workerSamples{}, err
+func (f *hollowFleet) sampleWorkers() (workerSamples, error) {
+	var samples workerSamples
+	for i, sample := range []*Sample{&samples.agents, &samples.routers, &samples.single} {
+		answer, err := f.workers()[i].ask(order{Sample: &sampleOrder{}})
+		if err != nil {
+			return workerSamples{}, err
+		}
+		*sample = *answer.Sample
 	}
-	return workerSamples{*agents.Sample, *routers.Sample}, nil
+	return samples, nil
 }
 
 // snapshot is the usage of all processes at one time.
@@ -28,16 +28,16 @@
 	controllers []Usage
 }
 
-func (f *fleet) snapshot() (snapshot, error) {
+func (f *hollowFleet) snapshot() (snapshot, error) {
 	taken := snapshot{at: time.Now()}
 	var err error
 	if taken.workers, err = f.sampleWorkers(); err != nil {
 		return snapshot{}, err
 	}
 	for _, controller := range f.controllers {
-		usage, err := controller.usage()
+		usage, err := UsageOf(controller.ID())
 		if err != nil {
-			return snapshot{}, fmt.Errorf("%s: %w", controller.name, err)
+			return snapshot{}, fmt.Errorf("%s: %w", controller.Name, err)
 		}
 		taken.controllers = append(taken.controllers, usage)
 	}
@@ -45,8 +45,9 @@
 }
 
 // checkMemory ends a run that would take more than half of the machine.
-func (f *fleet) checkMemory(taken snapshot) error {
-	total := taken.workers.agents.Usage.Resident + taken.workers.routers.Usage.Resident
+func (f *hollowFleet) checkMemory(taken snapshot) error {
+	workers := taken.workers
+	total := workers.agents.Usage.Resident + workers.routers.Usage.Resident + workers.single.Usage.Resident
 	for _, usage := range taken.controllers {
 		total += usage.Resident
 	}
@@ -92,12 +93,19 @@
 	// GroupProcessor is that of all controllers together, in seconds.
 	GroupProcessor time.Duration
 	Agent, Router  NodeCost
+	// Single is one router with a table of its own; SingleMemory and
+	// SingleHeap are those of its whole process in bytes.
+	Single                   NodeCost
+	SingleMemory, SingleHeap uint64
+	// SingleCollector is the part of Single.Processor spent on garbage, as a
+	// share of one core.
+	SingleCollector float64
 	// Reconnects of all nodes in the window.
 	Reconnects uint64
 }
 
 // steady measures the fleet over a window, in which during runs.
-func (f *fleet) steady(ctx context.Context, window time.Duration, during func(ctx context.Context) error) (Steady, error) {
+func (f *hollowFleet) steady(ctx context.Context, window time.Duration, during func(ctx context.Context) error) (Steady, error) {
 	leader, err := f.operator.leader(ctx)
 	if err != nil {
 		return Steady{}, err
@@ -129,7 +137,13 @@
 		Window: window,
 		Agent:  nodeCost(before.workers.agents, after.workers.agents),
 		Router: nodeCost(before.workers.routers, after.workers.routers),
+		Single: nodeCost(before.workers.single, after.workers.single),
+
+		SingleMemory: after.workers.single.Usage.Resident,
+		SingleHeap:   after.workers.single.Runtime.Heap,
 	}
+	collector := after.workers.single.Runtime.Collector - before.workers.single.Runtime.Collector
+	result.SingleCollector = collector.Seconds() / window.Seconds()
 	followers := float64(len(after.controllers) - 1)
 	for i, now := range after.controllers {
 		spent := now.Processor - before.controllers[i].Processor
--- a/lab/hollow/promises.go
+++ b/lab/hollow/promises.go
@@ -51,11 +51,11 @@
 
 // promises checks a settled fleet: one owner per shard, no table older than
 // the one before, every node at the last revision.
-func (f *fleet) promises(ctx context.Context) (Promises, error) {
+func (f *hollowFleet) promises(ctx context.Context) (Promises, error) {
 	if err := f.settle(ctx); err != nil {
 		return Promises{}, err
 	}
-	answer, err := f.agents.ask(order{Claims: &claimsOrder{}})
+	claims, err := f.claims()
 	if err != nil {
 		return Promises{}, err
 	}
@@ -64,12 +64,12 @@
 		return Promises{}, err
 	}
 	found := Promises{
-		Claims:   len(answer.Claims),
-		Nodes:    samples.agents.Nodes + samples.routers.Nodes,
-		Revision: min(samples.agents.Lowest, samples.routers.Lowest),
+		Claims:   len(claims),
+		Nodes:    samples.agents.Nodes + samples.routers.Nodes + samples.single.Nodes,
+		Revision: min(samples.agents.Lowest, samples.routers.Lowest, samples.single.Lowest),
 	}
-	findings := []error{checkClaims(answer.Claims)}
-	if reverted := samples.agents.Reverted + samples.routers.Reverted; reverted > 0 {
+	findings := []error{checkClaims(claims)}
+	if reverted := samples.agents.Reverted + samples.routers.Reverted + samples.single.Reverted; reverted > 0 {
 		findings = append(findings, fmt.Errorf("%d tables were older than the one before", reverted))
 	}
 	if found.Claims > f.plan.Shards {
