Cut single links of a fleet by the process that opened them

A partition of one agent or controller from the others can't be made with one proxy per listener, since all sources share it, and controllers name only one address for themselves.

--- a/cmd/quartzdock-lab/standins.go
+++ b/cmd/quartzdock-lab/standins.go
@@ -132,7 +132,9 @@
 		if len(parts) != 3 {
 			return nil, fmt.Errorf("--link %q: want NAME=LISTEN=TARGET", link)
 		}
-		proxy, err := faultproxy.Listen(parts[0], parts[1], parts[2], seed+uint64(number))
+		proxy, err := faultproxy.Listen(faultproxy.Config{
+			Name: parts[0], Listen: parts[1], Target: parts[2], Seed: seed + uint64(number),
+		})
 		if err != nil {
 			return nil, err
 		}
--- a/lab/faultproxy/control.go
+++ b/lab/faultproxy/control.go
@@ -16,7 +16,7 @@
 func Handler(proxies ...*Proxy) http.Handler {
 	byName := make(map[string]*Proxy)
 	for _, proxy := range proxies {
-		byName[proxy.name] = proxy
+		byName[proxy.Name()] = proxy
 	}
 	find := func(handle func(*Proxy, http.ResponseWriter, *http.Request)) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
--- a/lab/faultproxy/link.go
+++ b/lab/faultproxy/link.go
@@ -14,16 +14,17 @@
 
 // link is one connection through the proxy.
 type link struct {
-	proxy *Proxy
-	near  *net.TCPConn
-	far   *net.TCPConn
-	ctx   context.Context
-	end   context.CancelFunc
+	proxy  *Proxy
+	source string
+	near   *net.TCPConn
+	far    *net.TCPConn
+	ctx    context.Context
+	end    context.CancelFunc
 }
 
-func newLink(proxy *Proxy, near, far *net.TCPConn) *link {
+func newLink(proxy *Proxy, source string, near, far *net.TCPConn) *link {
 	ctx, end := context.WithCancel(proxy.ctx)
-	return &link{proxy: proxy, near: near, far: far, ctx: ctx, end: end}
+	return &link{proxy: proxy, source: source, near: near, far: far, ctx: ctx, end: end}
 }
 
 // run passes both directions on until both have ended or the link is broken.
@@ -102,7 +103,7 @@
 // due returns when a piece read now may be passed on: never before the piece
 // ahead of it.
 func (f *flow) due() time.Time {
-	faults, _ := f.link.proxy.current()
+	faults, _ := f.link.proxy.current(f.link.source)
 	fault := faults.of(f.direction)
 	delay := time.Duration(fault.Delay)
 	if fault.Jitter > 0 {
@@ -146,7 +147,7 @@
 // awaitStallEnd takes over the faults in force and waits while they stall.
 func (f *flow) awaitStallEnd() error {
 	for {
-		faults, changed := f.link.proxy.current()
+		faults, changed := f.link.proxy.current(f.link.source)
 		if fault := faults.of(f.direction); fault != f.fault {
 			f.fault = fault
 			f.passed = 0
--- a/lab/faultproxy/proxy.go
+++ b/lab/faultproxy/proxy.go
@@ -17,10 +17,23 @@
 // dialTimeout bounds the connection to the target.
 const dialTimeout = 5 * time.Second
 
+// Config of a proxy.
+type Config struct {
+	// Name by which the control interface knows the proxy.
+	Name string
+	// Listen and Target are "IP:port".
+	Listen string
+	Target string
+	// Seed of random faults.
+	Seed uint64
+	// Source names the process that opened a connection, so that faults can be
+	// set for one source only; nil names none.
+	Source func(net.Conn) string
+}
+
 // Proxy passes connections on to one target.
 type Proxy struct {
-	name     string
-	target   string
+	config   Config
 	listener net.Listener
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -29,6 +42,7 @@
 	mutex    sync.Mutex
 	random   *rand.Rand
 	faults   Faults
+	bySource map[string]Faults
 	changed  chan struct{}
 	counters Counters
 }
@@ -44,20 +58,23 @@
 	Reset         int   `json:"reset"`
 }
 
-// Listen starts a proxy from an address to a target.
-func Listen(name, address, target string, seed uint64) (*Proxy, error) {
-	listener, err := net.Listen("tcp", address)
+// Listen starts a proxy.
+func Listen(config Config) (*Proxy, error) {
+	listener, err := net.Listen("tcp", config.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("fault proxy %s: %w", name, err)
+		return nil, fmt.Errorf("fault proxy %s: %w", config.Name, err)
+	}
+	if config.Source == nil {
+		config.Source = func(net.Conn) string { return "" }
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	proxy := &Proxy{
-		name:     name,
-		target:   target,
+		config:   config,
 		listener: listener,
 		ctx:      ctx,
 		stop:     stop,
-		random:   rand.New(rand.NewPCG(seed, 3)),
+		random:   rand.New(rand.NewPCG(config.Seed, 3)),
+		bySource: make(map[string]Faults),
 		changed:  make(chan struct{}),
 	}
 	proxy.links.Go(proxy.accept)
@@ -65,27 +82,42 @@
 }
 
 // Name returns the name by which the control interface knows the proxy.
-func (p *Proxy) Name() string { return p.name }
+func (p *Proxy) Name() string { return p.config.Name }
 
 // Address returns the address that the proxy listens on.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// Set replaces the faults. They act on open connections too.
+// Set replaces the faults of all sources that have none of their own. They act
+// on open connections too.
 func (p *Proxy) Set(faults Faults) error {
+	return p.change(faults, func() { p.faults = faults })
+}
+
+// SetFor replaces the faults of one source.
+func (p *Proxy) SetFor(source string, faults Faults) error {
+	return p.change(faults, func() { p.bySource[source] = faults })
+}
+
+// Heal removes all faults.
+func (p *Proxy) Heal() {
+	p.change(Faults{}, func() {
+		p.faults = Faults{}
+		clear(p.bySource)
+	})
+}
+
+func (p *Proxy) change(faults Faults, replace func()) error {
 	if err := errors.Join(faults.Forward.validate("forward"), faults.Backward.validate("backward")); err != nil {
 		return err
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.faults = faults
+	replace()
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return nil
 }
 
-// Heal removes all faults.
-func (p *Proxy) Heal() { p.Set(Faults{}) }
-
 // Run sets the faults of a script at their times and returns after the last.
 func (p *Proxy) Run(ctx context.Context, script []Step) error {
 	start := time.Now()
@@ -115,11 +147,14 @@
 	return err
 }
 
-// current returns the faults in force and a channel that closes when they are
-// replaced.
-func (p *Proxy) current() (Faults, <-chan struct{}) {
+// current returns the faults in force for a source and a channel that closes
+// when any are replaced.
+func (p *Proxy) current(source string) (Faults, <-chan struct{}) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if faults, found := p.bySource[source]; found {
+		return faults, p.changed
+	}
 	return p.faults, p.changed
 }
 
@@ -146,7 +181,8 @@
 }
 
 func (p *Proxy) serve(near *net.TCPConn) {
-	faults, _ := p.current()
+	source := p.config.Source(near)
+	faults, _ := p.current(source)
 	p.count(func(c *Counters) { c.Connections++ })
 	if faults.RefuseNew {
 		p.count(func(c *Counters) { c.Refused++ })
@@ -158,12 +194,12 @@
 		return
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
-	far, err := dialer.DialContext(p.ctx, "tcp", p.target)
+	far, err := dialer.DialContext(p.ctx, "tcp", p.config.Target)
 	if err != nil {
 		reset(near)
 		return
 	}
-	newLink(p, near, far.(*net.TCPConn)).run()
+	newLink(p, source, near, far.(*net.TCPConn)).run()
 }
 
 // swallow reads and loses everything until the other side or the proxy ends.
--- a/lab/faultproxy/proxy_test.go
+++ b/lab/faultproxy/proxy_test.go
@@ -35,7 +35,9 @@
 			}()
 		}
 	}()
-	proxy, err := faultproxy.Listen("p", "127.0.0.1:0", listener.Addr().String(), 1)
+	proxy, err := faultproxy.Listen(faultproxy.Config{
+		Name: "p", Listen: "127.0.0.1:0", Target: listener.Addr().String(), Seed: 1,
+	})
 	assert.NilError(t, err)
 	t.Cleanup(func() { proxy.Close() })
 	return proxy
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -69,8 +69,11 @@
 	// Machines is the platform's list of machines.
 	Machines *machines.List
 
-	config   Config
-	network  network
+	config  Config
+	network network
+	// sessions and peers are where controllers are reached.
+	sessions []string
+	peers    []string
 	marker   net.Listener
 	platform *http.Server
 }
@@ -83,7 +86,7 @@
 	}
 	f := &Fleet{config: config, network: network, marker: marker}
 	if config.Proxied {
-		f.Links = newLinks(network, config.Seed)
+		f.Links = newLinks(network, config.Seed, f.processIDs)
 	}
 	if err := f.layOut(); err != nil {
 		return nil, errors.Join(err, f.Stop())
@@ -93,6 +96,13 @@
 }
 
 func (f *Fleet) layOut() error {
+	var err error
+	if f.sessions, err = f.controllerAddresses(linkSessions, portSessions); err != nil {
+		return err
+	}
+	if f.peers, err = f.controllerAddresses(linkPeers, portPeers); err != nil {
+		return err
+	}
 	for index := range f.config.Deployment.Controllers {
 		process, err := f.layOutController(index)
 		if err != nil {
@@ -110,11 +120,7 @@
 		}
 	}
 	for index := range f.config.Deployment.Routers {
-		process, err := f.layOutRouter(index)
-		if err != nil {
-			return err
-		}
-		f.Routers = append(f.Routers, process)
+		f.Routers = append(f.Routers, f.layOutRouter(index))
 	}
 	return nil
 }
@@ -174,6 +180,17 @@
 	return all
 }
 
+// processIDs names the running processes by their ids.
+func (f *Fleet) processIDs() map[int]string {
+	names := make(map[int]string)
+	for _, process := range f.Processes() {
+		if pid := process.ID(); pid != 0 {
+			names[pid] = process.Name
+		}
+	}
+	return names
+}
+
 // Start starts all processes, makes the deployment's services and back ends by
 // RPC and waits until every shard has an owner and every router answers.
 func (f *Fleet) Start(ctx context.Context) error {
--- a/lab/fleet/layout.go
+++ b/lab/fleet/layout.go
@@ -44,15 +44,31 @@
 	}
 }
 
+// controllerAddresses returns the addresses by which all controllers are
+// reached for one kind of link.
+func (f *Fleet) controllerAddresses(kind linkKind, port int) ([]string, error) {
+	addresses := make([]string, f.config.Deployment.Controllers)
+	for index := range addresses {
+		address, err := f.link(kind, controllerName(index), f.network.address(kindController, index, port))
+		if err != nil {
+			return nil, err
+		}
+		addresses[index] = address
+	}
+	return addresses, nil
+}
+
+func controllerName(index int) string { return fmt.Sprintf("controller-%d", index+1) }
+
 func (f *Fleet) layOutController(index int) (*Process, error) {
-	name := fmt.Sprintf("controller-%d", index+1)
+	name := controllerName(index)
 	folder, err := f.dataFolder(name)
 	if err != nil {
 		return nil, err
 	}
-	peers := make([]string, f.config.Deployment.Controllers)
-	for peer := range peers {
-		peers[peer] = fmt.Sprintf("%d=%s", peer+1, f.network.address(kindController, peer, portPeers))
+	peers := make([]string, len(f.peers))
+	for number, address := range f.peers {
+		peers[number] = fmt.Sprintf("%d=%s", number+1, address)
 	}
 	arguments := append([]string{"controller"},
 		f.common(name, index, f.network.address(kindController, index, portOps))...)
@@ -61,6 +77,7 @@
 		fmt.Sprintf("--replica-id=%d", index+1),
 		"--peers="+strings.Join(peers, ","),
 		"--session.listen="+f.network.address(kindController, index, portSessions),
+		"--session.advertise="+f.sessions[index],
 		"--peer.listen="+f.network.address(kindController, index, portPeers),
 		"--rpc.listen="+f.network.address(kindController, index, portRPC),
 		"--machine-list.url="+f.MachineListURL(),
@@ -69,20 +86,16 @@
 	return f.process(name, f.config.Binaries.Product, arguments), nil
 }
 
-func (f *Fleet) layOutRouter(index int) (*Process, error) {
+func (f *Fleet) layOutRouter(index int) *Process {
 	name := fmt.Sprintf("router-%d", index+1)
-	sessions, err := f.sessions(name)
-	if err != nil {
-		return nil, err
-	}
 	arguments := append([]string{"router"},
 		f.common(name, index, f.network.address(kindRouter, index, portRouterOps))...)
 	arguments = append(arguments,
 		"--callers.listen="+f.network.address(kindRouter, index, portCallers),
-		"--controllers="+sessions,
+		"--controllers="+strings.Join(f.sessions, ","),
 	)
 	arguments = append(arguments, f.config.RouterArguments...)
-	return f.process(name, f.config.Binaries.Product, arguments), nil
+	return f.process(name, f.config.Binaries.Product, arguments)
 }
 
 func (f *Fleet) layOutMember(service deployment.Service, index int) (*Member, error) {
@@ -92,10 +105,6 @@
 	if err != nil {
 		return nil, err
 	}
-	sessions, err := f.sessions(name)
-	if err != nil {
-		return nil, err
-	}
 	listen := f.network.address(kindAgent, number, portRequests)
 	backend := f.network.address(kindAgent, number, portBackend)
 	member := &Member{
@@ -115,7 +124,7 @@
 	arguments := append([]string{"agent"},
 		f.common(name, index, f.network.address(kindAgent, number, portAgentOps))...)
 	arguments = append(arguments,
-		"--controllers="+sessions,
+		"--controllers="+strings.Join(f.sessions, ","),
 		"--data-folder="+folder,
 		"--requests.listen="+listen,
 		"--peer.listen="+f.network.address(kindAgent, number, portRecords),
@@ -142,20 +151,6 @@
 	}
 }
 
-// sessions returns the session addresses of all controllers for a process.
-func (f *Fleet) sessions(name string) (string, error) {
-	addresses := make([]string, f.config.Deployment.Controllers)
-	for index := range addresses {
-		target := f.network.address(kindController, index, portSessions)
-		address, err := f.link(linkSession, fmt.Sprintf("%s controller-%d", name, index+1), target)
-		if err != nil {
-			return "", err
-		}
-		addresses[index] = address
-	}
-	return strings.Join(addresses, ","), nil
-}
-
 // link returns the address by which a target is reached: its own, or that of a
 // fault proxy before it.
 func (f *Fleet) link(kind linkKind, name, target string) (string, error) {
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// ID returns the process id, zero where the process does not run.
+func (p *Process) ID() int {
+	if !p.Running() {
+		return 0
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.command.Process.Pid
+}
+
 // Kill ends the process at once (SIGKILL) and returns when it has ended.
 func (p *Process) Kill() error {
 	if err := p.signal(syscall.SIGKILL); err != nil {
