--- /dev/null
+++ b/internal/router/attempt.go
@@ -0,0 +1,210 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/upstream"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+// attemptKind is what came of one attempt.
+type attemptKind uint8
+
+const (
+	// attemptAnswered: an answer's header arrived.
+	attemptAnswered attemptKind = iota + 1
+	// attemptRefused: the agent says that the request was not run.
+	attemptRefused
+	// attemptNotSent: no byte of the request left the router.
+	attemptNotSent
+	// attemptUnknown: the request may have run.
+	attemptUnknown
+	// attemptTimedOut: as attemptUnknown, because no answer came in time.
+	attemptTimedOut
+	// attemptAbandoned: the caller went away; it says nothing of the peer.
+	attemptAbandoned
+)
+
+// attemptResult is what came of one attempt.
+type attemptResult struct {
+	kind   attemptKind
+	target target
+	// response is set for attemptAnswered; its body is still to be read.
+	response *http.Response
+	// refusal is what the caller is told if this was the last attempt; nil for
+	// attemptAnswered.
+	refusal *refusal
+	// end frees what the attempt holds. It is called after the body was read.
+	end func()
+}
+
+// attempt sends the request once.
+func (f *forwarding) attempt(to target) attemptResult {
+	started := f.router.config.Clock()
+	ctx, cancel := context.WithCancelCause(f.ctx)
+	stop := f.watch(to, cancel)
+	to.peer.began()
+	response, err := to.peer.pool.Do(ctx, f.outgoing(to))
+	stop()
+	result := f.judge(ctx, response, err)
+	result.target = to
+	now := f.router.config.Clock()
+	to.peer.ended(now, now-started, kindForPeer(result), f.request.class)
+	if result.kind == attemptNotSent {
+		to.peer.breaker.failed(now)
+	} else {
+		to.peer.breaker.succeeded()
+	}
+	result.end = func() { cancel(nil) }
+	if result.kind != attemptAnswered {
+		cancel(nil)
+	}
+	return result
+}
+
+// kindForPeer is how an attempt counts for the choice of back ends: an answer
+// that reports the back end's own failure is a failure.
+func kindForPeer(result attemptResult) attemptKind {
+	if result.kind == attemptAnswered && result.response.StatusCode >= http.StatusInternalServerError {
+		return attemptUnknown
+	}
+	return result.kind
+}
+
+// watch lets the attempt be ended from outside while it has no answer: when
+// the shard gets a new owner, or when another back end may be faster.
+func (f *forwarding) watch(to target, cancel context.CancelCauseFunc) (stop func()) {
+	if to.keyed {
+		pending := &pendingAttempt{shard: to.shard, epoch: to.epoch, cancel: cancel}
+		to.peer.attempts.add(pending)
+		return func() { to.peer.attempts.remove(pending) }
+	}
+	if !f.mayHedge() {
+		return func() {}
+	}
+	timer := time.AfterFunc(f.router.config.AttemptTimeout, func() {
+		if f.router.spendRetry(f.request.service.state) {
+			f.paid.Store(true)
+			cancel(errAttemptTimeout)
+		}
+	})
+	return func() { timer.Stop() }
+}
+
+// judge classifies the result of an exchange.
+func (f *forwarding) judge(ctx context.Context, response *http.Response, err error) attemptResult {
+	if err != nil {
+		return f.judgeError(context.Cause(ctx), err)
+	}
+	outcome := wire.Outcome(response.Header.Get(wire.HeaderOutcome))
+	if outcome == wire.OutcomeAnswered {
+		return attemptResult{kind: attemptAnswered, response: response}
+	}
+	told := refusalOf(outcome, response)
+	discard(response)
+	if told.outcome == wire.OutcomeNotRun {
+		return attemptResult{kind: attemptRefused, refusal: told}
+	}
+	return attemptResult{kind: attemptUnknown, refusal: told}
+}
+
+// judgeError classifies an exchange without answer.
+func (f *forwarding) judgeError(cause, err error) attemptResult {
+	sent := !errors.Is(err, upstream.ErrNotSent)
+	if bodyError := f.request.body.failure(); bodyError != nil {
+		told := refusalOfBody(bodyError)
+		if sent {
+			told = unknown(told.reason, told.detail)
+		}
+		return attemptResult{kind: attemptAbandoned, refusal: told}
+	}
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return timedOut(sent)
+	case errors.Is(cause, context.Canceled):
+		return attemptResult{kind: attemptAbandoned, refusal: unknown(wire.ReasonInterrupted, "the caller went away")}
+	case !sent:
+		return attemptResult{kind: attemptNotSent, refusal: notRun(wire.ReasonUnreachable, "the back end's agent cannot be reached")}
+	case errors.Is(cause, errSuperseded):
+		f.router.metrics.superseded.Inc()
+		return attemptResult{kind: attemptTimedOut, refusal: unknown(wire.ReasonLeaseLost, "the shard got a new owner before the answer came")}
+	case errors.Is(cause, errAttemptTimeout):
+		return attemptResult{kind: attemptTimedOut, refusal: unknown(wire.ReasonTimedOut, "the back end took too long")}
+	}
+	return attemptResult{kind: attemptUnknown, refusal: unknown(wire.ReasonInterrupted, "the connection to the back end's agent broke")}
+}
+
+// timedOut is the result at the request's deadline.
+func timedOut(sent bool) attemptResult {
+	if sent {
+		return attemptResult{kind: attemptTimedOut, refusal: unknown(wire.ReasonTimedOut, "no answer within the deadline")}
+	}
+	return attemptResult{kind: attemptAbandoned, refusal: notRun(wire.ReasonExpired, "the deadline passed before the request was sent")}
+}
+
+// failure is the error that ended the body early, or nil.
+func (b *requestBody) failure() error {
+	if b.rest == nil {
+		return nil
+	}
+	return b.rest.failure()
+}
+
+// refusalOf reads an agent's refusal. An answer without outcome proves nothing.
+func refusalOf(outcome wire.Outcome, response *http.Response) *refusal {
+	reason := wire.Reason(response.Header.Get(wire.HeaderReason))
+	if outcome != wire.OutcomeNotRun && outcome != wire.OutcomeUnknown {
+		return unknown(wire.ReasonInterrupted, "the back end's agent stated no outcome")
+	}
+	told := &refusal{outcome: outcome, reason: reason, retryAfter: retryAfterOf(reason), detail: "refused by the back end's agent"}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && seconds > 0 {
+		told.retryAfter = time.Duration(seconds) * time.Second
+	}
+	return told
+}
+
+// maximumRefusalBytes is how much of a refusal's body is read to keep the
+// connection.
+const maximumRefusalBytes = 4 * kibibyte
+
+func discard(response *http.Response) {
+	_, _ = io.CopyN(io.Discard, response.Body, maximumRefusalBytes)
+	_ = response.Body.Close()
+}
+
+// outgoing makes the request for the agent.
+func (f *forwarding) outgoing(to target) *http.Request {
+	incoming := f.request.incoming
+	made := &http.Request{
+		Method:        incoming.Method,
+		URL:           outgoingURL(incoming.URL, to.peer.address),
+		Host:          incoming.Host,
+		Header:        f.outgoingHeader(to),
+		Body:          f.request.body.reader(),
+		ContentLength: f.request.body.length,
+	}
+	if made.Body == http.NoBody {
+		made.ContentLength = 0
+	}
+	return made
+}
+
+// outgoingURL keeps path and query as the caller wrote them.
+func outgoingURL(incoming *url.URL, address string) *url.URL {
+	made := *incoming
+	made.Scheme = "http"
+	made.Host = address
+	return &made
+}
+
+// isDeadline says that an error comes of a passed deadline.
+func isDeadline(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
--- /dev/null
+++ b/internal/router/header.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+// internalPrefix starts the names of the product's own headers.
+const internalPrefix = "Quartzdock-"
+
+const headerForwardedFor = "X-Forwarded-For"
+
+// hopByHop says whether a header belongs to one connection only (RFC 9110,
+// 7.6.1) and is not passed on.
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
+}
+
+// namedByConnection returns the headers that the Connection header lists.
+func namedByConnection(header http.Header) []string {
+	var names []string
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			names = append(names, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+		}
+	}
+	return names
+}
+
+// copyEndToEnd copies the headers that are passed on. Those of the product are
+// set anew by each hop.
+func copyEndToEnd(to, from http.Header) {
+	for name, values := range from {
+		if hopByHop(name) || strings.HasPrefix(name, internalPrefix) {
+			continue
+		}
+		to[name] = values
+	}
+	for _, name := range namedByConnection(from) {
+		delete(to, name)
+	}
+}
+
+// ownHeaders is about how many headers the router adds.
+const ownHeaders = 10
+
+// outgoingHeader makes the header for the agent.
+func (f *forwarding) outgoingHeader(to target) http.Header {
+	q := f.request
+	made := make(http.Header, len(q.incoming.Header)+ownHeaders)
+	copyEndToEnd(made, q.incoming.Header)
+	if _, present := made["User-Agent"]; !present {
+		made["User-Agent"] = nil // keeps net/http from naming itself
+	}
+	appendForwardedFor(made, q.incoming.RemoteAddr)
+	left := max(time.Until(q.deadline).Milliseconds(), 1)
+	setOne(made, wire.HeaderDeadline, strconv.FormatInt(left, 10))
+	setOne(made, wire.HeaderCaller, q.caller)
+	setOne(made, wire.HeaderClass, className(q.class))
+	setOne(made, wire.HeaderRevision, strconv.FormatUint(uint64(to.revision), 10))
+	if q.id != "" {
+		setOne(made, wire.HeaderRequestID, q.id)
+	}
+	if q.nonRepeatable {
+		setOne(made, wire.HeaderNonRepeatable, "true")
+	}
+	if to.keyed {
+		setOne(made, wire.HeaderShard, to.shard.String())
+		setOne(made, wire.HeaderEpoch, strconv.FormatUint(uint64(to.epoch), 10))
+	}
+	return made
+}
+
+// setOne sets a header whose name is in canonical form.
+func setOne(header http.Header, name, value string) { header[name] = []string{value} }
+
+func className(class topology.RequestClass) string {
+	if class == topology.ClassBulk {
+		return "bulk"
+	}
+	return "lookup"
+}
+
+func appendForwardedFor(header http.Header, remote string) {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return
+	}
+	if earlier := header[headerForwardedFor]; len(earlier) > 0 {
+		host = strings.Join(earlier, ", ") + ", " + host
+	}
+	setOne(header, headerForwardedFor, host)
+}
--- /dev/null
+++ b/internal/router/ownership_test.go
@@ -0,0 +1,172 @@
+package router
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+const noReason = wire.Reason("")
+
+func TestKeyedRequestReachesItsOwnerWithShardAndEpoch(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	owner := newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header
+		answered(w, r.URL.RequestURI())
+	})
+	f := newFixture(t, nil, owner, newAgent(t, abort))
+	got := f.get("/keyed/plans/gate%2F7?floor=2", wire.HeaderShard, "9/9", wire.HeaderCaller, "app/1",
+		wire.HeaderDeadline, "2000", "Connection", "X-Private", "X-Private", "1", "X-Kept", "2")
+	got.check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	assert.Equal(t, got.body, "/keyed/plans/gate%2F7?floor=2")
+	header := <-seen
+	assert.Equal(t, header.Get(wire.HeaderShard), "1/1", "a caller cannot set it")
+	assert.Equal(t, header.Get(wire.HeaderEpoch), "1")
+	assert.Equal(t, header.Get(wire.HeaderCaller), "app/1")
+	assert.Equal(t, header.Get(wire.HeaderClass), "lookup")
+	assert.Equal(t, header.Get("X-Private"), "", "named by Connection")
+	assert.Equal(t, header.Get("X-Kept"), "2")
+	assert.Assert(t, header.Get(wire.HeaderDeadline) != "")
+}
+
+func TestRequestIsHeldWhileItsShardIsReleasing(t *testing.T) {
+	later := newAgent(t, ok)
+	f := newFixture(t, nil, newAgent(t, abort), later)
+	f.setShard(topology.ShardReleasing, 1, 1)
+	replies := make(chan reply, 1)
+	go func() { replies <- f.post() }()
+	poll.WaitOn(t, f.held(1))
+	f.setShard(topology.ShardOwned, 2, 2)
+	got := <-replies
+	got.check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	assert.Equal(t, later.requests.Load(), int64(1))
+	assert.Equal(t, f.router.hold.requests.Load(), int64(0))
+	assert.Equal(t, f.router.hold.bytes.Load(), int64(0))
+}
+
+// held waits until so many requests wait for an owner.
+func (f *fixture) held(count int64) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if f.router.hold.requests.Load() == count {
+			return poll.Success()
+		}
+		return poll.Continue("%d requests are held", f.router.hold.requests.Load())
+	}
+}
+
+// A request that no owner takes is answered when the router gives up, long
+// before its deadline, with the time to come back.
+func TestHeldRequestIsAnsweredWhenGivenUp(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.HoldTimeout = 20 * time.Millisecond }, newAgent(t, abort))
+	f.setShard(topology.ShardUnassigned, 0, 1)
+	got := f.post(wire.HeaderDeadline, "3600000")
+	got.check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonNoOwner)
+	assert.Equal(t, got.header.Get("Retry-After"), "1")
+}
+
+func TestHeldRequestEndsAtItsDeadline(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.HoldTimeout = time.Hour }, newAgent(t, abort))
+	f.setShard(topology.ShardUnassigned, 0, 1)
+	f.post(wire.HeaderDeadline, "20").check(t, http.StatusGatewayTimeout, wire.OutcomeNotRun, wire.ReasonExpired)
+}
+
+func TestFullHoldBufferAnswersAtOnce(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.HoldRequests = 1; c.HoldTimeout = time.Hour }, newAgent(t, ok))
+	f.setShard(topology.ShardReleasing, 1, 1)
+	replies := make(chan reply, 1)
+	go func() { replies <- f.post() }()
+	poll.WaitOn(t, f.held(1))
+	got := f.post()
+	got.check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonShed)
+	assert.Equal(t, got.header.Get("Retry-After"), "1")
+	f.setShard(topology.ShardOwned, 1, 2)
+	(<-replies).check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+}
+
+// The owner refuses as out of step (it is draining): the request waits for the
+// next owner, also when it is non-repeatable, because it was not run.
+func TestRefusedRequestGoesToTheNextOwner(t *testing.T) {
+	refusing := newAgent(t, func(w http.ResponseWriter, _ *http.Request) {
+		refusedBy(w, wire.OutcomeNotRun, wire.ReasonDraining, http.StatusMisdirectedRequest)
+	})
+	later := newAgent(t, ok)
+	f := newFixture(t, nil, refusing, later)
+	replies := make(chan reply, 1)
+	go func() { replies <- f.post() }()
+	poll.WaitOn(t, f.held(1))
+	f.setShard(topology.ShardOwned, 2, 2)
+	(<-replies).check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	assert.Equal(t, later.requests.Load(), int64(1))
+}
+
+// An agent that is restarted keeps its shards: held requests reach it as soon
+// as it listens again.
+func TestUnreachableOwnerIsTriedAgain(t *testing.T) {
+	owner := newAgent(t, ok)
+	address := owner.Listener.Addr().String()
+	f := newFixture(t, nil, owner)
+	f.get("/keyed/plans/a").check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	owner.Close()
+	replies := make(chan reply, 1)
+	go func() { replies <- f.post() }()
+	poll.WaitOn(t, f.held(1))
+	restarted := &http.Server{Handler: http.HandlerFunc(ok)}
+	listener := listenAt(t, address)
+	go func() { _ = restarted.Serve(listener) }()
+	t.Cleanup(func() { _ = restarted.Close() })
+	(<-replies).check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+}
+
+// The owner is frozen with requests in progress; then the table names another.
+func TestFrozenOwnerIsLeftWhenAnotherIsNamed(t *testing.T) {
+	thaw := make(chan struct{})
+	frozen := newAgent(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-thaw
+	})
+	defer close(thaw)
+	later := newAgent(t, ok)
+	f := newFixture(t, func(c *Config) { c.SupersededGrace = time.Millisecond }, frozen, later)
+	lookup, write := make(chan reply, 1), make(chan reply, 1)
+	go func() { lookup <- f.get("/keyed/plans/a") }()
+	go func() { write <- f.post() }()
+	poll.WaitOn(t, arrived(frozen, 2))
+	f.setShard(topology.ShardOwned, 2, 2)
+	(<-lookup).check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	(<-write).check(t, http.StatusGatewayTimeout, wire.OutcomeUnknown, wire.ReasonLeaseLost)
+	assert.Equal(t, later.requests.Load(), int64(1), "the write must not run a second time")
+}
+
+// arrived waits until an agent got so many requests.
+func arrived(agent *agentServer, count int64) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if agent.requests.Load() >= count {
+			return poll.Success()
+		}
+		return poll.Continue("%d requests arrived", agent.requests.Load())
+	}
+}
+
+func TestStaleRouterServesOnlySafeRequestsAndSendsNothingTwice(t *testing.T) {
+	owner := newAgent(t, ok)
+	breaking := newAgent(t, abort)
+	f := newFixture(t, nil, owner, breaking)
+	f.age.Store(int64(time.Minute))
+	f.get("/keyed/plans/a").check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	got := f.post()
+	got.check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonStale)
+	assert.Equal(t, got.header.Get("Retry-After"), "2")
+	f.send(http.MethodPut, "/keyed/plans/a", "x").check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonStale)
+	assert.ErrorIs(t, f.router.Ready(), ErrStale)
+
+	f.setShard(topology.ShardOwned, 2, 2)
+	f.get("/keyed/plans/a").check(t, http.StatusBadGateway, wire.OutcomeUnknown, wire.ReasonInterrupted)
+	assert.Equal(t, breaking.requests.Load(), int64(1))
+}
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -60,6 +60,7 @@
 	ReasonUnreachable  Reason = "unreachable"   // no connection was made: 503
 	ReasonNotFound     Reason = "no-service"    // 404
 	ReasonTooLarge     Reason = "too-large"     // 413
+	ReasonSlowSender   Reason = "slow-sender"   // 408
 	ReasonDuplicate    Reason = "in-progress"   // same id is running: 409
 	ReasonLeaseLost    Reason = "lease-lost"    // unknown: 504
 	ReasonInterrupted  Reason = "interrupted"   // unknown: 502
