--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -11,7 +11,9 @@
 
 	"golang.org/x/net/netutil"
 
-	"github.com/quartzdock/quartzdock/internal/routing"
+	"github.com/quartzdock/quartzdock/internal/subscription"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/transport"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
@@ -157,7 +159,22 @@
 	_ = r.source.Send(wire.ToController{RouterLoad: &load})
 }
 
-// openSource opens the configured source of routing tables.
+// openSource opens the configured source of routing tables, or a subscription
+// to the controllers.
 func (r *Router) openSource() (Source, error) {
-	return r.config.Source(func(table *routing.Table) { r.publish(table) })
+	if r.config.Source != nil {
+		return r.config.Source(r.publish)
+	}
+	return subscription.Start(subscription.Config{
+		Group:       r.config.Group,
+		Role:        topology.RoleRouter,
+		Name:        r.config.Name,
+		Location:    r.config.Location,
+		Address:     r.config.Listen,
+		Controllers: r.config.Controllers,
+		Transport:   transport.Options{TLS: r.config.ControllerTLS},
+		OnTable:     r.publish,
+		Now:         r.config.Clock,
+		Log:         r.config.Log,
+	})
 }
