--- a/lab/fleet/launch.go
+++ b/lab/fleet/launch.go
@@ -11,16 +11,6 @@
 	return &Process{Name: name, Log: log, binary: binary, arguments: arguments}
 }
 
-// ID is the process id of the last start; zero before the first.
-func (p *Process) ID() int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.command == nil {
-		return 0
-	}
-	return p.command.Process.Pid
-}
-
 // Stop asks for a planned stop and kills the process when it takes longer than
 // plannedStopLimit. Stopping a process that has ended does nothing.
 func (p *Process) Stop() {
