Add the agent: leases, fenced grants, slots, one run per request id

The process beside each back end takes requests from routers, admits them by lease and epoch, waits for one of the back end's slots, sends each once and checks the fence again before it releases the answer; an answer that outlived its lease is told as unknown. It renews the back end's grants by the back end's own clock, warms and releases shards as the routing table says, sends the record of request ids on, and gives up its lease when real requests show that the back end fails. Messages of grants now carry a sequence and may replace all earlier ones, so that a grant left in a frozen back end's socket can't undo a later revocation; the stand-in checks both.

--- /dev/null
+++ b/internal/agent/fitness.go
@@ -0,0 +1,200 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// Defaults of FitnessConfig.
+const (
+	DefaultFailuresInARow = 10
+	DefaultFailureSpan    = 250 * time.Millisecond
+	DefaultStalledAtLeast = 3
+	DefaultStallFactor    = 8
+	DefaultStallMinimum   = time.Second
+	DefaultStallMaximum   = 10 * time.Second
+	DefaultRestFirst      = 2 * time.Second
+	DefaultRestLimit      = time.Minute
+	// sameShardFactor multiplies FailuresInARow where all failures were on one
+	// shard, which may be the fault of one key's requests.
+	sameShardFactor = 10
+	// patienceFactor times the average answer time, and patienceMinimum, must
+	// have been waited for a missed deadline to count as a failure.
+	patienceFactor  = 2
+	patienceMinimum = 50 * time.Millisecond
+	// averageWeight is the weight of a new sample in the moving average of
+	// answer times.
+	averageWeight = 0.1
+)
+
+// FitnessConfig says when a back end counts as failed by what its real
+// requests do. Zero fields take the defaults.
+type FitnessConfig struct {
+	// FailuresInARow and FailureSpan: so many failures without a success
+	// between them, over at least the span.
+	FailuresInARow int
+	FailureSpan    time.Duration
+	// StalledAtLeast look-ups wait and none was answered for StallFactor times
+	// the average answer time, kept between StallMinimum and StallMaximum.
+	StalledAtLeast int
+	StallFactor    int
+	StallMinimum   time.Duration
+	StallMaximum   time.Duration
+	// RestFirst is how long the agent stays away after the first failure; it
+	// doubles with each relapse up to RestLimit, and starts anew after RestLimit
+	// without one.
+	RestFirst time.Duration
+	RestLimit time.Duration
+}
+
+func (config FitnessConfig) withDefaults() FitnessConfig {
+	setDefault(&config.FailuresInARow, DefaultFailuresInARow)
+	setDefault(&config.FailureSpan, DefaultFailureSpan)
+	setDefault(&config.StalledAtLeast, DefaultStalledAtLeast)
+	setDefault(&config.StallFactor, DefaultStallFactor)
+	setDefault(&config.StallMinimum, DefaultStallMinimum)
+	setDefault(&config.StallMaximum, DefaultStallMaximum)
+	setDefault(&config.RestFirst, DefaultRestFirst)
+	setDefault(&config.RestLimit, DefaultRestLimit)
+	return config
+}
+
+// fitness judges the back end. Requests report to it from any goroutine.
+type fitness struct {
+	config FitnessConfig
+
+	mutex        sync.Mutex
+	failures     int
+	firstFailure time.Duration
+	// firstShard had the first failure; spread says that another had one too.
+	firstShard topology.ShardID
+	spread     bool
+	// waiting look-ups, and since when none of them was answered.
+	waiting       int
+	quietSince    time.Duration
+	averageAnswer time.Duration
+	counts        fitnessCounts
+}
+
+// fitnessCounts are totals since the last report.
+type fitnessCounts struct{ completed, failed uint32 }
+
+func newFitness(config FitnessConfig) *fitness {
+	return &fitness{config: config}
+}
+
+// sent notes that a look-up waits for its answer.
+func (fitness *fitness) sent(now time.Duration) {
+	fitness.mutex.Lock()
+	defer fitness.mutex.Unlock()
+	if fitness.waiting == 0 {
+		fitness.quietSince = now
+	}
+	fitness.waiting++
+}
+
+// settled notes that a look-up waits no more, for whatever reason.
+func (fitness *fitness) settled() {
+	fitness.mutex.Lock()
+	defer fitness.mutex.Unlock()
+	fitness.waiting--
+}
+
+// succeeded notes a whole answer that is no server error.
+func (fitness *fitness) succeeded(now, took time.Duration) {
+	fitness.mutex.Lock()
+	defer fitness.mutex.Unlock()
+	fitness.failures = 0
+	fitness.quietSince = now
+	fitness.counts.completed++
+	change := averageWeight * float64(took-fitness.averageAnswer)
+	fitness.averageAnswer += time.Duration(change)
+}
+
+// failed notes a server error, a broken or missing answer.
+func (fitness *fitness) failed(now time.Duration, shard topology.ShardID) {
+	fitness.mutex.Lock()
+	defer fitness.mutex.Unlock()
+	if fitness.failures == 0 {
+		fitness.firstFailure = now
+		fitness.firstShard = shard
+		fitness.spread = false
+	}
+	fitness.spread = fitness.spread || shard != fitness.firstShard
+	fitness.failures++
+	fitness.counts.failed++
+}
+
+// timedOut notes an answer that did not come before the deadline. Deadlines
+// that ordinary answers would not have met either are no failure.
+func (fitness *fitness) timedOut(now, waited time.Duration, shard topology.ShardID) {
+	fitness.mutex.Lock()
+	patient := waited >= max(patienceFactor*fitness.averageAnswer, patienceMinimum)
+	fitness.mutex.Unlock()
+	if patient {
+		fitness.failed(now, shard)
+	}
+}
+
+// reset forgets failures when the agent returns after a rest.
+func (fitness *fitness) reset(now time.Duration) {
+	fitness.mutex.Lock()
+	defer fitness.mutex.Unlock()
+	fitness.failures = 0
+	fitness.quietSince = now
+}
+
+// takeCounts returns and resets the totals.
+func (fitness *fitness) takeCounts() fitnessCounts {
+	fitness.mutex.Lock()
+	defer fitness.mutex.Unlock()
+	counts := fitness.counts
+	fitness.counts = fitnessCounts{}
+	return counts
+}
+
+// verdict returns why the back end counts as failed, or "".
+func (fitness *fitness) verdict(now time.Duration) string {
+	fitness.mutex.Lock()
+	defer fitness.mutex.Unlock()
+	needed := fitness.config.FailuresInARow
+	if !fitness.spread {
+		needed *= sameShardFactor
+	}
+	failing := fitness.failures >= needed &&
+		now-fitness.firstFailure >= fitness.config.FailureSpan
+	if failing {
+		return "requests fail"
+	}
+	stalled := fitness.waiting >= fitness.config.StalledAtLeast &&
+		now-fitness.quietSince >= fitness.stallLimit()
+	if stalled {
+		return "requests are not answered"
+	}
+	return ""
+}
+
+func (fitness *fitness) stallLimit() time.Duration {
+	limit := time.Duration(fitness.config.StallFactor) * fitness.averageAnswer
+	return min(max(limit, fitness.config.StallMinimum), fitness.config.StallMaximum)
+}
+
+// rest is how long the agent stays away, growing with each relapse.
+type rest struct {
+	config   FitnessConfig
+	next     time.Duration
+	lastFail time.Duration
+	until    time.Duration
+}
+
+// begin starts a rest.
+func (rest *rest) begin(now time.Duration) {
+	if rest.next == 0 || now-rest.lastFail > 2*rest.config.RestLimit {
+		rest.next = rest.config.RestFirst
+	}
+	rest.lastFail = now
+	rest.until = now + rest.next
+	rest.next = min(2*rest.next, rest.config.RestLimit)
+}
--- /dev/null
+++ b/internal/agent/handler.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/quartzdock/quartzdock/internal/requestrecord"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+const (
+	// idleTimeout of connections from routers; longer than upstream's, so that
+	// a router never writes to a connection that is being closed here.
+	idleTimeout = 3 * time.Minute
+	// grantWait bounds how long a request waits for the back end to be granted
+	// a shard that this agent owns already.
+	grantWait = time.Second
+)
+
+func (agent *Agent) newServer() *http.Server {
+	routes := chi.NewRouter()
+	routes.Post(recordPath, agent.takeRecord)
+	routes.HandleFunc("/*", agent.serveRequest)
+	return &http.Server{
+		Handler:           routes,
+		ReadHeaderTimeout: agent.config.HeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    agent.config.MaxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(agent.config.Log.Handler(), slog.LevelDebug),
+	}
+}
+
+// result is the end of a request.
+type result struct {
+	// refused is nil for an answer of the back end that was released.
+	refused *refusal
+	// ran says that the back end answered it whole; notRun that it is proved
+	// not to have run it. Otherwise whether it ran is not known.
+	ran, notRun bool
+	// answer is the back end's answer where it is short enough to keep.
+	answer *requestrecord.Answer
+	// cut: the answer's header was sent but its rest can't be.
+	cut bool
+	// broken: the back end's answer broke off.
+	broken bool
+}
+
+func refusedResult(refused *refusal) result {
+	return result{refused: refused, notRun: refused.outcome == wire.OutcomeNotRun}
+}
+
+func (agent *Agent) serveRequest(w http.ResponseWriter, r *http.Request) {
+	parsed, err := parseRequest(r, agent.config.RequestTimeout)
+	if err != nil {
+		agent.finish(w, refusedResult(notRun(http.StatusBadRequest, wire.ReasonInvalid, err.Error())))
+		return
+	}
+	ctx, cancel := requestContext(r, parsed)
+	defer cancel()
+	agent.finish(w, agent.serve(ctx, w, r, parsed))
+}
+
+// requestContext carries the deadline and, for repeatable requests, the
+// router's cancellation. A non-repeatable request runs on when its router goes
+// away, so that a resend finds its answer.
+func requestContext(r *http.Request, parsed request) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	if parsed.nonRepeatable {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithTimeout(ctx, parsed.timeout)
+}
+
+// finish sends the agent's own answer, or breaks the connection where the
+// reader must see that the answer is not whole.
+func (agent *Agent) finish(w http.ResponseWriter, ended result) {
+	switch {
+	case ended.cut:
+		agent.countOutcome(wire.OutcomeUnknown, wire.ReasonTruncated)
+		panic(http.ErrAbortHandler)
+	case ended.refused != nil:
+		agent.countOutcome(ended.refused.outcome, ended.refused.reason)
+		ended.refused.write(w)
+	default:
+		agent.countOutcome(wire.OutcomeAnswered, "")
+	}
+}
+
+func (agent *Agent) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, parsed request) result {
+	shard, refused := agent.admit(ctx, parsed.shard, parsed.epoch)
+	if refused != nil {
+		return refusedResult(refused)
+	}
+	defer shard.leave()
+	body, refused := agent.takeBody(w, r)
+	if refused != nil {
+		return refusedResult(refused)
+	}
+	defer body.release()
+	if parsed.nonRepeatable {
+		return agent.runOnce(ctx, w, r, parsed, shard, body)
+	}
+	return agent.run(ctx, w, r, parsed, shard, body)
+}
+
+// admit checks the fence and counts the request in. It waits while the back
+// end is being granted the shard.
+func (agent *Agent) admit(ctx context.Context, id topology.ShardID, epoch topology.Epoch) (*served, *refusal) {
+	var timeout <-chan time.Time
+	for {
+		current := agent.view.Load()
+		if err := agent.holder.Admits(id, epoch, agent.now()); err != nil {
+			return nil, fenceRefusal(err)
+		}
+		if shard, ok := current.shards[id]; ok && shard.epoch == epoch {
+			if shard.enter() {
+				return shard, nil
+			}
+			return nil, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the shard is being moved")
+		}
+		if timeout == nil {
+			timer := time.NewTimer(grantWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-current.changed:
+		case <-timeout:
+			return nil, notRun(http.StatusMisdirectedRequest, wire.ReasonNoLease, "the back end has not taken the grant")
+		case <-ctx.Done():
+			return nil, notRun(http.StatusGatewayTimeout, wire.ReasonExpired, "the deadline passed before the grant")
+		}
+	}
+}
+
+// runOnce passes the record of request ids around run.
+func (agent *Agent) runOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, parsed request, shard *served, body *requestBody) result {
+	verdict, err := agent.record.Admit(ctx, parsed.shard, parsed.epoch, parsed.id, fingerprint(r, body))
+	if err != nil {
+		return refusedResult(admitRefusal(err))
+	}
+	switch verdict.Decision {
+	case requestrecord.Fresh:
+	case requestrecord.Answered:
+		writeAnswer(w, verdict.Answer)
+		return result{ran: true}
+	default:
+		return refusedResult(repeatRefusal(verdict.Decision))
+	}
+	ended := agent.run(ctx, w, r, parsed, shard, body)
+	switch {
+	case ended.ran:
+		agent.record.Finish(parsed.shard, parsed.id, ended.answer)
+	case ended.notRun:
+		agent.record.Abandon(parsed.shard, parsed.id)
+	default:
+		agent.record.Lose(parsed.shard, parsed.id)
+	}
+	return ended
+}
--- /dev/null
+++ b/internal/agent/refusal.go
@@ -0,0 +1,112 @@
+package agent
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/admission"
+	"github.com/quartzdock/quartzdock/internal/ownership"
+	"github.com/quartzdock/quartzdock/internal/requestrecord"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+// refusal is an answer of the agent's own: the request was not run, or whether
+// it ran is not known.
+type refusal struct {
+	status     int
+	outcome    wire.Outcome
+	reason     wire.Reason
+	retryAfter time.Duration
+	detail     string
+}
+
+func notRun(status int, reason wire.Reason, detail string) *refusal {
+	return &refusal{status: status, outcome: wire.OutcomeNotRun, reason: reason, detail: detail}
+}
+
+func unknown(status int, reason wire.Reason, detail string) *refusal {
+	return &refusal{status: status, outcome: wire.OutcomeUnknown, reason: reason, detail: detail}
+}
+
+// write sends the refusal as text.
+func (refused *refusal) write(w http.ResponseWriter) {
+	body := fmt.Sprintf("%s: %s\n%s\n", refused.outcome, refused.reason, refused.detail)
+	header := w.Header()
+	header.Set(wire.HeaderOutcome, string(refused.outcome))
+	header.Set(wire.HeaderReason, string(refused.reason))
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if refused.retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(wholeSeconds(refused.retryAfter)))
+	}
+	w.WriteHeader(refused.status)
+	_, _ = w.Write([]byte(body))
+}
+
+// wholeSeconds rounds up, as Retry-After takes no fractions.
+func wholeSeconds(duration time.Duration) int {
+	return int((duration + time.Second - 1) / time.Second)
+}
+
+// fenceRefusal answers a request that may not be admitted here.
+func fenceRefusal(err error) *refusal {
+	reason := wire.ReasonWrongEpoch
+	switch {
+	case errors.Is(err, ownership.ErrNoLease):
+		reason = wire.ReasonNoLease
+	case errors.Is(err, ownership.ErrReleasing):
+		reason = wire.ReasonDraining
+	}
+	return notRun(http.StatusMisdirectedRequest, reason, err.Error())
+}
+
+// gateRefusal answers a request that got no slot.
+func gateRefusal(err error) *refusal {
+	var refused *admission.Refusal
+	if !errors.As(err, &refused) {
+		return notRun(http.StatusServiceUnavailable, wire.ReasonShed, "the caller went away while the request waited")
+	}
+	if refused.Reason == wire.ReasonExpired {
+		return notRun(http.StatusGatewayTimeout, wire.ReasonExpired, "the deadline passed while the request waited")
+	}
+	answer := notRun(http.StatusServiceUnavailable, refused.Reason, "the back end is busy")
+	answer.retryAfter = refused.RetryAfter
+	return answer
+}
+
+// admitRefusal answers a request whose id could not be looked up.
+func admitRefusal(err error) *refusal {
+	switch {
+	case errors.Is(err, requestrecord.ErrFuture):
+		return notRun(http.StatusBadRequest, wire.ReasonInvalid, err.Error())
+	case errors.Is(err, requestrecord.ErrNotServing):
+		return notRun(http.StatusMisdirectedRequest, wire.ReasonWrongEpoch, err.Error())
+	case errors.Is(err, requestrecord.ErrJournal):
+		answer := notRun(http.StatusServiceUnavailable, wire.ReasonShed, err.Error())
+		answer.retryAfter = time.Second
+		return answer
+	}
+	return notRun(http.StatusGatewayTimeout, wire.ReasonExpired, err.Error())
+}
+
+// repeatRefusal answers a request whose id was seen before, other than with
+// the kept answer.
+func repeatRefusal(decision requestrecord.Decision) *refusal {
+	switch decision {
+	case requestrecord.InProgress:
+		answer := unknown(http.StatusConflict, wire.ReasonDuplicate, "a request with this id is running")
+		answer.retryAfter = time.Second
+		return answer
+	case requestrecord.AnswerGone:
+		return unknown(http.StatusConflict, wire.ReasonAlreadyTaken, "the request ran; its answer was not kept")
+	case requestrecord.Mismatch:
+		return notRun(http.StatusBadRequest, wire.ReasonInvalid, "the id belongs to another request")
+	case requestrecord.RecordLost:
+		return unknown(http.StatusConflict, wire.ReasonRecordLost,
+			"the record of requests from before this id was made is lost; it may have run")
+	}
+	return unknown(http.StatusBadGateway, wire.ReasonInterrupted, "an earlier attempt was interrupted and may have run")
+}
--- /dev/null
+++ b/internal/agent/stop.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ErrStopTimeout says that requests were still in progress when a planned stop
+// ran out of time.
+var ErrStopTimeout = errors.New("planned stop ran out of time")
+
+const (
+	// stopPoll is how often a planned stop looks whether it may go on.
+	stopPoll = 10 * time.Millisecond
+	// releaseWait bounds the wait for the controller to be told of the release;
+	// without it the lease runs out by itself.
+	releaseWait = time.Second
+)
+
+// stop is a planned stop. It announces that the back end leaves and serves on
+// until its shards have moved, for at most half of StopTimeout. Then it takes
+// no new requests, waits for those in progress until StopTimeout, ends the
+// grants and releases the lease.
+func (agent *Agent) stop() error {
+	deadline := agent.now() + agent.config.StopTimeout
+	agent.leaving.Store(true)
+	agent.subscription.RenewNow()
+	agent.waitUntil(agent.now()+agent.config.StopTimeout/2, agent.ownsNothing)
+	drained := agent.drain(deadline)
+	agent.releaseLease()
+	agent.subscription.Stop()
+	if !drained {
+		return fmt.Errorf("%w: %d requests were cut off", ErrStopTimeout, agent.gate.Running()+agent.gate.Waiting())
+	}
+	return nil
+}
+
+func (agent *Agent) ownsNothing() bool { return len(agent.view.Load().shards) == 0 }
+
+// waitUntil returns whether the condition came true in time.
+func (agent *Agent) waitUntil(deadline time.Duration, condition func() bool) bool {
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for !condition() {
+		if agent.now() >= deadline {
+			return false
+		}
+		<-ticker.C
+	}
+	return true
+}
+
+// drain closes all shards to new requests and lets the server finish. It
+// returns false where requests were cut off.
+func (agent *Agent) drain(deadline time.Duration) bool {
+	agent.post(func(control *controlLoop) {
+		for _, shard := range control.shards {
+			shard.close()
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), deadline-agent.now())
+	defer cancel()
+	if err := agent.server.Shutdown(ctx); err != nil {
+		_ = agent.server.Close()
+		return false
+	}
+	return true
+}
+
+// releaseLease ends the lease in this process and at the back end, and tells
+// the controller once the back end can't act on its grants any more.
+func (agent *Agent) releaseLease() {
+	agent.post(func(control *controlLoop) {
+		control.lease.withhold()
+		control.releasing.Store(true)
+		control.wantLease.Store(false)
+		control.releaseSignalled = false
+		control.syncGrants()
+	})
+	agent.waitUntil(agent.now()+releaseWait, agent.releaseSent)
+}
+
+// releaseSent asks for one more renewal once the release was reported: when
+// that one is made, the message before it has been sent.
+func (agent *Agent) releaseSent() bool {
+	reports := agent.releaseReports.Load()
+	if reports == 1 {
+		agent.subscription.RenewNow()
+	}
+	return reports > 1
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -152,6 +152,26 @@
 	<-pool.done
 }
 
+// SetMaxConnections changes Config.MaxConnections; busy connections beyond a
+// lower limit are closed as their requests end.
+func (pool *Pool) SetMaxConnections(limit int) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.config.MaxConnections = max(limit, 1)
+	for pool.overLimit() && len(pool.idle) > 0 {
+		oldest := pool.idle[0]
+		pool.idle = pool.idle[1:]
+		pool.open--
+		oldest.close()
+	}
+	pool.dialForWaiters()
+}
+
+// overLimit says that a connection must be closed. The caller holds the mutex.
+func (pool *Pool) overLimit() bool {
+	return pool.open+pool.dialling > pool.config.MaxConnections
+}
+
 // Stats returns the pool's counts.
 func (pool *Pool) Stats() Stats {
 	pool.mutex.Lock()
@@ -291,7 +311,7 @@
 func (pool *Pool) release(connection *conn) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if pool.closed {
+	if pool.closed || pool.overLimit() {
 		pool.open--
 		connection.close()
 		return
@@ -356,7 +376,8 @@
 func (pool *Pool) topUp() {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	for !pool.closed && pool.open+pool.dialling < pool.config.MinWarm {
+	warm := min(pool.config.MinWarm, pool.config.MaxConnections)
+	for !pool.closed && pool.open+pool.dialling < warm {
 		pool.beginDial()
 	}
 }
--- a/lab/backend/backend_test.go
+++ b/lab/backend/backend_test.go
@@ -156,3 +156,21 @@
 	status, _ = s.call(t, "PUT", "/_quartzdock/grants", earlierBoot)
 	assert.Equal(t, status, http.StatusPreconditionFailed)
 }
+
+func TestOvertakenGrantIsNotTaken(t *testing.T) {
+	s := start(t, backend.Config{})
+	put := func(rest string) int {
+		status, _ := s.call(t, "PUT", "/_quartzdock/grants", `{"backend":1,"lease_ms":60000,`+rest+`}`)
+		return status
+	}
+	assert.Equal(t, put(`"sequence":1,"grants":[{"shard":"1/1","epoch":1}]`), http.StatusOK)
+	assert.Equal(t, put(`"sequence":3,"revoked":["1/1"]`), http.StatusOK)
+	assert.Equal(t, put(`"sequence":2,"grants":[{"shard":"1/1","epoch":1}]`), http.StatusPreconditionFailed)
+	status, _ := s.call(t, "POST", "/a/edit/k", "", fenced("r1", 1)...)
+	assert.Equal(t, status, http.StatusPreconditionFailed)
+
+	assert.Equal(t, put(`"sequence":4,"grants":[{"shard":"1/1","epoch":1}]`), http.StatusOK)
+	assert.Equal(t, put(`"sequence":5,"replace":true,"grants":[{"shard":"1/2","epoch":1}]`), http.StatusOK)
+	status, _ = s.call(t, "POST", "/a/edit/k", "", fenced("r2", 1)...)
+	assert.Equal(t, status, http.StatusPreconditionFailed)
+}
--- a/lab/backend/clock.go
+++ b/lab/backend/clock.go
@@ -27,6 +27,8 @@
 	Boot string `json:"boot"`
 	// ClockMilliseconds is the time since the start.
 	ClockMilliseconds int64 `json:"clock_ms"`
+	// Sequence is the highest that was taken.
+	Sequence uint64 `json:"sequence"`
 }
 
 func (c clock) read(now time.Time) clockReading {
@@ -37,6 +39,9 @@
 // end's last start.
 var errOtherBoot = errors.New("the reading belongs to an earlier start of the back end")
 
+// errOvertaken means that a later message was taken before.
+var errOvertaken = errors.New("a later message was taken before")
+
 // validUntil returns when the lease of a message ends.
 func (c clock) validUntil(message grantsMessage, received time.Time) (time.Time, error) {
 	if message.Boot == "" {
--- a/lab/backend/fence.go
+++ b/lab/backend/fence.go
@@ -14,6 +14,7 @@
 	clock      clock
 	mutex      sync.Mutex
 	validUntil time.Time
+	sequence   uint64
 	granted    map[string]topology.Epoch
 	highest    map[string]topology.Epoch
 }
@@ -45,11 +46,18 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if message.Sequence != 0 && message.Sequence <= f.sequence {
+		return errOvertaken
+	}
 	for _, grant := range message.Grants {
 		if highest := f.highest[grant.Shard]; grant.Epoch < highest {
 			return &lowerEpochError{Shard: grant.Shard, Epoch: grant.Epoch, Highest: highest}
 		}
 	}
+	f.sequence = max(f.sequence, message.Sequence)
+	if message.Replace {
+		clear(f.granted)
+	}
 	for _, shard := range message.Revoked {
 		delete(f.granted, shard)
 	}
@@ -61,6 +69,15 @@
 	return nil
 }
 
+// read returns the clock's reading and the highest sequence taken.
+func (f *fence) read(now time.Time) clockReading {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	reading := f.clock.read(now)
+	reading.Sequence = f.sequence
+	return reading
+}
+
 // check returns the reason why a request may not act at an instant, or "".
 func (f *fence) check(shard string, epoch topology.Epoch, now time.Time) string {
 	f.mutex.Lock()
--- a/lab/backend/protocol.go
+++ b/lab/backend/protocol.go
@@ -20,9 +20,14 @@
 	Boot                   string `json:"boot"`
 	ValidUntilMilliseconds int64  `json:"valid_until_ms"`
 	// LeaseMilliseconds counts from receipt; it is taken where Boot is empty.
-	LeaseMilliseconds int64    `json:"lease_ms"`
-	Grants            []grant  `json:"grants"`
-	Revoked           []string `json:"revoked"`
+	LeaseMilliseconds int64 `json:"lease_ms"`
+	// Sequence grows with each message of an agent and its successors. One that
+	// is not above the highest seen was overtaken and is not taken.
+	Sequence uint64 `json:"sequence"`
+	// Replace drops all earlier grants first.
+	Replace bool     `json:"replace"`
+	Grants  []grant  `json:"grants"`
+	Revoked []string `json:"revoked"`
 }
 
 type grant struct {
@@ -76,13 +81,13 @@
 		writeJSON(w, http.StatusConflict, lower)
 		return
 	case err != nil:
-		writeJSON(w, http.StatusPreconditionFailed, b.fence.clock.read(received))
+		writeJSON(w, http.StatusPreconditionFailed, b.fence.read(received))
 		return
 	}
 	for _, shard := range message.Revoked {
 		b.warmth.cool(shard)
 	}
-	writeJSON(w, http.StatusOK, b.fence.clock.read(received))
+	writeJSON(w, http.StatusOK, b.fence.read(received))
 }
 
 func (b *Backend) handleWarm(w http.ResponseWriter, r *http.Request) {
