Ignore a previous owner's empty report of a shard

Cause: the emulator showed loads of moved shards at half: the old owner went on reporting zero requests and the table took turns between both reporters. Change: an empty report from a back end that is not the shard's reporter is dropped. WaitsForRestart is exported so that an agent knows whether to wait for hand-over.

--- a/internal/loadtable/table.go
+++ b/internal/loadtable/table.go
@@ -113,6 +113,9 @@
 		t.shards[id] = observed
 	}
 	if observed.reporter != from {
+		if load.Requests == 0 && load.Refused == 0 {
+			return // A previous owner's last word.
+		}
 		delete(t.backend(observed.reporter).shards, id)
 		observed.reporter = from
 	}
--- a/internal/loadtable/table_test.go
+++ b/internal/loadtable/table_test.go
@@ -90,3 +90,14 @@
 	table.Merge(hotShard, right)
 	assert.Assert(t, math.Abs(table.Load(hotShard)-4) < 0.1, "merged %v", table.Load(hotShard))
 }
+
+func TestPreviousOwnersLastReportDoesNotCool(t *testing.T) {
+	table := loadtable.New()
+	full := &wire.Renew{Load: []wire.ShardLoad{{Shard: 1, Requests: 100, BusyMicros: 500_000}}}
+	empty := &wire.Renew{Load: []wire.ShardLoad{{Shard: 1}}}
+	for now := time.Duration(0); now < 10*time.Second; now += interval {
+		table.AgentReport(1, 2, full, now)
+		table.AgentReport(1, 1, empty, now)
+	}
+	assert.Assert(t, math.Abs(table.Load(hotShard)-4) < 0.1, "%v slots, want 4", table.Load(hotShard))
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -68,7 +68,7 @@
 }
 
 func (planner *planner) addNode(backend *BackendInput) {
-	leaving := backend.Leaving && handsOverBeforeRestart(planner.policy)
+	leaving := backend.Leaving && !WaitsForRestart(planner.policy)
 	leaves := backend.Backend.State == topology.BackendDraining || leaving
 	planner.nodeOf[backend.Backend.ID] = len(planner.nodes)
 	planner.nodes = append(planner.nodes, node{
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -71,10 +71,11 @@
 	return min(breakEven, policy.RestartGrace)
 }
 
-// handsOverBeforeRestart says whether a back end that announced a restart is
-// emptied first: when waiting for it would cost more than moving its keys away.
-func handsOverBeforeRestart(policy topology.PlacementPolicy) bool {
-	return EffectiveGrace(policy) < assumedRestart
+// WaitsForRestart says whether the shards of a back end that announced a
+// restart wait for it. Otherwise it is emptied first, because waiting would cost
+// more than moving its keys away; its agent then stops once it owns nothing.
+func WaitsForRestart(policy topology.PlacementPolicy) bool {
+	return EffectiveGrace(policy) >= assumedRestart
 }
 
 // assumedRestart is how long a planned restart is expected to take.
