--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -183,11 +183,9 @@
 // work does the node's Ready work until there is none.
 func (c *cluster) work(n *node) {
 	for n.core != nil && !n.paused && n.core.HasReady() {
+		n.core.HoldEntries(n.full)
 		ready := n.core.Ready()
 		c.send(ready.Early)
-		if n.full {
-			ready.Entries = nil
-		}
 		n.disk.write(ready)
 		if ready.Snapshot != nil {
 			n.applied = decodeApplied(*ready.Snapshot)
@@ -199,9 +197,6 @@
 		n.reads = append(n.reads, ready.Reads...)
 		n.core.Advance(ready)
 		c.checkLeader(n)
-		if n.full {
-			return
-		}
 	}
 }
 
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -42,6 +43,8 @@
 	ackUpTo uint64
 
 	leading leadership
+	// holdEntries keeps entries back from Ready while the disk is full.
+	holdEntries bool
 
 	early    []Message
 	messages []Message
@@ -268,8 +271,7 @@
 		}
 		m.ToIncarnation = member.Incarnation
 	}
-	termSaved := c.hard.Term == c.saved.Term && c.hard.Vote == c.saved.Vote
-	if termSaved && sentEarly(m.Kind) {
+	if !c.hardChanged() && sentEarly(m.Kind) {
 		c.early = append(c.early, m)
 		return
 	}
@@ -288,8 +290,21 @@
 func (c *Core) HasReady() bool {
 	c.flush()
 	return len(c.early) > 0 || len(c.messages) > 0 || len(c.reads) > 0 ||
-		c.hard != c.saved || c.installing != nil ||
-		c.log.stable < c.log.lastIndex() || c.applicable() > c.log.applied
+		c.hardChanged() || c.installing != nil ||
+		c.writable() || (c.installing == nil && c.log.committed > c.log.applied)
+}
+
+// writable reports whether Ready offers entries to write.
+func (c *Core) writable() bool { return !c.holdEntries && c.log.stable < c.log.lastIndex() }
+
+// HoldEntries keeps entries back from Ready, or offers them again: the driver
+// holds them while its disk is full. Hard states are still offered.
+func (c *Core) HoldEntries(hold bool) { c.holdEntries = hold }
+
+// hardChanged reports whether the term or the vote must be written. The commit
+// index goes along with the next write.
+func (c *Core) hardChanged() bool {
+	return c.hard.Term != c.saved.Term || c.hard.Vote != c.saved.Vote
 }
 
 // Ready returns the next work. Advance must be called before the next Ready.
@@ -300,15 +315,15 @@
 		Messages:  c.messages,
 		Reads:     c.reads,
 		Snapshot:  c.installing,
-		Entries:   c.log.from(c.log.stable+1, int(^uint(0)>>1)),
 		Committed: c.committedEntries(),
 	}
-	if c.hard != c.saved {
+	if c.writable() {
+		ready.Entries = c.log.from(c.log.stable+1, math.MaxInt)
+	}
+	if c.hardChanged() || len(ready.Entries) > 0 || ready.Snapshot != nil {
 		hard := c.hard
 		ready.HardState = &hard
 	}
-	ready.MustSync = len(ready.Entries) > 0 || ready.Snapshot != nil ||
-		c.hard.Term != c.saved.Term || c.hard.Vote != c.saved.Vote
 	c.early, c.messages, c.reads = nil, nil, nil
 	return ready
 }
@@ -325,16 +340,14 @@
 // hold up heartbeats for long.
 const maxApplyBytes = 1 << 20
 
-// applicable is the last index that may be applied: committed and durable
-// here.
-func (c *Core) applicable() uint64 { return min(c.log.committed, c.log.stable) }
-
+// committedEntries returns what may be applied. An entry is committed once a
+// quorum holds it, which need not include this replica's own disk.
 func (c *Core) committedEntries() []Entry {
-	if c.installing != nil || c.applicable() <= c.log.applied {
+	if c.installing != nil || c.log.committed <= c.log.applied {
 		return nil
 	}
 	entries := c.log.from(c.log.applied+1, maxApplyBytes)
-	return entries[:min(uint64(len(entries)), c.applicable()-c.log.applied)]
+	return entries[:min(uint64(len(entries)), c.log.committed-c.log.applied)]
 }
 
 // Advance tells that the work of a Ready is done.
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -251,7 +252,7 @@
 	if term, _ := c.log.term(index); term != c.hard.Term {
 		return
 	}
-	for _, entry := range c.log.from(c.log.committed+1, int(^uint(0)>>1))[:index-c.log.committed] {
+	for _, entry := range c.log.from(c.log.committed+1, math.MaxInt)[:index-c.log.committed] {
 		c.leading.uncommittedBytes -= len(entry.Data)
 	}
 	c.leading.uncommittedBytes = max(c.leading.uncommittedBytes, 0)
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -111,16 +111,16 @@
 }
 
 // Ready is the work that the driver must do, in this order: send Early; write
-// Snapshot, HardState and Entries and sync them if MustSync; send Messages;
+// Snapshot, HardState and Entries and sync them; send Messages;
 // apply Committed; answer Reads; call Advance. Where Entries cannot be written
 // for want of space, the driver clears them before Advance and they are
 // offered again.
 type Ready struct {
 	// Early messages depend on nothing unsynced and may be sent at once.
 	Early []Message
-	// HardState is nil where it has not changed.
+	// HardState is set where anything is to be written; then all of it is
+	// synced.
 	HardState *HardState
-	MustSync  bool
 	// Entries follow the log's durable part; the first replaces what the log
 	// held at its index and after.
 	Entries []Entry
--- /dev/null
+++ b/internal/storage/datadir/datadir.go
@@ -0,0 +1,195 @@
+// Package datadir opens the data folder of a replica and keeps its identity:
+// the group, the ReplicaID once one was given, and the incarnation, a random
+// number drawn when the folder is made. A replica that lost its disk gets a
+// new folder and so a new incarnation, and no member of the group takes it for
+// the old one.
+package datadir
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	iofs "io/fs"
+
+	"github.com/quartzdock/quartzdock/internal/storage"
+	"github.com/quartzdock/quartzdock/internal/storage/vfs"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+const (
+	identityName = "identity.json"
+	lockName     = "lock"
+)
+
+// Identity is what a data folder says of its replica.
+type Identity struct {
+	Group       topology.GroupID
+	Incarnation topology.Incarnation
+	// Replica is zero until the group has given an ID.
+	Replica topology.ReplicaID
+	// File identifies the identity file itself, so that a copied folder is
+	// told from the folder that was used last.
+	File vfs.FileIdentity
+}
+
+// stored is the content of the identity file.
+type stored struct {
+	Identity Identity
+	// Checksum is the CRC-32C of Identity as JSON.
+	Checksum uint32
+}
+
+// Folder is an open data folder, locked against other processes.
+type Folder struct {
+	fs       vfs.FS
+	dir      string
+	lock     io.Closer
+	identity Identity
+	made     bool
+}
+
+// ErrCopied says that the folder is a copy of the one that was used last. What
+// the replica promised after the copy was taken is not in it.
+var ErrCopied = errors.New("the data folder is a copy: its identity file is not the file that was written here; start with an empty data folder and replace the member, or, if the folder was only moved to another file system and nothing was lost, see docs/operators/control-state.md, \"A moved data folder\"")
+
+// Open opens a data folder, and makes it where there is none.
+func Open(fs vfs.FS, dir string, group topology.GroupID) (*Folder, error) {
+	if err := fs.MakeDir(dir); err != nil {
+		return nil, fmt.Errorf("data folder: %w", err)
+	}
+	lock, err := fs.Lock(dir + "/" + lockName)
+	if err != nil {
+		return nil, fmt.Errorf("data folder %s: %w", dir, err)
+	}
+	folder := &Folder{fs: fs, dir: dir, lock: lock}
+	if err := folder.load(group); err != nil {
+		lock.Close()
+		return nil, err
+	}
+	return folder, nil
+}
+
+func (f *Folder) load(group topology.GroupID) error {
+	content, err := vfs.ReadAll(f.fs, f.path())
+	if errors.Is(err, iofs.ErrNotExist) {
+		f.made = true
+		return f.write(Identity{Group: group, Incarnation: newIncarnation()})
+	}
+	if err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	identity, err := decode(content)
+	if err != nil {
+		return &storage.DamageError{File: f.path(), Reason: err.Error(), Advice: storage.AdviceReplace}
+	}
+	if identity.Group != group {
+		return fmt.Errorf("data folder %s: belongs to group %d, not %d", f.dir, identity.Group, group)
+	}
+	actual, err := f.fs.Identify(f.path())
+	if err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	if actual.Inode != identity.File.Inode {
+		return fmt.Errorf("data folder %s: %w", f.dir, ErrCopied)
+	}
+	f.identity = identity
+	return nil
+}
+
+func newIncarnation() topology.Incarnation {
+	var random [8]byte
+	_, _ = rand.Read(random[:]) // never fails (crypto/rand since Go 1.24)
+	return topology.Incarnation(binary.LittleEndian.Uint64(random[:]) | 1)
+}
+
+// Identity returns the folder's identity.
+func (f *Folder) Identity() Identity { return f.identity }
+
+// Made reports whether Open made the folder.
+func (f *Folder) Made() bool { return f.made }
+
+// SetReplica stores the ReplicaID that the group gave. It is given once.
+func (f *Folder) SetReplica(id topology.ReplicaID) error {
+	if f.identity.Replica == id {
+		return nil
+	}
+	if f.identity.Replica != 0 {
+		return fmt.Errorf("data folder %s: is replica %d and cannot become replica %d", f.dir, f.identity.Replica, id)
+	}
+	identity := f.identity
+	identity.Replica = id
+	return f.write(identity)
+}
+
+// write stores the identity with the inode number of the file itself: the
+// file is made first, then identified, then written.
+func (f *Folder) write(identity Identity) error {
+	temporary := f.path() + vfs.TemporarySuffix
+	file, err := f.fs.Create(temporary)
+	if err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	defer file.Close()
+	if identity.File, err = f.fs.Identify(temporary); err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	if _, err := file.WriteAt(encode(identity), 0); err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	if err := file.Sync(); err != nil {
+		return &storage.SyncError{File: temporary, Err: err}
+	}
+	if err := f.fs.Rename(temporary, f.path()); err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	if err := f.fs.SyncDir(f.dir); err != nil {
+		return &storage.SyncError{File: f.dir, Err: err}
+	}
+	f.identity = identity
+	return nil
+}
+
+func (f *Folder) path() string { return f.dir + "/" + identityName }
+
+// WAL is the folder of the log.
+func (f *Folder) WAL() string { return f.dir + "/wal" }
+
+// Snapshots is the folder of the snapshots.
+func (f *Folder) Snapshots() string { return f.dir + "/snap" }
+
+// FS is the file system that holds the folder.
+func (f *Folder) FS() vfs.FS { return f.fs }
+
+// Close ends the lock.
+func (f *Folder) Close() error { return f.lock.Close() }
+
+func encode(identity Identity) []byte {
+	content, err := json.MarshalIndent(stored{identity, checksum(identity)}, "", "  ")
+	if err != nil {
+		panic(err) // plain fields cannot fail
+	}
+	return append(content, '\n')
+}
+
+func decode(content []byte) (Identity, error) {
+	var found stored
+	if err := json.Unmarshal(content, &found); err != nil {
+		return Identity{}, err
+	}
+	if found.Checksum != checksum(found.Identity) {
+		return Identity{}, errors.New("the checksum does not match")
+	}
+	return found.Identity, nil
+}
+
+func checksum(identity Identity) uint32 {
+	content, err := json.Marshal(identity)
+	if err != nil {
+		panic(err) // plain fields cannot fail
+	}
+	return crc32.Checksum(content, crc32.MakeTable(crc32.Castagnoli))
+}
--- /dev/null
+++ b/internal/storage/vfs/allocate_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package vfs
+
+// Allocate implements File. Without fallocate no space is reserved, so a full
+// disk is noticed only by the write.
+func (f osFile) Allocate(size int64) error { return f.Truncate(size) }
