--- /dev/null
+++ b/internal/replica/peers.go
@@ -0,0 +1,241 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/transport"
+)
+
+// envelope is what travels between replicas. One of Message and Founding is
+// set.
+type envelope struct {
+	Group topology.GroupID
+	From  topology.ReplicaID
+	// Address is where the sender takes connections of peers.
+	Address  string
+	Message  *consensus.Message
+	Founding *foundingNotice
+}
+
+const (
+	// sendQueue bounds the messages that wait for one peer. What does not fit
+	// is dropped, and the core sends it again.
+	sendQueue      = 256
+	dialTimeout    = time.Second
+	redialInterval = 50 * time.Millisecond
+	peerIdle       = 30 * time.Second
+)
+
+func peerOptions(config Config) transport.Options {
+	return transport.Options{TLS: config.TLS, IdleTimeout: peerIdle}
+}
+
+// peerSet holds the connections to the other replicas. Messages are sent over
+// connections that the sender opened; those that were accepted only receive.
+type peerSet struct {
+	r        *Replica
+	listener *transport.Listener
+
+	mu       sync.Mutex
+	senders  map[string]chan envelope
+	learned  map[topology.ReplicaID]string
+	accepted map[*transport.Conn]bool
+	closed   bool
+}
+
+func newPeerSet(r *Replica, listener *transport.Listener) *peerSet {
+	return &peerSet{
+		r:        r,
+		listener: listener,
+		senders:  map[string]chan envelope{},
+		learned:  map[topology.ReplicaID]string{},
+		accepted: map[*transport.Conn]bool{},
+	}
+}
+
+// learn keeps the address of a replica that may not be in the membership here.
+func (s *peerSet) learn(id topology.ReplicaID, address string) {
+	if id == 0 || address == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learned[id] = address
+}
+
+// send queues a message for its receiver.
+func (s *peerSet) send(m consensus.Message, membership consensus.Membership) {
+	address := s.address(m.To, membership)
+	if address == "" {
+		return
+	}
+	if m.Kind == consensus.MessageSnapshot && !s.r.fillSnapshot(&m) {
+		return
+	}
+	s.sendTo(address, envelope{Message: &m})
+}
+
+func (s *peerSet) address(id topology.ReplicaID, membership consensus.Membership) string {
+	if member, ok := membership.Find(id); ok && member.Address != "" {
+		return member.Address
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.learned[id]
+}
+
+func (s *peerSet) sendTo(address string, e envelope) {
+	e.Group = s.r.config.Group
+	e.From = s.r.files.folder.Identity().Replica
+	e.Address = s.listener.Address()
+	select {
+	case s.sender(address) <- e:
+	default:
+	}
+}
+
+// sender returns the queue of an address, whose goroutine is started at the
+// first use.
+func (s *peerSet) sender(address string) chan envelope {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	queue, ok := s.senders[address]
+	if ok || s.closed {
+		return queue
+	}
+	queue = make(chan envelope, sendQueue)
+	s.senders[address] = queue
+	s.r.ended.Add(1)
+	go s.runSender(address, queue)
+	return queue
+}
+
+// runSender sends what is queued over a connection that it opens anew where
+// needed. What cannot be sent is dropped.
+func (s *peerSet) runSender(address string, queue chan envelope) {
+	defer s.r.ended.Done()
+	var conn *transport.Conn
+	defer func() {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	}()
+	for {
+		select {
+		case <-s.r.stopping:
+			return
+		case e := <-queue:
+			if conn == nil {
+				conn = s.dial(address)
+			}
+			if conn != nil && conn.Send(e) != nil {
+				conn = nil
+			}
+		}
+	}
+}
+
+// dial opens a connection, or returns nil after a pause.
+func (s *peerSet) dial(address string) *transport.Conn {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {})
+	defer stop()
+	conn, err := transport.Dial(ctx, address, peerOptions(s.r.config))
+	if err == nil {
+		return conn
+	}
+	select {
+	case <-s.r.stopping:
+	case <-time.After(redialInterval):
+	}
+	return nil
+}
+
+// accept takes connections until the listener is closed.
+func (s *peerSet) accept() {
+	defer s.r.ended.Done()
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, transport.ErrClosed) {
+			return
+		}
+		if err != nil {
+			select {
+			case <-s.r.stopping:
+				return
+			case <-time.After(redialInterval):
+			}
+			continue
+		}
+		if s.admit(conn) {
+			go s.receive(conn)
+		}
+	}
+}
+
+func (s *peerSet) admit(conn *transport.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
+	}
+	s.accepted[conn] = true
+	s.r.ended.Add(1)
+	return true
+}
+
+func (s *peerSet) receive(conn *transport.Conn) {
+	defer s.r.ended.Done()
+	defer func() {
+		_ = conn.Close()
+		s.mu.Lock()
+		delete(s.accepted, conn)
+		s.mu.Unlock()
+	}()
+	for {
+		var e envelope
+		if conn.Receive(&e) != nil {
+			return
+		}
+		if e.Group != s.r.config.Group {
+			return
+		}
+		select {
+		case s.r.inbox <- e:
+		case <-s.r.stopping:
+			return
+		}
+	}
+}
+
+func (s *peerSet) close() error {
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.accepted {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	return s.listener.Close()
+}
+
+// fillSnapshot adds the newest snapshot's data to a message. It returns false
+// where there is none to send.
+func (r *Replica) fillSnapshot(m *consensus.Message) bool {
+	snapshot, ok, err := r.files.snaps.Load()
+	if err != nil {
+		r.fail(err)
+		return false
+	}
+	if !ok || snapshot.Meta.Index < m.Snapshot.Meta.Index {
+		return false
+	}
+	m.Snapshot = &snapshot
+	return true
+}
