--- a/internal/loadtable/table.go
+++ b/internal/loadtable/table.go
@@ -4,10 +4,11 @@
 //   - Shard load comes only from what agents measured at their own limit of
 //     slots; a back end's claim is compared and counted, never used.
 //   - What callers offered counts, including requests that were refused.
-//   - A slow average keeps noise out; when the request rate leaves its
-//     confidence band, the slow average jumps to the fast one, so that a shift
-//     is seen within a second or two (change detection as in Shewhart's control
-//     charts, 1931).
+//   - What is averaged is a shard's share of its service's requests, so that a
+//     rise of the whole service, as over a day, changes nothing between shards.
+//   - A slow average keeps noise out; when the share leaves its confidence band,
+//     the slow average jumps to the fast one, so that a shift is seen within a
+//     second or two (change detection as in Shewhart's control charts, 1931).
 //
 // Nothing here reads a clock.
 package loadtable
@@ -42,18 +43,27 @@
 type Table struct {
 	shards   map[topology.ShardID]*shard
 	backends map[topology.BackendID]*backend
-	services map[topology.ServiceID]*cost
+	services map[topology.ServiceID]*service
 	// discounted counts claims that contradicted what was observed.
 	discounted uint64
 }
 
+// service is what was observed of one service.
+type service struct {
+	cost cost
+	// newest is when its newest report came.
+	newest   time.Duration
+	backends []*backend
+}
+
 // shard is what was observed of one shard.
 type shard struct {
 	reporter topology.BackendID
-	// fastRate and slowRate are requests offered per second.
-	fastRate, slowRate average
-	cost               cost
-	hotKeys            []wire.KeyLoad
+	// rate is the requests offered per second, over the fast window; share is
+	// their part of those offered to the service, over the slow window.
+	rate, share average
+	cost        cost
+	hotKeys     []wire.KeyLoad
 	// reported numbers the reporter's last report that named the shard.
 	reported uint64
 }
@@ -63,10 +73,12 @@
 	lastReport time.Duration
 	reports    uint64
 	shards     map[topology.ShardID]bool
-	claimed    average
-	observed   average
-	completed  average
-	failed     average
+	// offered requests per second.
+	offered   average
+	claimed   average
+	observed  average
+	completed average
+	failed    average
 }
 
 // New returns an empty table.
@@ -74,26 +86,33 @@
 	return &Table{
 		shards:   make(map[topology.ShardID]*shard),
 		backends: make(map[topology.BackendID]*backend),
-		services: make(map[topology.ServiceID]*cost),
+		services: make(map[topology.ServiceID]*service),
 	}
 }
 
 // AgentReport takes an agent's report of its back end's shards.
 func (t *Table) AgentReport(service topology.ServiceID, id topology.BackendID, renew *wire.Renew, now time.Duration) {
 	reporter := t.backend(id)
+	t.service(service).join(reporter, now)
 	interval := min(now-reporter.lastReport, longestInterval)
 	reporter.lastReport = now
 	reporter.reports++
 	if reporter.reports == 1 || interval <= 0 {
 		return
 	}
+	offered := 0.0
+	for _, load := range renew.Load {
+		offered += float64(load.Requests) + float64(load.Refused)
+	}
+	reporter.offered.add(offered/interval.Seconds(), interval, fastWindow)
+	total := t.service(service).rate()
 	busy := 0.0
 	for _, load := range renew.Load {
 		shardID := topology.ShardID{Service: service, Shard: load.Shard}
-		t.shardReport(shardID, id, load, interval)
+		t.shardReport(shardID, id, load, interval, total)
 		busy += float64(load.BusyMicros) / 1e6
 	}
-	t.absentShards(reporter, interval)
+	t.absentShards(reporter, interval, total)
 	reporter.observed.add(busy/interval.Seconds(), interval, fastWindow)
 	t.claim(reporter, float64(renew.Backend.Claimed), interval)
 }
@@ -106,7 +125,7 @@
 	}
 }
 
-func (t *Table) shardReport(id topology.ShardID, from topology.BackendID, load wire.ShardLoad, interval time.Duration) {
+func (t *Table) shardReport(id topology.ShardID, from topology.BackendID, load wire.ShardLoad, interval time.Duration, total float64) {
 	observed, known := t.shards[id]
 	if !known {
 		observed = &shard{}
@@ -123,38 +142,62 @@
 	reporter.shards[id] = true
 	observed.reported = reporter.reports
 	observed.cost.add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
-	t.service(id.Service).add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
-	observed.rate(float64(load.Requests)+float64(load.Refused), interval)
+	t.service(id.Service).cost.add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
+	observed.offered(float64(load.Requests)+float64(load.Refused), interval, total)
 	if len(load.HotKeys) > 0 {
 		observed.hotKeys = load.HotKeys
 	}
 }
 
 // absentShards counts shards that a report left out as without requests.
-func (t *Table) absentShards(reporter *backend, interval time.Duration) {
+func (t *Table) absentShards(reporter *backend, interval time.Duration, total float64) {
 	for id := range reporter.shards {
 		observed := t.shards[id]
 		if observed.reported != reporter.reports {
-			observed.rate(0, interval)
+			observed.offered(0, interval, total)
 		}
 	}
 }
 
-// rate takes the requests of an interval into both averages and moves the slow
-// one if the rate has changed.
-func (s *shard) rate(requests float64, interval time.Duration) {
-	perSecond := requests / interval.Seconds()
-	s.fastRate.add(perSecond, interval, fastWindow)
-	s.slowRate.add(perSecond, interval, slowWindow)
-	slow, fast := s.slowRate.value(), s.fastRate.value()
+// offered takes the requests of an interval into both averages. Where the
+// share has left its confidence band it starts anew.
+func (s *shard) offered(requests float64, interval time.Duration, total float64) {
+	s.rate.add(requests/interval.Seconds(), interval, fastWindow)
+	if total <= 0 {
+		return
+	}
+	present := s.rate.value() / total
+	s.share.add(present, interval, slowWindow)
+	expected := s.share.value() * total
 	// An exponential average over window w has the variance of a mean over 2w.
-	deviation := math.Sqrt(math.Max(slow, 1) / (2 * fastWindow.Seconds()))
-	if math.Abs(fast-slow) > changeDeviations*deviation {
-		s.slowRate = s.fastRate
+	deviation := math.Sqrt(math.Max(expected, 1) / (2 * fastWindow.Seconds()))
+	if math.Abs(s.rate.value()-expected) > changeDeviations*deviation {
+		s.share = average{}
+		s.share.add(present, interval, slowWindow)
 		s.hotKeys = nil
 	}
 }
 
+// join adds a back end to a service's and notes its report.
+func (s *service) join(reporter *backend, now time.Duration) {
+	if reporter.reports == 0 {
+		s.backends = append(s.backends, reporter)
+	}
+	s.newest = max(s.newest, now)
+}
+
+// rate returns the requests per second that are offered to the service, by the
+// back ends that reported lately.
+func (s *service) rate() float64 {
+	total := 0.0
+	for _, reporter := range s.backends {
+		if s.newest-reporter.lastReport <= longestInterval {
+			total += reporter.offered.value()
+		}
+	}
+	return total
+}
+
 // RouterReport takes what a router saw of back ends.
 func (t *Table) RouterReport(report *wire.RouterLoad, interval time.Duration) {
 	for _, observed := range report.Observed {
@@ -170,7 +213,8 @@
 	if !known {
 		return 0
 	}
-	return observed.slowRate.value() * observed.cost.perRequest(t.service(id.Service))
+	of := t.service(id.Service)
+	return observed.share.value() * of.rate() * observed.cost.perRequest(&of.cost)
 }
 
 // HotKeys returns the hottest keys of a shard with their load in slots.
@@ -216,8 +260,8 @@
 // scale keeps a share of a shard's rate and the given keys, whose shares grow
 // accordingly.
 func (s *shard) scale(share float64, keys []wire.KeyLoad) {
-	s.fastRate.scale(share)
-	s.slowRate.scale(share)
+	s.rate.scale(share)
+	s.share.scale(share)
 	s.cost.scale(share)
 	s.hotKeys = nil
 	for _, hot := range keys {
@@ -235,8 +279,8 @@
 	delete(t.shards, right)
 	delete(t.backend(ended.reporter).shards, right)
 	if kept, found := t.shards[left]; found {
-		kept.fastRate.join(ended.fastRate)
-		kept.slowRate.join(ended.slowRate)
+		kept.rate.join(ended.rate)
+		kept.share.join(ended.share)
 		kept.cost.join(ended.cost)
 	}
 }
@@ -276,10 +320,10 @@
 	return known
 }
 
-func (t *Table) service(id topology.ServiceID) *cost {
+func (t *Table) service(id topology.ServiceID) *service {
 	known, found := t.services[id]
 	if !found {
-		known = &cost{}
+		known = &service{}
 		t.services[id] = known
 	}
 	return known
--- a/internal/loadtable/table_test.go
+++ b/internal/loadtable/table_test.go
@@ -20,13 +20,22 @@
 
 var hotShard = topology.ShardID{Service: 1, Shard: 1}
 
-// feed reports Poisson requests at a rate for a while and returns the end.
+// feed reports Poisson requests for a while and returns the end: for shard 1 at
+// a rate, for shards 2 to 4 at 200 a second each.
 func feed(table *loadtable.Table, random *rand.Rand, rate float64, from, until time.Duration) time.Duration {
 	for now := from; now < until; now += interval {
-		requests := poisson(random, rate*interval.Seconds())
-		table.AgentReport(1, 1, &wire.Renew{Load: []wire.ShardLoad{
-			{Shard: 1, Requests: requests, BusyMicros: requests * uint32(work.Microseconds())},
-		}}, now)
+		var loads []wire.ShardLoad
+		for number := topology.ShardNumber(1); number <= 4; number++ {
+			shardRate := 200.0
+			if number == 1 {
+				shardRate = rate
+			}
+			requests := poisson(random, shardRate*interval.Seconds())
+			loads = append(loads, wire.ShardLoad{
+				Shard: number, Requests: requests, BusyMicros: requests * uint32(work.Microseconds()),
+			})
+		}
+		table.AgentReport(1, 1, &wire.Renew{Load: loads}, now)
 	}
 	return until
 }
@@ -47,9 +56,33 @@
 		table := loadtable.New()
 		now := feed(table, random, 200, 0, 30*time.Second)
 		assert.Assert(t, math.Abs(table.Load(hotShard)-1) < 0.1, "seed %d: %v slots, want 1", seed, table.Load(hotShard))
-		now = feed(table, random, 600, now, now+3*time.Second)
+		feed(table, random, 600, now, now+3*time.Second)
 		assert.Assert(t, math.Abs(table.Load(hotShard)-3) < 0.5, "seed %d: %v slots, want 3", seed, table.Load(hotShard))
-		_ = now
+	}
+}
+
+func TestRiseOfTheWholeServiceKeepsShares(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	table := loadtable.New()
+	for now := time.Duration(0); now < time.Minute; now += interval {
+		day := 1 + 0.5*math.Sin(2*math.Pi*now.Minutes())
+		var loads []wire.ShardLoad
+		for number := topology.ShardNumber(1); number <= 4; number++ {
+			requests := poisson(random, 400*day*interval.Seconds())
+			loads = append(loads, wire.ShardLoad{
+				Shard: number, Requests: requests, BusyMicros: requests * uint32(work.Microseconds()),
+			})
+		}
+		table.AgentReport(1, 1, &wire.Renew{Load: loads}, now)
+		if now < 20*time.Second {
+			continue
+		}
+		mean := 0.0
+		for number := topology.ShardNumber(1); number <= 4; number++ {
+			mean += table.Load(topology.ShardID{Service: 1, Shard: number}) / 4
+		}
+		relative := table.Load(hotShard) / mean
+		assert.Assert(t, math.Abs(relative-1) < 0.06, "at %v the shard has %v of the mean", now, relative)
 	}
 }
 
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -8,10 +8,12 @@
 )
 
 // balance moves shards from the most to the least utilised nodes until the
-// imbalance is under the stop threshold or the budget is used up.
+// imbalance is under the stop threshold or the budget is used up. Where moving a
+// hot key alone is better than moving its whole shard, the shard is first split
+// at the key.
 func (planner *planner) balance() {
 	mean := planner.meanUtilisation()
-	if mean == 0 || planner.imbalance(mean) <= startImbalance {
+	if mean == 0 || planner.joinedJustNow() || planner.imbalance(mean) <= startImbalance {
 		return
 	}
 	exhausted := make([]bool, len(planner.nodes))
@@ -25,10 +27,22 @@
 			exhausted[source] = true
 			continue
 		}
-		planner.takeBalance(candidate, mean)
+		planner.takeCandidate(candidate, mean)
 	}
 }
 
+// joinedJustNow says whether a back end joined so recently that others of the
+// same group may follow; they are then taken into account together.
+func (planner *planner) joinedJustNow() bool {
+	for index := range planner.nodes {
+		since := planner.nodes[index].input.LiveSince
+		if planner.nodes[index].receives && since > 0 && planner.now < since+joinSettle {
+			return true
+		}
+	}
+	return false
+}
+
 // imbalance is the greatest utilisation over the mean.
 func (planner *planner) imbalance(mean float64) float64 {
 	greatest := 0.0
@@ -55,12 +69,17 @@
 	return best
 }
 
-// candidate is a possible load move.
+// candidate is a possible load move: of a whole shard, or of one of its hot
+// keys.
 type candidate struct {
 	shard       int
 	source      int
 	destination int
+	load        float64
 	score       float64
+	// hotKey is the key to move alone, if partial.
+	hotKey  topology.KeyHash
+	partial bool
 }
 
 // bestMove returns the move from source with the greatest benefit per cost.
@@ -69,29 +88,56 @@
 	if planner.full(from) {
 		return candidate{}, false
 	}
-	best := candidate{score: 0}
+	best := candidate{}
 	for _, index := range from.settled {
-		if !planner.movable(index) {
+		shard := &planner.service.Shards[index]
+		if planner.planned[index] || shard.Shard.Phase != topology.ShardOwned {
 			continue
 		}
-		destination := planner.leastFor(planner.service.Shards[index].NearZone, source, mean)
+		destination := planner.leastFor(shard.NearZone, source, mean)
 		if destination < 0 {
 			return candidate{}, false
 		}
-		score := planner.score(index, from, &planner.nodes[destination], mean)
-		if score > best.score {
-			best = candidate{shard: index, source: source, destination: destination, score: score}
+		offer := candidate{shard: index, source: source, destination: destination}
+		if planner.movable(index) {
+			planner.offerShard(offer, mean, &best)
 		}
+		planner.offerHotKeys(offer, mean, &best)
 	}
 	return best, best.score > 0
 }
 
+// offerShard makes a whole shard the best candidate if it scores higher.
+func (planner *planner) offerShard(offer candidate, mean float64, best *candidate) {
+	offer.load = planner.loads[offer.shard]
+	offer.score = planner.score(&offer, planner.cost(offer.shard), mean)
+	if offer.score > best.score {
+		*best = offer
+	}
+}
+
+// offerHotKeys makes a single hot key the best candidate if it scores higher.
+// A key that is alone in its range is the whole shard.
+func (planner *planner) offerHotKeys(offer candidate, mean float64, best *candidate) {
+	if !planner.mayGrow() || rangeWidth(planner.service.Shards, offer.shard) < 2 {
+		return
+	}
+	for _, hot := range planner.service.Shards[offer.shard].HotKeys {
+		if shardIndex(planner.service.Shards, hot.Key) != offer.shard {
+			continue
+		}
+		offer.hotKey, offer.partial = hot.Key, true
+		offer.load = math.Min(hot.Load, planner.loads[offer.shard])
+		offer.score = planner.score(&offer, planner.costOfPause(), mean)
+		if offer.score > best.score {
+			*best = offer
+		}
+	}
+}
+
 // movable says whether a shard may be moved for its load now.
 func (planner *planner) movable(index int) bool {
 	shard := &planner.service.Shards[index]
-	if planner.planned[index] || shard.Shard.Phase != topology.ShardOwned {
-		return false
-	}
 	if shard.LastMoved == 0 || planner.marked() {
 		return true
 	}
@@ -140,31 +186,41 @@
 // score returns the benefit per cost of a move, or 0 if it is not worth while.
 // The benefit is the decrease of the sum over nodes of
 // slots*(utilisation-mean)^2, relative to mean^2.
-func (planner *planner) score(index int, from, to *node, mean float64) float64 {
-	load := planner.loads[index]
+func (planner *planner) score(offer *candidate, cost, mean float64) float64 {
+	from, to := &planner.nodes[offer.source], &planner.nodes[offer.destination]
 	difference := from.utilisation() - to.utilisation()
-	decrease := 2*load*difference - load*load*(1/from.slots+1/to.slots)
-	if decrease <= 0 || load/from.slots < minimumGain*mean {
+	decrease := 2*offer.load*difference - offer.load*offer.load*(1/from.slots+1/to.slots)
+	if decrease <= 0 || offer.load/from.slots < minimumGain*mean {
 		return 0
 	}
-	return planner.policy.Weights.Imbalance * decrease / (mean * mean) / planner.cost(index)
+	return planner.policy.Weights.Imbalance * decrease / (mean * mean) / cost
 }
 
-// cost weighs the keys that a move takes along against the pause it brings. At
-// equal weights one pause counts as much as moving an average shard.
+// cost weighs the keys that a move of a shard takes along and the pause it
+// brings.
 func (planner *planner) cost(index int) float64 {
-	weights := planner.policy.Weights
-	shards := planner.service.Shards
-	keys := weights.Churn * keyShare(shards, index)
-	pause := weights.Unavailable / float64(len(shards))
-	return math.Max(keys+pause, math.SmallestNonzeroFloat64)
+	return planner.policy.Weights.Churn*keyShare(planner.service.Shards, index) + planner.costOfPause()
 }
 
-func (planner *planner) takeBalance(best candidate, mean float64) {
+// costOfPause is the weighed cost of one hand-over; at equal weights it is
+// pauseWeight of moving an average shard.
+func (planner *planner) costOfPause() float64 {
+	pause := pauseWeight * planner.policy.Weights.Unavailable / float64(max(1, planner.service.Service.InitialShards))
+	return math.Max(pause, math.SmallestNonzeroFloat64)
+}
+
+// takeCandidate records a load move, or the split that it needs first. The
+// nodes' loads then count as if the key had moved, so that nothing else moves
+// in its place.
+func (planner *planner) takeCandidate(best candidate, mean float64) {
+	if best.partial {
+		planner.takeSplit(best, mean)
+		return
+	}
 	from, to := &planner.nodes[best.source], &planner.nodes[best.destination]
 	shard := &planner.service.Shards[best.shard].Shard
 	reason := fmt.Sprintf("back end %d at %.2f of the mean, back end %d at %.2f; shard carries %.2f slots",
-		shard.Owner, from.utilisation()/mean, to.input.Backend.ID, to.utilisation()/mean, planner.loads[best.shard])
+		shard.Owner, from.utilisation()/mean, to.input.Backend.ID, to.utilisation()/mean, best.load)
 	planner.loadMovesLeft--
 	planner.take(best.shard, Move{
 		Shard:  shard.ID,
@@ -175,3 +231,20 @@
 		Reason: reason,
 	})
 }
+
+func (planner *planner) takeSplit(best candidate, mean float64) {
+	shard := &planner.service.Shards[best.shard].Shard
+	position := best.hotKey
+	if position == shard.Start {
+		position++
+	}
+	planner.splits++
+	planner.take(best.shard, Move{
+		Shard: shard.ID, From: shard.Owner, To: shard.Owner,
+		Kind: KindSplit, SplitAt: position, Score: best.score,
+		Reason: fmt.Sprintf("back end %d at %.2f of the mean; one key carries %.2f of the shard's %.2f slots and is to move alone",
+			shard.Owner, planner.nodes[best.source].utilisation()/mean, best.load, planner.loads[best.shard]),
+	})
+	planner.nodes[best.source].load -= best.load
+	planner.nodes[best.destination].load += best.load
+}
--- a/internal/placement/divide.go
+++ b/internal/placement/divide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -11,6 +12,9 @@
 	// splitShare is the part of a node's mean load above which a shard is
 	// split: a larger shard is too coarse to balance with.
 	splitShare = 0.20
+	// blindSplitAfter is how long a new shard's hot keys are waited for before
+	// it is split in the middle.
+	blindSplitAfter = 3 * time.Second
 	// mergeShare is the part of a node's mean load below which two neighbours
 	// may be merged.
 	mergeShare = 0.02
@@ -52,14 +56,20 @@
 	return load / float64(count)
 }
 
+// mayGrow says whether the service may have more shards.
+func (planner *planner) mayGrow() bool {
+	limit := maximumGrowth * int(max(1, planner.service.Service.InitialShards))
+	return planner.splits < splitsAtOnce && len(planner.service.Shards)+planner.splits < limit
+}
+
 func (planner *planner) split(perNode float64) {
-	if len(planner.service.Shards) >= maximumGrowth*int(max(1, planner.service.Service.InitialShards)) {
-		return
-	}
-	splits := 0
 	for index := range planner.service.Shards {
 		shard := &planner.service.Shards[index]
-		if planner.planned[index] || shard.Shard.Phase != topology.ShardOwned || shard.Load < splitShare*perNode {
+		if !planner.mayGrow() {
+			return
+		}
+		tooHot := shard.Load >= splitShare*perNode
+		if planner.planned[index] || shard.Shard.Phase != topology.ShardOwned || !tooHot {
 			continue
 		}
 		position, divisible := planner.splitPosition(index)
@@ -71,10 +81,7 @@
 			Kind: KindSplit, SplitAt: position, Score: shard.Load / perNode,
 			Reason: fmt.Sprintf("carries %.2f slots, %.0f%% of a back end's mean load", shard.Load, 100*shard.Load/perNode),
 		})
-		splits++
-		if splits == splitsAtOnce {
-			return
-		}
+		planner.splits++
 	}
 }
 
@@ -96,6 +103,10 @@
 		}
 		return hot.Key + 1, true
 	}
+	created := planner.service.Shards[index].CreatedAt
+	if created > 0 && planner.now < created+blindSplitAfter {
+		return 0, false
+	}
 	return start + topology.KeyHash(width/2), true
 }
 
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -65,6 +65,8 @@
 	Backend topology.Backend
 	// Live says that the back end's lease has not expired.
 	Live bool
+	// LiveSince is when it got its present lease; zero is long ago.
+	LiveSince time.Duration
 	// LostAt is when the lease expired or was given back, where not Live.
 	LostAt time.Duration
 	// Leaving says that the back end announced a planned stop or restart, at
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -27,6 +27,8 @@
 	findings []Finding
 	// loadMovesLeft is what remains of the budget per minute.
 	loadMovesLeft int
+	// splits counts the splits decided.
+	splits int
 }
 
 // node is a back end during a decision.
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -33,8 +33,12 @@
 	// churnExchange is how long the whole service would have to be unavailable
 	// to cost as much as moving all its keys once, at equal weights.
 	churnExchange = 5 * time.Second
-	// expectedPause is how long a handed over shard is not served.
-	expectedPause = 20 * time.Millisecond
+	// pauseWeight is how much one hand-over costs, in average shards moved, at
+	// equal weights.
+	pauseWeight = 0.25
+	// joinSettle is how long load moves wait after a back end joined, so that
+	// joins at about the same time are handled as one.
+	joinSettle = 300 * time.Millisecond
 )
 
 // WithDefaults returns the policy with zero fields replaced by defaults.
--- a/lab/experiment/baselines.go
+++ b/lab/experiment/baselines.go
@@ -43,8 +43,8 @@
 type hashRule func(shards []placement.ShardInput, members members) []int
 
 // byHash makes a policy of a rule: whatever is not at its place moves there.
-func byHash(rule hashRule) func(placement.Input) []placement.Move {
-	return func(input placement.Input) []placement.Move {
+func byHash(rule hashRule) func(placement.Input) placement.Decision {
+	return func(input placement.Input) placement.Decision {
 		var moves []placement.Move
 		for _, service := range input.Services {
 			serving := serving(&input, service.Service.ID)
@@ -56,7 +56,7 @@
 				moves = appendMove(moves, &input, &service.Shards[index].Shard, serving[owner].Backend.ID)
 			}
 		}
-		return moves
+		return placement.Decision{Moves: moves}
 	}
 }
 
@@ -190,7 +190,7 @@
 
 // greedy moves the hottest shard that fits from the most to the least loaded
 // member, one at a time, without regard to cost.
-func greedy(input placement.Input) []placement.Move {
+func greedy(input placement.Input) placement.Decision {
 	var moves []placement.Move
 	for index := range input.Services {
 		service := &input.Services[index]
@@ -200,7 +200,7 @@
 		}
 		moves = append(moves, greedyService(&input, service, members)...)
 	}
-	return moves
+	return placement.Decision{Moves: moves}
 }
 
 func greedyService(input *placement.Input, service *placement.ServiceInput, members members) []placement.Move {
--- a/lab/experiment/policy.go
+++ b/lab/experiment/policy.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/quartzdock/quartzdock/internal/placement"
+	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
 // Policy decides owners in a run.
@@ -18,19 +19,22 @@
 	Handover bool
 	// Baseline marks policies of others.
 	Baseline bool
-	Decide   func(placement.Input) []placement.Move
+	Evaluate func(placement.Input) placement.Decision
+	// WaitsForRestart says that a planned restart keeps its shards instead of
+	// handing them over; nil is never.
+	WaitsForRestart func(topology.PlacementPolicy) bool
 }
 
 // Policies lists the policies by name, ours first.
 func Policies() []Policy {
 	return []Policy{
-		{Name: "quartzdock", Title: "quartzdock, present", Handover: true, Decide: placement.Decide},
-		{Name: "modulo", Title: "hash modulo", Baseline: true, Decide: byHash(modulo)},
-		{Name: "consistent", Title: "consistent hashing, 128 virtual nodes", Baseline: true, Decide: byHash(consistent)},
-		{Name: "rendezvous", Title: "rendezvous hashing", Baseline: true, Decide: byHash(rendezvous)},
-		{Name: "bounded", Title: "consistent hashing with bounded loads, 1.25", Baseline: true, Decide: byHash(bounded)},
-		{Name: "greedy", Title: "greedy least-loaded", Baseline: true, Decide: greedy},
-		{Name: "greedy-handover", Title: "greedy least-loaded, with hand-over", Handover: true, Baseline: true, Decide: greedy},
+		{Name: "quartzdock", Title: "quartzdock, present", Handover: true, Evaluate: placement.Evaluate, WaitsForRestart: placement.WaitsForRestart},
+		{Name: "modulo", Title: "hash modulo", Baseline: true, Evaluate: byHash(modulo)},
+		{Name: "consistent", Title: "consistent hashing, 128 virtual nodes", Baseline: true, Evaluate: byHash(consistent)},
+		{Name: "rendezvous", Title: "rendezvous hashing", Baseline: true, Evaluate: byHash(rendezvous)},
+		{Name: "bounded", Title: "consistent hashing with bounded loads, 1.25", Baseline: true, Evaluate: byHash(bounded)},
+		{Name: "greedy", Title: "greedy least-loaded", Baseline: true, Evaluate: greedy},
+		{Name: "greedy-handover", Title: "greedy least-loaded, with hand-over", Handover: true, Baseline: true, Evaluate: greedy},
 	}
 }
 
