--- a/lab/fleet/admin.go
+++ b/lab/fleet/admin.go
@@ -257,6 +257,18 @@
 	}
 }
 
+// Services lists all services.
+func (a *Admin) Services(ctx context.Context) ([]*quartzdockv1.Service, error) {
+	response, err := call(ctx, a, func(ctx context.Context, client quartzdockv1connect.AdminServiceClient) (
+		*quartzdockv1.ListServicesResponse, error) {
+		return message(client.ListServices(ctx, connect.NewRequest(&quartzdockv1.ListServicesRequest{})))
+	})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetServices(), nil
+}
+
 // Controllers lists the members of the consensus group.
 func (a *Admin) Controllers(ctx context.Context) ([]*quartzdockv1.Controller, error) {
 	response, err := call(ctx, a, func(ctx context.Context, client quartzdockv1connect.AdminServiceClient) (
