--- a/cmd/quartzdock-lab/main.go
+++ b/cmd/quartzdock-lab/main.go
@@ -61,6 +61,7 @@
 		Subcommands: []*ff.Command{
 			demoCommand(),
 			faultsCommand(),
+			fleetCommand(),
 			backendCommand(),
 			loadCommand(),
 			machinesCommand(),
