Run the router role from settings, with its own certificates for callers

Its bounds become fields (holding, retries, drain delay); a store per use of certificates is reread at an interval and at SIGHUP and logs changes of state only.

--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"sync/atomic"
@@ -14,7 +12,7 @@
 	"github.com/quartzdock/quartzdock/internal/metrics"
 	"github.com/quartzdock/quartzdock/internal/ops"
 	"github.com/quartzdock/quartzdock/internal/settings"
-	"github.com/quartzdock/quartzdock/internal/tlsconfig"
+	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
 // errStarting is what /readyz answers until the role reports itself.
@@ -22,12 +20,11 @@
 
 // process is what every role runs in.
 type process struct {
-	role         string
 	settings     *settings.Process
 	log          *slog.Logger
 	level        *slog.LevelVar
 	registry     *prometheus.Registry
-	certificates *tlsconfig.Store
+	certificates *certificates
 	ready        atomic.Pointer[func() error]
 }
 
@@ -38,68 +35,29 @@
 		return nil, err
 	}
 	p := &process{
-		role:     role,
 		settings: common,
 		level:    level,
 		log:      ops.NewLogger(logOut, level, common.Log.Format).With("role", role, "name", common.Name),
 		registry: metrics.NewRegistry(role, common.Name),
 	}
 	p.setReady(func() error { return errStarting })
-	if !common.TLS.Enabled() {
-		return p, nil
-	}
-	store, err := tlsconfig.Open(tlsconfig.Config{
-		Files: tlsconfig.Files{
-			Certificate: common.TLS.CertificateFile,
-			Key:         common.TLS.KeyFile,
-			CA:          common.TLS.CAFile,
-			OperatorCA:  common.TLS.OperatorCAFile,
-		},
-		PeerNames:  common.TLS.PeerNames,
-		Registerer: p.registry,
-		Log:        p.log,
-	})
-	if err != nil {
-		return nil, fmt.Errorf("certificates: %w", err)
-	}
-	p.certificates = store
-	return p, nil
+	p.certificates = &certificates{settings: &common.TLS, registry: p.registry, log: p.log}
+	return p, p.certificates.openFleet()
 }
 
+// group returns the group of controllers that the process belongs to.
+func (p *process) group() topology.GroupID { return topology.GroupID(p.settings.Group) }
+
 // setReady replaces what /readyz asks.
 func (p *process) setReady(ready func() error) { p.ready.Store(&ready) }
 
-// linkTLS returns the configuration of links between processes; nil is plain.
-func (p *process) linkTLS() *tls.Config {
-	if p.certificates == nil {
-		return nil
-	}
-	return p.certificates.Link()
-}
-
-// operatorTLS returns the configuration of the operators' listener.
-func (p *process) operatorTLS() *tls.Config {
-	if p.certificates == nil {
-		return nil
-	}
-	return p.certificates.Operators()
-}
-
-// monitoringTLS returns the configuration of the listener for monitoring.
-func (p *process) monitoringTLS() *tls.Config {
-	if p.certificates == nil {
-		return nil
-	}
-	return p.certificates.Server()
-}
-
 // run serves monitoring and the role until a planned stop. The listener for
 // monitoring stays until the role has ended, so that a stop can be watched.
 func (p *process) run(ctx context.Context, work func(context.Context) error, reload func()) error {
 	server, err := ops.StartServer(ops.ServerConfig{
 		Listen:   p.settings.Ops.Listen,
 		Pprof:    p.settings.Ops.Pprof,
-		TLS:      p.monitoringTLS(),
+		TLS:      p.certificates.monitoring(),
 		Registry: p.registry,
 		Ready:    func() error { return (*p.ready.Load())() },
 		Log:      p.log,
@@ -109,9 +67,7 @@
 	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	if p.certificates != nil {
-		go p.certificates.Run(background, p.settings.TLS.ReloadInterval)
-	}
+	go p.certificates.reloadAtInterval(background)
 	p.log.Info("started", "version", metrics.Version(), "monitoring", server.Address())
 	err = ops.RunUntilSignal(ctx, ops.Lifecycle{
 		Run:         work,
@@ -121,13 +77,3 @@
 	})
 	return errors.Join(err, server.Stop(background))
 }
-
-// reloadCertificates reads the certificate files again, where there are any.
-func (p *process) reloadCertificates() {
-	if p.certificates == nil {
-		return
-	}
-	if err := p.certificates.Reload(); err != nil {
-		p.log.Error("certificate files refused; the previous ones stay in force", "error", err)
-	}
-}
--- a/internal/command/role.go
+++ b/internal/command/role.go
@@ -67,7 +67,7 @@
 
 // reload rereads the settings and certificates at SIGHUP.
 func (r role[T, S]) reload(p *process, loader *settings.Loader, inForce *settings.FieldSet) {
-	p.reloadCertificates()
+	p.certificates.reload()
 	loaded := S(new(T))
 	fields, err := loader.Load(loaded)
 	if err != nil {
--- a/internal/settings/kinds.go
+++ b/internal/settings/kinds.go
@@ -96,6 +96,19 @@
 	declareScalar(set, target, field, parse)
 }
 
+// share declares a part of one, from 0 to 1.
+func (set *FieldSet) share(target *float64, field Field) {
+	field.Unit = "share from 0 to 1"
+	parse := func(text string) (float64, error) {
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(value >= 0 && value <= 1) {
+			return 0, fmt.Errorf("%q is not a number from 0 to 1", text)
+		}
+		return value, nil
+	}
+	declareScalar(set, target, field, parse)
+}
+
 // flag declares a field that is true or false.
 func (set *FieldSet) flag(target *bool, field Field) {
 	field.Unit = unitBool
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -13,7 +13,14 @@
 	MaximumBodyBytes      int
 	MaximumHeaderBytes    int
 	MaximumConnections    int
+	MaximumInFlight       int
 	HeaderTimeout         time.Duration
+	StallTimeout          time.Duration
+	DrainDelay            time.Duration
+	HoldTimeout           time.Duration
+	HoldRequests          int
+	HoldBytes             int
+	RetryShare            float64
 	StaleAfter            time.Duration
 }
 
@@ -52,9 +59,26 @@
 		Name: "callers.header-timeout", Default: "5s",
 		Usage: "Longest time in which a caller must send a whole header. Slower ones are cut off.",
 	}, 100*time.Millisecond, time.Minute)
+	set.duration(&router.StallTimeout, Field{
+		Name: "callers.stall-timeout", Default: "30s",
+		Usage: "A caller that neither sends nor takes a byte for so long is cut off.",
+	}, 100*time.Millisecond, time.Hour)
+	set.count(&router.MaximumInFlight, Field{
+		Name: "callers.maximum-in-flight", Default: "8192", Unit: "requests",
+		Usage: "Most requests in progress, of all services. Further ones are answered 503 shed at once.",
+	}, 1, 1<<20)
+	set.duration(&router.DrainDelay, Field{
+		Name: "callers.drain-delay", Default: "1s",
+		Usage: "How long a planned stop goes on taking requests while /readyz says no, so that callers' balancers turn away first.",
+	}, 0, time.Minute)
+	router.declareHolding(set)
+	set.share(&router.RetryShare, Field{
+		Name: "retries.share", Default: "0.1",
+		Usage: "Part of a service's requests that may be sent again after a failure that is safe to repeat.",
+	})
 	declareControllers(set, &router.Controllers)
 	set.duration(&router.StaleAfter, Field{
-		Name: "routing.stale-after", Default: "3s",
+		Name: "routing.stale-after", Default: "10s",
 		Usage: "After this time without hearing a controller that follows a leader, requests are answered 503 stale-routing.",
 	}, 500*time.Millisecond, 10*time.Minute)
 	set.check(func(report func(field, problem string)) {
@@ -62,10 +86,31 @@
 			report("callers.key-file", "callers.certificate-file and callers.key-file go together")
 		}
 	})
+	set.check(func(report func(field, problem string)) {
+		if router.DrainDelay >= router.StopTimeout {
+			report("callers.drain-delay", "must be less than stop-timeout, "+router.StopTimeout.String())
+		}
+	})
 	router.TLS.requireOffLoopback(set, "ops.listen")
 	requireTLSTowards(set, &router.TLS, "controllers")
 }
 
+// declareHolding adds the bounds of requests that wait for an owner.
+func (router *Router) declareHolding(set *FieldSet) {
+	set.duration(&router.HoldTimeout, Field{
+		Name: "holding.timeout", Default: "3s",
+		Usage: "Longest time that a request waits for its key to get an owner.",
+	}, 0, time.Minute)
+	set.count(&router.HoldRequests, Field{
+		Name: "holding.requests", Default: "4096", Unit: "requests",
+		Usage: "Most requests that wait for an owner at once. Further ones are answered 503 no-owner.",
+	}, 1, 1<<20)
+	set.count(&router.HoldBytes, Field{
+		Name: "holding.bytes", Default: "67108864", Unit: "bytes",
+		Usage: "Most memory for the bodies of requests that wait for an owner.",
+	}, 1, 1<<30)
+}
+
 // declareControllers adds the list of session addresses.
 func declareControllers(set *FieldSet, target *[]string) {
 	set.texts(target, Field{
--- a/internal/tlsconfig/store.go
+++ b/internal/tlsconfig/store.go
@@ -1,7 +1,6 @@
 package tlsconfig
 
 import (
-	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"log/slog"
@@ -16,6 +15,9 @@
 // Config configures a Store.
 type Config struct {
 	Files Files
+	// Name tells several stores of a process apart, in labels; it is the
+	// store's use, for example "fleet" or "callers".
+	Name string
 	// PeerNames: a peer's certificate on a link between processes must carry
 	// one of these DNS names; empty accepts all of the fleet's.
 	PeerNames []string
@@ -34,6 +36,8 @@
 	refused *refusals
 	expiry  prometheus.Gauge
 	reloads *prometheus.CounterVec
+	// failing says that the last reload was refused.
+	failing bool
 }
 
 // Results of a reload, as a label.
@@ -52,11 +56,13 @@
 		refused: newRefusals(config),
 		expiry: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: metrics.Namespace, Subsystem: "tls", Name: "certificate_expiry_timestamp_seconds",
-			Help: "When the process's own certificate expires, in seconds since 1970.",
+			Help:        "When the process's own certificate expires, in seconds since 1970.",
+			ConstLabels: prometheus.Labels{"store": config.Name},
 		}),
 		reloads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: "tls", Name: "reloads_total",
-			Help: "Reads of the certificate files after the start, by result.",
+			Help:        "Reads of the certificate files after the start, by result.",
+			ConstLabels: prometheus.Labels{"store": config.Name},
 		}, []string{"result"}),
 	}
 	loaded, err := config.Files.read(config.Now())
@@ -74,42 +80,29 @@
 	store.expiry.Set(float64(loaded.certificate.Leaf.NotAfter.Unix()))
 }
 
-// Reload reads the files again. On an error the previous material stays in
-// force.
+// Reload reads the files again. On an error, which is logged where the last
+// reload had none, the previous material stays in force. Calls must not
+// overlap.
 func (store *Store) Reload() error {
 	loaded, err := store.config.Files.read(store.config.Now())
 	if err != nil {
 		store.reloads.WithLabelValues(reloadRefused).Inc()
+		if !store.failing {
+			store.config.Log.Error("certificate files refused; the previous ones stay in force", "store", store.config.Name, "error", err)
+		}
+		store.failing = true
 		return err
 	}
+	store.failing = false
 	previous := store.current.Load()
 	store.use(loaded)
 	store.reloads.WithLabelValues(reloadDone).Inc()
 	if !previous.certificate.Leaf.Equal(loaded.certificate.Leaf) {
-		store.config.Log.Info("certificate replaced", "expires", loaded.certificate.Leaf.NotAfter)
+		store.config.Log.Info("certificate replaced", "store", store.config.Name, "expires", loaded.certificate.Leaf.NotAfter)
 	}
 	return nil
 }
 
-// Run reloads at each interval until the context ends.
-func (store *Store) Run(ctx context.Context, interval time.Duration) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	failing := false
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			err := store.Reload()
-			if err != nil && !failing {
-				store.config.Log.Error("certificate files refused; the previous ones stay in force", "error", err)
-			}
-			failing = err != nil
-		}
-	}
-}
-
 // Link returns the configuration of links between processes, for both sides:
 // mutual, TLS 1.3.
 func (store *Store) Link() *tls.Config {
--- a/internal/tlsconfig/verify.go
+++ b/internal/tlsconfig/verify.go
@@ -102,7 +102,8 @@
 	return &refusals{
 		counter: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Subsystem: "tls", Name: "refused_total",
-			Help: "Connections refused for their certificate, by listener and reason.",
+			Help:        "Connections refused for their certificate, by listener and reason.",
+			ConstLabels: prometheus.Labels{"store": config.Name},
 		}, []string{"listener", "reason"}),
 		log:    config.Log,
 		now:    config.Now,
