--- /dev/null
+++ b/internal/coordinator/decide.go
@@ -0,0 +1,180 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/controlstate"
+	"github.com/quartzdock/quartzdock/internal/ownership"
+	"github.com/quartzdock/quartzdock/internal/placement"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// loadMoveWindow is the time over which a service's load moves are bounded.
+const loadMoveWindow = time.Minute
+
+// Tick returns the next batch to propose, or nothing. The caller answers each
+// batch with BatchDone. UnixMilli is the wall clock, for marked load shifts.
+func (c *Coordinator) Tick(now time.Duration, unixMilli int64) (controlstate.Command, bool) {
+	if !c.leading {
+		return controlstate.Command{}, false
+	}
+	c.findLost(now)
+	if c.inFlight != nil {
+		return controlstate.Command{}, false
+	}
+	steps := c.advanceMoves(now)
+	if now >= c.decideAt {
+		steps = c.addDecided(steps, now, unixMilli)
+	}
+	if len(steps) == 0 {
+		return controlstate.Command{}, false
+	}
+	return c.propose(steps, unixMilli), true
+}
+
+func (c *Coordinator) propose(steps []controlstate.OwnershipChange, unixMilli int64) controlstate.Command {
+	c.inFlight = &controlstate.ChangeOwnership{Changes: steps}
+	for index := range steps {
+		c.noteRevoking(&steps[index])
+	}
+	c.statistics.BatchesProposed++
+	return controlstate.Command{UnixMilli: unixMilli, ChangeOwnership: c.inFlight}
+}
+
+func (c *Coordinator) noteRevoking(step *controlstate.OwnershipChange) {
+	shard, _ := c.state.Shard(step.Shard)
+	if step.Event == ownership.EventAssign && shard.Owner != 0 {
+		c.revoking[shard.Owner] = true
+	}
+}
+
+// BatchDone says that the batch in flight was applied, or that it certainly
+// never will be. Where neither is known, the caller steps down or waits.
+func (c *Coordinator) BatchDone(now time.Duration) {
+	if c.inFlight == nil {
+		return
+	}
+	c.inFlight = nil
+	clear(c.revoking)
+}
+
+// ConfigurationChanged says that an operator's change was applied.
+func (c *Coordinator) ConfigurationChanged(now time.Duration) {
+	c.decideAt = now
+}
+
+// ShardsChanged says which shards a batch of this leader has changed.
+func (c *Coordinator) ShardsChanged(changed []topology.Shard, now time.Duration) {
+	if !c.leading {
+		return
+	}
+	for _, shard := range changed {
+		if shard.Phase == topology.ShardOwned {
+			c.lastMoved[shard.ID] = now
+		}
+	}
+}
+
+// addDecided adds what placement decides to steps, without shards that have one
+// already.
+func (c *Coordinator) addDecided(steps []controlstate.OwnershipChange, now time.Duration, unixMilli int64) []controlstate.OwnershipChange {
+	c.decideAt = now + c.config.DecideInterval
+	if !c.knowsWhoLives(now) {
+		c.decideAt = now
+		return steps
+	}
+	c.decision = placement.Evaluate(c.input(now, unixMilli))
+	taken := make(map[topology.ShardID]bool, len(steps))
+	for _, step := range steps {
+		taken[step.Shard] = true
+	}
+	for index := range c.decision.Moves {
+		decided := &c.decision.Moves[index]
+		if taken[decided.Shard] {
+			continue
+		}
+		if step, ok := c.step(decided, now); ok {
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+// knowsWhoLives reports whether every back end has renewed with this leader or
+// had the time to.
+func (c *Coordinator) knowsWhoLives(now time.Duration) bool {
+	if now >= c.leases.Settled() {
+		return true
+	}
+	for _, backend := range c.state.Backends() {
+		if !c.leases.Live(backend.ID, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// step turns a move of placement into a change, if it is allowed now.
+func (c *Coordinator) step(decided *placement.Move, now time.Duration) (controlstate.OwnershipChange, bool) {
+	shard, known := c.state.Shard(decided.Shard)
+	step := controlstate.OwnershipChange{
+		Shard:  decided.Shard,
+		Epoch:  shard.Epoch,
+		To:     decided.To,
+		Reason: decided.Reason,
+	}
+	if !known {
+		return step, false
+	}
+	allowed := true
+	switch decided.Kind {
+	case placement.KindAssign, placement.KindRecover:
+		step.Event = ownership.EventAssign
+		allowed = c.mayAssign(shard, now)
+	case placement.KindDrain, placement.KindBalance:
+		step.Event = ownership.EventBeginMove
+		c.countLoadMove(decided, now)
+	case placement.KindSplit:
+		step.Event = ownership.EventSplit
+		step.SplitAt = decided.SplitAt
+	case placement.KindMerge:
+		step.Event = ownership.EventMerge
+		step.MergeWith = decided.MergeWith
+		right := topology.ShardID{Service: decided.Shard.Service, Shard: decided.MergeWith}
+		neighbour, _ := c.state.Shard(right)
+		step.MergeWithEpoch = neighbour.Epoch
+	default:
+		allowed = false
+	}
+	if allowed {
+		c.statistics.MovesByKind[decided.Kind.String()]++
+	}
+	return step, allowed
+}
+
+// mayAssign reports whether a shard may get an owner without the present one's
+// promise: there is none, or it is certain that its lease has ended.
+func (c *Coordinator) mayAssign(shard topology.Shard, now time.Duration) bool {
+	if shard.Owner == 0 {
+		return c.settled(shard, now)
+	}
+	return c.leases.Lapsed(shard.Owner, now)
+}
+
+func (c *Coordinator) countLoadMove(decided *placement.Move, now time.Duration) {
+	if decided.Kind != placement.KindBalance {
+		return
+	}
+	id := decided.Shard.Service
+	c.loadMoves[id] = append(c.loadMoves[id], now)
+}
+
+// recentLoadMoves counts the load moves of a service within the last minute.
+func (c *Coordinator) recentLoadMoves(id topology.ServiceID, now time.Duration) uint32 {
+	recent := c.loadMoves[id]
+	for len(recent) > 0 && recent[0] <= now-loadMoveWindow {
+		recent = recent[1:]
+	}
+	c.loadMoves[id] = recent
+	return uint32(len(recent))
+}
