Add the controller: sessions, leases, moves and the operators' calls

Nothing yet served routers, agents or operators. The coordinator (pure) grants leases, recovers the shards of lost back ends in one batch, and drives planned moves by placement's decisions. The controller applies the log, publishes deltas, confirms with a quorum that its state is the newest, and knows who has which revision in force, also through controllers that follow. Sessions keep no queue of deltas: the distribution log merges what a subscriber missed. Tests run all of it over loopback with a log without peers: spread, drain, loss, racing operators, resends, field violations and in force everywhere.

--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,179 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/controlstate"
+	"github.com/quartzdock/quartzdock/internal/coordinator"
+	"github.com/quartzdock/quartzdock/internal/distribution"
+	"github.com/quartzdock/quartzdock/internal/transport"
+)
+
+// stopTimeout bounds the wait for operators' calls in progress at a stop.
+const stopTimeout = 2 * time.Second
+
+var errStopping = errors.New("the controller is stopping")
+
+// Controller is one running controller.
+type Controller struct {
+	config  Config
+	log     *slog.Logger
+	replica Replicator
+	metrics *controllerMetrics
+
+	sessions *transport.Listener
+	rpc      net.Listener
+	server   *http.Server
+
+	// view is the published end of the log of deltas.
+	view        atomic.Pointer[distribution.View]
+	snapshots   snapshotCache
+	open        sessionSet
+	subscribers *subscribers
+	freshness   freshness
+	relay       *relay
+	published   broadcast
+	stopping    chan struct{}
+	background  sync.WaitGroup
+
+	// The rest belongs to the control goroutine.
+	state       *controlstate.State
+	deltas      *distribution.Log
+	coordinator *coordinator.Coordinator
+	// term is the term in which this controller leads and has applied all of
+	// earlier terms; announcing is the term of an announcement in flight.
+	term       uint64
+	announcing uint64
+	agents     agentSessions
+}
+
+// Run runs a controller until the context ends.
+func Run(ctx context.Context, config Config) error {
+	c, err := Start(config)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return c.Stop()
+}
+
+// Start provisions and serves. Stop ends it.
+func Start(config Config) (*Controller, error) {
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	c := newController(config.withDefaults())
+	if err := c.listen(); err != nil {
+		return nil, err
+	}
+	replica, err := c.config.Replicate(c)
+	if err != nil {
+		c.closeListeners()
+		return nil, fmt.Errorf("start the replicated log: %w", err)
+	}
+	c.attach(replica)
+	c.serve()
+	return c, nil
+}
+
+func newController(config Config) *Controller {
+	c := &Controller{
+		config:      config,
+		log:         config.Log,
+		state:       controlstate.New(config.Group),
+		deltas:      distribution.NewLog(0),
+		subscribers: newSubscribers(),
+		agents:      make(agentSessions),
+		stopping:    make(chan struct{}),
+	}
+	c.coordinator = coordinator.New(config.Coordinator, c.state)
+	c.view.Store(c.deltas.View())
+	c.metrics = newMetrics(config.Registerer, c)
+	return c
+}
+
+func (c *Controller) listen() error {
+	sessions, err := transport.Listen(c.config.SessionListen, transport.Options{TLS: c.config.LinkTLS})
+	if err != nil {
+		return fmt.Errorf("session listener: %w", err)
+	}
+	c.sessions = sessions
+	c.rpc, err = net.Listen("tcp", c.config.RPCListen)
+	if err != nil {
+		_ = sessions.Close()
+		return fmt.Errorf("RPC listener: %w", err)
+	}
+	return nil
+}
+
+func (c *Controller) closeListeners() {
+	_ = c.sessions.Close()
+	_ = c.rpc.Close()
+}
+
+// attach makes the replica known to the control goroutine, which may have
+// begun to call the machine already.
+func (c *Controller) attach(replica Replicator) {
+	attached := make(chan struct{})
+	replica.Post(func() {
+		c.replica = replica
+		close(attached)
+	})
+	<-attached
+}
+
+func (c *Controller) serve() {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.relay = newRelay(c)
+	c.server = c.newRPCServer()
+	c.server.RegisterOnShutdown(func() {
+		cancel()
+		close(c.stopping)
+	})
+	c.background.Go(c.acceptSessions)
+	c.background.Go(c.serveRPC)
+	c.background.Go(func() { c.confirmFreshness(ctx) })
+	c.background.Go(func() { c.relay.run(ctx) })
+	c.background.Go(func() { c.followMachineList(ctx) })
+	addresses := c.Addresses()
+	c.log.Info("controller serves", "sessions", addresses.Sessions, "rpc", addresses.RPC)
+	if c.config.OnReady != nil {
+		c.config.OnReady(addresses)
+	}
+}
+
+// Addresses returns the bound addresses.
+func (c *Controller) Addresses() Addresses {
+	return Addresses{Sessions: c.sessions.Address(), RPC: c.rpc.Addr().String()}
+}
+
+// Stop ends sessions, calls and the replicated log.
+func (c *Controller) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_ = c.sessions.Close()
+	c.open.closeAll()
+	err := c.server.Shutdown(ctx)
+	if err != nil {
+		err = errors.Join(err, c.server.Close())
+	}
+	c.background.Wait()
+	c.open.wait()
+	return errors.Join(err, c.replica.Stop())
+}
+
+// Ready returns why the controller cannot serve now, or nil.
+func (c *Controller) Ready() error {
+	if contact := c.leaderContact(); contact > wireStopRelying {
+		return fmt.Errorf("no contact with a leader for %s", contact.Round(time.Millisecond))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/freshness.go
@@ -0,0 +1,104 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+const (
+	wireStopRelying = wire.StopRelyingAfter
+	// barrierTimeout bounds one confirmation.
+	barrierTimeout = time.Second
+)
+
+// freshness remembers when this controller last confirmed, with a quorum, that
+// it has applied all that was committed.
+type freshness struct {
+	mutex     sync.Mutex
+	confirmed time.Duration
+	known     bool
+	changed   broadcast
+}
+
+// confirm records that all committed before the time at is applied.
+func (f *freshness) confirm(at time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.known && at <= f.confirmed {
+		return
+	}
+	f.confirmed = at
+	f.known = true
+	f.changed.signal()
+}
+
+// age returns how long ago, at now, the last confirmed moment is. Without any
+// it is as long as the process runs.
+func (f *freshness) age(now time.Duration) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now - f.confirmed
+}
+
+func (f *freshness) confirmedAfter(after time.Duration) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.known && f.confirmed >= after
+}
+
+// wait returns once a moment after the time given is confirmed.
+func (f *freshness) wait(ctx context.Context, after time.Duration) error {
+	for {
+		changed := f.changed.wait()
+		if f.confirmedAfter(after) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// leaderContact returns how long ago this controller was last known to have the
+// newest state.
+func (c *Controller) leaderContact() time.Duration { return c.freshness.age(c.replica.Now()) }
+
+// confirmFreshness confirms again and again until the context ends.
+func (c *Controller) confirmFreshness(ctx context.Context) {
+	timer := time.NewTicker(c.config.BarrierInterval)
+	defer timer.Stop()
+	for {
+		c.confirmOnce(ctx)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Controller) confirmOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	asked := c.replica.Now()
+	if err := c.barrier(ctx); err == nil {
+		c.freshness.confirm(asked)
+	}
+}
+
+// barrier returns once all that was committed before the call is applied here.
+func (c *Controller) barrier(ctx context.Context) error {
+	if c.replica.ReadBarrier(ctx) == nil {
+		return nil
+	}
+	revision, err := c.relay.barrier(ctx)
+	if err != nil {
+		return err
+	}
+	return c.waitApplied(ctx, revision)
+}
--- /dev/null
+++ b/internal/controller/leadership.go
@@ -0,0 +1,136 @@
+package controller
+
+import (
+	"errors"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/controlstate"
+)
+
+// Tick implements Machine. It follows the replica's role and, at the leader,
+// proposes the coordinator's next batch.
+func (c *Controller) Tick(now time.Duration, status consensus.Status) {
+	if c.replica == nil {
+		return
+	}
+	if c.term != 0 && (status.Role != consensus.Leader || status.Term != c.term) {
+		c.stepDown(status)
+	}
+	if !status.IsLeader(now) {
+		return
+	}
+	if c.term != status.Term {
+		c.announce(status)
+		return
+	}
+	command, ok := c.coordinator.Tick(now, time.Now().UnixMilli())
+	if ok {
+		c.proposeBatch(command)
+	}
+}
+
+// announce proposes the controller's own addresses as the first command of its
+// term. Once it is applied, so is everything of earlier terms.
+func (c *Controller) announce(status consensus.Status) {
+	if c.announcing == status.Term {
+		return
+	}
+	c.announcing = status.Term
+	self := controlstate.Controller{
+		ID:             status.ID,
+		Incarnation:    status.Incarnation,
+		PeerAddress:    c.config.PeerAddress,
+		SessionAddress: c.sessions.Address(),
+		RPCAddress:     c.rpc.Addr().String(),
+	}
+	data, err := controlstate.EncodeCommand(controlstate.Command{
+		UnixMilli:          time.Now().UnixMilli(),
+		AnnounceController: &controlstate.AnnounceController{Controller: self},
+	})
+	if err != nil {
+		c.log.Error("announcement not encoded", "error", err)
+		return
+	}
+	c.replica.ProposeAsync(data, func(_ any, err error) { c.announced(status.Term, err) })
+}
+
+func (c *Controller) announced(term uint64, err error) {
+	if err != nil {
+		c.announcing = 0 // the next tick tries again if this controller still leads
+		return
+	}
+	status := c.replica.Status()
+	if status.Role != consensus.Leader || status.Term != term {
+		return
+	}
+	c.term = term
+	c.coordinator.BecomeLeader(c.replica.Now())
+	c.subscribers.becomeLeader(time.Now())
+	c.metrics.elections.Inc()
+	c.log.Info("leads the group", "term", term, "revision", c.state.Revision())
+}
+
+// stepDown ends everything that the leader alone may do.
+func (c *Controller) stepDown(status consensus.Status) {
+	c.log.Info("no longer leads the group", "term", c.term, "new_term", status.Term, "leader", status.Leader)
+	c.term = 0
+	c.announcing = 0
+	c.coordinator.StepDown()
+	c.subscribers.stepDown()
+	c.redirectAgents(c.leaderSessionAddress(status))
+}
+
+func (c *Controller) leaderSessionAddress(status consensus.Status) string {
+	leader, known := c.state.Controller(status.Leader)
+	if !known {
+		return ""
+	}
+	return leader.SessionAddress
+}
+
+func (c *Controller) leaderRPCAddress(status consensus.Status) string {
+	leader, known := c.state.Controller(status.Leader)
+	if !known {
+		return ""
+	}
+	return leader.RPCAddress
+}
+
+func (c *Controller) proposeBatch(command controlstate.Command) {
+	data, err := controlstate.EncodeCommand(command)
+	if err != nil {
+		c.log.Error("ownership batch not encoded", "error", err)
+		c.coordinator.BatchDone(c.replica.Now())
+		return
+	}
+	term := c.term
+	proposed := c.replica.Now()
+	c.replica.ProposeAsync(data, func(result any, err error) {
+		if c.term != term {
+			return
+		}
+		c.batchDone(result, err, proposed)
+	})
+}
+
+// batchDone ends a batch unless its outcome is unknown; then leadership is on
+// its way out, and until then nothing that depends on the outcome is done.
+func (c *Controller) batchDone(result any, err error, proposed time.Duration) {
+	if err != nil && !errors.Is(err, ErrNotLeader) {
+		c.metrics.failedBatches.Inc()
+		return
+	}
+	now := c.replica.Now()
+	c.coordinator.BatchDone(now)
+	c.metrics.batchSeconds.Observe((now - proposed).Seconds())
+	if applied, ok := result.(controlstate.Result); ok {
+		c.metrics.ownershipChanges.Add(float64(applied.OwnershipApplied))
+	}
+}
+
+// leads reports whether this controller may act as the leader now.
+func (c *Controller) leads(now time.Duration) bool {
+	status := c.replica.Status()
+	return c.term != 0 && c.term == status.Term && status.IsLeader(now)
+}
--- /dev/null
+++ b/internal/controller/replicator.go
@@ -0,0 +1,59 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// Replicator is the replicated log that drives a controller. internal/replica
+// provides it; tests have one without peers.
+type Replicator interface {
+	// Propose returns the result of Machine.Apply. It fails with ErrNotLeader
+	// where nothing was proposed and with ErrOutcomeUnknown where the command
+	// may or may not be applied later.
+	Propose(ctx context.Context, command []byte) (any, error)
+	// ProposeAsync is Propose from the control goroutine; done runs there.
+	ProposeAsync(command []byte, done func(result any, err error))
+	// Post runs an event on the control goroutine.
+	Post(event func())
+	// ReadBarrier returns once all that was committed before is applied here.
+	// It fails at a replica that does not lead.
+	ReadBarrier(ctx context.Context) error
+	ChangeMembership(ctx context.Context, change consensus.Change) error
+	// Status may be called from any goroutine.
+	Status() consensus.Status
+	// Now reads the clock that Status refers to, from any goroutine.
+	Now() time.Duration
+	Stop() error
+}
+
+// Machine is what a Replicator drives, all on its control goroutine.
+type Machine interface {
+	// Apply takes a committed command. Its result goes to the proposer.
+	Apply(index topology.Revision, command []byte) any
+	// Snapshot and Restore copy the state.
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+	// Tick is called at short intervals.
+	Tick(now time.Duration, status consensus.Status)
+}
+
+// Errors of Replicator.Propose.
+var (
+	// ErrNotLeader: nothing was proposed.
+	ErrNotLeader = errors.New("this controller does not lead")
+	// ErrOutcomeUnknown: the command may or may not be applied later. A resend
+	// with the same request id finds out.
+	ErrOutcomeUnknown = errors.New("leadership ended before the outcome was known; send again with the same request id")
+)
+
+// commandError says that a command of the log cannot be applied.
+type commandError struct{ cause error }
+
+func (e *commandError) Error() string { return fmt.Sprintf("command of the log: %v", e.cause) }
+func (e *commandError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/internal/controller/rpc_revisions.go
@@ -0,0 +1,84 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	quartzdockv1 "github.com/quartzdock/quartzdock/api/quartzdock/v1"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// age says of when an answer is; on the control goroutine.
+func (s *adminServer) age() *quartzdockv1.ReadAge {
+	return &quartzdockv1.ReadAge{
+		Revision:      uint64(s.controller.state.Revision()),
+		LeaderContact: durationpb.New(s.controller.leaderContact()),
+	}
+}
+
+// GetRevision implements the schema. Where a quorum can be reached the answer
+// is the newest; otherwise its age says how old it is.
+func (s *adminServer) GetRevision(ctx context.Context, _ *connect.Request[quartzdockv1.GetRevisionRequest]) (*connect.Response[quartzdockv1.GetRevisionResponse], error) {
+	c := s.controller
+	c.confirmOnce(ctx)
+	response := &quartzdockv1.GetRevisionResponse{}
+	err := s.read(ctx, func() {
+		configured, author := c.state.Configuration()
+		response.Age = s.age()
+		response.ConfigurationRevision = uint64(configured)
+		response.Author = author
+		response.LeaderRpcAddress = c.leaderRPCAddress(c.replica.Status())
+	})
+	return connect.NewResponse(response), err
+}
+
+// ListSubscribers implements the schema. A controller that follows lists its
+// own subscribers only.
+func (s *adminServer) ListSubscribers(ctx context.Context, request *connect.Request[quartzdockv1.ListSubscribersRequest]) (*connect.Response[quartzdockv1.ListSubscribersResponse], error) {
+	c := s.controller
+	response := &quartzdockv1.ListSubscribersResponse{}
+	if err := s.read(ctx, func() { response.Age = s.age() }); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	for _, entry := range c.subscribers.list(c.replica.Status().ID) {
+		lags := uint64(entry.applied) < response.Age.Revision
+		if request.Msg.GetLaggingOnly() && !lags {
+			continue
+		}
+		response.Subscribers = append(response.Subscribers, subscriberMessage(&entry, now))
+	}
+	return connect.NewResponse(response), nil
+}
+
+// WaitInForce implements the schema. Only the leader knows.
+func (s *adminServer) WaitInForce(ctx context.Context, request *connect.Request[quartzdockv1.WaitInForceRequest]) (*connect.Response[quartzdockv1.WaitInForceResponse], error) {
+	timeout := request.Msg.GetTimeout().AsDuration()
+	if timeout < 0 || timeout > maximumWait {
+		return nil, violation("timeout", "want 0 to "+maximumWait.String())
+	}
+	c := s.controller
+	if err := c.replica.ReadBarrier(ctx); err != nil {
+		return nil, s.proposalError(err)
+	}
+	revision := topology.Revision(request.Msg.GetRevision())
+	if revision > c.view.Load().Newest() {
+		return nil, violation("revision", "is newer than any that was committed")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	state := c.waitInForce(ctx, revision)
+	return connect.NewResponse(&quartzdockv1.WaitInForceResponse{InForce: s.inForceMessage(&state)}), nil
+}
+
+func (s *adminServer) inForceMessage(state *inForce) *quartzdockv1.InForce {
+	message := &quartzdockv1.InForce{Revision: uint64(state.revision), Everywhere: state.everywhere}
+	now := time.Now()
+	for index := range state.lagging {
+		message.Lagging = append(message.Lagging, subscriberMessage(&state.lagging[index], now))
+	}
+	return message
+}
--- /dev/null
+++ b/internal/controller/rpc_services.go
@@ -0,0 +1,75 @@
+package controller
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	quartzdockv1 "github.com/quartzdock/quartzdock/api/quartzdock/v1"
+	"github.com/quartzdock/quartzdock/internal/controlstate"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// CreateService implements the schema.
+func (s *adminServer) CreateService(ctx context.Context, request *connect.Request[quartzdockv1.CreateServiceRequest]) (*connect.Response[quartzdockv1.CreateServiceResponse], error) {
+	service := serviceFromMessage(request.Msg.GetService())
+	_, answer, err := s.mutate(ctx, request.Msg.GetMutation(), controlstate.Command{
+		CreateService: &controlstate.CreateService{Service: service},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&quartzdockv1.CreateServiceResponse{
+		Result:  answer,
+		Service: s.serviceNamed(ctx, service),
+	}), nil
+}
+
+// UpdateService implements the schema.
+func (s *adminServer) UpdateService(ctx context.Context, request *connect.Request[quartzdockv1.UpdateServiceRequest]) (*connect.Response[quartzdockv1.UpdateServiceResponse], error) {
+	service := serviceFromMessage(request.Msg.GetService())
+	_, answer, err := s.mutate(ctx, request.Msg.GetMutation(), controlstate.Command{
+		UpdateService: &controlstate.UpdateService{Service: service},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&quartzdockv1.UpdateServiceResponse{
+		Result:  answer,
+		Service: s.serviceNamed(ctx, service),
+	}), nil
+}
+
+// serviceNamed returns the service as it is now, or as asked for in a dry run.
+func (s *adminServer) serviceNamed(ctx context.Context, asked topology.Service) *quartzdockv1.Service {
+	info := controlstate.ServiceInfo{Service: asked}
+	_ = s.read(ctx, func() {
+		if found, ok := s.controller.state.Service(asked.Name); ok {
+			info = found
+		}
+	})
+	return serviceMessage(&info)
+}
+
+// DeleteService implements the schema.
+func (s *adminServer) DeleteService(ctx context.Context, request *connect.Request[quartzdockv1.DeleteServiceRequest]) (*connect.Response[quartzdockv1.DeleteServiceResponse], error) {
+	_, answer, err := s.mutate(ctx, request.Msg.GetMutation(), controlstate.Command{
+		DeleteService: &controlstate.DeleteService{Name: request.Msg.GetName()},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&quartzdockv1.DeleteServiceResponse{Result: answer}), nil
+}
+
+// ListServices implements the schema.
+func (s *adminServer) ListServices(ctx context.Context, _ *connect.Request[quartzdockv1.ListServicesRequest]) (*connect.Response[quartzdockv1.ListServicesResponse], error) {
+	response := &quartzdockv1.ListServicesResponse{}
+	err := s.read(ctx, func() {
+		response.Age = s.age()
+		for _, info := range s.controller.state.Services() {
+			response.Services = append(response.Services, serviceMessage(&info))
+		}
+	})
+	return connect.NewResponse(response), err
+}
--- /dev/null
+++ b/internal/controller/session_send.go
@@ -0,0 +1,203 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/distribution"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+// sessionOutbox holds what waits for a session's sender. Each kind is kept
+// once, the newest: a later answer to a renewal makes an earlier one useless.
+// Routing data are not kept here but taken from the published view.
+type sessionOutbox struct {
+	mutex   sync.Mutex
+	next    outboxContent
+	wake    chan struct{}
+	started bool
+	// services limits the routing data; routing is false for an agent that is
+	// not known yet and gets none.
+	services []topology.ServiceID
+	routing  bool
+}
+
+type outboxContent struct {
+	welcome  *wire.Welcome
+	renewAck *wire.RenewAck
+	redirect *wire.Redirect
+	barriers []wire.BarrierAck
+}
+
+func (o *sessionOutbox) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (o *sessionOutbox) change(edit func(next *outboxContent)) {
+	o.mutex.Lock()
+	edit(&o.next)
+	o.mutex.Unlock()
+	o.signal()
+}
+
+func (o *sessionOutbox) welcome(welcome wire.Welcome) {
+	o.change(func(next *outboxContent) { next.welcome = &welcome })
+}
+
+func (o *sessionOutbox) renewAck(ack wire.RenewAck) {
+	o.change(func(next *outboxContent) { next.renewAck = &ack })
+}
+
+func (o *sessionOutbox) redirect(address string) {
+	o.change(func(next *outboxContent) { next.redirect = &wire.Redirect{LeaderAddress: address} })
+}
+
+func (o *sessionOutbox) barrierAck(ack wire.BarrierAck) {
+	o.change(func(next *outboxContent) { next.barriers = append(next.barriers, ack) })
+}
+
+// route sets which routing data the session gets.
+func (o *sessionOutbox) route(services []topology.ServiceID) {
+	o.mutex.Lock()
+	o.services = services
+	o.routing = true
+	o.mutex.Unlock()
+	o.signal()
+}
+
+// take empties the outbox.
+func (o *sessionOutbox) take() (content outboxContent, services []topology.ServiceID, routing bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	content = o.next
+	o.next = outboxContent{}
+	return content, o.services, o.routing
+}
+
+// sendAll sends until the session ends.
+func (s *session) sendAll() {
+	interval := s.controller.config.AliveInterval
+	alive := time.NewTimer(interval)
+	defer alive.Stop()
+	due := false
+	for {
+		content, services, routing := s.outbox.take()
+		sent, err := s.sendContent(content)
+		if err != nil {
+			return
+		}
+		updated, err := s.sendRouting(services, routing)
+		if err != nil {
+			return
+		}
+		if due && !sent && !updated {
+			err = s.conn.Send(wire.FromController{Alive: s.alive()})
+			if err != nil {
+				return
+			}
+		}
+		if due || sent || updated {
+			alive.Reset(interval)
+			due = false
+		}
+		select {
+		case <-s.outbox.wake:
+		case <-alive.C:
+			due = true
+		case <-s.closed:
+			return
+		}
+	}
+}
+
+// alive reports the newest revision here and how old that knowledge is. The
+// age is read first: a revision that comes in between only makes it newer.
+func (s *session) alive() *wire.Alive {
+	contact := s.controller.leaderContact()
+	return &wire.Alive{Revision: s.controller.view.Load().Newest(), LeaderContact: contact}
+}
+
+func (s *session) sendContent(content outboxContent) (sent bool, err error) {
+	var messages []wire.FromController
+	if content.welcome != nil {
+		messages = append(messages, wire.FromController{Welcome: content.welcome})
+	}
+	if content.renewAck != nil {
+		messages = append(messages, wire.FromController{RenewAck: content.renewAck})
+	}
+	for index := range content.barriers {
+		messages = append(messages, wire.FromController{BarrierAck: &content.barriers[index]})
+	}
+	if content.redirect != nil {
+		messages = append(messages, wire.FromController{Redirect: content.redirect})
+	}
+	for _, message := range messages {
+		if err := s.conn.Send(message); err != nil {
+			return true, err
+		}
+	}
+	return len(messages) > 0, nil
+}
+
+// sendRouting brings the subscriber to the newest revision.
+func (s *session) sendRouting(services []topology.ServiceID, routing bool) (sent bool, err error) {
+	view := s.controller.view.Load()
+	if !routing || view.Newest() <= s.sent {
+		return false, nil
+	}
+	if s.sent != 0 {
+		delta, ok := view.Since(s.sent)
+		if ok {
+			delta = distribution.Filter(delta, services)
+			s.sent = delta.To
+			s.controller.metrics.deltas.Inc()
+			return true, s.conn.Send(wire.FromController{Delta: &delta})
+		}
+	}
+	return true, s.sendSnapshot(services, view.Newest())
+}
+
+func (s *session) sendSnapshot(services []topology.ServiceID, atLeast topology.Revision) error {
+	snapshot, err := s.controller.snapshotSince(s.closed, atLeast)
+	if err != nil {
+		return err
+	}
+	filtered := distribution.FilterSnapshot(*snapshot, services)
+	s.sent = filtered.Revision
+	s.controller.metrics.snapshots.Inc()
+	return s.conn.Send(wire.FromController{Snapshot: &filtered})
+}
+
+// snapshotCache keeps the last routing snapshot, so that many subscribers that
+// come at once share one.
+type snapshotCache struct {
+	mutex sync.Mutex
+	last  *wire.RoutingSnapshot
+}
+
+// snapshotSince returns a routing snapshot at a revision or a later one. A
+// cached one that the published deltas lead on from will do as well.
+func (c *Controller) snapshotSince(cancel <-chan struct{}, atLeast topology.Revision) (*wire.RoutingSnapshot, error) {
+	c.snapshots.mutex.Lock()
+	defer c.snapshots.mutex.Unlock()
+	if cached := c.snapshots.last; cached != nil {
+		_, leadsOn := c.view.Load().Since(cached.Revision)
+		if cached.Revision >= atLeast || leadsOn {
+			return cached, nil
+		}
+	}
+	taken := make(chan wire.RoutingSnapshot, 1)
+	c.replica.Post(func() { taken <- c.state.Routing() })
+	select {
+	case snapshot := <-taken:
+		c.snapshots.last = &snapshot
+		return &snapshot, nil
+	case <-cancel:
+		return nil, context.Canceled
+	}
+}
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -372,3 +372,14 @@
 func sortedKeys[K ~uint32 | ~uint64, V any](entries map[K]V) []K {
 	return slices.Sorted(maps.Keys(entries))
 }
+
+// BackendCount returns how many back ends there are.
+func (s *State) BackendCount() int { return len(s.backends) }
+
+// ServiceAndShardCount returns how many services and shards there are.
+func (s *State) ServiceAndShardCount() (services, shards int) {
+	for _, record := range s.services {
+		shards += len(record.ordered)
+	}
+	return len(s.services), shards
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -161,8 +161,20 @@
 	return c.leading && c.leases.Live(backend, now)
 }
 
-// Decision returns placement's last decision.
-func (c *Coordinator) Decision() placement.Decision { return c.decision }
+// Pending returns the moves of placement's last decision that were not begun.
+func (c *Coordinator) Pending() []placement.Move {
+	var pending []placement.Move
+	for _, move := range c.decision.Moves {
+		shard, known := c.state.Shard(move.Shard)
+		if known && shard.Owner == move.From && shard.Phase != topology.ShardWarming && shard.Phase != topology.ShardReleasing {
+			pending = append(pending, move)
+		}
+	}
+	return pending
+}
+
+// Findings returns what placement wants the operator to know.
+func (c *Coordinator) Findings() []placement.Finding { return c.decision.Findings }
 
 // Load returns what was observed of a back end.
 func (c *Coordinator) Load(backend topology.BackendID) loadtable.Backend {
--- a/internal/coordinator/leases.go
+++ b/internal/coordinator/leases.go
@@ -8,9 +8,10 @@
 )
 
 // Attach says that the process with a boot number opened a session for a back
-// end. Its lease is renewed once it has the present revision in force, so that
-// nothing it remembers from before counts.
-func (c *Coordinator) Attach(backend topology.BackendID, boot uint64, now time.Duration) {
+// end. A process that has nothing in force yet is given a lease once it has the
+// present revision. One with an applied revision has had it since its start:
+// processes keep no routing data over a restart.
+func (c *Coordinator) Attach(backend topology.BackendID, hello *wire.Hello, now time.Duration) {
 	if !c.leading {
 		return
 	}
@@ -20,11 +21,14 @@
 		c.agents[backend] = known
 		c.settling.came(c.serviceOf(backend), now)
 	}
-	if known.boot != boot {
-		known.boot = boot
+	if known.boot != hello.Boot {
+		known.boot = hello.Boot
 		known.leaving = false
 	}
-	known.required = c.state.Revision()
+	known.required = 1
+	if hello.Applied == 0 {
+		known.required = c.state.Revision()
+	}
 }
 
 func (c *Coordinator) serviceOf(backend topology.BackendID) topology.ServiceID {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -22,7 +22,8 @@
 	// Address is where the process takes requests (agent: from routers).
 	Address string
 	// Applied is the last revision the process has in force; zero asks for a
-	// snapshot.
+	// snapshot. It is zero at the start of a process: routing data is not kept
+	// over a restart (internal/coordinator relies on it).
 	Applied topology.Revision
 	// Services limits the routing data sent; empty asks for all.
 	Services []topology.ServiceID
@@ -146,6 +147,10 @@
 	Warmed     *Warmed
 	Released   *Released
 	RouterLoad *RouterLoad
+	// From a controller that follows, to the leader.
+	Member      *Member
+	Subscribers *SubscriberReport
+	Barrier     *Barrier
 }
 
 // FromController is what a controller sends to a router or an agent.
@@ -160,6 +165,8 @@
 	Alive *Alive
 	// Redirect asks the process to open its session elsewhere.
 	Redirect *Redirect
+	// BarrierAck answers Barrier.
+	BarrierAck *BarrierAck
 }
 
 // Alive keeps a subscriber informed of the newest revision.
@@ -174,3 +181,57 @@
 type Redirect struct {
 	LeaderAddress string
 }
+
+// StopRelyingAfter is how long a router serves by routing data without a proof
+// that they are the newest. It bounds how long an accepted change may be
+// ignored by a process that is cut off, and with it the time until the change
+// is known to be in force everywhere.
+const StopRelyingAfter = 2500 * time.Millisecond
+
+// Member is what a controller that follows says of itself to the leader.
+type Member struct {
+	ID             topology.ReplicaID
+	Incarnation    topology.Incarnation
+	PeerAddress    string
+	SessionAddress string
+	RPCAddress     string
+}
+
+// SubscriberReport passes on to the leader what the subscribers of a controller
+// that follows have reported since the last one.
+type SubscriberReport struct {
+	// All is set where Subscribers names every subscriber of the controller.
+	All         bool
+	Subscribers []SubscriberState
+	Loads       []RouterLoadFrom
+}
+
+// SubscriberState is what a controller knows of one subscriber.
+type SubscriberState struct {
+	Role      topology.Role
+	Name      string
+	Address   string
+	Location  topology.Location
+	Applied   topology.Revision
+	Connected bool
+	// Silent is how long ago it was last heard.
+	Silent time.Duration
+}
+
+// RouterLoadFrom is a RouterLoad with the name of the router that sent it.
+type RouterLoadFrom struct {
+	Router string
+	Load   RouterLoad
+}
+
+// Barrier asks the leader for its newest committed revision, confirmed by a
+// quorum after the question came.
+type Barrier struct{ Token uint64 }
+
+// BarrierAck answers Barrier.
+type BarrierAck struct {
+	Token    uint64
+	Revision topology.Revision
+	// Failed is set where the controller could not confirm its leadership.
+	Failed bool
+}
