--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -288,3 +288,12 @@
 	pool.AddCert(leaf)
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
 }
+
+// discard is a stream that takes everything and gives nothing.
+type discard struct{ net.Conn }
+
+func (discard) Write(data []byte) (int, error)   { return len(data), nil }
+func (discard) SetWriteDeadline(time.Time) error { return nil }
+func (discard) SetReadDeadline(time.Time) error  { return nil }
+func (discard) Close() error                     { return nil }
+func (discard) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
