Run the controller on the consensus group

The controller had only a log without peers. ReplicateOn fits internal/replica to it and sorts proposal errors by whether the command may still take effect. Tests run three controllers with disks: after the leader is stopped a resend gets its first answer, agents find the new leader and a drain goes on; routers are served by each member, a change is known to be in force everywhere, and a follower names the leader's address for operators.

--- a/internal/controller/config.go
+++ b/internal/controller/config.go
@@ -25,8 +25,6 @@
 	// operators: "IP:port"; port 0 takes a free one.
 	SessionListen string
 	RPCListen     string
-	// PeerAddress is where other controllers reach this one.
-	PeerAddress string
 
 	// LeaseDuration of agents' leases; default 500 ms. All controllers of a
 	// group have the same.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -31,6 +31,8 @@
 	admin    quartzdockv1connect.AdminServiceClient
 	revision uint64
 	requests int
+	// controllers that agents may use.
+	controllers []string
 }
 
 func start(t *testing.T) *fixture {
@@ -43,7 +45,7 @@
 	})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.Check(t, running.Stop()) })
-	f := &fixture{t: t, addr: running.Addresses()}
+	f := &fixture{t: t, addr: running.Addresses(), controllers: []string{running.Addresses().Sessions}}
 	f.admin = quartzdockv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+f.addr.RPC)
 	return f
 }
@@ -100,7 +102,7 @@
 	ready := make(chan struct{})
 	client, err := subscription.Start(subscription.Config{
 		Group: 1, Role: topology.RoleAgent, Name: backendName(number), Address: agentAddress(number),
-		Controllers: []string{f.addr.Sessions}, Lease: a.holder,
+		Controllers: f.controllers, Lease: a.holder,
 		OnTable: func(table *routing.Table) {
 			<-ready
 			a.follow(table)
@@ -113,6 +115,17 @@
 	return a
 }
 
+func (f *fixture) startRouter(name, controller string) *subscription.Client {
+	f.t.Helper()
+	router, err := subscription.Start(subscription.Config{
+		Group: 1, Role: topology.RoleRouter, Name: name, Address: "127.0.0.1:8080",
+		Controllers: []string{controller},
+	})
+	assert.NilError(f.t, err)
+	f.t.Cleanup(router.Stop)
+	return router
+}
+
 func (a *agent) follow(table *routing.Table) {
 	a.mutex.Lock()
 	a.table = table
@@ -242,12 +255,7 @@
 func TestChangeIsInForceOnceEveryoneConfirmed(t *testing.T) {
 	f := start(t)
 	f.createService("wayfinder", 4)
-	router, err := subscription.Start(subscription.Config{
-		Group: 1, Role: topology.RoleRouter, Name: "router-1", Address: "127.0.0.1:8080",
-		Controllers: []string{f.addr.Sessions},
-	})
-	assert.NilError(t, err)
-	t.Cleanup(router.Stop)
+	router := f.startRouter("router-1", f.addr.Sessions)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if router.Table() == nil {
 			return poll.Continue("no table")
--- /dev/null
+++ b/internal/controller/group_test.go
@@ -0,0 +1,172 @@
+package controller_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	quartzdockv1 "github.com/quartzdock/quartzdock/api/quartzdock/v1"
+	"github.com/quartzdock/quartzdock/api/quartzdock/v1/quartzdockv1connect"
+	"github.com/quartzdock/quartzdock/internal/controller"
+	"github.com/quartzdock/quartzdock/internal/replica"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/transport"
+)
+
+// group is three controllers with disks and peers on loopback.
+type group struct {
+	t       *testing.T
+	peers   []replica.Peer
+	dirs    []string
+	members []*controller.Controller
+	addrs   []controller.Addresses
+}
+
+func startGroup(t *testing.T) *group {
+	t.Helper()
+	g := &group{t: t}
+	listeners := make([]*transport.Listener, 3)
+	for index := range 3 {
+		listener, err := transport.Listen("127.0.0.1:0", transport.Options{})
+		assert.NilError(t, err)
+		listeners[index] = listener
+		g.peers = append(g.peers, replica.Peer{ID: topology.ReplicaID(index + 1), Address: listener.Address()})
+		g.dirs = append(g.dirs, t.TempDir())
+	}
+	for index := range 3 {
+		member := g.startMember(index, listeners[index])
+		g.members = append(g.members, member)
+		g.addrs = append(g.addrs, member.Addresses())
+	}
+	t.Cleanup(func() {
+		for _, member := range g.members {
+			if member != nil {
+				assert.Check(t, member.Stop())
+			}
+		}
+	})
+	return g
+}
+
+func (g *group) startMember(index int, listener *transport.Listener) *controller.Controller {
+	g.t.Helper()
+	member, err := controller.Start(controller.Config{
+		Group:         1,
+		SessionListen: "127.0.0.1:0",
+		RPCListen:     "127.0.0.1:0",
+		Replicate: controller.ReplicateOn(replica.Config{
+			Group: 1, ID: g.peers[index].ID, DataDir: g.dirs[index], Peers: g.peers, Listener: listener,
+		}),
+	})
+	assert.NilError(g.t, err)
+	return member
+}
+
+// stop ends one member.
+func (g *group) stop(index int) {
+	g.t.Helper()
+	assert.Check(g.t, g.members[index].Stop())
+	g.members[index] = nil
+}
+
+func (g *group) sessions() []string {
+	var addresses []string
+	for _, address := range g.addrs {
+		addresses = append(addresses, address.Sessions)
+	}
+	return addresses
+}
+
+// leader waits for a running member that answers changes and returns its index
+// and an operator's client.
+func (g *group) leader() (int, quartzdockv1connect.AdminServiceClient) {
+	g.t.Helper()
+	found := -1
+	var client quartzdockv1connect.AdminServiceClient
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		for index, member := range g.members {
+			if member == nil {
+				continue
+			}
+			candidate := quartzdockv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+g.addrs[index].RPC)
+			_, err := candidate.WaitInForce(g.t.Context(), connect.NewRequest(&quartzdockv1.WaitInForceRequest{}))
+			if err == nil {
+				found, client = index, candidate
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no leader")
+	}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(10*time.Second))
+	return found, client
+}
+
+func TestChangeAndOwnersSurviveTheLeader(t *testing.T) {
+	g := startGroup(t)
+	index, admin := g.leader()
+	f := &fixture{t: t, addr: g.addrs[index], admin: admin, controllers: g.sessions()}
+	f.createService("wayfinder", 8)
+	for number := 1; number <= 2; number++ {
+		f.createBackend("wayfinder", number)
+		f.startAgent(number)
+	}
+	f.waitOwned(map[string]uint32{"backend-1": 4, "backend-2": 4})
+	resend := &quartzdockv1.UpdateServiceRequest{
+		Mutation: f.mutation(),
+		Service:  &quartzdockv1.Service{Name: "wayfinder", InitialShards: 8, DrainLimit: durationOf(time.Second)},
+	}
+	first, err := f.admin.UpdateService(t.Context(), connect.NewRequest(resend))
+	assert.NilError(t, err)
+
+	g.stop(index)
+	_, f.admin = g.leader()
+	again, err := f.admin.UpdateService(t.Context(), connect.NewRequest(resend))
+	assert.NilError(t, err)
+	assert.Assert(t, again.Msg.Result.Repeated)
+	assert.Equal(t, again.Msg.Result.Revision, first.Msg.Result.Revision)
+	f.revision = again.Msg.Result.Revision
+
+	response, err := f.admin.DrainBackend(t.Context(), connect.NewRequest(&quartzdockv1.DrainBackendRequest{
+		Mutation: f.mutation(), Service: "wayfinder", Name: "backend-1",
+	}))
+	assert.NilError(t, err)
+	f.revision = response.Msg.Result.Revision
+	f.waitOwned(map[string]uint32{"backend-1": 0, "backend-2": 8})
+}
+
+func TestFollowersServeRoutersAndNameTheLeader(t *testing.T) {
+	g := startGroup(t)
+	index, admin := g.leader()
+	f := &fixture{t: t, addr: g.addrs[index], admin: admin}
+	f.createService("closures", 4)
+	for other := range g.members {
+		router := f.startRouter(fmt.Sprint("router-", other), g.addrs[other].Sessions)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if table := router.Table(); table == nil || uint64(table.Revision()) < f.revision {
+				return poll.Continue("router %d has no table yet", other)
+			}
+			return poll.Success()
+		}, poll.WithDelay(time.Millisecond))
+	}
+	mutation := f.mutation()
+	mutation.WaitInForce = durationOf(20 * time.Second)
+	response, err := f.admin.UpdateService(t.Context(), connect.NewRequest(&quartzdockv1.UpdateServiceRequest{
+		Mutation: mutation,
+		Service:  &quartzdockv1.Service{Name: "closures", InitialShards: 4, DrainLimit: durationOf(time.Second)},
+	}))
+	assert.NilError(t, err)
+	assert.Assert(t, response.Msg.Result.InForce.Everywhere, "%v", response.Msg.Result.InForce)
+
+	follower := (index + 1) % len(g.members)
+	client := quartzdockv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+g.addrs[follower].RPC)
+	_, err = client.DeleteService(t.Context(), connect.NewRequest(&quartzdockv1.DeleteServiceRequest{
+		Mutation: f.mutation(), Name: "closures",
+	}))
+	var elsewhere quartzdockv1.NotLeader
+	assertDetail(t, err, connect.CodeUnavailable, &elsewhere)
+	assert.Equal(t, elsewhere.LeaderRpcAddress, g.addrs[index].RPC)
+}
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -40,7 +40,7 @@
 	self := controlstate.Controller{
 		ID:             status.ID,
 		Incarnation:    status.Incarnation,
-		PeerAddress:    c.config.PeerAddress,
+		PeerAddress:    c.replica.PeerAddress(),
 		SessionAddress: c.sessions.Address(),
 		RPCAddress:     c.rpc.Addr().String(),
 	}
@@ -117,7 +117,7 @@
 // batchDone ends a batch unless its outcome is unknown; then leadership is on
 // its way out, and until then nothing that depends on the outcome is done.
 func (c *Controller) batchDone(result any, err error, proposed time.Duration) {
-	if err != nil && !errors.Is(err, ErrNotLeader) {
+	if errors.Is(err, ErrOutcomeUnknown) {
 		c.metrics.failedBatches.Inc()
 		return
 	}
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -150,7 +150,7 @@
 	return conn.Send(wire.ToController{Member: &wire.Member{
 		ID:             status.ID,
 		Incarnation:    status.Incarnation,
-		PeerAddress:    c.config.PeerAddress,
+		PeerAddress:    c.replica.PeerAddress(),
 		SessionAddress: c.sessions.Address(),
 		RPCAddress:     c.rpc.Addr().String(),
 	}})
--- a/internal/controller/replicator.go
+++ b/internal/controller/replicator.go
@@ -14,8 +14,8 @@
 // provides it; tests have one without peers.
 type Replicator interface {
 	// Propose returns the result of Machine.Apply. It fails with ErrNotLeader
-	// where nothing was proposed and with ErrOutcomeUnknown where the command
-	// may or may not be applied later.
+	// or ErrNotAccepted where the command has no effect, and with
+	// ErrOutcomeUnknown where it may or may not be applied later.
 	Propose(ctx context.Context, command []byte) (any, error)
 	// ProposeAsync is Propose from the control goroutine; done runs there.
 	ProposeAsync(command []byte, done func(result any, err error))
@@ -27,6 +27,10 @@
 	ChangeMembership(ctx context.Context, change consensus.Change) error
 	// Status may be called from any goroutine.
 	Status() consensus.Status
+	// Incarnation is that of the data folder, PeerAddress where other members
+	// reach this one.
+	Incarnation() topology.Incarnation
+	PeerAddress() string
 	// Now reads the clock that Status refers to, from any goroutine.
 	Now() time.Duration
 	Stop() error
@@ -47,6 +51,9 @@
 var (
 	// ErrNotLeader: nothing was proposed.
 	ErrNotLeader = errors.New("this controller does not lead")
+	// ErrNotAccepted: the command has no effect, for example for want of disk
+	// space.
+	ErrNotAccepted = errors.New("not accepted")
 	// ErrOutcomeUnknown: the command may or may not be applied later. A resend
 	// with the same request id finds out.
 	ErrOutcomeUnknown = errors.New("leadership ended before the outcome was known; send again with the same request id")
--- a/internal/controller/rpc_errors.go
+++ b/internal/controller/rpc_errors.go
@@ -71,11 +71,14 @@
 // notLeader names the leader's address for operators.
 func (s *adminServer) notLeader() error {
 	c := s.controller
+	detail := &quartzdockv1.NotLeader{}
 	address := make(chan string, 1)
 	c.replica.Post(func() { address <- c.leaderRPCAddress(c.replica.Status()) })
-	return withDetail(connect.CodeUnavailable, ErrNotLeader, &quartzdockv1.NotLeader{
-		LeaderRpcAddress: <-address,
-	})
+	select {
+	case detail.LeaderRpcAddress = <-address:
+	case <-c.stopping:
+	}
+	return withDetail(connect.CodeUnavailable, ErrNotLeader, detail)
 }
 
 // membershipError turns a refused membership change into an answer.
--- a/internal/controller/rpc_server.go
+++ b/internal/controller/rpc_server.go
@@ -68,6 +68,8 @@
 	select {
 	case <-done:
 		return nil
+	case <-s.controller.stopping:
+		return connect.NewError(connect.CodeUnavailable, errStopping)
 	case <-ctx.Done():
 		return connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
 	}
--- a/internal/controller/session_send.go
+++ b/internal/controller/session_send.go
@@ -14,10 +14,9 @@
 // once, the newest: a later answer to a renewal makes an earlier one useless.
 // Routing data are not kept here but taken from the published view.
 type sessionOutbox struct {
-	mutex   sync.Mutex
-	next    outboxContent
-	wake    chan struct{}
-	started bool
+	mutex sync.Mutex
+	next  outboxContent
+	wake  chan struct{}
 	// services limits the routing data; routing is false for an agent that is
 	// not known yet and gets none.
 	services []topology.ServiceID
--- a/internal/controller/solo_test.go
+++ b/internal/controller/solo_test.go
@@ -87,6 +87,10 @@
 	}
 }
 
+func (r *soloReplica) Incarnation() topology.Incarnation { return 7 }
+
+func (r *soloReplica) PeerAddress() string { return "127.0.0.1:7102" }
+
 func (r *soloReplica) Stop() error {
 	r.stop.Do(func() { close(r.done) })
 	r.ended.Wait()
