Print removed objects of a watch by their numbers

The schema's WatchResponse now names removed services, back ends and shards by number, while the admin client still read names; the merged tree did not build. The client prints all three kinds.

--- a/internal/admin/revisions.go
+++ b/internal/admin/revisions.go
@@ -146,8 +146,8 @@
 	for _, service := range change.GetServices() {
 		fmt.Fprintf(out, "  service %s\n", service.GetName())
 	}
-	for _, name := range change.GetRemovedServices() {
-		fmt.Fprintf(out, "  service %s deleted\n", name)
+	for _, id := range change.GetRemovedServiceIds() {
+		fmt.Fprintf(out, "  service number %d deleted\n", id)
 	}
 	for _, backend := range change.GetBackends() {
 		fmt.Fprintf(out, "  back end %s/%s %s\n", backend.GetService(), backend.GetName(), enumText(backend.GetState(), "BACKEND_STATE_"))
@@ -156,5 +156,11 @@
 		fmt.Fprintf(out, "  shard %s %s owner=%s target=%s epoch=%d\n", shardName(shard),
 			enumText(shard.GetPhase(), "SHARD_PHASE_"), shard.GetOwner(), shard.GetTarget(), shard.GetEpoch())
 	}
+	for _, id := range change.GetRemovedBackendIds() {
+		fmt.Fprintf(out, "  back end number %d removed\n", id)
+	}
+	for _, shard := range change.GetRemovedShards() {
+		fmt.Fprintf(out, "  shard %d/%d merged into its neighbour\n", shard.GetServiceId(), shard.GetNumber())
+	}
 	return nil
 }
