--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -278,6 +279,20 @@
 	return found.byNumber[id.Shard]
 }
 
+// EndOf returns the last position of a shard's range.
+func (s *State) EndOf(id topology.ShardID) topology.KeyHash {
+	record := s.shard(id)
+	if record == nil {
+		return 0
+	}
+	owner := s.services[id.Service]
+	next := owner.indexOf(record.Start) + 1
+	if next == len(owner.ordered) {
+		return math.MaxUint64
+	}
+	return owner.ordered[next].Start - 1
+}
+
 // ShardOfKey returns the shard that holds a position of a service's hash space.
 func (s *State) ShardOfKey(id topology.ServiceID, position topology.KeyHash) (topology.Shard, bool) {
 	found, ok := s.services[id]
@@ -372,3 +387,14 @@
 func sortedKeys[K ~uint32 | ~uint64, V any](entries map[K]V) []K {
 	return slices.Sorted(maps.Keys(entries))
 }
+
+// BackendCount returns how many back ends there are.
+func (s *State) BackendCount() int { return len(s.backends) }
+
+// ServiceAndShardCount returns how many services and shards there are.
+func (s *State) ServiceAndShardCount() (services, shards int) {
+	for _, record := range s.services {
+		shards += len(record.ordered)
+	}
+	return len(s.services), shards
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -27,6 +27,8 @@
 	findings []Finding
 	// loadMovesLeft is what remains of the budget per minute.
 	loadMovesLeft int
+	// splits counts the splits decided.
+	splits int
 }
 
 // node is a back end during a decision.
@@ -68,7 +70,7 @@
 }
 
 func (planner *planner) addNode(backend *BackendInput) {
-	leaving := backend.Leaving && handsOverBeforeRestart(planner.policy)
+	leaving := backend.Leaving && !WaitsForRestart(planner.policy)
 	leaves := backend.Backend.State == topology.BackendDraining || leaving
 	planner.nodeOf[backend.Backend.ID] = len(planner.nodes)
 	planner.nodes = append(planner.nodes, node{
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -33,8 +33,12 @@
 	// churnExchange is how long the whole service would have to be unavailable
 	// to cost as much as moving all its keys once, at equal weights.
 	churnExchange = 5 * time.Second
-	// expectedPause is how long a handed over shard is not served.
-	expectedPause = 20 * time.Millisecond
+	// pauseWeight is how much one hand-over costs, in average shards moved, at
+	// equal weights.
+	pauseWeight = 0.25
+	// joinSettle is how long load moves wait after a back end joined, so that
+	// joins at about the same time are handled as one.
+	joinSettle = 300 * time.Millisecond
 )
 
 // WithDefaults returns the policy with zero fields replaced by defaults.
@@ -71,10 +75,11 @@
 	return min(breakEven, policy.RestartGrace)
 }
 
-// handsOverBeforeRestart says whether a back end that announced a restart is
-// emptied first: when waiting for it would cost more than moving its keys away.
-func handsOverBeforeRestart(policy topology.PlacementPolicy) bool {
-	return EffectiveGrace(policy) < assumedRestart
+// WaitsForRestart says whether the shards of a back end that announced a
+// restart wait for it. Otherwise it is emptied first, because waiting would cost
+// more than moving its keys away; its agent then stops once it owns nothing.
+func WaitsForRestart(policy topology.PlacementPolicy) bool {
+	return EffectiveGrace(policy) >= assumedRestart
 }
 
 // assumedRestart is how long a planned restart is expected to take.
