Take requests that are not bound to a shard

Routers send requests of services without a key to any back end, without shard and epoch; agent and stand-in refused them all. Such a request now needs the lease alone, at admission and before its answer is released, and a draining or leaving back end takes none. Non-repeatable requests must name a shard, since the record of request ids belongs to one.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -76,6 +76,7 @@
 	healthy             atomic.Bool
 	claimed             atomic.Uint32
 	self                atomic.Uint32
+	service             atomic.Uint32
 	// table is the newest one put in force.
 	table atomic.Pointer[routing.Table]
 }
@@ -91,7 +92,7 @@
 		events:  make(chan func(*controlLoop), eventBacklog),
 		stopped: make(chan struct{}),
 	}
-	agent.view.Store(newView(nil))
+	agent.view.Store(newView(nil, nil))
 	agent.holder = ownership.NewHolder(agent.config.ClockDrift)
 	agent.lease = &lease{holder: agent.holder, withheld: true, extended: agent.leaseExtended}
 	agent.fitness = newFitness(agent.config.Fitness)
@@ -246,6 +247,7 @@
 
 // onWelcome learns the agent's identity.
 func (agent *Agent) onWelcome(welcome wire.Welcome) {
+	agent.service.Store(uint32(welcome.Service))
 	if agent.self.Swap(uint32(welcome.Backend)) != uint32(welcome.Backend) {
 		if table := agent.table.Load(); table != nil {
 			agent.onTable(table)
@@ -302,6 +304,21 @@
 	return secure.DialContext(ctx, "tcp", address)
 }
 
+// followState opens and closes the back end for requests that are not bound to
+// a shard: a draining or leaving one takes none.
+func (control *controlLoop) followState(backend *topology.Backend) {
+	takes := backend.State == topology.BackendActive && !control.leaving.Load()
+	switch {
+	case takes && control.unbound == nil:
+		control.unbound = newServed(topology.ShardID{}, 0, requestrecord.Range{})
+		control.publish()
+	case !takes && control.unbound != nil:
+		control.unbound.close()
+		control.unbound = nil
+		control.publish()
+	}
+}
+
 // applyLimits takes over how much the back end may be asked to do.
 func (control *controlLoop) applyLimits(backend *topology.Backend) {
 	if slots := int(backend.Slots); slots > 0 {
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -29,6 +29,7 @@
 	owned map[topology.ShardID]topology.Shard
 	// shards that are granted and begun, or finishing.
 	shards    map[topology.ShardID]*served
+	unbound   *served
 	grants    grantState
 	warmings  map[topology.ShardID]*warming
 	releases  map[topology.ShardID]*release
@@ -136,6 +137,7 @@
 		return
 	}
 	control.applyLimits(backend)
+	control.followState(backend)
 	control.owned = make(map[topology.ShardID]topology.Shard)
 	service, _ := table.Service(backend.Service)
 	for shard := range ownShards(service) {
@@ -147,6 +149,13 @@
 	control.reconcile()
 }
 
+// refollow looks at the present table again.
+func (control *controlLoop) refollow() {
+	if control.table != nil {
+		control.tableChanged(control.table, control.self)
+	}
+}
+
 // reconcile closes what is no longer owned and lets releases begin.
 func (control *controlLoop) reconcile() {
 	changed := false
@@ -166,7 +175,7 @@
 
 // publish gives the requests a new view.
 func (control *controlLoop) publish() {
-	previous := control.view.Swap(newView(maps.Clone(control.shards)))
+	previous := control.view.Swap(newView(maps.Clone(control.shards), control.unbound))
 	close(previous.changed)
 }
 
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -66,7 +66,7 @@
 		return refusedResult(gateRefusal(err))
 	}
 	defer slot.Release()
-	if err := agent.holder.Owns(parsed.shard, parsed.epoch, agent.now()); err != nil {
+	if err := agent.stillOwns(parsed); err != nil {
 		return refusedResult(fenceRefusal(err))
 	}
 	started := agent.now()
@@ -87,7 +87,7 @@
 
 func (agent *Agent) slotRequest(ctx context.Context, parsed request) admission.Request {
 	wanted := admission.Request{
-		Service: parsed.shard.Service,
+		Service: topology.ServiceID(agent.service.Load()),
 		Caller:  parsed.caller,
 		Class:   admission.ClassOf(parsed.class, parsed.nonRepeatable),
 	}
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/quartzdock/quartzdock/internal/ownership"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
-	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
@@ -92,7 +92,7 @@
 }
 
 func (agent *Agent) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, parsed request) result {
-	shard, refused := agent.admit(ctx, parsed.shard, parsed.epoch)
+	shard, refused := agent.admit(ctx, parsed)
 	if refused != nil {
 		return refusedResult(refused)
 	}
@@ -108,36 +108,82 @@
 	return agent.run(ctx, w, r, parsed, shard, body)
 }
 
+// fence says why a request may not be admitted now, or nil.
+func (agent *Agent) fence(parsed request) error {
+	if parsed.bound {
+		return agent.holder.Admits(parsed.shard, parsed.epoch, agent.now())
+	}
+	return agent.leased()
+}
+
+// stillOwns says why an admitted request may not go on, or nil.
+func (agent *Agent) stillOwns(parsed request) error {
+	if parsed.bound {
+		return agent.holder.Owns(parsed.shard, parsed.epoch, agent.now())
+	}
+	return agent.leased()
+}
+
+func (agent *Agent) leased() error {
+	if !agent.holder.Valid(agent.now()) {
+		return ownership.ErrNoLease
+	}
+	return nil
+}
+
+// find returns where the request is counted, or nil while the back end has not
+// been granted its shard.
+func (current *view) find(parsed request) *served {
+	if !parsed.bound {
+		return current.unbound
+	}
+	shard, ok := current.shards[parsed.shard]
+	if !ok || shard.epoch != parsed.epoch {
+		return nil
+	}
+	return shard
+}
+
 // admit checks the fence and counts the request in. It waits while the back
 // end is being granted the shard.
-func (agent *Agent) admit(ctx context.Context, id topology.ShardID, epoch topology.Epoch) (*served, *refusal) {
+func (agent *Agent) admit(ctx context.Context, parsed request) (*served, *refusal) {
 	var timeout <-chan time.Time
 	for {
 		current := agent.view.Load()
-		if err := agent.holder.Admits(id, epoch, agent.now()); err != nil {
+		if err := agent.fence(parsed); err != nil {
 			return nil, fenceRefusal(err)
 		}
-		if shard, ok := current.shards[id]; ok && shard.epoch == epoch {
-			if shard.enter() {
-				return shard, nil
+		if found := current.find(parsed); found != nil {
+			if found.enter() {
+				return found, nil
 			}
 			return nil, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the shard is being moved")
 		}
+		if !parsed.bound {
+			return nil, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the back end is leaving")
+		}
 		if timeout == nil {
 			timer := time.NewTimer(grantWait)
 			defer timer.Stop()
 			timeout = timer.C
 		}
-		select {
-		case <-current.changed:
-		case <-timeout:
-			return nil, notRun(http.StatusMisdirectedRequest, wire.ReasonNoLease, "the back end has not taken the grant")
-		case <-ctx.Done():
-			return nil, notRun(http.StatusGatewayTimeout, wire.ReasonExpired, "the deadline passed before the grant")
+		if refused := current.awaitChange(ctx, timeout); refused != nil {
+			return nil, refused
 		}
 	}
 }
 
+func (current *view) awaitChange(ctx context.Context, timeout <-chan time.Time) *refusal {
+	select {
+	case <-current.changed:
+		return nil
+	case <-timeout:
+		return notRun(http.StatusMisdirectedRequest, wire.ReasonNoLease, "the back end has not taken the grant")
+	case <-ctx.Done():
+		return notRun(http.StatusGatewayTimeout, wire.ReasonExpired, "the deadline passed before the grant")
+	}
+}
+
 // runOnce passes the record of request ids around run.
 func (agent *Agent) runOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, parsed request, shard *served, body *requestBody) result {
 	verdict, err := agent.record.Admit(ctx, parsed.shard, parsed.epoch, parsed.id, fingerprint(r, body))
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -45,7 +45,7 @@
 
 // owns says why an answer may not be released any more, or nil.
 func (agent *Agent) owns(parsed request) *refusal {
-	err := agent.holder.Owns(parsed.shard, parsed.epoch, agent.now())
+	err := agent.stillOwns(parsed)
 	if err == nil {
 		return nil
 	}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -23,8 +23,14 @@
 	maxDeadlineMs = int64(24 * time.Hour / time.Millisecond)
 )
 
+// errUnboundRecord: the record of request ids belongs to a shard.
+var errUnboundRecord = errors.New("a non-repeatable request must name its shard")
+
 // request is what a router says of a request in its headers.
 type request struct {
+	// bound requests belong to a shard; others may run at any back end of the
+	// service.
+	bound         bool
 	shard         topology.ShardID
 	epoch         topology.Epoch
 	class         topology.RequestClass
@@ -54,16 +60,22 @@
 	if header.Get(wire.HeaderClass) == classBulk {
 		parsed.class = topology.ClassBulk
 	}
+	parsed.bound = header.Get(wire.HeaderShard) != ""
 	var err error
-	parsed.shard, err = parseShard(header.Get(wire.HeaderShard))
-	note(wire.HeaderShard, err)
-	epoch, err := strconv.ParseUint(header.Get(wire.HeaderEpoch), decimal, epochBits)
-	parsed.epoch = topology.Epoch(epoch)
-	note(wire.HeaderEpoch, err)
+	if parsed.bound {
+		parsed.shard, err = parseShard(header.Get(wire.HeaderShard))
+		note(wire.HeaderShard, err)
+		epoch, err := strconv.ParseUint(header.Get(wire.HeaderEpoch), decimal, epochBits)
+		parsed.epoch = topology.Epoch(epoch)
+		note(wire.HeaderEpoch, err)
+	}
 	if text := header.Get(wire.HeaderDeadline); text != "" {
 		parsed.timeout, err = parseDeadline(text)
 		note(wire.HeaderDeadline, err)
 	}
+	if parsed.nonRepeatable && !parsed.bound {
+		note(wire.HeaderShard, errUnboundRecord)
+	}
 	if parsed.nonRepeatable {
 		parsed.id, err = requestid.Parse(header.Get(wire.HeaderRequestID))
 		note(wire.HeaderRequestID, err)
--- a/internal/agent/served.go
+++ b/internal/agent/served.go
@@ -88,10 +88,13 @@
 type view struct {
 	// shards that the back end is granted and whose record has begun.
 	shards map[topology.ShardID]*served
+	// unbound counts requests that are not bound to a shard; nil while the back
+	// end takes none.
+	unbound *served
 	// changed is closed when a newer view is published.
 	changed chan struct{}
 }
 
-func newView(shards map[topology.ShardID]*served) *view {
-	return &view{shards: shards, changed: make(chan struct{})}
+func newView(shards map[topology.ShardID]*served, unbound *served) *view {
+	return &view{shards: shards, unbound: unbound, changed: make(chan struct{})}
 }
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -26,6 +26,7 @@
 func (agent *Agent) stop() error {
 	deadline := agent.now() + agent.config.StopTimeout
 	agent.leaving.Store(true)
+	agent.post(func(control *controlLoop) { control.refollow() })
 	agent.subscription.RenewNow()
 	agent.waitUntil(agent.now()+agent.config.StopTimeout/2, agent.ownsNothing)
 	drained := agent.drain(deadline)
--- a/lab/backend/fence.go
+++ b/lab/backend/fence.go
@@ -78,13 +78,20 @@
 	return reading
 }
 
-// check returns the reason why a request may not act at an instant, or "".
+// check returns the reason why a request may not act at an instant, or "". A
+// request that is not bound to a shard needs the lease alone.
 func (f *fence) check(shard string, epoch topology.Epoch, now time.Time) string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if epoch > f.highest[shard] {
 		f.highest[shard] = epoch
 	}
+	if !now.Before(f.validUntil) {
+		return "lease over"
+	}
+	if shard == "" {
+		return ""
+	}
 	granted, found := f.granted[shard]
 	switch {
 	case !found:
@@ -93,8 +100,6 @@
 		return "epoch lower than the highest seen"
 	case epoch != granted:
 		return "epoch not granted"
-	case !now.Before(f.validUntil):
-		return "lease over"
 	}
 	return ""
 }
