Prove when a change is in force everywhere

A router counted its table as the newest from the arrival of a delta or an unasked Alive, so a message that was held up made old data look new, and its limit without proof was 10 s. The leader could then only guess when a cut-off router had stopped. Routers now ask (Ping) and count from the moment of asking; the limit is wire.StopRelyingAfter, 2.5 s, also the most that the settings allow. So 2.55 s after its commit a revision is in force everywhere, whoever was heard, and sooner if all have confirmed. The test of freshness in subscription took unasked Alive and deltas as proof; it now demands the opposite.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -41,6 +41,7 @@
 	freshness   freshness
 	relay       *relay
 	published   broadcast
+	commits     commitTimes
 	stopping    chan struct{}
 	background  sync.WaitGroup
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -21,6 +21,7 @@
 	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/subscription"
 	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/transport"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
@@ -273,3 +274,30 @@
 	assert.Assert(t, response.Msg.Result.InForce.Everywhere, "%v", response.Msg.Result.InForce)
 	assert.Equal(t, uint64(router.Table().Revision()), response.Msg.Result.Revision)
 }
+
+// TestSubscriberThatConfirmsNothing names a router that lags, and waits no
+// longer for it than it may serve by older data.
+func TestSubscriberThatConfirmsNothing(t *testing.T) {
+	f := start(t)
+	silent, err := transport.Dial(t.Context(), f.addr.Sessions, transport.Options{})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	hello := &wire.Hello{Group: 1, Role: topology.RoleRouter, Name: "silent", Address: "127.0.0.9:8080"}
+	assert.NilError(t, silent.Send(wire.ToController{Hello: hello}))
+	var welcome wire.FromController
+	assert.NilError(t, silent.Receive(&welcome))
+	f.createService("wayfinder", 4)
+
+	wait := func(timeout time.Duration) *quartzdockv1.InForce {
+		response, err := f.admin.WaitInForce(t.Context(), connect.NewRequest(&quartzdockv1.WaitInForceRequest{
+			Revision: f.revision, Timeout: durationOf(timeout),
+		}))
+		assert.NilError(t, err)
+		return response.Msg.InForce
+	}
+	early := wait(0)
+	assert.Assert(t, !early.Everywhere)
+	assert.Equal(t, len(early.Lagging), 1)
+	assert.Equal(t, early.Lagging[0].Name, "silent")
+	assert.Assert(t, wait(20*time.Second).Everywhere)
+}
--- a/internal/controller/in_force.go
+++ b/internal/controller/in_force.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
 	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
 // inForceRecheck is how often time alone is looked at while waiting: a silent
@@ -20,11 +22,20 @@
 	lagging    []subscriber
 }
 
-// inForceNow tells who does not have a revision in force yet. Controllers that
-// have not reported their subscribers count as lagging until those must have
-// stopped relying on older data. Only the leader knows.
+// inForceNow tells who does not have a revision in force yet. Only the leader
+// knows.
+//
+// A revision is in force everywhere when every subscriber has confirmed it, of
+// this controller and of all others. It is so at the latest
+// wire.StopRelyingAfter, and a bound of clock drift, after it was committed: a
+// router without it cannot have a proof of freshness from a later moment than
+// that, and without one it stops serving.
 func (c *Controller) inForceNow(revision topology.Revision, now time.Time) inForce {
 	result := inForce{revision: revision}
+	if now.Sub(c.committedAt(revision)) > relyingBound {
+		result.everywhere = true
+		return result
+	}
 	for _, entry := range c.subscribers.list(c.replica.Status().ID) {
 		if entry.applied < revision && !entry.stoppedRelying(now) {
 			result.lagging = append(result.lagging, entry)
@@ -35,26 +46,64 @@
 	return result
 }
 
-// silentControllers lists the members whose subscribers are not known.
+// relyingBound is how long after its commit a revision is in force everywhere,
+// whoever was heard.
+const relyingBound = wire.StopRelyingAfter + wire.StopRelyingAfter/50
+
+// committedAt returns a time by which a revision was certainly committed.
+func (c *Controller) committedAt(revision topology.Revision) time.Time {
+	return c.commits.at(revision)
+}
+
+// commitTimes remembers when this controller applied its latest revisions.
+type commitTimes struct {
+	mutex sync.Mutex
+	times []commitTime
+}
+
+type commitTime struct {
+	revision topology.Revision
+	at       time.Time
+}
+
+// add notes a revision and forgets what no one asks for any more.
+func (t *commitTimes) add(revision topology.Revision, at time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.times = append(t.times, commitTime{revision, at})
+	for len(t.times) > 1 && at.Sub(t.times[0].at) > 2*relyingBound {
+		t.times = t.times[1:]
+	}
+}
+
+// at returns when the first kept revision that includes the given one was
+// applied. For a revision that is older than all kept ones this is late, and
+// so on the safe side.
+func (t *commitTimes) at(revision topology.Revision) time.Time {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, entry := range t.times {
+		if entry.revision >= revision {
+			return entry.at
+		}
+	}
+	return time.Now()
+}
+
+// silentControllers lists the members that have not reported who has what.
 func (c *Controller) silentControllers(now time.Time) []subscriber {
 	status := c.replica.Status()
 	c.subscribers.mutex.Lock()
 	defer c.subscribers.mutex.Unlock()
-	since := c.subscribers.leadsSince
 	var silent []subscriber
 	for _, member := range status.Membership.Members {
 		if member.ID == status.ID {
 			continue
 		}
-		heard, reported := c.subscribers.members[member.ID]
-		if !reported {
-			heard = since
-		}
-		fresh := reported && now.Sub(heard) < 2*relayInterval+relaySlack
-		if fresh || now.Sub(heard) > 2*wireStopRelying {
-			continue
+		heard := c.subscribers.members[member.ID]
+		if now.Sub(heard) > 2*relayInterval+relaySlack {
+			silent = append(silent, silentController(member, heard))
 		}
-		silent = append(silent, silentController(member, heard))
 	}
 	return silent
 }
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -66,7 +66,7 @@
 	}
 	c.term = term
 	c.coordinator.BecomeLeader(c.replica.Now())
-	c.subscribers.becomeLeader(time.Now())
+	c.subscribers.becomeLeader()
 	c.metrics.elections.Inc()
 	c.log.Info("leads the group", "term", term, "revision", c.state.Revision())
 }
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"time"
+
 	"github.com/quartzdock/quartzdock/internal/controlstate"
 	"github.com/quartzdock/quartzdock/internal/distribution"
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -19,6 +21,7 @@
 	if delta.From == delta.To {
 		return result
 	}
+	c.commits.add(delta.To, time.Now())
 	c.deltas.Append(delta, c.totals())
 	c.publish()
 	c.follow(&command, delta)
@@ -60,6 +63,7 @@
 	if err := c.state.Decode(data); err != nil {
 		return err
 	}
+	c.commits.add(c.state.Revision(), time.Now())
 	c.deltas.Reset(c.state.Revision())
 	c.publish()
 	return nil
--- a/internal/controller/session_send.go
+++ b/internal/controller/session_send.go
@@ -28,6 +28,8 @@
 	renewAck *wire.RenewAck
 	redirect *wire.Redirect
 	barriers []wire.BarrierAck
+	// ping is the newest question of a router.
+	ping *wire.Ping
 }
 
 func (o *sessionOutbox) signal() {
@@ -56,6 +58,10 @@
 	o.change(func(next *outboxContent) { next.redirect = &wire.Redirect{LeaderAddress: address} })
 }
 
+func (o *sessionOutbox) ping(ping wire.Ping) {
+	o.change(func(next *outboxContent) { next.ping = &ping })
+}
+
 func (o *sessionOutbox) barrierAck(ack wire.BarrierAck) {
 	o.change(func(next *outboxContent) { next.barriers = append(next.barriers, ack) })
 }
@@ -94,8 +100,8 @@
 		if err != nil {
 			return
 		}
-		if due && !sent && !updated {
-			err = s.conn.Send(wire.FromController{Alive: s.alive()})
+		if content.ping != nil || (due && !sent && !updated) {
+			err = s.conn.Send(wire.FromController{Alive: s.alive(content.ping)})
 			if err != nil {
 				return
 			}
@@ -114,11 +120,17 @@
 	}
 }
 
-// alive reports the newest revision here and how old that knowledge is. The
-// age is read first: a revision that comes in between only makes it newer.
-func (s *session) alive() *wire.Alive {
+// alive reports the newest revision here and how old that knowledge is, as the
+// answer to a ping if there is one. The age is read first: a revision that
+// comes in between only makes it newer.
+func (s *session) alive(ping *wire.Ping) *wire.Alive {
 	contact := s.controller.leaderContact()
-	return &wire.Alive{Revision: s.controller.view.Load().Newest(), LeaderContact: contact}
+	message := &wire.Alive{Revision: s.controller.view.Load().Newest(), LeaderContact: contact}
+	if ping != nil {
+		message.Answers = true
+		message.PingSentAt = ping.SentAt
+	}
+	return message
 }
 
 func (s *session) sendContent(content outboxContent) (sent bool, err error) {
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -248,6 +248,9 @@
 		c.replica.Post(func() { c.coordinator.Warmed(s.backend, message.Warmed) })
 	case message.Released != nil:
 		c.replica.Post(func() { c.coordinator.Released(s.backend, message.Released) })
+	case message.Ping != nil:
+		c.subscribers.heard(s.key, time.Now())
+		s.outbox.ping(*message.Ping)
 	case message.RouterLoad != nil:
 		c.subscribers.heard(s.key, time.Now())
 		c.takeRouterLoad(s.hello.Name, message.RouterLoad)
--- a/internal/controller/subscribers.go
+++ b/internal/controller/subscribers.go
@@ -45,8 +45,6 @@
 	mutex   sync.Mutex
 	own     map[subscriberKey]*subscriber
 	foreign map[subscriberKey]*subscriber
-	// leadsSince is when this controller began to lead; zero while it does not.
-	leadsSince time.Time
 	// members holds when each other controller last reported.
 	members map[topology.ReplicaID]time.Time
 	changed broadcast
@@ -120,10 +118,9 @@
 	}
 }
 
-func (s *subscribers) becomeLeader(now time.Time) {
+func (s *subscribers) becomeLeader() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.leadsSince = now
 	clear(s.foreign)
 	clear(s.members)
 	s.changed.signal()
@@ -132,7 +129,6 @@
 func (s *subscribers) stepDown() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.leadsSince = time.Time{}
 	clear(s.foreign)
 	clear(s.members)
 	for _, entry := range s.own {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -103,8 +103,8 @@
 	// SupersededGrace is how long an attempt may go on after the routing table
 	// named a new owner. Default 100 ms.
 	SupersededGrace time.Duration
-	// StaleAfter is how long the router trusts its table without hearing a
-	// controller that follows a leader. Default 10 s.
+	// StaleAfter is how long the router trusts its table without a proof that
+	// it is the newest. Default and maximum are wire.StopRelyingAfter.
 	StaleAfter time.Duration
 
 	// DrainDelay is how long a planned stop goes on accepting connections, so
@@ -153,7 +153,7 @@
 	setDefault(&c.RetryBurst, 20)
 	setDefault(&c.AttemptTimeout, time.Second)
 	setDefault(&c.SupersededGrace, 100*time.Millisecond)
-	setDefault(&c.StaleAfter, 10*time.Second)
+	setDefault(&c.StaleAfter, wire.StopRelyingAfter)
 	setDefault(&c.DrainDelay, time.Second)
 	setDefault(&c.DrainLimit, 30*time.Second)
 	if c.Log == nil {
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
 
 // Router is the settings of a router, which takes callers' requests.
 type Router struct {
@@ -78,9 +82,9 @@
 	})
 	declareControllers(set, &router.Controllers)
 	set.duration(&router.StaleAfter, Field{
-		Name: "routing.stale-after", Default: "10s",
-		Usage: "After this time without hearing a controller that follows a leader, requests are answered 503 stale-routing.",
-	}, 500*time.Millisecond, 10*time.Minute)
+		Name: "routing.stale-after", Default: wire.StopRelyingAfter.String(),
+		Usage: "After this time without a proof from the controllers that the routing data are the newest, requests are answered 503 stale-routing. The controllers rely on the upper bound to say that a change is in force everywhere.",
+	}, 500*time.Millisecond, wire.StopRelyingAfter)
 	set.check(func(report func(field, problem string)) {
 		if (router.CallerCertificateFile == "") != (router.CallerKeyFile == "") {
 			report("callers.key-file", "callers.certificate-file and callers.key-file go together")
--- a/internal/subscription/config.go
+++ b/internal/subscription/config.go
@@ -22,6 +22,9 @@
 	// DefaultLeaderContactLimit is how long a controller may have been without
 	// a leader before a router tries another one.
 	DefaultLeaderContactLimit = 2 * time.Second
+	// DefaultPingInterval is how often a router asks whether its table is the
+	// newest.
+	DefaultPingInterval = 250 * time.Millisecond
 	// DefaultBackOffFirst and DefaultBackOffLimit bound the wait after failed
 	// attempts.
 	DefaultBackOffFirst = 20 * time.Millisecond
@@ -91,6 +94,8 @@
 	// LeaderContactLimit is how long the controller of a router may have been
 	// without a leader.
 	LeaderContactLimit time.Duration
+	// PingInterval between a router's questions whether its table is the newest.
+	PingInterval time.Duration
 	// BackOffFirst is the longest first wait after a failure; it doubles up to
 	// BackOffLimit.
 	BackOffFirst time.Duration
@@ -133,6 +138,7 @@
 	}
 	setDefault(&config.ConnectTimeout, DefaultConnectTimeout)
 	setDefault(&config.LeaderContactLimit, DefaultLeaderContactLimit)
+	setDefault(&config.PingInterval, DefaultPingInterval)
 	setDefault(&config.BackOffFirst, DefaultBackOffFirst)
 	setDefault(&config.BackOffLimit, DefaultBackOffLimit)
 	return config
--- a/internal/subscription/doc.go
+++ b/internal/subscription/doc.go
@@ -24,13 +24,13 @@
 //
 // # Freshness
 //
-// Freshness is the age of the last proof that the table was the newest. For an
-// agent the proof is RenewAck, whose age counts from the moment when the agent
-// sent the Renew; a paused process can therefore not mistake an old answer for
-// a new one. A router is not asked anything, so its proof counts from the
-// arrival of Delta or Alive, less the controller's own LeaderContact. A router
-// that was paused may believe for one message that it is fresh; epochs and
-// leases, not freshness, protect ownership.
+// Freshness is the age of the last proof that the table was the newest. The
+// proof is the answer to a question that the process asked, a Renew or a
+// router's Ping, and its age counts from the moment of asking, less the
+// controller's own LeaderContact. So neither a paused process nor a message
+// that was held up on its way can make old data look new. The leader relies on
+// it: wire.StopRelyingAfter after a change was accepted, no router serves by
+// older data, whether it was heard or not.
 //
 // # Goroutines
 //
--- a/internal/subscription/follow.go
+++ b/internal/subscription/follow.go
@@ -140,7 +140,10 @@
 	if c.config.Role == topology.RoleRouter && message.LeaderContact > c.config.LeaderContactLimit {
 		return false, &LeaderContactError{message.LeaderContact}
 	}
-	return c.freshIfAt(message.Revision, c.config.Now()-message.LeaderContact), nil
+	if !message.Answers || message.PingSentAt > c.config.Now() {
+		return false, nil
+	}
+	return c.freshIfAt(message.Revision, message.PingSentAt-message.LeaderContact), nil
 }
 
 func (c *Client) applySnapshot(open *session, snapshot wire.RoutingSnapshot) error {
@@ -160,8 +163,8 @@
 	return nil
 }
 
-// applyDelta advances the table. A delta proves freshness: the controller
-// could not have known of a committed change without a leader.
+// applyDelta advances the table. A delta proves no freshness: it may have been
+// on its way for long.
 func (c *Client) applyDelta(open *session, delta wire.RoutingDelta) (useful bool, err error) {
 	table := c.table.Load()
 	if table == nil {
@@ -178,7 +181,6 @@
 	}
 	c.counts.deltas.Add(1)
 	c.inForce(open, next)
-	c.provedFresh(c.config.Now())
 	return true, nil
 }
 
--- a/internal/subscription/send.go
+++ b/internal/subscription/send.go
@@ -32,9 +32,13 @@
 
 func (s *session) end() { close(s.ended) }
 
-// welcomed starts renewals once the controllers know the agent.
+// welcomed starts renewals once the controllers know the agent, and a router's
+// pings.
 func (s *session) welcomed(welcome wire.Welcome) {
-	if s.config.Lease != nil && welcome.Backend != 0 && welcome.RenewInterval > 0 {
+	switch {
+	case s.config.Lease == nil:
+		s.outbox.renewEach(s.config.PingInterval)
+	case welcome.Backend != 0 && welcome.RenewInterval > 0:
 		s.outbox.renewEach(welcome.RenewInterval)
 	}
 }
@@ -82,7 +86,11 @@
 	return true
 }
 
+// renewal returns what is sent at each interval: a Renew, or a router's Ping.
 func (s *session) renewal(batch outboxBatch) wire.ToController {
+	if s.config.Lease == nil {
+		return wire.ToController{Ping: &wire.Ping{SentAt: s.config.Now()}}
+	}
 	var renew wire.Renew
 	if s.config.Report != nil {
 		renew = s.config.Report()
--- a/internal/subscription/subscription_test.go
+++ b/internal/subscription/subscription_test.go
@@ -172,6 +172,31 @@
 	return wire.FromController{Alive: &wire.Alive{Revision: revision, LeaderContact: contact}}
 }
 
+// nextPing waits for the router's next question.
+func (p peer) nextPing() wire.Ping {
+	for {
+		var message wire.ToController
+		if p.Receive(&message) != nil {
+			return wire.Ping{}
+		}
+		if message.Ping != nil {
+			return *message.Ping
+		}
+	}
+}
+
+func answer(ping wire.Ping, revision topology.Revision, contact time.Duration) wire.FromController {
+	return wire.FromController{Alive: &wire.Alive{
+		Revision: revision, LeaderContact: contact, Answers: true, PingSentAt: ping.SentAt,
+	}}
+}
+
+// answerPing answers the router's next question.
+func (p peer) answerPing(t *testing.T, revision topology.Revision, contact time.Duration) {
+	t.Helper()
+	p.send(t, answer(p.nextPing(), revision, contact))
+}
+
 // eventually waits for a condition.
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
@@ -375,20 +400,47 @@
 	reading.Store(int64(time.Hour))
 	behind := make(chan struct{})
 	stub := startStub(t, func(p peer) {
-		p.send(t, routerWelcome(), snapshot(5), alive(5, time.Second))
+		p.send(t, routerWelcome(), snapshot(5))
+		p.answerPing(t, 5, time.Second)
 		<-behind
-		p.send(t, alive(6, 0), snapshot(5))
+		p.send(t, alive(5, 0), delta(5, 6))
+		p.answerPing(t, 7, 0)
+		p.send(t, snapshot(6))
 		p.drain()
 	})
 	c := startClient(t, Config{Controllers: []string{stub.listener.Address()}, SilenceLimit: time.Minute,
-		Now: func() time.Duration { return time.Duration(reading.Load()) }})
+		PingInterval: time.Millisecond, Now: func() time.Duration { return time.Duration(reading.Load()) }})
 	eventually(t, "a proof", func() bool { return c.Freshness(time.Hour) == time.Second })
 	reading.Store(int64(2 * time.Hour))
 	close(behind)
+	// Neither Alive that answers nothing, nor a delta, nor an answer that names
+	// a newer revision proves anything.
 	eventually(t, "the message after Alive", func() bool { return c.Statistics().Snapshots == 2 })
 	assert.Equal(t, c.Freshness(2*time.Hour), time.Hour+time.Second)
 }
 
+func TestAnswerThatWasHeldUpProvesOnlyTheTimeOfAsking(t *testing.T) {
+	reading := new(atomic.Int64)
+	reading.Store(int64(time.Hour))
+	asked := make(chan struct{})
+	held := make(chan struct{})
+	stub := startStub(t, func(p peer) {
+		p.send(t, routerWelcome(), snapshot(5))
+		ping := p.nextPing()
+		close(asked)
+		<-held
+		p.send(t, answer(ping, 5, 0))
+		p.drain()
+	})
+	c := startClient(t, Config{Controllers: []string{stub.listener.Address()}, SilenceLimit: time.Minute,
+		Now: func() time.Duration { return time.Duration(reading.Load()) }})
+	<-asked
+	reading.Store(int64(2 * time.Hour))
+	close(held)
+	eventually(t, "a proof", func() bool { return c.Freshness(2*time.Hour) != NeverFresh })
+	assert.Equal(t, c.Freshness(2*time.Hour), time.Hour)
+}
+
 func TestSendWithoutSessionIsRefused(t *testing.T) {
 	stub := startStub(t, func(p peer) {
 		p.send(t, wire.FromController{Welcome: &wire.Welcome{Refusal: "unknown name"}})
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -147,6 +147,7 @@
 	Warmed     *Warmed
 	Released   *Released
 	RouterLoad *RouterLoad
+	Ping       *Ping
 	// From a controller that follows, to the leader.
 	Member      *Member
 	Subscribers *SubscriberReport
@@ -173,10 +174,18 @@
 type Alive struct {
 	Revision topology.Revision
 	// LeaderContact is how long ago the controller last heard from a leader
-	// that had a quorum; zero at the leader.
+	// that had a quorum.
 	LeaderContact time.Duration
+	// Answers is set where this answers a Ping, PingSentAt being its SentAt.
+	Answers    bool
+	PingSentAt time.Duration
 }
 
+// Ping asks a controller for Alive. A router that gets the answer knows that
+// its routing data were the newest at SentAt less LeaderContact, however long
+// the answer took. SentAt is the router's own monotonic clock.
+type Ping struct{ SentAt time.Duration }
+
 // Redirect names the leader's session address; empty when unknown.
 type Redirect struct {
 	LeaderAddress string
