Queue for connections by class, refuse by a stale table, stop without a loss

Causes, each shown first by a test that failed: - Requests waited for one of the 100 connections to an agent in one line, so that map packs or a crowd of look-ups kept look-ups and settlements out until their deadlines (504 expired), and the line was bounded by nothing but the requests in progress. Each peer now has an admission gate: reserved connections per class, ten waiting requests per connection, shedding by deadline at once with Retry-After. - A router without proof of freshness went on with GETs by its old table, though the controllers count on 2.5 s to call a change in force, and the settings page says that it refuses. It now refuses everything, also what waits for an owner or a connection.

Also tested now: 429 and 503 at the limits, cancellation, late answers, bounded memory of large answers, stalled and slow callers, restart, planned stop.

--- /dev/null
+++ b/internal/httpserver/listener.go
@@ -0,0 +1,107 @@
+package httpserver
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// backlogPause is how long no connection must come before a stop takes the
+	// backlog for empty.
+	backlogPause = time.Millisecond
+	// backlogLimit is the longest that a stop empties the backlog, if
+	// connections keep coming.
+	backlogLimit = 200 * time.Millisecond
+)
+
+// stoppableListener bounds the open connections, and takes those that wait in
+// the backlog before it closes.
+type stoppableListener struct {
+	Listener
+	// slots bounds open connections; nil is no bound.
+	slots chan struct{}
+	// stopped is closed when the stop begins; stopAt is when it gives the
+	// backlog up, in nanoseconds since 1970.
+	stopped chan struct{}
+	stopAt  atomic.Int64
+}
+
+func newStoppableListener(listener Listener, maximumConnections int) *stoppableListener {
+	l := &stoppableListener{Listener: listener, stopped: make(chan struct{})}
+	if maximumConnections > 0 {
+		l.slots = make(chan struct{}, maximumConnections)
+	}
+	return l
+}
+
+// stop makes Accept return what is in the backlog and then close the listener.
+// It may be called once.
+func (l *stoppableListener) stop() {
+	now := time.Now()
+	l.stopAt.Store(now.Add(backlogLimit).UnixNano())
+	close(l.stopped)
+	_ = l.SetDeadline(now)
+}
+
+func (l *stoppableListener) stopping() bool { return l.stopAt.Load() != 0 }
+
+// Accept implements net.Listener. After the stop it returns net.ErrClosed once
+// the backlog is empty.
+func (l *stoppableListener) Accept() (net.Conn, error) {
+	limited := l.takeSlot()
+	connection, err := l.accept()
+	if err == nil && limited {
+		return &limitedConnection{Conn: connection, free: sync.OnceFunc(l.freeSlot)}, nil
+	}
+	return connection, err
+}
+
+func (l *stoppableListener) accept() (net.Conn, error) {
+	if !l.stopping() {
+		connection, err := l.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return connection, err
+		}
+	}
+	if now := time.Now(); now.UnixNano() < l.stopAt.Load() {
+		_ = l.SetDeadline(now.Add(backlogPause))
+		if connection, err := l.Listener.Accept(); err == nil {
+			return connection, nil
+		}
+	}
+	_ = l.Close()
+	return nil, net.ErrClosed
+}
+
+// takeSlot waits for room and returns whether a slot was taken. After the stop
+// there is room for the whole backlog, which the kernel bounds.
+func (l *stoppableListener) takeSlot() bool {
+	if l.slots == nil || l.stopping() {
+		return false
+	}
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	case <-l.stopped:
+		return false
+	}
+}
+
+func (l *stoppableListener) freeSlot() { <-l.slots }
+
+// limitedConnection gives its slot back when it is closed.
+type limitedConnection struct {
+	net.Conn
+	free func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConnection) Close() error {
+	err := c.Conn.Close()
+	c.free()
+	return err
+}
--- /dev/null
+++ b/internal/httpserver/server_test.go
@@ -0,0 +1,134 @@
+package httpserver_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/httpserver"
+)
+
+// start serves a handler and returns the server, its address and what Serve
+// returns.
+func start(t *testing.T, handler http.HandlerFunc, maximumConnections int) (*httpserver.Server, string, chan error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := httpserver.New(&http.Server{Handler: handler}, listener.(*net.TCPListener), maximumConnections)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve() }()
+	return server, listener.Addr().String(), served
+}
+
+// One connection may be open and carries a slow request, so that ten others wait
+// in the backlog with theirs: closing a listener resets such connections.
+func TestStopServesTheBacklog(t *testing.T) {
+	entered, thaw := make(chan struct{}, 1), make(chan struct{})
+	var handled atomic.Int64
+	server, address, served := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		if r.URL.Path == "/slow" {
+			entered <- struct{}{}
+			<-thaw
+		}
+	}, 1)
+	slow := make(chan error, 1)
+	go func() { slow <- get("http://" + address + "/slow") }()
+	<-entered
+	const waiting = 10
+	errs := make(chan error, waiting)
+	var connections [waiting]net.Conn
+	for i := range connections {
+		var err error
+		connections[i], err = net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = io.WriteString(connections[i], "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		assert.NilError(t, err)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(t.Context()) }()
+	for _, connection := range connections {
+		go func() {
+			_, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			errs <- err
+		}()
+	}
+	for range waiting {
+		assert.NilError(t, <-errs)
+	}
+	assert.NilError(t, <-served)
+	close(thaw)
+	assert.NilError(t, <-slow)
+	assert.NilError(t, <-stopped)
+	assert.Equal(t, handled.Load(), int64(waiting+1))
+}
+
+func get(url string) error {
+	response, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// The request's first bytes arrived before the stop and its last ones after:
+// net/http alone closes the connection without an answer.
+func TestRequestThatIsBeingReadIsAnswered(t *testing.T) {
+	server, address, served := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }, 0)
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: a\r\n")
+	assert.NilError(t, err)
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(t.Context()) }()
+	assert.NilError(t, <-served)
+	_, err = io.WriteString(connection, "\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Assert(t, response.Close)
+	assert.NilError(t, <-stopped)
+}
+
+func TestStopReportsWhatItCutsOff(t *testing.T) {
+	entered := make(chan struct{})
+	server, address, _ := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+	}, 0)
+	cutOff := make(chan error, 1)
+	go func() { cutOff <- get("http://" + address) }()
+	<-entered
+	assert.Equal(t, server.Open(http.StateActive), 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	var cutOffError *httpserver.CutOffError
+	assert.Assert(t, errors.As(server.Stop(ctx), &cutOffError))
+	assert.Equal(t, cutOffError.Requests, 1)
+	assert.Assert(t, <-cutOff != nil)
+}
+
+// All connections that may be open are open and idle; a stop is not held up.
+func TestStopAtTheLimitOfConnections(t *testing.T) {
+	server, address, served := start(t, func(http.ResponseWriter, *http.Request) {}, 1)
+	client := &http.Client{Transport: &http.Transport{}}
+	response, err := client.Get("http://" + address)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	waiting, err := net.Dial("tcp", address) // in the backlog
+	assert.NilError(t, err)
+	defer waiting.Close()
+	assert.NilError(t, server.Stop(t.Context()))
+	assert.NilError(t, <-served)
+	client.CloseIdleConnections()
+}
--- a/internal/router/answer_test.go
+++ b/internal/router/answer_test.go
@@ -124,5 +124,7 @@
 	}
 	chunked, err := http.NewRequest(http.MethodPut, f.url+"/keyed/plans/a", io.MultiReader(strings.NewReader(long)))
 	assert.NilError(t, err)
-	assert.Equal(t, f.do(chunked).body, digestOf(long), "of unstated length")
+	got := f.do(chunked)
+	got.check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	assert.Equal(t, got.body, digestOf(long), "of unstated length")
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/admission"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -45,16 +46,44 @@
 	end func()
 }
 
-// attempt sends the request once.
+// attempt sends the request once, as soon as a connection to the peer is its
+// own.
 func (f *forwarding) attempt(to target) attemptResult {
-	started := f.router.config.Clock()
 	ctx, cancel := context.WithCancelCause(f.ctx)
 	stop := f.watch(to, cancel)
-	to.peer.began()
-	response, err := to.peer.pool.Do(ctx, f.outgoing(to))
+	to.peer.running.Add(1)
+	slot, err := to.peer.gate.Acquire(ctx, f.slotRequest())
+	end := func() {
+		cancel(nil)
+		to.peer.running.Add(-1)
+		if slot != nil {
+			slot.Release()
+		}
+	}
+	var result attemptResult
+	switch {
+	case err != nil:
+		result = f.judgeWaiting(context.Cause(ctx), err)
+		to.peer.refusedLocally(f.router.config.Clock(), result)
+	case f.router.stale():
+		result = attemptResult{kind: attemptAbandoned, refusal: notRun(wire.ReasonStale, "the routing table became stale while the request waited")}
+	default:
+		result = f.exchange(ctx, to)
+	}
 	stop()
-	result := f.judge(ctx, response, err)
 	result.target = to
+	result.end = end
+	if result.kind != attemptAnswered {
+		end()
+	}
+	return result
+}
+
+// exchange sends the request on a connection of the peer's pool.
+func (f *forwarding) exchange(ctx context.Context, to target) attemptResult {
+	started := f.router.config.Clock()
+	response, err := to.peer.pool.Do(ctx, f.outgoing(to))
+	result := f.judge(ctx, response, err)
 	now := f.router.config.Clock()
 	to.peer.ended(now, now-started, kindForPeer(result), f.request.class)
 	if result.kind == attemptNotSent {
@@ -62,13 +91,39 @@
 	} else {
 		to.peer.breaker.succeeded()
 	}
-	result.end = func() { cancel(nil) }
-	if result.kind != attemptAnswered {
-		cancel(nil)
-	}
 	return result
 }
 
+// slotRequest is how the request queues for a connection to a peer.
+func (f *forwarding) slotRequest() admission.Request {
+	q := f.request
+	return admission.Request{
+		Service:  q.service.service.ID,
+		Caller:   q.caller,
+		Class:    admission.ClassOf(q.class, q.nonRepeatable),
+		Deadline: f.router.config.Clock() + time.Until(q.deadline),
+	}
+}
+
+// judgeWaiting classifies an attempt that ended while it waited for a
+// connection: nothing was sent.
+func (f *forwarding) judgeWaiting(cause, err error) attemptResult {
+	var shed *admission.Refusal
+	switch {
+	case errors.As(err, &shed) && shed.Reason == wire.ReasonExpired, errors.Is(cause, context.DeadlineExceeded):
+		return timedOut(false)
+	case errors.As(err, &shed):
+		told := notRun(shed.Reason, "too many requests wait for the back end")
+		told.retryAfter = shed.RetryAfter
+		return attemptResult{kind: attemptRefused, refusal: told}
+	case errors.Is(cause, errSuperseded):
+		return attemptResult{kind: attemptRefused, refusal: notRun(wire.ReasonWrongEpoch, "the shard got a new owner")}
+	case errors.Is(cause, errAttemptTimeout):
+		return attemptResult{kind: attemptRefused, refusal: notRun(wire.ReasonShed, "the back end has no free connection")}
+	}
+	return callerLeft(false)
+}
+
 // kindForPeer is how an attempt counts for the choice of back ends: an answer
 // that reports the back end's own failure is a failure.
 func kindForPeer(result attemptResult) attemptKind {
@@ -129,7 +184,7 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return timedOut(sent)
 	case errors.Is(cause, context.Canceled):
-		return attemptResult{kind: attemptAbandoned, refusal: unknown(wire.ReasonInterrupted, "the caller went away")}
+		return callerLeft(sent)
 	case !sent:
 		return attemptResult{kind: attemptNotSent, refusal: notRun(wire.ReasonUnreachable, "the back end's agent cannot be reached")}
 	case errors.Is(cause, errSuperseded):
@@ -149,6 +204,15 @@
 	return attemptResult{kind: attemptAbandoned, refusal: notRun(wire.ReasonExpired, "the deadline passed before the request was sent")}
 }
 
+// callerLeft is the result when the caller went away.
+func callerLeft(sent bool) attemptResult {
+	told := notRun(wire.ReasonInterrupted, "the caller went away before the request was sent")
+	if sent {
+		told = unknown(wire.ReasonInterrupted, "the caller went away")
+	}
+	return attemptResult{kind: attemptAbandoned, refusal: told}
+}
+
 // failure is the error that ended the body early, or nil.
 func (b *requestBody) failure() error {
 	if b.rest == nil {
--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -107,24 +107,26 @@
 	controller   *http.ResponseController
 	stallTimeout time.Duration
 
-	mutex  sync.Mutex
-	state  sync.Mutex
-	begun  bool
-	closed bool
-	failed error
+	// reading is held during a read; state guards the fields below it.
+	reading sync.Mutex
+	state   sync.Mutex
+	begun   bool
+	ended   bool
+	closed  bool
+	failed  error
 }
 
 // Read implements io.Reader. A caller that sends nothing for the stall timeout
 // ends it.
 func (s *callerStream) Read(buffer []byte) (int, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.reading.Lock()
+	defer s.reading.Unlock()
 	if !s.begin() {
 		return 0, http.ErrBodyReadAfterClose
 	}
 	count, err := s.source.Read(buffer)
-	if err != nil && !errors.Is(err, io.EOF) {
-		s.fail(err)
+	if err != nil {
+		s.end(err)
 	}
 	return count, err
 }
@@ -140,9 +142,14 @@
 	return true
 }
 
-func (s *callerStream) fail(err error) {
+// end keeps how the body ended.
+func (s *callerStream) end(err error) {
 	s.state.Lock()
 	defer s.state.Unlock()
+	if errors.Is(err, io.EOF) {
+		s.ended = true
+		return
+	}
 	s.failed = err
 }
 
@@ -161,12 +168,25 @@
 
 // close interrupts a read in progress and waits for its end.
 func (s *callerStream) close() {
+	if !s.interrupt() {
+		return
+	}
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	// The server may still read what the caller sends of this body.
+	_ = s.controller.SetReadDeadline(time.Now().Add(s.stallTimeout))
+}
+
+// interrupt returns false where the whole body was read. Then the server watches
+// the connection for the caller's going away, and would take a deadline that
+// passes for that, with all later requests on the connection.
+func (s *callerStream) interrupt() bool {
 	s.state.Lock()
+	defer s.state.Unlock()
 	s.closed = true
+	if s.ended {
+		return false
+	}
 	_ = s.controller.SetReadDeadline(time.Now())
-	s.state.Unlock()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	// The server may still read what the caller sends of this body.
-	_ = s.controller.SetReadDeadline(time.Now().Add(s.stallTimeout))
+	return true
 }
--- a/internal/router/classify.go
+++ b/internal/router/classify.go
@@ -196,15 +196,6 @@
 	return false
 }
 
-// safe says whether a method asks for no change by RFC 9110, 9.2.1.
-func safe(method string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return true
-	}
-	return false
-}
-
 func requestIDOf(header http.Header) string {
 	if id := header.Get(wire.HeaderRequestID); id != "" {
 		return id
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -37,7 +37,7 @@
 	// Listen is where callers connect, "IP:port".
 	Listen string
 	// Listener, if set, is used in place of Listen.
-	Listener net.Listener
+	Listener httpserver.Listener
 	// CallerTLS serves callers over TLS; nil is plain HTTP.
 	CallerTLS *tls.Config
 	// AgentTLS is used towards agents; nil is plain HTTP.
@@ -74,10 +74,10 @@
 	// its first byte is passed on; larger ones are streamed. Default 64 KiB.
 	BufferedAnswerBytes int
 	// MaximumConnections from callers; further ones wait in the kernel's
-	// backlog. Default 4096.
+	// backlog, so that it should be above MaximumInFlight. Default 8192.
 	MaximumConnections int
 	// MaximumInFlight bounds requests in progress of all services. Default
-	// 8192.
+	// 4096.
 	MaximumInFlight int
 	// ServiceShare is the part of MaximumInFlight that one service may take,
 	// so that a slow service leaves room for the others. Default 0.5.
@@ -142,8 +142,8 @@
 	setDefault(&c.MaximumBodyBytes, 8*mebibyte)
 	setDefault(&c.BufferedBodyBytes, 64*kibibyte)
 	setDefault(&c.BufferedAnswerBytes, 64*kibibyte)
-	setDefault(&c.MaximumConnections, 4096)
-	setDefault(&c.MaximumInFlight, 8192)
+	setDefault(&c.MaximumConnections, 8192)
+	setDefault(&c.MaximumInFlight, 4096)
 	setDefault(&c.ServiceShare, 0.5)
 	setDefault(&c.AgentConnections, 100)
 	setDefault(&c.HoldTimeout, 3*time.Second)
--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -59,14 +59,22 @@
 type agentServer struct {
 	*httptest.Server
 	requests atomic.Int64
+	// accepted counts connections.
+	accepted atomic.Int64
 }
 
 func newAgent(t testing.TB, handler http.HandlerFunc) *agentServer {
 	agent := new(agentServer)
-	agent.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	agent.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		agent.requests.Add(1)
 		handler(w, r)
 	}))
+	agent.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			agent.accepted.Add(1)
+		}
+	}
+	agent.Start()
 	t.Cleanup(agent.Close)
 	return agent
 }
@@ -97,7 +105,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	config := Config{
-		Name: "router-1", Listener: listener, Location: topology.Location{Region: "r", Zone: "z1"},
+		Name: "router-1", Listener: listener.(*net.TCPListener), Location: topology.Location{Region: "r", Zone: "z1"},
 		DrainDelay: time.Millisecond,
 		Source: func(onTable func(*routing.Table)) (Source, error) {
 			f.onTable = onTable
@@ -125,6 +133,7 @@
 
 func snapshotOf(agents []*agentServer) wire.RoutingSnapshot {
 	keyed := topology.Service{ID: keyedService, Name: "keyed", Rules: []topology.RequestRule{
+		{PathPrefix: "/packs/", Key: topology.KeySource{Kind: topology.KeyFromPathSegment, Index: 1}, Class: topology.ClassBulk},
 		{Methods: []string{"POST"}, Key: topology.KeySource{Kind: topology.KeyFromPathSegment, Index: 1}, NonRepeatable: true},
 		{Key: topology.KeySource{Kind: topology.KeyFromPathSegment, Index: 1}},
 	}}
@@ -182,7 +191,9 @@
 	reason  wire.Reason
 	header  http.Header
 	body    string
-	err     error
+	// closes says that the connection ends with this answer.
+	closes bool
+	err    error
 }
 
 // send makes a request; extra are header names and values in turn.
@@ -204,7 +215,7 @@
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
 	return reply{
-		status: response.StatusCode, header: response.Header, body: string(content), err: err,
+		status: response.StatusCode, header: response.Header, body: string(content), closes: response.Close, err: err,
 		outcome: wire.Outcome(response.Header.Get(wire.HeaderOutcome)),
 		reason:  wire.Reason(response.Header.Get(wire.HeaderReason)),
 	}
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -35,8 +35,6 @@
 	paused    bool
 	// holdUntil is when waiting for an owner ends; zero before the first wait.
 	holdUntil time.Time
-	// stale says that the table was stale at the latest attempt.
-	stale bool
 	// paid says that the next attempt's retry was already taken from the
 	// budget.
 	paid atomic.Bool
@@ -85,7 +83,7 @@
 		return false
 	}
 	if result.refusal.outcome == wire.OutcomeUnknown {
-		return f.request.resendable && !f.stale && reachesAnother(result.refusal.reason)
+		return f.request.resendable && reachesAnother(result.refusal.reason)
 	}
 	return retryableRefusal(result.refusal.reason, f.request.keyed)
 }
@@ -116,6 +114,6 @@
 // back end.
 func (f *forwarding) mayHedge() bool {
 	q := f.request
-	return q.resendable && !f.stale && q.class == topology.ClassLookup &&
+	return q.resendable && q.class == topology.ClassLookup &&
 		len(f.tried) < min(maximumAttempts, len(q.service.balanced)) && q.body.replayable()
 }
--- a/internal/router/ownership_test.go
+++ b/internal/router/ownership_test.go
@@ -113,6 +113,7 @@
 	address := owner.Listener.Addr().String()
 	f := newFixture(t, nil, owner)
 	f.get("/keyed/plans/a").check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	poll.WaitOn(t, f.settled(owner))
 	owner.Close()
 	replies := make(chan reply, 1)
 	go func() { replies <- f.post() }()
@@ -124,6 +125,21 @@
 	(<-replies).check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
 }
 
+// settled waits until the owner has accepted all connections of the router. One
+// that waits in the backlog of a listener that closes could take a request with
+// it, which then may have run.
+func (f *fixture) settled(owner *agentServer) poll.Check {
+	return func(poll.LogT) poll.Result {
+		pools := f.router.view.Load().peers
+		keyed, balanced := pools[1].pool.Stats(), pools[101].pool.Stats()
+		open := keyed.Open + balanced.Open
+		if keyed.Dialling+balanced.Dialling > 0 || open == 0 || owner.accepted.Load() != int64(open) {
+			return poll.Continue("%d open, %d accepted", open, owner.accepted.Load())
+		}
+		return poll.Success()
+	}
+}
+
 // The owner is frozen with requests in progress; then the table names another.
 func TestFrozenOwnerIsLeftWhenAnotherIsNamed(t *testing.T) {
 	thaw := make(chan struct{})
@@ -154,19 +170,45 @@
 	}
 }
 
-func TestStaleRouterServesOnlySafeRequestsAndSendsNothingTwice(t *testing.T) {
+// A router that is cut off from the controllers must not go on by routing data
+// that may have been replaced, not even for look-ups: a rule may have made them
+// non-repeatable meanwhile. It serves again with the first proof.
+func TestStaleRouterRefusesEverything(t *testing.T) {
 	owner := newAgent(t, ok)
-	breaking := newAgent(t, abort)
-	f := newFixture(t, nil, owner, breaking)
-	f.age.Store(int64(time.Minute))
-	f.get("/keyed/plans/a").check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
-	got := f.post()
-	got.check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonStale)
-	assert.Equal(t, got.header.Get("Retry-After"), "2")
-	f.send(http.MethodPut, "/keyed/plans/a", "x").check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonStale)
+	f := newFixture(t, nil, owner)
+	f.age.Store(int64(wire.StopRelyingAfter + 1))
+	for _, got := range []reply{f.get("/keyed/plans/a"), f.post(), f.get("/balanced/plans"), f.send(http.MethodPut, "/keyed/plans/a", "x")} {
+		got.check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonStale)
+		assert.Equal(t, got.header.Get("Retry-After"), "2")
+	}
 	assert.ErrorIs(t, f.router.Ready(), ErrStale)
+	assert.Equal(t, owner.requests.Load(), int64(0))
+	f.age.Store(int64(wire.StopRelyingAfter))
+	f.get("/keyed/plans/a").check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	assert.NilError(t, f.router.Ready())
+}
 
-	f.setShard(topology.ShardOwned, 2, 2)
+// The table becomes stale while a request is on its way: its retry would rely
+// on it.
+func TestRequestIsNotSentAgainByAStaleTable(t *testing.T) {
+	var f *fixture
+	breaking := newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+		f.age.Store(int64(time.Minute))
+		abort(w, r)
+	})
+	f = newFixture(t, nil, breaking)
 	f.get("/keyed/plans/a").check(t, http.StatusBadGateway, wire.OutcomeUnknown, wire.ReasonInterrupted)
 	assert.Equal(t, breaking.requests.Load(), int64(1))
 }
+
+// A request that waits for an owner when the table becomes stale is answered
+// then, and not at the end of the time that it could be held for.
+func TestHeldRequestIsAnsweredWhenTheTableBecomesStale(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.HoldTimeout = time.Hour }, newAgent(t, ok))
+	f.setShard(topology.ShardReleasing, 1, 1)
+	replies := make(chan reply, 1)
+	go func() { replies <- f.post(wire.HeaderDeadline, "3600000") }()
+	poll.WaitOn(t, f.held(1))
+	f.age.Store(int64(time.Minute))
+	(<-replies).check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonStale)
+}
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/admission/gate"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -19,7 +20,11 @@
 	// near says that it is in the router's own zone.
 	near bool
 	// pool is nil where the address is not usable.
-	pool     *upstream.Pool
+	pool *upstream.Pool
+	// gate orders the requests that wait for one of the pool's connections.
+	gate *gate.Gate
+	// running counts requests that wait for a connection or whose answers were
+	// not yet read to the end.
 	running  atomic.Int64
 	observed observation
 	attempts attemptList
@@ -30,6 +35,10 @@
 	timedOut  atomic.Uint32
 }
 
+// queuedPerConnection is how many requests may wait for each connection to a
+// back end.
+const queuedPerConnection = 10
+
 // Costs of a peer that is not answering as it should.
 const (
 	// failureCost is the least latency that a failed attempt counts as: a back
@@ -83,13 +92,17 @@
 	return float64(p.running.Load()+1) * p.observed.read(now)
 }
 
-// began counts an attempt.
-func (p *peer) began() { p.running.Add(1) }
+// refusedLocally counts an attempt that got no connection in time. The peer was
+// not asked, so the controllers are told nothing of it.
+func (p *peer) refusedLocally(now time.Duration, result attemptResult) {
+	if result.kind == attemptRefused {
+		p.observed.add(now, failureCost)
+	}
+}
 
 // ended counts what came of an attempt. The latency of bulk work says nothing
 // of how fast a look-up would be.
 func (p *peer) ended(now, latency time.Duration, result attemptKind, class topology.RequestClass) {
-	p.running.Add(-1)
 	switch result {
 	case attemptAbandoned:
 		return
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -9,8 +9,7 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
-
+	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/subscription"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
@@ -43,9 +42,9 @@
 	if err != nil {
 		return fmt.Errorf("router: %w", err)
 	}
-	server := r.server()
+	server := httpserver.New(r.server(), listener, r.config.MaximumConnections)
 	failed := make(chan error, 1)
-	go func() { failed <- serveListener(server, listener) }()
+	go func() { failed <- server.Serve() }()
 	r.config.Log.Info("router serves callers", "address", listener.Addr().String())
 	reporter, stopReporter := context.WithCancel(context.Background())
 	defer stopReporter()
@@ -72,16 +71,15 @@
 	}
 }
 
-func (r *Router) listen() (net.Listener, error) {
-	listener := r.config.Listener
-	if listener == nil {
-		var err error
-		listener, err = net.Listen("tcp", r.config.Listen)
-		if err != nil {
-			return nil, err
-		}
+func (r *Router) listen() (httpserver.Listener, error) {
+	if r.config.Listener != nil {
+		return r.config.Listener, nil
+	}
+	listener, err := net.Listen("tcp", r.config.Listen)
+	if err != nil {
+		return nil, err
 	}
-	return netutil.LimitListener(listener, r.config.MaximumConnections), nil
+	return listener.(*net.TCPListener), nil
 }
 
 func (r *Router) server() *http.Server {
@@ -95,30 +93,23 @@
 	}
 }
 
-func serveListener(server *http.Server, listener net.Listener) error {
-	if server.TLSConfig != nil {
-		return server.ServeTLS(listener, "", "")
-	}
-	return server.Serve(listener)
-}
-
 // drain is the planned stop. For DrainDelay callers are still served and asked
 // to connect elsewhere; then the listener closes and what is in progress
 // finishes.
-func (r *Router) drain(server *http.Server) error {
+func (r *Router) drain(server *httpserver.Server) error {
 	r.draining.Store(true)
 	r.config.Log.Info("router drains", "in_flight", r.inFlight.Load())
 	time.Sleep(r.config.DrainDelay)
 	limit, cancel := context.WithTimeout(context.Background(), r.config.DrainLimit)
 	defer cancel()
-	if err := server.Shutdown(limit); err != nil {
-		left := r.inFlight.Load()
-		r.metrics.cutOff.Add(float64(left))
-		_ = server.Close()
-		return fmt.Errorf("%w: %d in progress after %s", ErrCutOff, left, r.config.DrainLimit)
+	err := server.Stop(limit)
+	var cutOff *httpserver.CutOffError
+	if errors.As(err, &cutOff) {
+		r.metrics.cutOff.Add(float64(cutOff.Requests))
+		return fmt.Errorf("%w: %d in progress after %s", ErrCutOff, cutOff.Requests, r.config.DrainLimit)
 	}
 	r.config.Log.Info("router drained")
-	return nil
+	return err
 }
 
 // report tells a controller what requests showed of the back ends, and logs
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -45,11 +45,10 @@
 	return f.balancedTarget(v)
 }
 
-// refuseIfStale refuses what must not be done by an old table: see
-// docs/decisions/011-stale-routing.md.
+// refuseIfStale refuses to route by a table that may no longer be in force: the
+// controllers count on it when they say that a change is in force everywhere.
 func (f *forwarding) refuseIfStale() *refusal {
-	f.stale = f.router.stale()
-	if !f.stale || (safe(f.request.incoming.Method) && !f.request.nonRepeatable) {
+	if !f.router.stale() {
 		return nil
 	}
 	return f.giveUp(wire.ReasonStale, "the router has not heard a controller for too long")
@@ -125,6 +124,9 @@
 		if refused := f.endOfWait(); refused != nil {
 			return target{}, refused
 		}
+		if refused := f.refuseIfStale(); refused != nil {
+			return target{}, refused
+		}
 		v = f.router.view.Load()
 	}
 }
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"net"
 
+	"github.com/quartzdock/quartzdock/internal/admission"
+	"github.com/quartzdock/quartzdock/internal/admission/gate"
 	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/upstream"
@@ -70,6 +72,15 @@
 		address: backend.AgentAddress,
 		near:    backend.Location.Zone == r.config.Location.Zone && backend.Location.Region == r.config.Location.Region,
 	}
+	var err error
+	made.gate, err = gate.New(admission.Config{
+		Slots:      r.config.AgentConnections,
+		QueueLimit: queuedPerConnection * r.config.AgentConnections,
+	}, r.config.Clock)
+	if err != nil {
+		r.config.Log.Error("back end has no usable limit", "backend", backend.Name, "error", err)
+		return made
+	}
 	pool, err := upstream.New(upstream.Config{
 		Address:        backend.AgentAddress,
 		MaxConnections: r.config.AgentConnections,
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -56,7 +56,7 @@
 		Usage: "Largest request header. A larger one is answered 431.",
 	}, 1024, 1<<20)
 	set.count(&router.MaximumConnections, Field{
-		Name: "callers.maximum-connections", Default: "4096", Unit: "connections",
+		Name: "callers.maximum-connections", Default: "8192", Unit: "connections",
 		Usage: "Most open connections from callers. Further ones wait in the kernel's backlog.",
 	}, 1, 1<<20)
 	set.duration(&router.HeaderTimeout, Field{
@@ -68,8 +68,8 @@
 		Usage: "A caller that neither sends nor takes a byte for so long is cut off.",
 	}, 100*time.Millisecond, time.Hour)
 	set.count(&router.MaximumInFlight, Field{
-		Name: "callers.maximum-in-flight", Default: "8192", Unit: "requests",
-		Usage: "Most requests in progress, of all services. Further ones are answered 503 shed at once.",
+		Name: "callers.maximum-in-flight", Default: "4096", Unit: "requests",
+		Usage: "Most requests in progress, of all services. Further ones are answered 503 shed at once. One service may take half of them; beyond that its requests are answered 429 over-limit. Keep it below callers.maximum-connections, or callers wait in the backlog without an answer.",
 	}, 1, 1<<20)
 	set.duration(&router.DrainDelay, Field{
 		Name: "callers.drain-delay", Default: "1s",
@@ -107,7 +107,7 @@
 	}, 0, time.Minute)
 	set.count(&router.HoldRequests, Field{
 		Name: "holding.requests", Default: "4096", Unit: "requests",
-		Usage: "Most requests that wait for an owner at once. Further ones are answered 503 no-owner.",
+		Usage: "Most requests that wait for an owner at once. Further ones are answered 503 shed.",
 	}, 1, 1<<20)
 	set.count(&router.HoldBytes, Field{
 		Name: "holding.bytes", Default: "67108864", Unit: "bytes",
