Prove the core by scripts and random faults, and mend what they found

Found and mended: - A lost AppendAnswer was never sent again: a follower's heartbeat answer said that its log was whole, and the leader waited for ever. Heartbeat answers now carry what is durable and known to match. - While a disk is full, the hard state could name entries as committed that were held back; after a restart an older entry at that index was applied. The written commit index now stops at what is durable. - Each commit sent an empty Append to a follower that acknowledges nothing; the window bounds these now. - A replica on an older copy of its disk voted. Config.Unproven (new; other signatures stay) makes it ask all other voters first, see recovery.go.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -1,10 +1,10 @@
 package consensus
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -57,6 +57,10 @@
 	inbox []Message
 	// full refuses entries, as a full disk does.
 	full bool
+	// unproven is what the next start tells of the disk.
+	unproven bool
+	// ended is why the replica ended itself.
+	ended error
 }
 
 type delivery struct {
@@ -67,20 +71,30 @@
 // cluster runs replicas on virtual time over a network that delays, loses and
 // reorders, all drawn from one seed.
 type cluster struct {
-	t         *testing.T
+	t         rapidOrTest
 	now       time.Duration
 	random    *rand.Rand
 	nodes     map[topology.ReplicaID]*node
 	network   []delivery
 	cut       map[[2]topology.ReplicaID]bool
 	lossRate  float64
+	drop      func(Message) bool
 	maxDelay  time.Duration
 	committed map[uint64]Entry
 	leaders   map[uint64]topology.ReplicaID
 	starts    uint64
 }
 
-func newCluster(t *testing.T, seed uint64, size int) *cluster {
+// rapidOrTest is what *testing.T and *rapid.T share.
+type rapidOrTest interface {
+	Helper()
+	Log(...any)
+	Fatalf(string, ...any)
+	FailNow()
+	Fail()
+}
+
+func newCluster(t rapidOrTest, seed uint64, size int) *cluster {
 	t.Helper()
 	c := &cluster{
 		t:         t,
@@ -125,6 +139,7 @@
 		Group: testGroup, ID: n.member.ID, Incarnation: n.member.Incarnation,
 		HardState: n.disk.hard, Snapshot: n.disk.snapshot.Meta, Entries: slices.Clone(n.disk.entries),
 		Now: c.now, Seed: c.random.Uint64(), MaxAppendBytes: 200, MaxInflightAppends: 4,
+		Unproven: n.unproven,
 	})
 	assert.NilError(c.t, err)
 	n.core = core
@@ -153,10 +168,29 @@
 	return data
 }
 
-func (c *cluster) crash(id topology.ReplicaID) { c.nodes[id].core = nil }
+// crash ends a replica. One that was not sure of its disk is no surer when it
+// starts again.
+func (c *cluster) crash(id topology.ReplicaID) {
+	if n := c.nodes[id]; n.core != nil {
+		n.unproven = n.core.Status().Unproven
+		n.core = nil
+	}
+}
+
 
 func (c *cluster) restart(id topology.ReplicaID) { c.start(c.nodes[id]) }
 
+// rollBack starts a replica from an older copy of its disk.
+func (c *cluster) rollBack(id topology.ReplicaID, copied disk) {
+	n := c.nodes[id]
+	n.disk = copied.clone()
+	n.unproven = true
+	c.start(n)
+}
+
+// powerCycle restarts a replica that cannot tell whether its disk is whole.
+func (c *cluster) powerCycle(id topology.ReplicaID) { c.rollBack(id, c.nodes[id].disk) }
+
 func (c *cluster) isolate(id topology.ReplicaID) {
 	for other := range c.nodes {
 		c.cut[[2]topology.ReplicaID{id, other}] = true
@@ -171,6 +205,9 @@
 		if c.cut[[2]topology.ReplicaID{m.From, m.To}] || c.random.Float64() < c.lossRate {
 			continue
 		}
+		if c.drop != nil && c.drop(m) {
+			continue
+		}
 		if m.Kind == MessageSnapshot {
 			snapshot := c.nodes[m.From].disk.snapshot
 			m.Snapshot = &snapshot
@@ -185,6 +222,7 @@
 	for n.core != nil && !n.paused && n.core.HasReady() {
 		n.core.HoldEntries(n.full)
 		ready := n.core.Ready()
+		c.checkDurable(n, ready)
 		c.send(ready.Early)
 		n.disk.write(ready)
 		if ready.Snapshot != nil {
@@ -200,6 +238,19 @@
 	}
 }
 
+// checkDurable verifies that no early message tells what is not yet written.
+func (c *cluster) checkDurable(n *node, ready Ready) {
+	for _, m := range ready.Early {
+		switch m.Kind {
+		case MessageVote, MessageVoteAnswer, MessageAppendAnswer:
+			c.t.Fatalf("replica %d sends message kind %d before it has written", n.member.ID, m.Kind)
+		case MessagePreVote, MessagePreVoteAnswer:
+		default:
+			assert.Assert(c.t, m.Term <= n.disk.hard.Term, "replica %d tells term %d before it is written", n.member.ID, m.Term)
+		}
+	}
+}
+
 // apply checks that all replicas apply the same entry at an index.
 func (c *cluster) apply(n *node, entry Entry) {
 	if earlier, ok := c.committed[entry.Index]; ok {
@@ -221,19 +272,54 @@
 		assert.Equal(c.t, other, n.member.ID, "two leaders in term %d", term)
 	}
 	c.leaders[term] = n.member.ID
-	c.checkLease(n)
 }
 
-// checkLease verifies that at most one replica may act as the leader.
-func (c *cluster) checkLease(n *node) {
-	if !n.core.Status().IsLeader(c.now) {
+// checkLeases verifies that at most one replica may act as the leader, paused
+// ones included.
+func (c *cluster) checkLeases() {
+	holder := topology.ReplicaID(0)
+	for _, id := range c.ids() {
+		n := c.nodes[id]
+		if n.core == nil || !n.core.Status().IsLeader(c.now) {
+			continue
+		}
+		if holder != 0 {
+			c.t.Fatalf("replicas %d and %d both have a valid lease at %v", holder, id, c.now)
+		}
+		holder = id
+	}
+}
+
+// compact takes a snapshot at a replica and drops the log before it, but for
+// retain entries.
+func (c *cluster) compact(id topology.ReplicaID, retain uint64) {
+	n := c.nodes[id]
+	status := n.core.Status()
+	if status.Applied > status.Durable {
 		return
 	}
-	for _, other := range c.nodes {
-		if other != n && other.core != nil && other.core.Status().IsLeader(c.now) {
-			c.t.Fatalf("replicas %d and %d both have a valid lease at %v", n.member.ID, other.member.ID, c.now)
+	n.disk.snapshot = Snapshot{Meta: n.core.SnapshotMeta(), Data: encodeApplied(n.applied)}
+	n.disk.entries = slices.DeleteFunc(slices.Clone(n.disk.entries), func(e Entry) bool { return e.Index <= status.Applied })
+	n.core.Compact(n.disk.snapshot.Meta, retain)
+}
+
+// add starts a replica that no membership names yet, with an empty disk.
+func (c *cluster) add(member Member) *node {
+	n := &node{member: member}
+	c.nodes[member.ID] = n
+	c.start(n)
+	return n
+}
+
+// others returns the running replicas but one.
+func (c *cluster) others(id topology.ReplicaID) []*node {
+	var others []*node
+	for _, other := range c.ids() {
+		if other != id && c.nodes[other].core != nil {
+			others = append(others, c.nodes[other])
 		}
 	}
+	return others
 }
 
 // step moves time by one tick.
@@ -257,6 +343,7 @@
 		n.core.Tick(c.now)
 		c.work(n)
 	}
+	c.checkLeases()
 }
 
 func (c *cluster) deliver(m Message) {
@@ -268,7 +355,12 @@
 		n.inbox = append(n.inbox, m)
 		return
 	}
-	assert.NilError(c.t, n.core.Step(c.now, m))
+	err := n.core.Step(c.now, m)
+	if errors.Is(err, ErrOlderCopy) {
+		n.core, n.ended = nil, err
+		return
+	}
+	assert.NilError(c.t, err)
 	c.work(n)
 }
 
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -41,8 +41,17 @@
 	transferVote bool
 	// ackUpTo is the index to acknowledge to the leader once it is stable.
 	ackUpTo uint64
+	// matched is the index up to which the log is known to match the leader's
+	// of this term.
+	matched uint64
 
 	leading leadership
+
+	// run tells this start from others, recovery is what a start from an
+	// unproven disk still waits for, marks is what others showed of their disks.
+	run      uint64
+	recovery recovery
+	marks    map[topology.ReplicaID][]mark
 	// holdEntries keeps entries back from Ready while the disk is full.
 	holdEntries bool
 
@@ -109,13 +118,18 @@
 		snapshot:      config.Snapshot,
 		memberships:   []membershipAt{{config.Snapshot.Index, config.Snapshot.Membership}},
 		leaderHeardAt: config.Now,
+		marks:         map[topology.ReplicaID][]mark{},
 	}
+	c.run = c.random.Uint64() | 1
 	c.hard.Commit = log.committed
 	c.config.Entries = nil
 	if err := c.noteMemberships(log.entries); err != nil {
 		return nil, fmt.Errorf("consensus: %w", err)
 	}
 	c.resetElectionDeadline()
+	if config.Unproven {
+		c.beginRecovery()
+	}
 	c.membershipChanged()
 	return c, nil
 }
@@ -127,6 +141,7 @@
 		c.tickLeader()
 		return
 	}
+	c.tickRecovery()
 	if c.now >= c.electionDeadline {
 		c.resetElectionDeadline()
 		c.fire(eventElectionTimeout)
@@ -162,6 +177,14 @@
 		return nil
 	}
 	c.advance(now)
+	switch m.Kind {
+	case MessageRecovery:
+		c.answerRecovery(m)
+		return nil
+	case MessageRecoveryAnswer:
+		return c.stepRecoveryAnswer(m)
+	}
+	c.noteMark(m)
 	if m.Term > c.hard.Term && !c.meetHigherTerm(m) {
 		return nil
 	}
@@ -239,7 +262,7 @@
 	c.hard.Term = term
 	c.hard.Vote = 0
 	c.leader = leader
-	c.ackUpTo = 0
+	c.ackUpTo, c.matched = 0, 0
 	c.fire(eventLeaderHeard)
 }
 
@@ -261,6 +284,7 @@
 	m.Group = c.config.Group
 	m.From = c.config.ID
 	m.FromIncarnation = c.config.Incarnation
+	m.Run = c.run
 	if m.Term == 0 {
 		m.Term = c.hard.Term
 	}
@@ -321,7 +345,10 @@
 		ready.Entries = c.log.from(c.log.stable+1, math.MaxInt)
 	}
 	if c.hardChanged() || len(ready.Entries) > 0 || ready.Snapshot != nil {
+		// The commit index names only what was durable before this write: without
+		// space for the entries the disk still holds others at their indexes.
 		hard := c.hard
+		hard.Commit = min(hard.Commit, c.log.stable)
 		ready.HardState = &hard
 	}
 	c.early, c.messages, c.reads = nil, nil, nil
@@ -359,6 +386,7 @@
 		c.installing = nil
 	}
 	c.noteStable(ready.Entries)
+	c.leaveFloor()
 	if count := len(ready.Committed); count > 0 {
 		c.log.applied = max(c.log.applied, ready.Committed[count-1].Index)
 	}
--- /dev/null
+++ b/internal/consensus/durable_test.go
@@ -0,0 +1,177 @@
+package consensus
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"gotest.tools/v3/assert"
+)
+
+// script is one core that is driven by hand, as replica 1 of three.
+type script struct {
+	t    *testing.T
+	core *Core
+	now  time.Duration
+	// from is the sender of what is stepped, replica 2 where it is zero.
+	from topology.ReplicaID
+	sent []Message
+}
+
+func newScript(t *testing.T, config Config) *script {
+	t.Helper()
+	config.Group, config.ID, config.Incarnation = testGroup, 1, testMember(1).Incarnation
+	config.Snapshot.Membership = NewMembership(testMember(1), testMember(2), testMember(3))
+	core, err := New(config)
+	assert.NilError(t, err)
+	return &script{t: t, core: core}
+}
+
+// step passes a message in, an election timeout after the start.
+func (s *script) step(m Message) {
+	s.t.Helper()
+	s.now = max(s.now, DefaultElectionTimeout)
+	from := max(s.from, 2)
+	m.Group, m.From, m.FromIncarnation = testGroup, from, testMember(from).Incarnation
+	m.To, m.ToIncarnation = 1, testMember(1).Incarnation
+	assert.NilError(s.t, s.core.Step(s.now, m))
+}
+
+// finish does the work there is and keeps the messages.
+func (s *script) finish() {
+	for s.core.HasReady() {
+		ready := s.core.Ready()
+		s.sent = append(append(s.sent, ready.Early...), ready.Messages...)
+		s.core.Advance(ready)
+	}
+}
+
+// last returns the newest message sent of a kind.
+func (s *script) last(kind MessageKind) Message {
+	s.t.Helper()
+	for position := len(s.sent) - 1; position >= 0; position-- {
+		if s.sent[position].Kind == kind {
+			return s.sent[position]
+		}
+	}
+	s.t.Fatalf("no message of kind %d was sent", kind)
+	return Message{}
+}
+
+func kinds(messages []Message) []MessageKind {
+	var found []MessageKind
+	for _, m := range messages {
+		found = append(found, m.Kind)
+	}
+	return found
+}
+
+func TestAFollowerAcknowledgesOnlyWhatIsDurable(t *testing.T) {
+	s := newScript(t, Config{})
+	s.step(Message{Kind: MessageAppend, Term: 1, Entries: []Entry{{Index: 1, Term: 1, Kind: EntryNoop}}})
+	ready := s.core.Ready()
+	assert.Equal(t, len(ready.Entries), 1)
+	assert.Equal(t, ready.HardState.Term, uint64(1))
+	assert.Assert(t, !slices.Contains(kinds(append(ready.Early, ready.Messages...)), MessageAppendAnswer))
+	assert.Equal(t, len(s.core.TakeEarly()), 0)
+
+	s.core.Advance(ready)
+	ready = s.core.Ready()
+	assert.DeepEqual(t, kinds(ready.Messages), []MessageKind{MessageAppendAnswer})
+	assert.Equal(t, ready.Messages[0].LogIndex, uint64(1))
+}
+
+func TestAVoteLeavesWithItsHardState(t *testing.T) {
+	s := newScript(t, Config{})
+	s.step(Message{Kind: MessageVote, Term: 7})
+	ready := s.core.Ready()
+	assert.Equal(t, len(ready.Early), 0)
+	assert.DeepEqual(t, kinds(ready.Messages), []MessageKind{MessageVoteAnswer})
+	assert.DeepEqual(t, *ready.HardState, HardState{Term: 7, Vote: 2})
+
+	restarted := newScript(t, Config{HardState: *ready.HardState})
+	restarted.step(Message{Kind: MessageVote, Term: 7})
+	assert.Assert(t, !restarted.core.Ready().Messages[0].Refused, "the same candidate may ask again")
+	assert.NilError(t, restarted.core.Step(restarted.now, Message{
+		Kind: MessageVote, Term: 7, Group: testGroup, From: 3, FromIncarnation: testMember(3).Incarnation,
+		To: 1, ToIncarnation: testMember(1).Incarnation,
+	}))
+	assert.Assert(t, restarted.core.Ready().Messages[0].Refused, "a second vote in term 7")
+}
+
+func TestACandidateCountsItsOwnVoteOnceItIsDurable(t *testing.T) {
+	s := newScript(t, Config{})
+	for s.core.Role() != PreCandidate {
+		s.now += DefaultHeartbeatInterval
+		s.core.Tick(s.now)
+	}
+	s.core.Advance(s.core.Ready())
+	s.step(Message{Kind: MessagePreVoteAnswer, Term: 1})
+	assert.Equal(t, s.core.Role(), Candidate)
+	s.step(Message{Kind: MessageVoteAnswer, Term: 1})
+	assert.Equal(t, s.core.Role(), Candidate, "one answered vote of three, and the own vote not written")
+	s.core.Advance(s.core.Ready())
+	assert.Equal(t, s.core.Role(), Leader)
+}
+
+func TestALeaderCountsItselfOnceItsEntryIsDurable(t *testing.T) {
+	c := newCluster(t, 11, 3)
+	c.commit("a")
+	leader := c.waitLeader()
+	leader.full = true
+	index, _, err := leader.core.Propose([]byte("b"))
+	assert.NilError(t, err)
+	followers := c.others(leader.member.ID)
+	followers[0].full = true
+	c.work(leader)
+	c.run(2 * time.Second)
+	assert.Assert(t, leader.core.Status().Commit < index, "only one of three has the entry on its disk")
+	followers[0].full = false
+	c.until("committed by the two followers", func() bool { return leader.core.Status().Commit >= index })
+}
+
+func TestAFullDiskKeepsTheLease(t *testing.T) {
+	c := newCluster(t, 12, 3)
+	c.commit("a")
+	leader := c.waitLeader()
+	for _, n := range c.nodes {
+		n.full = true
+	}
+	for range 500 {
+		c.step()
+		assert.Assert(t, leader.core.Status().IsLeader(c.now))
+	}
+	assert.NilError(t, leader.core.ReadIndex(1))
+	c.until("a read while the disks are full", func() bool { return len(leader.reads) == 1 })
+	assert.Assert(t, !leader.reads[0].Failed)
+}
+
+func TestARestartAfterEveryWriteLosesNothing(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, 100+seed, 3)
+		for round := range 10 {
+			last := c.commit(string(rune('a' + round)))
+			id := c.ids()[c.random.IntN(3)]
+			c.crash(id)
+			c.restart(id)
+			c.until("all replicas apply", func() bool { return c.allApplied(last) })
+		}
+	}
+}
+
+// While the disk is full a replica holds entries that it has not written. Its
+// hard state must not name them as committed: after a restart other entries
+// stand at their indexes.
+func TestTheCommitIndexOnDiskNamesOnlyWhatIsOnDisk(t *testing.T) {
+	s := newScript(t, Config{
+		HardState: HardState{Term: 3, Commit: 1},
+		Entries:   []Entry{{Index: 1, Term: 1, Kind: EntryNoop}, {Index: 2, Term: 3, Kind: EntryNoop}},
+	})
+	s.core.HoldEntries(true)
+	s.step(Message{Kind: MessageAppend, Term: 4, LogIndex: 1, LogTerm: 1, Commit: 2, Entries: []Entry{{Index: 2, Term: 4, Kind: EntryNoop}}})
+	ready := s.core.Ready()
+	assert.Equal(t, len(ready.Entries), 0)
+	assert.Equal(t, s.core.Status().Commit, uint64(2))
+	assert.DeepEqual(t, *ready.HardState, HardState{Term: 4, Commit: 1})
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -30,7 +30,7 @@
 	c.hard.Term++
 	c.hard.Vote = c.config.ID
 	c.leader = 0
-	c.ackUpTo = 0
+	c.ackUpTo, c.matched = 0, 0
 	c.votes = map[topology.ReplicaID]bool{}
 	c.resetElectionDeadline()
 	c.askVotes(MessageVote, c.hard.Term)
@@ -53,7 +53,7 @@
 }
 
 func (c *Core) answerPreVote(m Message) {
-	granted := m.Term > c.hard.Term && !c.promisedToLeader() && c.log.upToDate(m.LogIndex, m.LogTerm)
+	granted := m.Term > c.hard.Term && !c.promisedToLeader() && c.mayVoteFor(m) && c.log.upToDate(m.LogIndex, m.LogTerm)
 	answer := Message{Kind: MessagePreVoteAnswer, To: m.From, ToIncarnation: m.FromIncarnation, Refused: !granted}
 	if granted {
 		answer.Term = m.Term
@@ -85,7 +85,7 @@
 func (c *Core) answerVote(m Message) {
 	free := c.hard.Vote == 0 && c.leader == 0
 	granted := (free || c.hard.Vote == m.From) &&
-		(m.Transfer || !c.promisedToLeader()) &&
+		(m.Transfer || !c.promisedToLeader()) && c.mayVoteFor(m) &&
 		c.log.upToDate(m.LogIndex, m.LogTerm)
 	if granted {
 		c.hard.Vote = m.From
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -15,8 +15,14 @@
 	case MessageAppend:
 		return c.appendFromLeader(m)
 	case MessageHeartbeat:
+		if m.Match > c.log.lastIndex() {
+			return fmt.Errorf("%w: entry %d was acknowledged in term %d, the log ends at %d", ErrOlderCopy, m.Match, m.Term, c.log.lastIndex())
+		}
 		c.commitTo(min(m.Commit, c.log.lastIndex()))
-		c.send(Message{Kind: MessageHeartbeatAnswer, To: m.From, ToIncarnation: m.FromIncarnation, Round: m.Round, LogIndex: c.log.lastIndex()})
+		c.send(Message{
+			Kind: MessageHeartbeatAnswer, To: m.From, ToIncarnation: m.FromIncarnation,
+			Round: m.Round, LogIndex: c.log.lastIndex(), Match: c.durableMatch(),
+		})
 	case MessageSnapshot:
 		c.snapshotFromLeader(m)
 	}
@@ -73,7 +79,18 @@
 }
 
 // acknowledge answers the leader once the log is durable up to index.
-func (c *Core) acknowledge(index uint64) { c.ackUpTo = max(c.ackUpTo, index) }
+func (c *Core) acknowledge(index uint64) {
+	c.ackUpTo = max(c.ackUpTo, index)
+	c.matched = max(c.matched, index)
+}
+
+// durableMatch is what an AppendAnswer could acknowledge now.
+func (c *Core) durableMatch() uint64 {
+	if c.installing != nil {
+		return 0
+	}
+	return min(c.matched, c.log.stable)
+}
 
 func (c *Core) commitTo(index uint64) {
 	if index <= c.log.committed {
@@ -102,5 +119,5 @@
 	c.installing = m.Snapshot
 	c.memberships = []membershipAt{{meta.Index, meta.Membership}}
 	c.membershipChanged()
-	c.ackUpTo = meta.Index
+	c.ackUpTo, c.matched = meta.Index, meta.Index
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -143,7 +143,7 @@
 		if !ok || member.ID == c.config.ID {
 			continue
 		}
-		c.send(Message{Kind: MessageHeartbeat, To: member.ID, Round: c.leading.round, Commit: min(progress.Match, c.log.committed)})
+		c.send(Message{Kind: MessageHeartbeat, To: member.ID, Round: c.leading.round, Commit: min(progress.Match, c.log.committed), Match: progress.Match})
 	}
 	c.confirmRounds()
 }
@@ -154,6 +154,12 @@
 		return
 	}
 	progress.Round = max(progress.Round, m.Round)
+	if m.Match > 0 {
+		c.noteMatch(m, progress, m.Match)
+	}
+	if c.role != Leader {
+		return
+	}
 	if progress.Lost(m.Round, m.LogIndex) {
 		progress.Unreachable()
 	}
@@ -223,10 +229,16 @@
 		}
 		return
 	}
-	if progress.Acknowledged(m.LogIndex) {
+	c.noteMatch(m, progress, m.LogIndex)
+	c.leading.appendWanted = true
+}
+
+// noteMatch notes what a replica holds durably.
+func (c *Core) noteMatch(m Message, progress *tracker.Progress, index uint64) {
+	c.noteMarkEnd(m, index)
+	if progress.Acknowledged(index) {
 		c.maybeCommit()
 	}
-	c.leading.appendWanted = true
 	c.continueTransfer()
 }
 
@@ -288,7 +300,9 @@
 	}
 }
 
-// replicateTo sends what fits the window, or news of the commit index alone.
+// replicateTo sends what fits the window, or news of the commit index alone. A
+// replica that acknowledges nothing gets no such news: the window bounds what
+// waits for it.
 func (c *Core) replicateTo(id topology.ReplicaID, progress *tracker.Progress, commitWanted bool) {
 	window := tracker.Window{Appends: c.config.MaxInflightAppends, Bytes: c.config.MaxInflightBytes}
 	sent := false
@@ -296,7 +310,7 @@
 		c.sendAppend(id, progress)
 		sent = true
 	}
-	if commitWanted && !sent && progress.State == tracker.Replicate {
+	if commitWanted && !sent && progress.State == tracker.Replicate && !progress.Paused(window) {
 		c.sendEmptyAppend(id, progress)
 	}
 }
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -70,6 +71,11 @@
 	return membership
 }
 
+// sortedIDs returns a map's keys in a fixed order, so that runs repeat.
+func sortedIDs[T any](values map[topology.ReplicaID]T) []topology.ReplicaID {
+	return slices.Sorted(maps.Keys(values))
+}
+
 func compareMembers(a, b Member) int {
 	switch {
 	case a.ID < b.ID:
--- /dev/null
+++ b/internal/consensus/property_test.go
@@ -0,0 +1,267 @@
+package consensus
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// chaos drives a cluster by operations that rapid draws. The cluster checks at
+// each step that there is one leader in a term, one valid lease, one entry at
+// an index, and that nothing is told before it is written.
+type chaos struct {
+	*cluster
+	rt     *rapid.T
+	copies map[topology.ReplicaID]disk
+	nextID topology.ReplicaID
+	// acknowledged is the highest index whose proposer was answered.
+	acknowledged uint64
+	pending      map[topology.ReplicaID]map[uint64]uint64
+	reads        map[uint64]uint64
+	nextRead     uint64
+}
+
+func (c *chaos) pick(label string) *node {
+	ids := c.ids()
+	return c.nodes[ids[rapid.IntRange(0, len(ids)-1).Draw(c.rt, label)]]
+}
+
+func (c *chaos) advance(*rapid.T) {
+	for range rapid.IntRange(1, 60).Draw(c.rt, "ticks") {
+		c.step()
+		c.answer()
+	}
+}
+
+// answer notes which proposals and reads have got their answer.
+func (c *chaos) answer() {
+	for id, proposals := range c.pending {
+		n := c.nodes[id]
+		for index, term := range proposals {
+			if n.core == nil {
+				delete(proposals, index)
+				continue
+			}
+			if n.core.Status().Applied < index {
+				continue
+			}
+			if entry, ok := c.committed[index]; ok && entry.Term == term {
+				c.acknowledged = max(c.acknowledged, index)
+			}
+			delete(proposals, index)
+		}
+	}
+	for _, n := range c.nodes {
+		for _, read := range n.reads {
+			if !read.Failed {
+				assert.Assert(c.rt, read.Index >= c.reads[read.Token], "a read at %d misses entry %d", read.Index, c.reads[read.Token])
+			}
+		}
+		n.reads = nil
+	}
+}
+
+func (c *chaos) propose(*rapid.T) {
+	n := c.pick("proposer")
+	if n.core == nil || n.paused {
+		return
+	}
+	if index, term, err := n.core.Propose([]byte("value")); err == nil {
+		if c.pending[n.member.ID] == nil {
+			c.pending[n.member.ID] = map[uint64]uint64{}
+		}
+		c.pending[n.member.ID][index] = term
+		c.work(n)
+	}
+}
+
+func (c *chaos) read(*rapid.T) {
+	n := c.pick("reader")
+	if n.core == nil || n.paused {
+		return
+	}
+	c.nextRead++
+	if n.core.ReadIndex(c.nextRead) == nil {
+		c.reads[c.nextRead] = c.acknowledged
+		c.work(n)
+	}
+}
+
+func (c *chaos) crashOne(*rapid.T) { c.crash(c.pick("crashed").member.ID) }
+
+func (c *chaos) restartOne(*rapid.T) {
+	if n := c.pick("restarted"); n.core == nil && n.ended == nil {
+		c.start(n)
+	}
+}
+
+func (c *chaos) powerCut(*rapid.T) {
+	for _, id := range c.ids() {
+		if n := c.nodes[id]; n.ended == nil && rapid.Bool().Draw(c.rt, "cut") {
+			c.crash(id)
+			c.powerCycle(id)
+		}
+	}
+}
+
+func (c *chaos) pauseOrResume(*rapid.T) {
+	n := c.pick("paused")
+	switch {
+	case n.core == nil:
+	case n.paused:
+		c.resume(n.member.ID)
+	default:
+		n.paused = true
+	}
+}
+
+func (c *chaos) fillOrEmptyDisk(*rapid.T) {
+	n := c.pick("full")
+	n.full = !n.full
+}
+
+func (c *chaos) cutOneWay(*rapid.T) {
+	c.cut[[2]topology.ReplicaID{c.pick("from").member.ID, c.pick("to").member.ID}] = true
+}
+
+func (c *chaos) healAll(*rapid.T) {
+	c.heal()
+	c.lossRate = rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(c.rt, "loss")
+	c.maxDelay = rapid.SampledFrom([]time.Duration{1, 5, 40, 400}).Draw(c.rt, "delay") * time.Millisecond
+}
+
+func (c *chaos) compactOne(*rapid.T) {
+	if n := c.pick("compacted"); n.core != nil {
+		c.compact(n.member.ID, uint64(rapid.IntRange(0, 5).Draw(c.rt, "retained")))
+	}
+}
+
+func (c *chaos) copyDisk(*rapid.T) {
+	n := c.pick("copied")
+	c.copies[n.member.ID] = n.disk.clone()
+}
+
+// rollBackOne brings an older copy back, where no other replica has lost its
+// disk: the group claims to survive one of three at a time.
+func (c *chaos) rollBackOne(*rapid.T) {
+	n := c.pick("rolled back")
+	copied, ok := c.copies[n.member.ID]
+	if !ok || n.ended != nil {
+		return
+	}
+	for _, other := range c.nodes {
+		if other != n && (other.ended != nil || other.core == nil || other.core.Status().Unproven) {
+			return
+		}
+	}
+	c.crash(n.member.ID)
+	c.rollBack(n.member.ID, copied)
+}
+
+func (c *chaos) changeMembership(*rapid.T) {
+	n := c.leader()
+	if n == nil {
+		return
+	}
+	kind := rapid.SampledFrom([]ChangeKind{AddLearner, Promote, Remove}).Draw(c.rt, "change")
+	change := Change{Kind: kind}
+	if kind == AddLearner {
+		if len(c.nodes) == 6 {
+			return
+		}
+		change.Member = testMember(c.nextID)
+	} else {
+		change.Member = c.pick("member").member
+	}
+	if kind == Remove && n.core.Membership().Voters() <= 3 && n.core.Membership().IsVoter(change.Member.ID) {
+		return
+	}
+	if _, _, err := n.core.ProposeMembership(change); err != nil {
+		return
+	}
+	if kind == AddLearner {
+		c.add(change.Member)
+		c.nextID++
+	}
+	c.work(n)
+}
+
+func (c *chaos) transfer(*rapid.T) {
+	if n := c.leader(); n != nil && n.core.TransferLeadership(c.pick("successor").member.ID) == nil {
+		c.work(n)
+	}
+}
+
+// settle ends all faults and checks that the group goes on from what it
+// acknowledged.
+func (c *chaos) settle() {
+	c.heal()
+	c.lossRate, c.maxDelay = 0, 5*time.Millisecond
+	for _, id := range c.ids() {
+		n := c.nodes[id]
+		n.full = false
+		switch {
+		case n.ended != nil:
+		case n.core == nil:
+			c.start(n)
+		case n.paused:
+			c.resume(id)
+		}
+	}
+	for range 500 {
+		c.step()
+		c.answer()
+	}
+	for _, n := range c.nodes {
+		if n.ended != nil {
+			// A quorum of sound disks need not be left, nor one that is sure.
+			return
+		}
+	}
+	last := c.commit("last")
+	assert.Assert(c.rt, last > c.acknowledged)
+	members := c.waitLeader().core.Membership()
+	c.until("all members apply", func() bool {
+		for _, member := range members.Members {
+			n := c.nodes[member.ID]
+			if n.ended == nil && n.core.Status().Applied < last {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestRandomFaultsLoseNothing(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := &chaos{
+			cluster: newCluster(rt, rapid.Uint64().Draw(rt, "seed"), 3),
+			rt:      rt, nextID: 4,
+			copies:  map[topology.ReplicaID]disk{},
+			pending: map[topology.ReplicaID]map[uint64]uint64{},
+			reads:   map[uint64]uint64{},
+		}
+		steps := map[string]func(*rapid.T){
+			"advance": c.advance, "propose": c.propose, "read": c.read,
+			"crash": c.crashOne, "restart": c.restartOne, "power cut": c.powerCut,
+			"pause": c.pauseOrResume, "disk full": c.fillOrEmptyDisk,
+			"cut": c.cutOneWay, "heal": c.healAll, "compact": c.compactOne,
+			"copy disk": c.copyDisk, "roll back": c.rollBackOne,
+			"membership": c.changeMembership, "transfer": c.transfer,
+		}
+		for name := range steps {
+			if name != "advance" && name != "propose" {
+				continue
+			}
+			for more := range 4 {
+				steps[fmt.Sprintf("%s %d", name, more)] = steps[name]
+			}
+		}
+		rt.Repeat(steps)
+		c.settle()
+	})
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -13,6 +13,9 @@
 	Incarnation topology.Incarnation
 	Role        Role
 	Term        uint64
+	// Unproven: the replica takes no part in elections until it knows that its
+	// disk lacks nothing that it acknowledged.
+	Unproven bool
 	// Leader is zero where none is known.
 	Leader    topology.ReplicaID
 	Commit    uint64
@@ -54,6 +57,7 @@
 		Incarnation:   c.config.Incarnation,
 		Role:          c.role,
 		Term:          c.hard.Term,
+		Unproven:      !c.recovered(),
 		Leader:        c.leader,
 		Commit:        c.log.committed,
 		Applied:       c.log.applied,
@@ -130,7 +134,7 @@
 // membershipChanged brings role and tracking in line with the membership in
 // force. A leader that is removed leads on until its removal is committed.
 func (c *Core) membershipChanged() {
-	voter := c.Membership().IsVoter(c.config.ID) && c.Membership().Names(c.config.ID, c.config.Incarnation)
+	voter := c.recovered() && c.Membership().IsVoter(c.config.ID) && c.Membership().Names(c.config.ID, c.config.Incarnation)
 	switch {
 	case c.role == Leader:
 		c.trackMembers()
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -68,6 +68,8 @@
 	MessageHeartbeatAnswer
 	MessageSnapshot
 	MessageTimeoutNow
+	MessageRecovery
+	MessageRecoveryAnswer
 )
 
 // Message passes between two replicas of a group. Replicas are named by
@@ -80,7 +82,9 @@
 	FromIncarnation topology.Incarnation
 	To              topology.ReplicaID
 	ToIncarnation   topology.Incarnation
-	Term            uint64
+	// Run is drawn at the sender's start, to tell its runs apart.
+	Run  uint64
+	Term uint64
 	// LogIndex and LogTerm: the entry before Entries (Append), the last entry
 	// (PreVote, Vote), the last entry known to match (AppendAnswer), or where
 	// the logs may still match (refused AppendAnswer).
@@ -92,13 +96,21 @@
 	// Refused is set on answers. Rejected is then the LogIndex refused.
 	Refused  bool
 	Rejected uint64
-	// Round numbers a leader's heartbeats within its term; answers return it.
+	// Round numbers a leader's heartbeats within its term; answers return it. A
+	// RecoveryAnswer returns the Run of what it answers.
 	Round uint64
+	// Match is, on a Heartbeat, what the receiver has acknowledged in this term;
+	// on its answer, up to where the log is durable and known to match the
+	// leader's, as in an AppendAnswer, which may have been lost.
+	Match uint64
 	// Transfer marks a vote that the present leader asked for.
 	Transfer bool
 	// Snapshot is set on MessageSnapshot. The core leaves Data empty; the
 	// driver fills it when it sends.
 	Snapshot *Snapshot
+	// Membership is set on RecoveryAnswer: the newest that the sender holds, of
+	// the entry at index Commit.
+	Membership *Membership
 }
 
 // ReadState ends a ReadIndex request.
@@ -140,7 +152,11 @@
 	ErrTermNotCommitted  = errors.New("the leader has not yet committed an entry of its term")
 	ErrNotCaughtUp       = errors.New("the learner does not yet hold all that is committed")
 	ErrCommittedConflict = errors.New("a leader replaces an entry that is committed here")
-	ErrTwoLeaders        = errors.New("another replica leads in this replica's own term")
+	// ErrOlderCopy says that this replica's disk held more than it does now: it
+	// was replaced by an older copy, or its end was damaged. It must not take
+	// part under this identity any more.
+	ErrOlderCopy  = errors.New("the disk holds less than this replica has acknowledged")
+	ErrTwoLeaders = errors.New("another replica leads in this replica's own term")
 )
 
 // ChangeError says why a membership change is refused.
@@ -164,6 +180,10 @@
 	HardState HardState
 	Snapshot  SnapshotMeta
 	Entries   []Entry
+	// Unproven says that the disk may be an older copy, or may lack its end. The
+	// replica then takes no part in elections until all other voters have told
+	// what they hold; see recovery.go.
+	Unproven bool
 	// Now is the monotonic time at start. Until Now+ElectionTimeout the
 	// replica refuses votes, because it may have promised a leader so.
 	Now time.Duration
@@ -219,16 +239,16 @@
 func (c Config) validate() error {
 	var findings []error
 	if c.ID == 0 {
-		findings = append(findings, errors.New("ID: zero names no replica"))
+		findings = append(findings, errors.New("field ID: zero names no replica"))
 	}
 	if c.Incarnation == 0 {
-		findings = append(findings, errors.New("Incarnation: zero names no data folder"))
+		findings = append(findings, errors.New("field Incarnation: zero names no data folder"))
 	}
 	if c.ElectionTimeout < 2*c.HeartbeatInterval {
-		findings = append(findings, fmt.Errorf("ElectionTimeout: %v is less than two heartbeat intervals of %v", c.ElectionTimeout, c.HeartbeatInterval))
+		findings = append(findings, fmt.Errorf("field ElectionTimeout: %v is less than two heartbeat intervals of %v", c.ElectionTimeout, c.HeartbeatInterval))
 	}
 	if c.MaxClockDrift < 0 || c.MaxClockDrift >= 0.5 {
-		findings = append(findings, fmt.Errorf("MaxClockDrift: %v is not in [0, 0.5)", c.MaxClockDrift))
+		findings = append(findings, fmt.Errorf("field MaxClockDrift: %v is not in [0, 0.5)", c.MaxClockDrift))
 	}
 	return errors.Join(findings...)
 }
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -122,23 +122,23 @@
 func (c Config) validate() error {
 	var findings []error
 	if c.DataDir == "" {
-		findings = append(findings, errors.New("DataDir: not given"))
+		findings = append(findings, errors.New("field DataDir: not given"))
 	}
 	if c.Listen == "" && c.Listener == nil {
-		findings = append(findings, errors.New("Listen: not given"))
+		findings = append(findings, errors.New("field Listen: not given"))
 	}
 	if c.Machine == nil {
-		findings = append(findings, errors.New("Machine: not given"))
+		findings = append(findings, errors.New("field Machine: not given"))
 	}
 	seen := map[topology.ReplicaID]bool{}
 	for position, peer := range c.Peers {
 		if peer.ID == 0 || seen[peer.ID] {
-			findings = append(findings, fmt.Errorf("Peers[%d].ID: %d is zero or stands twice", position, peer.ID))
+			findings = append(findings, fmt.Errorf("field Peers[%d].ID: %d is zero or stands twice", position, peer.ID))
 		}
 		seen[peer.ID] = true
 	}
 	if c.ID != 0 && len(c.Peers) > 0 && !seen[c.ID] {
-		findings = append(findings, fmt.Errorf("ID: %d is not among Peers", c.ID))
+		findings = append(findings, fmt.Errorf("field ID: %d is not among Peers", c.ID))
 	}
 	return errors.Join(findings...)
 }
