--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"github.com/quartzdock/quartzdock/internal/controlstate"
 	"github.com/quartzdock/quartzdock/internal/coordinator"
 	"github.com/quartzdock/quartzdock/internal/distribution"
+	"github.com/quartzdock/quartzdock/internal/leadership"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
 
@@ -25,6 +26,7 @@
 // Controller is one running controller.
 type Controller struct {
 	config  Config
+	started time.Time
 	log     *slog.Logger
 	replica Replicator
 	metrics *controllerMetrics
@@ -37,11 +39,10 @@
 	view        atomic.Pointer[distribution.View]
 	snapshots   snapshotCache
 	open        sessionSet
-	subscribers *subscribers
+	subscribers subscribers
 	freshness   freshness
 	relay       *relay
 	published   broadcast
-	commits     commitTimes
 	stopping    chan struct{}
 	background  sync.WaitGroup
 
@@ -49,11 +50,8 @@
 	state       *controlstate.State
 	deltas      *distribution.Log
 	coordinator *coordinator.Coordinator
-	// term is the term in which this controller leads and has applied all of
-	// earlier terms; announcing is the term of an announcement in flight.
-	term       uint64
-	announcing uint64
-	agents     agentSessions
+	leadership  leadership.Leadership
+	agents      agentSessions
 }
 
 // Run runs a controller until the context ends.
@@ -87,20 +85,24 @@
 
 func newController(config Config) *Controller {
 	c := &Controller{
-		config:      config,
-		log:         config.Log,
-		state:       controlstate.New(config.Group),
-		deltas:      distribution.NewLog(0),
-		subscribers: newSubscribers(),
-		agents:      make(agentSessions),
-		stopping:    make(chan struct{}),
+		started:  time.Now(),
+		config:   config,
+		log:      config.Log,
+		state:    controlstate.New(config.Group),
+		deltas:   distribution.NewLog(0),
+		agents:   make(agentSessions),
+		stopping: make(chan struct{}),
 	}
 	c.coordinator = coordinator.New(config.Coordinator, c.state)
+	c.subscribers.start(c.now())
 	c.view.Store(c.deltas.View())
 	c.metrics = newMetrics(config.Registerer, c)
 	return c
 }
 
+// now reads the controller's own monotonic clock.
+func (c *Controller) now() time.Duration { return time.Since(c.started) }
+
 func (c *Controller) listen() error {
 	sessions, err := transport.Listen(c.config.SessionListen, transport.Options{TLS: c.config.LinkTLS})
 	if err != nil {
--- a/internal/controller/convert.go
+++ b/internal/controller/convert.go
@@ -7,6 +7,7 @@
 
 	quartzdockv1 "github.com/quartzdock/quartzdock/api/quartzdock/v1"
 	"github.com/quartzdock/quartzdock/internal/controlstate"
+	"github.com/quartzdock/quartzdock/internal/inforce"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
@@ -172,17 +173,17 @@
 	return quartzdockv1.ShardPhase(phase)
 }
 
-func subscriberMessage(entry *subscriber, now time.Time) *quartzdockv1.Subscriber {
+func subscriberMessage(entry *inforce.Subscriber, now time.Duration) *quartzdockv1.Subscriber {
 	return &quartzdockv1.Subscriber{
-		Role:            roleName(entry.key.role),
-		Name:            entry.key.name,
-		Address:         entry.key.address,
-		Location:        locationMessage(entry.location),
-		AppliedRevision: uint64(entry.applied),
-		Connected:       entry.connected,
-		Controller:      uint64(entry.controller),
-		SilentFor:       durationpb.New(now.Sub(entry.heardAt)),
-		StoppedRelying:  entry.stoppedRelying(now),
+		Role:            roleName(entry.Role),
+		Name:            entry.Name,
+		Address:         entry.Address,
+		Location:        locationMessage(entry.Location),
+		AppliedRevision: uint64(entry.Applied),
+		Connected:       entry.Connected,
+		Controller:      uint64(entry.Controller),
+		SilentFor:       durationpb.New(now - entry.HeardAt),
+		StoppedRelying:  entry.StoppedRelying(now),
 	}
 }
 
--- a/internal/controller/freshness.go
+++ b/internal/controller/freshness.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/inforce"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
@@ -14,46 +15,39 @@
 	barrierTimeout = time.Second
 )
 
-// freshness remembers when this controller last confirmed, with a quorum, that
-// it has applied all that was committed.
+// freshness guards what is known of the age of this controller's state.
 type freshness struct {
-	mutex     sync.Mutex
-	confirmed time.Duration
-	known     bool
-	changed   broadcast
+	mutex   sync.Mutex
+	proof   inforce.Freshness
+	changed broadcast
 }
 
 // confirm records that all committed before the time at is applied.
 func (f *freshness) confirm(at time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.known && at <= f.confirmed {
-		return
+	if f.proof.Confirm(at) {
+		f.changed.signal()
 	}
-	f.confirmed = at
-	f.known = true
-	f.changed.signal()
 }
 
-// age returns how long ago, at now, the last confirmed moment is. Without any
-// it is as long as the process runs.
 func (f *freshness) age(now time.Duration) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return now - f.confirmed
+	return f.proof.Age(now)
 }
 
-func (f *freshness) confirmedAfter(after time.Duration) bool {
+func (f *freshness) confirmedSince(at time.Duration) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.known && f.confirmed >= after
+	return f.proof.ConfirmedSince(at)
 }
 
 // wait returns once a moment after the time given is confirmed.
 func (f *freshness) wait(ctx context.Context, after time.Duration) error {
 	for {
 		changed := f.changed.wait()
-		if f.confirmedAfter(after) {
+		if f.confirmedSince(after) {
 			return nil
 		}
 		select {
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -6,6 +6,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
 	"github.com/quartzdock/quartzdock/internal/controlstate"
+	"github.com/quartzdock/quartzdock/internal/inforce"
 )
 
 // Tick implements Machine. It follows the replica's role and, at the leader,
@@ -14,14 +15,14 @@
 	if c.replica == nil {
 		return
 	}
-	if c.term != 0 && (status.Role != consensus.Leader || status.Term != c.term) {
+	duty := c.leadership.Tick(&status, now)
+	if duty.StepDown {
 		c.stepDown(status)
 	}
-	if !status.IsLeader(now) {
-		return
-	}
-	if c.term != status.Term {
+	if duty.Announce {
 		c.announce(status)
+	}
+	if !duty.Act {
 		return
 	}
 	command, ok := c.coordinator.Tick(now, time.Now().UnixMilli())
@@ -33,10 +34,6 @@
 // announce proposes the controller's own addresses as the first command of its
 // term. Once it is applied, so is everything of earlier terms.
 func (c *Controller) announce(status consensus.Status) {
-	if c.announcing == status.Term {
-		return
-	}
-	c.announcing = status.Term
 	self := controlstate.Controller{
 		ID:             status.ID,
 		Incarnation:    status.Incarnation,
@@ -50,6 +47,7 @@
 	})
 	if err != nil {
 		c.log.Error("announcement not encoded", "error", err)
+		c.leadership.Refused(status.Term)
 		return
 	}
 	c.replica.ProposeAsync(data, func(_ any, err error) { c.announced(status.Term, err) })
@@ -57,27 +55,24 @@
 
 func (c *Controller) announced(term uint64, err error) {
 	if err != nil {
-		c.announcing = 0 // the next tick tries again if this controller still leads
+		c.leadership.Refused(term)
 		return
 	}
 	status := c.replica.Status()
-	if status.Role != consensus.Leader || status.Term != term {
+	if !c.leadership.Announced(&status, term) {
 		return
 	}
-	c.term = term
 	c.coordinator.BecomeLeader(c.replica.Now())
-	c.subscribers.becomeLeader()
+	c.subscribers.edit((*inforce.Tracker).BecomeLeader)
 	c.metrics.elections.Inc()
 	c.log.Info("leads the group", "term", term, "revision", c.state.Revision())
 }
 
 // stepDown ends everything that the leader alone may do.
 func (c *Controller) stepDown(status consensus.Status) {
-	c.log.Info("no longer leads the group", "term", c.term, "new_term", status.Term, "leader", status.Leader)
-	c.term = 0
-	c.announcing = 0
+	c.log.Info("no longer leads the group", "new_term", status.Term, "leader", status.Leader)
 	c.coordinator.StepDown()
-	c.subscribers.stepDown()
+	c.subscribers.edit((*inforce.Tracker).StepDown)
 	c.redirectAgents(c.leaderSessionAddress(status))
 }
 
@@ -104,10 +99,10 @@
 		c.coordinator.BatchDone(c.replica.Now())
 		return
 	}
-	term := c.term
+	term := c.leadership.Term()
 	proposed := c.replica.Now()
 	c.replica.ProposeAsync(data, func(result any, err error) {
-		if c.term != term {
+		if c.leadership.Term() != term {
 			return
 		}
 		c.batchDone(result, err, proposed)
@@ -132,5 +127,5 @@
 // leads reports whether this controller may act as the leader now.
 func (c *Controller) leads(now time.Duration) bool {
 	status := c.replica.Status()
-	return c.term != 0 && c.term == status.Term && status.IsLeader(now)
+	return c.leadership.Leads(&status, now)
 }
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -1,10 +1,9 @@
 package controller
 
 import (
-	"time"
-
 	"github.com/quartzdock/quartzdock/internal/controlstate"
 	"github.com/quartzdock/quartzdock/internal/distribution"
+	"github.com/quartzdock/quartzdock/internal/inforce"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -21,7 +20,7 @@
 	if delta.From == delta.To {
 		return result
 	}
-	c.commits.add(delta.To, time.Now())
+	c.committed(delta.To)
 	c.deltas.Append(delta, c.totals())
 	c.publish()
 	c.follow(&command, delta)
@@ -42,6 +41,11 @@
 	c.identifyAgents(now)
 }
 
+// committed notes when a revision was applied here.
+func (c *Controller) committed(revision topology.Revision) {
+	c.subscribers.edit(func(tracker *inforce.Tracker) { tracker.Committed(revision, c.now()) })
+}
+
 // publish makes the newest view visible and wakes all sessions.
 func (c *Controller) publish() {
 	c.view.Store(c.deltas.View())
@@ -63,7 +67,7 @@
 	if err := c.state.Decode(data); err != nil {
 		return err
 	}
-	c.commits.add(c.state.Revision(), time.Now())
+	c.committed(c.state.Revision())
 	c.deltas.Reset(c.state.Revision())
 	c.publish()
 	return nil
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -6,18 +6,13 @@
 	"sync"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/inforce"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
 const (
-	// relayInterval is how often a controller that follows reports to the
-	// leader.
-	relayInterval = 100 * time.Millisecond
-	// relaySlack is how late a report may be before its controller counts as
-	// silent.
-	relaySlack = 300 * time.Millisecond
 	// relayRetry is the wait after a failed attempt.
 	relayRetry = 100 * time.Millisecond
 	// relayDialTimeout bounds a dial and the greeting.
@@ -172,16 +167,13 @@
 func (r *relay) report(conn *transport.Conn) {
 	all := true
 	for {
-		report := &wire.SubscriberReport{
-			All:         all,
-			Subscribers: r.controller.subscribers.takeDirty(all, time.Now()),
-			Loads:       r.takeLoads(),
-		}
-		if conn.Send(wire.ToController{Subscribers: report}) != nil {
+		report := r.controller.subscribers.report(all, r.controller.now())
+		report.Loads = r.takeLoads()
+		if conn.Send(wire.ToController{Subscribers: &report}) != nil {
 			return
 		}
 		all = false
-		time.Sleep(relayInterval)
+		time.Sleep(inforce.ReportInterval)
 	}
 }
 
--- a/internal/controller/relay_serve.go
+++ b/internal/controller/relay_serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/controlstate"
+	"github.com/quartzdock/quartzdock/internal/inforce"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -42,7 +43,9 @@
 		*member = message.Member.ID
 		c.replica.Post(func() { c.takeMember(message.Member) })
 	case message.Subscribers != nil:
-		c.subscribers.report(*member, message.Subscribers, time.Now())
+		c.subscribers.edit(func(tracker *inforce.Tracker) {
+			tracker.TakeReport(*member, message.Subscribers, c.now())
+		})
 		for _, load := range message.Subscribers.Loads {
 			c.takeRouterLoad(load.Router, &load.Load)
 		}
--- a/internal/controller/rpc_revisions.go
+++ b/internal/controller/rpc_revisions.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	quartzdockv1 "github.com/quartzdock/quartzdock/api/quartzdock/v1"
+	"github.com/quartzdock/quartzdock/internal/inforce"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
@@ -43,9 +43,9 @@
 	if err := s.read(ctx, func() { response.Age = s.age() }); err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := c.now()
 	for _, entry := range c.subscribers.list(c.replica.Status().ID) {
-		lags := uint64(entry.applied) < response.Age.Revision
+		lags := uint64(entry.Applied) < response.Age.Revision
 		if request.Msg.GetLaggingOnly() && !lags {
 			continue
 		}
@@ -74,11 +74,11 @@
 	return connect.NewResponse(&quartzdockv1.WaitInForceResponse{InForce: s.inForceMessage(&state)}), nil
 }
 
-func (s *adminServer) inForceMessage(state *inForce) *quartzdockv1.InForce {
-	message := &quartzdockv1.InForce{Revision: uint64(state.revision), Everywhere: state.everywhere}
-	now := time.Now()
-	for index := range state.lagging {
-		message.Lagging = append(message.Lagging, subscriberMessage(&state.lagging[index], now))
+func (s *adminServer) inForceMessage(state *inforce.Progress) *quartzdockv1.InForce {
+	message := &quartzdockv1.InForce{Revision: uint64(state.Revision), Everywhere: state.Everywhere}
+	now := s.controller.now()
+	for index := range state.Lagging {
+		message.Lagging = append(message.Lagging, subscriberMessage(&state.Lagging[index], now))
 	}
 	return message
 }
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/inforce"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -24,7 +25,7 @@
 	controller *Controller
 	conn       *transport.Conn
 	hello      wire.Hello
-	key        subscriberKey
+	key        inforce.Key
 	outbox     sessionOutbox
 	closed     chan struct{}
 	closeOnce  sync.Once
@@ -125,7 +126,7 @@
 		return
 	}
 	s.hello = *first.Hello
-	s.key = subscriberKey{s.hello.Role, s.hello.Name, s.hello.Address}
+	s.key = inforce.Key{Role: s.hello.Role, Name: s.hello.Name, Address: s.hello.Address}
 	if reason := s.refusal(); reason != "" {
 		s.controller.metrics.refusedSessions.Inc()
 		_ = s.conn.Send(wire.FromController{Welcome: &wire.Welcome{Refusal: reason}})
@@ -214,8 +215,12 @@
 // converse sends and receives until the session ends.
 func (s *session) converse() {
 	c := s.controller
-	c.subscribers.connected(s.key, &s.hello, time.Now())
-	defer func() { c.subscribers.disconnected(s.key, s.hello.Boot, time.Now()) }()
+	c.subscribers.edit(func(tracker *inforce.Tracker) {
+		tracker.Connected(s.key, &s.hello, c.now())
+	})
+	defer c.subscribers.edit(func(tracker *inforce.Tracker) {
+		tracker.Disconnected(s.key, s.hello.Boot, c.now())
+	})
 	var sender sync.WaitGroup
 	sender.Go(func() {
 		defer s.close()
@@ -240,19 +245,25 @@
 	c := s.controller
 	switch {
 	case message.Renew != nil:
-		c.subscribers.applied(s.key, message.Renew.Applied, time.Now())
+		s.confirmed(message.Renew.Applied)
 		c.replica.Post(func() { s.renew(message.Renew) })
 	case message.Applied != nil:
-		c.subscribers.applied(s.key, message.Applied.Revision, time.Now())
+		s.confirmed(message.Applied.Revision)
 	case message.Warmed != nil:
 		c.replica.Post(func() { c.coordinator.Warmed(s.backend, message.Warmed) })
 	case message.Released != nil:
 		c.replica.Post(func() { c.coordinator.Released(s.backend, message.Released) })
 	case message.Ping != nil:
-		c.subscribers.heard(s.key, time.Now())
+		c.subscribers.heard(s.key, s.hello.Boot, c.now())
 		s.outbox.ping(*message.Ping)
 	case message.RouterLoad != nil:
-		c.subscribers.heard(s.key, time.Now())
+		c.subscribers.heard(s.key, s.hello.Boot, c.now())
 		c.takeRouterLoad(s.hello.Name, message.RouterLoad)
 	}
 }
+
+// confirmed notes which revision the subscriber has in force.
+func (s *session) confirmed(revision topology.Revision) {
+	c := s.controller
+	c.subscribers.applied(s.key, s.hello.Boot, revision, c.now())
+}
--- /dev/null
+++ b/internal/inforce/inforce_test.go
@@ -0,0 +1,151 @@
+package inforce_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/inforce"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+const (
+	self   topology.ReplicaID = 1
+	other  topology.ReplicaID = 2
+	before topology.Revision  = 10
+	change topology.Revision  = 11
+	// settled is when every controller has run for long enough to vouch for its
+	// subscribers.
+	settled = time.Minute
+)
+
+var status = consensus.Status{ID: self, Membership: consensus.NewMembership(
+	consensus.Member{ID: self}, consensus.Member{ID: other},
+)}
+
+func router(name string) inforce.Key {
+	return inforce.Key{Role: topology.RoleRouter, Name: name, Address: "127.0.0.1:8080"}
+}
+
+// leader returns the tracker of a leader that has applied the change just now,
+// at settled, and heard from the other controller.
+func leader() *inforce.Tracker {
+	t := inforce.NewTracker(0)
+	t.TakeReport(other, &wire.SubscriberReport{All: true, Listing: settled}, settled)
+	t.Committed(before, settled-time.Second)
+	t.Committed(change, settled)
+	return t
+}
+
+func report(name string, applied topology.Revision) *wire.SubscriberReport {
+	key := router(name)
+	return &wire.SubscriberReport{Listing: settled, Subscribers: []wire.SubscriberState{{
+		Role: key.Role, Name: key.Name, Address: key.Address, Applied: applied, Connected: true,
+	}}}
+}
+
+func lagging(t *inforce.Tracker, now time.Duration) []string {
+	names := []string{}
+	for _, entry := range t.Progress(change, &status, now).Lagging {
+		names = append(names, entry.Name)
+	}
+	return names
+}
+
+func TestEveryoneMustConfirm(t *testing.T) {
+	tracker := leader()
+	tracker.Connected(router("own"), &wire.Hello{Boot: 1, Applied: before}, settled)
+	tracker.TakeReport(other, report("foreign", before), settled)
+	assert.DeepEqual(t, lagging(tracker, settled), []string{"foreign", "own"})
+	assert.Assert(t, tracker.Applied(router("own"), 1, change, settled))
+	assert.Assert(t, !tracker.Applied(router("own"), 1, change, settled), "a repeated confirmation is no news")
+	assert.DeepEqual(t, lagging(tracker, settled), []string{"foreign"})
+	tracker.TakeReport(other, report("foreign", change), settled)
+	assert.Assert(t, tracker.Progress(change, &status, settled).Everywhere)
+}
+
+func TestConfirmationOfAnEarlierProcessDoesNotCount(t *testing.T) {
+	tracker := leader()
+	tracker.Connected(router("own"), &wire.Hello{Boot: 1, Applied: before}, settled)
+	tracker.Connected(router("own"), &wire.Hello{Boot: 2}, settled)
+	tracker.Applied(router("own"), 1, change, settled)
+	tracker.Disconnected(router("own"), 1, settled)
+	assert.DeepEqual(t, lagging(tracker, settled), []string{"own"})
+}
+
+func TestSilentSubscriberCountsUntilItStopsRelying(t *testing.T) {
+	tracker := leader()
+	tracker.Connected(router("own"), &wire.Hello{Boot: 1, Applied: before}, settled-time.Second)
+	tracker.Disconnected(router("own"), 1, settled-time.Second)
+	stops := settled - time.Second + wire.StopRelyingAfter
+	heard := func(at time.Duration) {
+		tracker.TakeReport(other, &wire.SubscriberReport{Listing: at}, at)
+	}
+	heard(stops)
+	assert.DeepEqual(t, lagging(tracker, stops), []string{"own"})
+	heard(stops + 1)
+	assert.Assert(t, tracker.Progress(change, &status, stops+1).Everywhere)
+}
+
+func TestSilentControllerKeepsItBackUntilNoOneCanRelyOnOlderData(t *testing.T) {
+	tracker := leader()
+	late := settled + time.Second
+	assert.DeepEqual(t, lagging(tracker, late), []string{"controller-2"})
+	assert.Assert(t, !tracker.Progress(change, &status, settled+inforce.RelyingBound).Everywhere)
+	assert.Assert(t, tracker.Progress(change, &status, settled+inforce.RelyingBound+1).Everywhere)
+}
+
+// TestControllerThatHasJustStartedCannotVouch: subscribers that it served before
+// its restart may not have come back yet and still serve by older data.
+func TestControllerThatHasJustStartedCannotVouch(t *testing.T) {
+	tracker := leader()
+	tracker.TakeReport(other, &wire.SubscriberReport{All: true, Listing: inforce.RelyingBound}, settled)
+	assert.DeepEqual(t, lagging(tracker, settled), []string{"controller-2"})
+	tracker.TakeReport(other, &wire.SubscriberReport{All: true, Listing: inforce.RelyingBound + 1}, settled)
+	assert.Assert(t, tracker.Progress(change, &status, settled).Everywhere)
+
+	fresh := inforce.NewTracker(settled)
+	fresh.Committed(change, settled)
+	fresh.TakeReport(other, &wire.SubscriberReport{All: true, Listing: settled}, settled)
+	assert.DeepEqual(t, lagging(fresh, settled), []string{"controller-1"})
+}
+
+// TestSubscribersOfARestartedControllerAreNotListedForEver: its first report
+// names those that it still has.
+func TestSubscribersOfARestartedControllerAreNotListedForEver(t *testing.T) {
+	tracker := leader()
+	tracker.TakeReport(other, report("gone", before), settled)
+	tracker.TakeReport(other, &wire.SubscriberReport{All: true, Listing: settled}, settled)
+	gone := tracker.Subscribers(self)[0]
+	assert.Assert(t, !gone.Connected)
+	assert.Assert(t, !gone.StoppedRelying(settled))
+	assert.Assert(t, gone.StoppedRelying(settled+wire.StopRelyingAfter+1))
+}
+
+func TestNewLeaderWaitsForAllReports(t *testing.T) {
+	tracker := leader()
+	tracker.BecomeLeader()
+	assert.DeepEqual(t, lagging(tracker, settled), []string{"controller-2"})
+}
+
+func TestFollowerReportsChangesOnce(t *testing.T) {
+	tracker := leader()
+	tracker.Connected(router("own"), &wire.Hello{Boot: 1, Applied: before}, settled)
+	first := tracker.Report(false, settled)
+	assert.Equal(t, len(first.Subscribers), 1)
+	assert.Equal(t, first.Listing, settled)
+	assert.Equal(t, len(tracker.Report(false, settled).Subscribers), 0)
+	assert.Equal(t, len(tracker.Report(true, settled).Subscribers), 1)
+}
+
+func TestFreshnessNeverGoesBack(t *testing.T) {
+	var freshness inforce.Freshness
+	assert.Assert(t, !freshness.ConfirmedSince(0), "nothing is confirmed at the start")
+	assert.Assert(t, freshness.Confirm(2*time.Second))
+	assert.Assert(t, !freshness.Confirm(time.Second))
+	assert.Equal(t, freshness.Age(3*time.Second), time.Second)
+	assert.Assert(t, !freshness.ConfirmedSince(2*time.Second+1))
+}
--- a/internal/subscription/client.go
+++ b/internal/subscription/client.go
@@ -40,10 +40,11 @@
 	state     statechart.State
 	conn      *transport.Conn
 	welcome   wire.Welcome
-	named     string // address of the leader that a controller named
-	turn      int    // place in config.Controllers of the next attempt
-	redirects int    // in a row, without a useful session
-	failures  int    // in a row
+	greetedAt topology.Revision // that the last Hello named as in force
+	named     string            // address of the leader that a controller named
+	turn      int               // place in config.Controllers of the next attempt
+	redirects int               // in a row, without a useful session
+	failures  int               // in a row
 	// askWhole makes the next Hello ask for a snapshot; gapSeen says that the
 	// last session ended at a gap and nothing was applied since.
 	askWhole bool
--- a/internal/subscription/connect.go
+++ b/internal/subscription/connect.go
@@ -57,7 +57,9 @@
 	stopClosing := context.AfterFunc(c.ctx, func() { _ = c.conn.Close() })
 	defer stopClosing()
 	address := c.conn.RemoteAddress()
-	err := c.conn.Send(wire.ToController{Hello: c.hello()})
+	hello := c.hello()
+	c.greetedAt = hello.Applied
+	err := c.conn.Send(wire.ToController{Hello: hello})
 	if err != nil {
 		return c.endAttempt(eventFailed, address, err)
 	}
--- a/internal/subscription/follow.go
+++ b/internal/subscription/follow.go
@@ -15,7 +15,7 @@
 
 // follow receives until the session ends.
 func (c *Client) follow() statechart.Event {
-	open := newSession(c.conn, c.config)
+	open := newSession(c.conn, c.config, c.greetedAt)
 	stopClosing := context.AfterFunc(c.ctx, func() { _ = c.conn.Close() })
 	defer stopClosing()
 	c.welcomed(c.welcome)
--- a/internal/subscription/send.go
+++ b/internal/subscription/send.go
@@ -21,12 +21,15 @@
 	sequence uint64
 }
 
-func newSession(conn *transport.Conn, config Config) *session {
+// newSession returns the sending half of a session whose Hello named a revision
+// as in force.
+func newSession(conn *transport.Conn, config Config, applied topology.Revision) *session {
 	return &session{
-		conn:   conn,
-		config: config,
-		outbox: &outbox{wake: make(chan struct{}, 1)},
-		ended:  make(chan struct{}),
+		conn:    conn,
+		config:  config,
+		outbox:  &outbox{wake: make(chan struct{}, 1)},
+		ended:   make(chan struct{}),
+		applied: applied,
 	}
 }
 
--- a/internal/subscription/subscription_test.go
+++ b/internal/subscription/subscription_test.go
@@ -477,3 +477,32 @@
 		assert.ErrorContains(t, err, finding)
 	}
 }
+
+// TestRenewalOfANewSessionNamesWhatIsInForce: where a session breaks and no
+// change follows, nothing new is confirmed, and the leader grants no lease to an
+// agent that seems to have nothing in force.
+func TestRenewalOfANewSessionNamesWhatIsInForce(t *testing.T) {
+	renewed := make(chan topology.Revision, 1)
+	stub := startStub(t, func(p peer) {
+		p.send(t, agentWelcome())
+		if p.number == 0 {
+			p.send(t, snapshot(5))
+		}
+		for {
+			var message wire.ToController
+			if p.Receive(&message) != nil {
+				return
+			}
+			if p.number == 0 && message.Applied != nil {
+				return
+			}
+			if p.number == 1 && message.Renew != nil {
+				renewed <- message.Renew.Applied
+				p.acknowledge(5)
+				return
+			}
+		}
+	})
+	startClient(t, Config{Role: topology.RoleAgent, Lease: &recordedLease{}, Controllers: []string{stub.listener.Address()}, SilenceLimit: time.Minute})
+	assert.Equal(t, <-renewed, topology.Revision(5))
+}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -210,7 +210,10 @@
 // that follows have reported since the last one.
 type SubscriberReport struct {
 	// All is set where Subscribers names every subscriber of the controller.
-	All         bool
+	All bool
+	// Listing is for how long the controller has listed its subscribers: since
+	// its start.
+	Listing     time.Duration
 	Subscribers []SubscriberState
 	Loads       []RouterLoadFrom
 }
