--- a/internal/requestrecord/changes.go
+++ b/internal/requestrecord/changes.go
@@ -6,8 +6,9 @@
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
-// change is one journal entry; exactly one field is set.
-type change struct {
+// Change is one step of a Ledger, as a journal keeps it. Exactly one field is
+// set. It may be encoded with gob; only a Ledger looks into it.
+type Change struct {
 	Reset     *resetChange
 	Begun     *begunChange
 	Admitted  *admittedChange
@@ -72,7 +73,7 @@
 
 // apply makes one change to the state. Replaying the journal and serving use
 // the same code.
-func (state *state) apply(made change) {
+func (state *state) apply(made Change) {
 	switch {
 	case made.Reset != nil:
 		state.shards = make(map[topology.ShardID]*shardRecord)
--- a/internal/requestrecord/doc.go
+++ b/internal/requestrecord/doc.go
@@ -8,6 +8,9 @@
 // is not known. Only proof that the back end did not run it (Abandon) makes
 // the id free again.
 //
+// Ledger holds the rules, free of clock, goroutine and I/O, so that a simulator
+// can drive one for each emulated agent. Record is a Ledger with a journal.
+//
 // # Completeness
 //
 // A record is a set of entries and a floor, a time. The invariant is: every id
--- a/internal/requestrecord/journal.go
+++ b/internal/requestrecord/journal.go
@@ -16,7 +16,7 @@
 // commit is a group of changes that are written, and synced if any of them
 // asks for it, together (group commit).
 type commit struct {
-	changes []change
+	changes []Change
 	sync    bool
 	done    chan struct{}
 	err     error
@@ -34,7 +34,7 @@
 type journal struct {
 	directory    string
 	rewriteBytes int64
-	rewrite      func() []change
+	rewrite      func() []Change
 
 	mutex   sync.Mutex
 	pending *commit
@@ -56,7 +56,7 @@
 
 // startJournal writes the state into a new segment, removes the older ones and
 // begins to take changes.
-func startJournal(directory string, rewriteBytes int64, older []segment, rewrite func() []change) (*journal, error) {
+func startJournal(directory string, rewriteBytes int64, older []segment, rewrite func() []Change) (*journal, error) {
 	started := &journal{
 		directory:    directory,
 		rewriteBytes: rewriteBytes,
@@ -79,7 +79,7 @@
 }
 
 // startSegment makes the next segment durable before it is used.
-func (journal *journal) startSegment(changes []change) error {
+func (journal *journal) startSegment(changes []Change) error {
 	journal.number++
 	path := segmentPath(journal.directory, journal.number)
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
@@ -90,7 +90,7 @@
 	journal.written = 0
 	journal.buffer.Reset()
 	journal.encoder = gob.NewEncoder(&journal.buffer)
-	if err := journal.write(append([]change{{Reset: &resetChange{}}}, changes...)); err != nil {
+	if err := journal.write(append([]Change{{Reset: &resetChange{}}}, changes...)); err != nil {
 		return err
 	}
 	if err := file.Sync(); err != nil {
@@ -119,7 +119,7 @@
 
 // append adds a change to the pending group. Calls are ordered by the
 // Record's mutex.
-func (journal *journal) append(made change, sync bool) *commit {
+func (journal *journal) append(made Change, sync bool) *commit {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
 	group := journal.pending
@@ -209,7 +209,7 @@
 }
 
 // write appends the changes as one frame.
-func (journal *journal) write(changes []change) error {
+func (journal *journal) write(changes []Change) error {
 	if err := journal.encoder.Encode(changes); err != nil {
 		return err
 	}
--- a/internal/requestrecord/record_test.go
+++ b/internal/requestrecord/record_test.go
@@ -296,6 +296,8 @@
 	continued, err := record.Begin(part, 2, right)
 	assert.NilError(t, err)
 	assert.Assert(t, continued)
+	_, err = record.Admit(context.Background(), shard, 1, idAt(wall.Now(), 8), 7)
+	assert.ErrorIs(t, err, ErrNotServing, "the part would not know of it")
 	continued, err = record.Begin(shard, 2, left)
 	assert.NilError(t, err)
 	assert.Assert(t, continued)
@@ -318,7 +320,7 @@
 func TestDroppedEntriesRaiseTheFloor(t *testing.T) {
 	t.Run("by count", func(t *testing.T) {
 		wall := &clock{now: start}
-		record := serving(t, Config{Directory: t.TempDir(), MaxEntries: 3}, wall)
+		record := serving(t, Config{Directory: t.TempDir(), Limits: Limits{MaxEntries: 3}}, wall)
 		first := idAt(wall.Now(), 0)
 		for n := range byte(5) {
 			assert.Equal(t, admit(t, record, 1, idAt(wall.Now(), n)).Decision, Fresh)
@@ -329,7 +331,7 @@
 	})
 	t.Run("by age", func(t *testing.T) {
 		wall := &clock{now: start}
-		record := serving(t, Config{Directory: t.TempDir(), Retention: time.Minute}, wall)
+		record := serving(t, Config{Directory: t.TempDir(), Limits: Limits{Retention: time.Minute}}, wall)
 		first := idAt(wall.Now(), 0)
 		assert.Equal(t, admit(t, record, 1, first).Decision, Fresh)
 		wall.advance(time.Minute + time.Millisecond)
@@ -338,7 +340,7 @@
 	})
 	t.Run("by kept bytes", func(t *testing.T) {
 		wall := &clock{now: start}
-		record := serving(t, Config{Directory: t.TempDir(), MaxKeptBytes: 10}, wall)
+		record := serving(t, Config{Directory: t.TempDir(), Limits: Limits{MaxKeptBytes: 10}}, wall)
 		for n := range byte(3) {
 			id := idAt(wall.Now(), n)
 			assert.Equal(t, admit(t, record, 1, id).Decision, Fresh)
--- a/internal/requestrecord/retention.go
+++ b/internal/requestrecord/retention.go
@@ -2,12 +2,12 @@
 
 // trim drops the oldest entries until age, count and kept bytes are within
 // bounds. Each entry dropped raises its shard's floor above its stamp.
-func (state *state) trim(config Config, nowUnixMilli int64) (dropped int) {
-	oldest := nowUnixMilli - config.Retention.Milliseconds()
+func (state *state) trim(limits Limits, nowUnixMilli int64) (dropped int) {
+	oldest := nowUnixMilli - limits.Retention.Milliseconds()
 	for len(state.order) > 0 {
 		first := state.order[0]
-		within := first.atUnixMilli >= oldest && len(state.order) <= config.MaxEntries &&
-			state.keptBytes <= config.MaxKeptBytes
+		within := first.atUnixMilli >= oldest && len(state.order) <= limits.MaxEntries &&
+			state.keptBytes <= limits.MaxKeptBytes
 		if within {
 			break
 		}
--- a/internal/requestrecord/segment.go
+++ b/internal/requestrecord/segment.go
@@ -15,7 +15,7 @@
 
 // A segment file is a sequence of frames: length and CRC-32C of the payload,
 // four bytes each, little endian, then the payload. The payloads together are
-// one gob stream of []change.
+// one gob stream of []Change.
 const (
 	segmentPattern  = "requests-*.journal"
 	segmentFormat   = "requests-%016d.journal"
@@ -68,10 +68,10 @@
 	return segments, nil
 }
 
-// readJournal replays all segments into the state. Damaged says that a
+// readJournal replays all segments. Damaged says that a
 // segment did not end with a whole frame or could not be decoded; what came
 // before the damage is replayed.
-func readJournal(directory string, into *state) (segments []segment, damaged bool, err error) {
+func readJournal(directory string, replay func(Change)) (segments []segment, damaged bool, err error) {
 	segments, err = listSegments(directory)
 	if err != nil {
 		return nil, false, err
@@ -81,7 +81,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if !replaySegment(content, into) {
+		if !replaySegment(content, replay) {
 			damaged = true
 		}
 	}
@@ -89,11 +89,11 @@
 }
 
 // replaySegment returns false when the segment is damaged.
-func replaySegment(content []byte, into *state) (whole bool) {
+func replaySegment(content []byte, replay func(Change)) (whole bool) {
 	stream, whole := joinFrames(content)
 	decoder := gob.NewDecoder(bytes.NewReader(stream))
 	for {
-		var changes []change
+		var changes []Change
 		err := decoder.Decode(&changes)
 		if errors.Is(err, io.EOF) {
 			return whole
@@ -102,7 +102,7 @@
 			return false
 		}
 		for _, made := range changes {
-			into.apply(made)
+			replay(made)
 		}
 	}
 }
@@ -130,10 +130,10 @@
 }
 
 // changes returns what rebuilds the state, for a rewritten journal.
-func (state *state) changes() []change {
-	var rebuilt []change
+func (state *state) changes() []Change {
+	var rebuilt []Change
 	for id, record := range state.shards {
-		rebuilt = append(rebuilt, change{Restored: &restoredChange{
+		rebuilt = append(rebuilt, Change{Restored: &restoredChange{
 			Shard: id, Epoch: record.epoch, Covers: record.covers, Released: record.released,
 			TakeoverFloor: record.takeoverFloor, RetentionFloor: record.retentionFloor,
 		}})
@@ -143,10 +143,10 @@
 		if !ok {
 			continue
 		}
-		rebuilt = append(rebuilt, change{Admitted: &admittedChange{Shard: ordered.shard, ID: ordered.id,
+		rebuilt = append(rebuilt, Change{Admitted: &admittedChange{Shard: ordered.shard, ID: ordered.id,
 			Fingerprint: kept.fingerprint, AtUnixMilli: ordered.atUnixMilli}})
 		if kept.state != stateRunning {
-			rebuilt = append(rebuilt, change{Finished: &finishedChange{Shard: ordered.shard, ID: ordered.id,
+			rebuilt = append(rebuilt, Change{Finished: &finishedChange{Shard: ordered.shard, ID: ordered.id,
 				Answered: kept.state == stateAnswered, Answer: kept.answer}})
 		}
 	}
--- a/internal/requestrecord/shard.go
+++ b/internal/requestrecord/shard.go
@@ -117,6 +117,14 @@
 	return record != nil && record.begun == epoch && record.released < epoch
 }
 
+// endBefore ends serving at a lower epoch: its range has passed to a shard at
+// the epoch, which takes the entries as they are now.
+func (record *shardRecord) endBefore(epoch topology.Epoch) {
+	if record.begun < epoch {
+		record.begun = 0
+	}
+}
+
 // continues says that the record is still exact for an owner of the range at
 // epoch: it is of that epoch or of the one before, and covers the range.
 func (record *shardRecord) continues(epoch topology.Epoch, covers Range) bool {
@@ -134,3 +142,12 @@
 	}
 	return Verdict{Decision: Fresh}
 }
+
+// endRunning marks what ran when the process stopped as unknown.
+func (record *shardRecord) endRunning() {
+	for _, kept := range record.entries {
+		if kept.state == stateRunning {
+			kept.state = stateUnknown
+		}
+	}
+}
