--- a/internal/controller/config.go
+++ b/internal/controller/config.go
@@ -24,7 +24,10 @@
 	// SessionListen takes sessions of routers and agents, RPCListen calls of
 	// operators: "IP:port"; port 0 takes a free one.
 	SessionListen string
-	RPCListen     string
+	// SessionAdvertise is the session address that subscribers are told;
+	// empty takes the bound one.
+	SessionAdvertise string
+	RPCListen        string
 
 	// LeaseDuration of agents' leases; default 500 ms. All controllers of a
 	// group have the same.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -156,6 +156,14 @@
 	return Addresses{Sessions: c.sessions.Address(), RPC: c.rpc.Addr().String()}
 }
 
+// sessionAddress is where subscribers are told to reach this controller.
+func (c *Controller) sessionAddress() string {
+	if c.config.SessionAdvertise != "" {
+		return c.config.SessionAdvertise
+	}
+	return c.sessions.Address()
+}
+
 // Stop ends sessions, calls and the replicated log.
 func (c *Controller) Stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -41,7 +41,7 @@
 		ID:             status.ID,
 		Incarnation:    status.Incarnation,
 		PeerAddress:    c.replica.PeerAddress(),
-		SessionAddress: c.sessions.Address(),
+		SessionAddress: c.sessionAddress(),
 		RPCAddress:     c.rpc.Addr().String(),
 	}
 	data, err := controlstate.EncodeCommand(controlstate.Command{
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -134,7 +134,7 @@
 		Role:     topology.RoleController,
 		Name:     "controller",
 		Location: c.config.Location,
-		Address:  c.sessions.Address(),
+		Address:  c.sessionAddress(),
 	}})
 	if err != nil {
 		return err
@@ -151,7 +151,7 @@
 		ID:             status.ID,
 		Incarnation:    status.Incarnation,
 		PeerAddress:    c.replica.PeerAddress(),
-		SessionAddress: c.sessions.Address(),
+		SessionAddress: c.sessionAddress(),
 		RPCAddress:     c.rpc.Addr().String(),
 	}})
 }
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -8,7 +8,6 @@
 	Controllers        []string
 	DataFolder         string
 	RequestListen      string
-	PeerListen         string
 	BackendAddress     string
 	MaximumBodyBytes   int
 	MaximumHeaderBytes int
@@ -28,7 +27,7 @@
 	}, notEmpty)
 	set.text(&agent.RequestListen, Field{
 		Name: "requests.listen", Default: "127.0.0.1:7201", Unit: "IP:port",
-		Usage: "Address where routers send requests. It is the agent address that operators give to admin when they create the back end.",
+		Usage: "Address where routers send requests and other agents hand over the record of a moving shard. It is the agent address that operators give to admin when they create the back end.",
 	}, isAddress)
 	set.count(&agent.MaximumBodyBytes, Field{
 		Name: "requests.maximum-body-bytes", Default: "8388608", Unit: "bytes",
@@ -42,10 +41,6 @@
 		Name: "requests.header-timeout", Default: "5s",
 		Usage: "Longest time in which a router must send a whole header.",
 	}, 100*time.Millisecond, time.Minute)
-	set.text(&agent.PeerListen, Field{
-		Name: "peer.listen", Default: "127.0.0.1:7202", Unit: "IP:port",
-		Usage: "Address where other agents hand over the record of a moving shard.",
-	}, isAddress)
 	set.text(&agent.BackendAddress, Field{
 		Name: "backend.address", Required: true, Example: "127.0.0.1:9000", Unit: "IP:port",
 		Usage: "Address of the back end beside this agent.",
@@ -62,7 +57,7 @@
 		Name: "backend.load-interval", Default: "1s",
 		Usage: "How often the back end's own load endpoint is read. Its word is a hint only.",
 	}, 100*time.Millisecond, time.Hour)
-	agent.TLS.requireOffLoopback(set, "requests.listen", "peer.listen", "ops.listen")
+	agent.TLS.requireOffLoopback(set, "requests.listen", "ops.listen")
 	requireTLSTowards(set, &agent.TLS, "controllers")
 	set.check(func(report func(field, problem string)) {
 		if agent.BackendAddress != "" && agent.BackendAddress == agent.RequestListen {
--- a/internal/settings/controller.go
+++ b/internal/settings/controller.go
@@ -19,11 +19,13 @@
 	Peers         []string
 	Join          bool
 	SessionListen string
-	PeerListen    string
-	RPCListen     string
-	LeaseDuration time.Duration
-	RenewInterval time.Duration
-	MachineList   string
+	// SessionAdvertise is empty where it equals SessionListen.
+	SessionAdvertise string
+	PeerListen       string
+	RPCListen        string
+	LeaseDuration    time.Duration
+	RenewInterval    time.Duration
+	MachineList      string
 }
 
 // Peer is one initial member of a group.
@@ -56,6 +58,10 @@
 		Name: "session.listen", Default: "127.0.0.1:7101", Unit: "IP:port",
 		Usage: "Address where routers and agents open sessions.",
 	}, isAddress)
+	set.text(&controller.SessionAdvertise, Field{
+		Name: "session.advertise", Unit: "IP:port",
+		Usage: "Address that routers and agents are told for this controller. Empty takes session.listen; give it where that is not reachable from other machines.",
+	}, optional(isAddress))
 	set.text(&controller.PeerListen, Field{
 		Name: "peer.listen", Default: "127.0.0.1:7102", Unit: "IP:port",
 		Usage: "Address where the other replicas of the group connect.",
@@ -73,7 +79,7 @@
 		Usage: "How often an agent asks for its lease.",
 	}, 20*time.Millisecond, 20*time.Second)
 	set.text(&controller.MachineList, Field{
-		Name: "machine-list.url", Unit: "URL", Reloadable: true,
+		Name: "machine-list.url", Unit: "URL",
 		Usage: "URL of the platform's list of live and leaving machines, fetched by the leader. Empty uses none. The list lags, so it can only start a planned move, never end a lease.",
 	})
 	set.check(controller.checkPeers)
--- a/lab/fleet/addresses.go
+++ b/lab/fleet/addresses.go
@@ -15,7 +15,6 @@
 	portCallers      = 8080
 	portRouterOps    = 8081
 	portRequests     = 7201
-	portRecords      = 7202
 	portAgentOps     = 7203
 	portBackend      = 9000
 	portMachineList  = 9100
--- a/lab/fleet/layout.go
+++ b/lab/fleet/layout.go
@@ -127,7 +127,6 @@
 		"--controllers="+strings.Join(f.sessions, ","),
 		"--data-folder="+folder,
 		"--requests.listen="+listen,
-		"--peer.listen="+f.network.address(kindAgent, number, portRecords),
 		"--backend.address="+guarded,
 	)
 	arguments = append(arguments, f.config.AgentArguments...)
