Bound a new leader's wait for its predecessors' leases

Cause: the loss of a controller together with an owner took an election (300 to 600 ms) and then a whole lease (500 ms), together more than the 1 s that a loss may cost. And the wait was wrong where the settings of two leaders named different lease durations: the second one waited for its own only.

Change: voters tell how long ago they heard a leader or led; an elected leader thus knows by when all earlier leader leases have ended (EarlierLeasesEnd) and waits from there, not from its election. Leaders announce their lease duration, and the control state keeps the longest. A process that has just started gets no lease before then either, as an earlier process of its back end may hold one of the predecessor. An agent that does not take a change loses its lease before the change counts as in force everywhere.

The zone test now waits one lease before its agents renew, since they count as just started; first owners settle from the first lease, not the first session.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -77,7 +77,9 @@
 	maxDelay  time.Duration
 	committed map[uint64]Entry
 	leaders   map[uint64]topology.ReplicaID
-	starts    uint64
+	// actedAt is when each replica last held a leader lease.
+	actedAt map[topology.ReplicaID]time.Duration
+	starts  uint64
 }
 
 func newCluster(t *testing.T, seed uint64, size int) *cluster {
@@ -90,6 +92,7 @@
 		maxDelay:  5 * time.Millisecond,
 		committed: map[uint64]Entry{},
 		leaders:   map[uint64]topology.ReplicaID{},
+		actedAt:   map[topology.ReplicaID]time.Duration{},
 	}
 	var members []Member
 	for id := range size {
@@ -219,6 +222,8 @@
 	term := n.core.Status().Term
 	if other, ok := c.leaders[term]; ok {
 		assert.Equal(c.t, other, n.member.ID, "two leaders in term %d", term)
+	} else {
+		c.checkEarlierLeases(n)
 	}
 	c.leaders[term] = n.member.ID
 	c.checkLease(n)
@@ -229,6 +234,7 @@
 	if !n.core.Status().IsLeader(c.now) {
 		return
 	}
+	c.actedAt[n.member.ID] = c.now
 	for _, other := range c.nodes {
 		if other != n && other.core != nil && other.core.Status().IsLeader(c.now) {
 			c.t.Fatalf("replicas %d and %d both have a valid lease at %v", n.member.ID, other.member.ID, c.now)
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -36,6 +36,10 @@
 
 	electionDeadline time.Duration
 	leaderHeardAt    time.Duration
+	// ledUntil is when this replica last lost leadership; earlierLeasesEnd is
+	// what an election collects of earlier leaders (predecessor.go).
+	ledUntil         time.Duration
+	earlierLeasesEnd time.Duration
 	votes            map[topology.ReplicaID]bool
 	// transferVote marks the election as asked for by the leader.
 	transferVote bool
@@ -221,7 +225,7 @@
 	case MessageVote:
 		c.answerVote(m)
 	case MessageVoteAnswer:
-		c.countVote(m.From, m.FromIncarnation, !m.Refused)
+		c.countVote(m.From, m.FromIncarnation, !m.Refused, m.SinceLeader)
 	case MessageAppend, MessageHeartbeat, MessageSnapshot:
 		return c.stepFromLeader(m)
 	case MessageAppendAnswer:
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"time"
+
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
@@ -32,6 +34,7 @@
 	c.leader = 0
 	c.ackUpTo = 0
 	c.votes = map[topology.ReplicaID]bool{}
+	c.earlierLeasesEnd = 0
 	c.resetElectionDeadline()
 	c.askVotes(MessageVote, c.hard.Term)
 }
@@ -91,13 +94,19 @@
 		c.hard.Vote = m.From
 		c.resetElectionDeadline()
 	}
-	c.send(Message{Kind: MessageVoteAnswer, To: m.From, ToIncarnation: m.FromIncarnation, Refused: !granted})
+	c.send(Message{
+		Kind: MessageVoteAnswer, To: m.From, ToIncarnation: m.FromIncarnation,
+		Refused: !granted, SinceLeader: c.sinceLeader(),
+	})
 }
 
-func (c *Core) countVote(from topology.ReplicaID, incarnation topology.Incarnation, granted bool) {
+func (c *Core) countVote(from topology.ReplicaID, incarnation topology.Incarnation, granted bool, sinceLeader time.Duration) {
 	if c.role != Candidate || !c.noteVote(from, incarnation, granted) {
 		return
 	}
+	if granted {
+		c.noteSinceLeader(sinceLeader)
+	}
 	switch granted, refused := c.tally(); {
 	case granted >= c.Membership().Quorum():
 		c.fire(eventVoteWon)
@@ -109,7 +118,7 @@
 // countOwnVote counts the candidate's vote for itself once it is durable.
 func (c *Core) countOwnVote() {
 	if c.role == Candidate && c.saved.Term == c.hard.Term && c.saved.Vote == c.config.ID {
-		c.countVote(c.config.ID, c.config.Incarnation, true)
+		c.countVote(c.config.ID, c.config.Incarnation, true, c.sinceLeader())
 	}
 }
 
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -33,6 +33,7 @@
 		c.leader = 0
 	}
 	c.failReads()
+	c.ledUntil = c.now
 	c.leading = leadership{}
 	c.resetElectionDeadline()
 }
--- /dev/null
+++ b/internal/consensus/predecessor_test.go
@@ -0,0 +1,81 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// checkEarlierLeases verifies that a replica that has just been elected does
+// not put the end of earlier leases before the last moment at which another
+// replica held one.
+func (c *cluster) checkEarlierLeases(n *node) {
+	status := n.core.Status()
+	for id, at := range c.actedAt {
+		if id != n.member.ID && status.EarlierLeasesEnd < at {
+			c.t.Fatalf("replica %d, elected in term %d, counts earlier leases as over at %v, but replica %d held one at %v",
+				n.member.ID, status.Term, status.EarlierLeasesEnd, id, at)
+		}
+	}
+}
+
+func TestNewLeaderKnowsByWhenEarlierLeasesHaveEnded(t *testing.T) {
+	c := newCluster(t, 5, 3)
+	old := c.waitLeader()
+	c.run(time.Second)
+	c.crash(old.member.ID)
+	crashed := c.now
+	next := c.waitLeader()
+	end := next.core.Status().EarlierLeasesEnd
+	const slack = 20 * time.Millisecond
+	assert.Assert(t, end >= crashed, "the lease of the old leader may have lasted on")
+	assert.Assert(t, end <= crashed+DefaultElectionTimeout+slack, "known %v after the crash", end-crashed)
+}
+
+// TestEarlierLeasesEndUnderFaults elects leaders again and again under pauses,
+// crashes and cuts; checkEarlierLeases judges each election.
+func TestEarlierLeasesEndUnderFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, seed, 3+2*int(seed%2))
+		c.lossRate = 0.05
+		random := rand.New(rand.NewPCG(seed, 7))
+		for range 40 {
+			c.disturb(random)
+			c.run(time.Duration(random.Int64N(int64(700 * time.Millisecond))))
+		}
+	}
+}
+
+// disturb ends one fault or begins one.
+func (c *cluster) disturb(random *rand.Rand) {
+	id := c.ids()[random.IntN(len(c.nodes))]
+	n := c.nodes[id]
+	switch {
+	case n.core == nil:
+		c.restart(id)
+	case n.paused:
+		c.resume(id)
+	default:
+		c.begin(id, random)
+	}
+}
+
+func (c *cluster) begin(id topology.ReplicaID, random *rand.Rand) {
+	other := c.ids()[random.IntN(len(c.nodes))]
+	switch random.IntN(5) {
+	case 0:
+		c.crash(id)
+	case 1:
+		c.nodes[id].paused = true
+	case 2:
+		c.isolate(id)
+	case 3:
+		c.cut[[2]topology.ReplicaID{id, other}] = true
+	default:
+		c.heal()
+	}
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -24,6 +24,9 @@
 	// zero at a replica without one. Whoever acts as the leader compares it
 	// with the time at the moment of acting.
 	LeaseUntil time.Duration
+	// EarlierLeasesEnd is, at a leader, by when every leader lease of an earlier
+	// term has ended, on the same clock; it may be before its election or after.
+	EarlierLeasesEnd time.Duration
 	// LeaderHeardAt is when a leader was last heard, or the start.
 	LeaderHeardAt time.Duration
 	Membership    Membership
@@ -61,7 +64,9 @@
 		Durable:       c.log.stable,
 		LeaseUntil:    c.leaseUntil(),
 		LeaderHeardAt: c.leaderHeardAt,
-		Membership:    c.Membership(),
+
+		EarlierLeasesEnd: c.earlierLeasesEnd,
+		Membership:       c.Membership(),
 	}
 	for _, member := range status.Membership.Members {
 		if progress, ok := c.leading.peers[member.ID]; ok && member.ID != c.config.ID {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -94,6 +94,9 @@
 	Rejected uint64
 	// Round numbers a leader's heartbeats within its term; answers return it.
 	Round uint64
+	// SinceLeader is, on a VoteAnswer, how long ago the voter last heard a leader
+	// or led itself.
+	SinceLeader time.Duration
 	// Transfer marks a vote that the present leader asked for.
 	Transfer bool
 	// Snapshot is set on MessageSnapshot. The core leaves Data empty; the
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -43,7 +43,7 @@
 	}
 	data, err := controlstate.EncodeCommand(controlstate.Command{
 		UnixMilli:          time.Now().UnixMilli(),
-		AnnounceController: &controlstate.AnnounceController{Controller: self},
+		AnnounceController: &controlstate.AnnounceController{Controller: self, LeaseDuration: c.config.LeaseDuration},
 	})
 	if err != nil {
 		c.log.Error("announcement not encoded", "error", err)
@@ -62,7 +62,7 @@
 	if !c.leadership.Announced(&status, term) {
 		return
 	}
-	c.coordinator.BecomeLeader(c.replica.Now())
+	c.coordinator.BecomeLeaderAfter(status.EarlierLeasesEnd, c.replica.Now())
 	c.subscribers.edit((*inforce.Tracker).BecomeLeader)
 	c.metrics.elections.Inc()
 	c.log.Info("leads the group", "term", term, "revision", c.state.Revision())
--- a/internal/controlstate/apply.go
+++ b/internal/controlstate/apply.go
@@ -104,7 +104,7 @@
 			a.state.changed(a)
 		}
 	case command.AnnounceController != nil:
-		a.announceController(command.AnnounceController.Controller)
+		a.announceController(command.AnnounceController)
 		a.state.changed(a)
 	}
 }
--- a/internal/controlstate/command.go
+++ b/internal/controlstate/command.go
@@ -6,6 +6,7 @@
 	"encoding/gob"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/quartzdock/quartzdock/internal/ownership"
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -116,7 +117,11 @@
 type RemoveController struct{ ID topology.ReplicaID }
 
 // AnnounceController records the addresses of a member.
-type AnnounceController struct{ Controller Controller }
+type AnnounceController struct {
+	Controller Controller
+	// LeaseDuration for which the member will grant leases, where it leads.
+	LeaseDuration time.Duration
+}
 
 // ChangeOwnership is a batch of changes of shards.
 type ChangeOwnership struct{ Changes []OwnershipChange }
--- a/internal/controlstate/configure.go
+++ b/internal/controlstate/configure.go
@@ -144,8 +144,10 @@
 	a.result.Controller = added.ID
 }
 
-func (a *application) announceController(announced Controller) {
+func (a *application) announceController(announce *AnnounceController) {
 	s := a.state
+	announced := announce.Controller
 	s.lastController = max(s.lastController, announced.ID)
 	s.controllers[announced.ID] = announced
+	s.longestLease = max(s.longestLease, announce.LeaseDuration)
 }
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -38,6 +39,7 @@
 	LastBackend    topology.BackendID
 	LastController topology.ReplicaID
 	LastLoadShift  uint32
+	LongestLease   time.Duration
 	Services       []storedService
 	Backends       []storedBackend
 	Controllers    []Controller
@@ -74,6 +76,7 @@
 		LastBackend:    s.lastBackend,
 		LastController: s.lastController,
 		LastLoadShift:  s.lastLoadShift,
+		LongestLease:   s.longestLease,
 		Controllers:    s.Controllers(),
 		Shifts:         s.shifts,
 		Answers:        s.answers.oldestFirst(),
@@ -116,6 +119,7 @@
 	s.lastBackend = kept.LastBackend
 	s.lastController = kept.LastController
 	s.lastLoadShift = kept.LastLoadShift
+	s.longestLease = kept.LongestLease
 	s.shifts = kept.Shifts
 	for _, controller := range kept.Controllers {
 		s.controllers[controller.ID] = controller
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -26,6 +27,8 @@
 	lastBackend    topology.BackendID
 	lastController topology.ReplicaID
 	lastLoadShift  uint32
+	// longestLease that any leader of the group announced.
+	longestLease time.Duration
 
 	services    map[topology.ServiceID]*service
 	serviceIDs  map[string]topology.ServiceID
@@ -127,6 +130,11 @@
 // change. Changes of ownership do not count.
 func (s *State) Configuration() (topology.Revision, string) { return s.configured, s.author }
 
+// LongestLease returns the longest duration for which a leader of the group may
+// have granted leases. A new leader waits as long for its predecessors' leases,
+// also where its own are shorter.
+func (s *State) LongestLease() time.Duration { return s.longestLease }
+
 // ServiceInfo is a service with the last change of its configuration.
 type ServiceInfo struct {
 	topology.Service
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -88,6 +88,9 @@
 	createdAt map[topology.ShardID]time.Duration
 	loadMoves map[topology.ServiceID][]time.Duration
 
+	// commits are the latest revisions of this term, which lagging agents miss.
+	commits commits
+
 	// decideAt is when placement is asked next.
 	decideAt   time.Duration
 	decision   placement.Decision
@@ -98,6 +101,8 @@
 // agent is what the leader knows of the process beside a back end.
 type agent struct {
 	boot uint64
+	// fresh processes had nothing in force when they came.
+	fresh bool
 	// required is the revision that the process must have in force before its
 	// lease is renewed.
 	required topology.Revision
@@ -141,10 +146,20 @@
 }
 
 // BecomeLeader starts a term. All entries of earlier terms must be applied.
-func (c *Coordinator) BecomeLeader(now time.Duration) {
+func (c *Coordinator) BecomeLeader(now time.Duration) { c.BecomeLeaderAfter(now, now) }
+
+// BecomeLeaderAfter is BecomeLeader where it is known by when the leader leases
+// of all earlier terms have ended. Zero is not known.
+func (c *Coordinator) BecomeLeaderAfter(earlierLeasesEnd, now time.Duration) {
 	c.StepDown()
+	if earlierLeasesEnd == 0 {
+		earlierLeasesEnd = now
+	}
 	c.leading = true
 	c.leases = ownership.NewLeaseTable(c.config.LeaseDuration, now)
+	longest := max(c.config.LeaseDuration, c.state.LongestLease())
+	c.leases.SetSettled(min(earlierLeasesEnd, now) + longest)
+	c.commits.add(c.state.Revision(), now)
 	c.decideAt = now
 	c.settling = settling{services: make(map[topology.ServiceID]period)}
 }
@@ -165,6 +180,7 @@
 	c.createdAt = make(map[topology.ShardID]time.Duration)
 	c.loadMoves = make(map[topology.ServiceID][]time.Duration)
 	c.decision = placement.Decision{}
+	c.commits = commits{}
 }
 
 // Leading reports whether the coordinator acts as the leader.
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/quartzdock/quartzdock/internal/consensus"
 	"github.com/quartzdock/quartzdock/internal/controlstate"
 	"github.com/quartzdock/quartzdock/internal/coordinator"
 	"github.com/quartzdock/quartzdock/internal/ownership"
@@ -29,9 +30,11 @@
 	coordinator *coordinator.Coordinator
 	index       topology.Revision
 	commitDelay time.Duration
-	pending     []pendingBatch
-	agents      map[topology.BackendID]*scriptedAgent
-	batches     int
+	// leasesEnd is what the election tells of earlier leaders; zero is nothing.
+	leasesEnd time.Duration
+	pending   []pendingBatch
+	agents    map[topology.BackendID]*scriptedAgent
+	batches   int
 }
 
 type pendingBatch struct {
@@ -48,6 +51,8 @@
 	// cutOff agents exchange nothing with the leader.
 	cutOff  bool
 	leaving bool
+	// deaf agents take no routing data, but renew.
+	deaf bool
 	// stuck agents answer neither with Warmed nor with Released.
 	stuck  bool
 	renews time.Duration
@@ -83,10 +88,12 @@
 }
 
 // elect starts the term of a new leader, which knows the log only.
-func (s *script) elect() {
+func (s *script) elect() { s.electWith(coordinator.Config{}) }
+
+func (s *script) electWith(config coordinator.Config) {
 	s.pending = nil
-	s.coordinator = coordinator.New(coordinator.Config{}, s.state)
-	s.coordinator.BecomeLeader(s.now)
+	s.coordinator = coordinator.New(config, s.state)
+	s.coordinator.BecomeLeaderAfter(s.leasesEnd, s.now)
 	for _, agent := range s.agents {
 		s.attach(agent)
 	}
@@ -158,8 +165,10 @@
 	if agent.cutOff {
 		return
 	}
-	agent.applied = s.state.Revision()
-	agent.holder.SetShards(s.state.Shards(1), agent.id)
+	if !agent.deaf {
+		agent.applied = s.state.Revision()
+		agent.holder.SetShards(s.state.Shards(1), agent.id)
+	}
 	if !agent.stuck {
 		s.answerMoves(agent)
 	}
@@ -295,6 +304,7 @@
 	s := newScript(t, shards, backends)
 	s.coordinator.BatchDone(s.now)
 	s.spreadByHand(shards, backends)
+	s.now += lease // processes that have just started get no lease earlier
 	// Renew once, without the cost of the full check per step.
 	for _, agent := range s.agents {
 		agent.applied = s.state.Revision()
@@ -424,3 +434,68 @@
 	s.now += lease
 	assert.Equal(t, s.renew(second, wire.Renew{}).Granted, lease)
 }
+
+// TestAgentThatLagsLosesItsLeaseBeforeTheChangeCountsAsInForce: a renewal alone
+// does not prove that the agent goes by the newest configuration.
+func TestAgentThatLagsLosesItsLeaseBeforeTheChangeCountsAsInForce(t *testing.T) {
+	s := settled(t, 12, 3)
+	s.agents[1].deaf = true
+	changed := s.now
+	s.configure(func(c *controlstate.Command) {
+		service := topology.Service{Name: "wayfinder", InitialShards: 12, DrainLimit: time.Second}
+		c.UpdateService = &controlstate.UpdateService{Service: service}
+	})
+	s.run(wire.StopRelyingAfter - lease - renew)
+	assert.Assert(t, s.agents[1].holder.Valid(s.now), "it has some time to take the change")
+	s.run(changed + wire.StopRelyingAfter - s.now)
+	assert.Assert(t, !s.agents[1].holder.Valid(s.now))
+	assert.Assert(t, s.agents[2].holder.Valid(s.now))
+}
+
+// TestLeaderWithShorterLeasesWaitsForItsPredecessors: the settings were changed
+// between the two.
+func TestLeaderWithShorterLeasesWaitsForItsPredecessors(t *testing.T) {
+	s := settled(t, 12, 3)
+	s.index++
+	s.state.Apply(s.index, controlstate.Command{AnnounceController: &controlstate.AnnounceController{
+		Controller: controlstate.Controller{ID: 1}, LeaseDuration: lease,
+	}})
+	s.runUntil(time.Second, "a renewal", func() bool { return s.agents[1].renews == s.now+renew-tick })
+	s.agents[1].cutOff = true
+	elected := s.now
+	s.electWith(coordinator.Config{LeaseDuration: lease / 5})
+	s.runUntil(2*time.Second, "recovery", func() bool { return s.ownedBy(1) == 0 })
+	assert.Assert(t, s.now-elected >= lease, "took %s", s.now-elected)
+}
+
+// TestLongElectionIsNotWaitedForTwice: the leases of the predecessor ran out
+// during the election.
+func TestLongElectionIsNotWaitedForTwice(t *testing.T) {
+	s := settled(t, 12, 3)
+	lost := s.agents[1]
+	lost.cutOff = true
+	died := s.now
+	s.leasesEnd = died + consensus.DefaultElectionTimeout
+	s.now += 2 * consensus.DefaultElectionTimeout
+	s.elect()
+	s.runUntil(2*time.Second, "recovery", func() bool { return s.ownedBy(1) == 0 })
+	took := s.now - died
+	bound := consensus.DefaultElectionTimeout + lease
+	assert.Assert(t, took >= bound, "took %s: a lease of the predecessor might have been valid", took)
+	assert.Assert(t, took <= bound+4*tick, "took %s", took)
+}
+
+// TestNewProcessWaitsForALeaseOfThePredecessor: the new leader can't know that
+// an earlier process of the same back end still holds one.
+func TestNewProcessWaitsForALeaseOfThePredecessor(t *testing.T) {
+	s := settled(t, 12, 3)
+	s.renew(s.agents[1], wire.Renew{})
+	granted := s.now
+	s.elect()
+	second := &scriptedAgent{id: 1, boot: 77, holder: ownership.NewHolder(0)}
+	s.attach(second)
+	second.applied = s.state.Revision()
+	assert.Equal(t, s.renew(second, wire.Renew{}).Granted, time.Duration(0))
+	s.now = granted + lease
+	assert.Equal(t, s.renew(second, wire.Renew{}).Granted, lease)
+}
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -62,6 +62,7 @@
 // ConfigurationChanged says that an operator's change was applied.
 func (c *Coordinator) ConfigurationChanged(now time.Duration) {
 	c.decideAt = now
+	c.commits.add(c.state.Revision(), now)
 }
 
 // ShardsChanged says which shards a batch of this leader has changed. It is
@@ -70,6 +71,7 @@
 	if !c.leading {
 		return
 	}
+	c.commits.add(c.state.Revision(), now)
 	for _, shard := range changed {
 		c.shardChanged(shard, now)
 	}
--- a/internal/coordinator/leases.go
+++ b/internal/coordinator/leases.go
@@ -26,7 +26,8 @@
 		known.leaving = false
 	}
 	known.required = 1
-	if hello.Applied == 0 {
+	known.fresh = hello.Applied == 0
+	if known.fresh {
 		known.required = c.state.Revision()
 	}
 }
@@ -53,7 +54,7 @@
 		c.released(known, backend, now)
 		return ack
 	}
-	if !c.mayRenew(known, backend, renew.Applied) {
+	if !c.mayRenew(known, backend, renew.Applied, now) {
 		c.statistics.RefusedRenewals++
 		return ack
 	}
@@ -86,17 +87,25 @@
 }
 
 // mayRenew reports whether the holder knows of every shard that was taken from
-// the back end.
-func (c *Coordinator) mayRenew(known *agent, backend topology.BackendID, applied topology.Revision) bool {
+// the back end, and of every change that must be in force everywhere before the
+// lease would end.
+func (c *Coordinator) mayRenew(known *agent, backend topology.BackendID, applied topology.Revision, now time.Duration) bool {
 	info, exists := c.state.Backend(backend)
 	if !exists || c.revoking[backend] {
 		return false
 	}
-	return applied >= max(info.RevokedAt, known.required)
+	if known.fresh && !c.leases.Known(backend) && now < c.leases.Settled() {
+		return false // an earlier process may hold a predecessor's lease
+	}
+	overdue := c.commits.before(now - (wire.StopRelyingAfter - c.config.LeaseDuration))
+	return applied >= max(info.RevokedAt, known.required, overdue)
 }
 
 // returned notes that a back end holds a lease again.
 func (c *Coordinator) returned(known *agent, backend topology.BackendID, now time.Duration) {
+	if known.liveSince == 0 {
+		c.settling.came(c.serviceOf(backend), now)
+	}
 	if known.lost || known.liveSince == 0 {
 		known.lost = false
 		known.liveSince = now
--- a/internal/coordinator/settling.go
+++ b/internal/coordinator/settling.go
@@ -6,8 +6,8 @@
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
-// settling tracks when back ends of each service first came, so that the first
-// owners of its shards are not all the first back end that renewed.
+// settling tracks when back ends of each service first came and first got a
+// lease, so that the first owners of its shards are not all the first back end that renewed.
 type settling struct {
 	services map[topology.ServiceID]period
 }
--- a/internal/ownership/doc.go
+++ b/internal/ownership/doc.go
@@ -22,9 +22,12 @@
 // which a shard was last taken from it, and while such a change is on its way
 // through the log.
 //
-// A new leader does not know which leases its predecessor granted. The
-// predecessor granted none after its leader lease ended, which was before the
-// election; so nothing counts as expired until one lease duration after it.
+// A new leader does not know which leases its predecessors granted. They granted
+// none after their leader leases ended, which was before the election, and the
+// voters know by when (consensus.Status.EarlierLeasesEnd). Nothing counts as
+// expired until the longest lease duration that any leader announced has passed
+// since then. Until then a process that has just started gets no lease either:
+// an earlier process of its back end may still hold one.
 //
 // Back ends refuse epochs lower than the highest they have seen, so that a
 // request which was held up anywhere does no harm later (fencing).
--- a/internal/ownership/lease_table.go
+++ b/internal/ownership/lease_table.go
@@ -41,6 +41,10 @@
 	}
 }
 
+// SetSettled sets by when all leases of earlier leaders have ended, where that is
+// known better than from the election and this leader's own duration.
+func (t *LeaseTable) SetSettled(at time.Duration) { t.settled = at }
+
 // Duration returns for how long leases are granted.
 func (t *LeaseTable) Duration() time.Duration { return t.duration }
 
@@ -67,6 +71,13 @@
 	t.leases[backend] = lease{boot: boot, expires: now, released: true}
 }
 
+// Known reports whether this leader has granted the back end a lease or taken
+// its release.
+func (t *LeaseTable) Known(backend topology.BackendID) bool {
+	_, known := t.leases[backend]
+	return known
+}
+
 // Live reports whether the back end holds a lease that this leader granted.
 func (t *LeaseTable) Live(backend topology.BackendID, now time.Duration) bool {
 	held, known := t.leases[backend]
