--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -74,6 +74,7 @@
 	now := control.now()
 	if reason := control.fitness.verdict(now); reason != "" && control.state == stateFit {
 		control.fitReport = reason
+		control.fitness.giveUp()
 		control.fire(eventFailed)
 	}
 	if control.state == stateFit && control.grants.lost(now) {
--- a/internal/agent/fitness.go
+++ b/internal/agent/fitness.go
@@ -113,7 +113,8 @@
 	fitness.averageAnswer += time.Duration(change)
 }
 
-// failed notes a server error, a broken or missing answer.
+// failed notes a server error, a broken or missing answer, or that the back end
+// shed a request although it was asked for no more than its slots.
 func (fitness *fitness) failed(now time.Duration, shard topology.ShardID) {
 	fitness.mutex.Lock()
 	defer fitness.mutex.Unlock()
@@ -168,14 +169,27 @@
 	if failing {
 		return "requests fail"
 	}
-	stalled := fitness.waiting >= fitness.config.StalledAtLeast &&
-		now-fitness.quietSince >= fitness.stallLimit()
-	if stalled {
+	if fitness.stalled(now) {
 		return "requests are not answered"
 	}
 	return ""
 }
 
+// stalled says that look-ups wait and none is answered. The caller holds the
+// mutex.
+func (fitness *fitness) stalled(now time.Duration) bool {
+	return fitness.waiting >= fitness.config.StalledAtLeast &&
+		now-fitness.quietSince >= fitness.stallLimit()
+}
+
+// giveUp counts the look-ups that still wait as failed: a back end that
+// swallows requests must not look idle to the controller.
+func (fitness *fitness) giveUp() {
+	fitness.mutex.Lock()
+	defer fitness.mutex.Unlock()
+	fitness.counts.failed += uint32(fitness.waiting)
+}
+
 func (fitness *fitness) stallLimit() time.Duration {
 	limit := time.Duration(fitness.config.StallFactor) * fitness.averageAnswer
 	return min(max(limit, fitness.config.StallMinimum), fitness.config.StallMaximum)
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -113,7 +113,7 @@
 	}
 	defer response.Body.Close()
 	if response.Header.Get(wire.HeaderOutcome) == string(wire.OutcomeNotRun) {
-		return refusedResult(agent.backendRefusal(response))
+		return refusedResult(agent.backendRefusal(parsed, response))
 	}
 	ended := agent.relay(w, r, parsed, response)
 	agent.judge(parsed, response.StatusCode, ended, agent.now()-started)
@@ -179,11 +179,12 @@
 }
 
 // backendRefusal passes on that the back end did not run the request.
-func (agent *Agent) backendRefusal(response *http.Response) *refusal {
+func (agent *Agent) backendRefusal(parsed request, response *http.Response) *refusal {
 	switch response.StatusCode {
 	case http.StatusPreconditionFailed:
 		return notRun(http.StatusMisdirectedRequest, wire.ReasonNoLease, "the back end's fence refused the request")
 	case http.StatusServiceUnavailable:
+		agent.fitness.failed(agent.now(), parsed.shard)
 		answer := notRun(http.StatusServiceUnavailable, wire.ReasonShed, "the back end shed the request")
 		answer.retryAfter = time.Second
 		return answer
--- a/internal/agent/rig_test.go
+++ b/internal/agent/rig_test.go
@@ -44,6 +44,7 @@
 
 	mutex    sync.Mutex
 	messages []wire.ToController
+	failed   uint32
 	released bool
 	left     bool
 }
@@ -61,6 +62,7 @@
 	renew := leader.agent.report()
 	leader.mutex.Lock()
 	leader.released = renew.Release
+	leader.failed += renew.Backend.Failed
 	leader.left = leader.left || renew.Leaving
 	leader.mutex.Unlock()
 	if !renew.Release && !leader.refuses.Load() {
@@ -81,6 +83,13 @@
 	return leader.find(func(m wire.ToController) bool { return m.Warmed != nil && m.Warmed.Shard == id })
 }
 
+// sent counts the messages.
+func (leader *leader) sent() int {
+	leader.mutex.Lock()
+	defer leader.mutex.Unlock()
+	return len(leader.messages)
+}
+
 // releasedShard returns the first Released of the shard, or nil.
 func (leader *leader) releasedShard(id topology.ShardID) *wire.Released {
 	var found *wire.Released
@@ -107,6 +116,7 @@
 // rig is an agent with a leader and a stand-in back end.
 type rig struct {
 	t       *testing.T
+	self    topology.BackendID
 	agent   *Agent
 	leader  *leader
 	backend *backend.Backend
@@ -128,31 +138,36 @@
 	}
 	started, err := backend.Start(config)
 	assert.NilError(t, err)
-	t.Cleanup(func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = started.Stop(ctx)
-	})
+	t.Cleanup(func() { stopNow(t, started) })
 	return started, config.Ledger
 }
 
 // startRig starts everything and returns once the lease is valid.
 func startRig(t *testing.T, backendConfig backend.Config, edit func(*Config)) *rig {
+	t.Helper()
+	return startRigAs(t, self, backendConfig, edit)
+}
+
+// startRigAs is startRig for a back end of any identity.
+func startRigAs(t *testing.T, id topology.BackendID, backendConfig backend.Config, edit func(*Config)) *rig {
 	t.Helper()
 	started, path := startBackend(t, backendConfig)
-	return startAgent(t, started, path, t.TempDir(), edit)
+	r := startAgent(t, id, started.Address(), t.TempDir(), edit)
+	r.backend, r.ledger = started, path
+	return r
 }
 
-func startAgent(t *testing.T, started *backend.Backend, path, folder string, edit func(*Config)) *rig {
+// startAgent starts an agent and a leader for the back end at the address.
+func startAgent(t *testing.T, id topology.BackendID, address, folder string, edit func(*Config)) *rig {
 	t.Helper()
 	config := Config{
 		Name:           "one",
 		Listen:         "127.0.0.1:0",
 		Controllers:    []string{"127.0.0.1:1"},
 		DataFolder:     folder,
-		BackendAddress: started.Address(),
+		BackendAddress: address,
 		StopTimeout:    10 * time.Second,
-		Log:            slog.New(slog.NewTextHandler(testWriter{t}, nil)),
+		Log:            slog.New(slog.NewTextHandler(newTestWriter(t), nil)),
 	}
 	if edit != nil {
 		edit(&config)
@@ -160,11 +175,11 @@
 	agent, err := New(config)
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	r := &rig{t: t, agent: agent, leader: &leader{agent: agent}, backend: started, ledger: path,
+	r := &rig{t: t, self: id, agent: agent, leader: &leader{agent: agent},
 		folder: folder, stop: stop, ended: make(chan error, 1)}
 	go func() { r.ended <- agent.runWith(ctx, r.leader) }()
 	go r.renew(ctx)
-	agent.onWelcome(wire.Welcome{Backend: self, Service: shard.Service})
+	agent.onWelcome(wire.Welcome{Backend: id, Service: shard.Service})
 	t.Cleanup(stop)
 	r.waitFor("lease", func() bool { return agent.holder.Valid(agent.now()) })
 	return r
@@ -178,13 +193,28 @@
 	}
 }
 
-// testWriter sends the agent's log to the test's.
-type testWriter struct{ t *testing.T }
+// testWriter sends the agent's log to the test's until the test has ended.
+type testWriter struct {
+	mutex sync.Mutex
+	t     *testing.T
+}
+
+func newTestWriter(t *testing.T) *testWriter {
+	writer := &testWriter{t: t}
+	t.Cleanup(func() {
+		writer.mutex.Lock()
+		defer writer.mutex.Unlock()
+		writer.t = nil
+	})
+	return writer
+}
 
-func (writer testWriter) Write(line []byte) (int, error) {
-	writer.t.Helper()
-	defer func() { _ = recover() }() // the test may have ended
-	writer.t.Log(strings.TrimSpace(string(line)))
+func (writer *testWriter) Write(line []byte) (int, error) {
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	if writer.t != nil {
+		writer.t.Log(strings.TrimSpace(string(line)))
+	}
 	return len(line), nil
 }
 
@@ -208,17 +238,28 @@
 			Service: topology.Service{ID: shard.Service, Name: "closures", InitialShards: 1, DrainLimit: 5 * time.Second},
 			Shards:  []topology.Shard{state},
 		}},
-		Backends: append(others, topology.Backend{ID: self, Service: shard.Service, Name: "one",
-			AgentAddress: r.agent.Address(), Slots: 4, Connections: 20, State: topology.BackendActive}),
+		Backends: append(others, r.asBackend(topology.BackendActive)),
 	})
 	assert.NilError(r.t, err)
 	r.agent.onTable(table)
 }
 
+// asBackend is how the table lists the rig's back end.
+func (r *rig) asBackend(state topology.BackendState) topology.Backend {
+	return topology.Backend{ID: r.self, Service: shard.Service, Name: "one",
+		AgentAddress: r.agent.Address(), Slots: 4, Connections: 20, State: state}
+}
+
 // own gives the shard to the agent and waits until it serves.
 func (r *rig) own(revision topology.Revision, epoch topology.Epoch) {
 	r.t.Helper()
-	r.give(revision, topology.Shard{Phase: topology.ShardOwned, Owner: self, Epoch: epoch})
+	r.give(revision, topology.Shard{Phase: topology.ShardOwned, Owner: r.self, Epoch: epoch})
+	r.serves(epoch)
+}
+
+// serves waits until the shard is served at the epoch.
+func (r *rig) serves(epoch topology.Epoch) {
+	r.t.Helper()
 	r.waitFor("shard served", func() bool {
 		held, ok := r.agent.view.Load().shards[shard]
 		return ok && held.epoch == epoch
@@ -343,3 +384,21 @@
 	assert.NilError(r.t, json.Unmarshal([]byte(got.body), &status), fmt.Sprint(got))
 	return status
 }
+
+// stopNow ends a stand-in without waiting for its requests.
+func stopNow(t *testing.T, started *backend.Backend) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = started.Stop(ctx)
+}
+
+// cancellable sends a call that the returned function cancels, as a router does
+// whose caller went away.
+func (r *rig) cancellable(sent call) (cancel func(), done <-chan reply) {
+	ctx, cancel := context.WithCancel(context.Background())
+	request := r.newRequest(sent).WithContext(ctx)
+	result := make(chan reply, 1)
+	go func() { result <- exchange(request) }()
+	return cancel, result
+}
