Count an outage whole, and never resend unseen

The demo showed 114 ms without an answer after an agent was killed, while the probes' ledger had gaps of 440 to 470 ms: a gap was measured among the answers to probes that were sent after the fault, so its first half was missing, and so was a gap that never ended. LongestGaps now takes a period and counts every gap that reaches into it, from the last answer before, and to the end of the probes where none came any more.

The callers' HTTP client sent GET requests again by itself when a reused connection broke. The ledger then showed one attempt of two, and a refused second one would have been taken for proof that the request was not run.

--- a/lab/demo/report.go
+++ b/lab/demo/report.go
@@ -72,7 +72,7 @@
 		}
 		owners := ledger.OwnersAt(backends, from)
 		var concerned, others time.Duration
-		for _, gap := range ledger.LongestGaps(ledger.Between(probes, from, to), probeInterval) {
+		for _, gap := range ledger.LongestGaps(probes, probeInterval, ledger.Period{From: from, To: to}) {
 			if fault.member == "" || owners[gap.ProbedKey] == fault.member {
 				concerned = max(concerned, gap.Length)
 			} else {
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -264,8 +264,8 @@
 	measured := result{kind: kind, strikes: len(strikes), report: ledger.Check(callers, backends)}
 	for _, strike := range strikes {
 		owners := ledger.OwnersAt(backends, strike.from)
-		window := ledger.Between(probes, strike.from-int64(quietTime/4), strike.to)
-		for _, gap := range ledger.LongestGaps(window, probeInterval) {
+		period := ledger.Period{From: strike.from, To: strike.to}
+		for _, gap := range ledger.LongestGaps(probes, probeInterval, period) {
 			if strike.concerned == nil || strike.concerned[owners[gap.ProbedKey]] {
 				measured.gaps = append(measured.gaps, gap.Length)
 			}
--- a/lab/ledger/availability.go
+++ b/lab/ledger/availability.go
@@ -24,22 +24,30 @@
 	Length time.Duration
 }
 
-// LongestGaps returns for each probed key its longest gap, longest first. An
-// answer counts when it was whole, with status 200. A probe that was held back
-// and answered late lengthens a gap just as a refused one does.
-func LongestGaps(probes []CallerEntry, interval time.Duration) []Gap {
+// Period is a time span in Unix nanoseconds, From included.
+type Period struct{ From, To int64 }
+
+// LongestGaps returns for each probed key its longest gap that reaches into
+// the period, longest first. An answer counts when it was whole, with status
+// 200. A probe that was held back and answered late lengthens a gap just as a
+// refused one does. Where no answer came any more, the gap ends with the period
+// or with the last probe, whichever is first.
+func LongestGaps(probes []CallerEntry, interval time.Duration, period Period) []Gap {
 	answered := make(map[ProbedKey][]int64)
+	last := int64(0)
 	for _, probe := range probes {
 		key := ProbedKey{Service: probe.Service, Key: probe.Key}
+		last = max(last, probe.Done)
 		if probe.Outcome == wire.OutcomeAnswered && probe.Status == http.StatusOK && probe.Damage == "" {
 			answered[key] = append(answered[key], probe.Done)
 		} else if answered[key] == nil {
 			answered[key] = []int64{}
 		}
 	}
+	period.To = min(period.To, last)
 	gaps := make([]Gap, 0, len(answered))
 	for key, times := range answered {
-		gaps = append(gaps, longestGap(key, times, interval))
+		gaps = append(gaps, longestGap(key, times, interval, period))
 	}
 	slices.SortFunc(gaps, func(a, b Gap) int {
 		return cmp.Or(cmp.Compare(b.Length, a.Length), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Key, b.Key))
@@ -47,28 +55,28 @@
 	return gaps
 }
 
-func longestGap(key ProbedKey, times []int64, interval time.Duration) Gap {
+func longestGap(key ProbedKey, times []int64, interval time.Duration, period Period) Gap {
 	slices.Sort(times)
 	longest := Gap{ProbedKey: key}
-	for index := 1; index < len(times); index++ {
-		length := time.Duration(times[index]-times[index-1]) - interval
-		if length > longest.Length {
-			longest.Length = length
-			longest.From = times[index-1]
+	previous := period.From
+	consider := func(next int64) {
+		length := time.Duration(next-previous) - interval
+		if next > period.From && previous < period.To && length > longest.Length {
+			longest.Length, longest.From = length, previous
 		}
+		previous = next
 	}
-	return longest
-}
-
-// Between returns the probes sent in a period of Unix nanoseconds.
-func Between(probes []CallerEntry, from, to int64) []CallerEntry {
-	var within []CallerEntry
-	for _, probe := range probes {
-		if probe.Sent >= from && probe.Sent < to {
-			within = append(within, probe)
+	for index, answer := range times {
+		if index == 0 && answer <= period.From {
+			previous = answer
+			continue
 		}
+		consider(answer)
+	}
+	if previous < period.To {
+		consider(period.To)
 	}
-	return within
+	return longest
 }
 
 // OwnersAt returns which back end last ran a request of each key before an
--- a/lab/ledger/availability_test.go
+++ b/lab/ledger/availability_test.go
@@ -18,19 +18,30 @@
 
 func TestGapReachesFromTheLastAnswerToTheNextWhateverCameBetween(t *testing.T) {
 	const interval = 10 * time.Millisecond
-	gaps := ledger.LongestGaps([]ledger.CallerEntry{
-		probe("a", 10*time.Millisecond, wire.OutcomeAnswered),
-		probe("a", 20*time.Millisecond, wire.OutcomeNotRun),
-		probe("a", 30*time.Millisecond, wire.OutcomeUnknown),
-		probe("a", 400*time.Millisecond, wire.OutcomeAnswered),
-		probe("a", 410*time.Millisecond, wire.OutcomeAnswered),
-		probe("b", 10*time.Millisecond, wire.OutcomeAnswered),
-		probe("b", 20*time.Millisecond, wire.OutcomeAnswered),
-	}, interval)
-	assert.DeepEqual(t, gaps, []ledger.Gap{
-		{ProbedKey: ledger.ProbedKey{Service: "s", Key: "a"}, From: int64(10 * time.Millisecond), Length: 380 * time.Millisecond},
-		{ProbedKey: ledger.ProbedKey{Service: "s", Key: "b"}},
-	})
+	at := func(milliseconds int) time.Duration { return time.Duration(milliseconds) * time.Millisecond }
+	probes := []ledger.CallerEntry{
+		probe("a", at(10), wire.OutcomeAnswered),
+		probe("a", at(20), wire.OutcomeNotRun),
+		probe("a", at(30), wire.OutcomeUnknown),
+		probe("a", at(400), wire.OutcomeAnswered),
+		probe("a", at(410), wire.OutcomeAnswered),
+		probe("b", at(10), wire.OutcomeAnswered),
+		probe("b", at(20), wire.OutcomeAnswered),
+		probe("b", at(410), wire.OutcomeNotRun),
+		probe("c", at(410), wire.OutcomeNotRun),
+	}
+	gap := func(key string, from, length int) ledger.Gap {
+		return ledger.Gap{
+			ProbedKey: ledger.ProbedKey{Service: "s", Key: key}, From: int64(at(from)), Length: at(length),
+		}
+	}
+	within := func(from, to int) []ledger.Gap {
+		return ledger.LongestGaps(probes, interval, ledger.Period{From: int64(at(from)), To: int64(at(to))})
+	}
+	assert.DeepEqual(t, within(0, 1000), []ledger.Gap{gap("c", 0, 400), gap("a", 10, 380), gap("b", 20, 380)})
+	// A gap that began before the period counts from its beginning.
+	assert.DeepEqual(t, within(100, 300), []ledger.Gap{gap("a", 10, 380), gap("b", 20, 270), gap("c", 100, 190)})
+	assert.DeepEqual(t, within(405, 1000), []ledger.Gap{gap("b", 20, 380), gap("a", 0, 0), gap("c", 0, 0)})
 }
 
 func TestOwnerIsTheBackEndOfTheLastRunBeforeAnInstant(t *testing.T) {
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -125,12 +125,11 @@
 	url := fmt.Sprintf("http://%s/%s/%s/%s?work=%s&bytes=%d",
 		router, request.service, operation.Name, request.key, request.work, operation.AnswerBytes)
 	message, err := http.NewRequestWithContext(ctx, operation.Method, url,
-		bytes.NewReader(make([]byte, operation.RequestBytes)))
+		unreplayable{bytes.NewReader(make([]byte, operation.RequestBytes))})
 	if err != nil {
 		return nil, err
 	}
-	// The client library must not send a request again by itself.
-	message.GetBody = nil
+	message.ContentLength = int64(operation.RequestBytes)
 	header := message.Header
 	header.Set(wire.HeaderRequestID, request.id)
 	header.Set(wire.HeaderCaller, c.config.Caller)
@@ -141,6 +140,10 @@
 	return message, nil
 }
 
+// unreplayable is a body that the client library can't rewind, so that it never
+// sends a request again by itself: the ledger would show one attempt of two.
+type unreplayable struct{ io.Reader }
+
 // outcomeOf says what a client error proves: a refused connection is proof
 // that the request was not sent.
 func outcomeOf(err error) wire.Outcome {
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -61,6 +61,15 @@
 	assert.Equal(t, total.Attempts, 2*total.Requests)
 }
 
+func TestClientLibrarySendsNothingAgainByItself(t *testing.T) {
+	address, seen := startBreaking(t)
+	total := run(t, load.Config{Routers: []string{address}, Seed: 1}).Total()
+	assert.Assert(t, total.Unknown > 10, "%+v", total)
+	for id, count := range seen() {
+		assert.Equal(t, count, 1, "request %s", id)
+	}
+}
+
 func TestSeedGivesTheSameRequests(t *testing.T) {
 	address, _ := startUnfenced(t)
 	keys := func(path string) []string {
