--- a/internal/consensus/predecessor_test.go
+++ b/internal/consensus/predecessor_test.go
@@ -79,3 +79,24 @@
 		c.heal()
 	}
 }
+
+// TestEarlierLeasesEndAcrossMembershipChanges removes one replica of four, so
+// that the quorum of the next election is another than that of the last lease,
+// and restarts another from a snapshot.
+func TestEarlierLeasesEndAcrossMembershipChanges(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newCluster(t, seed, 4)
+		leader := c.waitLeader()
+		removed, restarted := c.nodes[leader.member.ID%4+1], c.nodes[(leader.member.ID+1)%4+1]
+		c.change(Change{Kind: Remove, Member: removed.member})
+		c.crash(removed.member.ID)
+		restarted.disk = restarted.disk.clone()
+		restarted.disk.snapshot.Data = encodeApplied(decodeApplied(restarted.disk.snapshot))
+		c.restart(restarted.member.ID)
+		c.crash(leader.member.ID)
+		c.until("a new leader", func() bool {
+			next := c.leader()
+			return next != nil && next != leader
+		})
+	}
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -222,16 +222,16 @@
 func (c Config) validate() error {
 	var findings []error
 	if c.ID == 0 {
-		findings = append(findings, errors.New("ID: zero names no replica"))
+		findings = append(findings, errors.New("field ID: zero names no replica"))
 	}
 	if c.Incarnation == 0 {
-		findings = append(findings, errors.New("Incarnation: zero names no data folder"))
+		findings = append(findings, errors.New("field Incarnation: zero names no data folder"))
 	}
 	if c.ElectionTimeout < 2*c.HeartbeatInterval {
-		findings = append(findings, fmt.Errorf("ElectionTimeout: %v is less than two heartbeat intervals of %v", c.ElectionTimeout, c.HeartbeatInterval))
+		findings = append(findings, fmt.Errorf("field ElectionTimeout: %v is less than two heartbeat intervals of %v", c.ElectionTimeout, c.HeartbeatInterval))
 	}
 	if c.MaxClockDrift < 0 || c.MaxClockDrift >= 0.5 {
-		findings = append(findings, fmt.Errorf("MaxClockDrift: %v is not in [0, 0.5)", c.MaxClockDrift))
+		findings = append(findings, fmt.Errorf("field MaxClockDrift: %v is not in [0, 0.5)", c.MaxClockDrift))
 	}
 	return errors.Join(findings...)
 }
