--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -82,7 +82,9 @@
 	maxDelay  time.Duration
 	committed map[uint64]Entry
 	leaders   map[uint64]topology.ReplicaID
-	starts    uint64
+	// actedAt is when each replica last held a leader lease.
+	actedAt map[topology.ReplicaID]time.Duration
+	starts  uint64
 }
 
 // rapidOrTest is what *testing.T and *rapid.T share.
@@ -104,6 +106,7 @@
 		maxDelay:  5 * time.Millisecond,
 		committed: map[uint64]Entry{},
 		leaders:   map[uint64]topology.ReplicaID{},
+		actedAt:   map[topology.ReplicaID]time.Duration{},
 	}
 	var members []Member
 	for id := range size {
@@ -177,7 +180,6 @@
 	}
 }
 
-
 func (c *cluster) restart(id topology.ReplicaID) { c.start(c.nodes[id]) }
 
 // rollBack starts a replica from an older copy of its disk.
@@ -270,6 +272,8 @@
 	term := n.core.Status().Term
 	if other, ok := c.leaders[term]; ok {
 		assert.Equal(c.t, other, n.member.ID, "two leaders in term %d", term)
+	} else {
+		c.checkEarlierLeases(n)
 	}
 	c.leaders[term] = n.member.ID
 }
@@ -283,6 +287,7 @@
 		if n.core == nil || !n.core.Status().IsLeader(c.now) {
 			continue
 		}
+		c.actedAt[id] = c.now
 		if holder != 0 {
 			c.t.Fatalf("replicas %d and %d both have a valid lease at %v", holder, id, c.now)
 		}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -103,6 +103,9 @@
 	// on its answer, up to where the log is durable and known to match the
 	// leader's, as in an AppendAnswer, which may have been lost.
 	Match uint64
+	// SinceLeader is, on a VoteAnswer, how long ago the voter last heard a leader
+	// or led itself.
+	SinceLeader time.Duration
 	// Transfer marks a vote that the present leader asked for.
 	Transfer bool
 	// Snapshot is set on MessageSnapshot. The core leaves Data empty; the
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -6,18 +6,13 @@
 	"sync"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/inforce"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
 const (
-	// relayInterval is how often a controller that follows reports to the
-	// leader.
-	relayInterval = 100 * time.Millisecond
-	// relaySlack is how late a report may be before its controller counts as
-	// silent.
-	relaySlack = 300 * time.Millisecond
 	// relayRetry is the wait after a failed attempt.
 	relayRetry = 100 * time.Millisecond
 	// relayDialTimeout bounds a dial and the greeting.
@@ -134,7 +129,7 @@
 		Role:     topology.RoleController,
 		Name:     "controller",
 		Location: c.config.Location,
-		Address:  c.sessions.Address(),
+		Address:  c.sessionAddress(),
 	}})
 	if err != nil {
 		return err
@@ -151,7 +146,7 @@
 		ID:             status.ID,
 		Incarnation:    status.Incarnation,
 		PeerAddress:    c.replica.PeerAddress(),
-		SessionAddress: c.sessions.Address(),
+		SessionAddress: c.sessionAddress(),
 		RPCAddress:     c.rpc.Addr().String(),
 	}})
 }
@@ -172,16 +167,13 @@
 func (r *relay) report(conn *transport.Conn) {
 	all := true
 	for {
-		report := &wire.SubscriberReport{
-			All:         all,
-			Subscribers: r.controller.subscribers.takeDirty(all, time.Now()),
-			Loads:       r.takeLoads(),
-		}
-		if conn.Send(wire.ToController{Subscribers: report}) != nil {
+		report := r.controller.subscribers.report(all, r.controller.now())
+		report.Loads = r.takeLoads()
+		if conn.Send(wire.ToController{Subscribers: &report}) != nil {
 			return
 		}
 		all = false
-		time.Sleep(relayInterval)
+		time.Sleep(inforce.ReportInterval)
 	}
 }
 
