Test the storage by faults and prove a disk before it votes

Storage and replica had no tests of faults.

Mended, each with a test that failed first: - A replica notes in run.json what it wrote last. Only where that matches (same boot, same mount, same file unchanged) it votes at once after a restart; otherwise it asks the others.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -170,11 +170,11 @@
 	}
 }
 
-// Step takes a message in. Messages for another group, replica or incarnation
-// are dropped. An error means that the group's state is damaged: the process
+// Step takes a message in. Messages for another group, replica or incarnation,
+// and malformed ones, are dropped. An error means that the group's state is damaged: the process
 // must end.
 func (c *Core) Step(now time.Duration, m Message) error {
-	if m.Group != c.config.Group || m.To != c.config.ID || m.ToIncarnation != c.config.Incarnation {
+	if m.Group != c.config.Group || m.To != c.config.ID || m.ToIncarnation != c.config.Incarnation || !m.wellFormed() {
 		return nil
 	}
 	if member, ok := c.Membership().Find(m.From); ok && member.Incarnation != m.FromIncarnation {
--- a/internal/consensus/recovery.go
+++ b/internal/consensus/recovery.go
@@ -71,6 +71,9 @@
 	return !c.recovery.pending && c.recovery.floor == logEnd{}
 }
 
+// Proven reports whether this replica knows that its disk lacks nothing.
+func (c *Core) Proven() bool { return c.recovered() }
+
 // mayVoteFor reports whether recovery allows a vote for a log.
 func (c *Core) mayVoteFor(m Message) bool {
 	return !c.recovery.pending && logEnd{m.LogIndex, m.LogTerm}.reaches(c.recovery.floor)
--- a/internal/consensus/recovery_test.go
+++ b/internal/consensus/recovery_test.go
@@ -116,11 +116,12 @@
 	s.core.Tick(s.now)
 	s.finish()
 	asked := s.last(MessageRecovery)
-	s.step(Message{Kind: MessageRecoveryAnswer, Term: 7, Round: asked.Run, LogIndex: 4, LogTerm: 3})
+	membership := NewMembership(testMember(1), testMember(2), testMember(3))
+	s.step(Message{Kind: MessageRecoveryAnswer, Term: 7, Round: asked.Run, LogIndex: 4, LogTerm: 3, Membership: &membership})
 	s.finish()
 	assert.Assert(t, s.core.Status().Unproven, "one of two has answered")
 	s.from = 3
-	s.step(Message{Kind: MessageRecoveryAnswer, Term: 8, Round: asked.Run, LogIndex: 5, LogTerm: 3})
+	s.step(Message{Kind: MessageRecoveryAnswer, Term: 8, Round: asked.Run, LogIndex: 5, LogTerm: 3, Membership: &membership})
 	s.finish()
 	for _, term := range []uint64{7, 8} {
 		vote.Term = term
@@ -143,7 +144,7 @@
 	s := newScript(t, Config{Unproven: true})
 	for _, from := range []topology.ReplicaID{2, 3} {
 		s.from = from
-		s.step(Message{Kind: MessageRecoveryAnswer, Term: 1, Round: 12345})
+		s.step(Message{Kind: MessageRecoveryAnswer, Term: 1, Round: 12345, Membership: &Membership{}})
 	}
 	assert.Assert(t, s.core.Status().Unproven)
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -116,6 +116,25 @@
 	Membership *Membership
 }
 
+// wellFormed reports whether the fields fit the kind.
+func (m *Message) wellFormed() bool {
+	if m.Kind < MessagePreVote || m.Kind > MessageRecoveryAnswer || m.From == 0 || m.From == m.To {
+		return false
+	}
+	switch m.Kind {
+	case MessageSnapshot:
+		return m.Snapshot != nil && m.Snapshot.Meta.Index > 0
+	case MessageRecoveryAnswer:
+		return m.Membership != nil
+	}
+	for position, entry := range m.Entries {
+		if entry.Index != m.LogIndex+uint64(position)+1 || entry.Term > m.Term || entry.Kind < EntryCommand || entry.Kind > EntryMembership {
+			return false
+		}
+	}
+	return true
+}
+
 // ReadState ends a ReadIndex request.
 type ReadState struct {
 	Token uint64
--- a/internal/replica/control.go
+++ b/internal/replica/control.go
@@ -19,10 +19,10 @@
 	founding founding
 
 	writing bool
-	// full refuses proposals and holds entries back; a probe for fullBytes is
-	// made at probeAt.
+	// low refuses proposals for want of space ahead, full holds entries back as
+	// well; a probe is made at probeAt.
+	low        bool
 	full       bool
-	fullBytes  int64
 	probeAt    time.Duration
 	snapshotAt time.Duration
 
@@ -67,7 +67,11 @@
 	if found.torn > 0 {
 		r.config.Logger.Info("cut a torn write off the log", "bytes", found.torn)
 	}
+	if found.unproven && found.founded {
+		r.config.Logger.Info("the disk may be an older copy; asking the other members before voting", "folder", r.config.DataDir)
+	}
 	if !found.founded {
+		c.founding.unproven = found.unproven
 		if err := c.founding.load(r); err != nil {
 			return err
 		}
@@ -94,6 +98,7 @@
 		Now:               c.r.Now(),
 		HeartbeatInterval: c.r.config.HeartbeatInterval,
 		ElectionTimeout:   c.r.config.ElectionTimeout,
+		Unproven:          found.unproven,
 		Seed:              uint64(identity.Incarnation) ^ uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
@@ -171,7 +176,12 @@
 	if c.core == nil && !c.founding.join(m) {
 		return
 	}
-	if err := c.core.Step(c.r.Now(), m); err != nil {
+	err := c.core.Step(c.r.Now(), m)
+	if errors.Is(err, consensus.ErrOlderCopy) {
+		err = errors.Join(&storage.DamageError{File: c.r.config.DataDir, Reason: err.Error(), Advice: storage.AdviceReplace},
+			c.r.files.folder.Condemn(err.Error()))
+	}
+	if err != nil {
 		c.r.fail(err)
 	}
 }
@@ -190,8 +200,7 @@
 			c.finish(ready)
 			continue
 		}
-		c.writing = true
-		c.r.writes <- writeJob{ready: ready}
+		c.write(writeJob{ready: ready})
 	}
 	if c.writing {
 		c.send(c.core.TakeEarly())
@@ -312,7 +321,7 @@
 	switch {
 	case c.core == nil:
 		return ErrNotMember
-	case c.full:
+	case c.low:
 		return storage.ErrDiskFull
 	}
 	return nil
--- /dev/null
+++ b/internal/replica/faults_test.go
@@ -0,0 +1,285 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/storage"
+	"github.com/quartzdock/quartzdock/internal/storage/vfs"
+	"github.com/quartzdock/quartzdock/internal/storage/wal"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// failures collects what OnFailure is told.
+type failures struct {
+	mu    sync.Mutex
+	found map[topology.ReplicaID]error
+}
+
+func (f *failures) of(id topology.ReplicaID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.found[id]
+}
+
+// memoryGroup is a group whose disks are in memory, and what ended its
+// replicas.
+func memoryGroup(t *testing.T, size int) (*testGroup, map[topology.ReplicaID]*vfs.Memory, *failures) {
+	disks := map[topology.ReplicaID]*vfs.Memory{}
+	failed := &failures{found: map[topology.ReplicaID]error{}}
+	g := newTestGroup(t, size, func(config *Config) {
+		id := config.ID
+		disks[id] = vfs.NewMemory(uint64(id))
+		config.FS, config.DataDir = disks[id], "data"
+		config.WAL = wal.Options{SegmentBytes: 64 << 10}
+		config.OnFailure = func(err error) {
+			failed.mu.Lock()
+			defer failed.mu.Unlock()
+			failed.found[id] = err
+		}
+	})
+	return g, disks, failed
+}
+
+// kill ends a replica as the loss of its process does; with the power, what
+// was not synced is lost too.
+func (g *testGroup) kill(id topology.ReplicaID) {
+	g.t.Helper()
+	_ = g.replicas[id].Stop()
+	delete(g.replicas, id)
+	config := g.configs[id]
+	config.Listener = nil
+	g.configs[id] = config
+}
+
+func (g *testGroup) follower() topology.ReplicaID {
+	leader := g.leader().Status().ID
+	for id := range g.replicas {
+		if id != leader {
+			return id
+		}
+	}
+	return 0
+}
+
+func (g *testGroup) wait(what string, condition func() bool) {
+	g.t.Helper()
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func TestAFailedSyncEndsTheReplicaBeforeItAnswers(t *testing.T) {
+	g, disks, failed := memoryGroup(t, 1)
+	g.propose("a")
+	disks[1].FailSync(syscall.EIO)
+	_, err := g.leader().Propose(testContext(t), []byte("lost"))
+	assert.ErrorIs(t, err, ErrOutcomeUnknown)
+	var sync *storage.SyncError
+	assert.Assert(t, errors.As(failed.of(1), &sync))
+	g.kill(1)
+	disks[1].Crash()
+	g.start(1)
+	assert.Equal(t, g.propose("b"), "2: b", "what was not synced was not acknowledged")
+}
+
+func TestAFullDiskRefusesChangesWhileReadsAndTheLeaseGoOn(t *testing.T) {
+	g, disks, _ := memoryGroup(t, 1)
+	disks[1].SetCapacity(disks[1].Used() + 10_000)
+	leader := g.leader()
+	accepted := 0
+	var err error
+	for err == nil {
+		if _, err = leader.Propose(testContext(t), make([]byte, 4000)); err == nil {
+			accepted++
+		}
+	}
+	assert.ErrorIs(t, err, storage.ErrDiskFull, "no proposal may wait for space")
+	assert.Assert(t, leader.DiskFull())
+	assert.Equal(t, len(g.commands(1)), accepted)
+	for range 20 {
+		assert.NilError(t, leader.ReadBarrier(testContext(t)))
+		assert.Assert(t, leader.IsLeader())
+	}
+	disks[1].SetCapacity(0)
+	g.wait("changes are taken again", func() bool {
+		_, err := leader.Propose(testContext(t), []byte("again"))
+		return err == nil
+	})
+	g.waitCommands(1, accepted+1)
+}
+
+// A follower without space holds back what it cannot write; the others go on,
+// and it catches up.
+func TestAFollowerWithAFullDiskCatchesUp(t *testing.T) {
+	g, disks, _ := memoryGroup(t, 3)
+	g.propose("a")
+	id := g.follower()
+	g.waitCommands(id, 1)
+	disks[id].SetCapacity(disks[id].Used())
+	for range 40 {
+		g.propose(string(make([]byte, 4000)))
+	}
+	g.wait("the follower's disk is full", g.replicas[id].DiskFull)
+	disks[id].SetCapacity(0)
+	g.waitCommands(id, 41)
+	g.wait("all is on its disk", func() bool { return g.replicas[id].Status().Durable >= 41 })
+}
+
+func TestAnOlderCopyOfTheDiskIsFoundAndCondemned(t *testing.T) {
+	g, disks, failed := memoryGroup(t, 3)
+	g.propose("a")
+	older := g.follower()
+	g.waitCommands(older, 1)
+	copied := disks[older].Clone()
+	for i := range 5 {
+		g.propose(fmt.Sprint(i))
+	}
+	g.waitCommands(older, 6)
+	g.kill(older)
+	disks[older].Restore(copied)
+	g.start(older)
+	g.wait("the copy is found", func() bool { return failed.of(older) != nil })
+	assert.ErrorContains(t, failed.of(older), consensus.ErrOlderCopy.Error())
+	assert.ErrorContains(t, failed.of(older), "replace-a-lost-disk.md")
+	g.kill(older)
+	config := g.configs[older]
+	config.Machine = &listMachine{}
+	_, err := Start(config)
+	var damage *storage.DamageError
+	assert.Assert(t, errors.As(err, &damage), "the folder stays refused: %v", err)
+}
+
+func TestAReplicaTrustsItsDiskAfterARestartOfTheProcessOnly(t *testing.T) {
+	g, disks, _ := memoryGroup(t, 3)
+	g.propose("a")
+	id := g.follower()
+	g.waitCommands(id, 1)
+	other := g.leader().Status().ID
+	g.kill(id)
+	g.start(id)
+	assert.Assert(t, !g.replicas[id].Status().Unproven)
+
+	// After a power cut it must hear both others; one is down.
+	third := topology.ReplicaID(6) - id - other
+	g.kill(third)
+	g.kill(id)
+	disks[id].Crash()
+	g.start(id)
+	assert.Assert(t, g.replicas[id].Status().Unproven)
+	g.propose("b")
+	g.waitCommands(id, 2)
+	assert.Assert(t, g.replicas[id].Status().Unproven)
+	g.start(third)
+	g.wait("both have told what they hold", func() bool { return !g.replicas[id].Status().Unproven })
+	// From now on the note holds again.
+	g.propose("c")
+	g.waitCommands(id, 3)
+	g.kill(id)
+	g.start(id)
+	assert.Assert(t, !g.replicas[id].Status().Unproven)
+}
+
+func TestAGroupComesBackAfterAPowerCut(t *testing.T) {
+	g, disks, _ := memoryGroup(t, 3)
+	for i := range 10 {
+		g.propose(fmt.Sprint(i))
+	}
+	for id := range disks {
+		g.kill(id)
+		disks[id].Crash()
+	}
+	for id := range disks {
+		g.start(id)
+	}
+	assert.Equal(t, g.propose("after"), "11: after")
+}
+
+func TestAPartOfTheFolderThatIsMissingStopsTheStart(t *testing.T) {
+	for _, part := range []string{"wal", "snap"} {
+		g, disks, _ := memoryGroup(t, 1)
+		g.propose("a")
+		g.kill(1)
+		names, err := disks[1].List("data/" + part)
+		assert.NilError(t, err)
+		for _, name := range names {
+			assert.NilError(t, disks[1].Remove("data/"+part+"/"+name))
+		}
+		config := g.configs[1]
+		config.Machine = &listMachine{}
+		for range 2 {
+			_, err = Start(config)
+			var damage *storage.DamageError
+			assert.Assert(t, errors.As(err, &damage), "%s: %v", part, err)
+		}
+	}
+}
+
+func TestASecondMachineMayBeLostRightAfterARepair(t *testing.T) {
+	g, _, _ := memoryGroup(t, 3)
+	stop := make(chan struct{})
+	var acknowledged []string
+	var writers sync.WaitGroup
+	writers.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			command := fmt.Sprint(i)
+			for _, replica := range []*Replica{g.replicas[1], g.replicas[2], g.replicas[3]} {
+				if _, err := replica.Propose(testContext(t), []byte(command)); err == nil {
+					acknowledged = append(acknowledged, command)
+					break
+				}
+			}
+		}
+	})
+	leader := g.leader()
+	lost := g.follower()
+	joining := g.join(4)
+	ctx := testContext(t)
+	added, err := leader.ChangeMembership(ctx, consensus.Change{Kind: consensus.AddLearner, Member: consensus.Member{
+		Incarnation: joining.Incarnation(), Address: joining.Address(),
+	}})
+	assert.NilError(t, err)
+	_, err = leader.ChangeMembership(ctx, consensus.Change{Kind: consensus.Remove, Member: consensus.Member{ID: lost}})
+	assert.NilError(t, err)
+	_, err = leader.ChangeMembership(ctx, consensus.Change{Kind: consensus.Promote, Member: added.Member})
+	assert.NilError(t, err)
+	close(stop)
+	writers.Wait()
+	g.kill(leader.Status().ID)
+	g.kill(lost)
+	g.propose("after")
+	rest := g.commands(4)
+	assert.Assert(t, len(acknowledged) > 0)
+	held := map[string]bool{}
+	for _, command := range rest {
+		held[command] = true
+	}
+	for _, command := range acknowledged {
+		assert.Assert(t, held[command], "the new member lacks %q, which was acknowledged", command)
+	}
+}
+
+// join starts a replica with an empty folder that no membership names yet.
+func (g *testGroup) join(id topology.ReplicaID) *Replica {
+	g.t.Helper()
+	config := testConfig(g.t, 0)
+	config.Peers = nil
+	g.configs[id] = config
+	g.start(id)
+	return g.replicas[id]
+}
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -34,6 +34,8 @@
 	// prepared is the membership stored in the first phase.
 	prepared *consensus.Membership
 	conflict bool
+	// unproven: the folder may be a copy from before the founding.
+	unproven bool
 }
 
 // foundingNotice is what a replica tells of itself.
@@ -210,7 +212,7 @@
 		f.r.fail(err)
 		return false
 	}
-	if err := f.r.control.startCore(loaded{snapshot: first}); err != nil {
+	if err := f.r.control.startCore(loaded{snapshot: first, unproven: f.unproven}); err != nil {
 		f.r.fail(err)
 		return false
 	}
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	iofs "io/fs"
 	"slices"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
@@ -14,9 +15,12 @@
 
 // files are the replica's durable state.
 type files struct {
-	folder *datadir.Folder
-	log    *wal.Log
-	snaps  *snap.Store
+	// headroom is what the log has to have space for, in bytes, for changes to
+	// be accepted: what was accepted then finds space.
+	headroom int64
+	folder   *datadir.Folder
+	log      *wal.Log
+	snaps    *snap.Store
 }
 
 // loaded is what the files held at the start.
@@ -26,6 +30,8 @@
 	hard     consensus.HardState
 	entries  []consensus.Entry
 	torn     int64
+	// unproven: the disk may be an older copy, or may lack its end.
+	unproven bool
 }
 
 func openFiles(config Config) (*files, loaded, error) {
@@ -33,7 +39,7 @@
 	if err != nil {
 		return nil, loaded{}, err
 	}
-	f := &files{folder: folder}
+	f := &files{folder: folder, headroom: headroom(config.WAL)}
 	found, err := f.load(config)
 	if err != nil {
 		return nil, loaded{}, errors.Join(err, f.close())
@@ -41,6 +47,20 @@
 	return f, found, nil
 }
 
+// maxHeadroom is the most space that is kept ahead.
+const maxHeadroom = 1 << 20
+
+func headroom(options wal.Options) int64 {
+	if options.SegmentBytes == 0 {
+		return maxHeadroom
+	}
+	return min(maxHeadroom, options.SegmentBytes/4)
+}
+
+// ensureRoom begins a segment ahead of need. It returns storage.ErrDiskFull
+// where there is no space for one.
+func (f *files) ensureRoom() error { return f.log.TryRoll(f.headroom) }
+
 func (f *files) load(config Config) (loaded, error) {
 	var found loaded
 	var err error
@@ -50,13 +70,56 @@
 	if found.snapshot, found.founded, err = f.snaps.Load(); err != nil {
 		return loaded{}, err
 	}
+	proven, err := f.folder.Proven()
+	if err != nil {
+		return loaded{}, err
+	}
+	if err := f.checkLogThere(); err != nil {
+		return loaded{}, err
+	}
 	var contents wal.Contents
 	if f.log, contents, err = wal.Open(config.FS, f.folder.WAL(), config.WAL); err != nil {
 		return loaded{}, err
 	}
 	found.hard, found.torn = contents.HardState, contents.TornBytes
-	found.entries, err = f.join(found.snapshot.Meta, contents)
-	return found, err
+	if !found.founded && (contents.HardState != consensus.HardState{} || len(contents.Entries) > 0) {
+		return loaded{}, f.damage(f.folder.Snapshots(), "there is a log but no snapshot")
+	}
+	if found.entries, err = f.join(found.snapshot.Meta, contents); err != nil {
+		return loaded{}, err
+	}
+	found.unproven = !proven || found.torn > 0
+	return found, f.noteRun(!found.unproven)
+}
+
+// checkLogThere refuses a folder that had a log and has none: the votes in it
+// are forgotten. It is called before a new log is begun.
+func (f *files) checkLogThere() error {
+	if f.folder.Identity().Replica == 0 {
+		return nil
+	}
+	names, err := f.folder.FS().List(f.folder.WAL())
+	if err != nil && !errors.Is(err, iofs.ErrNotExist) {
+		return err
+	}
+	if len(names) == 0 {
+		return f.damage(f.folder.WAL(), "the log is missing")
+	}
+	return nil
+}
+
+func (f *files) damage(file, reason string) error {
+	return &storage.DamageError{File: file, Reason: reason, Advice: storage.AdviceReplace}
+}
+
+// noteRun keeps the note of what was written last, or removes it where this
+// run proves nothing.
+func (f *files) noteRun(proven bool) error {
+	if !proven {
+		return f.folder.Forget()
+	}
+	f.folder.NoteWrite(f.log.Newest())
+	return nil
 }
 
 // join returns the log's entries after the snapshot. Where the log does not
@@ -64,11 +127,8 @@
 // before the log was reset; the log is then reset now.
 func (f *files) join(meta consensus.SnapshotMeta, contents wal.Contents) ([]consensus.Entry, error) {
 	if meta.Index < contents.BaseIndex {
-		return nil, &storage.DamageError{
-			File:   f.folder.Snapshots(),
-			Reason: fmt.Sprintf("the log begins after entry %d, but the newest snapshot ends at entry %d", contents.BaseIndex, meta.Index),
-			Advice: storage.AdviceReplace,
-		}
+		return nil, f.damage(f.folder.Snapshots(),
+			fmt.Sprintf("the log begins after entry %d, but the newest snapshot ends at entry %d", contents.BaseIndex, meta.Index))
 	}
 	if meta.Index == contents.BaseIndex && (contents.BaseTerm == meta.Term || contents.BaseTerm == 0) {
 		return contents.Entries, nil
--- a/internal/replica/writer.go
+++ b/internal/replica/writer.go
@@ -12,13 +12,17 @@
 type writeJob struct {
 	ready    consensus.Ready
 	snapshot *consensus.Snapshot
-	// probeBytes asks only whether the log has room.
-	probeBytes int64
+	// probe asks only whether the log has room again.
+	probe bool
+	// proven: this run knows that its disk is whole, and notes its writes.
+	proven bool
 }
 
 type writeResult struct {
 	job writeJob
 	err error
+	// low: the write succeeded, but there is no space for a further segment.
+	low bool
 }
 
 // runWriter writes and syncs, one job after the other.
@@ -27,12 +31,15 @@
 	for job := range r.writes {
 		result := writeResult{job: job}
 		switch {
-		case job.probeBytes > 0:
-			result.err = r.files.log.TryRoll(job.probeBytes)
+		case job.probe:
+			result.err = r.files.ensureRoom()
 		case job.snapshot != nil:
 			result.err = r.files.saveSnapshot(*job.snapshot)
 		default:
-			result.err = r.files.write(job.ready)
+			result = r.write(job)
+		}
+		if job.proven {
+			r.files.folder.NoteWrite(r.files.log.Newest())
 		}
 		select {
 		case r.written <- result:
@@ -42,6 +49,25 @@
 	}
 }
 
+// write makes a Ready's facts durable and looks ahead for space.
+func (r *Replica) write(job writeJob) writeResult {
+	if err := r.files.write(job.ready); err != nil {
+		return writeResult{job: job, err: err}
+	}
+	err := r.files.ensureRoom()
+	if errors.Is(err, storage.ErrDiskFull) {
+		return writeResult{job: job, low: true}
+	}
+	return writeResult{job: job, err: err}
+}
+
+// write hands a job to the writer.
+func (c *control) write(job writeJob) {
+	c.writing = true
+	job.proven = c.core.Proven()
+	c.r.writes <- job
+}
+
 // finishWrite takes in the end of a write. Any error but a full disk ends the
 // replica before anything is acknowledged.
 func (c *control) finishWrite(result writeResult) {
@@ -53,32 +79,24 @@
 	c.writing = false
 	ready := result.job.ready
 	switch {
-	case result.job.probeBytes > 0:
-		c.setFull(full, result.job.probeBytes)
+	case result.job.probe:
+		c.setSpace(full, c.full && full)
 	case result.job.snapshot != nil:
 		c.finishSnapshot(*result.job.snapshot, full)
 	case full && ready.Snapshot != nil:
 		c.repeatLater(result.job)
 	case full:
-		c.setFull(true, entriesBytes(ready.Entries))
+		c.setSpace(true, true)
 		ready.Entries = nil
 		c.finish(ready)
 	default:
+		if result.low {
+			c.setSpace(true, c.full)
+		}
 		c.finish(ready)
 	}
 }
 
-func entriesBytes(entries []consensus.Entry) int64 {
-	bytes := int64(1)
-	for _, entry := range entries {
-		bytes += int64(len(entry.Data)) + entryOverhead
-	}
-	return bytes
-}
-
-// entryOverhead is at least what an entry takes in the log beside its data.
-const entryOverhead = 32
-
 // repeatLater writes an installed snapshot again, which the core waits for.
 func (c *control) repeatLater(job writeJob) {
 	c.writing = true
@@ -87,15 +105,17 @@
 	})
 }
 
-func (c *control) setFull(full bool, bytes int64) {
-	c.fullBytes = bytes
+// setSpace notes what the disk has space for: low refuses changes, full holds
+// entries back as well.
+func (c *control) setSpace(low, full bool) {
+	c.full = full
 	c.probeAt = c.r.Now() + diskFullRetry
-	if c.full == full {
+	if c.low == low {
 		return
 	}
-	c.full = full
-	c.r.full.Store(full)
-	if full {
+	c.low = low
+	c.r.full.Store(low)
+	if low {
 		c.r.config.Logger.Warn("the disk is full; changes are refused", "folder", c.r.config.DataDir)
 	} else {
 		c.r.config.Logger.Info("the disk has space again; changes are accepted", "folder", c.r.config.DataDir)
@@ -104,9 +124,8 @@
 
 // probeDisk tries from time to time whether a full disk has space again.
 func (c *control) probeDisk(now time.Duration) {
-	if c.full && !c.writing && now >= c.probeAt {
-		c.writing = true
-		c.r.writes <- writeJob{probeBytes: c.fullBytes}
+	if c.low && !c.writing && now >= c.probeAt {
+		c.write(writeJob{probe: true})
 	}
 }
 
@@ -125,9 +144,8 @@
 		c.r.fail(err)
 		return
 	}
-	c.writing = true
 	c.lastSnapshot = status.Applied
-	c.r.writes <- writeJob{snapshot: &consensus.Snapshot{Meta: c.core.SnapshotMeta(), Data: data}}
+	c.write(writeJob{snapshot: &consensus.Snapshot{Meta: c.core.SnapshotMeta(), Data: data}})
 }
 
 // snapshotRetry is when a snapshot that found no space is tried again.
--- a/internal/storage/datadir/datadir.go
+++ b/internal/storage/datadir/datadir.go
@@ -50,11 +50,12 @@
 	lock     io.Closer
 	identity Identity
 	made     bool
+	run      runFile
 }
 
 // ErrCopied says that the folder is a copy of the one that was used last. What
 // the replica promised after the copy was taken is not in it.
-var ErrCopied = errors.New("the data folder is a copy: its identity file is not the file that was written here; start with an empty data folder and replace the member, or, if the folder was only moved to another file system and nothing was lost, see docs/operators/control-state.md, \"A moved data folder\"")
+var ErrCopied = errors.New("the data folder is a copy: its identity file is not the file that was written here; start with an empty data folder and replace the member, or, if the folder was only moved to another file system and nothing was lost, see docs/operators/replace-a-lost-disk.md, \"A moved data folder\"")
 
 // Open opens a data folder, and makes it where there is none.
 func Open(fs vfs.FS, dir string, group topology.GroupID) (*Folder, error) {
@@ -76,12 +77,18 @@
 func (f *Folder) load(group topology.GroupID) error {
 	content, err := vfs.ReadAll(f.fs, f.path())
 	if errors.Is(err, iofs.ErrNotExist) {
+		if err := f.checkUnused(); err != nil {
+			return err
+		}
 		f.made = true
 		return f.write(Identity{Group: group, Incarnation: newIncarnation()})
 	}
 	if err != nil {
 		return fmt.Errorf("data folder: %w", err)
 	}
+	if err := f.checkCondemned(); err != nil {
+		return err
+	}
 	identity, err := decode(content)
 	if err != nil {
 		return &storage.DamageError{File: f.path(), Reason: err.Error(), Advice: storage.AdviceReplace}
@@ -100,6 +107,21 @@
 	return nil
 }
 
+// checkUnused refuses a folder that holds a log or snapshots but no identity: a
+// new identity must not take them over.
+func (f *Folder) checkUnused() error {
+	for _, dir := range []string{f.WAL(), f.Snapshots()} {
+		names, err := f.fs.List(dir)
+		if err != nil && !errors.Is(err, iofs.ErrNotExist) {
+			return fmt.Errorf("data folder: %w", err)
+		}
+		if len(names) > 0 {
+			return &storage.DamageError{File: f.path(), Reason: "the file is missing, but " + dir + " is not empty", Advice: storage.AdviceReplace}
+		}
+	}
+	return nil
+}
+
 func newIncarnation() topology.Incarnation {
 	var random [8]byte
 	_, _ = rand.Read(random[:]) // never fails (crypto/rand since Go 1.24)
@@ -165,7 +187,7 @@
 func (f *Folder) FS() vfs.FS { return f.fs }
 
 // Close ends the lock.
-func (f *Folder) Close() error { return f.lock.Close() }
+func (f *Folder) Close() error { return errors.Join(f.run.close(), f.lock.Close()) }
 
 func encode(identity Identity) []byte {
 	content, err := json.MarshalIndent(stored{identity, checksum(identity)}, "", "  ")
--- a/internal/storage/snap/snap.go
+++ b/internal/storage/snap/snap.go
@@ -14,6 +14,7 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	iofs "io/fs"
 	"slices"
 	"strings"
 
@@ -41,7 +42,25 @@
 	if err := fs.MakeDir(dir); err != nil {
 		return nil, fmt.Errorf("open snapshots: %w", err)
 	}
-	return &Store{fs: fs, dir: dir}, nil
+	s := &Store{fs: fs, dir: dir}
+	return s, s.removeUnfinished()
+}
+
+// removeUnfinished removes what a crash left of a snapshot.
+func (s *Store) removeUnfinished() error {
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return fmt.Errorf("open snapshots: %w", err)
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, vfs.TemporarySuffix) {
+			continue
+		}
+		if err := s.fs.Remove(s.path(name)); err != nil {
+			return fmt.Errorf("remove unfinished snapshot: %w", err)
+		}
+	}
+	return nil
 }
 
 // Load returns the newest snapshot; ok is false where there is none. A
@@ -78,7 +97,8 @@
 
 // giveUp removes what was written of a snapshot that did not fit.
 func (s *Store) giveUp(name string) error {
-	if err := s.fs.Remove(s.path(name + vfs.TemporarySuffix)); err != nil {
+	err := s.fs.Remove(s.path(name + vfs.TemporarySuffix))
+	if err != nil && !errors.Is(err, iofs.ErrNotExist) {
 		return fmt.Errorf("remove unfinished snapshot: %w", err)
 	}
 	return fmt.Errorf("%s: %w", s.path(name), storage.ErrDiskFull)
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -2,6 +2,7 @@
 // replica's files. The data folder of a replica has this layout:
 //
 //	identity.json   group, replica and incarnation    (datadir)
+//	run.json        what the last run wrote last       (datadir)
 //	lock            held while a process uses the folder
 //	wal/NNN.wal     segments of the log                (wal)
 //	snap/NNN.snap   snapshots                          (snap)
@@ -28,7 +29,7 @@
 }
 
 // AdviceReplace is the advice for damage that only a new member mends.
-const AdviceReplace = "keep the folder for inspection, start this controller with an empty data folder and replace the member (docs/operators/control-state.md, \"A damaged or lost disk\")"
+const AdviceReplace = "keep the folder for inspection, start this controller with an empty data folder and replace the member (docs/operators/replace-a-lost-disk.md)"
 
 // SyncError says that a sync failed. What is on the disk is then unknown, and
 // a second sync may succeed without having written anything, so the process
--- a/internal/storage/vfs/memory.go
+++ b/internal/storage/vfs/memory.go
@@ -30,12 +30,16 @@
 	capacity  int64
 	syncError error
 	syncs     int
+	// changes numbers the writes, sessions the crashes and restored disks.
+	changes  int64
+	sessions int
 	// generation ends the handles opened before a crash.
 	generation int
 }
 
 type memoryNode struct {
 	inode    uint64
+	changed  int64
 	content  []byte
 	synced   []byte
 	reserved int64
@@ -57,6 +61,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.generation++
+	m.sessions++
 	m.names = map[string]*memoryNode{}
 	for _, name := range sortedNames(m.durable) {
 		node := m.durable[name]
@@ -109,6 +114,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.generation++
+	m.sessions++
 	restored := map[string]*memoryNode{}
 	for name, content := range files {
 		node := &memoryNode{content: slices.Clone(content), synced: slices.Clone(content)}
@@ -270,7 +276,28 @@
 	if !ok {
 		return FileIdentity{}, &fs.PathError{Op: "stat", Path: name, Err: fs.ErrNotExist}
 	}
-	return FileIdentity{Device: 1, Inode: node.inode}, nil
+	return FileIdentity{Device: 1, Inode: node.inode, Changed: node.changed}, nil
+}
+
+// Session implements FS.
+func (m *Memory) Session(string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return fmt.Sprint("session ", m.sessions)
+}
+
+// Overwrite replaces a file's content in place, as a copying program does.
+func (m *Memory) Overwrite(name string, content []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	node := m.names[name]
+	node.content, node.synced = slices.Clone(content), slices.Clone(content)
+	m.touch(node)
+}
+
+func (m *Memory) touch(node *memoryNode) {
+	m.changes++
+	node.changed = m.changes
 }
 
 type memoryLock struct {
@@ -321,6 +348,7 @@
 	if err := f.grow(offset + int64(len(data))); err != nil {
 		return 0, err
 	}
+	f.fs.touch(f.node)
 	return copy(f.node.content[offset:], data), nil
 }
 
--- a/internal/storage/vfs/os.go
+++ b/internal/storage/vfs/os.go
@@ -99,7 +99,7 @@
 	if err := syscall.Stat(name, &stat); err != nil {
 		return FileIdentity{}, &os.PathError{Op: "stat", Path: name, Err: err}
 	}
-	return FileIdentity{Device: uint64(stat.Dev), Inode: stat.Ino}, nil
+	return FileIdentity{Device: uint64(stat.Dev), Inode: stat.Ino, Changed: stat.Ctim.Nano()}, nil
 }
 
 type osFile struct{ *os.File }
--- a/internal/storage/vfs/vfs.go
+++ b/internal/storage/vfs/vfs.go
@@ -28,9 +28,12 @@
 	// Lock holds a file exclusively until the result is closed or the process
 	// ends. It returns ErrLocked where another process holds it.
 	Lock(name string) (io.Closer, error)
-	// Identify returns what tells a file from a copy of it: its device and
-	// inode number.
+	// Identify returns what tells a file from a copy of it.
 	Identify(name string) (FileIdentity, error)
+	// Session names the time for which a folder has been mounted without a
+	// break: in one session nobody can have put another disk in its place. It is
+	// empty where that is not known.
+	Session(dir string) string
 }
 
 // File is an open file.
@@ -54,6 +57,9 @@
 type FileIdentity struct {
 	Device uint64
 	Inode  uint64
+	// Changed is when the file was last written, in nanoseconds of the
+	// kernel's own stamp, which no program can set.
+	Changed int64
 }
 
 // ErrLocked is returned by Lock.
--- a/internal/storage/wal/wal.go
+++ b/internal/storage/wal/wal.go
@@ -16,7 +16,7 @@
 // that valid frames follow was synced once: that is damage, and Open returns a
 // *storage.DamageError without changing any file. Damage to the very last
 // frame cannot be told from a torn write by the file alone; the replica finds
-// it by asking its peers when it starts (docs/decisions on identity).
+// it by asking its peers when it starts (docs/decisions/003-storage-and-lost-disks.md).
 package wal
 
 import (
@@ -250,6 +250,9 @@
 	return nil
 }
 
+// Newest is the path of the segment that is written.
+func (l *Log) Newest() string { return l.newest() }
+
 // Segments counts the segment files.
 func (l *Log) Segments() int { return len(l.segments) }
 
