Run placement experiments from the lab's command

Change: the command experiment of quartzdock-lab, with flags as the other lab commands have them, and the first table of all scenarios, policies and both deployments.

--- a/cmd/quartzdock-lab/main.go
+++ b/cmd/quartzdock-lab/main.go
@@ -60,6 +60,7 @@
 		ShortHelp: "the bench of quartzdock",
 		Subcommands: []*ff.Command{
 			demoCommand(),
+			experimentCommand(),
 			faultsCommand(),
 			fleetCommand(),
 			backendCommand(),
--- a/lab/experiment/command.go
+++ b/lab/experiment/command.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/peterbourgon/ff/v4"
-	"github.com/peterbourgon/ff/v4/ffhelp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quartzdock/quartzdock/lab/deployment"
@@ -18,11 +17,12 @@
 // all selects every scenario or policy.
 const all = "all"
 
-// options of the command.
-type options struct {
-	deployments []string
-	scenarios   []string
-	policies    []string
+// Options of the command "quartzdock-lab experiment".
+type Options struct {
+	deployments list
+	scenarios   list
+	policies    list
+	against     list
 	firstSeed   uint64
 	seeds       int
 	parallel    int
@@ -31,71 +31,65 @@
 	trace       bool
 }
 
-// Run is the command "quartzdock-lab experiment": it emulates scenarios and
-// writes what was measured, as a table, as JSON or as a page with plots.
-func Run(ctx context.Context, arguments []string, stdout, stderr io.Writer) error {
-	options, err := parseOptions(arguments, stderr)
-	if errors.Is(err, ff.ErrHelp) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	configs, err := options.configs()
+// list is a flag of names with commas between them.
+type list []string
+
+// Set implements flag.Value.
+func (l *list) Set(text string) error {
+	*l = strings.Split(text, ",")
+	return nil
+}
+
+// String implements flag.Value.
+func (l *list) String() string { return strings.Join(*l, ",") }
+
+// Flags returns the flags of the command and the options that they set.
+func Flags() (*ff.FlagSet, *Options) {
+	options := &Options{deployments: list{"gatukarta"}, scenarios: list{"steady"}, policies: list{"quartzdock"}}
+	flags := ff.NewFlagSet("experiment")
+	flags.ValueLong("deployment", &options.deployments, "built-in deployment or file; several with commas")
+	flags.ValueLong("scenario", &options.scenarios, "built-in scenario or file; several with commas; all")
+	flags.ValueLong("policy", &options.policies, "policy; several with commas; all")
+	flags.ValueLong("against", &options.against, "other policies to compare with")
+	flags.Uint64Var(&options.firstSeed, 0, "seed", 1, "first seed; equal seeds give equal output")
+	flags.IntVar(&options.seeds, 0, "seeds", 1, "number of seeds, counted up from the first")
+	flags.IntVar(&options.parallel, 0, "parallel", 4, "runs at once")
+	flags.BoolVar(&options.json, 0, "json", "write each run as JSON")
+	flags.StringVar(&options.report, 0, "report", "", "folder for a page with plots")
+	flags.BoolVar(&options.trace, 0, "trace", "write each move and its reason to the error output; one run at a time")
+	return flags, options
+}
+
+// Run emulates scenarios and writes what was measured, as a table, as JSON or
+// as a page with plots.
+func (o *Options) Run(ctx context.Context, stdout, stderr io.Writer) error {
+	configs, err := o.configs()
 	if err != nil {
 		return err
 	}
-	if options.trace {
-		options.parallel = 1
+	if o.trace {
+		o.parallel = 1
 		for index := range configs {
 			configs[index].Trace = stderr
 		}
 	}
-	results, err := emulateAll(ctx, configs, options.parallel)
+	results, err := emulateAll(ctx, configs, o.parallel)
 	if err != nil {
 		return err
 	}
-	if options.report != "" {
-		if err := writeReport(options.report, results); err != nil {
+	if o.report != "" {
+		if err := writeReport(o.report, results); err != nil {
 			return fmt.Errorf("write report: %w", err)
 		}
 	}
-	if options.json {
+	if o.json {
 		return writeJSON(stdout, results)
 	}
 	return writeTable(stdout, results)
 }
 
-func parseOptions(arguments []string, stderr io.Writer) (*options, error) {
-	flags := ff.NewFlagSet("quartzdock-lab experiment")
-	deployments := flags.StringLong("deployment", "gatukarta", "built-in deployment or file; several with commas")
-	scenarios := flags.StringLong("scenario", "steady", "built-in scenario or file; several with commas; all")
-	policies := flags.StringLong("policy", "quartzdock", "policy; several with commas; all")
-	against := flags.StringLong("against", "", "another policy to compare with")
-	seed := flags.Uint64Long("seed", 1, "first seed; equal seeds give equal output")
-	seeds := flags.IntLong("seeds", 1, "number of seeds, counted up from the first")
-	parallel := flags.IntLong("parallel", 4, "runs at once")
-	asJSON := flags.BoolLong("json", "write each run as JSON")
-	report := flags.StringLong("report", "", "folder for a page with plots")
-	trace := flags.BoolLong("trace", "write each move and its reason to the error output; one run at a time")
-	if err := ff.Parse(flags, arguments); err != nil {
-		fmt.Fprintln(stderr, ffhelp.Flags(flags))
-		return nil, err
-	}
-	result := &options{
-		deployments: split(*deployments), scenarios: split(*scenarios), policies: split(*policies),
-		firstSeed: *seed, seeds: *seeds, parallel: *parallel, json: *asJSON, report: *report, trace: *trace,
-	}
-	if *against != "" {
-		result.policies = append(result.policies, *against)
-	}
-	return result, nil
-}
-
-func split(list string) []string { return strings.Split(list, ",") }
-
 // configs returns one configuration per deployment, scenario, policy and seed.
-func (o *options) configs() ([]Config, error) {
+func (o *Options) configs() ([]Config, error) {
 	policies, err := o.selectPolicies()
 	if err != nil {
 		return nil, err
@@ -126,12 +120,12 @@
 	return configs, nil
 }
 
-func (o *options) selectPolicies() ([]Policy, error) {
+func (o *Options) selectPolicies() ([]Policy, error) {
 	if len(o.policies) == 1 && o.policies[0] == all {
 		return Policies(), nil
 	}
 	var selected []Policy
-	for _, name := range o.policies {
+	for _, name := range slices.Concat(o.policies, o.against) {
 		policy, err := PolicyByName(name)
 		if err != nil {
 			return nil, err
