--- a/lab/experiment/popularity.go
+++ b/lab/experiment/popularity.go
@@ -141,6 +141,3 @@
 	}
 	return first, last
 }
-
-// share returns the share of the requests for keys in [first, last).
-func (p *popularity) share(first, last int) float64 { return p.sums[last] - p.sums[first] }
