Decide again when a move ends and others wait for its room

Cause: moves at once are limited to 4 per back end and placement was asked once a second, so a drain of 34 shards took 9 s and a leaving back end took new work later than 5 s after its drain began; the same limit slowed joins and shifts. Change: a decision says how many wanted moves wait for room; the coordinator asks again when a move has ended and some wait, at most every 100 ms.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 // Defaults of Config.
 const (
 	DefaultDecideInterval = time.Second
+	DefaultDecideAgain    = 100 * time.Millisecond
 	DefaultWarmLimit      = 30 * time.Second
 	DefaultDrainLimit     = 30 * time.Second
 	DefaultSettleTime     = 300 * time.Millisecond
@@ -30,6 +31,9 @@
 	// DecideInterval between two decisions about load. Losses are decided at
 	// once.
 	DecideInterval time.Duration
+	// DecideAgain is the least time between two decisions where moves wait for
+	// the room that ended ones have made.
+	DecideAgain time.Duration
 	// WarmLimit is how long a target may take to prepare a shard.
 	WarmLimit time.Duration
 	// SettleTime is how long the first owners of a new service's shards wait
@@ -45,6 +49,7 @@
 func (config Config) withDefaults() Config {
 	setDefault(&config.LeaseDuration, ownership.DefaultLeaseDuration)
 	setDefault(&config.DecideInterval, DefaultDecideInterval)
+	setDefault(&config.DecideAgain, DefaultDecideAgain)
 	setDefault(&config.WarmLimit, DefaultWarmLimit)
 	setDefault(&config.SettleTime, DefaultSettleTime)
 	setDefault(&config.LongestSettle, DefaultLongestSettle)
@@ -91,8 +96,11 @@
 	// commits are the latest revisions of this term, which lagging agents miss.
 	commits commits
 
-	// decideAt is when placement is asked next.
+	// decideAt is when placement is asked next, decidedAt when it was last, and
+	// roomMade says that a move has ended since.
 	decideAt   time.Duration
+	decidedAt  time.Duration
+	roomMade   bool
 	decision   placement.Decision
 	settling   settling
 	statistics Statistics
@@ -180,6 +188,7 @@
 	c.createdAt = make(map[topology.ShardID]time.Duration)
 	c.loadMoves = make(map[topology.ServiceID][]time.Duration)
 	c.decision = placement.Decision{}
+	c.roomMade = false
 	c.commits = commits{}
 }
 
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -24,7 +24,7 @@
 		return controlstate.Command{}, false
 	}
 	steps := c.advanceMoves(now)
-	if now >= c.decideAt {
+	if c.decisionDue(now) {
 		steps = c.addDecided(steps, now, unixMilli)
 	}
 	if len(steps) == 0 {
@@ -33,6 +33,15 @@
 	return c.propose(steps, unixMilli), true
 }
 
+// decisionDue reports whether placement is to be asked: at its interval, and
+// sooner where a move has ended and others wait for its room.
+func (c *Coordinator) decisionDue(now time.Duration) bool {
+	if now >= c.decideAt {
+		return true
+	}
+	return c.roomMade && c.decision.Waiting > 0 && now >= c.decidedAt+c.config.DecideAgain
+}
+
 func (c *Coordinator) propose(steps []controlstate.OwnershipChange, unixMilli int64) controlstate.Command {
 	c.inFlight = &controlstate.ChangeOwnership{Changes: steps}
 	for index := range steps {
@@ -86,6 +95,7 @@
 // shardChanged notes a new owner or a new shard.
 func (c *Coordinator) shardChanged(shard topology.Shard, now time.Duration) {
 	previous, seen := c.owners[shard.ID]
+	c.roomMade = c.roomMade || shard.Phase == topology.ShardOwned
 	c.owners[shard.ID] = shard.Owner
 	switch {
 	case !seen && shard.Epoch > 1:
@@ -135,6 +145,8 @@
 		return steps
 	}
 	c.decision = c.config.Evaluate(c.input(now, unixMilli))
+	c.decidedAt = now
+	c.roomMade = false
 	taken := make(map[topology.ShardID]bool, len(steps))
 	for _, step := range steps {
 		taken[step.Shard] = true
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -86,6 +86,7 @@
 func (planner *planner) bestMove(source int, mean float64) (candidate, bool) {
 	from := &planner.nodes[source]
 	if planner.full(from) {
+		planner.waiting++
 		return candidate{}, false
 	}
 	best := candidate{}
@@ -96,6 +97,7 @@
 		}
 		destination := planner.leastFor(shard.NearZone, source, mean)
 		if destination < 0 {
+			planner.waiting++
 			return candidate{}, false
 		}
 		offer := candidate{shard: index, source: source, destination: destination}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -28,6 +28,7 @@
 		planner.report()
 		decision.Moves = append(decision.Moves, planner.moves...)
 		decision.Findings = append(decision.Findings, planner.findings...)
+		decision.Waiting += planner.waiting
 	}
 	return decision
 }
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -168,4 +168,7 @@
 	// Moves in the order in which to begin them.
 	Moves    []Move
 	Findings []Finding
+	// Waiting counts moves that are wanted and wait only for the limit on moves
+	// at once; it is worth while to decide again when a move ends.
+	Waiting int
 }
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -106,7 +106,11 @@
 func (planner *planner) drainShard(index int, candidates *destinations) {
 	shard := &planner.service.Shards[index]
 	source := &planner.nodes[planner.nodeOf[shard.Shard.Owner]]
-	if planner.planned[index] || planner.full(source) {
+	if planner.planned[index] {
+		return
+	}
+	if planner.full(source) {
+		planner.waiting++
 		return
 	}
 	zone := candidates.least(shard.NearZone)
@@ -115,6 +119,7 @@
 		zone = candidates.least(shard.NearZone)
 	}
 	if zone < 0 {
+		planner.waiting++
 		return
 	}
 	destination := candidates.node(zone).input.Backend.ID
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -29,6 +29,8 @@
 	loadMovesLeft int
 	// splits counts the splits decided.
 	splits int
+	// waiting counts wanted moves that the limit on moves at once holds back.
+	waiting int
 }
 
 // node is a back end during a decision.
