Move a shard when no long request runs at its owner

Change: agents report per shard how many requests have run since before their last report; the coordinator lets the owner serve on while there are some, for at most 10 s, or 2 s where the owner leaves; placement takes other shards first. A shard with nothing but a long request is reported at all now.

--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -92,11 +92,12 @@
 }
 
 func (agent *Agent) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, parsed request) result {
-	shard, refused := agent.admit(ctx, parsed)
+	entered, refused := agent.admit(ctx, parsed)
 	if refused != nil {
 		return refusedResult(refused)
 	}
-	defer shard.leave()
+	defer entered.leave()
+	shard := entered.shard
 	body, refused := agent.takeBody(w, r)
 	if refused != nil {
 		return refusedResult(refused)
@@ -146,21 +147,21 @@
 
 // admit checks the fence and counts the request in. It waits while the back
 // end is being granted the shard.
-func (agent *Agent) admit(ctx context.Context, parsed request) (*served, *refusal) {
+func (agent *Agent) admit(ctx context.Context, parsed request) (visit, *refusal) {
 	var timeout <-chan time.Time
 	for {
 		current := agent.view.Load()
 		if err := agent.fence(parsed); err != nil {
-			return nil, fenceRefusal(err)
+			return visit{}, fenceRefusal(err)
 		}
 		if found := current.find(parsed); found != nil {
-			if found.enter() {
-				return found, nil
+			if entered, open := found.enter(); open {
+				return entered, nil
 			}
-			return nil, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the shard is being moved")
+			return visit{}, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the shard is being moved")
 		}
 		if !parsed.bound {
-			return nil, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the back end is leaving")
+			return visit{}, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the back end is leaving")
 		}
 		if timeout == nil {
 			timer := time.NewTimer(grantWait)
@@ -168,7 +169,7 @@
 			timeout = timer.C
 		}
 		if refused := current.awaitChange(ctx, timeout); refused != nil {
-			return nil, refused
+			return visit{}, refused
 		}
 	}
 }
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -26,7 +26,7 @@
 		},
 	}
 	for _, shard := range agent.view.Load().shards {
-		if load := shard.takeLoad(); load.Requests > 0 {
+		if load := shard.takeLoad(); load.Requests > 0 || load.LongRunning > 0 {
 			renew.Load = append(renew.Load, load)
 		}
 	}
--- a/internal/agent/served.go
+++ b/internal/agent/served.go
@@ -23,6 +23,10 @@
 
 	mutex   sync.Mutex
 	running int
+	// reports counts calls of takeLong; long counts the running requests that
+	// had entered before the last one.
+	reports uint64
+	long    int
 	closed  bool
 	// idle is closed once the shard is closed and nothing runs.
 	idle chan struct{}
@@ -32,25 +36,47 @@
 	return &served{id: id, epoch: epoch, covers: covers, idle: make(chan struct{})}
 }
 
+// visit is one request's stay in a shard.
+type visit struct {
+	shard *served
+	// entered is the number of reports before the request entered.
+	entered uint64
+}
+
 // enter counts a request in; false means that the shard takes none any more.
-func (shard *served) enter() bool {
+func (shard *served) enter() (visit, bool) {
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
 	if shard.closed {
-		return false
+		return visit{}, false
 	}
 	shard.running++
-	return true
+	return visit{shard: shard, entered: shard.reports}, true
 }
 
 // leave ends what enter began.
-func (shard *served) leave() {
+func (v visit) leave() {
+	shard := v.shard
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
 	shard.running--
+	if v.entered < shard.reports {
+		shard.long--
+	}
 	shard.signalIdle()
 }
 
+// takeLong returns how many requests have been running since before the last
+// call.
+func (shard *served) takeLong() uint32 {
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	long := shard.long
+	shard.reports++
+	shard.long = shard.running
+	return uint32(long)
+}
+
 // close lets no request in any more; those that run go on.
 func (shard *served) close() {
 	shard.mutex.Lock()
@@ -77,9 +103,10 @@
 // takeLoad returns and resets what was used since the last call.
 func (shard *served) takeLoad() wire.ShardLoad {
 	return wire.ShardLoad{
-		Shard:      shard.id.Shard,
-		Requests:   shard.completed.Swap(0),
-		BusyMicros: shard.busyMicros.Swap(0),
+		Shard:       shard.id.Shard,
+		Requests:    shard.completed.Swap(0),
+		BusyMicros:  shard.busyMicros.Swap(0),
+		LongRunning: shard.takeLong(),
 	}
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,10 +15,15 @@
 const (
 	DefaultDecideInterval = time.Second
 	DefaultDecideAgain    = 100 * time.Millisecond
-	DefaultWarmLimit      = 30 * time.Second
-	DefaultDrainLimit     = 30 * time.Second
-	DefaultSettleTime     = 300 * time.Millisecond
-	DefaultLongestSettle  = 2 * time.Second
+	// DefaultReleasePatience is about five times the length of a usual export.
+	DefaultReleasePatience = 10 * time.Second
+	DefaultWarmLimit       = 30 * time.Second
+	DefaultDrainLimit      = 30 * time.Second
+	DefaultSettleTime      = 300 * time.Millisecond
+	DefaultLongestSettle   = 2 * time.Second
+	// leavingPatience bounds ReleasePatience for a back end that leaves, which
+	// is to take no new work after a few seconds.
+	leavingPatience = 2 * time.Second
 	// releaseSlack is added to a service's drain limit before a move is given
 	// up: the owner's agent enforces the limit itself.
 	releaseSlack = 5 * time.Second
@@ -34,6 +39,9 @@
 	// DecideAgain is the least time between two decisions where moves wait for
 	// the room that ended ones have made.
 	DecideAgain time.Duration
+	// ReleasePatience is how long a move whose target is ready waits for long
+	// requests at the owner, which goes on serving.
+	ReleasePatience time.Duration
 	// WarmLimit is how long a target may take to prepare a shard.
 	WarmLimit time.Duration
 	// SettleTime is how long the first owners of a new service's shards wait
@@ -50,6 +58,7 @@
 	setDefault(&config.LeaseDuration, ownership.DefaultLeaseDuration)
 	setDefault(&config.DecideInterval, DefaultDecideInterval)
 	setDefault(&config.DecideAgain, DefaultDecideAgain)
+	setDefault(&config.ReleasePatience, DefaultReleasePatience)
 	setDefault(&config.WarmLimit, DefaultWarmLimit)
 	setDefault(&config.SettleTime, DefaultSettleTime)
 	setDefault(&config.LongestSettle, DefaultLongestSettle)
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -54,7 +54,9 @@
 	// deaf agents take no routing data, but renew.
 	deaf bool
 	// stuck agents answer neither with Warmed nor with Released.
-	stuck  bool
+	stuck bool
+	// load is what the agent reports of its shards.
+	load   []wire.ShardLoad
 	renews time.Duration
 }
 
@@ -174,7 +176,7 @@
 	}
 	if s.now >= agent.renews {
 		agent.renews = s.now + renew
-		s.renew(agent, wire.Renew{Leaving: agent.leaving})
+		s.renew(agent, wire.Renew{Leaving: agent.leaving, Load: agent.load})
 	}
 }
 
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -29,6 +29,8 @@
 			LastMoved: c.lastMoved[shard.ID],
 			CreatedAt: c.createdAt[shard.ID],
 			HotKeys:   c.loads.HotKeys(shard.ID),
+
+			LongRunning: c.loads.LongRunning(shard.ID),
 		})
 	}
 	return placement.ServiceInput{
--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -55,7 +55,7 @@
 		c.statistics.MovesCancelled++
 		return step, true
 	}
-	if known.warmed {
+	if known.warmed && c.mayRelease(shard, known, now) {
 		step.Event = ownership.EventRelease
 		step.Reason = "target is ready"
 		return step, true
@@ -63,6 +63,27 @@
 	return step, false
 }
 
+// mayRelease reports whether the owner may stop serving a shard whose target is
+// ready. While long requests run the owner serves on, as the shard would be
+// unavailable until they end; patience with them is bounded.
+func (c *Coordinator) mayRelease(shard topology.Shard, known *move, now time.Duration) bool {
+	if c.loads.LongRunning(shard.ID) == 0 {
+		return true
+	}
+	patience := c.config.ReleasePatience
+	if c.leaves(shard.Owner) {
+		patience = min(patience, leavingPatience)
+	}
+	return now >= known.since+patience
+}
+
+// leaves reports whether a back end is to hold no shards for long any more.
+func (c *Coordinator) leaves(id topology.BackendID) bool {
+	info, _ := c.state.Backend(id)
+	known, attached := c.agents[id]
+	return info.State != topology.BackendActive || c.machines[id] || attached && known.leaving
+}
+
 // obstacle returns why a move cannot go on, or nothing.
 func (c *Coordinator) obstacle(shard topology.Shard, known *move, now time.Duration) string {
 	if c.leases.Lapsed(shard.Owner, now) {
--- a/internal/loadtable/table.go
+++ b/internal/loadtable/table.go
@@ -64,6 +64,7 @@
 	rate, share average
 	cost        cost
 	hotKeys     []wire.KeyLoad
+	longRunning uint32
 	// reported numbers the reporter's last report that named the shard.
 	reported uint64
 }
@@ -132,7 +133,7 @@
 		t.shards[id] = observed
 	}
 	if observed.reporter != from {
-		if load.Requests == 0 && load.Refused == 0 {
+		if load.Requests == 0 && load.Refused == 0 && load.LongRunning == 0 {
 			return // A previous owner's last word.
 		}
 		delete(t.backend(observed.reporter).shards, id)
@@ -141,6 +142,7 @@
 	reporter := t.backend(from)
 	reporter.shards[id] = true
 	observed.reported = reporter.reports
+	observed.longRunning = load.LongRunning
 	observed.cost.add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
 	t.service(id.Service).cost.add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
 	observed.offered(float64(load.Requests)+float64(load.Refused), interval, total)
@@ -155,6 +157,7 @@
 		observed := t.shards[id]
 		if observed.reported != reporter.reports {
 			observed.offered(0, interval, total)
+			observed.longRunning = 0
 		}
 	}
 }
@@ -217,6 +220,16 @@
 	return observed.share.value() * of.rate() * observed.cost.perRequest(&of.cost)
 }
 
+// LongRunning returns how many requests of a shard have been running for longer
+// than its owner's last interval between reports.
+func (t *Table) LongRunning(id topology.ShardID) uint32 {
+	observed, known := t.shards[id]
+	if !known {
+		return 0
+	}
+	return observed.longRunning
+}
+
 // HotKeys returns the hottest keys of a shard with their load in slots.
 func (t *Table) HotKeys(id topology.ShardID) []placement.HotKey {
 	observed, known := t.shards[id]
@@ -280,6 +293,7 @@
 	delete(t.backend(ended.reporter).shards, right)
 	if kept, found := t.shards[left]; found {
 		kept.rate.join(ended.rate)
+		kept.longRunning += ended.longRunning
 		kept.share.join(ended.share)
 		kept.cost.join(ended.cost)
 	}
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -82,14 +82,15 @@
 	partial bool
 }
 
-// bestMove returns the move from source with the greatest benefit per cost.
+// bestMove returns the move from source with the greatest benefit per cost. A
+// shard with long requests comes only where there is no other.
 func (planner *planner) bestMove(source int, mean float64) (candidate, bool) {
 	from := &planner.nodes[source]
 	if planner.full(from) {
 		planner.waiting++
 		return candidate{}, false
 	}
-	best := candidate{}
+	best, busiest := candidate{}, candidate{}
 	for _, index := range from.settled {
 		shard := &planner.service.Shards[index]
 		if planner.planned[index] || shard.Shard.Phase != topology.ShardOwned {
@@ -101,11 +102,18 @@
 			return candidate{}, false
 		}
 		offer := candidate{shard: index, source: source, destination: destination}
-		if planner.movable(index) {
+		switch {
+		case !planner.movable(index):
+		case shard.LongRunning > 0:
+			planner.offerShard(offer, mean, &busiest)
+		default:
 			planner.offerShard(offer, mean, &best)
 		}
 		planner.offerHotKeys(offer, mean, &best)
 	}
+	if best.score == 0 {
+		best = busiest
+	}
 	return best, best.score > 0
 }
 
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -311,3 +311,19 @@
 	left := max(0, int(policy.MovesPerMinute)-int(service.RecentLoadMoves))
 	assert.Assert(t, loadMoves <= left, "%d load moves, %d left", loadMoves, left)
 }
+
+// Without this rule a moved shard was unavailable until its exports had ended.
+func TestShardWithLongRequestsMovesOnlyWhereThereIsNoOther(t *testing.T) {
+	input := cluster(2, 8, 1)
+	for index := range input.Services[0].Shards {
+		if index%2 == 0 {
+			input.Services[0].Shards[index].Load = 2
+			input.Services[0].Shards[index].LongRunning = 1
+		}
+	}
+	input.Services[0].Shards[4].LongRunning = 0
+	move := firstOf(placement.Decide(input), placement.KindBalance)
+	assert.Equal(t, move.Shard, input.Services[0].Shards[4].Shard.ID)
+	input.Services[0].Shards[4].LongRunning = 1
+	assert.Assert(t, firstOf(placement.Decide(input), placement.KindBalance).Shard != topology.ShardID{})
+}
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -48,6 +48,9 @@
 	CreatedAt time.Duration
 	// HotKeys are the hottest keys, hottest first; may be empty.
 	HotKeys []HotKey
+	// LongRunning counts requests for which a hand-over that began now would
+	// have to wait noticeably.
+	LongRunning uint32
 	// NearZone is where most requests for the shard come from; empty where
 	// unknown.
 	NearZone topology.ZoneName
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -84,8 +86,9 @@
 	planner.take(index, move)
 }
 
-// drain hands over the shards of nodes that leave, largest load first, within
-// the limit on moves at once.
+// drain hands over the shards of nodes that leave, within the limit on moves at
+// once: those with the fewest long requests first, as the others would have to
+// wait, then those with the largest load.
 func (planner *planner) drain() {
 	var leaving []int
 	for index := range planner.nodes {
@@ -97,6 +100,9 @@
 		return
 	}
 	planner.byLoadDescending(leaving)
+	slices.SortStableFunc(leaving, func(left, right int) int {
+		return cmp.Compare(planner.service.Shards[left].LongRunning, planner.service.Shards[right].LongRunning)
+	})
 	candidates := newDestinations(planner)
 	for _, index := range leaving {
 		planner.drainShard(index, candidates)
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -67,6 +67,9 @@
 	Requests uint32
 	// BusyMicros is slot time used, including by requests still running.
 	BusyMicros uint32
+	// LongRunning requests have been running since before the last report. A
+	// move that began now would have to wait for them.
+	LongRunning uint32
 	// Refused requests for want of a slot or room in the queue. They are part
 	// of the load that callers offer.
 	Refused uint32
--- a/lab/experiment/arrivals.go
+++ b/lab/experiment/arrivals.go
@@ -27,6 +27,7 @@
 	// ticket at the agent's limit, with the time at which the run began and up
 	// to which its slot time was reported.
 	ticket   admission.Ticket
+	began    time.Duration
 	reported time.Duration
 	// running counts the run, so that a completion after a crash is ignored.
 	running bool
--- a/lab/experiment/server.go
+++ b/lab/experiment/server.go
@@ -38,6 +38,8 @@
 	queued   map[*admission.Ticket]*request
 	counts   map[topology.ShardID]*shardCounts
 	sequence uint64
+	// reportedAt is when the last report was made.
+	reportedAt time.Duration
 }
 
 // shardCounts is what the agent counted of a shard since its last report.
@@ -283,6 +285,7 @@
 		busy += counted.busy
 		renewal.Load = append(renewal.Load, s.shardLoad(shard.ID.Shard, counted))
 	}
+	s.reportedAt = now
 	claimed := s.claimFactor * busy.Seconds() / ownership.DefaultRenewInterval.Seconds()
 	renewal.Backend.Claimed = uint32(claimed + 0.5)
 	renewal.Backend.Running = uint32(s.limit.Running())
@@ -297,6 +300,11 @@
 		Refused:    counted.refused,
 		BusyMicros: uint32(counted.busy.Microseconds()),
 	}
+	for _, request := range s.running[topology.ShardID{Service: s.emulation.leader.service, Shard: number}] {
+		if request.began <= s.reportedAt {
+			load.LongRunning++
+		}
+	}
 	if s.sequence%hotKeyReports == 0 && counted.sketch.Total() >= sketchMinimum {
 		for _, frequent := range counted.sketch.Top(wire.MaximumHotKeys, hotKeyShare) {
 			load.HotKeys = append(load.HotKeys, wire.KeyLoad{Key: frequent.Key, Share: float32(frequent.Share)})
@@ -369,7 +377,8 @@
 
 func (s *server) run(request *request) {
 	request.running = true
-	request.reported = s.emulation.queue.now
+	request.began = s.emulation.queue.now
+	request.reported = request.began
 	s.running[request.shard] = append(s.running[request.shard], request)
 	s.afterHere(request.work, func() { s.complete(request) })
 }
