Let an agent advertise another address, and ask a connection's source late

Behind a proxy, or listening on all addresses, an agent told the controllers its listen address, which no back end has: its session got no identity, it never asked for a lease, and the controller ended it after 15 s of silence. Every shard stayed without owner, and 'quartzdock-lab faults' never began. New setting requests.advertise; the fleet sets it.

The fault proxies scanned /proc/net/tcp and the files of all processes at each connection to name its source. They now do so only while faults of one source are set, and once for each connection.

--- a/cmd/quartzdock-lab/faults.go
+++ b/cmd/quartzdock-lab/faults.go
@@ -14,6 +14,7 @@
 	flags := ff.NewFlagSet("faults")
 	flags.IntVar(&config.Seeds, 0, "seeds", 5, "how often each kind of fault strikes")
 	flags.StringListVar(&config.Kinds, 0, "kind", "kind of fault, all if none is given; may be repeated")
+	flags.BoolVar(&config.Keep, 0, "keep", "leave logs and ledgers behind")
 	return &ff.Command{
 		Name: "faults", ShortHelp: "measure unavailable time for each kind of fault", Flags: flags,
 		Exec: func(ctx context.Context, _ []string) error { return faults.Run(ctx, config) },
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -167,6 +167,14 @@
 	return errors.Join(failures...)
 }
 
+// advertised is the address by which controllers know the back end.
+func (agent *Agent) advertised() string {
+	if agent.config.Advertise != "" {
+		return agent.config.Advertise
+	}
+	return agent.Address()
+}
+
 // Address is the "IP:port" where requests are taken.
 func (agent *Agent) Address() string { return agent.listener.Addr().String() }
 
@@ -233,7 +241,7 @@
 		Role:        topology.RoleAgent,
 		Name:        agent.config.Name,
 		Location:    agent.config.Location,
-		Address:     agent.Address(),
+		Address:     agent.advertised(),
 		Controllers: agent.config.Controllers,
 		Transport:   agent.config.Transport,
 		Lease:       agent.lease,
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -38,6 +38,9 @@
 	Controllers []string
 	// Listen is where routers and other agents send requests, "IP:port".
 	Listen string
+	// Advertise is the address by which operators created the back end; empty
+	// takes the bound one.
+	Advertise string
 	// DataFolder holds the record of non-repeatable requests.
 	DataFolder string
 	// BackendAddress is the back end's "IP:port".
--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -24,6 +24,7 @@
 		Location:        config.Location(),
 		Controllers:     config.Controllers,
 		Listen:          config.RequestListen,
+		Advertise:       config.RequestAdvertise,
 		DataFolder:      config.DataFolder,
 		BackendAddress:  config.BackendAddress,
 		ServerTLS:       p.certificates.links(),
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -5,9 +5,11 @@
 // Agent is the settings of an agent, which runs beside one back end.
 type Agent struct {
 	Process
-	Controllers        []string
-	DataFolder         string
-	RequestListen      string
+	Controllers   []string
+	DataFolder    string
+	RequestListen string
+	// RequestAdvertise is empty where it equals RequestListen.
+	RequestAdvertise   string
 	BackendAddress     string
 	MaximumBodyBytes   int
 	MaximumHeaderBytes int
@@ -27,8 +29,12 @@
 	}, notEmpty)
 	set.text(&agent.RequestListen, Field{
 		Name: "requests.listen", Default: "127.0.0.1:7201", Unit: "IP:port",
-		Usage: "Address where routers send requests and other agents hand over the record of a moving shard. It is the agent address that operators give to admin when they create the back end.",
+		Usage: "Address where routers send requests and other agents hand over the record of a moving shard. Operators give this address to admin when they create the back end.",
 	}, isAddress)
+	set.text(&agent.RequestAdvertise, Field{
+		Name: "requests.advertise", Unit: "IP:port",
+		Usage: "Address by which operators created the back end and routers reach this agent. Empty takes requests.listen; give it where that is not reachable from other machines.",
+	}, optional(isAddress))
 	set.count(&agent.MaximumBodyBytes, Field{
 		Name: "requests.maximum-body-bytes", Default: "8388608", Unit: "bytes",
 		Usage: "Largest request body that is taken from a router.",
--- a/lab/faultproxy/link.go
+++ b/lab/faultproxy/link.go
@@ -15,14 +15,14 @@
 // link is one connection through the proxy.
 type link struct {
 	proxy  *Proxy
-	source string
+	source func() string
 	near   *net.TCPConn
 	far    *net.TCPConn
 	ctx    context.Context
 	end    context.CancelFunc
 }
 
-func newLink(proxy *Proxy, source string, near, far *net.TCPConn) *link {
+func newLink(proxy *Proxy, source func() string, near, far *net.TCPConn) *link {
 	ctx, end := context.WithCancel(proxy.ctx)
 	return &link{proxy: proxy, source: source, near: near, far: far, ctx: ctx, end: end}
 }
--- a/lab/faultproxy/proxy.go
+++ b/lab/faultproxy/proxy.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -27,7 +28,8 @@
 	// Seed of random faults.
 	Seed uint64
 	// Source names the process that opened a connection, so that faults can be
-	// set for one source only; nil names none.
+	// set for one source only; nil names none. It is asked once for each
+	// connection, and only while faults of a source are set.
 	Source func(net.Conn) string
 }
 
@@ -95,14 +97,18 @@
 
 // SetFor replaces the faults of one source.
 func (p *Proxy) SetFor(source string, faults Faults) error {
-	return p.change(faults, func() { p.bySource[source] = faults })
+	return p.change(faults, func() {
+		// Others read the map without the mutex, so it is never written to.
+		p.bySource = maps.Clone(p.bySource)
+		p.bySource[source] = faults
+	})
 }
 
 // Heal removes all faults.
 func (p *Proxy) Heal() {
 	p.change(Faults{}, func() {
 		p.faults = Faults{}
-		clear(p.bySource)
+		p.bySource = make(map[string]Faults)
 	})
 }
 
@@ -147,15 +153,18 @@
 	return err
 }
 
-// current returns the faults in force for a source and a channel that closes
-// when any are replaced.
-func (p *Proxy) current(source string) (Faults, <-chan struct{}) {
+// current returns the faults in force for a connection and a channel that
+// closes when any are replaced.
+func (p *Proxy) current(source func() string) (Faults, <-chan struct{}) {
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if faults, found := p.bySource[source]; found {
-		return faults, p.changed
+	all, bySource, changed := p.faults, p.bySource, p.changed
+	p.mutex.Unlock()
+	if len(bySource) > 0 {
+		if faults, found := bySource[source()]; found {
+			return faults, changed
+		}
 	}
-	return p.faults, p.changed
+	return all, changed
 }
 
 func (p *Proxy) count(change func(*Counters)) {
@@ -181,7 +190,7 @@
 }
 
 func (p *Proxy) serve(near *net.TCPConn) {
-	source := p.config.Source(near)
+	source := sync.OnceValue(func() string { return p.config.Source(near) })
 	faults, _ := p.current(source)
 	p.count(func(c *Counters) { c.Connections++ })
 	if faults.RefuseNew {
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -29,6 +29,8 @@
 	Seeds int
 	// Output takes the table, in Markdown, and progress.
 	Output io.Writer
+	// Keep leaves the folder with logs and ledgers behind and prints its path.
+	Keep bool
 	// Arguments added to the command lines of controllers, routers and agents.
 	ControllerArguments []string
 }
@@ -54,7 +56,11 @@
 	if err != nil {
 		return fmt.Errorf("faults: %w", err)
 	}
-	defer os.RemoveAll(folder)
+	if config.Keep {
+		fmt.Fprintf(config.Output, "logs and ledgers stay in %s\n", folder)
+	} else {
+		defer os.RemoveAll(folder)
+	}
 	binaries, err := fleet.Build(ctx, folder)
 	if err != nil {
 		return err
--- a/lab/fleet/layout.go
+++ b/lab/fleet/layout.go
@@ -127,6 +127,7 @@
 		"--controllers="+strings.Join(f.sessions, ","),
 		"--data-folder="+folder,
 		"--requests.listen="+listen,
+		"--requests.advertise="+member.AgentAddress,
 		"--backend.address="+guarded,
 	)
 	arguments = append(arguments, f.config.AgentArguments...)
