--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 // Defaults of Config.
 const (
 	DefaultDecideInterval = time.Second
+	DefaultDecideAgain    = 100 * time.Millisecond
 	DefaultWarmLimit      = 30 * time.Second
 	DefaultDrainLimit     = 30 * time.Second
 	DefaultSettleTime     = 300 * time.Millisecond
@@ -30,6 +31,9 @@
 	// DecideInterval between two decisions about load. Losses are decided at
 	// once.
 	DecideInterval time.Duration
+	// DecideAgain is the least time between two decisions where moves wait for
+	// the room that ended ones have made.
+	DecideAgain time.Duration
 	// WarmLimit is how long a target may take to prepare a shard.
 	WarmLimit time.Duration
 	// SettleTime is how long the first owners of a new service's shards wait
@@ -45,6 +49,7 @@
 func (config Config) withDefaults() Config {
 	setDefault(&config.LeaseDuration, ownership.DefaultLeaseDuration)
 	setDefault(&config.DecideInterval, DefaultDecideInterval)
+	setDefault(&config.DecideAgain, DefaultDecideAgain)
 	setDefault(&config.WarmLimit, DefaultWarmLimit)
 	setDefault(&config.SettleTime, DefaultSettleTime)
 	setDefault(&config.LongestSettle, DefaultLongestSettle)
@@ -88,8 +93,14 @@
 	createdAt map[topology.ShardID]time.Duration
 	loadMoves map[topology.ServiceID][]time.Duration
 
-	// decideAt is when placement is asked next.
+	// commits are the latest revisions of this term, which lagging agents miss.
+	commits commits
+
+	// decideAt is when placement is asked next, decidedAt when it was last, and
+	// roomMade says that a move has ended since.
 	decideAt   time.Duration
+	decidedAt  time.Duration
+	roomMade   bool
 	decision   placement.Decision
 	settling   settling
 	statistics Statistics
@@ -98,6 +109,8 @@
 // agent is what the leader knows of the process beside a back end.
 type agent struct {
 	boot uint64
+	// fresh processes had nothing in force when they came.
+	fresh bool
 	// required is the revision that the process must have in force before its
 	// lease is renewed.
 	required topology.Revision
@@ -141,10 +154,20 @@
 }
 
 // BecomeLeader starts a term. All entries of earlier terms must be applied.
-func (c *Coordinator) BecomeLeader(now time.Duration) {
+func (c *Coordinator) BecomeLeader(now time.Duration) { c.BecomeLeaderAfter(now, now) }
+
+// BecomeLeaderAfter is BecomeLeader where it is known by when the leader leases
+// of all earlier terms have ended. Zero is not known.
+func (c *Coordinator) BecomeLeaderAfter(earlierLeasesEnd, now time.Duration) {
 	c.StepDown()
+	if earlierLeasesEnd == 0 {
+		earlierLeasesEnd = now
+	}
 	c.leading = true
 	c.leases = ownership.NewLeaseTable(c.config.LeaseDuration, now)
+	longest := max(c.config.LeaseDuration, c.state.LongestLease())
+	c.leases.SetSettled(min(earlierLeasesEnd, now) + longest)
+	c.commits.add(c.state.Revision(), now)
 	c.decideAt = now
 	c.settling = settling{services: make(map[topology.ServiceID]period)}
 }
@@ -165,6 +188,8 @@
 	c.createdAt = make(map[topology.ShardID]time.Duration)
 	c.loadMoves = make(map[topology.ServiceID][]time.Duration)
 	c.decision = placement.Decision{}
+	c.roomMade = false
+	c.commits = commits{}
 }
 
 // Leading reports whether the coordinator acts as the leader.
