Serve on before a restart and hand over what is hot

A back end that restarts took no requests while its exports of 2 s ended, about 6 s of 8; every shard waited, also one with a third of the load on a handful of keys, where the cost of moving is next to nothing; and the grace counted from the announcement, so that a stop that took its time lost its shards at the very moment it went down. Change: the emulated agent takes no new bulk requests after the announcement and serves on until no long request runs, for at most 3 s; placement weighs each shard's part of the load against its part of the keys, by the rule that was used for the average shard; the grace counts from the end of the lease (its test failed with 16 moves). The emulated router holds and retries as the real one does, 3 s at most, instead of counting a request to a dead process as failed.

--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -65,7 +65,7 @@
 	if !backend.Leaving || backend.Backend.State != topology.BackendActive {
 		return false
 	}
-	return planner.now < backend.LeavingAt+EffectiveGrace(planner.policy)
+	return planner.now < max(backend.LeavingAt, backend.LostAt)+EffectiveGrace(planner.policy)
 }
 
 func (planner *planner) takePlacement(index int, destination *node) {
@@ -92,8 +92,12 @@
 func (planner *planner) drain() {
 	var leaving []int
 	for index := range planner.nodes {
-		if planner.nodes[index].leaves && planner.nodes[index].input.Live {
-			leaving = append(leaving, planner.nodes[index].settled...)
+		node := &planner.nodes[index]
+		switch {
+		case node.input.Live && node.leaves:
+			leaving = append(leaving, node.settled...)
+		case node.input.Live && node.restarts:
+			leaving = planner.appendHot(leaving, node.settled)
 		}
 	}
 	if len(leaving) == 0 {
@@ -109,6 +113,25 @@
 	}
 }
 
+// appendHot appends the shards whose part of the load is so much greater than
+// their part of the keys that waiting for a restart costs more than moving them.
+// For an average shard this is the rule of WaitsForRestart.
+func (planner *planner) appendHot(leaving, shards []int) []int {
+	var total float64
+	for _, load := range planner.loads {
+		total += load
+	}
+	weights := planner.policy.Weights
+	for _, index := range shards {
+		wait := weights.Unavailable * planner.loads[index] / total * assumedRestart.Seconds()
+		move := weights.Churn * keyShare(planner.service.Shards, index) * churnExchange.Seconds()
+		if wait > move {
+			leaving = append(leaving, index)
+		}
+	}
+	return leaving
+}
+
 func (planner *planner) drainShard(index int, candidates *destinations) {
 	shard := &planner.service.Shards[index]
 	source := &planner.nodes[planner.nodeOf[shard.Shard.Owner]]
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -46,8 +46,9 @@
 	moving int
 	// receives says that the node may be given shards.
 	receives bool
-	// leaves says that the node's shards are to be handed over.
-	leaves bool
+	// leaves says that the node's shards are to be handed over; restarts that
+	// those are which would lose more by waiting for the node to return.
+	leaves, restarts bool
 }
 
 // utilisation is load over slots.
@@ -72,13 +73,13 @@
 }
 
 func (planner *planner) addNode(backend *BackendInput) {
-	leaving := backend.Leaving && !WaitsForRestart(planner.policy)
-	leaves := backend.Backend.State == topology.BackendDraining || leaving
+	waits := WaitsForRestart(planner.policy)
+	leaves := backend.Backend.State == topology.BackendDraining || backend.Leaving && !waits
 	planner.nodeOf[backend.Backend.ID] = len(planner.nodes)
 	planner.nodes = append(planner.nodes, node{
 		input:  backend,
 		slots:  math.Max(1, float64(backend.Backend.Slots)),
-		leaves: leaves,
+		leaves: leaves, restarts: backend.Leaving && !leaves,
 		receives: backend.Live && !leaves && !backend.Leaving &&
 			backend.Backend.State == topology.BackendActive &&
 			backend.FailureShare <= maximumFailureShare,
--- a/internal/topology/service.go
+++ b/internal/topology/service.go
@@ -59,8 +59,9 @@
 	MovesPerMinute uint32
 	// MovesAtOnce bounds moves in progress per back end.
 	MovesAtOnce uint32
-	// RestartGrace is how long after a planned restart began the owner's
-	// shards wait for it to return before they are given to others.
+	// RestartGrace bounds how long, after the lease of a back end that announced
+	// a restart has ended, its shards wait for it to return before they are
+	// given to others.
 	RestartGrace time.Duration
 }
 
--- a/lab/experiment/arrivals.go
+++ b/lab/experiment/arrivals.go
@@ -31,6 +31,11 @@
 	reported time.Duration
 	// running counts the run, so that a completion after a crash is ignored.
 	running bool
+	// holds counts the times that the router held the request; held is set while
+	// it does, until holdUntil at most.
+	holds     int
+	held      bool
+	holdUntil time.Duration
 	// probe marks a health probe, which counts for no measure.
 	probe bool
 }
--- a/lab/experiment/handover.go
+++ b/lab/experiment/handover.go
@@ -42,6 +42,9 @@
 		s.warmForMove(shard)
 		return
 	}
+	if shard.Owner == s.id && shard.Phase != topology.ShardOwned {
+		s.movedAt = s.emulation.queue.now
+	}
 	if shard.Owner != s.id {
 		if shard.Target != s.id {
 			delete(s.warm, shard.ID)
--- a/lab/experiment/router.go
+++ b/lab/experiment/router.go
@@ -30,6 +30,10 @@
 	routerReportInterval = time.Second
 	// connectTimeout is how long a router waits for a lost back end.
 	connectTimeout = 250 * time.Millisecond
+	// holdTimeout is the router's default HoldTimeout, and holdPause about its
+	// longest pause between attempts at one owner.
+	holdTimeout = 3 * time.Second
+	holdPause   = 200 * time.Millisecond
 )
 
 func newRouter(e *emulation, number, zone int) *router {
@@ -51,7 +55,10 @@
 	held := r.held
 	r.held = nil
 	for _, request := range held {
-		r.route(request)
+		if request.held {
+			request.held = false
+			r.route(request)
+		}
 	}
 }
 
@@ -64,11 +71,7 @@
 		return
 	}
 	route, found := r.table.Lookup(r.emulation.leader.service, request.position)
-	if !found || route.Owner == nil {
-		r.emulation.measures.ended(request, endNoOwner)
-		return
-	}
-	if route.Shard.Phase == topology.ShardReleasing {
+	if !found || route.Owner == nil || route.Shard.Phase == topology.ShardReleasing {
 		r.hold(request)
 		return
 	}
@@ -76,16 +79,25 @@
 	r.send(request, r.emulation.server(route.Owner.ID))
 }
 
-// hold keeps a request until the next routing data or its deadline.
+// hold keeps a request until the next routing data or for a pause, and routes
+// it again. After holdTimeout in all it is answered as not run.
 func (r *router) hold(request *request) {
+	now := r.emulation.queue.now
+	if request.holdUntil == 0 {
+		request.holdUntil = now + holdTimeout
+	}
+	if now >= request.holdUntil {
+		r.emulation.measures.ended(request, endNoOwner)
+		return
+	}
+	request.holds++
+	request.held = true
 	r.held = append(r.held, request)
-	r.emulation.queue.at(request.deadline, func() {
-		for index, waiting := range r.held {
-			if waiting == request {
-				r.held = append(r.held[:index], r.held[index+1:]...)
-				r.emulation.measures.ended(request, endExpired)
-				return
-			}
+	number := request.holds
+	r.emulation.queue.after(holdPause, func() {
+		if request.held && request.holds == number {
+			request.held = false
+			r.route(request)
 		}
 	})
 }
@@ -130,7 +142,7 @@
 		}
 		route, _ := r.table.Lookup(r.emulation.leader.service, request.position)
 		newer := route.Shard.Epoch != request.epoch || route.Shard.ID != request.shard
-		if newer {
+		if newer && route.Shard.Phase != topology.ShardReleasing {
 			r.route(request)
 			return
 		}
@@ -138,6 +150,18 @@
 	})
 }
 
+// unreachable notices that a back end cannot be connected to, so that nothing
+// was sent.
+func (r *router) unreachable(request *request, to *server) {
+	r.emulation.queue.after(connectTimeout, func() {
+		pool := r.pool(to.id)
+		pool.busy--
+		pool.open = pool.busy
+		r.outcome(to.id).Failed++
+		r.hold(request)
+	})
+}
+
 // lost notices that a back end is gone.
 func (r *router) lost(request *request, from *server) {
 	r.emulation.queue.after(connectTimeout, func() {
--- a/lab/experiment/server.go
+++ b/lab/experiment/server.go
@@ -22,7 +22,10 @@
 	// frozenUntil is in the future while the processor stands still.
 	frozenUntil time.Duration
 	// leaving is set from the announcement of a planned stop on.
-	leaving     bool
+	leaving   bool
+	leavingAt time.Duration
+	// movedAt is when a shard of this back end was last on its way.
+	movedAt     time.Duration
 	stopping    func()
 	claimFactor float64
 
@@ -51,6 +54,11 @@
 
 const (
 	probeInterval = time.Second
+	// leavingGrace is how long a back end that restarts serves on while long
+	// requests run.
+	leavingGrace = 3 * time.Second
+	// moveGap is the longest time between two moves of one plan.
+	moveGap = 500 * time.Millisecond
 	// hotKeyReports is every how many renewals hot keys are reported.
 	hotKeyReports = 8
 	// sketchCapacity is the number of keys kept per shard; hotKeyShare the
@@ -170,6 +178,7 @@
 	}
 	s.emulation.measures.disturbed(nil)
 	s.leaving = true
+	s.leavingAt = s.emulation.queue.now
 	boot := s.boot
 	stop := func() {
 		if !s.up || s.boot != boot {
@@ -226,11 +235,15 @@
 	s.stopIfEmpty()
 }
 
-// stopIfEmpty ends a planned stop once nothing is owned or grace applies.
+// stopIfEmpty ends a planned stop once nothing is owned, or where the shards
+// wait for the restart, once no long request runs.
 func (s *server) stopIfEmpty() {
 	if s.stopping == nil || !s.mayStop() {
 		return
 	}
+	if s.waitsForRestart() && s.runsLong() && s.emulation.queue.now < s.leavingAt+leavingGrace {
+		return
+	}
 	if s.limit.Running() > 0 || s.limit.Waiting() > 0 {
 		s.holder.Release()
 		s.emulation.measures.observeShards()
@@ -245,16 +258,34 @@
 // over.
 func (s *server) mayStop() bool {
 	service, _ := s.table.Service(s.emulation.leader.service)
-	waits := s.emulation.config.Policy.WaitsForRestart
-	if waits != nil && waits(service.Placement) {
-		return true
-	}
+	waits := s.waitsForRestart()
 	for shard := range service.Shards() {
-		if shard.Owner == s.id {
+		moving := shard.Phase != topology.ShardOwned
+		if shard.Owner == s.id && (moving || !waits) {
 			return false
 		}
 	}
-	return true
+	return !waits || s.emulation.queue.now >= max(s.leavingAt, s.movedAt)+moveGap
+}
+
+// waitsForRestart says whether the shards wait for the process to return.
+func (s *server) waitsForRestart() bool {
+	service, _ := s.table.Service(s.emulation.leader.service)
+	waits := s.emulation.config.Policy.WaitsForRestart
+	return waits != nil && waits(service.Placement)
+}
+
+// runsLong says whether a request has been running since before the last
+// report.
+func (s *server) runsLong() bool {
+	for _, requests := range s.running {
+		for _, request := range requests {
+			if !request.probe && request.began <= s.reportedAt {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // renewal is the report of the agent.
@@ -329,7 +360,7 @@
 // receive takes a request from a router.
 func (s *server) receive(request *request) {
 	if !s.up {
-		request.router.lost(request, s)
+		request.router.unreachable(request, s)
 		return
 	}
 	s.onProcessor(func() { s.admit(request) })
@@ -337,6 +368,10 @@
 
 func (s *server) admit(request *request) {
 	now := s.emulation.queue.now
+	if s.leaving && s.emulation.service.Operations[request.operation].Bulk {
+		request.router.refused(request, s, endMoved)
+		return
+	}
 	if s.holder.Admits(request.shard, request.epoch, now) != nil {
 		request.router.refused(request, s, endMoved)
 		return
