--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -46,11 +46,11 @@
 
 func (f *fakeController) ListBackends(context.Context, *connect.Request[quartzdockv1.ListBackendsRequest]) (*connect.Response[quartzdockv1.ListBackendsResponse], error) {
 	return connect.NewResponse(&quartzdockv1.ListBackendsResponse{
-		Age: &quartzdockv1.ReadAge{Revision: 90},
+		Age: &quartzdockv1.ReadAge{Revision: 90, Linearizable: true},
 		Backends: []*quartzdockv1.Backend{
-			{Id: 1, Service: "wayfinder", Name: "w1", State: quartzdockv1.BackendState_BACKEND_STATE_ACTIVE, Live: true, OwnedShards: 64,
+			{Id: 1, Service: "wayfinder", Name: "w1", State: quartzdockv1.BackendState_BACKEND_STATE_ACTIVE, Live: true, LiveKnown: true, OwnedShards: 64,
 				Slots: 20, Connections: 100, Location: &quartzdockv1.Location{Region: "se-west", Zone: "hall-1"}, AgentAddress: "127.0.0.1:7201", Revision: 7, Author: "ebba"},
-			{Id: 2, Service: "wayfinder", Name: "w2", State: quartzdockv1.BackendState_BACKEND_STATE_DRAINING},
+			{Id: 2, Service: "wayfinder", Name: "w2", State: quartzdockv1.BackendState_BACKEND_STATE_DRAINING, LiveKnown: true},
 		},
 	}), nil
 }
--- a/internal/admin/backends.go
+++ b/internal/admin/backends.go
@@ -120,7 +120,7 @@
 		flags.StringVar(&service, 0, "service", "", "only those of this service")
 	}
 	return s.leaf("list", "list back ends with their state, lease and shards", nil, flags, func(ctx context.Context, _ []string) error {
-		response, err := read(ctx, s, rpc.ListBackends, &quartzdockv1.ListBackendsRequest{Service: service})
+		response, err := readAtLeader(ctx, s, rpc.ListBackends, &quartzdockv1.ListBackendsRequest{Service: service})
 		if err != nil {
 			return err
 		}
--- a/internal/admin/controllers.go
+++ b/internal/admin/controllers.go
@@ -20,7 +20,7 @@
 // listControllersCommand lists the members.
 func (s *session) listControllersCommand() *ff.Command {
 	return s.leaf("list", "list the members of the group", nil, nil, func(ctx context.Context, _ []string) error {
-		response, err := read(ctx, s, rpc.ListControllers, &quartzdockv1.ListControllersRequest{})
+		response, err := readAtLeader(ctx, s, rpc.ListControllers, &quartzdockv1.ListControllersRequest{})
 		if err != nil {
 			return err
 		}
--- a/internal/admin/output.go
+++ b/internal/admin/output.go
@@ -53,12 +53,12 @@
 
 // writeAge prints of when an answer is.
 func writeAge(out io.Writer, age *quartzdockv1.ReadAge) {
-	contact := age.GetLeaderContact().AsDuration()
-	if contact == 0 {
-		fmt.Fprintf(out, "at revision %d, confirmed by the leader\n", age.GetRevision())
+	if age.GetLinearizable() {
+		fmt.Fprintf(out, "at revision %d, the newest\n", age.GetRevision())
 		return
 	}
-	fmt.Fprintf(out, "at revision %d, as known %s ago\n", age.GetRevision(), contact)
+	fmt.Fprintf(out, "at revision %d, the newest known %s ago: no quorum of controllers can be reached\n",
+		age.GetRevision(), age.GetLeaderContact().AsDuration())
 }
 
 // locationText returns "region/zone/rack" without empty trailing parts.
--- a/internal/admin/ownership.go
+++ b/internal/admin/ownership.go
@@ -62,7 +62,7 @@
 
 // explainKey prints where a key's requests go.
 func (s *session) explainKey(ctx context.Context, given []string) error {
-	response, err := read(ctx, s, rpc.ExplainKey, &quartzdockv1.ExplainKeyRequest{Service: given[0], Key: given[1]})
+	response, err := readAtLeader(ctx, s, rpc.ExplainKey, &quartzdockv1.ExplainKeyRequest{Service: given[0], Key: given[1]})
 	if err != nil {
 		return err
 	}
--- a/internal/admin/revisions.go
+++ b/internal/admin/revisions.go
@@ -39,7 +39,7 @@
 	}
 	return s.leaf("subscribers", "show which routers and agents have which revision in force", nil, flags,
 		func(ctx context.Context, _ []string) error {
-			response, err := read(ctx, s, rpc.ListSubscribers, &quartzdockv1.ListSubscribersRequest{LaggingOnly: lagging})
+			response, err := readAtLeader(ctx, s, rpc.ListSubscribers, &quartzdockv1.ListSubscribersRequest{LaggingOnly: lagging})
 			if err != nil {
 				return err
 			}
--- a/internal/admin/session.go
+++ b/internal/admin/session.go
@@ -113,6 +113,19 @@
 	return response, explain(err, "")
 }
 
+// readAtLeader is read for an answer that the leader alone can give in full. If
+// none is known, any controller's answer must do.
+func readAtLeader[Request, Response any](ctx context.Context, s *session, invoke method[Request, Response], request *Request) (*Response, error) {
+	revision, err := read(ctx, s, quartzdockv1connect.AdminServiceClient.GetRevision, &quartzdockv1.GetRevisionRequest{})
+	if err != nil {
+		return nil, err
+	}
+	if leader := revision.GetLeaderRpcAddress(); leader != "" {
+		s.client.next = leader
+	}
+	return read(ctx, s, invoke, request)
+}
+
 // mutationFlags are the flags of every command that changes something.
 type mutationFlags struct {
 	expectedRevision int
--- a/internal/admin/tables.go
+++ b/internal/admin/tables.go
@@ -23,12 +23,21 @@
 	t := &table{header: []string{"SERVICE", "BACK END", "ID", "STATE", "LIVE", "SHARDS", "SLOTS", "CONNECTIONS", "LOCATION", "AGENT", "REVISION", "AUTHOR"}}
 	for _, backend := range backends {
 		t.add(backend.GetService(), backend.GetName(), backend.GetId(), enumText(backend.GetState(), "BACKEND_STATE_"),
-			yesNo(backend.GetLive()), backend.GetOwnedShards(), backend.GetSlots(), backend.GetConnections(),
+			liveText(backend), backend.GetOwnedShards(), backend.GetSlots(), backend.GetConnections(),
 			locationText(backend.GetLocation()), backend.GetAgentAddress(), backend.GetRevision(), backend.GetAuthor())
 	}
 	return t
 }
 
+// liveText says whether a back end holds a lease, "-" where the answer came from
+// a controller that does not know.
+func liveText(backend *quartzdockv1.Backend) string {
+	if !backend.GetLiveKnown() {
+		return "-"
+	}
+	return yesNo(backend.GetLive())
+}
+
 // shardTable shows who owns which range of keys.
 func shardTable(shards []*quartzdockv1.Shard) *table {
 	t := &table{header: []string{"SHARD", "FIRST POSITION", "PHASE", "OWNER", "TARGET", "EPOCH"}}
--- a/internal/controller/convert.go
+++ b/internal/controller/convert.go
@@ -143,6 +143,7 @@
 		Revision:     uint64(info.Revision),
 		Author:       info.Author,
 		Live:         c.coordinator.Live(info.ID, c.replica.Now()),
+		LiveKnown:    c.coordinator.Leading(),
 		OwnedShards:  uint32(info.Owned),
 	}
 }
--- a/internal/controller/freshness.go
+++ b/internal/controller/freshness.go
@@ -76,13 +76,17 @@
 	}
 }
 
-func (c *Controller) confirmOnce(ctx context.Context) {
+// confirmOnce reports whether a quorum confirmed, after the call, that all that
+// was committed before it is applied here.
+func (c *Controller) confirmOnce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
 	asked := c.replica.Now()
-	if err := c.barrier(ctx); err == nil {
-		c.freshness.confirm(asked)
+	if c.barrier(ctx) != nil {
+		return false
 	}
+	c.freshness.confirm(asked)
+	return true
 }
 
 // barrier returns once all that was committed before the call is applied here.
--- a/internal/controller/group_test.go
+++ b/internal/controller/group_test.go
@@ -25,6 +25,8 @@
 	dirs    []string
 	members []*controller.Controller
 	addrs   []controller.Addresses
+	// joinedPeer is the peer address of the member that join started.
+	joinedPeer string
 }
 
 func startGroup(t *testing.T) *group {
--- a/internal/controller/rpc_backends.go
+++ b/internal/controller/rpc_backends.go
@@ -106,8 +106,8 @@
 func (s *adminServer) ListBackends(ctx context.Context, request *connect.Request[quartzdockv1.ListBackendsRequest]) (*connect.Response[quartzdockv1.ListBackendsResponse], error) {
 	response := &quartzdockv1.ListBackendsResponse{}
 	wanted := request.Msg.GetService()
-	err := s.read(ctx, func() {
-		response.Age = s.age()
+	err := s.readNewest(ctx, func(age *quartzdockv1.ReadAge) {
+		response.Age = age
 		for _, info := range s.controller.state.Backends() {
 			message := s.backendMessage(&info)
 			if wanted == "" || message.GetService() == wanted {
--- a/internal/controller/rpc_controllers.go
+++ b/internal/controller/rpc_controllers.go
@@ -15,8 +15,8 @@
 // ListControllers implements the schema.
 func (s *adminServer) ListControllers(ctx context.Context, _ *connect.Request[quartzdockv1.ListControllersRequest]) (*connect.Response[quartzdockv1.ListControllersResponse], error) {
 	response := &quartzdockv1.ListControllersResponse{}
-	err := s.read(ctx, func() {
-		response.Age = s.age()
+	err := s.readNewest(ctx, func(age *quartzdockv1.ReadAge) {
+		response.Age = age
 		status := s.controller.replica.Status()
 		for _, member := range status.Membership.Members {
 			response.Controllers = append(response.Controllers, s.controllerMessage(&status, member))
--- a/internal/controller/rpc_revisions.go
+++ b/internal/controller/rpc_revisions.go
@@ -11,23 +11,27 @@
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
-// age says of when an answer is; on the control goroutine.
-func (s *adminServer) age() *quartzdockv1.ReadAge {
-	return &quartzdockv1.ReadAge{
-		Revision:      uint64(s.controller.state.Revision()),
-		LeaderContact: durationpb.New(s.controller.leaderContact()),
-	}
+// readNewest is read after a quorum has confirmed that the state here is the
+// newest. Where none can be reached, the age says how old the state may be.
+func (s *adminServer) readNewest(ctx context.Context, look func(age *quartzdockv1.ReadAge)) error {
+	c := s.controller
+	confirmed := c.confirmOnce(ctx)
+	return s.read(ctx, func() {
+		look(&quartzdockv1.ReadAge{
+			Revision:      uint64(c.state.Revision()),
+			LeaderContact: durationpb.New(c.leaderContact()),
+			Linearizable:  confirmed,
+		})
+	})
 }
 
-// GetRevision implements the schema. Where a quorum can be reached the answer
-// is the newest; otherwise its age says how old it is.
+// GetRevision implements the schema.
 func (s *adminServer) GetRevision(ctx context.Context, _ *connect.Request[quartzdockv1.GetRevisionRequest]) (*connect.Response[quartzdockv1.GetRevisionResponse], error) {
 	c := s.controller
-	c.confirmOnce(ctx)
 	response := &quartzdockv1.GetRevisionResponse{}
-	err := s.read(ctx, func() {
+	err := s.readNewest(ctx, func(age *quartzdockv1.ReadAge) {
 		configured, author := c.state.Configuration()
-		response.Age = s.age()
+		response.Age = age
 		response.ConfigurationRevision = uint64(configured)
 		response.Author = author
 		response.LeaderRpcAddress = c.leaderRPCAddress(c.replica.Status())
@@ -40,7 +44,7 @@
 func (s *adminServer) ListSubscribers(ctx context.Context, request *connect.Request[quartzdockv1.ListSubscribersRequest]) (*connect.Response[quartzdockv1.ListSubscribersResponse], error) {
 	c := s.controller
 	response := &quartzdockv1.ListSubscribersResponse{}
-	if err := s.read(ctx, func() { response.Age = s.age() }); err != nil {
+	if err := s.readNewest(ctx, func(age *quartzdockv1.ReadAge) { response.Age = age }); err != nil {
 		return nil, err
 	}
 	now := c.now()
--- a/internal/controller/rpc_services.go
+++ b/internal/controller/rpc_services.go
@@ -65,8 +65,8 @@
 // ListServices implements the schema.
 func (s *adminServer) ListServices(ctx context.Context, _ *connect.Request[quartzdockv1.ListServicesRequest]) (*connect.Response[quartzdockv1.ListServicesResponse], error) {
 	response := &quartzdockv1.ListServicesResponse{}
-	err := s.read(ctx, func() {
-		response.Age = s.age()
+	err := s.readNewest(ctx, func(age *quartzdockv1.ReadAge) {
+		response.Age = age
 		for _, info := range s.controller.state.Services() {
 			response.Services = append(response.Services, serviceMessage(&info))
 		}
--- a/internal/controller/rpc_shards.go
+++ b/internal/controller/rpc_shards.go
@@ -36,10 +36,10 @@
 	}
 	response := &quartzdockv1.ListShardsResponse{}
 	found := false
-	err = s.read(ctx, func() {
+	err = s.readNewest(ctx, func(age *quartzdockv1.ReadAge) {
 		info, ok := s.controller.state.Service(request.Msg.GetService())
 		found = ok
-		response.Age = s.age()
+		response.Age = age
 		s.fillPage(response, info.ID, request.Msg.GetOwner(), from, size)
 	})
 	if err == nil && !found {
@@ -84,7 +84,7 @@
 	position := topology.HashKey(request.Msg.GetKey())
 	response := &quartzdockv1.ExplainKeyResponse{Position: uint64(position)}
 	found := false
-	err := s.read(ctx, func() {
+	err := s.readNewest(ctx, func(age *quartzdockv1.ReadAge) {
 		c := s.controller
 		info, _ := c.state.Service(request.Msg.GetService())
 		shard, ok := c.state.ShardOfKey(info.ID, position)
@@ -92,8 +92,9 @@
 			return
 		}
 		found = true
-		response.Age = s.age()
+		response.Age = age
 		response.Shard = s.shardMessage(&shard)
+		response.OwnerLiveKnown = c.coordinator.Leading()
 		response.OwnerLive = c.coordinator.Live(shard.Owner, c.replica.Now())
 		response.Summary = s.summary(&shard, response.OwnerLive)
 		response.History = s.history(shard.ID)
@@ -142,11 +143,11 @@
 func (s *adminServer) ExplainService(ctx context.Context, request *connect.Request[quartzdockv1.ExplainServiceRequest]) (*connect.Response[quartzdockv1.ExplainServiceResponse], error) {
 	response := &quartzdockv1.ExplainServiceResponse{}
 	found, leads := false, false
-	err := s.read(ctx, func() {
+	err := s.readNewest(ctx, func(age *quartzdockv1.ReadAge) {
 		var info controlstate.ServiceInfo
 		info, found = s.controller.state.Service(request.Msg.GetService())
 		leads = s.controller.coordinator.Leading()
-		response.Age = s.age()
+		response.Age = age
 		response.InProgress = s.movesInProgress(info.ID)
 		response.Pending = s.pendingMoves(info.ID)
 		response.Loads = s.backendLoads(info.ID)
--- a/internal/controller/rpc_shifts.go
+++ b/internal/controller/rpc_shifts.go
@@ -43,12 +43,12 @@
 func (s *adminServer) ListLoadShifts(ctx context.Context, request *connect.Request[quartzdockv1.ListLoadShiftsRequest]) (*connect.Response[quartzdockv1.ListLoadShiftsResponse], error) {
 	response := &quartzdockv1.ListLoadShiftsResponse{}
 	found := true
-	err := s.read(ctx, func() {
+	err := s.readNewest(ctx, func(age *quartzdockv1.ReadAge) {
 		var info controlstate.ServiceInfo
 		if name := request.Msg.GetService(); name != "" {
 			info, found = s.controller.state.Service(name)
 		}
-		response.Age = s.age()
+		response.Age = age
 		for _, shift := range s.controller.state.LoadShifts(info.ID) {
 			response.Shifts = append(response.Shifts, s.shiftMessage(&shift))
 		}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -75,6 +75,10 @@
 	routerReports map[string]time.Duration
 	machines      map[topology.BackendID]bool
 
+	// removedAt is when a back end was last removed, zero is never. With its
+	// service gone it may have owned shards until its lease ended.
+	removedAt time.Duration
+
 	// inFlight is the batch on its way through the log, revoking the back ends
 	// that lose shards by it without their promise.
 	inFlight *controlstate.ChangeOwnership
@@ -181,6 +185,7 @@
 	c.loadMoves = make(map[topology.ServiceID][]time.Duration)
 	c.decision = placement.Decision{}
 	c.commits = commits{}
+	c.removedAt = 0
 }
 
 // Leading reports whether the coordinator acts as the leader.
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -499,3 +499,33 @@
 	s.now = granted + lease
 	assert.Equal(t, s.renew(second, wire.Renew{}).Granted, lease)
 }
+
+// TestServiceMadeAnewWaitsForLeasesOfTheDeletedOne: the same keys belong to the
+// new service's shards, and an agent that is cut off still serves the old ones.
+func TestServiceMadeAnewWaitsForLeasesOfTheDeletedOne(t *testing.T) {
+	s := settled(t, 4, 1)
+	old := s.agents[1]
+	s.configure(func(c *controlstate.Command) {
+		c.SetBackendState = &controlstate.SetBackendState{
+			Backend: controlstate.BackendName{Service: "wayfinder", Name: "backend-1"}, State: topology.BackendDraining,
+		}
+	})
+	s.runUntil(time.Second, "a renewal", func() bool { return old.renews == s.now+renew-tick })
+	old.cutOff = true
+	deleted := s.now
+	s.configure(func(c *controlstate.Command) { c.DeleteService = &controlstate.DeleteService{Name: "wayfinder"} })
+	s.configure(func(c *controlstate.Command) {
+		c.CreateService = &controlstate.CreateService{Service: topology.Service{Name: "wayfinder", InitialShards: 4}}
+	})
+	s.configure(func(c *controlstate.Command) {
+		c.CreateBackend = &controlstate.CreateBackend{Service: "wayfinder", Backend: topology.Backend{
+			Name: "backend-2", Location: topology.Location{Region: "r", Zone: "z"},
+			AgentAddress: "127.0.9.1:7201", Slots: 20, Connections: 100,
+		}}
+	})
+	s.agents[2] = &scriptedAgent{id: 2, boot: 2, holder: ownership.NewHolder(ownership.DefaultClockDrift)}
+	s.attach(s.agents[2])
+	s.runUntil(3*time.Second, "new owners", func() bool { return s.ownedBy(2) == 4 })
+	assert.Assert(t, s.now-deleted >= lease, "after %s the old owner may still serve", s.now-deleted)
+	assert.Assert(t, !old.holder.Valid(s.now))
+}
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -63,6 +63,17 @@
 func (c *Coordinator) ConfigurationChanged(now time.Duration) {
 	c.decideAt = now
 	c.commits.add(c.state.Revision(), now)
+	c.forgetRemoved(now)
+}
+
+// forgetRemoved drops the agents of back ends that were removed.
+func (c *Coordinator) forgetRemoved(now time.Duration) {
+	for id := range c.agents {
+		if _, exists := c.state.Backend(id); !exists {
+			delete(c.agents, id)
+			c.removedAt = now
+		}
+	}
 }
 
 // ShardsChanged says which shards a batch of this leader has changed. It is
--- a/internal/coordinator/settling.go
+++ b/internal/coordinator/settling.go
@@ -29,6 +29,10 @@
 	if shard.Epoch > 0 {
 		return true
 	}
+	if free := c.freeOfDeleted(); now < free {
+		c.decideAt = min(c.decideAt, free)
+		return false
+	}
 	known := c.settling.services[shard.ID.Service]
 	quiet := now-known.last >= c.config.SettleTime
 	long := now-known.first >= c.config.LongestSettle
@@ -38,3 +42,12 @@
 	c.decideAt = min(c.decideAt, known.last+c.config.SettleTime)
 	return false
 }
+
+// freeOfDeleted returns from when on no owner serves keys by the shards of a
+// service that was deleted, in this term or before it.
+func (c *Coordinator) freeOfDeleted() time.Duration {
+	if c.removedAt == 0 {
+		return c.leases.Settled()
+	}
+	return max(c.leases.Settled(), c.removedAt+c.config.LeaseDuration)
+}
