--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,10 +14,16 @@
 // Defaults of Config.
 const (
 	DefaultDecideInterval = time.Second
-	DefaultWarmLimit      = 30 * time.Second
-	DefaultDrainLimit     = 30 * time.Second
-	DefaultSettleTime     = 300 * time.Millisecond
-	DefaultLongestSettle  = 2 * time.Second
+	DefaultDecideAgain    = 100 * time.Millisecond
+	// DefaultReleasePatience is about five times the length of a usual export.
+	DefaultReleasePatience = 10 * time.Second
+	DefaultWarmLimit       = 30 * time.Second
+	DefaultDrainLimit      = 30 * time.Second
+	DefaultSettleTime      = 300 * time.Millisecond
+	DefaultLongestSettle   = 2 * time.Second
+	// leavingPatience bounds ReleasePatience for a back end that leaves, which
+	// is to take no new work after a few seconds.
+	leavingPatience = 2 * time.Second
 	// releaseSlack is added to a service's drain limit before a move is given
 	// up: the owner's agent enforces the limit itself.
 	releaseSlack = 5 * time.Second
@@ -30,6 +36,12 @@
 	// DecideInterval between two decisions about load. Losses are decided at
 	// once.
 	DecideInterval time.Duration
+	// DecideAgain is the least time between two decisions where moves wait for
+	// the room that ended ones have made.
+	DecideAgain time.Duration
+	// ReleasePatience is how long a move whose target is ready waits for long
+	// requests at the owner, which goes on serving.
+	ReleasePatience time.Duration
 	// WarmLimit is how long a target may take to prepare a shard.
 	WarmLimit time.Duration
 	// SettleTime is how long the first owners of a new service's shards wait
@@ -45,6 +57,8 @@
 func (config Config) withDefaults() Config {
 	setDefault(&config.LeaseDuration, ownership.DefaultLeaseDuration)
 	setDefault(&config.DecideInterval, DefaultDecideInterval)
+	setDefault(&config.DecideAgain, DefaultDecideAgain)
+	setDefault(&config.ReleasePatience, DefaultReleasePatience)
 	setDefault(&config.WarmLimit, DefaultWarmLimit)
 	setDefault(&config.SettleTime, DefaultSettleTime)
 	setDefault(&config.LongestSettle, DefaultLongestSettle)
@@ -95,8 +109,11 @@
 	// commits are the latest revisions of this term, which lagging agents miss.
 	commits commits
 
-	// decideAt is when placement is asked next.
+	// decideAt is when placement is asked next, decidedAt when it was last, and
+	// roomMade says that a move has ended since.
 	decideAt   time.Duration
+	decidedAt  time.Duration
+	roomMade   bool
 	decision   placement.Decision
 	settling   settling
 	statistics Statistics
@@ -184,6 +201,7 @@
 	c.createdAt = make(map[topology.ShardID]time.Duration)
 	c.loadMoves = make(map[topology.ServiceID][]time.Duration)
 	c.decision = placement.Decision{}
+	c.roomMade = false
 	c.commits = commits{}
 	c.removedAt = 0
 }
