Report hot keys from real agents

Cause: only the emulated agent reported hot keys; the product's had neither the key of a request nor a count, so a real fleet would split hot shards blindly in the middle while the emulator showed keys moving alone. Change: the router sends the position of the key with shard and epoch, the agent counts it, and hotkeys.Reporter, which says what is reported and when, is the same code in the agent and in the emulator; each shard counts its reports for itself. Conclusion: emulator and product now decide by the same reports; a run with real processes is still owed.

--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -98,6 +98,9 @@
 	}
 	defer entered.leave()
 	shard := entered.shard
+	if parsed.hasKey {
+		shard.saw(parsed.key)
+	}
 	body, refused := agent.takeBody(w, r)
 	if refused != nil {
 		return refusedResult(refused)
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -17,6 +17,8 @@
 	classBulk     = "bulk"
 	markTrue      = "true"
 	decimal       = 10
+	hexadecimal   = 16
+	keyBits       = 64
 	shardIDBits   = 32
 	epochBits     = 64
 	deadlineBits  = 63
@@ -30,9 +32,12 @@
 type request struct {
 	// bound requests belong to a shard; others may run at any back end of the
 	// service.
-	bound         bool
-	shard         topology.ShardID
-	epoch         topology.Epoch
+	bound bool
+	shard topology.ShardID
+	epoch topology.Epoch
+	// key is the position of the key, if hasKey.
+	key           topology.KeyHash
+	hasKey        bool
 	class         topology.RequestClass
 	caller        string
 	nonRepeatable bool
@@ -69,6 +74,11 @@
 		parsed.epoch = topology.Epoch(epoch)
 		note(wire.HeaderEpoch, err)
 	}
+	if text := header.Get(wire.HeaderKey); text != "" {
+		position, err := strconv.ParseUint(text, hexadecimal, keyBits)
+		parsed.key, parsed.hasKey = topology.KeyHash(position), err == nil
+		note(wire.HeaderKey, err)
+	}
 	if text := header.Get(wire.HeaderDeadline); text != "" {
 		parsed.timeout, err = parseDeadline(text)
 		note(wire.HeaderDeadline, err)
--- a/internal/agent/served.go
+++ b/internal/agent/served.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/hotkeys"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -27,13 +28,14 @@
 	// had entered before the last one.
 	reports uint64
 	long    int
+	hotKeys *hotkeys.Reporter
 	closed  bool
 	// idle is closed once the shard is closed and nothing runs.
 	idle chan struct{}
 }
 
 func newServed(id topology.ShardID, epoch topology.Epoch, covers requestrecord.Range) *served {
-	return &served{id: id, epoch: epoch, covers: covers, idle: make(chan struct{})}
+	return &served{id: id, epoch: epoch, covers: covers, hotKeys: hotkeys.NewReporter(), idle: make(chan struct{})}
 }
 
 // visit is one request's stay in a shard.
@@ -107,9 +109,28 @@
 		Requests:    shard.completed.Swap(0),
 		BusyMicros:  shard.busyMicros.Swap(0),
 		LongRunning: shard.takeLong(),
+		HotKeys:     shard.takeHotKeys(),
 	}
 }
 
+// saw counts a request for a key.
+func (shard *served) saw(key topology.KeyHash) {
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	shard.hotKeys.Add(key)
+}
+
+// takeHotKeys returns the keys to name in this report.
+func (shard *served) takeHotKeys() []wire.KeyLoad {
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	var named []wire.KeyLoad
+	for _, frequent := range shard.hotKeys.Report(wire.MaximumHotKeys) {
+		named = append(named, wire.KeyLoad{Key: frequent.Key, Share: float32(frequent.Share)})
+	}
+	return named
+}
+
 // view is what requests see of the control goroutine's decisions. It is
 // immutable.
 type view struct {
--- a/internal/agent/served_test.go
+++ b/internal/agent/served_test.go
@@ -22,3 +22,16 @@
 	lookup.leave()
 	assert.Equal(t, shard.takeLoad().LongRunning, uint32(0))
 }
+
+func TestHotKeyIsReportedByItsPosition(t *testing.T) {
+	shard := newServed(topology.ShardID{}, 1, requestrecord.Range{})
+	found := 0
+	for range 100 {
+		shard.saw(topology.KeyHash(0xabc))
+		for _, hot := range shard.takeLoad().HotKeys {
+			assert.Equal(t, hot.Key, topology.KeyHash(0xabc))
+			found++
+		}
+	}
+	assert.Assert(t, found > 0, "the hot key was never named")
+}
--- /dev/null
+++ b/internal/hotkeys/reporter_test.go
@@ -0,0 +1,37 @@
+package hotkeys
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+func TestReporterNamesHotKeysInSomeReportsAndForgetsOldOnes(t *testing.T) {
+	reporter := NewReporter()
+	named := func(hot topology.KeyHash) []Frequency {
+		var all []Frequency
+		for number := range 10 * reportEvery {
+			reporter.Add(hot)
+			reporter.Add(topology.KeyHash(number))
+			all = append(all, reporter.Report(4)...)
+		}
+		return all
+	}
+	assert.Equal(t, named(1000)[0].Key, topology.KeyHash(1000))
+	for range 5 {
+		named(2000)
+	}
+	for _, frequency := range named(2000) {
+		assert.Equal(t, frequency.Key, topology.KeyHash(2000), "the former hot key is forgotten")
+	}
+}
+
+func TestReporterNeedsRequests(t *testing.T) {
+	reporter := NewReporter()
+	for range 2 * reportEvery {
+		reporter.Add(1)
+		assert.Equal(t, len(reporter.Report(4)), 0, "few requests prove nothing")
+	}
+}
--- a/internal/router/header.go
+++ b/internal/router/header.go
@@ -54,7 +54,10 @@
 }
 
 // ownHeaders is about how many headers the router adds.
-const ownHeaders = 10
+const ownHeaders = 11
+
+// hexadecimal is the base of key positions in headers.
+const hexadecimal = 16
 
 // outgoingHeader makes the header for the agent.
 func (f *forwarding) outgoingHeader(to target) http.Header {
@@ -78,6 +81,7 @@
 	}
 	if to.keyed {
 		setOne(made, wire.HeaderShard, to.shard.String())
+		setOne(made, wire.HeaderKey, strconv.FormatUint(uint64(q.position), hexadecimal))
 		setOne(made, wire.HeaderEpoch, strconv.FormatUint(uint64(to.epoch), 10))
 	}
 	return made
--- a/internal/router/ownership_test.go
+++ b/internal/router/ownership_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	header := <-seen
 	assert.Equal(t, header.Get(wire.HeaderShard), "1/1", "a caller cannot set it")
 	assert.Equal(t, header.Get(wire.HeaderEpoch), "1")
+	_, err := strconv.ParseUint(header.Get(wire.HeaderKey), hexadecimal, 64)
+	assert.NilError(t, err, "the position of the key")
 	assert.Equal(t, header.Get(wire.HeaderCaller), "app/1")
 	assert.Equal(t, header.Get(wire.HeaderClass), "lookup")
 	assert.Equal(t, header.Get("X-Private"), "", "named by Connection")
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -20,6 +20,9 @@
 	HeaderShard = "Quartzdock-Shard"
 	// HeaderEpoch is the shard's epoch in decimal, router to agent to back end.
 	HeaderEpoch = "Quartzdock-Epoch"
+	// HeaderKey is the position of the key in hexadecimal, router to agent, where
+	// a shard is named; the agent finds hot keys by it.
+	HeaderKey = "Quartzdock-Key"
 	// HeaderOutcome is on every answer: "answered", "not-run" or "unknown".
 	HeaderOutcome = "Quartzdock-Outcome"
 	// HeaderReason says why a request was not run or its outcome is unknown.
--- a/lab/experiment/server.go
+++ b/lab/experiment/server.go
@@ -49,7 +49,7 @@
 type shardCounts struct {
 	requests, refused uint32
 	busy              time.Duration
-	sketch            *hotkeys.Sketch
+	hotKeys           *hotkeys.Reporter
 }
 
 const (
@@ -59,16 +59,6 @@
 	leavingGrace = 3 * time.Second
 	// moveGap is the longest time between two moves of one plan.
 	moveGap = 500 * time.Millisecond
-	// hotKeyReports is every how many renewals hot keys are reported.
-	hotKeyReports = 8
-	// sketchCapacity is the number of keys kept per shard; hotKeyShare the
-	// least share reported.
-	sketchCapacity = 16
-	hotKeyShare    = 0.08
-	// sketchMinimum is how many requests a report of hot keys needs, and
-	// sketchLimit after how many a sketch starts anew.
-	sketchMinimum = 60
-	sketchLimit   = 400
 )
 
 func newServer(e *emulation, id topology.BackendID, zone int) *server {
@@ -336,13 +326,8 @@
 			load.LongRunning++
 		}
 	}
-	if s.sequence%hotKeyReports == 0 && counted.sketch.Total() >= sketchMinimum {
-		for _, frequent := range counted.sketch.Top(wire.MaximumHotKeys, hotKeyShare) {
-			load.HotKeys = append(load.HotKeys, wire.KeyLoad{Key: frequent.Key, Share: float32(frequent.Share)})
-		}
-	}
-	if s.sequence%hotKeyReports == 0 && counted.sketch.Total() >= sketchLimit {
-		counted.sketch.Reset()
+	for _, frequent := range counted.hotKeys.Report(wire.MaximumHotKeys) {
+		load.HotKeys = append(load.HotKeys, wire.KeyLoad{Key: frequent.Key, Share: float32(frequent.Share)})
 	}
 	counted.requests, counted.refused, counted.busy = 0, 0, 0
 	return load
@@ -351,7 +336,7 @@
 func (s *server) count(shard topology.ShardID) *shardCounts {
 	known, found := s.counts[shard]
 	if !found {
-		known = &shardCounts{sketch: hotkeys.New(sketchCapacity)}
+		known = &shardCounts{hotKeys: hotkeys.NewReporter()}
 		s.counts[shard] = known
 	}
 	return known
@@ -378,7 +363,7 @@
 	}
 	s.emulation.measures.admitted(request, s)
 	counted := s.count(request.shard)
-	counted.sketch.Add(request.position)
+	counted.hotKeys.Add(request.position)
 	if !s.warm[request.shard] {
 		request.router.refused(request, s, endNoOwner)
 		return
