Keep slots until the back end has stopped, and stop agents in order

A planned stop waited 5 s for connections that routers keep warm and had never used, with the lease held and the listener closed; they are closed at once now. Before it closes connections the agent refuses requests for 200 ms, with Retry-After and an orderly end of each connection, since a request that meets a closing connection has an unknown outcome. A stop no longer waits for moves that the policy rules out, and a back end that leaves takes no new work after 3 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,7 +33,10 @@
 	assumedSlots       = 1
 	assumedConnections = 4
 	recordFolder       = "requests"
-	eventBacklog       = 64
+	// cancelLinger is for how long a request that was given up keeps its slot
+	// while the back end has not confirmed its end.
+	cancelLinger = time.Second
+	eventBacklog = 64
 )
 
 // controllerLink is the part of subscription.Client that the agent uses.
@@ -70,13 +73,21 @@
 	wantLease           atomic.Bool
 	grantsPossibleUntil atomic.Int64
 	leaving             atomic.Bool
-	releasing           atomic.Bool
-	releaseReports      atomic.Uint32
-	backendState        atomic.Uint32
-	healthy             atomic.Bool
-	claimed             atomic.Uint32
-	self                atomic.Uint32
-	service             atomic.Uint32
+	// closedToNew: the back end has been leaving for LeavingGrace.
+	closedToNew atomic.Bool
+	// stopping: requests are refused and connections closed with their answers.
+	stopping atomic.Bool
+	// moving counts owned shards that are on their way to another owner, and
+	// waitsForRestart says that none will be.
+	moving          atomic.Int32
+	waitsForRestart atomic.Bool
+	releasing       atomic.Bool
+	releaseReports  atomic.Uint32
+	backendState    atomic.Uint32
+	healthy         atomic.Bool
+	claimed         atomic.Uint32
+	self            atomic.Uint32
+	service         atomic.Uint32
 	// table is the newest one put in force.
 	table atomic.Pointer[routing.Table]
 }
@@ -131,6 +142,7 @@
 		MaxConnections: assumedConnections,
 		MinWarm:        agent.config.WarmConnections,
 		DialTimeout:    agent.config.DialTimeout,
+		Linger:         cancelLinger,
 	})
 	if err != nil {
 		return err
@@ -304,21 +316,6 @@
 	return secure.DialContext(ctx, "tcp", address)
 }
 
-// followState opens and closes the back end for requests that are not bound to
-// a shard: a draining or leaving one takes none.
-func (control *controlLoop) followState(backend *topology.Backend) {
-	takes := backend.State == topology.BackendActive && !control.leaving.Load()
-	switch {
-	case takes && control.unbound == nil:
-		control.unbound = newServed(topology.ShardID{}, 0, requestrecord.Range{})
-		control.publish()
-	case !takes && control.unbound != nil:
-		control.unbound.close()
-		control.unbound = nil
-		control.publish()
-	}
-}
-
 // applyLimits takes over how much the back end may be asked to do.
 func (control *controlLoop) applyLimits(backend *topology.Backend) {
 	if slots := int(backend.Slots); slots > 0 {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -17,6 +17,7 @@
 // Defaults of Config.
 const (
 	DefaultStopTimeout     = 30 * time.Second
+	DefaultLeavingGrace    = 3 * time.Second
 	DefaultDrainLimit      = 30 * time.Second
 	DefaultMaxBodyBytes    = 8 << 20
 	DefaultMaxHeaderBytes  = 32 << 10
@@ -65,9 +66,12 @@
 	WarmConnections int
 	// LoadInterval is how often the back end's load endpoint is asked.
 	LoadInterval time.Duration
-	// StopTimeout bounds a planned stop: the first half waits until the shards
-	// have moved, the rest for requests in progress.
+	// StopTimeout bounds a planned stop: at most its first half waits until the
+	// shards have moved, the rest for requests in progress.
 	StopTimeout time.Duration
+	// LeavingGrace is for how long a back end that leaves still takes new work,
+	// while its shards move.
+	LeavingGrace time.Duration
 
 	// ClockDrift bounds the drift between two machines' monotonic clocks, as a
 	// share.
@@ -86,6 +90,7 @@
 
 func (config Config) withDefaults() Config {
 	setDefault(&config.StopTimeout, DefaultStopTimeout)
+	setDefault(&config.LeavingGrace, DefaultLeavingGrace)
 	setDefault(&config.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&config.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&config.HeaderTimeout, DefaultHeaderTimeout)
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -28,14 +28,16 @@
 	// owned is what the table gives this agent.
 	owned map[topology.ShardID]topology.Shard
 	// shards that are granted and begun, or finishing.
-	shards    map[topology.ShardID]*served
-	unbound   *served
-	grants    grantState
-	warmings  map[topology.ShardID]*warming
-	releases  map[topology.ShardID]*release
-	state     statechart.State
-	rest      rest
-	fitReport string
+	shards  map[topology.ShardID]*served
+	unbound *served
+	// leavingSince is when the back end began to leave; zero while it does not.
+	leavingSince time.Duration
+	grants       grantState
+	warmings     map[topology.ShardID]*warming
+	releases     map[topology.ShardID]*release
+	state        statechart.State
+	rest         rest
+	fitReport    string
 	// releaseSignalled: the controller was told that the lease was given up.
 	releaseSignalled bool
 }
@@ -82,6 +84,7 @@
 		control.fire(eventLost)
 	}
 	control.rested(now)
+	control.closeLeaving(now)
 	control.syncGrants()
 	control.signalRelease(now)
 	control.stepReleases(now)
@@ -146,6 +149,7 @@
 			control.owned[shard.ID] = *shard
 		}
 	}
+	control.followMoves(backend, service)
 	control.followWarmings(service)
 	control.reconcile()
 }
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -65,8 +65,8 @@
 	if err != nil {
 		return refusedResult(gateRefusal(err))
 	}
-	defer slot.Release()
 	if err := agent.stillOwns(parsed); err != nil {
+		slot.Release()
 		return refusedResult(fenceRefusal(err))
 	}
 	started := agent.now()
@@ -75,7 +75,7 @@
 		shard.used(took)
 		agent.counts.slotTime.WithLabelValues(className(parsed.class)).Observe(took.Seconds())
 	}()
-	return agent.exchange(ctx, w, r, parsed, body)
+	return agent.exchange(ctx, w, r, parsed, body, slot.Release)
 }
 
 func className(class topology.RequestClass) string {
@@ -97,14 +97,15 @@
 	return wanted
 }
 
-// exchange sends the request and deals with its answer.
-func (agent *Agent) exchange(ctx context.Context, w http.ResponseWriter, r *http.Request, parsed request, body *requestBody) result {
+// exchange sends the request and deals with its answer. Ended is called once,
+// when the back end has ended with the request.
+func (agent *Agent) exchange(ctx context.Context, w http.ResponseWriter, r *http.Request, parsed request, body *requestBody, ended func()) result {
 	watched := parsed.class == topology.ClassLookup
 	started := agent.now()
 	if watched {
 		agent.fitness.sent(started)
 	}
-	response, err := agent.requests.Do(ctx, outgoing(ctx, r, body))
+	response, err := agent.requests.DoNotify(ctx, outgoing(ctx, r, body), ended)
 	if watched {
 		agent.fitness.settled()
 	}
@@ -115,9 +116,9 @@
 	if response.Header.Get(wire.HeaderOutcome) == string(wire.OutcomeNotRun) {
 		return refusedResult(agent.backendRefusal(parsed, response))
 	}
-	ended := agent.relay(w, r, parsed, response)
-	agent.judge(parsed, response.StatusCode, ended, agent.now()-started)
-	return ended
+	relayed := agent.relay(w, r, parsed, response)
+	agent.judge(parsed, response.StatusCode, relayed, agent.now()-started)
+	return relayed
 }
 
 // judge tells what the exchange says of the back end's fitness.
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -26,13 +26,17 @@
 	routes := chi.NewRouter()
 	routes.Post(recordPath, agent.takeRecord)
 	routes.HandleFunc("/*", agent.serveRequest)
-	return &http.Server{
+	unused := &newConnections{}
+	server := &http.Server{
+		ConnState:         unused.follow,
 		Handler:           routes,
 		ReadHeaderTimeout: agent.config.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    agent.config.MaxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(agent.config.Log.Handler(), slog.LevelDebug),
 	}
+	server.RegisterOnShutdown(unused.close)
+	return server
 }
 
 // result is the end of a request.
@@ -55,6 +59,9 @@
 }
 
 func (agent *Agent) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if agent.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	parsed, err := parseRequest(r, agent.config.RequestTimeout)
 	if err != nil {
 		agent.finish(w, refusedResult(notRun(http.StatusBadRequest, wire.ReasonInvalid, err.Error())))
@@ -110,6 +117,12 @@
 
 // fence says why a request may not be admitted now, or nil.
 func (agent *Agent) fence(parsed request) error {
+	if agent.stopping.Load() {
+		return errStopping
+	}
+	if agent.closedToNew.Load() {
+		return ownership.ErrReleasing
+	}
 	if parsed.bound {
 		return agent.holder.Admits(parsed.shard, parsed.epoch, agent.now())
 	}
--- a/internal/agent/refusal.go
+++ b/internal/agent/refusal.go
@@ -13,6 +13,13 @@
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
+// stopRetryAfter is for how long a router should stay away from an agent that
+// stops: until then the agent's place is taken, or it has returned.
+const stopRetryAfter = time.Second
+
+// errStopping refuses requests while the agent stops as planned.
+var errStopping = errors.New("the agent is stopping")
+
 // refusal is an answer of the agent's own: the request was not run, or whether
 // it ran is not known.
 type refusal struct {
@@ -54,13 +61,19 @@
 // fenceRefusal answers a request that may not be admitted here.
 func fenceRefusal(err error) *refusal {
 	reason := wire.ReasonWrongEpoch
+	retryAfter := time.Duration(0)
 	switch {
+	case errors.Is(err, errStopping):
+		reason = wire.ReasonDraining
+		retryAfter = stopRetryAfter
 	case errors.Is(err, ownership.ErrNoLease):
 		reason = wire.ReasonNoLease
 	case errors.Is(err, ownership.ErrReleasing):
 		reason = wire.ReasonDraining
 	}
-	return notRun(http.StatusMisdirectedRequest, reason, err.Error())
+	answer := notRun(http.StatusMisdirectedRequest, reason, err.Error())
+	answer.retryAfter = retryAfter
+	return answer
 }
 
 // gateRefusal answers a request that got no slot.
--- a/internal/agent/rig_test.go
+++ b/internal/agent/rig_test.go
@@ -177,15 +177,20 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &rig{t: t, self: id, agent: agent, leader: &leader{agent: agent},
 		folder: folder, stop: stop, ended: make(chan error, 1)}
-	go func() { r.ended <- agent.runWith(ctx, r.leader) }()
-	go r.renew(ctx)
+	renewals, endRenewals := context.WithCancel(context.Background())
+	go func() {
+		defer endRenewals()
+		r.ended <- agent.runWith(ctx, r.leader)
+	}()
+	go r.renew(renewals)
 	agent.onWelcome(wire.Welcome{Backend: id, Service: shard.Service})
 	t.Cleanup(stop)
 	r.waitFor("lease", func() bool { return agent.holder.Valid(agent.now()) })
 	return r
 }
 
-// renew stands for the subscription's regular renewals.
+// renew stands for the subscription's regular renewals, which go on while a
+// planned stop drains.
 func (r *rig) renew(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.leader.RenewNow()
@@ -230,6 +235,12 @@
 
 // give puts a table in force that has the one shard in the given state.
 func (r *rig) give(revision topology.Revision, state topology.Shard, others ...topology.Backend) {
+	r.t.Helper()
+	r.giveAs(revision, topology.BackendActive, state, others...)
+}
+
+// giveAs is give with the back end in any state.
+func (r *rig) giveAs(revision topology.Revision, as topology.BackendState, state topology.Shard, others ...topology.Backend) {
 	r.t.Helper()
 	state.ID = shard
 	table, err := routing.FromSnapshot(wire.RoutingSnapshot{
@@ -238,7 +249,7 @@
 			Service: topology.Service{ID: shard.Service, Name: "closures", InitialShards: 1, DrainLimit: 5 * time.Second},
 			Shards:  []topology.Shard{state},
 		}},
-		Backends: append(others, r.asBackend(topology.BackendActive)),
+		Backends: append(others, r.asBackend(as)),
 	})
 	assert.NilError(r.t, err)
 	r.agent.onTable(table)
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -14,21 +14,28 @@
 const (
 	// stopPoll is how often a planned stop looks whether it may go on.
 	stopPoll = 10 * time.Millisecond
+	// closeNotice is for how long requests are refused before idle connections
+	// are closed. Each refusal closes its connection in order, so that a router
+	// does not write to one that is just being closed, which would leave the
+	// outcome of a request that never ran unknown.
+	closeNotice = 200 * time.Millisecond
+	// moveGap is the longest time between two moves of one plan.
+	moveGap = 500 * time.Millisecond
 	// releaseWait bounds the wait for the controller to be told of the release;
 	// without it the lease runs out by itself.
 	releaseWait = time.Second
 )
 
 // stop is a planned stop. It announces that the back end leaves and serves on
-// until its shards have moved, for at most half of StopTimeout. Then it takes
-// no new requests, waits for those in progress until StopTimeout, ends the
-// grants and releases the lease.
+// while its shards move, for LeavingGrace; then it takes no new requests. It
+// waits for moves in progress for at most half of StopTimeout, and for running
+// requests until StopTimeout. Then it ends the grants and releases the lease.
 func (agent *Agent) stop() error {
 	deadline := agent.now() + agent.config.StopTimeout
 	agent.leaving.Store(true)
 	agent.post(func(control *controlLoop) { control.refollow() })
 	agent.subscription.RenewNow()
-	agent.waitUntil(agent.now()+agent.config.StopTimeout/2, agent.ownsNothing)
+	agent.awaitMoves()
 	drained := agent.drain(deadline)
 	agent.releaseLease()
 	agent.subscription.Stop()
@@ -38,6 +45,22 @@
 	return nil
 }
 
+// awaitMoves returns once nothing is owned, nothing will be moved, or nothing
+// has been moving for moveGap although the grace has passed.
+func (agent *Agent) awaitMoves() {
+	begun := agent.now()
+	lastMove := begun
+	agent.waitUntil(begun+agent.config.StopTimeout/2, func() bool {
+		now := agent.now()
+		if agent.moving.Load() > 0 {
+			lastMove = now
+		}
+		stays := agent.waitsForRestart.Load() && agent.moving.Load() == 0
+		stuck := now-begun >= agent.config.LeavingGrace && now-lastMove >= moveGap
+		return stays || stuck || agent.ownsNothing()
+	})
+}
+
 func (agent *Agent) ownsNothing() bool { return len(agent.view.Load().shards) == 0 }
 
 // waitUntil returns whether the condition came true in time.
@@ -56,11 +79,13 @@
 // drain closes all shards to new requests and lets the server finish. It
 // returns false where requests were cut off.
 func (agent *Agent) drain(deadline time.Duration) bool {
+	agent.stopping.Store(true)
 	agent.post(func(control *controlLoop) {
 		for _, shard := range control.shards {
 			shard.close()
 		}
 	})
+	time.Sleep(min(closeNotice, max(deadline-agent.now(), 0)))
 	ctx, cancel := context.WithTimeout(context.Background(), deadline-agent.now())
 	defer cancel()
 	if err := agent.server.Shutdown(ctx); err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -23,6 +24,10 @@
 	source    limitedSource
 	sink      countingSink
 	idleSince time.Time
+
+	mutex sync.Mutex
+	// ending: awaitEnd has begun; interrupt changes nothing any more.
+	ending bool
 }
 
 func newConn(netConn net.Conn) *conn {
@@ -36,6 +41,38 @@
 
 func (connection *conn) close() { _ = connection.net.Close() }
 
+// past is a deadline that ends reads and writes at once.
+var past = time.Unix(1, 0)
+
+// interrupt ends reads and writes in progress, and those to come until
+// awaitEnd.
+func (connection *conn) interrupt() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if !connection.ending {
+		_ = connection.net.SetDeadline(past)
+	}
+}
+
+// halfCloser can tell the peer that nothing more will be sent, and still read.
+type halfCloser interface{ CloseWrite() error }
+
+// awaitEnd closes the connection for writing, which a server takes for the
+// client's leaving, and returns when the peer closes it too, or after the
+// limit. What the peer still sends is dropped.
+func (connection *conn) awaitEnd(limit time.Duration) {
+	half, ok := connection.net.(halfCloser)
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	connection.mutex.Lock()
+	connection.ending = true
+	_ = connection.net.SetWriteDeadline(past)
+	_ = connection.net.SetReadDeadline(time.Now().Add(limit))
+	connection.mutex.Unlock()
+	_, _ = io.Copy(io.Discard, connection.net)
+}
+
 // quiet says that an idle connection is open and has nothing to read. Bytes
 // that nobody asked for would be taken for the next request's answer. The
 // check costs one system call and can't see a close that is still on its way;
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -20,7 +20,7 @@
 // Do sends the request once and returns the answer's header. The caller reads
 // Response.Body to its end and closes it; a body that breaks off ends with an
 // error other than io.EOF. Cancelling ctx, also while the body is read, closes
-// the connection, which tells the peer. The request is written as by
+// the connection, which tells the peer (see Config.Linger). The request is written as by
 // http.Request.Write: URL, Host, Header, Body, ContentLength and Trailer count.
 // Every error wraps ErrNotSent or ErrInterrupted.
 //
@@ -28,13 +28,21 @@
 // be read until Response.Body is closed and shortly after; a server handler
 // that passes its own body on must end that read with a read deadline.
 func (pool *Pool) Do(ctx context.Context, request *http.Request) (*http.Response, error) {
+	return pool.DoNotify(ctx, request, func() {})
+}
+
+// DoNotify is Do and calls ended once, on any goroutine, when the peer has
+// ended with the request: it answered whole, nothing was sent, the connection
+// broke, or, for a request that was given up, as Config.Linger says.
+func (pool *Pool) DoNotify(ctx context.Context, request *http.Request, ended func()) (*http.Response, error) {
 	connection, err := pool.acquire(ctx)
 	if err != nil {
 		closeBody(request)
+		ended()
 		return nil, fmt.Errorf("%w: %s: %w", ErrNotSent, pool.config.Address, err)
 	}
-	running := &exchange{pool: pool, conn: connection, ctx: ctx}
-	running.stopWatch = context.AfterFunc(ctx, connection.close)
+	running := &exchange{pool: pool, conn: connection, ctx: ctx, ended: ended}
+	running.stopWatch = context.AfterFunc(ctx, running.interrupt)
 	response, err := running.run(request)
 	if err != nil {
 		return nil, running.fail(err)
@@ -53,6 +61,7 @@
 	pool      *Pool
 	conn      *conn
 	ctx       context.Context
+	ended     func()
 	stopWatch func() bool
 	// inlineWrite says that the request is written before the answer is read.
 	inlineWrite bool
@@ -147,9 +156,19 @@
 	return response.Body != http.NoBody
 }
 
+// interrupt wakes up whoever uses the connection of a request that was given
+// up.
+func (running *exchange) interrupt() {
+	if running.pool.config.Linger > 0 {
+		running.conn.interrupt()
+		return
+	}
+	running.conn.close()
+}
+
 // fail ends an exchange that has no answer and classifies its error.
 func (running *exchange) fail(err error) error {
-	running.end(false)
+	running.endBroken()
 	if cause := context.Cause(running.ctx); cause != nil {
 		err = errors.Join(cause, err)
 	}
@@ -169,20 +188,47 @@
 	return running.inlineWrite && running.conn.sink.sent == 0
 }
 
-// end gives the connection back once, or closes it.
+// end gives the connection back once, or closes it. Whole says that the whole
+// answer was read.
 func (running *exchange) end(whole bool) {
 	running.finish.Do(func() {
 		inTime := running.stopWatch()
 		reusable := whole && inTime && running.keepAlive && running.written.Load() &&
 			running.conn.reader.Buffered() == 0
-		if reusable {
+		switch {
+		case reusable:
 			running.pool.release(running.conn)
+		case !whole && running.pool.config.Linger > 0:
+			go running.linger()
 			return
+		default:
+			running.pool.discard(running.conn)
 		}
+		running.ended()
+	})
+}
+
+// endBroken ends an exchange whose connection failed. Where that came from
+// giving up, the peer may still be at work.
+func (running *exchange) endBroken() {
+	if running.ctx.Err() != nil && !running.nothingSent() {
+		running.end(false)
+		return
+	}
+	running.finish.Do(func() {
+		running.stopWatch()
 		running.pool.discard(running.conn)
+		running.ended()
 	})
 }
 
+// linger waits until the peer closes its side of the connection.
+func (running *exchange) linger() {
+	running.conn.awaitEnd(running.pool.config.Linger)
+	running.pool.discard(running.conn)
+	running.ended()
+}
+
 // answerBody gives the connection back when the answer was read to its end.
 type answerBody struct {
 	source   io.ReadCloser
@@ -199,7 +245,7 @@
 		if cause := context.Cause(body.exchange.ctx); cause != nil {
 			err = errors.Join(cause, err)
 		}
-		body.exchange.end(false)
+		body.exchange.endBroken()
 	}
 	return count, err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,6 +47,11 @@
 	// IdleTimeout closes connections beyond MinWarm that were unused for so
 	// long. It must be shorter than the peer's own idle timeout.
 	IdleTimeout time.Duration
+	// Linger is for how long the connection of a request that was given up stays
+	// open, closed for writing only, until the peer closes it. A peer that stops
+	// the run then has done so before the connection counts as closed. Zero
+	// closes at once.
+	Linger time.Duration
 	// Dial makes a connection to Address; nil dials TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
--- a/lab/backend/state.go
+++ b/lab/backend/state.go
@@ -56,15 +56,8 @@
 
 func newStore() *store { return &store{writes: make(map[string]uint64)} }
 
-func (s *store) write(key string) uint64 {
+func (s *store) write(key string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.writes[key]++
-	return s.writes[key]
-}
-
-func (s *store) read(key string) uint64 {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.writes[key]
 }
