Bound ownership batches and encode routing data once

The hollow fleet of 1,100 agents and 75,000 shards never settled: each of 1,160 sessions merged and encoded the same delta of 75,000 shards for itself, and the first owners went through the log as one entry of 75,000 changes, which held the control goroutine and the peers' connections for longer than the election timeout, so that each leader lost its group within a second.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,6 +38,7 @@
 	// view is the published end of the log of deltas.
 	view        atomic.Pointer[distribution.View]
 	snapshots   snapshotCache
+	frames      routingFrames
 	open        sessionSet
 	subscribers subscribers
 	freshness   freshness
--- /dev/null
+++ b/internal/controller/routing_frames_test.go
@@ -0,0 +1,61 @@
+package controller
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/distribution"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+func viewTo(revision topology.Revision) *distribution.View {
+	log := distribution.NewLog(0)
+	for at := topology.Revision(1); at < revision; at++ {
+		changed := topology.Shard{ID: topology.ShardID{Service: 1, Shard: 1}, Epoch: topology.Epoch(at)}
+		log.Append(wire.RoutingDelta{From: at, To: at + 1, Shards: []topology.Shard{changed}}, distribution.Totals{Shards: 1000})
+	}
+	return log.View()
+}
+
+// TestRoutingIsEncodedOnceForAllWhoNeedTheSame: with a frame for each session a
+// group of a thousand agents lost its leader to the encoding.
+func TestRoutingIsEncodedOnceForAllWhoNeedTheSame(t *testing.T) {
+	var frames routingFrames
+	old, newest := viewTo(5), viewTo(6)
+	first, found, err := frames.delta(newest, 3, []topology.ServiceID{1})
+	assert.NilError(t, err)
+	assert.Assert(t, found)
+	again, _, _ := frames.delta(newest, 3, []topology.ServiceID{1})
+	assert.Assert(t, first == again)
+	for _, other := range []struct {
+		from     topology.Revision
+		services []topology.ServiceID
+	}{{4, []topology.ServiceID{1}}, {3, []topology.ServiceID{2}}, {3, nil}} {
+		frame, found, err := frames.delta(newest, other.from, other.services)
+		assert.NilError(t, err)
+		assert.Assert(t, found && frame != first)
+	}
+	late, found, err := frames.delta(old, 3, []topology.ServiceID{1})
+	assert.NilError(t, err)
+	assert.Assert(t, found && late != first, "a session that loaded an older view gets what leads to that one")
+	_, found, err = frames.delta(newest, 99, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, !found)
+}
+
+func TestSnapshotsOfOtherRevisionsAreNotShared(t *testing.T) {
+	var frames routingFrames
+	snapshot := func(revision topology.Revision) *wire.RoutingSnapshot {
+		return &wire.RoutingSnapshot{Revision: revision}
+	}
+	first, err := frames.whole(snapshot(5), nil)
+	assert.NilError(t, err)
+	again, _ := frames.whole(snapshot(5), nil)
+	assert.Assert(t, first == again)
+	later, _ := frames.whole(snapshot(6), nil)
+	assert.Assert(t, later != first)
+	old, _ := frames.whole(snapshot(5), nil)
+	assert.Assert(t, old != later)
+}
--- a/internal/controller/rpc_watch.go
+++ b/internal/controller/rpc_watch.go
@@ -52,7 +52,7 @@
 			found = ok
 			wanted = append(wanted, info.ID)
 		}
-		delta, ok := s.controller.deltas.View().Since(after)
+		delta, ok := s.controller.deltas.View().Since(after, wanted...)
 		if after == 0 || !ok {
 			response.Snapshot = true
 			delta = snapshotAsDelta(s.controller.state.Routing())
--- a/internal/controller/session_send.go
+++ b/internal/controller/session_send.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/quartzdock/quartzdock/internal/distribution"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -162,12 +161,14 @@
 		return false, nil
 	}
 	if s.sent != 0 {
-		delta, ok := view.Since(s.sent)
-		if ok {
-			delta = distribution.Filter(delta, services)
-			s.sent = delta.To
+		frame, found, err := s.controller.frames.delta(view, s.sent, services)
+		if err != nil {
+			return true, err
+		}
+		if found {
+			s.sent = view.Newest()
 			s.controller.metrics.deltas.Inc()
-			return true, s.conn.Send(wire.FromController{Delta: &delta})
+			return true, s.conn.SendEncoded(frame)
 		}
 	}
 	return true, s.sendSnapshot(services, view.Newest())
@@ -178,10 +179,13 @@
 	if err != nil {
 		return err
 	}
-	filtered := distribution.FilterSnapshot(*snapshot, services)
-	s.sent = filtered.Revision
+	frame, err := s.controller.frames.whole(snapshot, services)
+	if err != nil {
+		return err
+	}
+	s.sent = snapshot.Revision
 	s.controller.metrics.snapshots.Inc()
-	return s.conn.Send(wire.FromController{Snapshot: &filtered})
+	return s.conn.SendEncoded(frame)
 }
 
 // snapshotCache keeps the last routing snapshot, so that many subscribers that
@@ -197,8 +201,7 @@
 	c.snapshots.mutex.Lock()
 	defer c.snapshots.mutex.Unlock()
 	if cached := c.snapshots.last; cached != nil {
-		_, leadsOn := c.view.Load().Since(cached.Revision)
-		if cached.Revision >= atLeast || leadsOn {
+		if cached.Revision >= atLeast || c.view.Load().LeadsOn(cached.Revision) {
 			return cached, nil
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -18,6 +18,9 @@
 	DefaultDrainLimit     = 30 * time.Second
 	DefaultSettleTime     = 300 * time.Millisecond
 	DefaultLongestSettle  = 2 * time.Second
+	// MaximumBatch is how many changes of ownership one log entry holds, at
+	// about 80 bytes each: those of a zone that is lost fit one.
+	MaximumBatch = 4096
 	// releaseSlack is added to a service's drain limit before a move is given
 	// up: the owner's agent enforces the limit itself.
 	releaseSlack = 5 * time.Second
@@ -79,6 +82,8 @@
 	// that lose shards by it without their promise.
 	inFlight *controlstate.ChangeOwnership
 	revoking map[topology.BackendID]bool
+	// waiting are decided steps beyond MaximumBatch, for the next batches.
+	waiting []controlstate.OwnershipChange
 
 	moves map[topology.ShardID]*move
 	// owners are the shards' owners as last seen; lastMoved and createdAt are
@@ -158,6 +163,7 @@
 	c.routerReports = make(map[string]time.Duration)
 	c.machines = make(map[topology.BackendID]bool)
 	c.inFlight = nil
+	c.waiting = nil
 	c.revoking = make(map[topology.BackendID]bool)
 	c.moves = make(map[topology.ShardID]*move)
 	c.owners = make(map[topology.ShardID]topology.BackendID)
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -23,6 +23,9 @@
 	if c.inFlight != nil {
 		return controlstate.Command{}, false
 	}
+	if len(c.waiting) > 0 {
+		return c.propose(nil, unixMilli), true
+	}
 	steps := c.advanceMoves(now)
 	if now >= c.decideAt {
 		steps = c.addDecided(steps, now, unixMilli)
@@ -33,11 +36,19 @@
 	return c.propose(steps, unixMilli), true
 }
 
+// propose adds steps to those that wait and takes the first of them as the next
+// batch. The bound keeps a batch from holding up the log, and with it the
+// leader's heartbeats: a batch of all shards took longer than an election
+// timeout. An owner that loses a shard by a step that waits gets no lease, as by
+// one in flight.
 func (c *Coordinator) propose(steps []controlstate.OwnershipChange, unixMilli int64) controlstate.Command {
-	c.inFlight = &controlstate.ChangeOwnership{Changes: steps}
 	for index := range steps {
 		c.noteRevoking(&steps[index])
 	}
+	c.waiting = append(c.waiting, steps...)
+	count := min(len(c.waiting), MaximumBatch)
+	c.inFlight = &controlstate.ChangeOwnership{Changes: c.waiting[:count:count]}
+	c.waiting = c.waiting[count:]
 	c.statistics.BatchesProposed++
 	return controlstate.Command{UnixMilli: unixMilli, ChangeOwnership: c.inFlight}
 }
@@ -56,7 +67,9 @@
 		return
 	}
 	c.inFlight = nil
-	clear(c.revoking)
+	if len(c.waiting) == 0 {
+		clear(c.revoking)
+	}
 }
 
 // ConfigurationChanged says that an operator's change was applied.
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -107,20 +107,43 @@
 // Newest returns the newest revision.
 func (v *View) Newest() topology.Revision { return v.newest }
 
-// Since returns one delta from a revision to the newest. It reports false
-// where the subscriber needs a snapshot: the deltas it missed are no longer
-// kept, or a snapshot is smaller.
-func (v *View) Since(from topology.Revision) (wire.RoutingDelta, bool) {
-	first, found := slices.BinarySearchFunc(v.deltas, from, func(delta wire.RoutingDelta, at topology.Revision) int {
-		return cmp.Compare(delta.From, at)
-	})
+// Since returns one delta from a revision to the newest, of the services named
+// or of all. It reports false where the subscriber needs a snapshot: the deltas
+// it missed are no longer kept, or a snapshot is smaller.
+func (v *View) Since(from topology.Revision, services ...topology.ServiceID) (wire.RoutingDelta, bool) {
+	first, found := v.position(from)
 	if !found {
 		return wire.RoutingDelta{}, false
 	}
-	merged := merge(v.deltas[first:])
+	missed := v.deltas[first:]
+	if len(services) > 0 {
+		missed = filterAll(missed, services)
+	}
+	merged := merge(missed)
 	return merged, deltaBytes(&merged) <= v.snapshotBytes
 }
 
+// LeadsOn reports whether the deltas kept lead from a revision to the newest.
+func (v *View) LeadsOn(from topology.Revision) bool {
+	_, found := v.position(from)
+	return found || from == v.newest
+}
+
+// position returns the place of the delta that begins at a revision.
+func (v *View) position(from topology.Revision) (int, bool) {
+	return slices.BinarySearchFunc(v.deltas, from, func(delta wire.RoutingDelta, at topology.Revision) int {
+		return cmp.Compare(delta.From, at)
+	})
+}
+
+func filterAll(deltas []wire.RoutingDelta, services []topology.ServiceID) []wire.RoutingDelta {
+	filtered := make([]wire.RoutingDelta, len(deltas))
+	for index := range deltas {
+		filtered[index] = Filter(deltas[index], services)
+	}
+	return filtered
+}
+
 // Filter leaves in a delta only what concerns the services, all if none are
 // named. ServiceOf tells the service of a removed back end; removals of unknown
 // ones stay.
--- a/lab/hollow/fleet.go
+++ b/lab/hollow/fleet.go
@@ -183,8 +183,8 @@
 	agents, routers := samples.agents, samples.routers
 	lowest := min(agents.Lowest, routers.Lowest, samples.single.Lowest)
 	state := fmt.Sprintf("%d of %d shards owned, %d of %d agents leased, revisions %d to %d of %d, %d routers",
-		agents.Owned, f.plan.Shards, agents.Leased, agents.Nodes, lowest, agents.Highest, committed, routers.WithTable)
-	done := agents.Owned == f.plan.Shards && agents.Leased == agents.Nodes &&
+		agents.Owned, routers.Shards, agents.Leased, agents.Nodes, lowest, agents.Highest, committed, routers.WithTable)
+	done := routers.Shards > 0 && agents.Owned == routers.Shards && agents.Leased == agents.Nodes &&
 		lowest >= committed
 	return done, state, nil
 }
--- a/lab/hollow/messages.go
+++ b/lab/hollow/messages.go
@@ -68,6 +68,9 @@
 	Leased, WithTable int
 	// Owned counts the shards that agents with a lease own.
 	Owned int
+	// Shards counts those of the newest table. Placement splits and merges
+	// them, so they need not be as many as the plan says.
+	Shards int
 	// Lowest and Highest are the revisions in force.
 	Lowest, Highest topology.Revision
 	// Reverted counts tables that were older than the one before.
--- a/lab/hollow/plan.go
+++ b/lab/hollow/plan.go
@@ -38,6 +38,9 @@
 	least("services", plan.Services, 1)
 	least("nodes", plan.Agents, plan.Services)
 	least("shards", plan.Shards, plan.Services)
+	if plan.Services > 0 && plan.Services%zones == 0 {
+		findings = append(findings, fmt.Errorf("services: %d, want no multiple of %d", plan.Services, zones))
+	}
 	return findings
 }
 
@@ -56,8 +59,10 @@
 	return fmt.Sprintf("127.%d.%d.%d:7201", 200+number>>16, number>>8&0xff, number&0xff)
 }
 
-// serviceOf spreads agents over services so that each service is in all zones.
-func (plan Plan) serviceOf(agent int) int { return agent / zones % plan.Services }
+// serviceOf spreads agents over services: any run of plan.Services agents has
+// one of each, and because the number of services has no divisor in common with
+// that of zones, which validate sees to, each service reaches all zones.
+func (plan Plan) serviceOf(agent int) int { return agent % plan.Services }
 
 // serviceName names a service.
 func serviceName(service int) string { return fmt.Sprintf("service-%d", service+1) }
--- a/lab/hollow/process.go
+++ b/lab/hollow/process.go
@@ -78,6 +78,7 @@
 			"--session.listen", own[1],
 			"--rpc.listen", own[2],
 			"--ops.listen", own[3],
+			"--ops.pprof",
 		)
 		if err != nil {
 			return started, err
--- a/lab/hollow/worker.go
+++ b/lab/hollow/worker.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/subscription"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
@@ -163,9 +164,29 @@
 	for _, n := range w.nodes {
 		w.addNode(&sample, n)
 	}
+	sample.Shards = w.shards()
 	return reply{Sample: &sample}
 }
 
+// shards counts the shards of the newest table.
+func (w *worker) shards() int {
+	var newest *routing.Table
+	for _, n := range w.nodes {
+		table := n.client.Table()
+		if table != nil && (newest == nil || table.Revision() > newest.Revision()) {
+			newest = table
+		}
+	}
+	if newest == nil {
+		return 0
+	}
+	count := 0
+	for service := range newest.Services() {
+		count += service.ShardCount()
+	}
+	return count
+}
+
 func (w *worker) addNode(sample *Sample, n *node) {
 	addStatistics(&sample.Sessions, n.client.Statistics())
 	sample.Reverted += n.reverted.Load()
