--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,10 +14,19 @@
 // Defaults of Config.
 const (
 	DefaultDecideInterval = time.Second
-	DefaultWarmLimit      = 30 * time.Second
-	DefaultDrainLimit     = 30 * time.Second
-	DefaultSettleTime     = 300 * time.Millisecond
-	DefaultLongestSettle  = 2 * time.Second
+	DefaultDecideAgain    = 100 * time.Millisecond
+	// DefaultReleasePatience is about five times the length of a usual export.
+	DefaultReleasePatience = 10 * time.Second
+	DefaultWarmLimit       = 30 * time.Second
+	DefaultDrainLimit      = 30 * time.Second
+	DefaultSettleTime      = 300 * time.Millisecond
+	DefaultLongestSettle   = 2 * time.Second
+	// leavingPatience bounds ReleasePatience for a back end that leaves, which
+	// is to take no new work after a few seconds.
+	leavingPatience = 2 * time.Second
+	// MaximumBatch is how many changes of ownership one log entry holds, at
+	// about 80 bytes each: those of a zone that is lost fit one.
+	MaximumBatch = 4096
 	// releaseSlack is added to a service's drain limit before a move is given
 	// up: the owner's agent enforces the limit itself.
 	releaseSlack = 5 * time.Second
@@ -30,6 +39,12 @@
 	// DecideInterval between two decisions about load. Losses are decided at
 	// once.
 	DecideInterval time.Duration
+	// DecideAgain is the least time between two decisions where moves wait for
+	// the room that ended ones have made.
+	DecideAgain time.Duration
+	// ReleasePatience is how long a move whose target is ready waits for long
+	// requests at the owner, which goes on serving.
+	ReleasePatience time.Duration
 	// WarmLimit is how long a target may take to prepare a shard.
 	WarmLimit time.Duration
 	// SettleTime is how long the first owners of a new service's shards wait
@@ -45,6 +60,8 @@
 func (config Config) withDefaults() Config {
 	setDefault(&config.LeaseDuration, ownership.DefaultLeaseDuration)
 	setDefault(&config.DecideInterval, DefaultDecideInterval)
+	setDefault(&config.DecideAgain, DefaultDecideAgain)
+	setDefault(&config.ReleasePatience, DefaultReleasePatience)
 	setDefault(&config.WarmLimit, DefaultWarmLimit)
 	setDefault(&config.SettleTime, DefaultSettleTime)
 	setDefault(&config.LongestSettle, DefaultLongestSettle)
@@ -75,10 +92,16 @@
 	routerReports map[string]time.Duration
 	machines      map[topology.BackendID]bool
 
+	// removedAt is when a back end was last removed, zero is never. With its
+	// service gone it may have owned shards until its lease ended.
+	removedAt time.Duration
+
 	// inFlight is the batch on its way through the log, revoking the back ends
 	// that lose shards by it without their promise.
 	inFlight *controlstate.ChangeOwnership
 	revoking map[topology.BackendID]bool
+	// waiting are decided steps beyond MaximumBatch, for the next batches.
+	waiting []controlstate.OwnershipChange
 
 	moves map[topology.ShardID]*move
 	// owners are the shards' owners as last seen; lastMoved and createdAt are
@@ -88,8 +111,14 @@
 	createdAt map[topology.ShardID]time.Duration
 	loadMoves map[topology.ServiceID][]time.Duration
 
-	// decideAt is when placement is asked next.
+	// commits are the latest revisions of this term, which lagging agents miss.
+	commits commits
+
+	// decideAt is when placement is asked next, decidedAt when it was last, and
+	// roomMade says that a move has ended since.
 	decideAt   time.Duration
+	decidedAt  time.Duration
+	roomMade   bool
 	decision   placement.Decision
 	settling   settling
 	statistics Statistics
@@ -98,6 +127,8 @@
 // agent is what the leader knows of the process beside a back end.
 type agent struct {
 	boot uint64
+	// fresh processes had nothing in force when they came.
+	fresh bool
 	// required is the revision that the process must have in force before its
 	// lease is renewed.
 	required topology.Revision
@@ -141,10 +172,20 @@
 }
 
 // BecomeLeader starts a term. All entries of earlier terms must be applied.
-func (c *Coordinator) BecomeLeader(now time.Duration) {
+func (c *Coordinator) BecomeLeader(now time.Duration) { c.BecomeLeaderAfter(now, now) }
+
+// BecomeLeaderAfter is BecomeLeader where it is known by when the leader leases
+// of all earlier terms have ended. Zero is not known.
+func (c *Coordinator) BecomeLeaderAfter(earlierLeasesEnd, now time.Duration) {
 	c.StepDown()
+	if earlierLeasesEnd == 0 {
+		earlierLeasesEnd = now
+	}
 	c.leading = true
 	c.leases = ownership.NewLeaseTable(c.config.LeaseDuration, now)
+	longest := max(c.config.LeaseDuration, c.state.LongestLease())
+	c.leases.SetSettled(min(earlierLeasesEnd, now) + longest)
+	c.commits.add(c.state.Revision(), now)
 	c.decideAt = now
 	c.settling = settling{services: make(map[topology.ServiceID]period)}
 }
@@ -158,6 +199,7 @@
 	c.routerReports = make(map[string]time.Duration)
 	c.machines = make(map[topology.BackendID]bool)
 	c.inFlight = nil
+	c.waiting = nil
 	c.revoking = make(map[topology.BackendID]bool)
 	c.moves = make(map[topology.ShardID]*move)
 	c.owners = make(map[topology.ShardID]topology.BackendID)
@@ -165,6 +207,9 @@
 	c.createdAt = make(map[topology.ShardID]time.Duration)
 	c.loadMoves = make(map[topology.ServiceID][]time.Duration)
 	c.decision = placement.Decision{}
+	c.roomMade = false
+	c.commits = commits{}
+	c.removedAt = 0
 }
 
 // Leading reports whether the coordinator acts as the leader.
