--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -24,6 +24,9 @@
 	// leavingPatience bounds ReleasePatience for a back end that leaves, which
 	// is to take no new work after a few seconds.
 	leavingPatience = 2 * time.Second
+	// MaximumBatch is how many changes of ownership one log entry holds, at
+	// about 80 bytes each: those of a zone that is lost fit one.
+	MaximumBatch = 4096
 	// releaseSlack is added to a service's drain limit before a move is given
 	// up: the owner's agent enforces the limit itself.
 	releaseSlack = 5 * time.Second
@@ -97,6 +100,8 @@
 	// that lose shards by it without their promise.
 	inFlight *controlstate.ChangeOwnership
 	revoking map[topology.BackendID]bool
+	// waiting are decided steps beyond MaximumBatch, for the next batches.
+	waiting []controlstate.OwnershipChange
 
 	moves map[topology.ShardID]*move
 	// owners are the shards' owners as last seen; lastMoved and createdAt are
@@ -194,6 +199,7 @@
 	c.routerReports = make(map[string]time.Duration)
 	c.machines = make(map[topology.BackendID]bool)
 	c.inFlight = nil
+	c.waiting = nil
 	c.revoking = make(map[topology.BackendID]bool)
 	c.moves = make(map[topology.ShardID]*move)
 	c.owners = make(map[topology.ShardID]topology.BackendID)
