Find an owner when requests failed at every back end

After an agent was killed and another frozen, both returned with no shards and a failure share above one half.

Failures now fade within seconds when no router sends requests (rates per second against one presumed success per second, in place of a ratio of counts), and where no back end may receive, those whose requests failed may.

The ledgers' check follows the owners of each key too, as a shard may be split while it moves.

--- a/internal/controller/rpc_shards.go
+++ b/internal/controller/rpc_shards.go
@@ -221,7 +221,7 @@
 		if info.Service != id {
 			continue
 		}
-		observed := c.coordinator.Load(info.ID)
+		observed := c.coordinator.Load(info.ID, c.replica.Now())
 		loads = append(loads, &quartzdockv1.BackendLoad{
 			Backend:       info.Name,
 			Live:          c.coordinator.Live(info.ID, c.replica.Now()),
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -236,8 +236,8 @@
 func (c *Coordinator) Findings() []placement.Finding { return c.decision.Findings }
 
 // Load returns what was observed of a back end.
-func (c *Coordinator) Load(backend topology.BackendID) loadtable.Backend {
-	return c.loads.Backend(backend)
+func (c *Coordinator) Load(backend topology.BackendID, now time.Duration) loadtable.Backend {
+	return c.loads.Backend(backend, now)
 }
 
 // Statistics returns a copy of the counters.
@@ -258,7 +258,7 @@
 	last, known := c.routerReports[router]
 	c.routerReports[router] = now
 	if known && now > last {
-		c.loads.RouterReport(report, now-last)
+		c.loads.RouterReport(report, now-last, now)
 	}
 }
 
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -59,7 +59,7 @@
 }
 
 func (c *Coordinator) backendInput(backend topology.Backend, now time.Duration) placement.BackendInput {
-	observed := c.loads.Backend(backend.ID)
+	observed := c.loads.Backend(backend.ID, now)
 	input := placement.BackendInput{
 		Backend:      backend,
 		Live:         c.leases.Live(backend.ID, now),
--- a/internal/loadtable/table.go
+++ b/internal/loadtable/table.go
@@ -37,6 +37,9 @@
 	// priorRequests is how many requests at the service's mean cost are mixed
 	// into a shard's own mean cost, against the noise of few samples.
 	priorRequests = 100.0
+	// presumedRate is how many requests per second are presumed to succeed, so
+	// that old failures fade and a single one proves little.
+	presumedRate = 1.0
 )
 
 // Table keeps what was observed. It is not safe for concurrent use.
@@ -80,6 +83,8 @@
 	observed  average
 	completed average
 	failed    average
+	// routed is when a router last reported of it.
+	routed time.Duration
 }
 
 // New returns an empty table.
@@ -201,12 +206,14 @@
 	return total
 }
 
-// RouterReport takes what a router saw of back ends.
-func (t *Table) RouterReport(report *wire.RouterLoad, interval time.Duration) {
+// RouterReport takes what a router saw of back ends in an interval.
+func (t *Table) RouterReport(report *wire.RouterLoad, interval, now time.Duration) {
+	seconds := interval.Seconds()
 	for _, observed := range report.Observed {
 		seen := t.backend(observed.Backend)
-		seen.completed.add(float64(observed.Completed), interval, fastWindow)
-		seen.failed.add(float64(observed.Failed)+float64(observed.TimedOut), interval, fastWindow)
+		seen.routed = now
+		seen.completed.add(float64(observed.Completed)/seconds, interval, fastWindow)
+		seen.failed.add((float64(observed.Failed)+float64(observed.TimedOut))/seconds, interval, fastWindow)
 	}
 }
 
@@ -303,21 +310,21 @@
 type Backend struct {
 	// Observed and Claimed load in slots.
 	Observed, Claimed float64
-	// FailureShare is the share of requests that failed at routers.
+	// FailureShare is the share of requests that failed at routers. It fades
+	// when no router sends the back end any.
 	FailureShare float64
 }
 
-// Backend returns what was observed of a back end.
-func (t *Table) Backend(id topology.BackendID) Backend {
+// Backend returns what was observed of a back end until now.
+func (t *Table) Backend(id topology.BackendID, now time.Duration) Backend {
 	seen, known := t.backends[id]
 	if !known {
 		return Backend{}
 	}
 	result := Backend{Observed: seen.observed.value(), Claimed: seen.claimed.value()}
-	total := seen.failed.value() + seen.completed.value()
-	if total > 0 {
-		result.FailureShare = seen.failed.value() / total
-	}
+	faded := math.Exp(-(now - seen.routed).Seconds() / fastWindow.Seconds())
+	failed, completed := seen.failed.value()*faded, seen.completed.value()*faded
+	result.FailureShare = failed / (failed + completed + presumedRate)
 	return result
 }
 
--- a/internal/loadtable/table_test.go
+++ b/internal/loadtable/table_test.go
@@ -134,3 +134,19 @@
 	}
 	assert.Assert(t, math.Abs(table.Load(hotShard)-4) < 0.1, "%v slots, want 4", table.Load(hotShard))
 }
+
+func TestFailuresFadeWhenNoRequestsCome(t *testing.T) {
+	table := loadtable.New()
+	now := time.Duration(0)
+	for range 20 {
+		now += interval
+		failing := &wire.RouterLoad{Observed: []wire.ObservedBackend{{Backend: 1, Failed: 8, TimedOut: 4}}}
+		table.RouterReport(failing, interval, now)
+	}
+	assert.Assert(t, table.Backend(1, now).FailureShare > 0.9)
+	for range 80 {
+		now += interval
+		table.RouterReport(&wire.RouterLoad{}, interval, now)
+	}
+	assert.Assert(t, table.Backend(1, now).FailureShare < 0.1, "%v", table.Backend(1, now))
+}
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -125,6 +125,18 @@
 	}
 }
 
+func TestLostOwnerIsReplacedAlsoWhereRequestsFailedAtAllOthers(t *testing.T) {
+	input := cluster(3, 12, 0.5)
+	input.Backends[0].Live = false
+	input.Backends[1].FailureShare, input.Backends[2].FailureShare = 0.9, 0.9
+	moves := placement.Decide(input)
+	assert.Equal(t, len(moves), 4)
+	input.Backends[2].FailureShare = 0
+	for _, move := range placement.Decide(input) {
+		assert.Equal(t, move.To, topology.BackendID(3))
+	}
+}
+
 func TestAnnouncedRestartMovesNothingWithinGrace(t *testing.T) {
 	input := cluster(4, 64, 0.5)
 	input.Services[0].Service.Placement.Weights = topology.PlacementWeights{Imbalance: 1, Churn: 4, Unavailable: 1}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -67,6 +67,7 @@
 	for _, backend := range backends {
 		planner.addNode(backend)
 	}
+	planner.receiveSomewhere()
 	planner.loads = shardLoads(now, service)
 	planner.settleShards()
 	return planner
@@ -80,12 +81,28 @@
 		input:  backend,
 		slots:  math.Max(1, float64(backend.Backend.Slots)),
 		leaves: leaves, restarts: backend.Leaving && !leaves,
-		receives: backend.Live && !leaves && !backend.Leaving &&
-			backend.Backend.State == topology.BackendActive &&
-			backend.FailureShare <= maximumFailureShare,
+		receives: mayReceive(backend) && !leaves && backend.FailureShare <= maximumFailureShare,
 	})
 }
 
+func mayReceive(backend *BackendInput) bool {
+	return backend.Live && !backend.Leaving && backend.Backend.State == topology.BackendActive
+}
+
+// receiveSomewhere lets nodes receive whose requests failed, where there are no
+// others: they may have recovered, and without an owner every request fails.
+func (planner *planner) receiveSomewhere() {
+	for index := range planner.nodes {
+		if planner.nodes[index].receives {
+			return
+		}
+	}
+	for index := range planner.nodes {
+		node := &planner.nodes[index]
+		node.receives = mayReceive(node.input) && !node.leaves
+	}
+}
+
 // shardLoads returns the load of each shard: what was observed, raised to what
 // a mark announces, plus a prior in proportion to the keys.
 func shardLoads(now time.Duration, service *ServiceInput) []float64 {
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -104,6 +104,8 @@
 	// Work is the mean time that the operation holds a slot, without the
 	// transfer of its answer.
 	Work time.Duration `yaml:"work"`
+	// Pace is the time over which the answer is sent; zero sends it at once.
+	Pace time.Duration `yaml:"pace"`
 	// RequestBytes and AnswerBytes are the sizes of the bodies.
 	RequestBytes int `yaml:"request_bytes"`
 	AnswerBytes  int `yaml:"answer_bytes"`
--- a/lab/ledger/check.go
+++ b/lab/ledger/check.go
@@ -137,13 +137,20 @@
 		Violation{Promise: promise, Evidence: fmt.Sprintf(format, arguments...)})
 }
 
+// tenure is an owner's time with a shard.
+type tenure struct {
+	shard   string
+	epoch   topology.Epoch
+	backend string
+}
+
+func tenureOf(entry BackendEntry) tenure {
+	return tenure{shard: entry.Shard, epoch: entry.Epoch, backend: entry.Backend}
+}
+
 // checkOwners orders runs and writes by time. The time of an entry is read
 // before the back end checks its lease, so it is when the back end was owner.
 func (c *checker) checkOwners(backends []BackendEntry) {
-	type tenure struct {
-		epoch   topology.Epoch
-		backend string
-	}
 	var owned []BackendEntry
 	for _, entry := range backends {
 		if (entry.Kind == KindRun || entry.Kind == KindWrite) && entry.Shard != "" {
@@ -152,20 +159,68 @@
 	}
 	slices.SortStableFunc(owned, func(a, b BackendEntry) int { return cmp.Compare(a.Time, b.Time) })
 	latest := make(map[string]tenure)
+	keys := make(map[ProbedKey]*keyOwners)
 	for _, entry := range owned {
 		c.report.Checked[PromiseSoleOwner]++
-		last, seen := latest[entry.Shard]
-		switch {
-		case seen && entry.Epoch < last.epoch:
-			c.broken(PromiseSoleOwner, "shard %s: %s by %s at epoch %d after %s acted at epoch %d, request %s",
-				entry.Shard, entry.Kind, entry.Backend, entry.Epoch, last.backend, last.epoch, entry.RequestID)
-		case seen && entry.Epoch == last.epoch && entry.Backend != last.backend:
-			c.broken(PromiseSoleOwner, "shard %s: %s and %s both acted at epoch %d, request %s",
-				entry.Shard, last.backend, entry.Backend, entry.Epoch, entry.RequestID)
-		default:
-			latest[entry.Shard] = tenure{epoch: entry.Epoch, backend: entry.Backend}
+		if !c.checkShardOwner(latest, entry) {
+			continue
+		}
+		key := ProbedKey{Service: entry.Service, Key: entry.Key}
+		if keys[key] == nil {
+			keys[key] = newKeyOwners()
+		}
+		if other, interleaved := keys[key].add(tenureOf(entry)); interleaved {
+			c.broken(PromiseSoleOwner, "key %s: %s by %s for shard %s at epoch %d after %s had taken over, request %s",
+				entry.Key, entry.Kind, entry.Backend, entry.Shard, entry.Epoch, other, entry.RequestID)
+		}
+	}
+}
+
+// checkShardOwner returns false where it found the promise broken.
+func (c *checker) checkShardOwner(latest map[string]tenure, entry BackendEntry) bool {
+	last, seen := latest[entry.Shard]
+	switch {
+	case seen && entry.Epoch < last.epoch:
+		c.broken(PromiseSoleOwner, "shard %s: %s by %s at epoch %d after %s acted at epoch %d, request %s",
+			entry.Shard, entry.Kind, entry.Backend, entry.Epoch, last.backend, last.epoch, entry.RequestID)
+	case seen && entry.Epoch == last.epoch && entry.Backend != last.backend:
+		c.broken(PromiseSoleOwner, "shard %s: %s and %s both acted at epoch %d, request %s",
+			entry.Shard, last.backend, entry.Backend, entry.Epoch, entry.RequestID)
+	default:
+		latest[entry.Shard] = tenureOf(entry)
+		return true
+	}
+	return false
+}
+
+// keyOwners follows the owners of one key, whose shard may be split or joined.
+type keyOwners struct {
+	count int
+	// first is the place, from 1, of each tenure's first entry; last that of
+	// each back end's last entry.
+	first map[tenure]int
+	last  map[string]int
+}
+
+func newKeyOwners() *keyOwners {
+	return &keyOwners{first: make(map[tenure]int), last: make(map[string]int)}
+}
+
+// add takes the next entry. It reports a back end that acted since the entry's
+// tenure began: two owners interleaved.
+func (k *keyOwners) add(next tenure) (other string, interleaved bool) {
+	k.count++
+	began, known := k.first[next]
+	if !known {
+		k.first[next] = k.count
+	}
+	k.last[next.backend] = k.count
+	for backend, place := range k.last {
+		if known && backend != next.backend && place > began {
+			return backend, true
 		}
 	}
+	return "", false
 }
 
 func (c *checker) checkLimits(backends []BackendEntry) {
--- a/lab/ledger/check_test.go
+++ b/lab/ledger/check_test.go
@@ -23,6 +23,11 @@
 	}
 }
 
+func inShard(shard string, entry ledger.BackendEntry) ledger.BackendEntry {
+	entry.Shard = shard
+	return entry
+}
+
 func TestCheckFindsEachBrokenPromise(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -53,6 +58,23 @@
 			},
 			want: []ledger.Promise{ledger.PromiseSoleOwner},
 		},
+		{
+			name: "an owner writes a key for the shard as it was before a split and a move",
+			backends: []ledger.BackendEntry{
+				backend("a", 1, ledger.KindRun, "one", 1),
+				inShard("1/2", backend("b", 2, ledger.KindWrite, "two", 3)),
+				backend("a", 3, ledger.KindWrite, "one", 1),
+			},
+			want: []ledger.Promise{ledger.PromiseSoleOwner},
+		},
+		{
+			name: "an owner finishes a run that began before it split the shard",
+			backends: []ledger.BackendEntry{
+				backend("a", 1, ledger.KindRun, "one", 1),
+				inShard("1/2", backend("b", 2, ledger.KindWrite, "one", 2)),
+				backend("a", 3, ledger.KindWrite, "one", 1),
+			},
+		},
 		{
 			name:    "a second run",
 			callers: []ledger.CallerEntry{caller("a", 10, wire.OutcomeUnknown)},
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -65,6 +65,9 @@
 		entry, retryAfter = c.attempt(request, router, attempt)
 		c.ledger.Append(entry)
 		c.summary.attempt(entry)
+		if c.config.OnAttempt != nil {
+			c.config.OnAttempt(entry)
+		}
 		if entry.Outcome == wire.OutcomeAnswered || attempt == c.config.Resends {
 			break
 		}
@@ -122,8 +125,8 @@
 
 func (c *caller) message(ctx context.Context, request request, router string) (*http.Request, error) {
 	operation := request.operation
-	url := fmt.Sprintf("http://%s/%s/%s/%s?work=%s&bytes=%d",
-		router, request.service, operation.Name, request.key, request.work, operation.AnswerBytes)
+	url := fmt.Sprintf("http://%s/%s/%s/%s?work=%s&bytes=%d&pace=%s",
+		router, request.service, operation.Name, request.key, request.work, operation.AnswerBytes, operation.Pace)
 	message, err := http.NewRequestWithContext(ctx, operation.Method, url,
 		unreplayable{bytes.NewReader(make([]byte, operation.RequestBytes))})
 	if err != nil {
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -35,6 +35,9 @@
 	Resends int
 	// Caller names the caller in requests.
 	Caller string
+	// OnAttempt, if set, is told of each attempt once it is in the ledger. Many
+	// goroutines call it.
+	OnAttempt func(ledger.CallerEntry)
 	// Direct sends to back ends themselves: answers carry no outcome.
 	Direct bool
 }
