--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -13,6 +13,9 @@
 	Incarnation topology.Incarnation
 	Role        Role
 	Term        uint64
+	// Unproven: the replica takes no part in elections until it knows that its
+	// disk lacks nothing that it acknowledged.
+	Unproven bool
 	// Leader is zero where none is known.
 	Leader    topology.ReplicaID
 	Commit    uint64
@@ -24,6 +27,9 @@
 	// zero at a replica without one. Whoever acts as the leader compares it
 	// with the time at the moment of acting.
 	LeaseUntil time.Duration
+	// EarlierLeasesEnd is, at a leader, by when every leader lease of an earlier
+	// term has ended, on the same clock; it may be before its election or after.
+	EarlierLeasesEnd time.Duration
 	// LeaderHeardAt is when a leader was last heard, or the start.
 	LeaderHeardAt time.Duration
 	Membership    Membership
@@ -54,6 +60,7 @@
 		Incarnation:   c.config.Incarnation,
 		Role:          c.role,
 		Term:          c.hard.Term,
+		Unproven:      !c.recovered(),
 		Leader:        c.leader,
 		Commit:        c.log.committed,
 		Applied:       c.log.applied,
@@ -61,7 +68,9 @@
 		Durable:       c.log.stable,
 		LeaseUntil:    c.leaseUntil(),
 		LeaderHeardAt: c.leaderHeardAt,
-		Membership:    c.Membership(),
+
+		EarlierLeasesEnd: c.earlierLeasesEnd,
+		Membership:       c.Membership(),
 	}
 	for _, member := range status.Membership.Members {
 		if progress, ok := c.leading.peers[member.ID]; ok && member.ID != c.config.ID {
@@ -130,7 +139,7 @@
 // membershipChanged brings role and tracking in line with the membership in
 // force. A leader that is removed leads on until its removal is committed.
 func (c *Core) membershipChanged() {
-	voter := c.Membership().IsVoter(c.config.ID) && c.Membership().Names(c.config.ID, c.config.Incarnation)
+	voter := c.recovered() && c.Membership().IsVoter(c.config.ID) && c.Membership().Names(c.config.ID, c.config.Incarnation)
 	switch {
 	case c.role == Leader:
 		c.trackMembers()
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -23,8 +23,11 @@
 	if c.inFlight != nil {
 		return controlstate.Command{}, false
 	}
+	if len(c.waiting) > 0 {
+		return c.propose(nil, unixMilli), true
+	}
 	steps := c.advanceMoves(now)
-	if now >= c.decideAt {
+	if c.decisionDue(now) {
 		steps = c.addDecided(steps, now, unixMilli)
 	}
 	if len(steps) == 0 {
@@ -33,11 +36,28 @@
 	return c.propose(steps, unixMilli), true
 }
 
+// decisionDue reports whether placement is to be asked: at its interval, and
+// sooner where a move has ended and others wait for its room.
+func (c *Coordinator) decisionDue(now time.Duration) bool {
+	if now >= c.decideAt {
+		return true
+	}
+	return c.roomMade && c.decision.Waiting > 0 && now >= c.decidedAt+c.config.DecideAgain
+}
+
+// propose adds steps to those that wait and takes the first of them as the next
+// batch. The bound keeps a batch from holding up the log, and with it the
+// leader's heartbeats: a batch of all shards took longer than an election
+// timeout. An owner that loses a shard by a step that waits gets no lease, as by
+// one in flight.
 func (c *Coordinator) propose(steps []controlstate.OwnershipChange, unixMilli int64) controlstate.Command {
-	c.inFlight = &controlstate.ChangeOwnership{Changes: steps}
 	for index := range steps {
 		c.noteRevoking(&steps[index])
 	}
+	c.waiting = append(c.waiting, steps...)
+	count := min(len(c.waiting), MaximumBatch)
+	c.inFlight = &controlstate.ChangeOwnership{Changes: c.waiting[:count:count]}
+	c.waiting = c.waiting[count:]
 	c.statistics.BatchesProposed++
 	return controlstate.Command{UnixMilli: unixMilli, ChangeOwnership: c.inFlight}
 }
@@ -56,12 +76,26 @@
 		return
 	}
 	c.inFlight = nil
-	clear(c.revoking)
+	if len(c.waiting) == 0 {
+		clear(c.revoking)
+	}
 }
 
 // ConfigurationChanged says that an operator's change was applied.
 func (c *Coordinator) ConfigurationChanged(now time.Duration) {
 	c.decideAt = now
+	c.commits.add(c.state.Revision(), now)
+	c.forgetRemoved(now)
+}
+
+// forgetRemoved drops the agents of back ends that were removed.
+func (c *Coordinator) forgetRemoved(now time.Duration) {
+	for id := range c.agents {
+		if _, exists := c.state.Backend(id); !exists {
+			delete(c.agents, id)
+			c.removedAt = now
+		}
+	}
 }
 
 // ShardsChanged says which shards a batch of this leader has changed. It is
@@ -70,6 +104,7 @@
 	if !c.leading {
 		return
 	}
+	c.commits.add(c.state.Revision(), now)
 	for _, shard := range changed {
 		c.shardChanged(shard, now)
 	}
@@ -84,6 +119,7 @@
 // shardChanged notes a new owner or a new shard.
 func (c *Coordinator) shardChanged(shard topology.Shard, now time.Duration) {
 	previous, seen := c.owners[shard.ID]
+	c.roomMade = c.roomMade || shard.Phase == topology.ShardOwned
 	c.owners[shard.ID] = shard.Owner
 	switch {
 	case !seen && shard.Epoch > 1:
@@ -133,6 +169,8 @@
 		return steps
 	}
 	c.decision = c.config.Evaluate(c.input(now, unixMilli))
+	c.decidedAt = now
+	c.roomMade = false
 	taken := make(map[topology.ShardID]bool, len(steps))
 	for _, step := range steps {
 		taken[step.Shard] = true
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -125,6 +125,18 @@
 	}
 }
 
+func TestLostOwnerIsReplacedAlsoWhereRequestsFailedAtAllOthers(t *testing.T) {
+	input := cluster(3, 12, 0.5)
+	input.Backends[0].Live = false
+	input.Backends[1].FailureShare, input.Backends[2].FailureShare = 0.9, 0.9
+	moves := placement.Decide(input)
+	assert.Equal(t, len(moves), 4)
+	input.Backends[2].FailureShare = 0
+	for _, move := range placement.Decide(input) {
+		assert.Equal(t, move.To, topology.BackendID(3))
+	}
+}
+
 func TestAnnouncedRestartMovesNothingWithinGrace(t *testing.T) {
 	input := cluster(4, 64, 0.5)
 	input.Services[0].Service.Placement.Weights = topology.PlacementWeights{Imbalance: 1, Churn: 4, Unavailable: 1}
@@ -311,3 +323,19 @@
 	left := max(0, int(policy.MovesPerMinute)-int(service.RecentLoadMoves))
 	assert.Assert(t, loadMoves <= left, "%d load moves, %d left", loadMoves, left)
 }
+
+// Without this rule a moved shard was unavailable until its exports had ended.
+func TestShardWithLongRequestsMovesOnlyWhereThereIsNoOther(t *testing.T) {
+	input := cluster(2, 8, 1)
+	for index := range input.Services[0].Shards {
+		if index%2 == 0 {
+			input.Services[0].Shards[index].Load = 2
+			input.Services[0].Shards[index].LongRunning = 1
+		}
+	}
+	input.Services[0].Shards[4].LongRunning = 0
+	move := firstOf(placement.Decide(input), placement.KindBalance)
+	assert.Equal(t, move.Shard, input.Services[0].Shards[4].Shard.ID)
+	input.Services[0].Shards[4].LongRunning = 1
+	assert.Assert(t, firstOf(placement.Decide(input), placement.KindBalance).Shard != topology.ShardID{})
+}
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -29,6 +29,8 @@
 	Seeds int
 	// Output takes the table, in Markdown, and progress.
 	Output io.Writer
+	// Keep leaves the folder with logs and ledgers behind and prints its path.
+	Keep bool
 	// Arguments added to the command lines of controllers, routers and agents.
 	ControllerArguments []string
 }
@@ -54,7 +56,11 @@
 	if err != nil {
 		return fmt.Errorf("faults: %w", err)
 	}
-	defer os.RemoveAll(folder)
+	if config.Keep {
+		fmt.Fprintf(config.Output, "logs and ledgers stay in %s\n", folder)
+	} else {
+		defer os.RemoveAll(folder)
+	}
 	binaries, err := fleet.Build(ctx, folder)
 	if err != nil {
 		return err
@@ -264,8 +270,8 @@
 	measured := result{kind: kind, strikes: len(strikes), report: ledger.Check(callers, backends)}
 	for _, strike := range strikes {
 		owners := ledger.OwnersAt(backends, strike.from)
-		window := ledger.Between(probes, strike.from-int64(quietTime/4), strike.to)
-		for _, gap := range ledger.LongestGaps(window, probeInterval) {
+		period := ledger.Period{From: strike.from, To: strike.to}
+		for _, gap := range ledger.LongestGaps(probes, probeInterval, period) {
 			if strike.concerned == nil || strike.concerned[owners[gap.ProbedKey]] {
 				measured.gaps = append(measured.gaps, gap.Length)
 			}
