Stop an agent without losing a request that is being read

http.Server.Shutdown closes a connection whose request is being read when the stop begins, without an answer: the router then has to call a settlement unknown, though nothing ran, and a connection in the backlog is reset. The agent now stops through internal/httpserver, whose tests provoke both; it also ends unused warm connections after 250 ms, which the agent's own tracker did. TLS goes through http.Server.TLSConfig, limited to HTTP/1.1 as before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"iter"
 	"net"
-	"net/http"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/quartzdock/quartzdock/internal/admission"
 	"github.com/quartzdock/quartzdock/internal/admission/gate"
 	"github.com/quartzdock/quartzdock/internal/backendapi"
+	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/ownership"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/routing"
@@ -60,7 +60,7 @@
 	fitness      *fitness
 	counts       counts
 	listener     net.Listener
-	server       *http.Server
+	server       *httpserver.Server
 	subscription controllerLink
 
 	view   atomic.Pointer[view]
@@ -129,10 +129,7 @@
 	if agent.listener, err = net.Listen("tcp", agent.config.Listen); err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
-	if agent.config.ServerTLS != nil {
-		agent.listener = tls.NewListener(agent.listener, agent.config.ServerTLS)
-	}
-	agent.server = agent.newServer()
+	agent.server = httpserver.New(agent.newServer(), agent.listener.(*net.TCPListener), 0)
 	return agent.register()
 }
 
@@ -234,7 +231,7 @@
 	agent.background.Go(func() { agent.probe(loops) })
 
 	served := make(chan error, 1)
-	go func() { served <- agent.server.Serve(agent.listener) }()
+	go func() { served <- agent.server.Serve() }()
 	var err error
 	select {
 	case err = <-served:
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -26,17 +26,17 @@
 	routes := chi.NewRouter()
 	routes.Post(recordPath, agent.takeRecord)
 	routes.HandleFunc("/*", agent.serveRequest)
-	unused := &newConnections{}
-	server := &http.Server{
-		ConnState:         unused.follow,
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true) // what internal/upstream speaks
+	return &http.Server{
 		Handler:           routes,
+		TLSConfig:         agent.config.ServerTLS,
+		Protocols:         protocols,
 		ReadHeaderTimeout: agent.config.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    agent.config.MaxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(agent.config.Log.Handler(), slog.LevelDebug),
 	}
-	server.RegisterOnShutdown(unused.close)
-	return server
 }
 
 // result is the end of a request.
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -88,11 +88,7 @@
 	time.Sleep(min(closeNotice, max(deadline-agent.now(), 0)))
 	ctx, cancel := context.WithTimeout(context.Background(), deadline-agent.now())
 	defer cancel()
-	if err := agent.server.Shutdown(ctx); err != nil {
-		_ = agent.server.Close()
-		return false
-	}
-	return true
+	return agent.server.Stop(ctx) == nil
 }
 
 // releaseLease ends the lease in this process and at the back end, and tells
