Model election, commit, membership and lost disks in Promela

Cause: nothing checked the consensus protocol apart from the code that implements it. A model of what internal/consensus does is now searched by spin in go test ./spec: six sets of bounds that hold, and twelve deliberate defects that the checker must catch, among them the membership change before an entry of the own term is committed and a replica that keeps its identity without its disk. The test fails, and says what to run, where spin is missing.

--- /dev/null
+++ b/spec/spec_test.go
@@ -0,0 +1,210 @@
+// Package spec_test checks the Promela models of this folder with spin: each
+// model as it is, which must hold within its bounds, and each model with one
+// deliberate defect, which the checker must catch.
+package spec_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// searchLimit bounds one search, as a guard against bounds set too wide.
+const searchLimit = 4 * time.Minute
+
+// searchesAtOnce bounds the searches that run side by side; each takes a core
+// and up to a gigabyte.
+const searchesAtOnce = 3
+
+// check is one search of a model's states within bounds.
+type check struct {
+	name  string
+	model string
+	// bounds are macros of the model; short ones replace them in a short test.
+	bounds, short []string
+	// defects are macros that break the model, each by itself, within bounds.
+	defects []string
+}
+
+// Bounds that several checks of consensus.pml share.
+var (
+	threeFounders = []string{"N=3", "SPARE=255", "CHANGES=0", "LOSSES=0"}
+	fourFounders  = []string{"FOUNDERS=15", "SPARE=255", "LOSSES=0", "CRASHES=0", "HIGHEST_ASKED=highest"}
+	lostDisks     = []string{"LOSSES=2", "CHANGES=3", "CRASHES=0", "HIGHEST_ASKED=highest"}
+)
+
+var checks = []check{
+	{
+		name:   "elections and restarts",
+		model:  "consensus.pml",
+		bounds: bounds(threeFounders, "TERMS=3", "LOG=3", "ELECTIONS=3", "CRASHES=1"),
+		short:  bounds(threeFounders, "TERMS=2", "LOG=2", "ELECTIONS=3", "CRASHES=1"),
+		defects: []string{
+			"VOTE_NOT_SYNCED", "VOTE_IGNORES_LOG", "LEADER_COUNTS_UNSYNCED",
+			"ACKNOWLEDGES_BEFORE_SYNC", "APPENDS_WITHOUT_MATCH",
+		},
+	},
+	{
+		name:    "entries of earlier terms",
+		model:   "consensus.pml",
+		bounds:  bounds(threeFounders, "TERMS=4", "LOG=2", "ELECTIONS=4", "CRASHES=0"),
+		short:   bounds(threeFounders, "TERMS=3", "LOG=2", "ELECTIONS=3", "CRASHES=0"),
+		defects: []string{"COMMITS_EARLIER_TERM"},
+	},
+	{
+		name:    "commands and restarts",
+		model:   "consensus.pml",
+		bounds:  bounds(threeFounders, "TERMS=3", "LOG=2", "ELECTIONS=3", "CRASHES=1", "COMMANDS=1"),
+		short:   bounds(threeFounders, "TERMS=2", "LOG=2", "ELECTIONS=3", "CRASHES=1", "COMMANDS=1"),
+		defects: []string{"ACKNOWLEDGES_WHOLE_LOG"},
+	},
+	{
+		name:    "membership changes of two leaders",
+		model:   "consensus.pml",
+		bounds:  bounds(fourFounders, "TERMS=3", "LOG=2", "ELECTIONS=3", "CHANGES=2"),
+		short:   bounds(fourFounders, "TERMS=2", "LOG=2", "ELECTIONS=2", "CHANGES=2"),
+		defects: []string{"CHANGE_BEFORE_TERM_COMMITTED"},
+	},
+	{
+		name:    "membership changes in a row",
+		model:   "consensus.pml",
+		bounds:  bounds(fourFounders, "TERMS=2", "LOG=4", "ELECTIONS=2", "CHANGES=3"),
+		short:   bounds(fourFounders, "TERMS=2", "LOG=3", "ELECTIONS=2", "CHANGES=2"),
+		defects: []string{"TWO_CHANGES_AT_ONCE"},
+	},
+	{
+		name:    "lost disks and repair",
+		model:   "consensus.pml",
+		bounds:  bounds(lostDisks, "TERMS=2", "LOG=4", "ELECTIONS=3"),
+		short:   bounds(lostDisks, "TERMS=1", "LOG=4", "ELECTIONS=1"),
+		defects: []string{"LOST_DISK_KEEPS_IDENTITY", "REPAIR_REPORTED_EARLY", "LEARNER_COUNTS"},
+	},
+}
+
+func bounds(common []string, more ...string) []string {
+	return append(append([]string(nil), common...), more...)
+}
+
+func TestModelsHold(t *testing.T) {
+	tools := requireTools(t)
+	for _, check := range checks {
+		t.Run(check.name, func(t *testing.T) {
+			t.Parallel()
+			macros := check.bounds
+			if testing.Short() {
+				macros = check.short
+			}
+			found := tools.search(t, check.model, macros)
+			assert.Assert(t, !found.violated, "with %v: %s", macros, found.output)
+			t.Logf("%s states", found.states)
+		})
+	}
+}
+
+func TestDefectsAreCaught(t *testing.T) {
+	tools := requireTools(t)
+	for _, check := range checks {
+		for _, defect := range check.defects {
+			t.Run(defect, func(t *testing.T) {
+				t.Parallel()
+				macros := bounds(check.bounds, defect)
+				found := tools.search(t, check.model, macros)
+				assert.Assert(t, found.violated, "with %v: %s", macros, found.output)
+				t.Logf("%s after %s states", found.violation, found.states)
+			})
+		}
+	}
+}
+
+// tools are the programs a search needs.
+type tools struct {
+	spin, compiler string
+	slots          chan struct{}
+}
+
+func requireTools(t *testing.T) *tools {
+	t.Helper()
+	spin, err := exec.LookPath("spin")
+	assert.NilError(t, err, "spin is missing: run .ci/install-tools, or apt-get install spin")
+	compiler, err := exec.LookPath("cc")
+	if err != nil {
+		compiler, err = exec.LookPath("gcc")
+	}
+	assert.NilError(t, err, "a C compiler is missing: run .ci/install-tools, or apt-get install gcc libc6-dev")
+	return &tools{spin: spin, compiler: compiler, slots: make(chan struct{}, searchesAtOnce)}
+}
+
+// result is what a search found.
+type result struct {
+	violated  bool
+	violation string
+	states    string
+	output    string
+}
+
+var (
+	statesPattern    = regexp.MustCompile(`(\S+) states, stored`)
+	errorsPattern    = regexp.MustCompile(`errors: (\d+)`)
+	violationPattern = regexp.MustCompile(`pan:1: (.*) \(at depth`)
+	// incomplete marks a search that left states out.
+	incomplete = []string{"max search depth too small", "out of memory", "error: "}
+)
+
+// search makes spin's checker of the model with macros and runs it to its end
+// or the first violation. States are told apart by 64 bits of hash (-DHC4).
+func (tools *tools) search(t *testing.T, model string, macros []string) result {
+	t.Helper()
+	tools.slots <- struct{}{}
+	defer func() { <-tools.slots }()
+	source, err := os.ReadFile(model)
+	assert.NilError(t, err)
+	folder := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, model), source, 0o600))
+	generate := []string{"-a"}
+	for _, macro := range macros {
+		generate = append(generate, "-D"+macro)
+	}
+	run(t, folder, tools.spin, append(generate, model)...)
+	run(t, folder, tools.compiler, "-O1", "-w", "-DSAFETY", "-DHC4", "-DMEMLIM=3000", "-o", "pan", "pan.c")
+	output := run(t, folder, "./pan", "-m10000")
+	for _, mark := range incomplete {
+		assert.Assert(t, !strings.Contains(output, mark), "the search is incomplete: %s", output)
+	}
+	count := errorsPattern.FindStringSubmatch(output)
+	assert.Assert(t, count != nil, "no verdict: %s", output)
+	return result{
+		violated:  count[1] != "0",
+		violation: firstGroup(violationPattern, output),
+		states:    firstGroup(statesPattern, output),
+		output:    output,
+	}
+}
+
+func firstGroup(pattern *regexp.Regexp, text string) string {
+	if match := pattern.FindStringSubmatch(text); match != nil {
+		return match[1]
+	}
+	return ""
+}
+
+func run(t *testing.T, folder, program string, arguments ...string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), searchLimit)
+	defer cancel()
+	command := exec.CommandContext(ctx, program, arguments...)
+	command.Dir = folder
+	var output bytes.Buffer
+	command.Stdout = &output
+	command.Stderr = &output
+	err := command.Run()
+	assert.NilError(t, err, "%s %v: %s", filepath.Base(program), arguments, &output)
+	return output.String()
+}
