--- a/internal/requestrecord/changes.go
+++ b/internal/requestrecord/changes.go
@@ -1,6 +1,10 @@
 package requestrecord
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/quartzdock/quartzdock/internal/requestid"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -124,6 +128,14 @@
 	return record
 }
 
+// sortedShards lists the shards in the order of their ids: the same steps must
+// lead to the same state.
+func (state *state) sortedShards() []topology.ShardID {
+	return slices.SortedFunc(maps.Keys(state.shards), func(a, b topology.ShardID) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
+	})
+}
+
 func (state *state) begin(begun *begunChange) {
 	record := state.shard(begun.Shard)
 	record.epoch = begun.Epoch
--- a/internal/requestrecord/ledger.go
+++ b/internal/requestrecord/ledger.go
@@ -172,7 +172,8 @@
 		Covers:        covers,
 		TakeoverFloor: ledger.freshFloor(nowUnixMilli),
 	}
-	for id, other := range ledger.state.shards {
+	for _, id := range ledger.state.sortedShards() {
+		other := ledger.state.shards[id]
 		if id == shard || id.Service != shard.Service || !other.covers.overlaps(covers) {
 			continue
 		}
--- a/internal/requestrecord/segment.go
+++ b/internal/requestrecord/segment.go
@@ -132,7 +132,8 @@
 // changes returns what rebuilds the state, for a rewritten journal.
 func (state *state) changes() []Change {
 	var rebuilt []Change
-	for id, record := range state.shards {
+	for _, id := range state.sortedShards() {
+		record := state.shards[id]
 		rebuilt = append(rebuilt, Change{Restored: &restoredChange{
 			Shard: id, Epoch: record.epoch, Covers: record.covers, Released: record.released,
 			TakeoverFloor: record.takeoverFloor, RetentionFloor: record.retentionFloor,
--- a/internal/requestrecord/transfer.go
+++ b/internal/requestrecord/transfer.go
@@ -1,6 +1,9 @@
 package requestrecord
 
 import (
+	"bytes"
+	"slices"
+
 	"github.com/quartzdock/quartzdock/internal/requestid"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -21,6 +24,7 @@
 	for id, kept := range record.entries {
 		transfer.Entries = append(transfer.Entries, exportEntry(id, kept))
 	}
+	slices.SortFunc(transfer.Entries, func(a, b wire.RecordEntry) int { return bytes.Compare(a.ID[:], b.ID[:]) })
 	return transfer
 }
 
