--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
@@ -20,6 +21,9 @@
 	Address  string
 	Message  *consensus.Message
 	Founding *foundingNotice
+	// Received is, in what the receiving end of a connection says, how many
+	// envelopes have come over it.
+	Received uint64
 }
 
 const (
@@ -29,6 +33,16 @@
 	dialTimeout    = time.Second
 	redialInterval = 50 * time.Millisecond
 	peerIdle       = 30 * time.Second
+	// aliveInterval is how often the receiving end of a connection says how much
+	// has come. The sending end opens another connection where it hears nothing
+	// for peerSilence, or where nothing that it sent has come for peerStuck,
+	// which leaves time for a snapshot. A connection may pass nothing on for
+	// minutes after a cut has healed, while the sending end's kernel waits longer
+	// and longer before it tries again, or for ever where something between has
+	// forgotten it.
+	aliveInterval = 250 * time.Millisecond
+	peerSilence   = time.Second
+	peerStuck     = 3 * time.Second
 )
 
 func peerOptions(config Config) transport.Options {
@@ -119,7 +133,7 @@
 // needed. What cannot be sent is dropped.
 func (s *peerSet) runSender(address string, queue chan envelope) {
 	defer s.r.ended.Done()
-	var conn *transport.Conn
+	var conn *peerConn
 	defer func() {
 		if conn != nil {
 			_ = conn.Close()
@@ -133,7 +147,7 @@
 			if conn == nil {
 				conn = s.dial(address)
 			}
-			if conn != nil && conn.Send(e) != nil {
+			if conn != nil && conn.send(e) != nil {
 				conn = nil
 			}
 		}
@@ -141,13 +155,18 @@
 }
 
 // dial opens a connection, or returns nil after a pause.
-func (s *peerSet) dial(address string) *transport.Conn {
+func (s *peerSet) dial(address string) *peerConn {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() {})
 	defer stop()
-	conn, err := transport.Dial(ctx, address, peerOptions(s.r.config))
+	options := peerOptions(s.r.config)
+	options.IdleTimeout = peerSilence
+	opened, err := transport.Dial(ctx, address, options)
 	if err == nil {
+		conn := &peerConn{Conn: opened}
+		s.r.ended.Add(1)
+		go s.watch(conn)
 		return conn
 	}
 	select {
@@ -157,6 +176,39 @@
 	return nil
 }
 
+// peerConn is a connection that this replica sends on.
+type peerConn struct {
+	*transport.Conn
+	sent atomic.Uint64
+}
+
+func (c *peerConn) send(e envelope) error {
+	c.sent.Add(1)
+	return c.Send(e)
+}
+
+// watch closes a connection once its receiving end is silent or gets nothing.
+func (s *peerSet) watch(conn *peerConn) {
+	defer s.r.ended.Done()
+	defer func() { _ = conn.Close() }()
+	var received uint64
+	advanced := s.r.Now()
+	for {
+		var alive envelope
+		if conn.Receive(&alive) != nil {
+			return
+		}
+		now := s.r.Now()
+		if alive.Received > received || received == conn.sent.Load() {
+			received = alive.Received
+			advanced = now
+		}
+		if now-advanced > peerStuck {
+			return
+		}
+	}
+}
+
 // accept takes connections until the listener is closed.
 func (s *peerSet) accept() {
 	defer s.r.ended.Done()
@@ -174,7 +226,9 @@
 			continue
 		}
 		if s.admit(conn) {
-			go s.receive(conn)
+			received := &atomic.Uint64{}
+			go s.receive(conn, received)
+			go s.sayAlive(conn, received)
 		}
 	}
 }
@@ -187,11 +241,25 @@
 		return false
 	}
 	s.accepted[conn] = true
-	s.r.ended.Add(1)
+	s.r.ended.Add(2)
 	return true
 }
 
-func (s *peerSet) receive(conn *transport.Conn) {
+// sayAlive tells the sending end of a connection how much has come.
+func (s *peerSet) sayAlive(conn *transport.Conn, received *atomic.Uint64) {
+	defer s.r.ended.Done()
+	ticks := time.NewTicker(aliveInterval)
+	defer ticks.Stop()
+	for conn.Send(envelope{Group: s.r.config.Group, Received: received.Load()}) == nil {
+		select {
+		case <-ticks.C:
+		case <-s.r.stopping:
+			return
+		}
+	}
+}
+
+func (s *peerSet) receive(conn *transport.Conn, received *atomic.Uint64) {
 	defer s.r.ended.Done()
 	defer func() {
 		_ = conn.Close()
@@ -204,6 +272,7 @@
 		if conn.Receive(&e) != nil {
 			return
 		}
+		received.Add(1)
 		if e.Group != s.r.config.Group {
 			return
 		}
