--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -26,13 +26,17 @@
 	routes := chi.NewRouter()
 	routes.Post(recordPath, agent.takeRecord)
 	routes.HandleFunc("/*", agent.serveRequest)
-	return &http.Server{
+	unused := &newConnections{}
+	server := &http.Server{
+		ConnState:         unused.follow,
 		Handler:           routes,
 		ReadHeaderTimeout: agent.config.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    agent.config.MaxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(agent.config.Log.Handler(), slog.LevelDebug),
 	}
+	server.RegisterOnShutdown(unused.close)
+	return server
 }
 
 // result is the end of a request.
@@ -55,6 +59,9 @@
 }
 
 func (agent *Agent) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if agent.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	parsed, err := parseRequest(r, agent.config.RequestTimeout)
 	if err != nil {
 		agent.finish(w, refusedResult(notRun(http.StatusBadRequest, wire.ReasonInvalid, err.Error())))
@@ -92,11 +99,15 @@
 }
 
 func (agent *Agent) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, parsed request) result {
-	shard, refused := agent.admit(ctx, parsed)
+	entered, refused := agent.admit(ctx, parsed)
 	if refused != nil {
 		return refusedResult(refused)
 	}
-	defer shard.leave()
+	defer entered.leave()
+	shard := entered.shard
+	if parsed.hasKey {
+		shard.saw(parsed.key)
+	}
 	body, refused := agent.takeBody(w, r)
 	if refused != nil {
 		return refusedResult(refused)
@@ -110,6 +121,12 @@
 
 // fence says why a request may not be admitted now, or nil.
 func (agent *Agent) fence(parsed request) error {
+	if agent.stopping.Load() {
+		return errStopping
+	}
+	if agent.closedToNew.Load() {
+		return ownership.ErrReleasing
+	}
 	if parsed.bound {
 		return agent.holder.Admits(parsed.shard, parsed.epoch, agent.now())
 	}
@@ -146,21 +163,21 @@
 
 // admit checks the fence and counts the request in. It waits while the back
 // end is being granted the shard.
-func (agent *Agent) admit(ctx context.Context, parsed request) (*served, *refusal) {
+func (agent *Agent) admit(ctx context.Context, parsed request) (visit, *refusal) {
 	var timeout <-chan time.Time
 	for {
 		current := agent.view.Load()
 		if err := agent.fence(parsed); err != nil {
-			return nil, fenceRefusal(err)
+			return visit{}, fenceRefusal(err)
 		}
 		if found := current.find(parsed); found != nil {
-			if found.enter() {
-				return found, nil
+			if entered, open := found.enter(); open {
+				return entered, nil
 			}
-			return nil, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the shard is being moved")
+			return visit{}, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the shard is being moved")
 		}
 		if !parsed.bound {
-			return nil, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the back end is leaving")
+			return visit{}, notRun(http.StatusMisdirectedRequest, wire.ReasonDraining, "the back end is leaving")
 		}
 		if timeout == nil {
 			timer := time.NewTimer(grantWait)
@@ -168,7 +185,7 @@
 			timeout = timer.C
 		}
 		if refused := current.awaitChange(ctx, timeout); refused != nil {
-			return nil, refused
+			return visit{}, refused
 		}
 	}
 }
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -29,6 +29,8 @@
 			LastMoved: c.lastMoved[shard.ID],
 			CreatedAt: c.createdAt[shard.ID],
 			HotKeys:   c.loads.HotKeys(shard.ID),
+
+			LongRunning: c.loads.LongRunning(shard.ID),
 		})
 	}
 	return placement.ServiceInput{
@@ -57,7 +59,7 @@
 }
 
 func (c *Coordinator) backendInput(backend topology.Backend, now time.Duration) placement.BackendInput {
-	observed := c.loads.Backend(backend.ID)
+	observed := c.loads.Backend(backend.ID, now)
 	input := placement.BackendInput{
 		Backend:      backend,
 		Live:         c.leases.Live(backend.ID, now),
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -29,6 +29,8 @@
 	loadMovesLeft int
 	// splits counts the splits decided.
 	splits int
+	// waiting counts wanted moves that the limit on moves at once holds back.
+	waiting int
 }
 
 // node is a back end during a decision.
@@ -44,8 +46,9 @@
 	moving int
 	// receives says that the node may be given shards.
 	receives bool
-	// leaves says that the node's shards are to be handed over.
-	leaves bool
+	// leaves says that the node's shards are to be handed over; restarts that
+	// those are which would lose more by waiting for the node to return.
+	leaves, restarts bool
 }
 
 // utilisation is load over slots.
@@ -64,25 +67,42 @@
 	for _, backend := range backends {
 		planner.addNode(backend)
 	}
+	planner.receiveSomewhere()
 	planner.loads = shardLoads(now, service)
 	planner.settleShards()
 	return planner
 }
 
 func (planner *planner) addNode(backend *BackendInput) {
-	leaving := backend.Leaving && !WaitsForRestart(planner.policy)
-	leaves := backend.Backend.State == topology.BackendDraining || leaving
+	waits := WaitsForRestart(planner.policy)
+	leaves := backend.Backend.State == topology.BackendDraining || backend.Leaving && !waits
 	planner.nodeOf[backend.Backend.ID] = len(planner.nodes)
 	planner.nodes = append(planner.nodes, node{
 		input:  backend,
 		slots:  math.Max(1, float64(backend.Backend.Slots)),
-		leaves: leaves,
-		receives: backend.Live && !leaves && !backend.Leaving &&
-			backend.Backend.State == topology.BackendActive &&
-			backend.FailureShare <= maximumFailureShare,
+		leaves: leaves, restarts: backend.Leaving && !leaves,
+		receives: mayReceive(backend) && !leaves && backend.FailureShare <= maximumFailureShare,
 	})
 }
 
+func mayReceive(backend *BackendInput) bool {
+	return backend.Live && !backend.Leaving && backend.Backend.State == topology.BackendActive
+}
+
+// receiveSomewhere lets nodes receive whose requests failed, where there are no
+// others: they may have recovered, and without an owner every request fails.
+func (planner *planner) receiveSomewhere() {
+	for index := range planner.nodes {
+		if planner.nodes[index].receives {
+			return
+		}
+	}
+	for index := range planner.nodes {
+		node := &planner.nodes[index]
+		node.receives = mayReceive(node.input) && !node.leaves
+	}
+}
+
 // shardLoads returns the load of each shard: what was observed, raised to what
 // a mark announces, plus a prior in proportion to the keys.
 func shardLoads(now time.Duration, service *ServiceInput) []float64 {
--- a/internal/requestrecord/changes.go
+++ b/internal/requestrecord/changes.go
@@ -1,13 +1,18 @@
 package requestrecord
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/quartzdock/quartzdock/internal/requestid"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
-// change is one journal entry; exactly one field is set.
-type change struct {
+// Change is one step of a Ledger, as a journal keeps it. Exactly one field is
+// set. It may be encoded with gob; only a Ledger looks into it.
+type Change struct {
 	Reset     *resetChange
 	Begun     *begunChange
 	Admitted  *admittedChange
@@ -72,7 +77,7 @@
 
 // apply makes one change to the state. Replaying the journal and serving use
 // the same code.
-func (state *state) apply(made change) {
+func (state *state) apply(made Change) {
 	switch {
 	case made.Reset != nil:
 		state.shards = make(map[topology.ShardID]*shardRecord)
@@ -123,6 +128,14 @@
 	return record
 }
 
+// sortedShards lists the shards in the order of their ids: the same steps must
+// lead to the same state.
+func (state *state) sortedShards() []topology.ShardID {
+	return slices.SortedFunc(maps.Keys(state.shards), func(a, b topology.ShardID) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
+	})
+}
+
 func (state *state) begin(begun *begunChange) {
 	record := state.shard(begun.Shard)
 	record.epoch = begun.Epoch
--- a/lab/experiment/arrivals.go
+++ b/lab/experiment/arrivals.go
@@ -27,9 +27,15 @@
 	// ticket at the agent's limit, with the time at which the run began and up
 	// to which its slot time was reported.
 	ticket   admission.Ticket
+	began    time.Duration
 	reported time.Duration
 	// running counts the run, so that a completion after a crash is ignored.
 	running bool
+	// holds counts the times that the router held the request; held is set while
+	// it does, until holdUntil at most.
+	holds     int
+	held      bool
+	holdUntil time.Duration
 	// probe marks a health probe, which counts for no measure.
 	probe bool
 }
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -65,6 +65,9 @@
 		entry, retryAfter = c.attempt(request, router, attempt)
 		c.ledger.Append(entry)
 		c.summary.attempt(entry)
+		if c.config.OnAttempt != nil {
+			c.config.OnAttempt(entry)
+		}
 		if entry.Outcome == wire.OutcomeAnswered || attempt == c.config.Resends {
 			break
 		}
@@ -122,15 +125,14 @@
 
 func (c *caller) message(ctx context.Context, request request, router string) (*http.Request, error) {
 	operation := request.operation
-	url := fmt.Sprintf("http://%s/%s/%s/%s?work=%s&bytes=%d",
-		router, request.service, operation.Name, request.key, request.work, operation.AnswerBytes)
+	url := fmt.Sprintf("http://%s/%s/%s/%s?work=%s&bytes=%d&pace=%s",
+		router, request.service, operation.Name, request.key, request.work, operation.AnswerBytes, operation.Pace)
 	message, err := http.NewRequestWithContext(ctx, operation.Method, url,
-		bytes.NewReader(make([]byte, operation.RequestBytes)))
+		unreplayable{bytes.NewReader(make([]byte, operation.RequestBytes))})
 	if err != nil {
 		return nil, err
 	}
-	// The client library must not send a request again by itself.
-	message.GetBody = nil
+	message.ContentLength = int64(operation.RequestBytes)
 	header := message.Header
 	header.Set(wire.HeaderRequestID, request.id)
 	header.Set(wire.HeaderCaller, c.config.Caller)
@@ -141,6 +143,10 @@
 	return message, nil
 }
 
+// unreplayable is a body that the client library can't rewind, so that it never
+// sends a request again by itself: the ledger would show one attempt of two.
+type unreplayable struct{ io.Reader }
+
 // outcomeOf says what a client error proves: a refused connection is proof
 // that the request was not sent.
 func outcomeOf(err error) wire.Outcome {
