--- a/internal/controlstate/check.go
+++ b/internal/controlstate/check.go
@@ -21,6 +21,7 @@
 	case command.UpdateBackend != nil:
 		s.checkUpdateBackend(found, command.UpdateBackend)
 	case command.SetBackendState != nil:
+		checkOrderedState(found, command.SetBackendState.State)
 		s.checkBackendOrder(found, command.SetBackendState.Backend, orderFor(command.SetBackendState.State))
 	case command.RemoveBackend != nil:
 		s.checkBackendOrder(found, command.RemoveBackend.Backend, ownership.EventRemove)
@@ -98,6 +99,11 @@
 		"%s belongs to back end %q", address, other.Name)
 }
 
+func checkOrderedState(found *violations, state topology.BackendState) {
+	ok := state == topology.BackendActive || state == topology.BackendDraining
+	found.require(ok, "state", "%d: a back end can be made active or draining", state)
+}
+
 // orderFor returns the event that leads to a back end's state.
 func orderFor(state topology.BackendState) ownership.BackendEvent {
 	if state == topology.BackendActive {
--- a/internal/ownership/charts.go
+++ b/internal/ownership/charts.go
@@ -58,8 +58,11 @@
 )
 
 // NextPhase returns the phase after an event and the action to perform. It
-// reports false where the chart has no such transition.
+// reports false where the chart has no such transition, phase or event.
 func NextPhase(phase topology.ShardPhase, event ShardEvent) (topology.ShardPhase, ShardAction, bool) {
+	if phase < topology.ShardUnassigned || phase > topology.ShardReleasing || int(event) >= len(shardEventNames) {
+		return phase, ShardNoAction, false
+	}
 	from := statechart.State(phase - topology.ShardUnassigned)
 	next, action, ok := shardTable.Next(from, statechart.Event(event))
 	return topology.ShardPhase(next) + topology.ShardUnassigned, ShardAction(action), ok
@@ -91,8 +94,11 @@
 )
 
 // NextBackendState returns a back end's state after an order. It reports false
-// where the chart has no such transition.
+// where the chart has no such transition, state or order.
 func NextBackendState(state topology.BackendState, event BackendEvent) (topology.BackendState, BackendAction, bool) {
+	if state < topology.BackendActive || state > topology.BackendRemoved || event > EventRemove {
+		return state, BackendNoAction, false
+	}
 	from := statechart.State(state - topology.BackendActive)
 	next, action, ok := backendTable.Next(from, statechart.Event(event))
 	return topology.BackendState(next) + topology.BackendActive, BackendAction(action), ok
