Judge a shift by what was reached before the next one

Cause: scenarios changed the load or the members first and told the measures after, so that what had been reached within 10 s was judged by the next shift, and the least churn was reckoned for an imbalance that nobody had left standing. Change: the measures are told before the change.

--- a/lab/experiment/measures.go
+++ b/lab/experiment/measures.go
@@ -146,8 +146,9 @@
 	return greatest * float64(len(members)) / total
 }
 
-// disturbed notes that the load or the membership has changed. Lost back ends
-// must give up all their keys.
+// disturbed notes that the load or the membership is about to change. It is
+// called before the change, so that what was reached until then is judged. Lost
+// back ends must give up all their keys.
 func (m *measures) disturbed(lost []*server) {
 	if !m.measuring {
 		return
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -167,10 +167,10 @@
 		e.queue.at(event.At+event.For, func() { e.arrivals.scale(event, 1/event.Factor) })
 	case EventJoin:
 		e.queue.at(event.At, func() {
+			e.measures.disturbed(nil)
 			for range event.Count {
 				e.addServer()
 			}
-			e.measures.disturbed(nil)
 		})
 	case EventLeave:
 		e.queue.at(event.At, func() { e.leave(e.existing(event.Backend)) })
@@ -197,12 +197,12 @@
 		e.queue.at(event.At-markLead, func() { e.leader.mark(group, event) })
 	}
 	e.queue.at(event.At, func() {
-		e.keys.add(group)
 		e.measures.disturbed(nil)
+		e.keys.add(group)
 	})
 	e.queue.at(event.At+event.For, func() {
-		e.keys.remove(group)
 		e.measures.disturbed(nil)
+		e.keys.remove(group)
 	})
 }
 
