Split only what may move, and wait for a load that changes

Keys were split off shards that minimum residence kept in place, so shards grew from 64 to 104 without a move and each loss then took more of them; a decision that had used its four splits went on with whole shards of 120 keys where a key was the better move; and a shard whose load was still rising was moved or cut in the middle by an estimate of a third of it, so that its new owner was overloaded in turn. Change: hot keys are taken only from shards that may move; a source whose best move is a split waits for the next decision; a shard stays 1.5 s after a change of its load was noticed and is cut in the middle 3 s after at the earliest; minimum residence does not keep a back end empty that has just come back.

--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -30,7 +30,8 @@
 			CreatedAt: c.createdAt[shard.ID],
 			HotKeys:   c.loads.HotKeys(shard.ID),
 
-			LongRunning: c.loads.LongRunning(shard.ID),
+			LongRunning:   c.loads.LongRunning(shard.ID),
+			LoadChangedAt: c.loads.ChangedAt(shard.ID),
 		})
 	}
 	return placement.ServiceInput{
--- a/internal/loadtable/table.go
+++ b/internal/loadtable/table.go
@@ -65,6 +65,8 @@
 	cost        cost
 	hotKeys     []wire.KeyLoad
 	longRunning uint32
+	// changedAt is when the share last left its confidence band.
+	changedAt time.Duration
 	// reported numbers the reporter's last report that named the shard.
 	reported uint64
 }
@@ -110,10 +112,10 @@
 	busy := 0.0
 	for _, load := range renew.Load {
 		shardID := topology.ShardID{Service: service, Shard: load.Shard}
-		t.shardReport(shardID, id, load, interval, total)
+		t.shardReport(shardID, id, load, interval, total, now)
 		busy += float64(load.BusyMicros) / 1e6
 	}
-	t.absentShards(reporter, interval, total)
+	t.absentShards(reporter, interval, total, now)
 	reporter.observed.add(busy/interval.Seconds(), interval, fastWindow)
 	t.claim(reporter, float64(renew.Backend.Claimed), interval)
 }
@@ -126,7 +128,7 @@
 	}
 }
 
-func (t *Table) shardReport(id topology.ShardID, from topology.BackendID, load wire.ShardLoad, interval time.Duration, total float64) {
+func (t *Table) shardReport(id topology.ShardID, from topology.BackendID, load wire.ShardLoad, interval time.Duration, total float64, now time.Duration) {
 	observed, known := t.shards[id]
 	if !known {
 		observed = &shard{}
@@ -145,18 +147,18 @@
 	observed.longRunning = load.LongRunning
 	observed.cost.add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
 	t.service(id.Service).cost.add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
-	observed.offered(float64(load.Requests)+float64(load.Refused), interval, total)
+	observed.offered(float64(load.Requests)+float64(load.Refused), interval, total, now)
 	if len(load.HotKeys) > 0 {
 		observed.hotKeys = load.HotKeys
 	}
 }
 
 // absentShards counts shards that a report left out as without requests.
-func (t *Table) absentShards(reporter *backend, interval time.Duration, total float64) {
+func (t *Table) absentShards(reporter *backend, interval time.Duration, total float64, now time.Duration) {
 	for id := range reporter.shards {
 		observed := t.shards[id]
 		if observed.reported != reporter.reports {
-			observed.offered(0, interval, total)
+			observed.offered(0, interval, total, now)
 			observed.longRunning = 0
 		}
 	}
@@ -164,7 +166,7 @@
 
 // offered takes the requests of an interval into both averages. Where the
 // share has left its confidence band it starts anew.
-func (s *shard) offered(requests float64, interval time.Duration, total float64) {
+func (s *shard) offered(requests float64, interval time.Duration, total float64, now time.Duration) {
 	s.rate.add(requests/interval.Seconds(), interval, fastWindow)
 	if total <= 0 {
 		return
@@ -175,6 +177,7 @@
 	// An exponential average over window w has the variance of a mean over 2w.
 	deviation := math.Sqrt(math.Max(expected, 1) / (2 * fastWindow.Seconds()))
 	if math.Abs(s.rate.value()-expected) > changeDeviations*deviation {
+		s.changedAt = now
 		s.share = average{}
 		s.share.add(present, interval, slowWindow)
 		s.hotKeys = nil
@@ -230,6 +233,16 @@
 	return observed.longRunning
 }
 
+// ChangedAt returns when a shard's load last left what was expected of it, or
+// zero.
+func (t *Table) ChangedAt(id topology.ShardID) time.Duration {
+	observed, known := t.shards[id]
+	if !known {
+		return 0
+	}
+	return observed.changedAt
+}
+
 // HotKeys returns the hottest keys of a shard with their load in slots.
 func (t *Table) HotKeys(id topology.ShardID) []placement.HotKey {
 	observed, known := t.shards[id]
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -101,12 +101,13 @@
 			planner.waiting++
 			return candidate{}, false
 		}
+		if !planner.movable(index, destination, mean) {
+			continue
+		}
 		offer := candidate{shard: index, source: source, destination: destination}
-		switch {
-		case !planner.movable(index):
-		case shard.LongRunning > 0:
+		if shard.LongRunning > 0 {
 			planner.offerShard(offer, mean, &busiest)
-		default:
+		} else {
 			planner.offerShard(offer, mean, &best)
 		}
 		planner.offerHotKeys(offer, mean, &best)
@@ -114,6 +115,10 @@
 	if best.score == 0 {
 		best = busiest
 	}
+	if best.partial && planner.splits >= splitsAtOnce {
+		planner.waiting++
+		return candidate{}, false
+	}
 	return best, best.score > 0
 }
 
@@ -129,7 +134,7 @@
 // offerHotKeys makes a single hot key the best candidate if it scores higher.
 // A key that is alone in its range is the whole shard.
 func (planner *planner) offerHotKeys(offer candidate, mean float64, best *candidate) {
-	if !planner.mayGrow() || rangeWidth(planner.service.Shards, offer.shard) < 2 {
+	if !planner.belowGrowthLimit() || rangeWidth(planner.service.Shards, offer.shard) < 2 {
 		return
 	}
 	for _, hot := range planner.service.Shards[offer.shard].HotKeys {
@@ -145,15 +150,30 @@
 	}
 }
 
-// movable says whether a shard may be moved for its load now.
-func (planner *planner) movable(index int) bool {
+// movable says whether a shard may be moved for its load now. Minimum residence
+// keeps shards from going to and fro; it does not keep a back end empty that has
+// just come back.
+func (planner *planner) movable(index, destination int, mean float64) bool {
 	shard := &planner.service.Shards[index]
+	if planner.changing(index) {
+		return false
+	}
 	if shard.LastMoved == 0 || planner.marked() {
 		return true
 	}
+	if planner.nodes[destination].utilisation() < emptyShare*mean {
+		return true
+	}
 	return planner.now >= shard.LastMoved+planner.policy.MinimumResidence
 }
 
+// changing says whether a shard's load is not known well, because it has just
+// left what was expected of it.
+func (planner *planner) changing(index int) bool {
+	changed := planner.service.Shards[index].LoadChangedAt
+	return changed > 0 && planner.now < changed+loadSettle
+}
+
 // marked says whether a marked period is in force; then shards may move
 // before their minimum residence is over.
 func (planner *planner) marked() bool {
@@ -249,6 +269,7 @@
 		position++
 	}
 	planner.splits++
+	planner.waiting++
 	planner.take(best.shard, Move{
 		Shard: shard.ID, From: shard.Owner, To: shard.Owner,
 		Kind: KindSplit, SplitAt: position, Score: best.score,
--- a/internal/placement/divide.go
+++ b/internal/placement/divide.go
@@ -12,8 +12,8 @@
 	// splitShare is the part of a node's mean load above which a shard is
 	// split: a larger shard is too coarse to balance with.
 	splitShare = 0.20
-	// blindSplitAfter is how long a new shard's hot keys are waited for before
-	// it is split in the middle.
+	// blindSplitAfter is how long the hot keys of a shard that is new or whose
+	// load has changed are waited for before it is split in the middle.
 	blindSplitAfter = 3 * time.Second
 	// mergeShare is the part of a node's mean load below which two neighbours
 	// may be merged.
@@ -56,10 +56,15 @@
 	return load / float64(count)
 }
 
-// mayGrow says whether the service may have more shards.
+// mayGrow says whether this decision may split one more shard.
 func (planner *planner) mayGrow() bool {
+	return planner.splits < splitsAtOnce && planner.belowGrowthLimit()
+}
+
+// belowGrowthLimit says whether the service may have more shards.
+func (planner *planner) belowGrowthLimit() bool {
 	limit := maximumGrowth * int(max(1, planner.service.Service.InitialShards))
-	return planner.splits < splitsAtOnce && len(planner.service.Shards)+planner.splits < limit
+	return len(planner.service.Shards)+planner.splits < limit
 }
 
 func (planner *planner) split(perNode float64) {
@@ -103,8 +108,9 @@
 		}
 		return hot.Key + 1, true
 	}
-	created := planner.service.Shards[index].CreatedAt
-	if created > 0 && planner.now < created+blindSplitAfter {
+	shard := &planner.service.Shards[index]
+	since := max(shard.CreatedAt, shard.LoadChangedAt)
+	if since > 0 && planner.now < since+blindSplitAfter {
 		return 0, false
 	}
 	return start + topology.KeyHash(width/2), true
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -41,6 +41,9 @@
 	Shard topology.Shard
 	// Load in slots, as agents observed it.
 	Load float64
+	// LoadChangedAt is when Load last left what was expected of it; zero is
+	// never.
+	LoadChangedAt time.Duration
 	// LastMoved is when the shard last changed owner; zero is never.
 	LastMoved time.Duration
 	// CreatedAt is when a split or merge made the shard; zero is at first
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -36,6 +36,12 @@
 	// pauseWeight is how much one hand-over costs, in average shards moved, at
 	// equal weights.
 	pauseWeight = 0.25
+	// loadSettle is how long a shard stays where it is after a change of its
+	// load was noticed: until then its load is underestimated or overestimated.
+	loadSettle = 1500 * time.Millisecond
+	// emptyShare is the utilisation, relative to the mean, under which a back
+	// end counts as empty.
+	emptyShare = 0.5
 	// joinSettle is how long load moves wait after a back end joined, so that
 	// joins at about the same time are handled as one.
 	joinSettle = 300 * time.Millisecond
--- a/lab/experiment/leader.go
+++ b/lab/experiment/leader.go
@@ -143,9 +143,10 @@
 			continue
 		}
 		shard, _ := l.state.Shard(change.Shard)
-		fmt.Fprintf(l.emulation.config.Trace, "%8.3f s imbalance %.3f: %v of shard %v from %d to %d: %s\n",
+		first, last := l.emulation.measures.keysOf(change.Shard)
+		fmt.Fprintf(l.emulation.config.Trace, "%8.3f s imbalance %.3f: %v of shard %v (%d keys) from %d to %d: %s\n",
 			l.emulation.queue.now.Seconds(), l.emulation.measures.present(),
-			change.Event, change.Shard, shard.Owner, change.To, change.Reason)
+			change.Event, change.Shard, last-first, shard.Owner, change.To, change.Reason)
 	}
 }
 
