--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -214,8 +214,9 @@
 }
 
 // score returns the benefit per cost of a move, or 0 if it is not worth while.
-// The benefit is the decrease of the sum over nodes of
-// slots*(utilisation-mean)^2, relative to mean^2.
+// The benefit is the decrease of the variance of the utilisation over slots,
+// relative to the square of its mean. A move that gains little for the keys it
+// takes along is left, unless its source is intolerably loaded.
 func (planner *planner) score(offer *candidate, cost, mean float64) float64 {
 	from, to := &planner.nodes[offer.source], &planner.nodes[offer.destination]
 	difference := from.utilisation() - to.utilisation()
@@ -223,7 +224,11 @@
 	if decrease <= 0 || offer.load/from.slots < minimumGain*mean {
 		return 0
 	}
-	return planner.policy.Weights.Imbalance * decrease / (mean * mean) / cost
+	worth := planner.policy.Weights.Imbalance * decrease / (mean * mean * planner.slots) / cost
+	if worth < minimumWorth && from.utilisation() < intolerable*mean {
+		return 0
+	}
+	return worth
 }
 
 // cost weighs the keys that a move of a shard takes along and the pause it
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -327,3 +327,60 @@
 	input.Services[0].Shards[4].LongRunning = 1
 	assert.Assert(t, firstOf(placement.Decide(input), placement.KindBalance).Shard != topology.ShardID{})
 }
+
+// Weights used to order moves only; whatever helped at all was moved.
+func TestWeightOfChurnStopsMovesThatGainLittle(t *testing.T) {
+	imbalanced := func(churn float64) placement.Input {
+		input := cluster(4, 64, 0.5)
+		input.Services[0].Service.Placement.Weights = topology.PlacementWeights{Imbalance: 1, Churn: churn, Unavailable: 1}
+		for index := range input.Services[0].Shards {
+			if input.Services[0].Shards[index].Shard.Owner == 2 {
+				input.Services[0].Shards[index].Load = 0.58
+			}
+		}
+		return input
+	}
+	assert.Assert(t, len(placement.Decide(imbalanced(0.2))) > 0)
+	assert.Equal(t, len(placement.Decide(imbalanced(20))), 0)
+	intolerable := imbalanced(20)
+	intolerable.Services[0].Shards[1].Load = 5
+	assert.Assert(t, len(placement.Decide(intolerable)) > 0)
+}
+
+func TestShardWhoseLoadIsChangingStays(t *testing.T) {
+	input := cluster(2, 8, 1)
+	input.Services[0].Shards[1].Load = 4
+	before := firstOf(placement.Decide(input), placement.KindBalance)
+	assert.Equal(t, before.From, topology.BackendID(2))
+	for index := range input.Services[0].Shards {
+		input.Services[0].Shards[index].LoadChangedAt = input.Now - time.Second
+	}
+	assert.Equal(t, len(placement.Decide(input)), 0)
+}
+
+func TestReturnedBackEndIsNotKeptEmptyByResidence(t *testing.T) {
+	input := cluster(3, 48, 0.5)
+	for index := range input.Services[0].Shards {
+		shard := &input.Services[0].Shards[index]
+		if shard.Shard.Owner == 3 {
+			shard.Shard.Owner = topology.BackendID(1 + index%2)
+		}
+		shard.LastMoved = input.Now - time.Second
+	}
+	assert.Assert(t, firstOf(placement.Decide(input), placement.KindBalance).To == 3)
+}
+
+func TestSplitsLeaveWholeShardsForTheNextDecision(t *testing.T) {
+	input := cluster(2, 32, 0.2)
+	for index := range input.Services[0].Shards {
+		shard := &input.Services[0].Shards[index]
+		if shard.Shard.Owner == 1 {
+			shard.Load = 0.6
+			shard.HotKeys = []placement.HotKey{{Key: shard.Shard.Start + 5, Load: 0.3}}
+		}
+	}
+	decision := placement.Evaluate(input)
+	assert.Equal(t, firstOf(decision.Moves, placement.KindBalance).To, topology.BackendID(0), "%v", decision.Moves)
+	assert.Assert(t, firstOf(decision.Moves, placement.KindSplit).SplitAt != 0)
+	assert.Assert(t, decision.Waiting > 0)
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -19,6 +19,8 @@
 	nodes   []node
 	// nodeOf finds a node by back end.
 	nodeOf map[topology.BackendID]int
+	// slots of all nodes that receive.
+	slots float64
 	// loads of the shards, with marks and prior.
 	loads []float64
 	// planned marks shards that have a move in this decision.
@@ -67,6 +69,11 @@
 	for _, backend := range backends {
 		planner.addNode(backend)
 	}
+	for index := range planner.nodes {
+		if planner.nodes[index].receives {
+			planner.slots += planner.nodes[index].slots
+		}
+	}
 	planner.loads = shardLoads(now, service)
 	planner.settleShards()
 	return planner
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -23,6 +23,12 @@
 	// minimumGain is the least decrease of its source's utilisation, relative
 	// to the mean, that makes a move worth while.
 	minimumGain = 0.01
+	// minimumWorth is the least decrease of the relative variance of
+	// utilisation per weighed share of the keys that makes a move worth while.
+	minimumWorth = 0.06
+	// intolerable is the relative utilisation from which any move that helps is
+	// worth while.
+	intolerable = 1.20
 	// nearTolerance is the difference in relative utilisation within which
 	// destinations count as equal, so that the nearer is preferred.
 	nearTolerance = 0.05
