Let the default budget of load moves grow with the back ends

Cause: 120 moves a minute for a service of any size. Emulated faults together used them up, and a back end that had come back stayed empty for 35 s; at 1,100 back ends it would be a move per back end in nine minutes. Change: where the operator states nothing, 60 moves a minute per back end, 120 at least; a stated budget holds as before. Unavailable time is also measured per key, which does not depend on how finely keys are divided into shards.

--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -396,3 +396,18 @@
 	assert.Assert(t, firstOf(decision.Moves, placement.KindSplit).SplitAt != 0)
 	assert.Assert(t, decision.Waiting > 0)
 }
+
+// A budget of 120 moves a minute, whatever the size of the service, left a
+// returned back end empty for half a minute after a loss and a join.
+func TestDefaultBudgetGrowsWithTheService(t *testing.T) {
+	budget := func(backends int, stated uint32) int {
+		input := cluster(backends, 4*backends, 0.5)
+		input.Services[0].RecentLoadMoves = placement.DefaultMovesPerMinute
+		input.Services[0].Service.Placement.MovesPerMinute = stated
+		input.Services[0].Shards[1].Load = 4
+		return len(placement.Decide(input))
+	}
+	assert.Equal(t, budget(2, 0), 0)
+	assert.Assert(t, budget(8, 0) > 0)
+	assert.Equal(t, budget(8, placement.DefaultMovesPerMinute), 0, "what an operator states holds")
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -65,7 +65,11 @@
 		nodeOf:  make(map[topology.BackendID]int, len(backends)),
 		planned: make([]bool, len(service.Shards)),
 	}
-	planner.loadMovesLeft = max(0, int(policy.MovesPerMinute)-int(service.RecentLoadMoves))
+	budget := int(policy.MovesPerMinute)
+	if service.Service.Placement.MovesPerMinute == 0 {
+		budget = max(budget, DefaultMovesPerBackend*len(backends))
+	}
+	planner.loadMovesLeft = max(0, budget-int(service.RecentLoadMoves))
 	for _, backend := range backends {
 		planner.addNode(backend)
 	}
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -10,8 +10,11 @@
 const (
 	DefaultMinimumResidence = 10 * time.Second
 	DefaultMovesPerMinute   = 120
-	DefaultMovesAtOnce      = 4
-	DefaultRestartGrace     = 10 * time.Second
+	// DefaultMovesPerBackend raises DefaultMovesPerMinute for services with many
+	// back ends.
+	DefaultMovesPerBackend = 60
+	DefaultMovesAtOnce     = 4
+	DefaultRestartGrace    = 10 * time.Second
 )
 
 // Thresholds of the load balance.
--- a/lab/experiment/measures.go
+++ b/lab/experiment/measures.go
@@ -67,16 +67,18 @@
 	bound        churnBound
 	shards       map[topology.ShardID]availability
 	unavailable  []time.Duration
-	settleAfter  []time.Duration
-	worstSettled float64
-	disturbedAt  time.Duration
-	unsettled    bool
-	disturbances int
-	ends         [endCount]uint64
-	offeredCount uint64
-	latency      *hdrhistogram.Histogram
-	violations   map[violationKind]int
-	series       []Sample
+	// unavailableKeys is the time summed over keys.
+	unavailableKeys time.Duration
+	settleAfter     []time.Duration
+	worstSettled    float64
+	disturbedAt     time.Duration
+	unsettled       bool
+	disturbances    int
+	ends            [endCount]uint64
+	offeredCount    uint64
+	latency         *hdrhistogram.Histogram
+	violations      map[violationKind]int
+	series          []Sample
 }
 
 // availability is whether a shard can be served, and since when it cannot.
@@ -286,7 +288,10 @@
 	before := m.shards[id]
 	delete(m.shards, id)
 	if before.unavailable && m.measuring {
-		m.unavailable = append(m.unavailable, m.emulation.queue.now-before.since)
+		lasted := m.emulation.queue.now - before.since
+		first, last := m.keysOf(id)
+		m.unavailable = append(m.unavailable, lasted)
+		m.unavailableKeys += lasted * time.Duration(last-first)
 	}
 }
 
--- a/lab/experiment/report.go
+++ b/lab/experiment/report.go
@@ -138,11 +138,11 @@
 {{end}}
 <h2>Table</h2>
 <table><tr><th>deployment</th><th>scenario</th><th>policy</th><th>seeds</th><th>imbalance</th><th>p99</th><th>worst after 10 s</th>
-<th>churn per hour</th><th>keys moved</th><th>least keys</th><th>unavailable ms</th><th>p99 ms</th><th>request p50 ms</th><th>p99 ms</th><th>violations</th></tr>
+<th>churn per hour</th><th>keys moved</th><th>least keys</th><th>unavailable ms</th><th>p99 ms</th><th>per key ms</th><th>request p50 ms</th><th>p99 ms</th><th>violations</th></tr>
 {{range .Summaries}}<tr{{if eq .Policy "quartzdock"}} class="ours"{{end}}><td>{{.Deployment}}</td><td>{{.Scenario}}</td><td>{{.Policy}}</td><td>{{.Seeds}}</td>
 <td>{{printf "%.3f" .Imbalance}}</td><td>{{printf "%.2f" .ImbalanceP99}}</td><td>{{printf "%.2f" .ImbalanceSettled}}</td>
 <td>{{printf "%.2f" .ChurnPerHour}}</td><td>{{printf "%.0f" .ChurnKeys}}</td><td>{{printf "%.1f" .ChurnBoundKeys}}</td>
-<td>{{printf "%.0f" .UnavailableMillis}}</td><td>{{printf "%.0f" .UnavailableP99Millis}}</td>
+<td>{{printf "%.0f" .UnavailableMillis}}</td><td>{{printf "%.0f" .UnavailableP99Millis}}</td><td>{{printf "%.1f" .UnavailableKeyMillis}}</td>
 <td>{{printf "%.1f" .P50Millis}}</td><td>{{printf "%.1f" .P99Millis}}</td><td>{{.Violations}}</td></tr>
 {{end}}</table></body></html>
 `))
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -40,6 +40,9 @@
 	UnavailableMillis    float64 `json:"unavailable_ms"`
 	UnavailableEvents    int     `json:"unavailable_events"`
 	UnavailableP99Millis float64 `json:"unavailable_p99_ms"`
+	// UnavailableKeyMillis is the mean over keys; it does not depend on how
+	// finely the keys are divided into shards.
+	UnavailableKeyMillis float64 `json:"unavailable_key_ms"`
 
 	// Requests offered, and what became of them.
 	Requests uint64 `json:"requests"`
@@ -101,6 +104,7 @@
 		UnavailableMillis:    millis(sum(m.unavailable)),
 		UnavailableEvents:    len(m.unavailable),
 		UnavailableP99Millis: millis(quantile(m.unavailable, 0.99)),
+		UnavailableKeyMillis: millis(m.unavailableKeys) / float64(len(m.owners)),
 
 		Requests: m.offeredCount,
 		Answered: m.ends[endAnswered], Shed: m.ends[endShed], NoOwner: m.ends[endNoOwner],
--- a/lab/experiment/table.go
+++ b/lab/experiment/table.go
@@ -19,6 +19,7 @@
 	OwnerChanges                  float64
 	UnavailableMillis             float64
 	UnavailableP99Millis          float64
+	UnavailableKeyMillis          float64
 	P50Millis, P99Millis          float64
 	// UnansweredShare is the share of requests without an answer.
 	UnansweredShare float64
@@ -79,6 +80,7 @@
 		{&s.OwnerChanges, float64(result.OwnerChanges)},
 		{&s.UnavailableMillis, result.UnavailableMillis},
 		{&s.UnavailableP99Millis, result.UnavailableP99Millis},
+		{&s.UnavailableKeyMillis, result.UnavailableKeyMillis},
 		{&s.P50Millis, result.P50Millis},
 		{&s.P99Millis, result.P99Millis},
 		{&s.UnansweredShare, unanswered},
@@ -100,13 +102,13 @@
 			_, err = fmt.Fprintf(to, format+"\n", arguments...)
 		}
 	}
-	line("| deployment | scenario | policy | imbalance | p99 | worst after 10 s | churn/h | keys moved | least keys | shards moved | unavailable ms | p99 ms | request p50 ms | p99 ms | unanswered | violations |")
-	line("|---|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
+	line("| deployment | scenario | policy | imbalance | p99 | worst after 10 s | churn/h | keys moved | least keys | shards moved | unavailable ms | p99 ms | per key ms | request p50 ms | p99 ms | unanswered | violations |")
+	line("|---|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
 	for _, s := range summaries {
-		line("| %s | %s | %s | %.3f | %.2f | %.2f | %.2f | %.0f | %.1f | %.1f | %.0f | %.0f | %.1f | %.1f | %.3f %% | %d |",
+		line("| %s | %s | %s | %.3f | %.2f | %.2f | %.2f | %.0f | %.1f | %.1f | %.0f | %.0f | %.1f | %.1f | %.1f | %.3f %% | %d |",
 			s.Deployment, s.Scenario, s.Policy, s.Imbalance, s.ImbalanceP99, s.ImbalanceSettled,
 			s.ChurnPerHour, s.ChurnKeys, s.ChurnBoundKeys, s.OwnerChanges,
-			s.UnavailableMillis, s.UnavailableP99Millis, s.P50Millis, s.P99Millis,
+			s.UnavailableMillis, s.UnavailableP99Millis, s.UnavailableKeyMillis, s.P50Millis, s.P99Millis,
 			100*s.UnansweredShare, s.Violations)
 	}
 	return err
