Compare the emulator with real processes

Cause: nothing showed that the emulator's figures mean anything for real processes. Restarts and joins are not compared yet.

--- a/lab/experiment/command.go
+++ b/lab/experiment/command.go
@@ -29,6 +29,8 @@
 	json        bool
 	report      string
 	trace       bool
+	real        bool
+	rateFactor  float64
 }
 
 // list is a flag of names with commas between them.
@@ -57,6 +59,8 @@
 	flags.BoolVar(&options.json, 0, "json", "write each run as JSON")
 	flags.StringVar(&options.report, 0, "report", "", "folder for a page with plots")
 	flags.BoolVar(&options.trace, 0, "trace", "write each move and its reason to the error output; one run at a time")
+	flags.BoolVar(&options.real, 0, "real", "also run each scenario with real processes and compare")
+	flags.Float64Var(&options.rateFactor, 0, "rate", 0.1, "part of the deployment's rates that is offered with --real")
 	return flags, options
 }
 
@@ -67,6 +71,9 @@
 	if err != nil {
 		return err
 	}
+	if o.real {
+		return o.runReal(ctx, configs, stdout)
+	}
 	if o.trace {
 		o.parallel = 1
 		for index := range configs {
@@ -88,6 +95,19 @@
 	return writeTable(stdout, results)
 }
 
+// runReal compares with real processes, one scenario after the other.
+func (o *Options) runReal(ctx context.Context, configs []Config, stdout io.Writer) error {
+	for _, config := range configs {
+		if config.Seed != o.firstSeed {
+			continue
+		}
+		if err := compareReal(ctx, stdout, config, o.rateFactor, o.seeds); err != nil {
+			return fmt.Errorf("%s, %s: %w", config.Deployment.Name, config.Scenario.Name, err)
+		}
+	}
+	return nil
+}
+
 // configs returns one configuration per deployment, scenario, policy and seed.
 func (o *Options) configs() ([]Config, error) {
 	policies, err := o.selectPolicies()
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -44,6 +44,10 @@
 	// finely the keys are divided into shards.
 	UnavailableKeyMillis float64 `json:"unavailable_key_ms"`
 
+	// OutageMillis is the median of the times above longOutage in which a shard
+	// could not be served: what a loss costs, without planned moves.
+	OutageMillis float64 `json:"outage_ms"`
+
 	// Requests offered, and what became of them.
 	Requests uint64 `json:"requests"`
 	Answered uint64 `json:"answered"`
@@ -70,6 +74,9 @@
 	UnavailableMillis float64 `json:"unavailable_ms"`
 }
 
+// longOutage tells losses from planned moves.
+const longOutage = 100 * time.Millisecond
+
 // sample adds a point.
 func (m *measures) sample() {
 	m.series = append(m.series, Sample{
@@ -116,6 +123,8 @@
 		Violations: make(map[string]int),
 		Series:     m.series,
 	}
+	first, _ := slices.BinarySearch(m.unavailable, longOutage)
+	result.OutageMillis = millis(quantile(m.unavailable[first:], 0.5))
 	if len(m.settleAfter) > 0 {
 		result.SettleMillis = millis(slices.Max(m.settleAfter))
 	}
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -19,6 +19,9 @@
 	Seed       uint64
 	// Weights replace those of the deployment if not nil.
 	Weights *deployment.Weights
+	// Placement replaces the product's default policy, with its weights, if not
+	// nil.
+	Placement *topology.PlacementPolicy
 	// Trace takes a line for each move begun; nil is none.
 	Trace io.Writer
 }
@@ -252,11 +255,15 @@
 			NonRepeatable: operation.NonRepeatable,
 		})
 	}
+	policy := topology.PlacementPolicy{Weights: e.weights()}
+	if e.config.Placement != nil {
+		policy = *e.config.Placement
+	}
 	return topology.Service{
 		Name:          e.service.Name,
 		Rules:         rules,
 		InitialShards: e.service.Shards,
-		Placement:     topology.PlacementPolicy{Weights: e.weights()},
+		Placement:     policy,
 		DrainLimit:    drainLimit,
 	}
 }
--- a/lab/fleet/admin.go
+++ b/lab/fleet/admin.go
@@ -12,6 +12,7 @@
 
 	quartzdockv1 "github.com/quartzdock/quartzdock/api/quartzdock/v1"
 	"github.com/quartzdock/quartzdock/api/quartzdock/v1/quartzdockv1connect"
+	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/lab/deployment"
 )
 
@@ -140,20 +141,34 @@
 	labDrainLimit       = 20 * time.Second
 )
 
+// PlacementPolicy is the policy that the lab gives a service.
+func PlacementPolicy(weights deployment.Weights) topology.PlacementPolicy {
+	return topology.PlacementPolicy{
+		Weights: topology.PlacementWeights{
+			Imbalance: weights.Imbalance, Churn: weights.Churn, Unavailable: weights.Unavailable,
+		},
+		MinimumResidence: labMinimumResidence,
+		MovesPerMinute:   labMovesPerMinute,
+		MovesAtOnce:      labMovesAtOnce,
+		RestartGrace:     labRestartGrace,
+	}
+}
+
 func serviceMessage(service deployment.Service) *quartzdockv1.Service {
+	policy := PlacementPolicy(service.Weights)
 	return &quartzdockv1.Service{
 		Name:          service.Name,
 		InitialShards: service.Shards,
 		DrainLimit:    durationpb.New(labDrainLimit),
 		Rules:         ruleMessages(service),
 		Placement: &quartzdockv1.PlacementPolicy{
-			ImbalanceWeight:   service.Weights.Imbalance,
-			ChurnWeight:       service.Weights.Churn,
-			UnavailableWeight: service.Weights.Unavailable,
-			MinimumResidence:  durationpb.New(labMinimumResidence),
-			MovesPerMinute:    labMovesPerMinute,
-			MovesAtOnce:       labMovesAtOnce,
-			RestartGrace:      durationpb.New(labRestartGrace),
+			ImbalanceWeight:   policy.Weights.Imbalance,
+			ChurnWeight:       policy.Weights.Churn,
+			UnavailableWeight: policy.Weights.Unavailable,
+			MinimumResidence:  durationpb.New(policy.MinimumResidence),
+			MovesPerMinute:    policy.MovesPerMinute,
+			MovesAtOnce:       policy.MovesAtOnce,
+			RestartGrace:      durationpb.New(policy.RestartGrace),
 		},
 	}
 }
