--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -37,12 +37,17 @@
 }
 
 func start(t *testing.T) *fixture {
+	t.Helper()
+	return startWith(t, newSolo)
+}
+
+func startWith(t *testing.T, replicate func(controller.Machine) (controller.Replicator, error)) *fixture {
 	t.Helper()
 	running, err := controller.Start(controller.Config{
 		Group:         1,
 		SessionListen: "127.0.0.1:0",
 		RPCListen:     "127.0.0.1:0",
-		Replicate:     newSolo,
+		Replicate:     replicate,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.Check(t, running.Stop()) })
@@ -71,6 +76,16 @@
 	f.revision = response.Msg.Result.Revision
 }
 
+func (f *fixture) updateService(name string, shards uint32) {
+	f.t.Helper()
+	response, err := f.admin.UpdateService(f.t.Context(), connect.NewRequest(&quartzdockv1.UpdateServiceRequest{
+		Mutation: f.mutation(),
+		Service:  &quartzdockv1.Service{Name: name, InitialShards: shards, DrainLimit: durationOf(time.Second)},
+	}))
+	assert.NilError(f.t, err)
+	f.revision = response.Msg.Result.Revision
+}
+
 func (f *fixture) createBackend(service string, number int) {
 	f.t.Helper()
 	response, err := f.admin.CreateBackend(f.t.Context(), connect.NewRequest(&quartzdockv1.CreateBackendRequest{
@@ -92,6 +107,8 @@
 type agent struct {
 	client *subscription.Client
 	holder *ownership.Holder
+	// started is the zero of the clock that the lease refers to.
+	started time.Time
 	// table is the newest in force; the mutex guards it.
 	mutex sync.Mutex
 	table *routing.Table
@@ -99,11 +116,11 @@
 
 func (f *fixture) startAgent(number int) *agent {
 	f.t.Helper()
-	a := &agent{holder: ownership.NewHolder(ownership.DefaultClockDrift)}
+	a := &agent{holder: ownership.NewHolder(ownership.DefaultClockDrift), started: time.Now()}
 	ready := make(chan struct{})
 	client, err := subscription.Start(subscription.Config{
 		Group: 1, Role: topology.RoleAgent, Name: backendName(number), Address: agentAddress(number),
-		Controllers: f.controllers, Lease: a.holder,
+		Controllers: f.controllers, Lease: a.holder, Now: a.now,
 		OnTable: func(table *routing.Table) {
 			<-ready
 			a.follow(table)
@@ -127,6 +144,8 @@
 	return router
 }
 
+func (a *agent) now() time.Duration { return time.Since(a.started) }
+
 func (a *agent) follow(table *routing.Table) {
 	a.mutex.Lock()
 	a.table = table
--- a/internal/controller/group_test.go
+++ b/internal/controller/group_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,8 +16,11 @@
 	"github.com/quartzdock/quartzdock/api/quartzdock/v1/quartzdockv1connect"
 	"github.com/quartzdock/quartzdock/internal/controller"
 	"github.com/quartzdock/quartzdock/internal/replica"
+	"github.com/quartzdock/quartzdock/internal/routing"
+	"github.com/quartzdock/quartzdock/internal/subscription"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
+	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
 // group is three controllers with disks and peers on loopback.
@@ -55,14 +60,25 @@
 	return g
 }
 
+// snapshotEntries is so small that the tests' changes fill several snapshots.
+const snapshotEntries = 10
+
+// startMember starts a member for the first time, or again at the addresses
+// that it had.
 func (g *group) startMember(index int, listener *transport.Listener) *controller.Controller {
 	g.t.Helper()
+	addresses := controller.Addresses{Sessions: "127.0.0.1:0", RPC: "127.0.0.1:0"}
+	if index < len(g.addrs) {
+		addresses = g.addrs[index]
+	}
 	member, err := controller.Start(controller.Config{
 		Group:         1,
-		SessionListen: "127.0.0.1:0",
-		RPCListen:     "127.0.0.1:0",
+		SessionListen: addresses.Sessions,
+		RPCListen:     addresses.RPC,
 		Replicate: controller.ReplicateOn(replica.Config{
-			Group: 1, ID: g.peers[index].ID, DataDir: g.dirs[index], Peers: g.peers, Listener: listener,
+			Group: 1, ID: g.peers[index].ID, DataDir: g.dirs[index], Peers: g.peers,
+			Listen: g.peers[index].Address, Listener: listener,
+			SnapshotEntries: snapshotEntries, RetainEntries: snapshotEntries,
 		}),
 	})
 	assert.NilError(g.t, err)
@@ -172,3 +188,109 @@
 	assertDetail(t, err, connect.CodeUnavailable, &elsewhere)
 	assert.Equal(t, elsewhere.LeaderRpcAddress, g.addrs[index].RPC)
 }
+
+// TestNothingIsForgottenOverARestartOfAll stops the whole group after more
+// changes than a snapshot holds. The first request is answered again, and a
+// router that goes through it, and one that starts anew, see no revision that
+// goes back.
+func TestNothingIsForgottenOverARestartOfAll(t *testing.T) {
+	g := startGroup(t)
+	index, admin := g.leader()
+	f := &fixture{t: t, addr: g.addrs[index], admin: admin}
+	f.createService("closures", 4)
+	first := f.revision
+	var mutex sync.Mutex
+	var seen []topology.Revision
+	router, err := subscription.Start(subscription.Config{
+		Group: 1, Role: topology.RoleRouter, Name: "router", Address: "127.0.0.1:8080", Controllers: g.sessions(),
+		OnTable: func(table *routing.Table) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			seen = append(seen, table.Revision())
+		},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(router.Stop)
+	for range 3 * snapshotEntries {
+		f.updateService("closures", 4)
+	}
+	last := f.revision
+	waitRevision(t, router, last)
+
+	for index := range g.members {
+		g.stop(index)
+	}
+	for index := range g.members {
+		g.members[index] = g.startMember(index, nil)
+	}
+	_, f.admin = g.leader()
+	again, err := f.admin.CreateService(t.Context(), connect.NewRequest(&quartzdockv1.CreateServiceRequest{
+		Mutation: &quartzdockv1.Mutation{RequestId: "request-1", Author: "anna"},
+		Service:  &quartzdockv1.Service{Name: "closures", InitialShards: 4},
+	}))
+	assert.NilError(t, err)
+	assert.Assert(t, again.Msg.Result.Repeated)
+	assert.Equal(t, again.Msg.Result.Revision, first)
+	_, err = f.admin.CreateService(t.Context(), connect.NewRequest(&quartzdockv1.CreateServiceRequest{
+		Mutation: &quartzdockv1.Mutation{RequestId: "request-1", Author: "anna"},
+		Service:  &quartzdockv1.Service{Name: "other", InitialShards: 4},
+	}))
+	var reused quartzdockv1.RequestIDReused
+	assertDetail(t, err, connect.CodeAlreadyExists, &reused)
+	assert.Equal(t, reused.FirstRevision, first)
+
+	f.updateService("closures", 4)
+	waitRevision(t, router, f.revision)
+	for _, address := range g.sessions() {
+		fresh := f.startRouter("fresh", address)
+		waitRevision(t, fresh, f.revision)
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	assert.Assert(t, slices.IsSorted(seen), "%v", seen)
+}
+
+func waitRevision(t *testing.T, router *subscription.Client, revision uint64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if table := router.Table(); table == nil || uint64(table.Revision()) < revision {
+			return poll.Continue("not at revision %d", revision)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+// TestSubscriberThatMissedHundredsOfChangesGetsOneMessage names in its Hello a
+// revision that lies hundreds of changes back.
+func TestSubscriberThatMissedHundredsOfChangesGetsOneMessage(t *testing.T) {
+	f := start(t)
+	f.createService("closures", 1000)
+	old := f.revision
+	for range 300 {
+		f.updateService("closures", 1000)
+	}
+	missed := f.subscribe(old)
+	assert.Assert(t, missed.Delta != nil, "a delta is smaller than 1,000 shards")
+	assert.Equal(t, uint64(missed.Delta.From), old)
+	assert.Equal(t, uint64(missed.Delta.To), f.revision)
+	assert.Equal(t, len(missed.Delta.Services), 1)
+	assert.Assert(t, f.subscribe(0).Snapshot != nil)
+}
+
+// subscribe returns the first routing data that a router at a revision gets.
+func (f *fixture) subscribe(applied uint64) wire.FromController {
+	f.t.Helper()
+	conn, err := transport.Dial(f.t.Context(), f.addr.Sessions, transport.Options{})
+	assert.NilError(f.t, err)
+	defer conn.Close()
+	assert.NilError(f.t, conn.Send(wire.ToController{Hello: &wire.Hello{
+		Group: 1, Role: topology.RoleRouter, Name: "raw", Applied: topology.Revision(applied),
+	}}))
+	for {
+		var message wire.FromController
+		assert.NilError(f.t, conn.Receive(&message))
+		if message.Delta != nil || message.Snapshot != nil {
+			return message
+		}
+	}
+}
--- a/internal/controller/solo_test.go
+++ b/internal/controller/solo_test.go
@@ -75,6 +75,13 @@
 	done(r.machine.Apply(r.index, command), nil)
 }
 
+// applied returns how many commands were applied.
+func (r *soloReplica) applied() topology.Revision {
+	found := make(chan topology.Revision, 1)
+	r.Post(func() { found <- r.index })
+	return <-found
+}
+
 func (r *soloReplica) ReadBarrier(context.Context) error { return nil }
 
 func (r *soloReplica) ChangeMembership(context.Context, consensus.Change) error { return nil }
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -77,3 +77,40 @@
 	assert.Equal(t, wrong.Held, topology.Epoch(3))
 	assert.ErrorIs(t, holder.Owns(mine.ID, 3, duration), ownership.ErrNoLease)
 }
+
+// TestLeasesOfTwoLeadersNeverOverlap draws three clocks that drift within the
+// bound: those of an old leader, of its successor and of the process beside a
+// back end. The old leader grants until its leader lease ends; the new one may
+// think so up to any time between then and its election. When it counts the
+// back end's lease as ended, the holder must not serve any more.
+func TestLeasesOfTwoLeadersNeverOverlap(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		const slowest = 1 - ownership.DefaultClockDrift
+		clock := func(name string) func(time.Duration) time.Duration {
+			rate := rapid.Float64Range(slowest, 1).Draw(r, name)
+			return func(real time.Duration) time.Duration { return time.Duration(float64(real) * rate) }
+		}
+		old, next, holders := clock("old leader"), clock("new leader"), clock("holder")
+		between := func(name string, from, to time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(int64(from), int64(to)).Draw(r, name))
+		}
+		leaseEnd := between("end of the leader lease", time.Second, time.Minute)
+		granted := between("last grant", leaseEnd-duration, leaseEnd)
+		sent := between("renewal sent", granted-duration, granted)
+		known := between("end of the leader lease, as the voters know", leaseEnd, leaseEnd+duration)
+		elected := between("election", leaseEnd, leaseEnd+2*duration)
+
+		holder := ownership.NewHolder(ownership.DefaultClockDrift)
+		oldTable := ownership.NewLeaseTable(duration, 0)
+		holder.Granted(holders(sent), oldTable.Renew(1, 1, old(granted)))
+		table := ownership.NewLeaseTable(duration, next(elected))
+		table.SetSettled(min(next(known), next(elected)) + duration)
+		free := time.Duration(float64(table.Settled())/float64(next(time.Hour))*float64(time.Hour)) + 1
+		if !table.Lapsed(1, next(free)+1) || table.Lapsed(1, next(free)-time.Millisecond) {
+			r.Fatalf("the table settles at another time than %s", free)
+		}
+		if holder.Valid(holders(free)) {
+			r.Fatalf("the holder serves until %s, the new leader gives the shard away at %s", holder.ValidUntil(), holders(free))
+		}
+	})
+}
