Report load in packed form twice a second and send empty deltas along

A node may spend 4 KB/s for control. On the hollow fleet of 1,100 agents and 75,000 shards an agent used 10.3 KB/s, of which 6.4 KB were load reports, one with each renewal of 125 ms at about 11 bytes a shard. Agents now report each 500 ms (failures still with the next renewal), packed to 6 bytes a shard; a delta that changes nothing for the agent's service travels beside the answer to its renewal, and the agent confirms it with its next one, in place of two frames for each revision of any service. wire.Renew says where load is left out, so that the leader doesn't take it for none.

The fleet tool counts TCP segments from the kernel (bare acknowledgements too) in place of guessing one packet a frame, takes another zone for each loss, fails where the lost owned nothing, and marks shifts by no revision.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -69,6 +69,10 @@
 	stopped    chan struct{}
 	background sync.WaitGroup
 
+	// loadDue is when load is reported next; it belongs to the subscription's
+	// sending goroutine.
+	loadDue time.Duration
+
 	// Written by the control goroutine or the prober, read when reporting.
 	wantLease           atomic.Bool
 	grantsPossibleUntil atomic.Int64
--- a/internal/agent/fitness.go
+++ b/internal/agent/fitness.go
@@ -147,6 +147,13 @@
 	fitness.quietSince = now
 }
 
+// hasFailures reports whether requests failed since the last takeCounts.
+func (fitness *fitness) hasFailures() bool {
+	fitness.mutex.Lock()
+	defer fitness.mutex.Unlock()
+	return fitness.counts.failed > 0
+}
+
 // takeCounts returns and resets the totals.
 func (fitness *fitness) takeCounts() fitnessCounts {
 	fitness.mutex.Lock()
--- a/internal/controller/routing_frames.go
+++ b/internal/controller/routing_frames.go
@@ -30,12 +30,16 @@
 	services string
 }
 
-// routingFrame is a message to which the first session that needs it sees.
+// routingFrame is a message that the first session which needs it prepares.
 type routingFrame struct {
 	once    sync.Once
 	encoded *transport.Encoded
-	found   bool
-	err     error
+	// to is the revision to which a delta leads. Empty is set to the delta where
+	// it changes nothing for the services but the revision.
+	to    topology.Revision
+	empty *wire.RoutingDelta
+	found bool
+	err   error
 }
 
 // serviceKey makes a list of services comparable.
@@ -48,8 +52,8 @@
 }
 
 // delta returns the message that leads from a revision to the view's newest. It
-// reports false where a snapshot is needed.
-func (f *routingFrames) delta(view *distribution.View, from topology.Revision, services []topology.ServiceID) (*transport.Encoded, bool, error) {
+// is not found where a snapshot is needed.
+func (f *routingFrames) delta(view *distribution.View, from topology.Revision, services []topology.ServiceID) *routingFrame {
 	frame := f.deltaFrame(view.Newest(), frameKey{from, serviceKey(services)})
 	frame.once.Do(func() {
 		delta, found := view.Since(from, services...)
@@ -57,9 +61,13 @@
 			return
 		}
 		frame.found = true
+		frame.to = delta.To
+		if delta.IsEmpty() {
+			frame.empty = &delta
+		}
 		frame.encoded, frame.err = transport.Encode(wire.FromController{Delta: &delta})
 	})
-	return frame.encoded, frame.found, frame.err
+	return frame
 }
 
 func (f *routingFrames) deltaFrame(newest topology.Revision, key frameKey) *routingFrame {
--- a/internal/controller/routing_frames_test.go
+++ b/internal/controller/routing_frames_test.go
@@ -24,25 +24,24 @@
 func TestRoutingIsEncodedOnceForAllWhoNeedTheSame(t *testing.T) {
 	var frames routingFrames
 	old, newest := viewTo(5), viewTo(6)
-	first, found, err := frames.delta(newest, 3, []topology.ServiceID{1})
-	assert.NilError(t, err)
-	assert.Assert(t, found)
-	again, _, _ := frames.delta(newest, 3, []topology.ServiceID{1})
-	assert.Assert(t, first == again)
+	first := frames.delta(newest, 3, []topology.ServiceID{1})
+	assert.NilError(t, first.err)
+	assert.Assert(t, first.found && first.empty == nil)
+	assert.Equal(t, first.to, topology.Revision(6))
+	assert.Assert(t, first.encoded == frames.delta(newest, 3, []topology.ServiceID{1}).encoded)
 	for _, other := range []struct {
 		from     topology.Revision
 		services []topology.ServiceID
 	}{{4, []topology.ServiceID{1}}, {3, []topology.ServiceID{2}}, {3, nil}} {
-		frame, found, err := frames.delta(newest, other.from, other.services)
-		assert.NilError(t, err)
-		assert.Assert(t, found && frame != first)
+		frame := frames.delta(newest, other.from, other.services)
+		assert.NilError(t, frame.err)
+		assert.Assert(t, frame.found && frame.encoded != first.encoded)
 	}
-	late, found, err := frames.delta(old, 3, []topology.ServiceID{1})
-	assert.NilError(t, err)
-	assert.Assert(t, found && late != first, "a session that loaded an older view gets what leads to that one")
-	_, found, err = frames.delta(newest, 99, nil)
-	assert.NilError(t, err)
-	assert.Assert(t, !found)
+	assert.Assert(t, frames.delta(newest, 3, []topology.ServiceID{2}).empty != nil, "nothing of service 2 changed")
+	late := frames.delta(old, 3, []topology.ServiceID{1})
+	assert.NilError(t, late.err)
+	assert.Equal(t, late.to, topology.Revision(5), "a session that loaded an older view gets what leads to that one")
+	assert.Assert(t, !frames.delta(newest, 99, nil).found)
 }
 
 func TestSnapshotsOfOtherRevisionsAreNotShared(t *testing.T) {
--- a/internal/controller/session_send.go
+++ b/internal/controller/session_send.go
@@ -29,6 +29,8 @@
 	barriers []wire.BarrierAck
 	// ping is the newest question of a router.
 	ping *wire.Ping
+	// beside is an empty delta that goes with renewAck.
+	beside *wire.RoutingDelta
 }
 
 func (o *sessionOutbox) signal() {
@@ -91,11 +93,15 @@
 	due := false
 	for {
 		content, services, routing := s.outbox.take()
+		update := s.nextUpdate(services, routing)
+		if update.onlyRevision() {
+			update = s.hold(update, &content, due)
+		}
 		sent, err := s.sendContent(content)
 		if err != nil {
 			return
 		}
-		updated, err := s.sendRouting(services, routing)
+		updated, err := s.sendUpdate(update, services)
 		if err != nil {
 			return
 		}
@@ -138,7 +144,7 @@
 		messages = append(messages, wire.FromController{Welcome: content.welcome})
 	}
 	if content.renewAck != nil {
-		messages = append(messages, wire.FromController{RenewAck: content.renewAck})
+		messages = append(messages, wire.FromController{RenewAck: content.renewAck, Delta: content.beside})
 	}
 	for index := range content.barriers {
 		messages = append(messages, wire.FromController{BarrierAck: &content.barriers[index]})
@@ -154,24 +160,59 @@
 	return len(messages) > 0, nil
 }
 
-// sendRouting brings the subscriber to the newest revision.
-func (s *session) sendRouting(services []topology.ServiceID, routing bool) (sent bool, err error) {
+// routingUpdate is what brings a subscriber to the newest revision: a delta, or
+// a snapshot of a revision or a later one. The zero value is nothing.
+type routingUpdate struct {
+	delta    *routingFrame
+	snapshot topology.Revision
+}
+
+// onlyRevision reports whether nothing changes for the subscriber's services.
+func (u routingUpdate) onlyRevision() bool { return u.delta != nil && u.delta.empty != nil }
+
+// nextUpdate returns what the subscriber needs now.
+func (s *session) nextUpdate(services []topology.ServiceID, routing bool) routingUpdate {
 	view := s.controller.view.Load()
 	if !routing || view.Newest() <= s.sent {
-		return false, nil
+		return routingUpdate{}
 	}
 	if s.sent != 0 {
-		frame, found, err := s.controller.frames.delta(view, s.sent, services)
-		if err != nil {
-			return true, err
+		if frame := s.controller.frames.delta(view, s.sent, services); frame.found {
+			return routingUpdate{delta: frame}
 		}
-		if found {
-			s.sent = view.Newest()
-			s.controller.metrics.deltas.Inc()
-			return true, s.conn.SendEncoded(frame)
+	}
+	return routingUpdate{snapshot: view.Newest()}
+}
+
+// hold puts an update that changes only the revision beside an answer to a
+// renewal, or keeps it until something else is sent. It returns what is to be
+// sent by itself. A router gets it before the answer to its ping, which else
+// would prove nothing.
+func (s *session) hold(update routingUpdate, content *outboxContent, due bool) routingUpdate {
+	switch {
+	case content.renewAck != nil:
+		content.beside = update.delta.empty
+		s.sent = update.delta.to
+		return routingUpdate{}
+	case content.ping == nil && !due:
+		return routingUpdate{}
+	}
+	return update
+}
+
+func (s *session) sendUpdate(update routingUpdate, services []topology.ServiceID) (sent bool, err error) {
+	switch {
+	case update.delta != nil:
+		if update.delta.err != nil {
+			return true, update.delta.err
 		}
+		s.sent = update.delta.to
+		s.controller.metrics.deltas.Inc()
+		return true, s.conn.SendEncoded(update.delta.encoded)
+	case update.snapshot != 0:
+		return true, s.sendSnapshot(services, update.snapshot)
 	}
-	return true, s.sendSnapshot(services, view.Newest())
+	return false, nil
 }
 
 func (s *session) sendSnapshot(services []topology.ServiceID, atLeast topology.Revision) error {
--- a/internal/subscription/follow.go
+++ b/internal/subscription/follow.go
@@ -96,7 +96,7 @@
 func (c *Client) handle(open *session, message wire.FromController) (useful bool, err error) {
 	switch {
 	case message.RenewAck != nil:
-		return c.renewed(*message.RenewAck), nil
+		return c.acknowledged(open, message)
 	case message.Delta != nil:
 		return c.applyDelta(open, *message.Delta)
 	case message.Alive != nil:
@@ -112,6 +112,16 @@
 	return false, nil
 }
 
+// acknowledged takes a RenewAck and the delta beside it, if there is one.
+func (c *Client) acknowledged(open *session, message wire.FromController) (useful bool, err error) {
+	if message.Delta != nil {
+		if _, err := c.applyDelta(open, *message.Delta); err != nil {
+			return false, err
+		}
+	}
+	return c.renewed(*message.RenewAck), nil
+}
+
 // renewed takes a lease and, where the table is at the leader's revision, a
 // proof of freshness, both counted from when the Renew was sent.
 func (c *Client) renewed(ack wire.RenewAck) bool {
@@ -159,7 +169,7 @@
 		return err
 	}
 	c.counts.snapshots.Add(1)
-	c.inForce(open, table)
+	c.inForce(open, table, false)
 	return nil
 }
 
@@ -180,7 +190,7 @@
 		return false, c.refuseDelta(err)
 	}
 	c.counts.deltas.Add(1)
-	c.inForce(open, next)
+	c.inForce(open, next, delta.IsEmpty())
 	return true, nil
 }
 
@@ -194,12 +204,13 @@
 	return err
 }
 
-// inForce publishes a table, hands it on and confirms it.
-func (c *Client) inForce(open *session, table *routing.Table) {
+// inForce publishes a table, hands it on and confirms it. Where nothing changed
+// but the revision, an agent's next renewal confirms it soon enough.
+func (c *Client) inForce(open *session, table *routing.Table, onlyRevision bool) {
 	c.askWhole, c.gapSeen = false, false
 	c.table.Store(table)
 	if c.config.OnTable != nil {
 		c.config.OnTable(table)
 	}
-	open.outbox.confirm(table.Revision())
+	open.outbox.confirm(table.Revision(), onlyRevision && c.config.Lease != nil)
 }
--- a/internal/subscription/send.go
+++ b/internal/subscription/send.go
@@ -75,7 +75,7 @@
 
 // sendAll returns false when the connection is gone.
 func (s *session) sendAll(batch outboxBatch) bool {
-	if batch.applied > s.applied {
+	if batch.confirmNow && batch.applied > s.applied {
 		s.applied = batch.applied
 		if s.conn.Send(wire.ToController{Applied: &wire.Applied{Revision: batch.applied}}) != nil {
 			return false
@@ -101,6 +101,9 @@
 	s.sequence++
 	renew.Sequence = s.sequence
 	renew.Applied = max(batch.applied, s.applied)
+	if !batch.confirmNow {
+		s.applied = renew.Applied
+	}
 	renew.SentAt = s.config.Now()
 	return wire.ToController{Renew: &renew}
 }
@@ -117,7 +120,9 @@
 type outboxBatch struct {
 	messages []wire.ToController
 	applied  topology.Revision
-	renewNow bool
+	// confirmNow asks for a message that says so, in place of the next renewal.
+	confirmNow bool
+	renewNow   bool
 	// renewEvery is zero until renewals have started.
 	renewEvery time.Duration
 }
@@ -126,8 +131,19 @@
 	o.change(func(next *outboxBatch) { next.messages = append(next.messages, message) })
 }
 
-func (o *outbox) confirm(revision topology.Revision) {
-	o.change(func(next *outboxBatch) { next.applied = revision })
+// confirm notes the revision in force. A patient confirmation waits for the next
+// renewal.
+func (o *outbox) confirm(revision topology.Revision, patient bool) {
+	if patient {
+		o.mutex.Lock()
+		defer o.mutex.Unlock()
+		o.next.applied = revision
+		return
+	}
+	o.change(func(next *outboxBatch) {
+		next.applied = revision
+		next.confirmNow = true
+	})
 }
 
 func (o *outbox) renewNow() {
@@ -158,5 +174,6 @@
 	taken := o.next
 	o.next.messages = nil
 	o.next.renewNow = false
+	o.next.confirmNow = false
 	return taken
 }
--- a/internal/subscription/subscription_test.go
+++ b/internal/subscription/subscription_test.go
@@ -506,3 +506,46 @@
 	startClient(t, Config{Role: topology.RoleAgent, Lease: &recordedLease{}, Controllers: []string{stub.listener.Address()}, SilenceLimit: time.Minute})
 	assert.Equal(t, <-renewed, topology.Revision(5))
 }
+
+// TestEmptyDeltaRidesWithTheRenewalBothWays: a revision that changes nothing for
+// the agent costs no message of its own, and is in force before the lease that
+// came with it counts.
+func TestEmptyDeltaRidesWithTheRenewalBothWays(t *testing.T) {
+	confirmed := make(chan topology.Revision, 1)
+	alone := make(chan topology.Revision, 10)
+	stub := startStub(t, func(p peer) {
+		p.send(t, agentWelcome(), snapshot(5))
+		for {
+			var message wire.ToController
+			if p.Receive(&message) != nil {
+				return
+			}
+			switch {
+			case message.Applied != nil:
+				alone <- message.Applied.Revision
+			case message.Renew != nil && message.Renew.Applied == 6:
+				select {
+				case confirmed <- 6:
+				default:
+				}
+			case message.Renew != nil && message.Renew.Applied == 5:
+				p.send(t, wire.FromController{
+					RenewAck: &wire.RenewAck{SentAt: message.Renew.SentAt, Granted: time.Second, Revision: 6},
+					Delta:    &wire.RoutingDelta{From: 5, To: 6},
+				})
+			}
+		}
+	})
+	var c *Client
+	lease := &recordedLease{}
+	c = startClient(t, Config{Role: topology.RoleAgent, Lease: lease, Controllers: []string{stub.listener.Address()}, SilenceLimit: time.Minute})
+	assert.Equal(t, <-confirmed, topology.Revision(6))
+	assert.Equal(t, c.Table().Revision(), topology.Revision(6))
+	assert.Assert(t, lease.count() > 0)
+	assert.Assert(t, c.Freshness(c.config.Now()) != NeverFresh, "the table was at the revision of the answer")
+	c.Stop()
+	close(alone)
+	for revision := range alone {
+		assert.Equal(t, revision, topology.Revision(5), "confirmed by itself")
+	}
+}
--- a/internal/wire/routing.go
+++ b/internal/wire/routing.go
@@ -32,3 +32,10 @@
 	Shards        []topology.Shard
 	RemovedShards []topology.ShardID
 }
+
+// IsEmpty reports whether the delta changes nothing but the revision.
+func (delta *RoutingDelta) IsEmpty() bool {
+	objects := len(delta.Services) + len(delta.Backends) + len(delta.Shards)
+	removed := len(delta.RemovedServices) + len(delta.RemovedBackends) + len(delta.RemovedShards)
+	return objects+removed == 0
+}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -56,8 +56,11 @@
 	Release bool
 	// Leaving announces a planned stop or restart.
 	Leaving bool
-	Load    []ShardLoad
-	Backend BackendLoad
+	// LoadOmitted says that Load and Backend are left out of this renewal, not
+	// zero: an agent reports load less often than it renews.
+	LoadOmitted bool
+	Load        ShardLoads
+	Backend     BackendLoad
 }
 
 // ShardLoad is what an agent itself observed of a shard since its last report.
@@ -157,7 +160,9 @@
 	Barrier     *Barrier
 }
 
-// FromController is what a controller sends to a router or an agent.
+// FromController is what a controller sends to a router or an agent. A Delta
+// may stand beside a RenewAck: one that changes nothing for the agent waits for
+// it, and then costs no frame.
 type FromController struct {
 	Welcome  *Welcome
 	RenewAck *RenewAck
--- /dev/null
+++ b/internal/wire/shard_loads.go
@@ -0,0 +1,162 @@
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// ShardLoads is a report on several shards. An agent sends one or two a second
+// for each of its shards, so it travels packed: about 6 bytes a shard in place
+// of the 12 that gob needs for the struct.
+//
+// Each shard is a varint of the distance from the number before it, a uvarint
+// of Requests shifted by two with the flags, and a uvarint of BusyMicros; by
+// the flags, Refused and HotKeys follow.
+type ShardLoads []ShardLoad
+
+// Flags beside ShardLoad.Requests.
+const (
+	flagRefused  = 1
+	flagHotKeys  = 2
+	requestsBits = 2
+)
+
+// errDamagedLoads says that a packed report is cut short or out of range.
+var errDamagedLoads = errors.New("wire: damaged load report")
+
+// GobEncode implements gob.GobEncoder.
+func (loads ShardLoads) GobEncode() ([]byte, error) {
+	const usual = 8
+	packed := make([]byte, 0, usual*len(loads))
+	var previous topology.ShardNumber
+	for index := range loads {
+		load := &loads[index]
+		if len(load.HotKeys) > MaximumHotKeys {
+			return nil, fmt.Errorf("wire: shard %d has %d hot keys, want at most %d", load.Shard, len(load.HotKeys), MaximumHotKeys)
+		}
+		packed = binary.AppendVarint(packed, int64(load.Shard)-int64(previous))
+		packed = load.pack(packed)
+		previous = load.Shard
+	}
+	return packed, nil
+}
+
+func (load *ShardLoad) pack(packed []byte) []byte {
+	requests := uint64(load.Requests) << requestsBits
+	if load.Refused > 0 {
+		requests |= flagRefused
+	}
+	if len(load.HotKeys) > 0 {
+		requests |= flagHotKeys
+	}
+	packed = binary.AppendUvarint(packed, requests)
+	packed = binary.AppendUvarint(packed, uint64(load.BusyMicros))
+	if load.Refused > 0 {
+		packed = binary.AppendUvarint(packed, uint64(load.Refused))
+	}
+	if len(load.HotKeys) == 0 {
+		return packed
+	}
+	packed = append(packed, byte(len(load.HotKeys)))
+	for _, hot := range load.HotKeys {
+		packed = binary.BigEndian.AppendUint64(packed, uint64(hot.Key))
+		packed = binary.BigEndian.AppendUint32(packed, math.Float32bits(hot.Share))
+	}
+	return packed
+}
+
+// GobDecode implements gob.GobDecoder.
+func (loads *ShardLoads) GobDecode(packed []byte) error {
+	reader := loadReader{rest: packed}
+	var unpacked ShardLoads
+	var number int64
+	for len(reader.rest) > 0 && !reader.damaged {
+		number += reader.varint()
+		if number < 0 || number > math.MaxUint32 {
+			return errDamagedLoads
+		}
+		unpacked = append(unpacked, reader.load(topology.ShardNumber(number)))
+	}
+	if reader.damaged {
+		return errDamagedLoads
+	}
+	*loads = unpacked
+	return nil
+}
+
+// loadReader takes values off packed bytes; once damaged it returns zeros.
+type loadReader struct {
+	rest    []byte
+	damaged bool
+}
+
+func (r *loadReader) load(number topology.ShardNumber) ShardLoad {
+	requests := r.uvarint(math.MaxUint32<<requestsBits | flagRefused | flagHotKeys)
+	load := ShardLoad{
+		Shard:      number,
+		Requests:   uint32(requests >> requestsBits),
+		BusyMicros: uint32(r.uvarint(math.MaxUint32)),
+	}
+	if requests&flagRefused != 0 {
+		load.Refused = uint32(r.uvarint(math.MaxUint32))
+	}
+	if requests&flagHotKeys != 0 {
+		load.HotKeys = r.hotKeys()
+	}
+	return load
+}
+
+func (r *loadReader) hotKeys() []KeyLoad {
+	const keyBytes = 8 + 4
+	count := r.bytes(1)
+	if r.damaged || count[0] > MaximumHotKeys {
+		r.damaged = true
+		return nil
+	}
+	keys := make([]KeyLoad, 0, count[0])
+	for range count[0] {
+		packed := r.bytes(keyBytes)
+		if r.damaged {
+			return nil
+		}
+		keys = append(keys, KeyLoad{
+			Key:   topology.KeyHash(binary.BigEndian.Uint64(packed)),
+			Share: math.Float32frombits(binary.BigEndian.Uint32(packed[8:])),
+		})
+	}
+	return keys
+}
+
+func (r *loadReader) bytes(count int) []byte {
+	if len(r.rest) < count {
+		r.damaged = true
+		return nil
+	}
+	taken := r.rest[:count]
+	r.rest = r.rest[count:]
+	return taken
+}
+
+func (r *loadReader) varint() int64 {
+	value, size := binary.Varint(r.rest)
+	if size <= 0 {
+		r.damaged = true
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return value
+}
+
+func (r *loadReader) uvarint(limit uint64) uint64 {
+	value, size := binary.Uvarint(r.rest)
+	if size <= 0 || value > limit {
+		r.damaged = true
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return value
+}
--- a/lab/hollow/events.go
+++ b/lab/hollow/events.go
@@ -146,6 +146,9 @@
 		return LossTimes{}, err
 	}
 	everywhere, err := f.reached(ctx, seen.Done, began, lost...)
+	if seen.Before == 0 {
+		return LossTimes{}, errors.New("the lost agents owned no shard")
+	}
 	return LossTimes{
 		Shards: seen.Before, First: seen.FirstAt.Sub(began), Last: seen.DoneAt.Sub(began), Everywhere: everywhere,
 	}, err
--- a/lab/hollow/fleet.go
+++ b/lab/hollow/fleet.go
@@ -40,6 +40,8 @@
 	single   *workerProcess
 	operator *operator
 	backends []topology.BackendID // by agent
+	// losses counts those that were caused.
+	losses int
 }
 
 // startFleet starts all processes, configures the services and waits until
--- a/lab/hollow/hollow_test.go
+++ b/lab/hollow/hollow_test.go
@@ -71,9 +71,9 @@
 	for service, in := range zonesOf {
 		assert.Equal(t, len(in), zones, "service %d", service)
 	}
-	assert.Equal(t, len(plan.agentsOf(LossNode)), 1)
-	assert.Equal(t, len(plan.agentsOf(LossRack)), nodesPerRack)
-	assert.Equal(t, len(plan.agentsOf(LossZone)), 58)
+	assert.Equal(t, len(plan.agentsOf(LossNode, 0)), 1)
+	assert.Equal(t, len(plan.agentsOf(LossRack, 1)), nodesPerRack)
+	assert.Equal(t, len(plan.agentsOf(LossZone, 2)), 58)
 	shards := 0
 	for service := range plan.Services {
 		shards += plan.shardsOf(service)
--- a/lab/hollow/ladder.go
+++ b/lab/hollow/ladder.go
@@ -165,7 +165,10 @@
 }
 
 func measureLoss(ctx context.Context, f *hollowFleet, size int) ([]Value, error) {
-	lost := f.plan.agentsOf(LossZone)
+	// Agents that were lost before have fewer shards than others, so each
+	// loss takes another zone.
+	lost := f.plan.agentsOf(LossZone, f.losses%zones)
+	f.losses++
 	if size > len(lost) {
 		return nil, fmt.Errorf("the zone has %d agents", len(lost))
 	}
--- a/lab/hollow/measure.go
+++ b/lab/hollow/measure.go
@@ -69,16 +69,20 @@
 	// BytesIn, BytesOut, FramesIn and FramesOut are a second, without packet
 	// headers.
 	BytesIn, BytesOut, FramesIn, FramesOut float64
+	// Packets a second in both directions, bare acknowledgements too, as the
+	// kernel counted them.
+	Packets float64
 }
 
 // packetOverhead is the bytes of the IPv4 and TCP headers of a packet, time
 // stamps included (RFC 791, RFC 9293, RFC 7323).
 const packetOverhead = 20 + 20 + 12
 
-// OnWire is the bytes a second in both directions with packet headers, one
-// packet a frame; acknowledgements ride on answers and are not counted.
+// OnWire is the bytes a second in both directions with packet headers. Loopback
+// takes packets of 64 KB, so what is larger than an Ethernet frame counts too
+// few headers: 3.6 % of its bytes are left out.
 func (cost NodeCost) OnWire() float64 {
-	return cost.BytesIn + cost.BytesOut + (cost.FramesIn+cost.FramesOut)*packetOverhead
+	return cost.BytesIn + cost.BytesOut + cost.Packets*packetOverhead
 }
 
 // Steady is what a fleet costs over a window of time.
@@ -172,5 +176,6 @@
 		BytesOut:  rate(before.Sessions.BytesSent, after.Sessions.BytesSent),
 		FramesIn:  rate(before.Sessions.FramesReceived, after.Sessions.FramesReceived),
 		FramesOut: rate(before.Sessions.FramesSent, after.Sessions.FramesSent),
+		Packets:   rate(before.Packets.In+before.Packets.Out, max(after.Packets.In+after.Packets.Out, before.Packets.In+before.Packets.Out)),
 	}
 }
--- a/lab/hollow/messages.go
+++ b/lab/hollow/messages.go
@@ -76,6 +76,8 @@
 	// Reverted counts tables that were older than the one before.
 	Reverted uint64
 	Sessions subscription.Statistics
+	// Packets of the sessions that are open.
+	Packets Packets
 }
 
 // reachedOrder asks when nodes had a revision in force.
--- a/lab/hollow/node.go
+++ b/lab/hollow/node.go
@@ -179,7 +179,7 @@
 	}
 	owned := n.owned.Load()
 	if owned == nil || n.loads == nil || n.reports%n.loads.every != 0 {
-		return wire.Renew{}
+		return wire.Renew{LoadOmitted: true}
 	}
 	return n.loads.report(*owned)
 }
--- a/lab/hollow/operator.go
+++ b/lab/hollow/operator.go
@@ -122,17 +122,19 @@
 	return o.took(answer.Result), nil
 }
 
-// markShift announces that keys run hot.
+// markShift announces that keys run hot. It is no change of the configuration,
+// so it goes by no revision.
 func (o *operator) markShift(ctx context.Context, service string, keys []string, length time.Duration, slots float64) error {
 	now := time.Now()
-	answer, err := call(ctx, o, &quartzdockv1.MarkLoadShiftRequest{
-		Mutation: o.mutation(), Service: service, Keys: keys,
+	mutation := o.mutation()
+	mutation.ExpectedRevision = 0
+	_, err := call(ctx, o, &quartzdockv1.MarkLoadShiftRequest{
+		Mutation: mutation, Service: service, Keys: keys,
 		Start: timestamppb.New(now), End: timestamppb.New(now.Add(length)), ExpectedSlots: slots,
 	}, quartzdockv1connect.AdminServiceClient.MarkLoadShift)
 	if err != nil {
 		return fmt.Errorf("mark load shift of %s: %w", service, err)
 	}
-	o.took(answer.Result)
 	return nil
 }
 
--- a/lab/hollow/plan.go
+++ b/lab/hollow/plan.go
@@ -105,16 +105,16 @@
 	LossZone Loss = "zone"
 )
 
-// agentsOf lists the agents that a loss takes: the first agent, its rack or its
-// zone.
-func (plan Plan) agentsOf(loss Loss) []int {
-	first := locationOf(0)
+// agentsOf lists the agents that a loss takes: the first agent of a zone, its
+// rack or its zone.
+func (plan Plan) agentsOf(loss Loss, zone int) []int {
+	first := locationOf(zone)
 	var lost []int
 	for agent := range plan.Agents {
 		at := locationOf(agent)
 		sameZone := at.Region == first.Region && at.Zone == first.Zone
 		switch {
-		case loss == LossNode && agent == 0,
+		case loss == LossNode && agent == zone,
 			loss == LossRack && sameZone && at.Rack == first.Rack,
 			loss == LossZone && sameZone:
 			lost = append(lost, agent)
--- a/lab/hollow/report.go
+++ b/lab/hollow/report.go
@@ -55,6 +55,7 @@
 		{role + " in", "B/s", cost.BytesIn},
 		{role + " out", "B/s", cost.BytesOut},
 		{role + " frames", "1/s", cost.FramesIn + cost.FramesOut},
+		{role + " packets", "1/s", cost.Packets},
 		{role + " on the wire", "B/s", cost.OnWire()},
 	}
 }
--- a/lab/hollow/settings.go
+++ b/lab/hollow/settings.go
@@ -86,8 +86,8 @@
 	set.DurationVar(&settings.Window, 0, "window", 5*time.Second, "length of a steady measurement")
 	set.Float64Var(&settings.Changes, 0, "changes", 0, "changes of configuration a minute")
 	set.Float64Var(&settings.Shifts, 0, "shifts", 0, "marked shifts of load a minute")
-	set.IntVar(&settings.LoadEvery, 0, "load-every", 1, "renewals between two load reports of an agent")
-	set.IntVar(&settings.Requests, 0, "requests", 17, "requests of a usual shard between two load reports; 17 are 10 million a second over 75,000 shards at 8 reports a second")
+	set.IntVar(&settings.LoadEvery, 0, "load-every", 4, "renewals between two load reports of an agent")
+	set.IntVar(&settings.Requests, 0, "requests", 67, "requests of a usual shard between two load reports; 67 are 10 million a second over 75,000 shards at 2 reports a second")
 	set.IntVar(&settings.Propagations, 0, "propagations", 5, "single changes followed to all nodes")
 	set.Uint64Var(&settings.Seed, 0, "seed", 1, "seed of the choice of keys")
 }
--- a/lab/hollow/worker.go
+++ b/lab/hollow/worker.go
@@ -151,7 +151,12 @@
 	if err != nil {
 		return replyOf(err)
 	}
+	packets, err := packetsOfSelf(w.controllers)
+	if err != nil {
+		return replyOf(err)
+	}
 	sample := Sample{
+		Packets:   packets,
 		At:        time.Now(),
 		Usage:     usage,
 		Runtime:   readRuntime(),
