--- a/lab/experiment/measures.go
+++ b/lab/experiment/measures.go
@@ -67,16 +67,18 @@
 	bound        churnBound
 	shards       map[topology.ShardID]availability
 	unavailable  []time.Duration
-	settleAfter  []time.Duration
-	worstSettled float64
-	disturbedAt  time.Duration
-	unsettled    bool
-	disturbances int
-	ends         [endCount]uint64
-	offeredCount uint64
-	latency      *hdrhistogram.Histogram
-	violations   map[violationKind]int
-	series       []Sample
+	// unavailableKeys is the time summed over keys.
+	unavailableKeys time.Duration
+	settleAfter     []time.Duration
+	worstSettled    float64
+	disturbedAt     time.Duration
+	unsettled       bool
+	disturbances    int
+	ends            [endCount]uint64
+	offeredCount    uint64
+	latency         *hdrhistogram.Histogram
+	violations      map[violationKind]int
+	series          []Sample
 }
 
 // availability is whether a shard can be served, and since when it cannot.
@@ -146,8 +148,9 @@
 	return greatest * float64(len(members)) / total
 }
 
-// disturbed notes that the load or the membership has changed. Lost back ends
-// must give up all their keys.
+// disturbed notes that the load or the membership is about to change. It is
+// called before the change, so that what was reached until then is judged. Lost
+// back ends must give up all their keys.
 func (m *measures) disturbed(lost []*server) {
 	if !m.measuring {
 		return
@@ -285,7 +288,10 @@
 	before := m.shards[id]
 	delete(m.shards, id)
 	if before.unavailable && m.measuring {
-		m.unavailable = append(m.unavailable, m.emulation.queue.now-before.since)
+		lasted := m.emulation.queue.now - before.since
+		first, last := m.keysOf(id)
+		m.unavailable = append(m.unavailable, lasted)
+		m.unavailableKeys += lasted * time.Duration(last-first)
 	}
 }
 
