Make no swap that only changes which back end is the fullest

Cause: a property test of joins found moves with a score of 1e-16: a shard of 0.3 slots went from a back end at 1.20 of the mean to one at 0.80, which then stood at 1.20; above the tolerable load any score over zero was taken. Change: the gain that a move must have is the decrease of the greater utilisation of its two ends, not of its source alone.

--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -221,7 +221,8 @@
 	from, to := &planner.nodes[offer.source], &planner.nodes[offer.destination]
 	difference := from.utilisation() - to.utilisation()
 	decrease := 2*offer.load*difference - offer.load*offer.load*(1/from.slots+1/to.slots)
-	if decrease <= 0 || offer.load/from.slots < minimumGain*mean {
+	gain := math.Min(offer.load/from.slots, difference-offer.load/to.slots)
+	if decrease <= 0 || gain < minimumGain*mean {
 		return 0
 	}
 	worth := planner.policy.Weights.Imbalance * decrease / (mean * mean * planner.slots) / cost
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -23,8 +23,8 @@
 	startImbalance = 1.08
 	// stopImbalance is the imbalance at which they end.
 	stopImbalance = 1.03
-	// minimumGain is the least decrease of its source's utilisation, relative
-	// to the mean, that makes a move worth while.
+	// minimumGain is the least decrease, relative to the mean, of the greater
+	// utilisation of its two ends that makes a move worth while.
 	minimumGain = 0.01
 	// minimumWorth is the least decrease of the relative variance of
 	// utilisation per weighed share of the keys that makes a move worth while.
