Hand leadership over at a planned stop, and test whole fleets under faults

An agent that asked a follower while no controller led was sent away and backed off, growing to 500 ms. It now waits there up to 400 ms and is sent to the new leader as soon as there is one.

Of the lab: the operators' client turns to the next controller where one does not know a leader.

--- a/internal/controller/agents.go
+++ b/internal/controller/agents.go
@@ -14,15 +14,11 @@
 // serveAgent serves an agent at the leader and sends it there otherwise.
 func (s *session) serveAgent() {
 	c := s.controller
-	var welcome wire.Welcome
-	registered := s.onControl(func() {
-		welcome = c.welcome()
-		if welcome.Leader {
-			c.registerAgent(s)
-			welcome.Backend, welcome.Service = s.backend, s.service()
-		}
+	welcome, open := s.awaitLeader(func(welcome *wire.Welcome) {
+		c.registerAgent(s)
+		welcome.Backend, welcome.Service = s.backend, s.service()
 	})
-	if !registered {
+	if !open {
 		return
 	}
 	if !welcome.Leader {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -53,6 +53,9 @@
 	coordinator *coordinator.Coordinator
 	leadership  leadership.Leadership
 	agents      agentSessions
+	// redirectBy is by when the agents of a leadership that ended are sent
+	// away; zero where there are none.
+	redirectBy time.Duration
 }
 
 // Run runs a controller until the context ends.
@@ -167,8 +170,10 @@
 	return c.sessions.Address()
 }
 
-// Stop ends sessions, calls and the replicated log.
+// Stop hands leadership over, if it is held here, and ends sessions, calls and
+// the replicated log.
 func (c *Controller) Stop() error {
+	c.handOver()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	_ = c.sessions.Close()
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -19,6 +19,7 @@
 	if duty.StepDown {
 		c.stepDown(status)
 	}
+	c.sendAgentsOn(now, status)
 	if duty.Announce {
 		c.announce(status)
 	}
@@ -73,7 +74,8 @@
 	c.log.Info("no longer leads the group", "new_term", status.Term, "leader", status.Leader)
 	c.coordinator.StepDown()
 	c.subscribers.edit((*inforce.Tracker).StepDown)
-	c.redirectAgents(c.leaderSessionAddress(status))
+	c.redirectBy = c.replica.Now() + redirectPatience
+	c.sendAgentsOn(c.replica.Now(), status)
 }
 
 func (c *Controller) leaderSessionAddress(status consensus.Status) string {
--- a/internal/controller/replicate.go
+++ b/internal/controller/replicate.go
@@ -56,6 +56,10 @@
 func (r replicated) PeerAddress() string               { return r.member.Address() }
 func (r replicated) Stop() error                       { return r.member.Stop() }
 
+func (r replicated) TransferLeadership(ctx context.Context, target topology.ReplicaID) error {
+	return r.member.TransferLeadership(ctx, target)
+}
+
 func (r replicated) ChangeMembership(ctx context.Context, change consensus.Change) error {
 	_, err := r.member.ChangeMembership(ctx, change)
 	return err
--- a/internal/controller/replicator.go
+++ b/internal/controller/replicator.go
@@ -25,6 +25,9 @@
 	// It fails at a replica that does not lead.
 	ReadBarrier(ctx context.Context) error
 	ChangeMembership(ctx context.Context, change consensus.Change) error
+	// TransferLeadership returns once another voter has been asked to lead and
+	// this one leads no more.
+	TransferLeadership(ctx context.Context, target topology.ReplicaID) error
 	// Status may be called from any goroutine.
 	Status() consensus.Status
 	// Incarnation is that of the data folder, PeerAddress where other members
--- a/internal/controller/solo_test.go
+++ b/internal/controller/solo_test.go
@@ -77,6 +77,8 @@
 
 func (r *soloReplica) ReadBarrier(context.Context) error { return nil }
 
+func (r *soloReplica) TransferLeadership(context.Context, topology.ReplicaID) error { return nil }
+
 func (r *soloReplica) ChangeMembership(context.Context, consensus.Change) error { return nil }
 
 func (r *soloReplica) Status() consensus.Status {
--- a/lab/fleet/admin.go
+++ b/lab/fleet/admin.go
@@ -293,6 +293,7 @@
 				return int(controller.GetId()) - 1, nil
 			}
 		}
+		a.turn++ // this one may be cut off from the others
 		if err := pause(ctx); err != nil {
 			return 0, errors.Join(errors.New("no controller leads"), err)
 		}
@@ -328,6 +329,7 @@
 // WaitShards waits until a condition holds for all shards of a service.
 func (a *Admin) WaitShards(ctx context.Context, service string, holds func(*quartzdockv1.Shard) bool) error {
 	for {
+		a.turn++ // a controller that is cut off from the others shows old owners
 		shards, err := a.Shards(ctx, service)
 		if err != nil {
 			return err
