Look a source's destination up once, not per shard

Change: the destination is kept per near zone while a source's shards are scored. Decisions are the same.

--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -91,12 +91,17 @@
 		return candidate{}, false
 	}
 	best, busiest := candidate{}, candidate{}
+	destinations := make(map[topology.ZoneName]int, 1)
 	for _, index := range from.settled {
 		shard := &planner.service.Shards[index]
 		if planner.planned[index] || shard.Shard.Phase != topology.ShardOwned {
 			continue
 		}
-		destination := planner.leastFor(shard.NearZone, source, mean)
+		destination, found := destinations[shard.NearZone]
+		if !found {
+			destination = planner.leastFor(shard.NearZone, source, mean)
+			destinations[shard.NearZone] = destination
+		}
 		if destination < 0 {
 			planner.waiting++
 			return candidate{}, false
