--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,7 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"iter"
+	"maps"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -280,32 +280,9 @@
 func (agent *Agent) onTable(table *routing.Table) {
 	self := topology.BackendID(agent.self.Load())
 	agent.table.Store(table)
-	agent.holder.SetShards(shardsOf(table, self), self)
-	agent.post(func(control *controlLoop) { control.tableChanged(table, self) })
-}
-
-// shardsOf yields the shards of a back end's service.
-func shardsOf(table *routing.Table, self topology.BackendID) iter.Seq[topology.Shard] {
-	return func(yield func(topology.Shard) bool) {
-		backend, known := table.Backend(self)
-		if !known {
-			return
-		}
-		service, _ := table.Service(backend.Service)
-		for shard := range ownShards(service) {
-			if !yield(*shard) {
-				return
-			}
-		}
-	}
-}
-
-// ownShards yields the shards of a service, none for nil.
-func ownShards(service *routing.Service) iter.Seq[*topology.Shard] {
-	if service == nil {
-		return func(func(*topology.Shard) bool) {}
-	}
-	return service.Shards()
+	mine := newShare(table, self)
+	agent.holder.SetShards(maps.Values(mine.owned), self)
+	agent.post(func(control *controlLoop) { control.tableChanged(mine) })
 }
 
 // send tells the controller; what is lost with a session is repeated by the
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -4,12 +4,10 @@
 	"context"
 	"log/slog"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
-	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/statechart"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -23,10 +21,8 @@
 type controlLoop struct {
 	*Agent
 
-	table *routing.Table
-	self  topology.BackendID
-	// owned is what the table gives this agent.
-	owned map[topology.ShardID]topology.Shard
+	// mine is what the present table gives this agent.
+	mine *share
 	// shards that are granted and begun, or finishing.
 	shards  map[topology.ShardID]*served
 	unbound *served
@@ -45,7 +41,7 @@
 func newControl(agent *Agent) *controlLoop {
 	return &controlLoop{
 		Agent:    agent,
-		owned:    make(map[topology.ShardID]topology.Shard),
+		mine:     &share{},
 		shards:   make(map[topology.ShardID]*served),
 		grants:   newGrantState(agent.config.ClockDrift),
 		warmings: make(map[topology.ShardID]*warming),
@@ -131,41 +127,25 @@
 }
 
 // tableChanged follows a new routing table, which the holder already has.
-func (control *controlLoop) tableChanged(table *routing.Table, self topology.BackendID) {
-	control.table = table
-	control.self = self
-	backend, known := table.Backend(self)
-	if !known {
-		control.owned = make(map[topology.ShardID]topology.Shard)
-		control.reconcile()
-		return
-	}
-	control.applyLimits(backend)
-	control.followState(backend)
-	control.owned = make(map[topology.ShardID]topology.Shard)
-	service, _ := table.Service(backend.Service)
-	for shard := range ownShards(service) {
-		if shard.Owner == self {
-			control.owned[shard.ID] = *shard
-		}
+func (control *controlLoop) tableChanged(mine *share) {
+	control.mine = mine
+	if mine.backend != nil {
+		control.applyLimits(mine.backend)
+		control.followState(mine.backend)
+		control.followMoves(mine)
+		control.followWarmings(mine.warming)
 	}
-	control.followMoves(backend, service)
-	control.followWarmings(service)
 	control.reconcile()
 }
 
 // refollow looks at the present table again.
-func (control *controlLoop) refollow() {
-	if control.table != nil {
-		control.tableChanged(control.table, control.self)
-	}
-}
+func (control *controlLoop) refollow() { control.tableChanged(control.mine) }
 
 // reconcile closes what is no longer owned and lets releases begin.
 func (control *controlLoop) reconcile() {
 	changed := false
 	for id, shard := range control.shards {
-		if owned, ok := control.owned[id]; !ok || owned.Epoch != shard.epoch {
+		if owned, ok := control.mine.owned[id]; !ok || owned.Epoch != shard.epoch {
 			shard.close()
 			delete(control.shards, id)
 			changed = true
@@ -192,14 +172,13 @@
 		return
 	}
 	slices.SortFunc(granted, func(a, b topology.Shard) int { return int(b.ID.Shard) - int(a.ID.Shard) })
-	ranges := control.ranges()
 	changed := false
 	for _, shard := range granted {
-		owned, still := control.owned[shard.ID]
+		owned, still := control.mine.owned[shard.ID]
 		if !still || owned.Epoch != shard.Epoch {
 			continue
 		}
-		changed = control.beginShard(owned, ranges[shard.ID]) || changed
+		changed = control.beginShard(owned, control.mine.covers[shard.ID]) || changed
 	}
 	if changed {
 		control.publish()
@@ -221,24 +200,3 @@
 	control.shards[shard.ID] = newServed(shard.ID, shard.Epoch, covers)
 	return true
 }
-
-// ranges returns what each shard of this agent's service covers.
-func (control *controlLoop) ranges() map[topology.ShardID]requestrecord.Range {
-	ranges := make(map[topology.ShardID]requestrecord.Range)
-	backend, known := control.table.Backend(control.self)
-	if !known {
-		return ranges
-	}
-	service, _ := control.table.Service(backend.Service)
-	var previous *topology.Shard
-	for shard := range ownShards(service) {
-		if previous != nil {
-			ranges[previous.ID] = requestrecord.Range{Start: previous.Start, Last: shard.Start - 1}
-		}
-		previous = shard
-	}
-	if previous != nil {
-		ranges[previous.ID] = requestrecord.Range{Start: previous.Start, Last: math.MaxUint64}
-	}
-	return ranges
-}
--- a/internal/agent/fitness_test.go
+++ b/internal/agent/fitness_test.go
@@ -124,7 +124,7 @@
 	health, load, probing, mostProbing atomic.Int64
 }
 
-func startFake(t *testing.T, handle http.HandlerFunc) *fakeBackend {
+func startFake(t testing.TB, handle http.HandlerFunc) *fakeBackend {
 	t.Helper()
 	fake := &fakeBackend{}
 	begun := time.Now()
@@ -156,7 +156,7 @@
 }
 
 // startFakeRig is startRig with a fake back end.
-func startFakeRig(t *testing.T, handle http.HandlerFunc, edit func(*Config)) (*rig, *fakeBackend) {
+func startFakeRig(t testing.TB, handle http.HandlerFunc, edit func(*Config)) (*rig, *fakeBackend) {
 	t.Helper()
 	fake := startFake(t, handle)
 	r := startAgent(t, self, strings.TrimPrefix(fake.URL, "http://"), t.TempDir(), edit)
--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -94,7 +94,7 @@
 // nextMessage returns nil where the back end has all that it should have.
 func (control *controlLoop) nextMessage(now time.Duration) *grantMessage {
 	state := &control.grants
-	next := &grantMessage{message: backendapi.Grants{Backend: control.self}}
+	next := &grantMessage{message: backendapi.Grants{Backend: control.mine.self}}
 	if !state.clock.Known() {
 		return next
 	}
@@ -129,7 +129,7 @@
 	if !control.holder.Valid(now) {
 		return
 	}
-	for id, shard := range control.owned {
+	for id, shard := range control.mine.owned {
 		if control.grants.taken[id] == shard.Epoch || control.grants.refused[id] >= shard.Epoch {
 			continue
 		}
@@ -153,7 +153,7 @@
 
 // keepsGrant says that a granted shard is still to be served or finished here.
 func (control *controlLoop) keepsGrant(id topology.ShardID) bool {
-	if _, owned := control.owned[id]; !owned {
+	if _, owned := control.mine.owned[id]; !owned {
 		return false
 	}
 	releasing := control.releases[id]
--- a/internal/agent/leaving.go
+++ b/internal/agent/leaving.go
@@ -5,7 +5,6 @@
 
 	"github.com/quartzdock/quartzdock/internal/placement"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
-	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
@@ -43,14 +42,15 @@
 }
 
 // followMoves notes what a planned stop waits for.
-func (control *controlLoop) followMoves(backend *topology.Backend, service *routing.Service) {
+func (control *controlLoop) followMoves(mine *share) {
 	moving := int32(0)
-	for _, shard := range control.owned {
+	for _, shard := range mine.owned {
 		if shard.Target != 0 {
 			moving++
 		}
 	}
 	control.moving.Store(moving)
-	waits := service != nil && backend.State == topology.BackendActive && placement.WaitsForRestart(service.Placement)
+	waits := mine.service != nil && mine.backend.State == topology.BackendActive &&
+		placement.WaitsForRestart(mine.service.Placement)
 	control.waitsForRestart.Store(waits)
 }
--- a/internal/agent/release.go
+++ b/internal/agent/release.go
@@ -46,13 +46,13 @@
 // releasing, and forgets those that the table has gone past.
 func (control *controlLoop) followReleases() {
 	for id, running := range control.releases {
-		owned, ok := control.owned[id]
+		owned, ok := control.mine.owned[id]
 		if !ok || owned.Epoch != running.epoch || owned.Phase != topology.ShardReleasing {
 			delete(control.releases, id)
 		}
 	}
 	now := control.now()
-	for id, shard := range control.owned {
+	for id, shard := range control.mine.owned {
 		if _, begun := control.releases[id]; !begun && shard.Phase == topology.ShardReleasing {
 			control.beginRelease(shard, now)
 		}
@@ -85,12 +85,8 @@
 
 // drainLimit is the service's own bound for running requests.
 func (control *controlLoop) drainLimit() time.Duration {
-	backend, known := control.table.Backend(control.self)
-	if !known {
-		return DefaultDrainLimit
-	}
-	service, known := control.table.Service(backend.Service)
-	if !known || service.DrainLimit == 0 {
+	service := control.mine.service
+	if service == nil || service.DrainLimit == 0 {
 		return DefaultDrainLimit
 	}
 	return service.DrainLimit
@@ -136,7 +132,7 @@
 	running.stage = stageTransferring
 	running.grantEndsBy = control.grants.possibleUntil
 	control.syncGrants()
-	target, known := control.table.Backend(running.target)
+	target, known := control.mine.table.Backend(running.target)
 	address := ""
 	if known {
 		address = target.AgentAddress
--- a/internal/agent/rig_test.go
+++ b/internal/agent/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,10 +29,10 @@
 )
 
 const (
-	self      = topology.BackendID(1)
-	other     = topology.BackendID(2)
-	testLease = 500 * time.Millisecond
-	renewEach = 25 * time.Millisecond
+	self          = topology.BackendID(1)
+	other         = topology.BackendID(2)
+	testLease     = 500 * time.Millisecond
+	testRenewEach = 25 * time.Millisecond
 )
 
 var shard = topology.ShardID{Service: 1, Shard: 1}
@@ -41,6 +42,8 @@
 	agent *Agent
 	// refuses: renewals are not answered, as when the agent is cut off.
 	refuses atomic.Bool
+	// renewEach is the time between renewals.
+	renewEach atomic.Int64
 
 	mutex    sync.Mutex
 	messages []wire.ToController
@@ -115,7 +118,7 @@
 
 // rig is an agent with a leader and a stand-in back end.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	self    topology.BackendID
 	agent   *Agent
 	leader  *leader
@@ -126,7 +129,7 @@
 	ended   chan error
 }
 
-func startBackend(t *testing.T, config backend.Config) (*backend.Backend, string) {
+func startBackend(t testing.TB, config backend.Config) (*backend.Backend, string) {
 	t.Helper()
 	config.Name = "one"
 	if config.Listen == "" {
@@ -143,13 +146,13 @@
 }
 
 // startRig starts everything and returns once the lease is valid.
-func startRig(t *testing.T, backendConfig backend.Config, edit func(*Config)) *rig {
+func startRig(t testing.TB, backendConfig backend.Config, edit func(*Config)) *rig {
 	t.Helper()
 	return startRigAs(t, self, backendConfig, edit)
 }
 
 // startRigAs is startRig for a back end of any identity.
-func startRigAs(t *testing.T, id topology.BackendID, backendConfig backend.Config, edit func(*Config)) *rig {
+func startRigAs(t testing.TB, id topology.BackendID, backendConfig backend.Config, edit func(*Config)) *rig {
 	t.Helper()
 	started, path := startBackend(t, backendConfig)
 	r := startAgent(t, id, started.Address(), t.TempDir(), edit)
@@ -158,7 +161,7 @@
 }
 
 // startAgent starts an agent and a leader for the back end at the address.
-func startAgent(t *testing.T, id topology.BackendID, address, folder string, edit func(*Config)) *rig {
+func startAgent(t testing.TB, id topology.BackendID, address, folder string, edit func(*Config)) *rig {
 	t.Helper()
 	config := Config{
 		Name:           "one",
@@ -177,6 +180,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &rig{t: t, self: id, agent: agent, leader: &leader{agent: agent},
 		folder: folder, stop: stop, ended: make(chan error, 1)}
+	r.leader.renewEach.Store(int64(testRenewEach))
 	renewals, endRenewals := context.WithCancel(context.Background())
 	go func() {
 		defer endRenewals()
@@ -194,17 +198,17 @@
 func (r *rig) renew(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.leader.RenewNow()
-		time.Sleep(renewEach)
+		time.Sleep(time.Duration(r.leader.renewEach.Load()))
 	}
 }
 
 // testWriter sends the agent's log to the test's until the test has ended.
 type testWriter struct {
 	mutex sync.Mutex
-	t     *testing.T
+	t     testing.TB
 }
 
-func newTestWriter(t *testing.T) *testWriter {
+func newTestWriter(t testing.TB) *testWriter {
 	writer := &testWriter{t: t}
 	t.Cleanup(func() {
 		writer.mutex.Lock()
@@ -374,9 +378,12 @@
 var idCount atomic.Uint64
 
 // newID makes an id that is stamped with the time.
-func newID(at time.Time) string {
+func newID(at time.Time) string { return newIDOf(at, idCount.Add(1)) }
+
+// newIDOf makes an id from a time and a number.
+func newIDOf(at time.Time, number uint64) string {
 	var random [10]byte
-	random[9] = byte(idCount.Add(1))
+	binary.BigEndian.PutUint64(random[2:], number)
 	return requestid.New(at, random).String()
 }
 
@@ -397,7 +404,7 @@
 }
 
 // stopNow ends a stand-in without waiting for its requests.
-func stopNow(t *testing.T, started *backend.Backend) {
+func stopNow(t testing.TB, started *backend.Backend) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/agent/warming.go
+++ b/internal/agent/warming.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -25,13 +24,7 @@
 }
 
 // followWarmings begins and ends warmings as the table says.
-func (control *controlLoop) followWarmings(service *routing.Service) {
-	wanted := make(map[topology.ShardID]topology.Epoch)
-	for shard := range ownShards(service) {
-		if shard.Target == control.self && shard.Phase == topology.ShardWarming {
-			wanted[shard.ID] = shard.Epoch
-		}
-	}
+func (control *controlLoop) followWarmings(wanted map[topology.ShardID]topology.Epoch) {
 	for id, running := range control.warmings {
 		if epoch, ok := wanted[id]; !ok || epoch != running.epoch {
 			running.cancel()
--- a/internal/requestrecord/bench_test.go
+++ b/internal/requestrecord/bench_test.go
@@ -3,6 +3,11 @@
 import (
 	"context"
 	"encoding/binary"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,3 +72,90 @@
 	stats := record.Stats()
 	b.ReportMetric(float64(stats.Syncs)/float64(stats.Fresh), "syncs/op")
 }
+
+// BenchmarkSync is the cost of one write and sync alone, for comparison.
+func BenchmarkSync(b *testing.B) {
+	file, err := os.Create(filepath.Join(b.TempDir(), "plain"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer file.Close()
+	entry := make([]byte, 128)
+	for b.Loop() {
+		if _, err := file.Write(entry); err != nil {
+			b.Fatal(err)
+		}
+		if err := file.Sync(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkKept reports what a kept id with an answer of 100 bytes takes in
+// memory and in the journal, before and after it is written anew, and how long
+// it takes to read them back.
+func BenchmarkKept(b *testing.B) {
+	const ids = 50_000
+	for range b.N {
+		directory := b.TempDir()
+		stamp := time.Now()
+		config := Config{Directory: directory, Now: func() time.Time { return stamp }}
+		before := heapInUse()
+		record, err := Open(config)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = record.Begin(shard, 1, whole)
+		stamp = stamp.Add(DefaultClockBound)
+		var group sync.WaitGroup
+		for caller := range uint64(50) {
+			group.Go(func() {
+				for n := range uint64(ids / 50) {
+					var random [10]byte
+					binary.BigEndian.PutUint64(random[2:], caller<<32|n)
+					id := requestid.New(stamp, random)
+					if _, err := record.Admit(context.Background(), shard, 1, id, 7); err != nil {
+						b.Error(err)
+					}
+					record.Finish(shard, id, &Answer{Status: 200, Header: http.Header{"Content-Type": {"text/plain"}}, Body: make([]byte, 100)})
+				}
+			})
+		}
+		group.Wait()
+		b.ReportMetric(float64(heapInUse()-before)/ids, "heap-B/id")
+		if err := record.Close(); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(journalBytes(b, directory))/ids, "journal-B/id")
+		began := time.Now()
+		record, err = Open(config)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(time.Since(began).Microseconds())/ids, "reopen-µs/id")
+		_ = record.Close()
+		b.ReportMetric(float64(journalBytes(b, directory))/ids, "rewritten-B/id")
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return memory.HeapAlloc
+}
+
+func journalBytes(b *testing.B, directory string) (total int64) {
+	segments, err := listSegments(directory)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, found := range segments {
+		info, err := os.Stat(found.path)
+		if err != nil {
+			b.Fatal(err)
+		}
+		total += info.Size()
+	}
+	return total
+}
