Simulate all roles on virtual time under seeded faults

Change: lab/simulate drives consensus, control state, coordinator, routing table, lease and ledger with a seeded network, disks, clocks and 25 kinds of faults, and checks eleven promises against an outside observer. 25 deliberate defects can be switched on.

--- a/cmd/quartzdock-lab/main.go
+++ b/cmd/quartzdock-lab/main.go
@@ -16,6 +16,8 @@
 
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
+
+	"github.com/quartzdock/quartzdock/lab/simulate"
 )
 
 // Exit statuses.
@@ -62,6 +64,7 @@
 			demoCommand(),
 			faultsCommand(),
 			fleetCommand(),
+			simulate.Command(os.Stdout),
 			backendCommand(),
 			loadCommand(),
 			machinesCommand(),
