--- a/cmd/quartzdock-lab/main.go
+++ b/cmd/quartzdock-lab/main.go
@@ -62,6 +62,7 @@
 		ShortHelp: "the bench of quartzdock",
 		Subcommands: []*ff.Command{
 			demoCommand(),
+			experimentCommand(),
 			faultsCommand(),
 			fleetCommand(),
 			simulate.Command(os.Stdout),
