Release a shard only when its grant is surely gone; let no new leader vouch too soon

Change: the agent remembers every grant that it sent until its revocation is confirmed, and waits for its first message to replace a predecessor's grants; a leader vouches for subscribers only after it has led for RelyingBound.

--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -31,6 +31,9 @@
 	replaced bool
 	// taken is what the back end confirmed.
 	taken map[topology.ShardID]topology.Epoch
+	// possible is what the back end may hold: all that was sent, until its
+	// revocation is confirmed.
+	possible map[topology.ShardID]topology.Epoch
 	// refused epochs: the back end has seen a higher one.
 	refused map[topology.ShardID]topology.Epoch
 	// confirmedUntil is the end of the grants in the last message that was
@@ -47,12 +50,21 @@
 
 func newGrantState(drift float64) grantState {
 	return grantState{
-		clock:   backendapi.Clock{Drift: drift},
-		taken:   make(map[topology.ShardID]topology.Epoch),
-		refused: make(map[topology.ShardID]topology.Epoch),
+		clock:    backendapi.Clock{Drift: drift},
+		taken:    make(map[topology.ShardID]topology.Epoch),
+		possible: make(map[topology.ShardID]topology.Epoch),
+		refused:  make(map[topology.ShardID]topology.Epoch),
 	}
 }
 
+// mayHold says that the back end may still hold a grant of the shard. Until a
+// message of this process has replaced them, it may hold those of an earlier
+// one.
+func (state *grantState) mayHold(shard topology.ShardID) bool {
+	_, possible := state.possible[shard]
+	return possible || !state.replaced
+}
+
 // lost says that the back end has not answered until its grants ended.
 func (state *grantState) lost(now time.Duration) bool {
 	return state.failures >= failuresToLose && now >= state.confirmedUntil
@@ -87,6 +99,9 @@
 	next.message.Sequence = state.sequence
 	next.possibleBefore = state.possibleUntil
 	state.possibleUntil = max(state.possibleUntil, next.until)
+	for _, shard := range next.granted {
+		state.possible[shard.ID] = shard.Epoch
+	}
 	control.grantsPossibleUntil.Store(int64(state.possibleUntil))
 	control.background.Go(func() { control.sendGrants(next) })
 }
@@ -142,7 +157,7 @@
 }
 
 func (control *controlLoop) addRevocations(next *grantMessage) {
-	for id := range control.grants.taken {
+	for id := range control.grants.possible {
 		if control.keepsGrant(id) {
 			continue
 		}
@@ -218,6 +233,7 @@
 	}
 	for _, id := range sent.revoked {
 		delete(state.taken, id)
+		delete(state.possible, id)
 	}
 	control.begin(sent.granted)
 	if control.state == stateUnreachable {
@@ -232,6 +248,7 @@
 	state.clock.Observe(reading, received)
 	state.sequence = max(state.sequence, reading.Sequence)
 	state.taken = make(map[topology.ShardID]topology.Epoch)
+	state.possible = make(map[topology.ShardID]topology.Epoch)
 	state.refused = make(map[topology.ShardID]topology.Epoch)
 	state.possibleUntil = 0
 	state.confirmedUntil = 0
--- /dev/null
+++ b/internal/agent/grants_test.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/backendapi"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// mutedBackend takes grants and, while muted, answers none of the messages
+// that carry some.
+type mutedBackend struct {
+	begun time.Time
+	mutex sync.Mutex
+	// held is what a back end would serve.
+	held     []string
+	sequence uint64
+	muted    bool
+	// lost messages, of those that follow the first reading, are not taken.
+	lost int
+}
+
+func (muted *mutedBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasSuffix(r.URL.Path, "/grants") {
+		_, _ = w.Write([]byte(`{}`))
+		return
+	}
+	var message backendapi.Grants
+	if json.NewDecoder(r.Body).Decode(&message) != nil {
+		return
+	}
+	if muted.take(message) {
+		<-r.Context().Done()
+		return
+	}
+	_ = json.NewEncoder(w).Encode(muted.reading())
+}
+
+// take reports whether the message stays unanswered.
+func (muted *mutedBackend) take(message backendapi.Grants) bool {
+	muted.mutex.Lock()
+	defer muted.mutex.Unlock()
+	if message.Boot == "" {
+		return false
+	}
+	if muted.lost > 0 {
+		muted.lost--
+		return true
+	}
+	if message.Replace {
+		muted.held = nil
+	}
+	for _, grant := range message.Grants {
+		muted.held = append(muted.held, grant.Shard)
+	}
+	muted.held = slices.DeleteFunc(muted.held, func(held string) bool { return slices.Contains(message.Revoked, held) })
+	muted.sequence = message.Sequence
+	return muted.muted && len(message.Grants) > 0
+}
+
+func (muted *mutedBackend) reading() backendapi.Reading {
+	muted.mutex.Lock()
+	defer muted.mutex.Unlock()
+	return backendapi.Reading{Boot: "b", ClockMilliseconds: time.Since(muted.begun).Milliseconds(), Sequence: muted.sequence}
+}
+
+func (muted *mutedBackend) holds(shard string) bool {
+	muted.mutex.Lock()
+	defer muted.mutex.Unlock()
+	return slices.Contains(muted.held, shard)
+}
+
+// TestGrantWithoutAnswerIsRevokedBeforeTheRelease: the back end took a grant
+// and its answer was lost. The shard must not be released before the back end
+// has given it up.
+func TestGrantWithoutAnswerIsRevokedBeforeTheRelease(t *testing.T) {
+	muted := &mutedBackend{begun: time.Now(), muted: true}
+	server := httptest.NewServer(muted)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	r := startAgent(t, self, strings.TrimPrefix(server.URL, "http://"), t.TempDir(), shortClockBound)
+	r.give(1, topology.Shard{Phase: topology.ShardOwned, Owner: self, Epoch: 1})
+	r.waitFor("the grant taken", func() bool { return muted.holds(shard.String()) })
+	r.give(2, topology.Shard{Phase: topology.ShardReleasing, Owner: self, Target: other, Epoch: 1})
+	r.waitFor("the release", func() bool { return r.leader.releasedShard(shard) != nil })
+	assert.Assert(t, !muted.holds(shard.String()), "released while the back end holds the grant")
+}
+
+// TestEarlierGrantsAreReplacedBeforeTheRelease: an agent starts while its shard
+// moves away, and its predecessor's grant is still at the back end.
+func TestEarlierGrantsAreReplacedBeforeTheRelease(t *testing.T) {
+	muted := &mutedBackend{begun: time.Now(), held: []string{shard.String()}, lost: 1}
+	server := httptest.NewServer(muted)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	r := startAgent(t, self, strings.TrimPrefix(server.URL, "http://"), t.TempDir(), shortClockBound)
+	r.give(1, topology.Shard{Phase: topology.ShardReleasing, Owner: self, Target: other, Epoch: 1})
+	r.waitFor("the release", func() bool { return r.leader.releasedShard(shard) != nil })
+	assert.Assert(t, !muted.holds(shard.String()), "released while the back end holds an earlier process's grant")
+}
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -63,7 +63,8 @@
 		return
 	}
 	c.coordinator.BecomeLeaderAfter(status.EarlierLeasesEnd, c.replica.Now())
-	c.subscribers.edit((*inforce.Tracker).BecomeLeader)
+	now := c.now()
+	c.subscribers.edit(func(tracker *inforce.Tracker) { tracker.BecomeLeader(now) })
 	c.metrics.elections.Inc()
 	c.log.Info("leads the group", "term", term, "revision", c.state.Revision())
 }
--- a/internal/inforce/doc.go
+++ b/internal/inforce/doc.go
@@ -11,7 +11,9 @@
 //   - Every subscriber of every controller has confirmed it, or was silent for
 //     wire.StopRelyingAfter. All controllers must have reported just now, and
 //     each must have run for RelyingBound: one that has just started does not
-//     know the subscribers that it served before.
+//     know the subscribers that it served before. The leader must have led for
+//     RelyingBound: a new one does not know the subscribers of a controller
+//     that was lost and removed.
 //   - RelyingBound has passed since it was committed. A router without it has no
 //     proof of freshness from a later moment than the commit, and without one
 //     it stops serving; the lease of an agent without it is not renewed (see
--- a/internal/inforce/inforce_test.go
+++ b/internal/inforce/inforce_test.go
@@ -127,10 +127,24 @@
 
 func TestNewLeaderWaitsForAllReports(t *testing.T) {
 	tracker := leader()
-	tracker.BecomeLeader()
+	tracker.BecomeLeader(settled)
 	assert.DeepEqual(t, lagging(tracker, settled), []string{"controller-2"})
 }
 
+// TestNewLeaderDoesNotVouchForAControllerThatWasRemoved: a router had its
+// session with a controller that was lost with its disk and removed. No member
+// knows of the router, which relies on its data for a while.
+func TestNewLeaderDoesNotVouchForAControllerThatWasRemoved(t *testing.T) {
+	tracker := leader()
+	tracker.BecomeLeader(settled)
+	tracker.TakeReport(other, &wire.SubscriberReport{All: true, Listing: settled}, settled)
+	assert.Assert(t, !tracker.Progress(change, &status, settled).Everywhere)
+	later := settled + inforce.RelyingBound + 1
+	tracker.TakeReport(other, &wire.SubscriberReport{Listing: later}, later)
+	tracker.Committed(change+1, later)
+	assert.Assert(t, tracker.Progress(change+1, &status, later).Everywhere)
+}
+
 func TestFollowerReportsChangesOnce(t *testing.T) {
 	tracker := leader()
 	tracker.Connected(router("own"), &wire.Hello{Boot: 1, Applied: before}, settled)
--- a/internal/inforce/progress.go
+++ b/internal/inforce/progress.go
@@ -48,13 +48,15 @@
 }
 
 // unsure lists the members that can't tell who has what: those that have not
-// reported just now, and those that have started only now.
+// reported just now, those that have started only now, and a new leader. A new
+// leader knows nothing of the subscribers of a controller that was lost and is
+// no member any more, until those have stopped relying.
 func (t *Tracker) unsure(status *consensus.Status, now time.Duration) []Subscriber {
 	var found []Subscriber
 	for _, entry := range status.Membership.Members {
 		known, heard := t.members[entry.ID]
 		if entry.ID == status.ID {
-			known, heard = member{heardAt: now, started: t.started}, true
+			known, heard = member{heardAt: now, started: max(t.started, t.leads)}, true
 		}
 		silent := !heard || now-known.heardAt > 2*ReportInterval+reportSlack
 		if silent || now-known.started <= RelyingBound {
--- a/internal/inforce/tracker.go
+++ b/internal/inforce/tracker.go
@@ -44,8 +44,10 @@
 // have sessions with it; at the leader, those of other controllers are listed
 // as well. It is not safe for concurrent use.
 type Tracker struct {
-	// started is when this controller began to list its subscribers.
+	// started is when this controller began to list its subscribers, and leads
+	// when it last became the leader.
 	started time.Duration
+	leads   time.Duration
 	own     map[Key]*Subscriber
 	foreign map[Key]*Subscriber
 	members map[topology.ReplicaID]member
@@ -130,8 +132,13 @@
 	return entry
 }
 
-// BecomeLeader begins to collect the reports of the other controllers.
-func (t *Tracker) BecomeLeader() {
+// BecomeLeader begins to collect the reports of the other controllers at now.
+func (t *Tracker) BecomeLeader(now time.Duration) {
+	t.forgetReports()
+	t.leads = now
+}
+
+func (t *Tracker) forgetReports() {
 	clear(t.foreign)
 	clear(t.members)
 }
@@ -139,7 +146,7 @@
 // StepDown forgets the other controllers' reports. All own subscribers are to
 // be reported to the new leader.
 func (t *Tracker) StepDown() {
-	t.BecomeLeader()
+	t.forgetReports()
 	for _, entry := range t.own {
 		entry.dirty = true
 	}
