--- a/lab/simulate/agent.go
+++ b/lab/simulate/agent.go
@@ -19,6 +19,8 @@
 	// drainLimit of the services, and of an agent's planned stop.
 	drainLimit       = 5 * time.Second
 	agentStopTimeout = 12 * time.Second
+	// leavingGrace is for how long a leaving back end takes new work.
+	leavingGrace = 3 * time.Second
 )
 
 // agent is the emulated agent: the real lease holder and ledger of request ids,
@@ -43,6 +45,8 @@
 	running   int
 	leaving   bool
 	releasing bool
+	// leavingSince is when the back end began to leave; zero while it does not.
+	leavingSince time.Duration
 	// born is when the process started.
 	born time.Duration
 	// lying is added to the load that the back end claims.
@@ -99,7 +103,7 @@
 	a.warmings = make(map[topology.ShardID]*warming)
 	a.loads = make(map[topology.ShardNumber]*wire.ShardLoad)
 	a.queue, a.running = nil, 0
-	a.leaving, a.releasing = false, false
+	a.leaving, a.releasing, a.leavingSince = false, false, 0
 	a.begin()
 	a.every(agentTick, a.tick)
 }
@@ -180,6 +184,7 @@
 	a.owned = make(map[topology.ShardID]topology.Shard)
 	var shards []topology.Shard
 	if known, ok := table.Backend(self); ok {
+		a.followState(known.State)
 		if service, found := table.Service(known.Service); found {
 			for shard := range service.Shards() {
 				shards = append(shards, *shard)
@@ -203,6 +208,27 @@
 	a.syncGrants()
 }
 
+// followState notes since when the back end leaves. One that learns of it
+// without a lease was cut off or has just started, and takes no new work at
+// all.
+func (a *agent) followState(state topology.BackendState) {
+	switch {
+	case state == topology.BackendActive && !a.leaving:
+		a.leavingSince = 0
+	case a.leavingSince != 0:
+	case a.holder.Valid(a.clock()):
+		a.leavingSince = a.clock()
+	default:
+		a.leavingSince = a.clock() - leavingGrace
+	}
+}
+
+// closedToNew reports whether the back end has been leaving for too long to
+// take new work.
+func (a *agent) closedToNew() bool {
+	return a.leavingSince != 0 && a.clock()-a.leavingSince >= leavingGrace && !a.cluster.has(DefectIgnoreDrain)
+}
+
 // serve lets granted shards be served; a part that a split made begins before
 // the shard it was part of.
 func (a *agent) serve(granted []topology.Shard) {
--- a/lab/simulate/agent_release.go
+++ b/lab/simulate/agent_release.go
@@ -155,6 +155,7 @@
 func (a *agent) stop(ended func()) {
 	deadline := a.clock() + agentStopTimeout
 	a.leaving = true
+	a.leavingSince = a.clock()
 	a.renewNow()
 	if a.cluster.has(DefectStopAtOnce) {
 		a.exit(ended)
--- a/lab/simulate/agent_request.go
+++ b/lab/simulate/agent_request.go
@@ -51,6 +51,10 @@
 func (x *exchange) admit(giveUp time.Duration) {
 	a := x.agent
 	now := a.clock()
+	if a.closedToNew() {
+		x.respond(notRun(wire.ReasonDraining))
+		return
+	}
 	if err := a.holder.Admits(x.shard, x.epoch, now); err != nil {
 		x.respond(notRun(fenceReason(err)))
 		return
--- a/lab/simulate/disk.go
+++ b/lab/simulate/disk.go
@@ -79,6 +79,8 @@
 	backup *diskContent
 	// slow adds to each sync.
 	slow time.Duration
+	// busyUntil is when the last write will be durable; later ones follow it.
+	busyUntil time.Duration
 }
 
 const (
@@ -99,7 +101,8 @@
 func (d *disk) write(owner *process, ready consensus.Ready, done func()) {
 	d.pending = &ready
 	life := owner.life
-	d.world.after(d.syncTime(), func() {
+	d.busyUntil = max(d.busyUntil, d.world.now+d.syncTime())
+	d.world.after(d.busyUntil-d.world.now, func() {
 		if owner.life != life {
 			return
 		}
@@ -126,6 +129,7 @@
 func (d *disk) crash() {
 	torn := d.pending
 	d.pending = nil
+	d.busyUntil = 0
 	if torn == nil || torn.Snapshot != nil || d.world.chance(0.5) {
 		return
 	}
--- a/lab/simulate/fault_actions.go
+++ b/lab/simulate/fault_actions.go
@@ -90,10 +90,17 @@
 	return true
 }
 
+// slowDisk slows the disks of one or more controllers.
 func (i *injector) slowDisk(length time.Duration) bool {
-	c := pick(i.world, i.cluster.controllers)
-	c.disk.slow = i.world.between(10*time.Millisecond, 200*time.Millisecond)
-	i.world.after(length, func() { c.disk.slow = 0 })
+	const alsoSlow = 0.4
+	first := pick(i.world, i.cluster.controllers)
+	for _, c := range i.cluster.controllers {
+		if c != first && !i.world.chance(alsoSlow) {
+			continue
+		}
+		c.disk.slow = i.world.between(10*time.Millisecond, 200*time.Millisecond)
+		i.world.after(length, func() { c.disk.slow = 0 })
+	}
 	return true
 }
 
@@ -205,6 +212,18 @@
 	return i.isolate(a.process, others, length)
 }
 
+// slowAgent delays what an agent hears of the controllers, and cuts it off at
+// the end: answers to renewals are old when they come.
+func (i *injector) slowAgent(length time.Duration) bool {
+	a := pick(i.world, i.cluster.agents)
+	delay := i.world.between(100*time.Millisecond, 350*time.Millisecond)
+	for _, c := range i.cluster.controllers {
+		i.cluster.network.slow(c.process, a.process, delay, length)
+		i.world.after(length, func() { i.cluster.network.cut(a.process, c.process, cutDropping, length) })
+	}
+	return true
+}
+
 func (i *injector) killBackend(length time.Duration) bool {
 	b := pick(i.world, i.cluster.backends)
 	if !b.up {
--- a/lab/simulate/operator.go
+++ b/lab/simulate/operator.go
@@ -12,8 +12,10 @@
 	operatorPause   = 1500 * time.Millisecond
 	operatorTimeout = 1200 * time.Millisecond
 	operatorSends   = 6
-	inForcePoll     = 50 * time.Millisecond
-	inForceGiveUp   = 10 * time.Second
+	// installerSends is as often as it takes.
+	installerSends = 1000
+	inForcePoll    = 50 * time.Millisecond
+	inForceGiveUp  = 10 * time.Second
 	// raceChance is the chance that operators race with equal numbers.
 	raceChance = 0.5
 )
@@ -133,7 +135,11 @@
 		o.world.violate(OneWinner, "%s cannot seal a command: %v", o.name, err)
 		return
 	}
-	o.resend(command, operatorSends, done)
+	sends := operatorSends
+	if o == o.cluster.installer {
+		sends = installerSends
+	}
+	o.resend(command, sends, done)
 }
 
 func (o *operator) resend(command controlstate.Command, left int, done func(controlstate.Result, bool)) {
