--- a/internal/controller/solo_test.go
+++ b/internal/controller/solo_test.go
@@ -84,6 +84,8 @@
 
 func (r *soloReplica) ReadBarrier(context.Context) error { return nil }
 
+func (r *soloReplica) TransferLeadership(context.Context, topology.ReplicaID) error { return nil }
+
 func (r *soloReplica) ChangeMembership(context.Context, consensus.Change) error { return nil }
 
 func (r *soloReplica) Status() consensus.Status {
