--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"iter"
 	"net"
-	"net/http"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/quartzdock/quartzdock/internal/admission"
 	"github.com/quartzdock/quartzdock/internal/admission/gate"
 	"github.com/quartzdock/quartzdock/internal/backendapi"
+	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/ownership"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/routing"
@@ -33,7 +33,10 @@
 	assumedSlots       = 1
 	assumedConnections = 4
 	recordFolder       = "requests"
-	eventBacklog       = 64
+	// cancelLinger is for how long a request that was given up keeps its slot
+	// while the back end has not confirmed its end.
+	cancelLinger = time.Second
+	eventBacklog = 64
 )
 
 // controllerLink is the part of subscription.Client that the agent uses.
@@ -57,7 +60,7 @@
 	fitness      *fitness
 	counts       counts
 	listener     net.Listener
-	server       *http.Server
+	server       *httpserver.Server
 	subscription controllerLink
 
 	view   atomic.Pointer[view]
@@ -66,17 +69,29 @@
 	stopped    chan struct{}
 	background sync.WaitGroup
 
+	// loadDue is when load is reported next; it belongs to the subscription's
+	// sending goroutine.
+	loadDue time.Duration
+
 	// Written by the control goroutine or the prober, read when reporting.
 	wantLease           atomic.Bool
 	grantsPossibleUntil atomic.Int64
 	leaving             atomic.Bool
-	releasing           atomic.Bool
-	releaseReports      atomic.Uint32
-	backendState        atomic.Uint32
-	healthy             atomic.Bool
-	claimed             atomic.Uint32
-	self                atomic.Uint32
-	service             atomic.Uint32
+	// closedToNew: the back end has been leaving for LeavingGrace.
+	closedToNew atomic.Bool
+	// stopping: requests are refused and connections closed with their answers.
+	stopping atomic.Bool
+	// moving counts owned shards that are on their way to another owner, and
+	// waitsForRestart says that none will be.
+	moving          atomic.Int32
+	waitsForRestart atomic.Bool
+	releasing       atomic.Bool
+	releaseReports  atomic.Uint32
+	backendState    atomic.Uint32
+	healthy         atomic.Bool
+	claimed         atomic.Uint32
+	self            atomic.Uint32
+	service         atomic.Uint32
 	// table is the newest one put in force.
 	table atomic.Pointer[routing.Table]
 }
@@ -118,10 +133,7 @@
 	if agent.listener, err = net.Listen("tcp", agent.config.Listen); err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
-	if agent.config.ServerTLS != nil {
-		agent.listener = tls.NewListener(agent.listener, agent.config.ServerTLS)
-	}
-	agent.server = agent.newServer()
+	agent.server = httpserver.New(agent.newServer(), agent.listener.(*net.TCPListener), 0)
 	return agent.register()
 }
 
@@ -131,6 +143,7 @@
 		MaxConnections: assumedConnections,
 		MinWarm:        agent.config.WarmConnections,
 		DialTimeout:    agent.config.DialTimeout,
+		Linger:         cancelLinger,
 	})
 	if err != nil {
 		return err
@@ -222,7 +235,7 @@
 	agent.background.Go(func() { agent.probe(loops) })
 
 	served := make(chan error, 1)
-	go func() { served <- agent.server.Serve(agent.listener) }()
+	go func() { served <- agent.server.Serve() }()
 	var err error
 	select {
 	case err = <-served:
@@ -312,21 +325,6 @@
 	return secure.DialContext(ctx, "tcp", address)
 }
 
-// followState opens and closes the back end for requests that are not bound to
-// a shard: a draining or leaving one takes none.
-func (control *controlLoop) followState(backend *topology.Backend) {
-	takes := backend.State == topology.BackendActive && !control.leaving.Load()
-	switch {
-	case takes && control.unbound == nil:
-		control.unbound = newServed(topology.ShardID{}, 0, requestrecord.Range{})
-		control.publish()
-	case !takes && control.unbound != nil:
-		control.unbound.close()
-		control.unbound = nil
-		control.publish()
-	}
-}
-
 // applyLimits takes over how much the back end may be asked to do.
 func (control *controlLoop) applyLimits(backend *topology.Backend) {
 	if slots := int(backend.Slots); slots > 0 {
--- a/internal/controller/session_send.go
+++ b/internal/controller/session_send.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/quartzdock/quartzdock/internal/distribution"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -30,6 +29,8 @@
 	barriers []wire.BarrierAck
 	// ping is the newest question of a router.
 	ping *wire.Ping
+	// beside is an empty delta that goes with renewAck.
+	beside *wire.RoutingDelta
 }
 
 func (o *sessionOutbox) signal() {
@@ -92,11 +93,15 @@
 	due := false
 	for {
 		content, services, routing := s.outbox.take()
+		update := s.nextUpdate(services, routing)
+		if update.onlyRevision() {
+			update = s.hold(update, &content, due)
+		}
 		sent, err := s.sendContent(content)
 		if err != nil {
 			return
 		}
-		updated, err := s.sendRouting(services, routing)
+		updated, err := s.sendUpdate(update, services)
 		if err != nil {
 			return
 		}
@@ -139,7 +144,7 @@
 		messages = append(messages, wire.FromController{Welcome: content.welcome})
 	}
 	if content.renewAck != nil {
-		messages = append(messages, wire.FromController{RenewAck: content.renewAck})
+		messages = append(messages, wire.FromController{RenewAck: content.renewAck, Delta: content.beside})
 	}
 	for index := range content.barriers {
 		messages = append(messages, wire.FromController{BarrierAck: &content.barriers[index]})
@@ -155,22 +160,59 @@
 	return len(messages) > 0, nil
 }
 
-// sendRouting brings the subscriber to the newest revision.
-func (s *session) sendRouting(services []topology.ServiceID, routing bool) (sent bool, err error) {
+// routingUpdate is what brings a subscriber to the newest revision: a delta, or
+// a snapshot of a revision or a later one. The zero value is nothing.
+type routingUpdate struct {
+	delta    *routingFrame
+	snapshot topology.Revision
+}
+
+// onlyRevision reports whether nothing changes for the subscriber's services.
+func (u routingUpdate) onlyRevision() bool { return u.delta != nil && u.delta.empty != nil }
+
+// nextUpdate returns what the subscriber needs now.
+func (s *session) nextUpdate(services []topology.ServiceID, routing bool) routingUpdate {
 	view := s.controller.view.Load()
 	if !routing || view.Newest() <= s.sent {
-		return false, nil
+		return routingUpdate{}
 	}
 	if s.sent != 0 {
-		delta, ok := view.Since(s.sent)
-		if ok {
-			delta = distribution.Filter(delta, services)
-			s.sent = delta.To
-			s.controller.metrics.deltas.Inc()
-			return true, s.conn.Send(wire.FromController{Delta: &delta})
+		if frame := s.controller.frames.delta(view, s.sent, services); frame.found {
+			return routingUpdate{delta: frame}
+		}
+	}
+	return routingUpdate{snapshot: view.Newest()}
+}
+
+// hold puts an update that changes only the revision beside an answer to a
+// renewal, or keeps it until something else is sent. It returns what is to be
+// sent by itself. A router gets it before the answer to its ping, which else
+// would prove nothing.
+func (s *session) hold(update routingUpdate, content *outboxContent, due bool) routingUpdate {
+	switch {
+	case content.renewAck != nil:
+		content.beside = update.delta.empty
+		s.sent = update.delta.to
+		return routingUpdate{}
+	case content.ping == nil && !due:
+		return routingUpdate{}
+	}
+	return update
+}
+
+func (s *session) sendUpdate(update routingUpdate, services []topology.ServiceID) (sent bool, err error) {
+	switch {
+	case update.delta != nil:
+		if update.delta.err != nil {
+			return true, update.delta.err
 		}
+		s.sent = update.delta.to
+		s.controller.metrics.deltas.Inc()
+		return true, s.conn.SendEncoded(update.delta.encoded)
+	case update.snapshot != 0:
+		return true, s.sendSnapshot(services, update.snapshot)
 	}
-	return true, s.sendSnapshot(services, view.Newest())
+	return false, nil
 }
 
 func (s *session) sendSnapshot(services []topology.ServiceID, atLeast topology.Revision) error {
@@ -178,10 +220,13 @@
 	if err != nil {
 		return err
 	}
-	filtered := distribution.FilterSnapshot(*snapshot, services)
-	s.sent = filtered.Revision
+	frame, err := s.controller.frames.whole(snapshot, services)
+	if err != nil {
+		return err
+	}
+	s.sent = snapshot.Revision
 	s.controller.metrics.snapshots.Inc()
-	return s.conn.Send(wire.FromController{Snapshot: &filtered})
+	return s.conn.SendEncoded(frame)
 }
 
 // snapshotCache keeps the last routing snapshot, so that many subscribers that
@@ -197,8 +242,7 @@
 	c.snapshots.mutex.Lock()
 	defer c.snapshots.mutex.Unlock()
 	if cached := c.snapshots.last; cached != nil {
-		_, leadsOn := c.view.Load().Since(cached.Revision)
-		if cached.Revision >= atLeast || leadsOn {
+		if cached.Revision >= atLeast || c.view.Load().LeadsOn(cached.Revision) {
 			return cached, nil
 		}
 	}
--- a/internal/loadtable/table.go
+++ b/internal/loadtable/table.go
@@ -37,6 +37,9 @@
 	// priorRequests is how many requests at the service's mean cost are mixed
 	// into a shard's own mean cost, against the noise of few samples.
 	priorRequests = 100.0
+	// presumedRate is how many requests per second are presumed to succeed, so
+	// that old failures fade and a single one proves little.
+	presumedRate = 1.0
 )
 
 // Table keeps what was observed. It is not safe for concurrent use.
@@ -64,6 +67,9 @@
 	rate, share average
 	cost        cost
 	hotKeys     []wire.KeyLoad
+	longRunning uint32
+	// changedAt is when the share last left its confidence band.
+	changedAt time.Duration
 	// reported numbers the reporter's last report that named the shard.
 	reported uint64
 }
@@ -79,6 +85,8 @@
 	observed  average
 	completed average
 	failed    average
+	// routed is when a router last reported of it.
+	routed time.Duration
 }
 
 // New returns an empty table.
@@ -109,10 +117,10 @@
 	busy := 0.0
 	for _, load := range renew.Load {
 		shardID := topology.ShardID{Service: service, Shard: load.Shard}
-		t.shardReport(shardID, id, load, interval, total)
+		t.shardReport(shardID, id, load, interval, total, now)
 		busy += float64(load.BusyMicros) / 1e6
 	}
-	t.absentShards(reporter, interval, total)
+	t.absentShards(reporter, interval, total, now)
 	reporter.observed.add(busy/interval.Seconds(), interval, fastWindow)
 	t.claim(reporter, float64(renew.Backend.Claimed), interval)
 }
@@ -125,14 +133,14 @@
 	}
 }
 
-func (t *Table) shardReport(id topology.ShardID, from topology.BackendID, load wire.ShardLoad, interval time.Duration, total float64) {
+func (t *Table) shardReport(id topology.ShardID, from topology.BackendID, load wire.ShardLoad, interval time.Duration, total float64, now time.Duration) {
 	observed, known := t.shards[id]
 	if !known {
 		observed = &shard{}
 		t.shards[id] = observed
 	}
 	if observed.reporter != from {
-		if load.Requests == 0 && load.Refused == 0 {
+		if load.Requests == 0 && load.Refused == 0 && load.LongRunning == 0 {
 			return // A previous owner's last word.
 		}
 		delete(t.backend(observed.reporter).shards, id)
@@ -141,27 +149,29 @@
 	reporter := t.backend(from)
 	reporter.shards[id] = true
 	observed.reported = reporter.reports
+	observed.longRunning = load.LongRunning
 	observed.cost.add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
 	t.service(id.Service).cost.add(float64(load.Requests), float64(load.BusyMicros)/1e6, interval)
-	observed.offered(float64(load.Requests)+float64(load.Refused), interval, total)
+	observed.offered(float64(load.Requests)+float64(load.Refused), interval, total, now)
 	if len(load.HotKeys) > 0 {
 		observed.hotKeys = load.HotKeys
 	}
 }
 
 // absentShards counts shards that a report left out as without requests.
-func (t *Table) absentShards(reporter *backend, interval time.Duration, total float64) {
+func (t *Table) absentShards(reporter *backend, interval time.Duration, total float64, now time.Duration) {
 	for id := range reporter.shards {
 		observed := t.shards[id]
 		if observed.reported != reporter.reports {
-			observed.offered(0, interval, total)
+			observed.offered(0, interval, total, now)
+			observed.longRunning = 0
 		}
 	}
 }
 
 // offered takes the requests of an interval into both averages. Where the
 // share has left its confidence band it starts anew.
-func (s *shard) offered(requests float64, interval time.Duration, total float64) {
+func (s *shard) offered(requests float64, interval time.Duration, total float64, now time.Duration) {
 	s.rate.add(requests/interval.Seconds(), interval, fastWindow)
 	if total <= 0 {
 		return
@@ -172,6 +182,7 @@
 	// An exponential average over window w has the variance of a mean over 2w.
 	deviation := math.Sqrt(math.Max(expected, 1) / (2 * fastWindow.Seconds()))
 	if math.Abs(s.rate.value()-expected) > changeDeviations*deviation {
+		s.changedAt = now
 		s.share = average{}
 		s.share.add(present, interval, slowWindow)
 		s.hotKeys = nil
@@ -198,12 +209,14 @@
 	return total
 }
 
-// RouterReport takes what a router saw of back ends.
-func (t *Table) RouterReport(report *wire.RouterLoad, interval time.Duration) {
+// RouterReport takes what a router saw of back ends in an interval.
+func (t *Table) RouterReport(report *wire.RouterLoad, interval, now time.Duration) {
+	seconds := interval.Seconds()
 	for _, observed := range report.Observed {
 		seen := t.backend(observed.Backend)
-		seen.completed.add(float64(observed.Completed), interval, fastWindow)
-		seen.failed.add(float64(observed.Failed)+float64(observed.TimedOut), interval, fastWindow)
+		seen.routed = now
+		seen.completed.add(float64(observed.Completed)/seconds, interval, fastWindow)
+		seen.failed.add((float64(observed.Failed)+float64(observed.TimedOut))/seconds, interval, fastWindow)
 	}
 }
 
@@ -217,6 +230,26 @@
 	return observed.share.value() * of.rate() * observed.cost.perRequest(&of.cost)
 }
 
+// LongRunning returns how many requests of a shard have been running for longer
+// than its owner's last interval between reports.
+func (t *Table) LongRunning(id topology.ShardID) uint32 {
+	observed, known := t.shards[id]
+	if !known {
+		return 0
+	}
+	return observed.longRunning
+}
+
+// ChangedAt returns when a shard's load last left what was expected of it, or
+// zero.
+func (t *Table) ChangedAt(id topology.ShardID) time.Duration {
+	observed, known := t.shards[id]
+	if !known {
+		return 0
+	}
+	return observed.changedAt
+}
+
 // HotKeys returns the hottest keys of a shard with their load in slots.
 func (t *Table) HotKeys(id topology.ShardID) []placement.HotKey {
 	observed, known := t.shards[id]
@@ -280,6 +313,7 @@
 	delete(t.backend(ended.reporter).shards, right)
 	if kept, found := t.shards[left]; found {
 		kept.rate.join(ended.rate)
+		kept.longRunning += ended.longRunning
 		kept.share.join(ended.share)
 		kept.cost.join(ended.cost)
 	}
@@ -289,21 +323,21 @@
 type Backend struct {
 	// Observed and Claimed load in slots.
 	Observed, Claimed float64
-	// FailureShare is the share of requests that failed at routers.
+	// FailureShare is the share of requests that failed at routers. It fades
+	// when no router sends the back end any.
 	FailureShare float64
 }
 
-// Backend returns what was observed of a back end.
-func (t *Table) Backend(id topology.BackendID) Backend {
+// Backend returns what was observed of a back end until now.
+func (t *Table) Backend(id topology.BackendID, now time.Duration) Backend {
 	seen, known := t.backends[id]
 	if !known {
 		return Backend{}
 	}
 	result := Backend{Observed: seen.observed.value(), Claimed: seen.claimed.value()}
-	total := seen.failed.value() + seen.completed.value()
-	if total > 0 {
-		result.FailureShare = seen.failed.value() / total
-	}
+	faded := math.Exp(-(now - seen.routed).Seconds() / fastWindow.Seconds())
+	failed, completed := seen.failed.value()*faded, seen.completed.value()*faded
+	result.FailureShare = failed / (failed + completed + presumedRate)
 	return result
 }
 
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -41,6 +41,9 @@
 	Shard topology.Shard
 	// Load in slots, as agents observed it.
 	Load float64
+	// LoadChangedAt is when Load last left what was expected of it; zero is
+	// never.
+	LoadChangedAt time.Duration
 	// LastMoved is when the shard last changed owner; zero is never.
 	LastMoved time.Duration
 	// CreatedAt is when a split or merge made the shard; zero is at first
@@ -48,6 +51,9 @@
 	CreatedAt time.Duration
 	// HotKeys are the hottest keys, hottest first; may be empty.
 	HotKeys []HotKey
+	// LongRunning counts requests for which a hand-over that began now would
+	// have to wait noticeably.
+	LongRunning uint32
 	// NearZone is where most requests for the shard come from; empty where
 	// unknown.
 	NearZone topology.ZoneName
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -63,7 +65,7 @@
 	if !backend.Leaving || backend.Backend.State != topology.BackendActive {
 		return false
 	}
-	return planner.now < backend.LeavingAt+EffectiveGrace(planner.policy)
+	return planner.now < max(backend.LeavingAt, backend.LostAt)+EffectiveGrace(planner.policy)
 }
 
 func (planner *planner) takePlacement(index int, destination *node) {
@@ -84,25 +86,52 @@
 	planner.take(index, move)
 }
 
-// drain hands over the shards of nodes that leave, largest load first, within
-// the limit on moves at once.
+// drain hands over the shards of nodes that leave, within the limit on moves at
+// once: those with the fewest long requests first, as the others would have to
+// wait, then those with the largest load.
 func (planner *planner) drain() {
 	var leaving []int
 	for index := range planner.nodes {
-		if planner.nodes[index].leaves && planner.nodes[index].input.Live {
-			leaving = append(leaving, planner.nodes[index].settled...)
+		node := &planner.nodes[index]
+		switch {
+		case node.input.Live && node.leaves:
+			leaving = append(leaving, node.settled...)
+		case node.input.Live && node.restarts:
+			leaving = planner.appendHot(leaving, node.settled)
 		}
 	}
 	if len(leaving) == 0 {
 		return
 	}
 	planner.byLoadDescending(leaving)
+	slices.SortStableFunc(leaving, func(left, right int) int {
+		return cmp.Compare(planner.service.Shards[left].LongRunning, planner.service.Shards[right].LongRunning)
+	})
 	candidates := newDestinations(planner)
 	for _, index := range leaving {
 		planner.drainShard(index, candidates)
 	}
 }
 
+// appendHot appends the shards whose part of the load is so much greater than
+// their part of the keys that waiting for a restart costs more than moving them.
+// For an average shard this is the rule of WaitsForRestart.
+func (planner *planner) appendHot(leaving, shards []int) []int {
+	var total float64
+	for _, load := range planner.loads {
+		total += load
+	}
+	weights := planner.policy.Weights
+	for _, index := range shards {
+		wait := weights.Unavailable * planner.loads[index] / total * assumedRestart.Seconds()
+		move := weights.Churn * keyShare(planner.service.Shards, index) * churnExchange.Seconds()
+		if wait > move {
+			leaving = append(leaving, index)
+		}
+	}
+	return leaving
+}
+
 func (planner *planner) drainShard(index int, candidates *destinations) {
 	shard := &planner.service.Shards[index]
 	source := &planner.nodes[planner.nodeOf[shard.Shard.Owner]]
--- a/lab/hollow/worker.go
+++ b/lab/hollow/worker.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/subscription"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
@@ -150,7 +151,12 @@
 	if err != nil {
 		return replyOf(err)
 	}
+	packets, err := packetsOfSelf(w.controllers)
+	if err != nil {
+		return replyOf(err)
+	}
 	sample := Sample{
+		Packets:   packets,
 		At:        time.Now(),
 		Usage:     usage,
 		Runtime:   readRuntime(),
@@ -163,9 +169,29 @@
 	for _, n := range w.nodes {
 		w.addNode(&sample, n)
 	}
+	sample.Shards = w.shards()
 	return reply{Sample: &sample}
 }
 
+// shards counts the shards of the newest table.
+func (w *worker) shards() int {
+	var newest *routing.Table
+	for _, n := range w.nodes {
+		table := n.client.Table()
+		if table != nil && (newest == nil || table.Revision() > newest.Revision()) {
+			newest = table
+		}
+	}
+	if newest == nil {
+		return 0
+	}
+	count := 0
+	for service := range newest.Services() {
+		count += service.ShardCount()
+	}
+	return count
+}
+
 func (w *worker) addNode(sample *Sample, n *node) {
 	addStatistics(&sample.Sessions, n.client.Statistics())
 	sample.Reverted += n.reverted.Load()
