--- a/internal/consensus/durable_test.go
+++ b/internal/consensus/durable_test.go
@@ -175,3 +175,30 @@
 	assert.Equal(t, s.core.Status().Commit, uint64(2))
 	assert.DeepEqual(t, *ready.HardState, HardState{Term: 4, Commit: 1})
 }
+
+func TestMalformedMessagesAreDropped(t *testing.T) {
+	for name, m := range map[string]Message{
+		"no kind":                   {Term: 9},
+		"unknown kind":              {Kind: 99, Term: 9},
+		"snapshot without content":  {Kind: MessageSnapshot, Term: 9},
+		"answer without membership": {Kind: MessageRecoveryAnswer, Term: 9},
+		"gap between entries":       {Kind: MessageAppend, Term: 9, Entries: []Entry{{Index: 2, Term: 9, Kind: EntryNoop}}},
+		"entry of a later term":     {Kind: MessageAppend, Term: 9, Entries: []Entry{{Index: 1, Term: 10, Kind: EntryNoop}}},
+		"entry of unknown kind":     {Kind: MessageAppend, Term: 9, Entries: []Entry{{Index: 1, Term: 9}}},
+	} {
+		s := newScript(t, Config{})
+		s.step(m)
+		assert.Assert(t, !s.core.HasReady(), name)
+		assert.Equal(t, s.core.Status().Term, uint64(0), name)
+	}
+}
+
+func TestAHeartbeatThatNamesMoreThanTheLogHoldsEndsTheReplica(t *testing.T) {
+	s := newScript(t, Config{HardState: HardState{Term: 3}, Entries: []Entry{{Index: 1, Term: 3, Kind: EntryNoop}}})
+	s.step(Message{Kind: MessageHeartbeat, Term: 3, Match: 1})
+	err := s.core.Step(s.now, Message{
+		Kind: MessageHeartbeat, Term: 3, Match: 2, Group: testGroup, From: 2, FromIncarnation: testMember(2).Incarnation,
+		To: 1, ToIncarnation: testMember(1).Incarnation,
+	})
+	assert.ErrorIs(t, err, ErrOlderCopy)
+}
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -21,7 +21,7 @@
 		c.commitTo(min(m.Commit, c.log.lastIndex()))
 		c.send(Message{
 			Kind: MessageHeartbeatAnswer, To: m.From, ToIncarnation: m.FromIncarnation,
-			Round: m.Round, LogIndex: c.log.lastIndex(), Match: c.durableMatch(),
+			Round: m.Round, LogIndex: c.matched, Match: c.durableMatch(),
 		})
 	case MessageSnapshot:
 		c.snapshotFromLeader(m)
--- a/internal/consensus/recovery_test.go
+++ b/internal/consensus/recovery_test.go
@@ -191,3 +191,21 @@
 	c.drop = func(m Message) bool { return m.Kind == MessageAppendAnswer }
 	c.commit("b")
 }
+
+// The acknowledgements were lost with the process, and nothing new is proposed.
+func TestAFollowerThatRestartsAcknowledgesAgain(t *testing.T) {
+	c := newCluster(t, 46, 3)
+	c.commit("a")
+	leader := c.waitLeader()
+	follower := c.others(leader.member.ID)[0]
+	c.drop = func(m Message) bool {
+		return m.From == follower.member.ID && (m.Kind == MessageAppendAnswer || m.Kind == MessageHeartbeatAnswer)
+	}
+	last := c.commit("b")
+	c.until("it is on the disk", func() bool { return follower.core.Status().Durable >= last })
+	c.run(time.Second)
+	c.crash(follower.member.ID)
+	c.restart(follower.member.ID)
+	c.drop = nil
+	c.until("it applies all", func() bool { return follower.core.Status().Applied >= last })
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -89,13 +89,31 @@
 }
 
 // SnapshotMeta returns the meta data of a snapshot taken now, of all that is
-// applied.
+// applied. It holds between Advance and the next Ready, unless Installing.
 func (c *Core) SnapshotMeta() SnapshotMeta {
 	index := c.log.applied
 	term, _ := c.log.term(index)
 	return SnapshotMeta{Index: index, Term: term, Membership: c.membershipAt(index)}
 }
 
+// Installing reports whether a received snapshot is not yet durable; the state
+// machine is then behind what Status says is applied.
+func (c *Core) Installing() bool { return c.installing != nil }
+
+// EntriesWithin counts the entries up to index, back from it, whose data fit a
+// number of bytes: what Compact may retain.
+func (c *Core) EntriesWithin(index uint64, bytes int) uint64 {
+	count := uint64(0)
+	for position := index; position > c.log.previousIndex && position <= c.log.lastIndex(); position-- {
+		bytes -= len(c.log.entries[position-c.log.previousIndex-1].Data)
+		if bytes < 0 {
+			break
+		}
+		count++
+	}
+	return count
+}
+
 // Role returns the replica's role.
 func (c *Core) Role() Role { return c.role }
 
--- a/internal/consensus/tracker/progress.go
+++ b/internal/consensus/tracker/progress.go
@@ -133,10 +133,11 @@
 	p.Next = p.Match + 1
 }
 
-// Lost reports whether an Append was lost: the replica answered a heartbeat
-// that was sent after it, and its log ends before the Append's last entry.
-func (p *Progress) Lost(answeredRound, lastIndex uint64) bool {
-	return len(p.inflight) > 0 && p.inflight[0].round < answeredRound && lastIndex < p.inflight[0].last
+// Lost reports whether an Append was lost, or forgotten by a restart: the
+// replica answered a heartbeat that was sent after it, and does not know its
+// log to match up to the Append's last entry.
+func (p *Progress) Lost(answeredRound, matched uint64) bool {
+	return len(p.inflight) > 0 && p.inflight[0].round < answeredRound && matched < p.inflight[0].last
 }
 
 // AbandonSnapshot gives up waiting for a snapshot to be installed.
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -86,8 +86,9 @@
 	Run  uint64
 	Term uint64
 	// LogIndex and LogTerm: the entry before Entries (Append), the last entry
-	// (PreVote, Vote), the last entry known to match (AppendAnswer), or where
-	// the logs may still match (refused AppendAnswer).
+	// (PreVote, Vote), the last entry known to match (AppendAnswer, and
+	// HeartbeatAnswer, there perhaps not yet durable), or where the logs may
+	// still match (refused AppendAnswer).
 	LogIndex uint64
 	LogTerm  uint64
 	Entries  []Entry
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -62,6 +62,9 @@
 // Snapshot implements Machine.
 func (c *Controller) Snapshot() ([]byte, error) { return c.state.Encode() }
 
+// Freeze implements Machine.
+func (c *Controller) Freeze() func() ([]byte, error) { return c.state.Freeze() }
+
 // Restore implements Machine.
 func (c *Controller) Restore(data []byte) error {
 	if err := c.state.Decode(data); err != nil {
--- a/internal/controller/replicate.go
+++ b/internal/controller/replicate.go
@@ -31,8 +31,9 @@
 func (s stateMachine) Apply(index topology.Revision, command []byte) any {
 	return s.machine.Apply(index, command)
 }
-func (s stateMachine) Snapshot() ([]byte, error) { return s.machine.Snapshot() }
-func (s stateMachine) Restore(data []byte) error { return s.machine.Restore(data) }
+func (s stateMachine) Snapshot() ([]byte, error)      { return s.machine.Snapshot() }
+func (s stateMachine) Freeze() func() ([]byte, error) { return s.machine.Freeze() }
+func (s stateMachine) Restore(data []byte) error      { return s.machine.Restore(data) }
 
 // replicated fits a replica to Replicator.
 type replicated struct{ member *replica.Replica }
--- a/internal/controller/replicator.go
+++ b/internal/controller/replicator.go
@@ -42,6 +42,8 @@
 	Apply(index topology.Revision, command []byte) any
 	// Snapshot and Restore copy the state.
 	Snapshot() ([]byte, error)
+	// Freeze copies the state; the result encodes the copy on any goroutine.
+	Freeze() (encode func() ([]byte, error))
 	Restore(data []byte) error
 	// Tick is called at short intervals.
 	Tick(now time.Duration, status consensus.Status)
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -67,7 +67,21 @@
 }
 
 // Encode returns the whole state as bytes, for a snapshot of the log.
-func (s *State) Encode() ([]byte, error) {
+func (s *State) Encode() ([]byte, error) { return s.Freeze()() }
+
+// Freeze copies the state and returns what encodes the copy, on any goroutine.
+func (s *State) Freeze() func() ([]byte, error) {
+	kept := s.stored()
+	return func() ([]byte, error) {
+		var buffer bytes.Buffer
+		if err := gob.NewEncoder(&buffer).Encode(kept); err != nil {
+			return nil, fmt.Errorf("encode control state: %w", err)
+		}
+		return buffer.Bytes(), nil
+	}
+}
+
+func (s *State) stored() stored {
 	kept := stored{
 		Revision:       s.revision,
 		Configured:     s.configured,
@@ -78,7 +92,7 @@
 		LastLoadShift:  s.lastLoadShift,
 		LongestLease:   s.longestLease,
 		Controllers:    s.Controllers(),
-		Shifts:         s.shifts,
+		Shifts:         slices.Clone(s.shifts),
 		Answers:        s.answers.oldestFirst(),
 	}
 	for _, id := range sortedKeys(s.services) {
@@ -88,18 +102,22 @@
 		record := s.backends[id]
 		kept.Backends = append(kept.Backends, storedBackend{record.Backend, record.changed, record.revokedAt})
 	}
-	var buffer bytes.Buffer
-	if err := gob.NewEncoder(&buffer).Encode(kept); err != nil {
-		return nil, fmt.Errorf("encode control state: %w", err)
-	}
-	return buffer.Bytes(), nil
+	return kept
 }
 
 func (s *service) stored() storedService {
 	kept := storedService{Service: s.Service, Changed: s.changed, LastShard: s.lastShard}
 	kept.Shards = make([]storedShard, len(s.ordered))
+	changes := 0
+	for _, record := range s.ordered {
+		changes += len(record.history)
+	}
+	// One array for all histories, which change in place.
+	histories := make([]ShardChange, 0, changes)
 	for index, record := range s.ordered {
-		kept.Shards[index] = storedShard{record.Shard, record.changedUnixMilli, record.history}
+		from := len(histories)
+		histories = append(histories, record.history...)
+		kept.Shards[index] = storedShard{record.Shard, record.changedUnixMilli, histories[from:len(histories):len(histories)]}
 	}
 	return kept
 }
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -35,6 +35,13 @@
 	Restore(data []byte) error
 }
 
+// Freezer is a StateMachine that can encode its state in the background.
+type Freezer interface {
+	// Freeze copies the state, on the control goroutine. The result encodes the
+	// copy as Snapshot does, on any goroutine.
+	Freeze() (encode func() ([]byte, error))
+}
+
 // Peer is a founding member of the group.
 type Peer struct {
 	ID topology.ReplicaID
@@ -75,6 +82,9 @@
 	// SnapshotEntries is after how many applied entries a snapshot is taken;
 	// default 10,000.
 	SnapshotEntries uint64
+	// SnapshotBytes is after how many bytes of applied commands a snapshot is
+	// taken at the latest; default 32 MB.
+	SnapshotBytes int64
 	// RetainEntries before a snapshot stay in memory, so that a replica that
 	// missed few changes catches up without the snapshot; default 2,000.
 	RetainEntries uint64
@@ -88,6 +98,7 @@
 const (
 	DefaultTickInterval    = 10 * time.Millisecond
 	DefaultSnapshotEntries = 10_000
+	DefaultSnapshotBytes   = 32 << 20
 	DefaultRetainEntries   = 2_000
 )
 
@@ -98,6 +109,9 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = DefaultSnapshotEntries
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.RetainEntries == 0 {
 		c.RetainEntries = DefaultRetainEntries
 	}
--- a/internal/replica/control.go
+++ b/internal/replica/control.go
@@ -35,6 +35,12 @@
 	transfers []func(any, error)
 
 	lastSnapshot uint64
+	// appliedBytes counts the commands applied since the last snapshot began.
+	appliedBytes int64
+	snapshotting bool
+	// compactTo is the index of a snapshot whose log is to be removed.
+	compactTo uint64
+	fetching  fetching
 }
 
 type proposal struct {
@@ -157,6 +163,7 @@
 		c.core.Tick(now)
 		c.checkPromotions()
 		c.probeDisk(now)
+		c.tickFetching(now)
 	}
 	c.publish()
 	c.r.config.OnTick(now, c.r.Status())
@@ -169,6 +176,12 @@
 		c.founding.receive(received)
 	case received.Message != nil:
 		c.step(*received.Message)
+	case received.Offer != nil:
+		c.receiveOffer(*received.Offer, received.Address)
+	case received.Want != nil:
+		c.sendPart(*received.Want, received.Address)
+	case received.Part != nil:
+		c.receivePart(*received.Part)
 	}
 }
 
@@ -205,12 +218,13 @@
 	if c.writing {
 		c.send(c.core.TakeEarly())
 	}
-	c.maybeSnapshot()
+	c.maybeCompact()
 }
 
 // apply runs the committed commands. They need no write of this replica.
 func (c *control) apply(ready consensus.Ready) {
 	for _, entry := range ready.Committed {
+		c.appliedBytes += int64(len(entry.Data))
 		var result any
 		if entry.Kind == consensus.EntryCommand {
 			result = c.r.config.Machine.Apply(topology.Revision(entry.Index), entry.Data)
@@ -242,6 +256,7 @@
 		c.finishRead(read)
 	}
 	c.core.Advance(ready)
+	c.maybeSnapshot()
 	c.releaseBarriers()
 	if len(c.transfers) > 0 && c.core.Role() != consensus.Leader {
 		for _, done := range c.transfers {
@@ -455,6 +470,7 @@
 
 // abandon ends the requests that wait.
 func (c *control) abandon() {
+	c.endFetching()
 	for _, waiting := range c.proposals {
 		waiting.done(nil, errors.Join(ErrOutcomeUnknown, ErrStopped))
 	}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
@@ -11,8 +12,7 @@
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
 
-// envelope is what travels between replicas. One of Message and Founding is
-// set.
+// envelope is what travels between replicas. One of the pointers is set.
 type envelope struct {
 	Group topology.GroupID
 	From  topology.ReplicaID
@@ -20,6 +20,9 @@
 	Address  string
 	Message  *consensus.Message
 	Founding *foundingNotice
+	Offer    *snapshotOffer
+	Want     *snapshotWant
+	Part     *snapshotPart
 }
 
 const (
@@ -46,6 +49,8 @@
 	learned  map[topology.ReplicaID]string
 	accepted map[*transport.Conn]bool
 	closed   bool
+	// sent counts the bytes written to peers.
+	sent atomic.Uint64
 }
 
 func newPeerSet(r *Replica, listener *transport.Listener) *peerSet {
@@ -74,7 +79,8 @@
 	if address == "" {
 		return
 	}
-	if m.Kind == consensus.MessageSnapshot && !s.r.fillSnapshot(&m) {
+	if m.Kind == consensus.MessageSnapshot {
+		s.r.control.offerSnapshot(m, address)
 		return
 	}
 	s.sendTo(address, envelope{Message: &m})
@@ -133,8 +139,13 @@
 			if conn == nil {
 				conn = s.dial(address)
 			}
-			if conn != nil && conn.Send(e) != nil {
-				conn = nil
+			if conn != nil {
+				before := conn.BytesSent()
+				err := conn.Send(e)
+				s.sent.Add(conn.BytesSent() - before)
+				if err != nil {
+					conn = nil
+				}
 			}
 		}
 	}
@@ -224,18 +235,3 @@
 	s.mu.Unlock()
 	return s.listener.Close()
 }
-
-// fillSnapshot adds the newest snapshot's data to a message. It returns false
-// where there is none to send.
-func (r *Replica) fillSnapshot(m *consensus.Message) bool {
-	snapshot, ok, err := r.files.snaps.Load()
-	if err != nil {
-		r.fail(err)
-		return false
-	}
-	if !ok || snapshot.Meta.Index < m.Snapshot.Meta.Index {
-		return false
-	}
-	m.Snapshot = &snapshot
-	return true
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -98,6 +98,9 @@
 // Incarnation is that of the data folder.
 func (r *Replica) Incarnation() topology.Incarnation { return r.incarnation }
 
+// BytesSent counts the bytes written to other members, frames included.
+func (r *Replica) BytesSent() uint64 { return r.peers.sent.Load() }
+
 // Address is where connections of peers are accepted.
 func (r *Replica) Address() string { return r.peers.listener.Address() }
 
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -5,6 +5,7 @@
 	"fmt"
 	iofs "io/fs"
 	"slices"
+	"sync"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
 	"github.com/quartzdock/quartzdock/internal/storage"
@@ -21,6 +22,7 @@
 	folder   *datadir.Folder
 	log      *wal.Log
 	snaps    *snap.Store
+	saving   sync.Mutex
 }
 
 // loaded is what the files held at the start.
@@ -147,7 +149,7 @@
 		return nil
 	}
 	if ready.Snapshot != nil {
-		if err := f.snaps.Save(*ready.Snapshot); err != nil {
+		if err := f.saveSnapshot(*ready.Snapshot); err != nil {
 			return err
 		}
 		meta := ready.Snapshot.Meta
@@ -164,12 +166,11 @@
 	return err
 }
 
-// saveSnapshot saves the state machine's state and removes the log before it.
+// saveSnapshot saves a snapshot, from the writer or in the background.
 func (f *files) saveSnapshot(snapshot consensus.Snapshot) error {
-	if err := f.snaps.Save(snapshot); err != nil {
-		return err
-	}
-	return f.log.Compact(snapshot.Meta.Index)
+	f.saving.Lock()
+	defer f.saving.Unlock()
+	return f.snaps.Save(snapshot)
 }
 
 func (f *files) close() error {
--- /dev/null
+++ b/internal/replica/transfer_test.go
@@ -0,0 +1,117 @@
+package replica
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"gotest.tools/v3/assert"
+)
+
+// behind is a group of three whose replica id is down and has missed a state
+// of about 3 MB that the others hold in snapshots only.
+func behind(t *testing.T) (g *testGroup, id topology.ReplicaID) {
+	g, _, _ = memoryGroup(t, 3)
+	for replica, config := range g.configs {
+		config.SnapshotEntries, config.RetainEntries = 10, 1
+		g.configs[replica] = config
+		g.kill(replica)
+	}
+	for replica := range g.configs {
+		g.start(replica)
+	}
+	g.propose("first")
+	id = g.follower()
+	g.waitCommands(id, 1)
+	g.kill(id)
+	for range 60 {
+		g.propose(strings.Repeat("x", 50_000))
+	}
+	return g, id
+}
+
+func TestASnapshotIsFetchedInParts(t *testing.T) {
+	g, id := behind(t)
+	g.start(id)
+	g.waitCommands(id, 61)
+	names, err := g.configs[id].FS.List("data/snap")
+	assert.NilError(t, err)
+	for _, name := range names {
+		assert.Assert(t, strings.HasSuffix(name, ".snap"), "left over: %s", name)
+	}
+	g.kill(id)
+	g.start(id)
+	g.waitCommands(id, 61)
+}
+
+// The disk is full in the middle of the transfer; what was received stays, and
+// is not sent again.
+func TestATransferGoesOnWhereItWas(t *testing.T) {
+	g, id := behind(t)
+	disk := g.configs[id].FS.(interface {
+		SetCapacity(int64)
+		Used() int64
+	})
+	leader := g.leader()
+	before := leader.BytesSent()
+	disk.SetCapacity(disk.Used() + 2_200_000)
+	g.start(id)
+	g.wait("a part is there", func() bool { return leader.BytesSent() > before+2_000_000 })
+	g.kill(id)
+	disk.SetCapacity(0)
+	g.start(id)
+	g.waitCommands(id, 61)
+	sent := leader.BytesSent() - before
+	assert.Assert(t, sent < 4_500_000, "%d bytes were sent for a snapshot of 3 MB", sent)
+}
+
+// Snapshots are taken while commands are applied; each must hold just what its
+// index says, or a restart applies a command twice or not at all.
+func TestSnapshotsUnderLoadHoldWhatTheirIndexSays(t *testing.T) {
+	g, disks, _ := memoryGroup(t, 3)
+	for id, config := range g.configs {
+		config.SnapshotEntries, config.RetainEntries = 7, 3
+		g.configs[id] = config
+		g.kill(id)
+	}
+	for id := range g.configs {
+		g.start(id)
+	}
+	const rounds, proposers, each = 3, 8, 30
+	for round := range rounds {
+		leader := g.leader()
+		var running sync.WaitGroup
+		for proposer := range proposers {
+			running.Go(func() {
+				for i := range each {
+					_, err := leader.Propose(testContext(t), []byte(fmt.Sprint(round, proposer, i)))
+					assert.Check(t, err)
+				}
+			})
+		}
+		running.Wait()
+		for id := range disks {
+			g.waitCommands(id, (round+1)*proposers*each)
+		}
+		for id := range disks {
+			g.kill(id)
+			if round == 1 {
+				disks[id].Crash()
+			}
+		}
+		for id := range disks {
+			g.start(id)
+		}
+	}
+	g.propose("last")
+	for id := range disks {
+		g.waitCommands(id, rounds*proposers*each+1)
+		seen := map[string]bool{}
+		for _, command := range g.commands(id) {
+			assert.Assert(t, !seen[command], "%q was applied twice", command)
+			seen[command] = true
+		}
+	}
+}
--- a/internal/replica/writer.go
+++ b/internal/replica/writer.go
@@ -8,10 +8,11 @@
 	"github.com/quartzdock/quartzdock/internal/storage"
 )
 
-// writeJob is one write: a Ready's facts, or a snapshot of the state machine.
+// writeJob is one write: a Ready's facts, or the removal of log segments.
 type writeJob struct {
-	ready    consensus.Ready
-	snapshot *consensus.Snapshot
+	ready consensus.Ready
+	// compactTo removes the log before a snapshot's index.
+	compactTo uint64
 	// probe asks only whether the log has room again.
 	probe bool
 	// proven: this run knows that its disk is whole, and notes its writes.
@@ -33,8 +34,8 @@
 		switch {
 		case job.probe:
 			result.err = r.files.ensureRoom()
-		case job.snapshot != nil:
-			result.err = r.files.saveSnapshot(*job.snapshot)
+		case job.compactTo > 0:
+			result.err = r.files.log.Compact(job.compactTo)
 		default:
 			result = r.write(job)
 		}
@@ -81,8 +82,7 @@
 	switch {
 	case result.job.probe:
 		c.setSpace(full, c.full && full)
-	case result.job.snapshot != nil:
-		c.finishSnapshot(*result.job.snapshot, full)
+	case result.job.compactTo > 0:
 	case full && ready.Snapshot != nil:
 		c.repeatLater(result.job)
 	case full:
@@ -129,34 +129,71 @@
 	}
 }
 
-// maybeSnapshot starts a snapshot when enough entries were applied and all of
-// them are durable here.
+// maybeSnapshot starts a snapshot when enough was applied and all of it is
+// durable here. The state is encoded and saved in the background. It is called
+// between two Ready, when the state machine is where the core says it is.
 func (c *control) maybeSnapshot() {
-	if c.writing || c.r.Now() < c.snapshotAt {
+	if c.writing || c.snapshotting || c.core.Installing() || c.r.Now() < c.snapshotAt {
 		return
 	}
 	status := c.core.Status()
-	if status.Applied < c.lastSnapshot+c.r.config.SnapshotEntries || status.Applied > status.Durable {
-		return
-	}
-	data, err := c.r.config.Machine.Snapshot()
-	if err != nil {
-		c.r.fail(err)
+	due := status.Applied >= c.lastSnapshot+c.r.config.SnapshotEntries || c.appliedBytes >= c.r.config.SnapshotBytes
+	if !due || status.Applied == c.lastSnapshot || status.Applied > status.Durable {
 		return
 	}
+	c.snapshotting = true
 	c.lastSnapshot = status.Applied
-	c.write(writeJob{snapshot: &consensus.Snapshot{Meta: c.core.SnapshotMeta(), Data: data}})
+	c.appliedBytes = 0
+	meta, encode := c.core.SnapshotMeta(), c.freeze()
+	c.r.ended.Go(func() {
+		data, err := encode()
+		snapshot := consensus.Snapshot{Meta: meta, Data: data}
+		if err == nil {
+			err = c.r.files.saveSnapshot(snapshot)
+		}
+		c.r.Post(func() { c.finishSnapshot(snapshot, err) })
+	})
+}
+
+// freeze returns what encodes the state of this moment.
+func (c *control) freeze() func() ([]byte, error) {
+	if machine, ok := c.r.config.Machine.(Freezer); ok {
+		return machine.Freeze()
+	}
+	data, err := c.r.config.Machine.Snapshot()
+	return func() ([]byte, error) { return data, err }
 }
 
 // snapshotRetry is when a snapshot that found no space is tried again.
 const snapshotRetry = 10 * time.Second
 
-func (c *control) finishSnapshot(snapshot consensus.Snapshot, full bool) {
-	if full {
+func (c *control) finishSnapshot(snapshot consensus.Snapshot, err error) {
+	c.snapshotting = false
+	switch {
+	case errors.Is(err, storage.ErrDiskFull):
 		c.snapshotAt = c.r.Now() + snapshotRetry
 		c.lastSnapshot = 0
 		c.r.config.Logger.Warn("no disk space for a snapshot; the log grows on", "folder", c.r.config.DataDir)
+	case err != nil:
+		c.r.fail(err)
+	default:
+		// A replica that is further behind gets the snapshot, which is smaller
+		// than the entries would be.
+		retained := c.core.EntriesWithin(snapshot.Meta.Index, max(len(snapshot.Data), leastRetainedBytes))
+		c.core.Compact(snapshot.Meta, min(retained, c.r.config.RetainEntries))
+		c.compactTo = max(c.compactTo, snapshot.Meta.Index)
+	}
+}
+
+// leastRetainedBytes of entries stay in memory where there are so many.
+const leastRetainedBytes = 64 << 10
+
+// maybeCompact removes the log that a snapshot covers.
+func (c *control) maybeCompact() {
+	if c.compactTo == 0 || c.writing {
 		return
 	}
-	c.core.Compact(snapshot.Meta, c.r.config.RetainEntries)
+	index := c.compactTo
+	c.compactTo = 0
+	c.write(writeJob{compactTo: index})
 }
