--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -30,7 +30,8 @@
 			CreatedAt: c.createdAt[shard.ID],
 			HotKeys:   c.loads.HotKeys(shard.ID),
 
-			LongRunning: c.loads.LongRunning(shard.ID),
+			LongRunning:   c.loads.LongRunning(shard.ID),
+			LoadChangedAt: c.loads.ChangedAt(shard.ID),
 		})
 	}
 	return placement.ServiceInput{
@@ -59,7 +60,7 @@
 }
 
 func (c *Coordinator) backendInput(backend topology.Backend, now time.Duration) placement.BackendInput {
-	observed := c.loads.Backend(backend.ID)
+	observed := c.loads.Backend(backend.ID, now)
 	input := placement.BackendInput{
 		Backend:      backend,
 		Live:         c.leases.Live(backend.ID, now),
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -19,6 +19,8 @@
 	nodes   []node
 	// nodeOf finds a node by back end.
 	nodeOf map[topology.BackendID]int
+	// slots of all nodes that receive.
+	slots float64
 	// loads of the shards, with marks and prior.
 	loads []float64
 	// planned marks shards that have a move in this decision.
@@ -63,10 +65,20 @@
 		nodeOf:  make(map[topology.BackendID]int, len(backends)),
 		planned: make([]bool, len(service.Shards)),
 	}
-	planner.loadMovesLeft = max(0, int(policy.MovesPerMinute)-int(service.RecentLoadMoves))
+	budget := int(policy.MovesPerMinute)
+	if service.Service.Placement.MovesPerMinute == 0 {
+		budget = max(budget, DefaultMovesPerBackend*len(backends))
+	}
+	planner.loadMovesLeft = max(0, budget-int(service.RecentLoadMoves))
 	for _, backend := range backends {
 		planner.addNode(backend)
 	}
+	planner.receiveSomewhere()
+	for index := range planner.nodes {
+		if planner.nodes[index].receives {
+			planner.slots += planner.nodes[index].slots
+		}
+	}
 	planner.loads = shardLoads(now, service)
 	planner.settleShards()
 	return planner
@@ -80,12 +92,28 @@
 		input:  backend,
 		slots:  math.Max(1, float64(backend.Backend.Slots)),
 		leaves: leaves, restarts: backend.Leaving && !leaves,
-		receives: backend.Live && !leaves && !backend.Leaving &&
-			backend.Backend.State == topology.BackendActive &&
-			backend.FailureShare <= maximumFailureShare,
+		receives: mayReceive(backend) && !leaves && backend.FailureShare <= maximumFailureShare,
 	})
 }
 
+func mayReceive(backend *BackendInput) bool {
+	return backend.Live && !backend.Leaving && backend.Backend.State == topology.BackendActive
+}
+
+// receiveSomewhere lets nodes receive whose requests failed, where there are no
+// others: they may have recovered, and without an owner every request fails.
+func (planner *planner) receiveSomewhere() {
+	for index := range planner.nodes {
+		if planner.nodes[index].receives {
+			return
+		}
+	}
+	for index := range planner.nodes {
+		node := &planner.nodes[index]
+		node.receives = mayReceive(node.input) && !node.leaves
+	}
+}
+
 // shardLoads returns the load of each shard: what was observed, raised to what
 // a mark announces, plus a prior in proportion to the keys.
 func shardLoads(now time.Duration, service *ServiceInput) []float64 {
--- a/internal/replica/control.go
+++ b/internal/replica/control.go
@@ -177,14 +177,22 @@
 	case received.Message != nil:
 		c.step(*received.Message)
 	case received.Offer != nil:
-		c.receiveOffer(*received.Offer, received.Address)
+		c.receiveOffer(*received.Offer, c.addressOf(received))
 	case received.Want != nil:
-		c.sendPart(*received.Want, received.Address)
+		c.sendPart(*received.Want, c.addressOf(received))
 	case received.Part != nil:
 		c.receivePart(*received.Part)
 	}
 }
 
+// addressOf is where the sender takes messages.
+func (c *control) addressOf(received envelope) string {
+	if c.core == nil {
+		return received.Address
+	}
+	return c.r.peers.address(received.From, c.core.Membership())
+}
+
 func (c *control) step(m consensus.Message) {
 	if c.core == nil && !c.founding.join(m) {
 		return
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -19,6 +19,9 @@
 	Seed       uint64
 	// Weights replace those of the deployment if not nil.
 	Weights *deployment.Weights
+	// Placement replaces the product's default policy, with its weights, if not
+	// nil.
+	Placement *topology.PlacementPolicy
 	// Trace takes a line for each move begun; nil is none.
 	Trace io.Writer
 }
@@ -167,10 +170,10 @@
 		e.queue.at(event.At+event.For, func() { e.arrivals.scale(event, 1/event.Factor) })
 	case EventJoin:
 		e.queue.at(event.At, func() {
+			e.measures.disturbed(nil)
 			for range event.Count {
 				e.addServer()
 			}
-			e.measures.disturbed(nil)
 		})
 	case EventLeave:
 		e.queue.at(event.At, func() { e.leave(e.existing(event.Backend)) })
@@ -197,12 +200,12 @@
 		e.queue.at(event.At-markLead, func() { e.leader.mark(group, event) })
 	}
 	e.queue.at(event.At, func() {
-		e.keys.add(group)
 		e.measures.disturbed(nil)
+		e.keys.add(group)
 	})
 	e.queue.at(event.At+event.For, func() {
-		e.keys.remove(group)
 		e.measures.disturbed(nil)
+		e.keys.remove(group)
 	})
 }
 
@@ -252,11 +255,15 @@
 			NonRepeatable: operation.NonRepeatable,
 		})
 	}
+	policy := topology.PlacementPolicy{Weights: e.weights()}
+	if e.config.Placement != nil {
+		policy = *e.config.Placement
+	}
 	return topology.Service{
 		Name:          e.service.Name,
 		Rules:         rules,
 		InitialShards: e.service.Shards,
-		Placement:     topology.PlacementPolicy{Weights: e.weights()},
+		Placement:     policy,
 		DrainLimit:    drainLimit,
 	}
 }
