--- a/internal/agent/leaving.go
+++ b/internal/agent/leaving.go
@@ -21,12 +21,22 @@
 		control.leavingSince = 0
 		control.publish()
 	case !takes && control.leavingSince == 0:
-		control.leavingSince = now
+		control.leavingSince = control.leavingFrom(now)
 		control.closeUnbound()
 	}
 	control.closeLeaving(now)
 }
 
+// leavingFrom is since when a back end leaves whose agent learns of it now. An
+// agent without a lease was cut off or has just started: the back end may have
+// been leaving for long, and gets no grace.
+func (control *controlLoop) leavingFrom(now time.Duration) time.Duration {
+	if control.holder.Valid(now) {
+		return now
+	}
+	return now - control.config.LeavingGrace
+}
+
 func (control *controlLoop) closeUnbound() {
 	if control.unbound == nil {
 		return
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -170,3 +170,18 @@
 	r.stop()
 	assert.NilError(t, <-r.ended)
 }
+
+// TestAgentThatReturnsToADrainTakesNothing: the agent was cut off when its back
+// end's drain began, and hears of it when it returns.
+func TestAgentThatReturnsToADrainTakesNothing(t *testing.T) {
+	r := startRig(t, backend.Config{}, shortClockBound)
+	r.own(1, 1)
+	r.leader.refuses.Store(true)
+	r.waitFor("lease over", func() bool { return !r.agent.holder.Valid(r.agent.now()) })
+	r.giveAs(2, topology.BackendDraining, topology.Shard{Phase: topology.ShardOwned, Owner: r.self, Epoch: 1})
+	r.leader.refuses.Store(false)
+	r.waitFor("a lease", func() bool { return r.agent.holder.Valid(r.agent.now()) })
+	got := r.do(call{method: http.MethodGet, path: "/closures/route/k", epoch: 1})
+	assert.Equal(t, got.outcome, wire.OutcomeNotRun)
+	assert.Equal(t, got.reason, wire.ReasonDraining)
+}
