--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"maps"
 	"net"
-	"net/http"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/quartzdock/quartzdock/internal/admission"
 	"github.com/quartzdock/quartzdock/internal/admission/gate"
 	"github.com/quartzdock/quartzdock/internal/backendapi"
+	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/ownership"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/routing"
@@ -60,7 +60,7 @@
 	fitness      *fitness
 	counts       counts
 	listener     net.Listener
-	server       *http.Server
+	server       *httpserver.Server
 	subscription controllerLink
 
 	view   atomic.Pointer[view]
@@ -69,6 +69,10 @@
 	stopped    chan struct{}
 	background sync.WaitGroup
 
+	// loadDue is when load is reported next; it belongs to the subscription's
+	// sending goroutine.
+	loadDue time.Duration
+
 	// Written by the control goroutine or the prober, read when reporting.
 	wantLease           atomic.Bool
 	grantsPossibleUntil atomic.Int64
@@ -129,10 +133,7 @@
 	if agent.listener, err = net.Listen("tcp", agent.config.Listen); err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
-	if agent.config.ServerTLS != nil {
-		agent.listener = tls.NewListener(agent.listener, agent.config.ServerTLS)
-	}
-	agent.server = agent.newServer()
+	agent.server = httpserver.New(agent.newServer(), agent.listener.(*net.TCPListener), 0)
 	return agent.register()
 }
 
@@ -234,7 +235,7 @@
 	agent.background.Go(func() { agent.probe(loops) })
 
 	served := make(chan error, 1)
-	go func() { served <- agent.server.Serve(agent.listener) }()
+	go func() { served <- agent.server.Serve() }()
 	var err error
 	select {
 	case err = <-served:
--- a/internal/controller/solo_test.go
+++ b/internal/controller/solo_test.go
@@ -75,8 +75,17 @@
 	done(r.machine.Apply(r.index, command), nil)
 }
 
+// applied returns how many commands were applied.
+func (r *soloReplica) applied() topology.Revision {
+	found := make(chan topology.Revision, 1)
+	r.Post(func() { found <- r.index })
+	return <-found
+}
+
 func (r *soloReplica) ReadBarrier(context.Context) error { return nil }
 
+func (r *soloReplica) TransferLeadership(context.Context, topology.ReplicaID) error { return nil }
+
 func (r *soloReplica) ChangeMembership(context.Context, consensus.Change) error { return nil }
 
 func (r *soloReplica) Status() consensus.Status {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -19,6 +19,8 @@
 	nodes   []node
 	// nodeOf finds a node by back end.
 	nodeOf map[topology.BackendID]int
+	// slots of all nodes that receive.
+	slots float64
 	// loads of the shards, with marks and prior.
 	loads []float64
 	// planned marks shards that have a move in this decision.
@@ -63,11 +65,20 @@
 		nodeOf:  make(map[topology.BackendID]int, len(backends)),
 		planned: make([]bool, len(service.Shards)),
 	}
-	planner.loadMovesLeft = max(0, int(policy.MovesPerMinute)-int(service.RecentLoadMoves))
+	budget := int(policy.MovesPerMinute)
+	if service.Service.Placement.MovesPerMinute == 0 {
+		budget = max(budget, DefaultMovesPerBackend*len(backends))
+	}
+	planner.loadMovesLeft = max(0, budget-int(service.RecentLoadMoves))
 	for _, backend := range backends {
 		planner.addNode(backend)
 	}
 	planner.receiveSomewhere()
+	for index := range planner.nodes {
+		if planner.nodes[index].receives {
+			planner.slots += planner.nodes[index].slots
+		}
+	}
 	planner.loads = shardLoads(now, service)
 	planner.settleShards()
 	return planner
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -12,8 +12,7 @@
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
 
-// envelope is what travels between replicas. One of Message and Founding is
-// set.
+// envelope is what travels between replicas. One of the pointers is set.
 type envelope struct {
 	Group topology.GroupID
 	From  topology.ReplicaID
@@ -21,6 +20,9 @@
 	Address  string
 	Message  *consensus.Message
 	Founding *foundingNotice
+	Offer    *snapshotOffer
+	Want     *snapshotWant
+	Part     *snapshotPart
 	// Received is, in what the receiving end of a connection says, how many
 	// envelopes have come over it.
 	Received uint64
@@ -60,6 +62,8 @@
 	learned  map[topology.ReplicaID]string
 	accepted map[*transport.Conn]bool
 	closed   bool
+	// sent counts the bytes written to peers.
+	sent atomic.Uint64
 }
 
 func newPeerSet(r *Replica, listener *transport.Listener) *peerSet {
@@ -88,7 +92,8 @@
 	if address == "" {
 		return
 	}
-	if m.Kind == consensus.MessageSnapshot && !s.r.fillSnapshot(&m) {
+	if m.Kind == consensus.MessageSnapshot {
+		s.r.control.offerSnapshot(m, address)
 		return
 	}
 	s.sendTo(address, envelope{Message: &m})
@@ -147,8 +152,13 @@
 			if conn == nil {
 				conn = s.dial(address)
 			}
-			if conn != nil && conn.send(e) != nil {
-				conn = nil
+			if conn != nil {
+				before := conn.BytesSent()
+				err := conn.send(e)
+				s.sent.Add(conn.BytesSent() - before)
+				if err != nil {
+					conn = nil
+				}
 			}
 		}
 	}
@@ -293,18 +303,3 @@
 	s.mu.Unlock()
 	return s.listener.Close()
 }
-
-// fillSnapshot adds the newest snapshot's data to a message. It returns false
-// where there is none to send.
-func (r *Replica) fillSnapshot(m *consensus.Message) bool {
-	snapshot, ok, err := r.files.snaps.Load()
-	if err != nil {
-		r.fail(err)
-		return false
-	}
-	if !ok || snapshot.Meta.Index < m.Snapshot.Meta.Index {
-		return false
-	}
-	m.Snapshot = &snapshot
-	return true
-}
