--- a/internal/agent/leaving.go
+++ b/internal/agent/leaving.go
@@ -5,7 +5,6 @@
 
 	"github.com/quartzdock/quartzdock/internal/placement"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
-	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
@@ -21,12 +20,22 @@
 		control.leavingSince = 0
 		control.publish()
 	case !takes && control.leavingSince == 0:
-		control.leavingSince = now
+		control.leavingSince = control.leavingFrom(now)
 		control.closeUnbound()
 	}
 	control.closeLeaving(now)
 }
 
+// leavingFrom is since when a back end leaves whose agent learns of it now. An
+// agent without a lease was cut off or has just started: the back end may have
+// been leaving for long, and gets no grace.
+func (control *controlLoop) leavingFrom(now time.Duration) time.Duration {
+	if control.holder.Valid(now) {
+		return now
+	}
+	return now - control.config.LeavingGrace
+}
+
 func (control *controlLoop) closeUnbound() {
 	if control.unbound == nil {
 		return
@@ -43,14 +52,15 @@
 }
 
 // followMoves notes what a planned stop waits for.
-func (control *controlLoop) followMoves(backend *topology.Backend, service *routing.Service) {
+func (control *controlLoop) followMoves(mine *share) {
 	moving := int32(0)
-	for _, shard := range control.owned {
+	for _, shard := range mine.owned {
 		if shard.Target != 0 {
 			moving++
 		}
 	}
 	control.moving.Store(moving)
-	waits := service != nil && backend.State == topology.BackendActive && placement.WaitsForRestart(service.Placement)
+	waits := mine.service != nil && mine.backend.State == topology.BackendActive &&
+		placement.WaitsForRestart(mine.service.Placement)
 	control.waitsForRestart.Store(waits)
 }
