--- a/internal/agent/release.go
+++ b/internal/agent/release.go
@@ -13,6 +13,11 @@
 // lasts, routers hold the shard's requests.
 const transferTimeout = time.Second
 
+// earlierGrantsEnd is when, by this process's clock, which begins with it, the
+// grants of an earlier process have ended at the back end: the longest lease
+// that settings allow, one minute, with the bound of drift.
+const earlierGrantsEnd = 62 * time.Second
+
 // releaseStage is how far the release of a shard has come.
 type releaseStage uint8
 
@@ -46,13 +51,13 @@
 // releasing, and forgets those that the table has gone past.
 func (control *controlLoop) followReleases() {
 	for id, running := range control.releases {
-		owned, ok := control.owned[id]
+		owned, ok := control.mine.owned[id]
 		if !ok || owned.Epoch != running.epoch || owned.Phase != topology.ShardReleasing {
 			delete(control.releases, id)
 		}
 	}
 	now := control.now()
-	for id, shard := range control.owned {
+	for id, shard := range control.mine.owned {
 		if _, begun := control.releases[id]; !begun && shard.Phase == topology.ShardReleasing {
 			control.beginRelease(shard, now)
 		}
@@ -85,12 +90,8 @@
 
 // drainLimit is the service's own bound for running requests.
 func (control *controlLoop) drainLimit() time.Duration {
-	backend, known := control.table.Backend(control.self)
-	if !known {
-		return DefaultDrainLimit
-	}
-	service, known := control.table.Service(backend.Service)
-	if !known || service.DrainLimit == 0 {
+	service := control.mine.service
+	if service == nil || service.DrainLimit == 0 {
 		return DefaultDrainLimit
 	}
 	return service.DrainLimit
@@ -128,15 +129,14 @@
 
 // grantGone says that the back end can't act on the shard's grant any more.
 func (control *controlLoop) grantGone(running *release, now time.Duration) bool {
-	_, granted := control.grants.taken[running.shard]
-	return !granted || now >= running.grantEndsBy
+	return !control.grants.mayHold(running.shard) || now >= running.grantEndsBy
 }
 
 func (control *controlLoop) beginTransfer(running *release) {
 	running.stage = stageTransferring
-	running.grantEndsBy = control.grants.possibleUntil
+	running.grantEndsBy = max(control.grants.possibleUntil, earlierGrantsEnd)
 	control.syncGrants()
-	target, known := control.table.Backend(running.target)
+	target, known := control.mine.table.Backend(running.target)
 	address := ""
 	if known {
 		address = target.AgentAddress
