Work out what the shards of a service share once in a decision

A decision over 75,000 shards with load reports spent most of its time in the load table: for each shard it added up the offered rate of all of the service's back ends again. A view of a service now does that once and finds the shard once.

--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -22,16 +22,17 @@
 
 func (c *Coordinator) serviceInput(service topology.Service, now time.Duration, unixMilli int64) placement.ServiceInput {
 	shards := make([]placement.ShardInput, 0, c.state.ShardCount(service.ID))
+	observed := c.loads.Service(service.ID)
 	for shard := range c.state.Shards(service.ID) {
+		load := observed.Shard(shard.ID)
 		shards = append(shards, placement.ShardInput{
-			Shard:     shard,
-			Load:      c.loads.Load(shard.ID),
-			LastMoved: c.lastMoved[shard.ID],
-			CreatedAt: c.createdAt[shard.ID],
-			HotKeys:   c.loads.HotKeys(shard.ID),
-
-			LongRunning:   c.loads.LongRunning(shard.ID),
-			LoadChangedAt: c.loads.ChangedAt(shard.ID),
+			Shard:         shard,
+			Load:          load.Slots,
+			LastMoved:     c.lastMoved[shard.ID],
+			CreatedAt:     c.createdAt[shard.ID],
+			HotKeys:       load.HotKeys,
+			LongRunning:   load.LongRunning,
+			LoadChangedAt: load.ChangedAt,
 		})
 	}
 	return placement.ServiceInput{
--- a/internal/loadtable/table.go
+++ b/internal/loadtable/table.go
@@ -221,14 +221,7 @@
 }
 
 // Load returns the load that callers offer to a shard, in slots.
-func (t *Table) Load(id topology.ShardID) float64 {
-	observed, known := t.shards[id]
-	if !known {
-		return 0
-	}
-	of := t.service(id.Service)
-	return observed.share.value() * of.rate() * observed.cost.perRequest(&of.cost)
-}
+func (t *Table) Load(id topology.ShardID) float64 { return t.Service(id.Service).Shard(id).Slots }
 
 // LongRunning returns how many requests of a shard have been running for longer
 // than its owner's last interval between reports.
@@ -240,28 +233,9 @@
 	return observed.longRunning
 }
 
-// ChangedAt returns when a shard's load last left what was expected of it, or
-// zero.
-func (t *Table) ChangedAt(id topology.ShardID) time.Duration {
-	observed, known := t.shards[id]
-	if !known {
-		return 0
-	}
-	return observed.changedAt
-}
-
 // HotKeys returns the hottest keys of a shard with their load in slots.
 func (t *Table) HotKeys(id topology.ShardID) []placement.HotKey {
-	observed, known := t.shards[id]
-	if !known {
-		return nil
-	}
-	load := t.Load(id)
-	result := make([]placement.HotKey, 0, len(observed.hotKeys))
-	for _, hot := range observed.hotKeys {
-		result = append(result, placement.HotKey{Key: hot.Key, Load: load * float64(hot.Share)})
-	}
-	return result
+	return t.Service(id.Service).Shard(id).HotKeys
 }
 
 // Split divides what is known of a shard between it and its new right part.
