Tell operators what placement found

Cause: placement's findings (a key that outgrows a back end, too little room without a zone, one rack, contradicted claims, shards without an owner) ended in the coordinator: nothing read them, and the count of discounted claims was read by a test alone.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -52,7 +52,11 @@
 	deltas      *distribution.Log
 	coordinator *coordinator.Coordinator
 	leadership  leadership.Leadership
-	agents      agentSessions
+	findings    *findings
+	// discounted is how many claims the coordinator had discounted when it was
+	// last looked at.
+	discounted uint64
+	agents     agentSessions
 	// redirectBy is by when the agents of a leadership that ended are sent
 	// away; zero where there are none.
 	redirectBy time.Duration
@@ -101,6 +105,7 @@
 	c.subscribers.start(c.now())
 	c.view.Store(c.deltas.View())
 	c.metrics = newMetrics(config.Registerer, c)
+	c.findings = newFindings(c.log, c.metrics.findings)
 	return c
 }
 
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -27,11 +27,22 @@
 		return
 	}
 	command, ok := c.coordinator.Tick(now, time.Now().UnixMilli())
+	c.findings.update(c.coordinator.Findings(), now)
+	c.countDiscounted()
 	if ok {
 		c.proposeBatch(command)
 	}
 }
 
+// countDiscounted adds the claims that were discounted since the last look.
+func (c *Controller) countDiscounted() {
+	total := c.coordinator.ClaimsDiscounted()
+	if total > c.discounted {
+		c.metrics.discountedClaims.Add(float64(total - c.discounted))
+	}
+	c.discounted = total
+}
+
 // announce proposes the controller's own addresses as the first command of its
 // term. Once it is applied, so is everything of earlier terms.
 func (c *Controller) announce(status consensus.Status) {
@@ -74,6 +85,7 @@
 func (c *Controller) stepDown(status consensus.Status) {
 	c.log.Info("no longer leads the group", "new_term", status.Term, "leader", status.Leader)
 	c.coordinator.StepDown()
+	c.findings.update(nil, c.replica.Now()+findingHeld)
 	c.subscribers.edit((*inforce.Tracker).StepDown)
 	c.redirectBy = c.replica.Now() + redirectPatience
 	c.sendAgentsOn(c.replica.Now(), status)
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -23,6 +23,8 @@
 	snapshots          prometheus.Counter
 	failedMachineLists prometheus.Counter
 	calls              *prometheus.CounterVec
+	findings           *prometheus.GaugeVec
+	discountedClaims   prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer, c *Controller) *controllerMetrics {
@@ -65,10 +67,15 @@
 		refusedSessions:    counter("sessions_refused_total", "Sessions that were refused at the greeting."),
 		deltas:             counter("routing_deltas_sent_total", "Routing deltas sent to subscribers."),
 		snapshots:          counter("routing_snapshots_sent_total", "Routing snapshots sent to subscribers."),
+		discountedClaims:   counter("load_claims_discounted_total", "Reports with a claimed load that contradicted what was observed."),
 		failedMachineLists: counter("machine_list_failures_total", "Readings of the machine list that failed."),
 		calls: factory.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Subsystem: metricsSubsystem, Name: "calls_total",
 			Help: "Operators' calls by procedure and outcome.",
 		}, []string{"procedure", "code"}),
+		findings: factory.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Subsystem: metricsSubsystem, Name: "placement_findings",
+			Help: "What placement wants operators to know, by kind; at the leader.",
+		}, []string{"kind"}),
 	}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -235,6 +235,10 @@
 // Findings returns what placement wants the operator to know.
 func (c *Coordinator) Findings() []placement.Finding { return c.decision.Findings }
 
+// ClaimsDiscounted returns how many reports of this term carried a claimed load
+// that contradicted what was observed.
+func (c *Coordinator) ClaimsDiscounted() uint64 { return c.loads.Discounted() }
+
 // Load returns what was observed of a back end.
 func (c *Coordinator) Load(backend topology.BackendID, now time.Duration) loadtable.Backend {
 	return c.loads.Backend(backend, now)
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -158,6 +158,16 @@
 	FindingNoOwner
 )
 
+var findingNames = [...]string{"", "undividable", "zone-headroom", "single-rack", "load-contradicted", "no-owner"}
+
+// String returns the kind in lower case.
+func (kind FindingKind) String() string {
+	if int(kind) < len(findingNames) {
+		return findingNames[kind]
+	}
+	return "unknown"
+}
+
 // Finding is reported to the operator beside the moves.
 type Finding struct {
 	Kind    FindingKind
