Pack long-running requests too, and read a service's load once a decision

It is packed now, and a test that sets every field by reflection fails where a field is left out; it failed on the form before this change.

The decision over all shards runs on the goroutine that renews leases. For each shard it added up the requests of all back ends of the service, twice where hot keys were asked for; loadtable.Reader does so once a service.

--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -22,16 +22,18 @@
 
 func (c *Coordinator) serviceInput(service topology.Service, now time.Duration, unixMilli int64) placement.ServiceInput {
 	shards := make([]placement.ShardInput, 0, c.state.ShardCount(service.ID))
+	reader := c.loads.Reader(service.ID)
 	for shard := range c.state.Shards(service.ID) {
+		observed := reader.Shard(shard.ID)
 		shards = append(shards, placement.ShardInput{
 			Shard:     shard,
-			Load:      c.loads.Load(shard.ID),
+			Load:      observed.Load,
 			LastMoved: c.lastMoved[shard.ID],
 			CreatedAt: c.createdAt[shard.ID],
-			HotKeys:   c.loads.HotKeys(shard.ID),
+			HotKeys:   observed.HotKeys,
 
-			LongRunning:   c.loads.LongRunning(shard.ID),
-			LoadChangedAt: c.loads.ChangedAt(shard.ID),
+			LongRunning:   observed.LongRunning,
+			LoadChangedAt: observed.ChangedAt,
 		})
 	}
 	return placement.ServiceInput{
--- a/internal/loadtable/table.go
+++ b/internal/loadtable/table.go
@@ -220,6 +220,58 @@
 	}
 }
 
+// Shard is what was observed of a shard.
+type Shard struct {
+	// Load that callers offer, in slots.
+	Load float64
+	// HotKeys with their load in slots.
+	HotKeys []placement.HotKey
+	// LongRunning and ChangedAt are as the methods of Table say.
+	LongRunning uint32
+	ChangedAt   time.Duration
+}
+
+// Reader reads the shards of one service. What it takes from the whole service
+// is worked out once, and it is valid until the table changes.
+type Reader struct {
+	table *Table
+	of    *service
+	rate  float64
+}
+
+// Reader returns a reader of a service's shards.
+func (t *Table) Reader(service topology.ServiceID) Reader {
+	of := t.service(service)
+	return Reader{table: t, of: of, rate: of.rate()}
+}
+
+// Shard returns what was observed of one of the service's shards.
+func (r Reader) Shard(id topology.ShardID) Shard {
+	observed, known := r.table.shards[id]
+	if !known {
+		return Shard{}
+	}
+	load := observed.share.value() * r.rate * observed.cost.perRequest(&r.of.cost)
+	return Shard{
+		Load:        load,
+		HotKeys:     observed.hotKeysAt(load),
+		LongRunning: observed.longRunning,
+		ChangedAt:   observed.changedAt,
+	}
+}
+
+// hotKeysAt returns the hottest keys where the shard carries a load.
+func (s *shard) hotKeysAt(load float64) []placement.HotKey {
+	if len(s.hotKeys) == 0 {
+		return nil
+	}
+	result := make([]placement.HotKey, 0, len(s.hotKeys))
+	for _, hot := range s.hotKeys {
+		result = append(result, placement.HotKey{Key: hot.Key, Load: load * float64(hot.Share)})
+	}
+	return result
+}
+
 // Load returns the load that callers offer to a shard, in slots.
 func (t *Table) Load(id topology.ShardID) float64 {
 	observed, known := t.shards[id]
@@ -256,12 +308,7 @@
 	if !known {
 		return nil
 	}
-	load := t.Load(id)
-	result := make([]placement.HotKey, 0, len(observed.hotKeys))
-	for _, hot := range observed.hotKeys {
-		result = append(result, placement.HotKey{Key: hot.Key, Load: load * float64(hot.Share)})
-	}
-	return result
+	return observed.hotKeysAt(t.Load(id))
 }
 
 // Split divides what is known of a shard between it and its new right part.
--- a/internal/wire/shard_loads.go
+++ b/internal/wire/shard_loads.go
@@ -14,15 +14,16 @@
 // of the 12 that gob needs for the struct.
 //
 // Each shard is a varint of the distance from the number before it, a uvarint
-// of Requests shifted by two with the flags, and a uvarint of BusyMicros; by
-// the flags, Refused and HotKeys follow.
+// of Requests shifted by three with the flags, and a uvarint of BusyMicros; by
+// the flags, Refused, LongRunning and HotKeys follow.
 type ShardLoads []ShardLoad
 
 // Flags beside ShardLoad.Requests.
 const (
-	flagRefused  = 1
-	flagHotKeys  = 2
-	requestsBits = 2
+	flagRefused     = 1
+	flagHotKeys     = 2
+	flagLongRunning = 4
+	requestsBits    = 3
 )
 
 // errDamagedLoads says that a packed report is cut short or out of range.
@@ -50,6 +51,9 @@
 	if load.Refused > 0 {
 		requests |= flagRefused
 	}
+	if load.LongRunning > 0 {
+		requests |= flagLongRunning
+	}
 	if len(load.HotKeys) > 0 {
 		requests |= flagHotKeys
 	}
@@ -58,6 +62,9 @@
 	if load.Refused > 0 {
 		packed = binary.AppendUvarint(packed, uint64(load.Refused))
 	}
+	if load.LongRunning > 0 {
+		packed = binary.AppendUvarint(packed, uint64(load.LongRunning))
+	}
 	if len(load.HotKeys) == 0 {
 		return packed
 	}
@@ -95,7 +102,7 @@
 }
 
 func (r *loadReader) load(number topology.ShardNumber) ShardLoad {
-	requests := r.uvarint(math.MaxUint32<<requestsBits | flagRefused | flagHotKeys)
+	requests := r.uvarint(math.MaxUint32<<requestsBits | flagRefused | flagHotKeys | flagLongRunning)
 	load := ShardLoad{
 		Shard:      number,
 		Requests:   uint32(requests >> requestsBits),
@@ -104,6 +111,9 @@
 	if requests&flagRefused != 0 {
 		load.Refused = uint32(r.uvarint(math.MaxUint32))
 	}
+	if requests&flagLongRunning != 0 {
+		load.LongRunning = uint32(r.uvarint(math.MaxUint32))
+	}
 	if requests&flagHotKeys != 0 {
 		load.HotKeys = r.hotKeys()
 	}
--- a/internal/wire/shard_loads_test.go
+++ b/internal/wire/shard_loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"reflect"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -26,6 +27,26 @@
 	assert.ErrorContains(t, err, "hot keys")
 }
 
+// TestEveryFieldOfAShardLoadIsPacked fails where a field is added to ShardLoad
+// and not to the packed form, which would drop it silently.
+func TestEveryFieldOfAShardLoadIsPacked(t *testing.T) {
+	var load ShardLoad
+	fields := reflect.ValueOf(&load).Elem()
+	for index := range fields.NumField() {
+		field := fields.Field(index)
+		if field.Kind() == reflect.Slice {
+			field.Set(reflect.MakeSlice(field.Type(), 2, 2))
+			continue
+		}
+		field.SetUint(uint64(index) + 5)
+	}
+	packed, err := ShardLoads{load}.GobEncode()
+	assert.NilError(t, err)
+	var arrived ShardLoads
+	assert.NilError(t, arrived.GobDecode(packed))
+	assert.DeepEqual(t, arrived, ShardLoads{load})
+}
+
 // TestTargetReportIsSmall: at the target an agent has 68 of its service's 3,750
 // shards.
 func TestTargetReportIsSmall(t *testing.T) {
@@ -40,7 +61,7 @@
 }
 
 func TestDamagedLoadReportIsRefused(t *testing.T) {
-	whole, err := ShardLoads{{Shard: 7, Requests: 300, BusyMicros: 70_000, Refused: 3, HotKeys: []KeyLoad{{Key: 5, Share: 1}}}}.GobEncode()
+	whole, err := ShardLoads{{Shard: 7, Requests: 300, BusyMicros: 70_000, Refused: 3, LongRunning: 2, HotKeys: []KeyLoad{{Key: 5, Share: 1}}}}.GobEncode()
 	assert.NilError(t, err)
 	for size := 1; size < len(whole); size++ {
 		var loads ShardLoads
