--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -22,18 +22,17 @@
 
 func (c *Coordinator) serviceInput(service topology.Service, now time.Duration, unixMilli int64) placement.ServiceInput {
 	shards := make([]placement.ShardInput, 0, c.state.ShardCount(service.ID))
-	reader := c.loads.Reader(service.ID)
+	observed := c.loads.Service(service.ID)
 	for shard := range c.state.Shards(service.ID) {
-		observed := reader.Shard(shard.ID)
+		load := observed.Shard(shard.ID)
 		shards = append(shards, placement.ShardInput{
-			Shard:     shard,
-			Load:      observed.Load,
-			LastMoved: c.lastMoved[shard.ID],
-			CreatedAt: c.createdAt[shard.ID],
-			HotKeys:   observed.HotKeys,
-
-			LongRunning:   observed.LongRunning,
-			LoadChangedAt: observed.ChangedAt,
+			Shard:         shard,
+			Load:          load.Slots,
+			LastMoved:     c.lastMoved[shard.ID],
+			CreatedAt:     c.createdAt[shard.ID],
+			HotKeys:       load.HotKeys,
+			LongRunning:   load.LongRunning,
+			LoadChangedAt: load.ChangedAt,
 		})
 	}
 	return placement.ServiceInput{
--- a/internal/loadtable/table.go
+++ b/internal/loadtable/table.go
@@ -220,67 +220,8 @@
 	}
 }
 
-// Shard is what was observed of a shard.
-type Shard struct {
-	// Load that callers offer, in slots.
-	Load float64
-	// HotKeys with their load in slots.
-	HotKeys []placement.HotKey
-	// LongRunning and ChangedAt are as the methods of Table say.
-	LongRunning uint32
-	ChangedAt   time.Duration
-}
-
-// Reader reads the shards of one service. What it takes from the whole service
-// is worked out once, and it is valid until the table changes.
-type Reader struct {
-	table *Table
-	of    *service
-	rate  float64
-}
-
-// Reader returns a reader of a service's shards.
-func (t *Table) Reader(service topology.ServiceID) Reader {
-	of := t.service(service)
-	return Reader{table: t, of: of, rate: of.rate()}
-}
-
-// Shard returns what was observed of one of the service's shards.
-func (r Reader) Shard(id topology.ShardID) Shard {
-	observed, known := r.table.shards[id]
-	if !known {
-		return Shard{}
-	}
-	load := observed.share.value() * r.rate * observed.cost.perRequest(&r.of.cost)
-	return Shard{
-		Load:        load,
-		HotKeys:     observed.hotKeysAt(load),
-		LongRunning: observed.longRunning,
-		ChangedAt:   observed.changedAt,
-	}
-}
-
-// hotKeysAt returns the hottest keys where the shard carries a load.
-func (s *shard) hotKeysAt(load float64) []placement.HotKey {
-	if len(s.hotKeys) == 0 {
-		return nil
-	}
-	result := make([]placement.HotKey, 0, len(s.hotKeys))
-	for _, hot := range s.hotKeys {
-		result = append(result, placement.HotKey{Key: hot.Key, Load: load * float64(hot.Share)})
-	}
-	return result
-}
-
 // Load returns the load that callers offer to a shard, in slots.
-func (t *Table) Load(id topology.ShardID) float64 {
-	observed, known := t.shards[id]
-	if !known {
-		return 0
-	}
-	of := t.service(id.Service)
-	return observed.share.value() * of.rate() * observed.cost.perRequest(&of.cost)
-}
+func (t *Table) Load(id topology.ShardID) float64 { return t.Service(id.Service).Shard(id).Slots }
 
 // LongRunning returns how many requests of a shard have been running for longer
 // than its owner's last interval between reports.
@@ -292,23 +233,9 @@
 	return observed.longRunning
 }
 
-// ChangedAt returns when a shard's load last left what was expected of it, or
-// zero.
-func (t *Table) ChangedAt(id topology.ShardID) time.Duration {
-	observed, known := t.shards[id]
-	if !known {
-		return 0
-	}
-	return observed.changedAt
-}
-
 // HotKeys returns the hottest keys of a shard with their load in slots.
 func (t *Table) HotKeys(id topology.ShardID) []placement.HotKey {
-	observed, known := t.shards[id]
-	if !known {
-		return nil
-	}
-	return observed.hotKeysAt(t.Load(id))
+	return t.Service(id.Service).Shard(id).HotKeys
 }
 
 // Split divides what is known of a shard between it and its new right part.
