--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -123,10 +123,25 @@
 	return merged, deltaBytes(&merged) <= v.snapshotBytes
 }
 
-// LeadsOn reports whether the deltas kept lead from a revision to the newest.
+// smallPart of a snapshot is what the deltas that lead on from an older one may
+// have together for it to be sent in place of a new one.
+const smallPart = 8
+
+// LeadsOn reports whether the deltas kept lead from a revision to the newest and
+// are small beside a snapshot.
 func (v *View) LeadsOn(from topology.Revision) bool {
-	_, found := v.position(from)
-	return found || from == v.newest
+	if from == v.newest {
+		return true
+	}
+	first, found := v.position(from)
+	if !found {
+		return false
+	}
+	missed := 0
+	for index := range v.deltas[first:] {
+		missed += deltaBytes(&v.deltas[first+index])
+	}
+	return missed <= v.snapshotBytes/smallPart
 }
 
 // position returns the place of the delta that begins at a revision.
--- /dev/null
+++ b/internal/distribution/since_test.go
@@ -0,0 +1,54 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/wire"
+)
+
+func shardAt(service topology.ServiceID, number topology.ShardNumber, epoch topology.Epoch) topology.Shard {
+	return topology.Shard{ID: topology.ShardID{Service: service, Shard: number}, Epoch: epoch}
+}
+
+// TestSinceOfSomeServicesIsTheFilteredWhole: filtering before the merge, which
+// spares most of its work, must not change what a subscriber gets.
+func TestSinceOfSomeServicesIsTheFilteredWhole(t *testing.T) {
+	log := NewLog(0)
+	totals := Totals{Services: 2, Backends: 4, Shards: 100}
+	log.Append(wire.RoutingDelta{From: 1, To: 3, Shards: []topology.Shard{shardAt(1, 1, 1), shardAt(2, 1, 1)}}, totals)
+	log.Append(wire.RoutingDelta{From: 3, To: 4, Shards: []topology.Shard{shardAt(1, 1, 2), shardAt(1, 2, 1)}}, totals)
+	log.Append(wire.RoutingDelta{From: 4, To: 6, RemovedShards: []topology.ShardID{{Service: 1, Shard: 2}, {Service: 2, Shard: 1}}}, totals)
+	view := log.View()
+	for _, services := range [][]topology.ServiceID{nil, {1}, {2}, {1, 2}, {3}} {
+		whole, ok := view.Since(1)
+		assert.Assert(t, ok)
+		some, ok := view.Since(1, services...)
+		assert.Assert(t, ok)
+		assert.Equal(t, fmt.Sprint(some), fmt.Sprint(Filter(whole, services)), "empty and missing lists are the same on the wire")
+	}
+	_, ok := view.Since(2)
+	assert.Assert(t, !ok, "no delta begins there")
+	assert.Assert(t, view.LeadsOn(3) && view.LeadsOn(6) && !view.LeadsOn(2))
+}
+
+// TestOldSnapshotIsNotLedOnByHalfOfItself: restarted agents were sent a snapshot
+// of before the first assignment, and the whole assignment after it.
+func TestOldSnapshotIsNotLedOnByHalfOfItself(t *testing.T) {
+	log := NewLog(0)
+	totals := Totals{Services: 1, Backends: 2, Shards: 100}
+	var assigned []topology.Shard
+	for number := range 50 {
+		assigned = append(assigned, shardAt(1, topology.ShardNumber(number+1), 1))
+	}
+	log.Append(wire.RoutingDelta{From: 1, To: 2, Shards: assigned}, totals)
+	log.Append(wire.RoutingDelta{From: 2, To: 3, Shards: assigned[:1]}, totals)
+	view := log.View()
+	assert.Assert(t, !view.LeadsOn(1))
+	assert.Assert(t, view.LeadsOn(2) && view.LeadsOn(3))
+	_, ok := view.Since(1)
+	assert.Assert(t, ok, "a subscriber that is at 1 still gets the delta")
+}
--- a/internal/wire/routing.go
+++ b/internal/wire/routing.go
@@ -13,7 +13,7 @@
 // ServiceRoutes is a service and its shards ordered by Start.
 type ServiceRoutes struct {
 	Service topology.Service
-	Shards  []topology.Shard
+	Shards  Shards
 }
 
 // RoutingDelta takes a process from revision From to revision To. Applying it
@@ -29,7 +29,7 @@
 	Backends        []topology.Backend
 	RemovedBackends []topology.BackendID
 	// Shards created or changed. RemovedShards went in a merge.
-	Shards        []topology.Shard
+	Shards        Shards
 	RemovedShards []topology.ShardID
 }
 
--- a/internal/wire/shard_loads.go
+++ b/internal/wire/shard_loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"math"
 
@@ -26,9 +25,6 @@
 	requestsBits    = 3
 )
 
-// errDamagedLoads says that a packed report is cut short or out of range.
-var errDamagedLoads = errors.New("wire: damaged load report")
-
 // GobEncode implements gob.GobEncoder.
 func (loads ShardLoads) GobEncode() ([]byte, error) {
 	const usual = 8
@@ -78,30 +74,21 @@
 
 // GobDecode implements gob.GobDecoder.
 func (loads *ShardLoads) GobDecode(packed []byte) error {
-	reader := loadReader{rest: packed}
+	reader := unpacker{rest: packed}
 	var unpacked ShardLoads
-	var number int64
+	var number uint32
 	for len(reader.rest) > 0 && !reader.damaged {
-		number += reader.varint()
-		if number < 0 || number > math.MaxUint32 {
-			return errDamagedLoads
-		}
+		number = reader.number(int64(number))
 		unpacked = append(unpacked, reader.load(topology.ShardNumber(number)))
 	}
 	if reader.damaged {
-		return errDamagedLoads
+		return errDamaged
 	}
 	*loads = unpacked
 	return nil
 }
 
-// loadReader takes values off packed bytes; once damaged it returns zeros.
-type loadReader struct {
-	rest    []byte
-	damaged bool
-}
-
-func (r *loadReader) load(number topology.ShardNumber) ShardLoad {
+func (r *unpacker) load(number topology.ShardNumber) ShardLoad {
 	requests := r.uvarint(math.MaxUint32<<requestsBits | flagRefused | flagHotKeys | flagLongRunning)
 	load := ShardLoad{
 		Shard:      number,
@@ -120,15 +107,15 @@
 	return load
 }
 
-func (r *loadReader) hotKeys() []KeyLoad {
+func (r *unpacker) hotKeys() []KeyLoad {
 	const keyBytes = 8 + 4
-	count := r.bytes(1)
-	if r.damaged || count[0] > MaximumHotKeys {
+	count := r.byte()
+	if count > MaximumHotKeys {
 		r.damaged = true
 		return nil
 	}
-	keys := make([]KeyLoad, 0, count[0])
-	for range count[0] {
+	keys := make([]KeyLoad, 0, count)
+	for range count {
 		packed := r.bytes(keyBytes)
 		if r.damaged {
 			return nil
@@ -140,33 +127,3 @@
 	}
 	return keys
 }
-
-func (r *loadReader) bytes(count int) []byte {
-	if len(r.rest) < count {
-		r.damaged = true
-		return nil
-	}
-	taken := r.rest[:count]
-	r.rest = r.rest[count:]
-	return taken
-}
-
-func (r *loadReader) varint() int64 {
-	value, size := binary.Varint(r.rest)
-	if size <= 0 {
-		r.damaged = true
-		return 0
-	}
-	r.rest = r.rest[size:]
-	return value
-}
-
-func (r *loadReader) uvarint(limit uint64) uint64 {
-	value, size := binary.Uvarint(r.rest)
-	if size <= 0 || value > limit {
-		r.damaged = true
-		return 0
-	}
-	r.rest = r.rest[size:]
-	return value
-}
--- a/internal/wire/shard_loads_test.go
+++ b/internal/wire/shard_loads_test.go
@@ -65,10 +65,10 @@
 	assert.NilError(t, err)
 	for size := 1; size < len(whole); size++ {
 		var loads ShardLoads
-		assert.ErrorIs(t, loads.GobDecode(whole[:size]), errDamagedLoads, "%d bytes", size)
+		assert.ErrorIs(t, loads.GobDecode(whole[:size]), errDamaged, "%d bytes", size)
 	}
 	var loads ShardLoads
-	assert.ErrorIs(t, loads.GobDecode([]byte{1, 0, 0}), errDamagedLoads, "a negative number")
+	assert.ErrorIs(t, loads.GobDecode([]byte{1, 0, 0}), errDamaged, "a negative number")
 }
 
 func FuzzLoadReport(f *testing.F) {
