Start ended processes of a simulation in one place

Cause: three functions and a block of the fault actions did the same for controllers, agents, routers and back ends. Change: startLater serves all.

--- a/lab/simulate/fault_actions.go
+++ b/lab/simulate/fault_actions.go
@@ -17,16 +17,16 @@
 		return false
 	}
 	c.crash()
-	i.bootLater(c, length)
+	i.startLater(c.process, length, c.boot)
 	return true
 }
 
-// bootLater starts a controller again unless someone else did.
-func (i *injector) bootLater(c *controller, after time.Duration) {
-	life := c.life
+// startLater starts a process that has ended, unless someone else did.
+func (i *injector) startLater(p *process, after time.Duration, start func()) {
+	life := p.life
 	i.world.after(after, func() {
-		if !c.up && c.life == life {
-			c.boot()
+		if !p.up && p.life == life {
+			start()
 		}
 	})
 }
@@ -113,7 +113,7 @@
 	}
 	for _, c := range i.cluster.controllers {
 		c.crash()
-		i.bootLater(c, i.world.between(restartLeast, max(length, restartLeast+1)))
+		i.startLater(c.process, i.world.between(restartLeast, max(length, restartLeast+1)), c.boot)
 	}
 	return true
 }
@@ -164,19 +164,10 @@
 		return false
 	}
 	a.crash()
-	i.launchLater(a, length)
+	i.startLater(a.process, length, a.launch)
 	return true
 }
 
-func (i *injector) launchLater(a *agent, after time.Duration) {
-	life := a.life
-	i.world.after(after, func() {
-		if !a.up && a.life == life {
-			a.launch()
-		}
-	})
-}
-
 func (i *injector) freezeAgent(length time.Duration) bool {
 	return i.freeze(pick(i.world, i.cluster.agents).process, length)
 }
@@ -188,7 +179,7 @@
 	}
 	a.crash()
 	a.journal.lose()
-	i.launchLater(a, length)
+	i.startLater(a.process, length, a.launch)
 	return true
 }
 
@@ -197,7 +188,7 @@
 	if !a.up || a.leaving || a.frozen {
 		return false
 	}
-	a.stop(func() { i.launchLater(a, length) })
+	a.stop(func() { i.startLater(a.process, length, a.launch) })
 	return true
 }
 
@@ -230,12 +221,7 @@
 		return false
 	}
 	b.kill()
-	life := b.life
-	i.world.after(length, func() {
-		if !b.up && b.life == life {
-			b.launch()
-		}
-	})
+	i.startLater(b.process, length, b.launch)
 	return true
 }
 
@@ -264,19 +250,10 @@
 		return false
 	}
 	r.process.kill()
-	i.launchRouterLater(r, length)
+	i.startLater(r.process, length, r.launch)
 	return true
 }
 
-func (i *injector) launchRouterLater(r *router, after time.Duration) {
-	life := r.life
-	i.world.after(after, func() {
-		if !r.up && r.life == life {
-			r.launch()
-		}
-	})
-}
-
 func (i *injector) freezeRouter(length time.Duration) bool {
 	return i.freeze(pick(i.world, i.cluster.routers).process, length)
 }
@@ -286,7 +263,7 @@
 	if !r.up || r.draining || r.frozen {
 		return false
 	}
-	r.stop(func() { i.launchRouterLater(r, length) })
+	r.stop(func() { i.startLater(r.process, length, r.launch) })
 	return true
 }
 
