--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/grants"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/statechart"
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -28,7 +29,7 @@
 	unbound *served
 	// leavingSince is when the back end began to leave; zero while it does not.
 	leavingSince time.Duration
-	grants       grantState
+	grants       *grants.State
 	warmings     map[topology.ShardID]*warming
 	releases     map[topology.ShardID]*release
 	state        statechart.State
@@ -43,7 +44,7 @@
 		Agent:    agent,
 		mine:     &share{},
 		shards:   make(map[topology.ShardID]*served),
-		grants:   newGrantState(agent.config.ClockDrift),
+		grants:   grants.New(agent.config.ClockDrift, agent.now()),
 		warmings: make(map[topology.ShardID]*warming),
 		releases: make(map[topology.ShardID]*release),
 		state:    backendTable.Initial(),
@@ -75,7 +76,7 @@
 		control.fitness.giveUp()
 		control.fire(eventFailed)
 	}
-	if control.state == stateFit && control.grants.lost(now) {
+	if control.state == stateFit && control.grants.Lost(now) {
 		control.fitReport = "grants were not answered"
 		control.fire(eventLost)
 	}
--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -2,203 +2,68 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/backendapi"
+	"github.com/quartzdock/quartzdock/internal/grants"
 	"github.com/quartzdock/quartzdock/internal/topology"
-	"github.com/quartzdock/quartzdock/internal/upstream"
 )
 
-const (
-	// grantTimeout bounds one message of grants.
-	grantTimeout = 250 * time.Millisecond
-	// grantRetry is the least time between two messages after a failure.
-	grantRetry = 25 * time.Millisecond
-	// failuresToLose messages in a row must fail before the back end counts as
-	// lost.
-	failuresToLose = 2
-)
-
-// grantState is what the back end was granted. It belongs to the control
-// goroutine.
-type grantState struct {
-	clock backendapi.Clock
-	// sequence of the last message. The first message of this process replaces
-	// whatever an earlier process granted.
-	sequence uint64
-	replaced bool
-	// taken is what the back end confirmed.
-	taken map[topology.ShardID]topology.Epoch
-	// possible is what the back end may hold: all that was sent, until its
-	// revocation is confirmed.
-	possible map[topology.ShardID]topology.Epoch
-	// refused epochs: the back end has seen a higher one.
-	refused map[topology.ShardID]topology.Epoch
-	// confirmedUntil is the end of the grants in the last message that was
-	// answered; possibleUntil also counts messages that were not, which the back
-	// end may still take. Both by this process's monotonic clock.
-	confirmedUntil time.Duration
-	possibleUntil  time.Duration
-	// sending: a message is on its way.
-	sending bool
-	// failures in a row, and when the last message failed.
-	failures int
-	failedAt time.Duration
-}
-
-func newGrantState(drift float64) grantState {
-	return grantState{
-		clock:    backendapi.Clock{Drift: drift},
-		taken:    make(map[topology.ShardID]topology.Epoch),
-		possible: make(map[topology.ShardID]topology.Epoch),
-		refused:  make(map[topology.ShardID]topology.Epoch),
-	}
-}
-
-// mayHold says that the back end may still hold a grant of the shard. Until a
-// message of this process has replaced them, it may hold those of an earlier
-// one.
-func (state *grantState) mayHold(shard topology.ShardID) bool {
-	_, possible := state.possible[shard]
-	return possible || !state.replaced
-}
-
-// lost says that the back end has not answered until its grants ended.
-func (state *grantState) lost(now time.Duration) bool {
-	return state.failures >= failuresToLose && now >= state.confirmedUntil
-}
-
-// grantMessage is a message on its way.
-type grantMessage struct {
-	message backendapi.Grants
-	// until is the end of the grants; granted and revoked repeat the message.
-	until time.Duration
-	// possibleBefore is what possibleUntil was before this message.
-	possibleBefore time.Duration
-	granted        []topology.Shard
-	revoked        []topology.ShardID
-}
+// grantTimeout bounds one message of grants.
+const grantTimeout = 250 * time.Millisecond
 
 // syncGrants sends the back end what has changed and the end of the lease, one
 // message at a time.
 func (control *controlLoop) syncGrants() {
-	now := control.now()
-	state := &control.grants
-	resting := state.failures > 0 && now-state.failedAt < grantRetry
-	if state.sending || resting {
-		return
-	}
-	next := control.nextMessage(now)
+	next := control.grants.Next(grants.Wanted{
+		Backend:    control.mine.self,
+		Owned:      control.mine.owned,
+		Closing:    control.closing,
+		LeaseUntil: control.holder.ValidUntil(),
+		Repeat:     control.state == stateUnreachable,
+	}, control.now())
 	if next == nil {
 		return
 	}
-	state.sending = true
-	state.sequence++
-	next.message.Sequence = state.sequence
-	next.possibleBefore = state.possibleUntil
-	state.possibleUntil = max(state.possibleUntil, next.until)
-	for _, shard := range next.granted {
-		state.possible[shard.ID] = shard.Epoch
-	}
-	control.grantsPossibleUntil.Store(int64(state.possibleUntil))
+	control.grantsPossibleUntil.Store(int64(control.grants.PossibleUntil()))
 	control.background.Go(func() { control.sendGrants(next) })
 }
 
-// nextMessage returns nil where the back end has all that it should have.
-func (control *controlLoop) nextMessage(now time.Duration) *grantMessage {
-	state := &control.grants
-	next := &grantMessage{message: backendapi.Grants{Backend: control.mine.self}}
-	if !state.clock.Known() {
-		return next
-	}
-	next.message.Boot = state.clock.Boot()
-	next.message.Replace = !state.replaced
-	next.until = control.grantsUntil(now)
-	next.message.ValidUntilMilliseconds = state.clock.Convert(next.until)
-	control.addGrants(next, now)
-	control.addRevocations(next)
-	news := len(next.granted) > 0 || len(next.revoked) > 0 || next.until != state.confirmedUntil
-	if !news && state.replaced && control.state != stateUnreachable {
-		return nil
-	}
-	return next
-}
-
-// grantsUntil is the end that the next message states: the lease's, and zero
-// without one. While an earlier message has no answer its end is repeated, so
-// that a back end which is frozen is granted nothing further.
-func (control *controlLoop) grantsUntil(now time.Duration) time.Duration {
-	until := control.holder.ValidUntil()
-	if until <= now {
-		return 0
-	}
-	if control.grants.failures > 0 && control.grants.possibleUntil > now {
-		return min(until, control.grants.possibleUntil)
-	}
-	return until
-}
-
-func (control *controlLoop) addGrants(next *grantMessage, now time.Duration) {
-	if !control.holder.Valid(now) {
-		return
-	}
-	for id, shard := range control.mine.owned {
-		if control.grants.taken[id] == shard.Epoch || control.grants.refused[id] >= shard.Epoch {
-			continue
-		}
-		if releasing := control.releases[id]; releasing != nil && releasing.epoch == shard.Epoch {
-			continue
-		}
-		next.granted = append(next.granted, shard)
-		next.message.Grants = append(next.message.Grants, backendapi.Grant{Shard: id.String(), Epoch: shard.Epoch})
-	}
-}
-
-func (control *controlLoop) addRevocations(next *grantMessage) {
-	for id := range control.grants.possible {
-		if control.keepsGrant(id) {
-			continue
-		}
-		next.revoked = append(next.revoked, id)
-		next.message.Revoked = append(next.message.Revoked, id.String())
-	}
-}
-
-// keepsGrant says that a granted shard is still to be served or finished here.
-func (control *controlLoop) keepsGrant(id topology.ShardID) bool {
-	if _, owned := control.mine.owned[id]; !owned {
-		return false
+// closing says how a shard that is being released is given up.
+func (control *controlLoop) closing(id topology.ShardID) (grants.Closing, bool) {
+	releasing, found := control.releases[id]
+	if !found {
+		return grants.Closing{}, false
 	}
-	releasing := control.releases[id]
-	return releasing == nil || releasing.stage == stageDraining
+	return grants.Closing{Epoch: releasing.epoch, KeepGrant: releasing.stage == stageDraining}, true
 }
 
-func (control *controlLoop) sendGrants(sent *grantMessage) {
+func (control *controlLoop) sendGrants(sent *grants.Message) {
 	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
 	defer cancel()
-	reading, err := control.backend.Grant(ctx, sent.message)
+	reading, err := control.backend.Grant(ctx, sent.Grants)
 	received := control.now()
 	control.post(func(control *controlLoop) { control.grantsAnswered(sent, reading, received, err) })
 }
 
-func (control *controlLoop) grantsAnswered(sent *grantMessage, reading backendapi.Reading, received time.Duration, err error) {
-	state := &control.grants
-	state.sending = false
-	var lower *backendapi.LowerEpochError
+func (control *controlLoop) grantsAnswered(sent *grants.Message, reading backendapi.Reading, received time.Duration, err error) {
+	outcome := control.grants.Answered(sent, reading, received, err)
 	switch {
-	case err == nil:
-		control.grantsTaken(sent, reading, received)
-	case errors.Is(err, backendapi.ErrOtherBoot):
-		control.backendRestarted(reading, received)
-	case errors.Is(err, backendapi.ErrOvertaken):
-		state.possibleUntil = sent.possibleBefore
-		state.sequence = max(state.sequence, reading.Sequence)
-	case errors.As(err, &lower):
-		control.epochRefused(sent, lower)
-	default:
-		control.grantsFailed(sent, err)
+	case outcome.Taken:
+		control.begin(outcome.Granted)
+		if control.state == stateUnreachable {
+			control.fire(eventAnswered)
+		}
+	case outcome.Restarted:
+		control.config.Log.Info("back end started", slog.String("boot", reading.Boot))
+	case outcome.Refused != nil:
+		control.config.Log.Warn("back end refused an epoch", slog.Any("error", outcome.Refused))
+	case outcome.Failed:
+		control.counts.grantFailures.Add(1)
+	}
+	if outcome.FirstFailure {
+		control.config.Log.Info("grants not answered", slog.Any("error", err))
 	}
 	control.signalRelease(control.now())
 	control.syncGrants()
@@ -207,75 +72,11 @@
 // signalRelease renews at once, with Release set, when a lease was given up
 // and the back end can't act on its grants any more.
 func (control *controlLoop) signalRelease(now time.Duration) {
-	control.grantsPossibleUntil.Store(int64(control.grants.possibleUntil))
-	if control.wantLease.Load() || control.releaseSignalled || now < control.grants.possibleUntil {
+	until := control.grants.PossibleUntil()
+	control.grantsPossibleUntil.Store(int64(until))
+	if control.wantLease.Load() || control.releaseSignalled || now < until {
 		return
 	}
 	control.releaseSignalled = true
 	control.subscription.RenewNow()
 }
-
-func (control *controlLoop) grantsTaken(sent *grantMessage, reading backendapi.Reading, received time.Duration) {
-	state := &control.grants
-	state.failures = 0
-	restarted := state.clock.Known() && state.clock.Boot() != reading.Boot
-	if restarted {
-		control.backendRestarted(reading, received)
-		return
-	}
-	state.clock.Observe(reading, received)
-	state.sequence = max(state.sequence, reading.Sequence)
-	state.replaced = state.replaced || sent.message.Replace
-	state.confirmedUntil = sent.until
-	state.possibleUntil = sent.until
-	for _, shard := range sent.granted {
-		state.taken[shard.ID] = shard.Epoch
-	}
-	for _, id := range sent.revoked {
-		delete(state.taken, id)
-		delete(state.possible, id)
-	}
-	control.begin(sent.granted)
-	if control.state == stateUnreachable {
-		control.fire(eventAnswered)
-	}
-}
-
-// backendRestarted: the back end has no grants and no warm shards.
-func (control *controlLoop) backendRestarted(reading backendapi.Reading, received time.Duration) {
-	state := &control.grants
-	state.failures = 0
-	state.clock.Observe(reading, received)
-	state.sequence = max(state.sequence, reading.Sequence)
-	state.taken = make(map[topology.ShardID]topology.Epoch)
-	state.possible = make(map[topology.ShardID]topology.Epoch)
-	state.refused = make(map[topology.ShardID]topology.Epoch)
-	state.possibleUntil = 0
-	state.confirmedUntil = 0
-	control.config.Log.Info("back end started", slog.String("boot", reading.Boot))
-}
-
-// epochRefused: another agent's grant of a higher epoch reached this back end,
-// or the routing data here are old. The shard is not served at this epoch.
-func (control *controlLoop) epochRefused(sent *grantMessage, lower *backendapi.LowerEpochError) {
-	control.grants.possibleUntil = sent.possibleBefore
-	for _, shard := range sent.granted {
-		if shard.ID.String() == lower.Shard {
-			control.grants.refused[shard.ID] = shard.Epoch
-		}
-	}
-	control.config.Log.Warn("back end refused an epoch", slog.Any("error", lower))
-}
-
-func (control *controlLoop) grantsFailed(sent *grantMessage, err error) {
-	state := &control.grants
-	if state.failures == 0 {
-		control.config.Log.Info("grants not answered", slog.Any("error", err))
-	}
-	state.failedAt = control.now()
-	state.failures++
-	control.counts.grantFailures.Add(1)
-	if errors.Is(err, upstream.ErrNotSent) {
-		state.possibleUntil = sent.possibleBefore
-	}
-}
--- a/internal/agent/release.go
+++ b/internal/agent/release.go
@@ -13,11 +13,6 @@
 // lasts, routers hold the shard's requests.
 const transferTimeout = time.Second
 
-// earlierGrantsEnd is when, by this process's clock, which begins with it, the
-// grants of an earlier process have ended at the back end: the longest lease
-// that settings allow, one minute, with the bound of drift.
-const earlierGrantsEnd = 62 * time.Second
-
 // releaseStage is how far the release of a shard has come.
 type releaseStage uint8
 
@@ -129,12 +124,12 @@
 
 // grantGone says that the back end can't act on the shard's grant any more.
 func (control *controlLoop) grantGone(running *release, now time.Duration) bool {
-	return !control.grants.mayHold(running.shard) || now >= running.grantEndsBy
+	return !control.grants.MayHold(running.shard) || now >= running.grantEndsBy
 }
 
 func (control *controlLoop) beginTransfer(running *release) {
 	running.stage = stageTransferring
-	running.grantEndsBy = max(control.grants.possibleUntil, earlierGrantsEnd)
+	running.grantEndsBy = control.grants.AllEndBy()
 	control.syncGrants()
 	target, known := control.mine.table.Backend(running.target)
 	address := ""
--- a/lab/simulate/agent.go
+++ b/lab/simulate/agent.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/quartzdock/quartzdock/internal/backendapi"
+	"github.com/quartzdock/quartzdock/internal/grants"
 	"github.com/quartzdock/quartzdock/internal/ownership"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/routing"
@@ -35,10 +35,9 @@
 	withheld  bool
 	notBefore time.Duration
 	ledger    *requestrecord.Ledger
-	clockOf   backendapi.Clock
 	owned     map[topology.ShardID]topology.Shard
 	served    map[topology.ShardID]*served
-	grants    grantState
+	grants    *grants.State
 	releases  map[topology.ShardID]*release
 	warmings  map[topology.ShardID]*warming
 	queue     []func()
@@ -47,8 +46,6 @@
 	releasing bool
 	// leavingSince is when the back end began to leave; zero while it does not.
 	leavingSince time.Duration
-	// born is when the process started.
-	born time.Duration
 	// lying is added to the load that the back end claims.
 	lying uint32
 	loads map[topology.ShardNumber]*wire.ShardLoad
@@ -91,14 +88,12 @@
 // launch starts the process on what its journal holds.
 func (a *agent) launch() {
 	a.process.start()
-	a.born = a.clock()
 	a.holder = ownership.NewHolder(a.drift())
 	a.withheld, a.notBefore = false, 0
 	a.ledger = a.journal.open(a.process, a.cluster.has(DefectRecordNotSynced))
-	a.clockOf = backendapi.Clock{Drift: a.drift()}
 	a.owned = make(map[topology.ShardID]topology.Shard)
 	a.served = make(map[topology.ShardID]*served)
-	a.grants = newGrantState()
+	a.grants = grants.New(a.drift(), a.clock())
 	a.releases = make(map[topology.ShardID]*release)
 	a.warmings = make(map[topology.ShardID]*warming)
 	a.loads = make(map[topology.ShardNumber]*wire.ShardLoad)
@@ -145,7 +140,7 @@
 // mustRelease says that the agent wants no lease and its back end can't act on
 // grants of the last one any more.
 func (a *agent) mustRelease() bool {
-	return a.releasing && a.clock() >= a.grants.possibleUntil
+	return a.releasing && a.clock() >= a.grants.PossibleUntil()
 }
 
 func (a *agent) tick() {
--- a/lab/simulate/agent_release.go
+++ b/lab/simulate/agent_release.go
@@ -91,18 +91,15 @@
 }
 
 // grantGone says that the back end can't act on the shard's grant any more.
-// Until the first message of this process is answered, the back end may hold
-// grants of an earlier process.
 func (a *agent) grantGone(running *release, now time.Duration) bool {
-	_, granted := a.grants.possible[running.shard]
-	return (a.grants.replaced && !granted) || now >= running.grantEndsBy
+	return !a.grants.MayHold(running.shard) || now >= running.grantEndsBy
 }
 
 // beginTransfer promises never to serve the epoch again and sends the record
 // to the next owner.
 func (a *agent) beginTransfer(running *release) {
 	running.stage = stageTransferring
-	running.grantEndsBy = max(a.grants.possibleUntil, a.born+2*leaseDuration)
+	running.grantEndsBy = a.grants.AllEndBy()
 	a.syncGrants()
 	ended := func(moved bool) {
 		if running.transferred {
@@ -155,7 +152,7 @@
 func (a *agent) stop(ended func()) {
 	deadline := a.clock() + agentStopTimeout
 	a.leaving = true
-	a.leavingSince = a.clock()
+	a.followState(topology.BackendDraining)
 	a.renewNow()
 	if a.cluster.has(DefectStopAtOnce) {
 		a.exit(ended)
--- a/lab/simulate/backend.go
+++ b/lab/simulate/backend.go
@@ -1,6 +1,7 @@
 package simulate
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -57,50 +58,41 @@
 	}
 }
 
-// shardGrant gives a shard at an epoch.
-type shardGrant struct {
-	shard topology.ShardID
-	epoch topology.Epoch
-}
-
-// grants is a message of the agent; see backendapi.Grants.
-type grants struct {
-	boot       string
-	validUntil int64
-	sequence   uint64
-	replace    bool
-	granted    []shardGrant
-	revoked    []topology.ShardID
-}
-
 // take takes a whole message of grants, or nothing of it.
-func (b *backend) take(message grants) error {
+func (b *backend) take(message backendapi.Grants) error {
 	switch {
-	case message.boot != b.bootName:
+	case message.Boot != b.bootName:
 		return backendapi.ErrOtherBoot
-	case message.sequence <= b.sequence:
+	case message.Sequence <= b.sequence:
 		return backendapi.ErrOvertaken
 	}
-	for _, grant := range message.granted {
-		if highest := b.highest[grant.shard]; grant.epoch < highest {
-			return &backendapi.LowerEpochError{Shard: grant.shard.String(), Epoch: grant.epoch, Highest: highest}
+	for _, grant := range message.Grants {
+		if highest := b.highest[shardNamed(grant.Shard)]; grant.Epoch < highest {
+			return &backendapi.LowerEpochError{Shard: grant.Shard, Epoch: grant.Epoch, Highest: highest}
 		}
 	}
-	b.sequence = message.sequence
-	if message.replace {
+	b.sequence = message.Sequence
+	if message.Replace {
 		clear(b.granted)
 	}
-	for _, shard := range message.revoked {
-		delete(b.granted, shard)
+	for _, shard := range message.Revoked {
+		delete(b.granted, shardNamed(shard))
 	}
-	for _, grant := range message.granted {
-		b.granted[grant.shard] = grant.epoch
-		b.highest[grant.shard] = grant.epoch
+	for _, grant := range message.Grants {
+		b.granted[shardNamed(grant.Shard)] = grant.Epoch
+		b.highest[shardNamed(grant.Shard)] = grant.Epoch
 	}
-	b.validUntil = message.validUntil
+	b.validUntil = message.ValidUntilMilliseconds
 	return nil
 }
 
+// shardNamed reads topology.ShardID.String.
+func shardNamed(text string) topology.ShardID {
+	var id topology.ShardID
+	_, _ = fmt.Sscanf(text, "%d/%d", &id.Service, &id.Shard)
+	return id
+}
+
 // accepts reports whether the fence lets a request act now.
 func (b *backend) accepts(shard topology.ShardID, epoch topology.Epoch) bool {
 	if b.cluster.has(DefectNoFence) {
--- a/lab/simulate/controller_lead.go
+++ b/lab/simulate/controller_lead.go
@@ -148,24 +148,24 @@
 	if leader == nil || leader == c {
 		return
 	}
-	c.cluster.network.send(c.process, leader.process, func() { leader.answerBarrier(c, done) }, nil)
+	life := c.life
+	c.cluster.network.send(c.process, leader.process, func() { leader.answerBarrier(c, life, done) }, nil)
 }
 
 // answerBarrier tells a controller that follows the newest revision.
-func (c *controller) answerBarrier(to *controller, done func(confirmed bool)) {
-	toLife := to.life
+func (c *controller) answerBarrier(to *controller, toLife uint64, done func(confirmed bool)) {
 	c.readIndex(func(confirmed bool) {
 		if !confirmed {
 			return
 		}
 		index := c.status().Applied
-		c.cluster.network.send(c.process, to.process, func() {
-			if to.life != toLife || to.core == nil {
+		c.cluster.network.answer(c.process, to.process, toLife, func() {
+			if to.core == nil {
 				return
 			}
 			to.barriers = append(to.barriers, barrier{index, done})
 			to.releaseBarriers()
-		}, nil)
+		})
 	})
 }
 
