Keep answers for repeats in one allocation each

A record of 200,000 ids, the default limit, took 134 MB with answers of 100 bytes: most of it was the header map of each kept answer. Answers are now packed into one allocation and unpacked for the rare repeat. Four more short-lived allocations are made per request.

--- a/internal/requestrecord/changes.go
+++ b/internal/requestrecord/changes.go
@@ -166,8 +166,8 @@
 	kept.state = stateUnknown
 	if finished.Answered {
 		kept.state = stateAnswered
-		kept.answer = finished.Answer
-		state.keptBytes += finished.Answer.size()
+		kept.keep(finished.Answer)
+		state.keptBytes += int(kept.bodyBytes)
 	}
 }
 
@@ -183,8 +183,8 @@
 	if kept == nil {
 		return
 	}
-	state.keptBytes -= kept.answer.size()
-	kept.answer = nil
+	state.keptBytes -= int(kept.bodyBytes)
+	kept.keep(nil)
 }
 
 func (state *state) restore(restored *restoredChange) {
--- a/internal/requestrecord/segment.go
+++ b/internal/requestrecord/segment.go
@@ -148,7 +148,7 @@
 			Fingerprint: kept.fingerprint, AtUnixMilli: ordered.atUnixMilli}})
 		if kept.state != stateRunning {
 			rebuilt = append(rebuilt, Change{Finished: &finishedChange{Shard: ordered.shard, ID: ordered.id,
-				Answered: kept.state == stateAnswered, Answer: kept.answer}})
+				Answered: kept.state == stateAnswered, Answer: kept.answer.answer()}})
 		}
 	}
 	return rebuilt
--- a/internal/requestrecord/shard.go
+++ b/internal/requestrecord/shard.go
@@ -55,9 +55,17 @@
 // entry is one admitted id.
 type entry struct {
 	fingerprint uint64
-	state       entryState
 	// answer is nil when it was not kept.
-	answer *Answer
+	answer packedAnswer
+	// bodyBytes is the length of the body in answer.
+	bodyBytes uint32
+	state     entryState
+}
+
+// keep sets the answer.
+func (kept *entry) keep(answer *Answer) {
+	kept.answer = packAnswer(answer)
+	kept.bodyBytes = uint32(answer.size())
 }
 
 func (kept *entry) verdict(fingerprint uint64) Verdict {
@@ -71,7 +79,7 @@
 	case kept.answer == nil:
 		return Verdict{Decision: AnswerGone}
 	}
-	return Verdict{Decision: Answered, Answer: kept.answer}
+	return Verdict{Decision: Answered, Answer: kept.answer.answer()}
 }
 
 // Range is the part of the hash space that a shard covers, both ends included.
--- a/internal/requestrecord/transfer.go
+++ b/internal/requestrecord/transfer.go
@@ -30,10 +30,10 @@
 
 func exportEntry(id requestid.ID, kept *entry) wire.RecordEntry {
 	exported := wire.RecordEntry{ID: id, Fingerprint: kept.fingerprint, Answered: kept.state == stateAnswered}
-	if kept.answer != nil {
-		exported.Status = kept.answer.Status
-		exported.Header = kept.answer.Header
-		exported.Body = kept.answer.Body
+	if answer := kept.answer.answer(); answer != nil {
+		exported.Status = answer.Status
+		exported.Header = answer.Header
+		exported.Body = answer.Body
 	}
 	return exported
 }
@@ -71,7 +71,7 @@
 	}
 	held.state = stateAnswered
 	if imported.Status != 0 {
-		held.answer = &Answer{Status: imported.Status, Header: imported.Header, Body: imported.Body}
-		state.keptBytes += held.answer.size()
+		held.keep(&Answer{Status: imported.Status, Header: imported.Header, Body: imported.Body})
+		state.keptBytes += int(held.bodyBytes)
 	}
 }
