--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -52,7 +52,14 @@
 	deltas      *distribution.Log
 	coordinator *coordinator.Coordinator
 	leadership  leadership.Leadership
-	agents      agentSessions
+	findings    *findings
+	// discounted is how many claims the coordinator had discounted when it was
+	// last looked at.
+	discounted uint64
+	agents     agentSessions
+	// redirectBy is by when the agents of a leadership that ended are sent
+	// away; zero where there are none.
+	redirectBy time.Duration
 }
 
 // Run runs a controller until the context ends.
@@ -98,6 +105,7 @@
 	c.subscribers.start(c.now())
 	c.view.Store(c.deltas.View())
 	c.metrics = newMetrics(config.Registerer, c)
+	c.findings = newFindings(c.log, c.metrics.findings)
 	return c
 }
 
@@ -167,8 +175,10 @@
 	return c.sessions.Address()
 }
 
-// Stop ends sessions, calls and the replicated log.
+// Stop hands leadership over, if it is held here, and ends sessions, calls and
+// the replicated log.
 func (c *Controller) Stop() error {
+	c.handOver()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	_ = c.sessions.Close()
--- a/internal/controller/replicate.go
+++ b/internal/controller/replicate.go
@@ -31,8 +31,9 @@
 func (s stateMachine) Apply(index topology.Revision, command []byte) any {
 	return s.machine.Apply(index, command)
 }
-func (s stateMachine) Snapshot() ([]byte, error) { return s.machine.Snapshot() }
-func (s stateMachine) Restore(data []byte) error { return s.machine.Restore(data) }
+func (s stateMachine) Snapshot() ([]byte, error)      { return s.machine.Snapshot() }
+func (s stateMachine) Freeze() func() ([]byte, error) { return s.machine.Freeze() }
+func (s stateMachine) Restore(data []byte) error      { return s.machine.Restore(data) }
 
 // replicated fits a replica to Replicator.
 type replicated struct{ member *replica.Replica }
@@ -56,6 +57,10 @@
 func (r replicated) PeerAddress() string               { return r.member.Address() }
 func (r replicated) Stop() error                       { return r.member.Stop() }
 
+func (r replicated) TransferLeadership(ctx context.Context, target topology.ReplicaID) error {
+	return r.member.TransferLeadership(ctx, target)
+}
+
 func (r replicated) ChangeMembership(ctx context.Context, change consensus.Change) error {
 	_, err := r.member.ChangeMembership(ctx, change)
 	return err
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -41,6 +41,9 @@
 	Shard topology.Shard
 	// Load in slots, as agents observed it.
 	Load float64
+	// LoadChangedAt is when Load last left what was expected of it; zero is
+	// never.
+	LoadChangedAt time.Duration
 	// LastMoved is when the shard last changed owner; zero is never.
 	LastMoved time.Duration
 	// CreatedAt is when a split or merge made the shard; zero is at first
@@ -155,6 +158,16 @@
 	FindingNoOwner
 )
 
+var findingNames = [...]string{"", "undividable", "zone-headroom", "single-rack", "load-contradicted", "no-owner"}
+
+// String returns the kind in lower case.
+func (kind FindingKind) String() string {
+	if int(kind) < len(findingNames) {
+		return findingNames[kind]
+	}
+	return "unknown"
+}
+
 // Finding is reported to the operator beside the moves.
 type Finding struct {
 	Kind    FindingKind
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -10,8 +10,11 @@
 const (
 	DefaultMinimumResidence = 10 * time.Second
 	DefaultMovesPerMinute   = 120
-	DefaultMovesAtOnce      = 4
-	DefaultRestartGrace     = 10 * time.Second
+	// DefaultMovesPerBackend raises DefaultMovesPerMinute for services with many
+	// back ends.
+	DefaultMovesPerBackend = 60
+	DefaultMovesAtOnce     = 4
+	DefaultRestartGrace    = 10 * time.Second
 )
 
 // Thresholds of the load balance.
@@ -20,9 +23,15 @@
 	startImbalance = 1.08
 	// stopImbalance is the imbalance at which they end.
 	stopImbalance = 1.03
-	// minimumGain is the least decrease of its source's utilisation, relative
-	// to the mean, that makes a move worth while.
+	// minimumGain is the least decrease, relative to the mean, of the greater
+	// utilisation of its two ends that makes a move worth while.
 	minimumGain = 0.01
+	// minimumWorth is the least decrease of the relative variance of
+	// utilisation per weighed share of the keys that makes a move worth while.
+	minimumWorth = 0.06
+	// intolerable is the relative utilisation from which any move that helps is
+	// worth while.
+	intolerable = 1.20
 	// nearTolerance is the difference in relative utilisation within which
 	// destinations count as equal, so that the nearer is preferred.
 	nearTolerance = 0.05
@@ -36,6 +45,12 @@
 	// pauseWeight is how much one hand-over costs, in average shards moved, at
 	// equal weights.
 	pauseWeight = 0.25
+	// loadSettle is how long a shard stays where it is after a change of its
+	// load was noticed: until then its load is underestimated or overestimated.
+	loadSettle = 1500 * time.Millisecond
+	// emptyShare is the utilisation, relative to the mean, under which a back
+	// end counts as empty.
+	emptyShare = 0.5
 	// joinSettle is how long load moves wait after a back end joined, so that
 	// joins at about the same time are handled as one.
 	joinSettle = 300 * time.Millisecond
--- a/internal/wire/routing.go
+++ b/internal/wire/routing.go
@@ -13,7 +13,7 @@
 // ServiceRoutes is a service and its shards ordered by Start.
 type ServiceRoutes struct {
 	Service topology.Service
-	Shards  []topology.Shard
+	Shards  Shards
 }
 
 // RoutingDelta takes a process from revision From to revision To. Applying it
@@ -29,6 +29,13 @@
 	Backends        []topology.Backend
 	RemovedBackends []topology.BackendID
 	// Shards created or changed. RemovedShards went in a merge.
-	Shards        []topology.Shard
+	Shards        Shards
 	RemovedShards []topology.ShardID
 }
+
+// IsEmpty reports whether the delta changes nothing but the revision.
+func (delta *RoutingDelta) IsEmpty() bool {
+	objects := len(delta.Services) + len(delta.Backends) + len(delta.Shards)
+	removed := len(delta.RemovedServices) + len(delta.RemovedBackends) + len(delta.RemovedShards)
+	return objects+removed == 0
+}
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -40,6 +40,13 @@
 	UnavailableMillis    float64 `json:"unavailable_ms"`
 	UnavailableEvents    int     `json:"unavailable_events"`
 	UnavailableP99Millis float64 `json:"unavailable_p99_ms"`
+	// UnavailableKeyMillis is the mean over keys; it does not depend on how
+	// finely the keys are divided into shards.
+	UnavailableKeyMillis float64 `json:"unavailable_key_ms"`
+
+	// OutageMillis is the median of the times above longOutage in which a shard
+	// could not be served: what a loss costs, without planned moves.
+	OutageMillis float64 `json:"outage_ms"`
 
 	// Requests offered, and what became of them.
 	Requests uint64 `json:"requests"`
@@ -67,6 +74,9 @@
 	UnavailableMillis float64 `json:"unavailable_ms"`
 }
 
+// longOutage tells losses from planned moves.
+const longOutage = 100 * time.Millisecond
+
 // sample adds a point.
 func (m *measures) sample() {
 	m.series = append(m.series, Sample{
@@ -101,6 +111,7 @@
 		UnavailableMillis:    millis(sum(m.unavailable)),
 		UnavailableEvents:    len(m.unavailable),
 		UnavailableP99Millis: millis(quantile(m.unavailable, 0.99)),
+		UnavailableKeyMillis: millis(m.unavailableKeys) / float64(len(m.owners)),
 
 		Requests: m.offeredCount,
 		Answered: m.ends[endAnswered], Shed: m.ends[endShed], NoOwner: m.ends[endNoOwner],
@@ -112,6 +123,8 @@
 		Violations: make(map[string]int),
 		Series:     m.series,
 	}
+	first, _ := slices.BinarySearch(m.unavailable, longOutage)
+	result.OutageMillis = millis(quantile(m.unavailable[first:], 0.5))
 	if len(m.settleAfter) > 0 {
 		result.SettleMillis = millis(slices.Max(m.settleAfter))
 	}
