--- a/internal/admission/fairness_test.go
+++ b/internal/admission/fairness_test.go
@@ -15,18 +15,18 @@
 // The emulation plays callers against one back end on virtual time. Its slots
 // are the brief's; the service times are of look-ups, settlements and map packs.
 const (
-	emulatedSlots    = 20
-	emulatedTime     = 20 * time.Second
-	emulatedWarmUp   = 2 * time.Second
-	lookupTime       = 5 * time.Millisecond
-	writeTime        = 8 * time.Millisecond
-	bulkTime         = 400 * time.Millisecond
-	lookupDeadline   = 250 * time.Millisecond
-	writeDeadline    = time.Second
-	bulkDeadline     = 10 * time.Second
-	modestCallers    = 20
-	crowdInstances   = 40
-	tailOfLatencies  = 0.99
+	emulatedSlots   = 20
+	emulatedTime    = 20 * time.Second
+	emulatedWarmUp  = 2 * time.Second
+	lookupTime      = 5 * time.Millisecond
+	writeTime       = 8 * time.Millisecond
+	bulkTime        = 400 * time.Millisecond
+	lookupDeadline  = 250 * time.Millisecond
+	writeDeadline   = time.Second
+	bulkDeadline    = 10 * time.Second
+	modestCallers   = 20
+	crowdInstances  = 40
+	tailOfLatencies = 0.99
 )
 
 // stream is the requests of one caller and class.
