--- a/internal/coordinator/commits.go
+++ b/internal/coordinator/commits.go
@@ -4,33 +4,35 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
-	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
-// commits remembers when the latest revisions were applied.
-type commits struct{ times []commit }
+// commits remembers when the latest revisions were applied. Time passes only
+// forwards.
+type commits struct {
+	waiting []commit
+	passed  topology.Revision
+}
 
 type commit struct {
 	revision topology.Revision
 	at       time.Duration
 }
 
-// add notes a revision and forgets those that a later one, old enough, replaces.
+// add notes a revision that is applied now.
 func (c *commits) add(revision topology.Revision, now time.Duration) {
-	c.times = append(c.times, commit{revision, now})
-	for len(c.times) > 1 && c.times[1].at <= now-wire.StopRelyingAfter {
-		c.times = c.times[1:]
+	if last := len(c.waiting) - 1; last >= 0 && c.waiting[last].at == now {
+		c.waiting[last].revision = revision
+		return
 	}
+	c.waiting = append(c.waiting, commit{revision, now})
 }
 
 // before returns the newest revision that was applied before a time, or zero.
+// Later calls name no earlier time.
 func (c *commits) before(limit time.Duration) topology.Revision {
-	var newest topology.Revision
-	for _, entry := range c.times {
-		if entry.at >= limit {
-			break
-		}
-		newest = entry.revision
+	for len(c.waiting) > 0 && c.waiting[0].at < limit {
+		c.passed = c.waiting[0].revision
+		c.waiting = c.waiting[1:]
 	}
-	return newest
+	return c.passed
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	DefaultDrainLimit      = 30 * time.Second
 	DefaultSettleTime      = 300 * time.Millisecond
 	DefaultLongestSettle   = 2 * time.Second
+	DefaultStuckAfter      = 10 * time.Second
 	// leavingPatience bounds ReleasePatience for a back end that leaves, which
 	// is to take no new work after a few seconds.
 	leavingPatience = 2 * time.Second
@@ -45,6 +46,9 @@
 	// ReleasePatience is how long a move whose target is ready waits for long
 	// requests at the owner, which goes on serving.
 	ReleasePatience time.Duration
+	// StuckAfter is how long an agent may renew without a revision in force
+	// before it gets no lease any more.
+	StuckAfter time.Duration
 	// WarmLimit is how long a target may take to prepare a shard.
 	WarmLimit time.Duration
 	// SettleTime is how long the first owners of a new service's shards wait
@@ -63,6 +67,7 @@
 	setDefault(&config.DecideAgain, DefaultDecideAgain)
 	setDefault(&config.ReleasePatience, DefaultReleasePatience)
 	setDefault(&config.WarmLimit, DefaultWarmLimit)
+	setDefault(&config.StuckAfter, DefaultStuckAfter)
 	setDefault(&config.SettleTime, DefaultSettleTime)
 	setDefault(&config.LongestSettle, DefaultLongestSettle)
 	if config.Evaluate == nil {
--- a/internal/coordinator/leases.go
+++ b/internal/coordinator/leases.go
@@ -89,8 +89,7 @@
 }
 
 // mayRenew reports whether the holder knows of every shard that was taken from
-// the back end, and of every change that must be in force everywhere before the
-// lease would end.
+// the back end, and is not stuck at a revision of long ago.
 func (c *Coordinator) mayRenew(known *agent, backend topology.BackendID, applied topology.Revision, now time.Duration) bool {
 	info, exists := c.state.Backend(backend)
 	if !exists || c.revoking[backend] {
@@ -99,7 +98,7 @@
 	if known.fresh && !c.leases.Known(backend) && now < c.leases.Settled() {
 		return false // an earlier process may hold a predecessor's lease
 	}
-	overdue := c.commits.before(now - (wire.StopRelyingAfter - c.config.LeaseDuration))
+	overdue := c.commits.before(now - c.config.StuckAfter)
 	return applied >= max(info.RevokedAt, known.required, overdue)
 }
 
--- a/internal/inforce/doc.go
+++ b/internal/inforce/doc.go
@@ -14,8 +14,10 @@
 //     know the subscribers that it served before. The leader must have led for
 //     RelyingBound: a new one does not know the subscribers of a controller
 //     that was lost and removed.
-//   - RelyingBound has passed since it was committed. A router without it has no
-//     proof of freshness from a later moment than the commit, and without one
-//     it stops serving; the lease of an agent without it is not renewed (see
-//     internal/coordinator).
+//   - RelyingBound has passed since it was committed, and every agent that has a
+//     session with the leader, or had one just now, has confirmed it. A router
+//     without it has no proof of freshness from a later moment than the commit,
+//     and without one it stops serving; an agent without a session has no lease
+//     any more. One that renews its lease but confirms nothing loses that after
+//     a while (see internal/coordinator).
 package inforce
--- a/internal/inforce/inforce_test.go
+++ b/internal/inforce/inforce_test.go
@@ -163,3 +163,15 @@
 	assert.Equal(t, freshness.Age(3*time.Second), time.Second)
 	assert.Assert(t, !freshness.ConfirmedSince(2*time.Second+1))
 }
+
+// TestAgentWithALeaseCountsUntilItConfirms: it needs no proof of freshness.
+func TestAgentWithALeaseCountsUntilItConfirms(t *testing.T) {
+	tracker := leader()
+	agent := inforce.Key{Role: topology.RoleAgent, Name: "agent", Address: "127.0.0.1:7201"}
+	tracker.Connected(agent, &wire.Hello{Boot: 1, Applied: before}, settled)
+	late := settled + 2*inforce.RelyingBound
+	assert.DeepEqual(t, lagging(tracker, late), []string{"agent"})
+	tracker.Disconnected(agent, 1, late)
+	assert.DeepEqual(t, lagging(tracker, late+wire.StopRelyingAfter), []string{"agent"})
+	assert.Assert(t, tracker.Progress(change, &status, late+wire.StopRelyingAfter+1).Everywhere)
+}
--- a/internal/inforce/progress.go
+++ b/internal/inforce/progress.go
@@ -33,20 +33,29 @@
 // Progress tells, at the leader, who does not have a revision in force yet.
 func (t *Tracker) Progress(revision topology.Revision, status *consensus.Status, now time.Duration) Progress {
 	result := Progress{Revision: revision}
-	if now-t.commits.at(revision, now) > RelyingBound {
-		result.Everywhere = true
-		return result
-	}
+	late := now-t.commits.at(revision, now) > RelyingBound
 	for _, entry := range t.Subscribers(status.ID) {
-		if entry.Applied < revision && !entry.StoppedRelying(now) {
+		if entry.Applied >= revision || entry.StoppedRelying(now) {
+			continue
+		}
+		if !late || t.mayHoldLease(&entry) {
 			result.Lagging = append(result.Lagging, entry)
 		}
 	}
-	result.Lagging = append(result.Lagging, t.unsure(status, now)...)
+	if !late {
+		result.Lagging = append(result.Lagging, t.unsure(status, now)...)
+	}
 	result.Everywhere = len(result.Lagging) == 0
 	return result
 }
 
+// mayHoldLease reports whether a subscriber is an agent that had a session here,
+// at the leader, just now: its lease lets it serve without a proof of freshness.
+func (t *Tracker) mayHoldLease(entry *Subscriber) bool {
+	_, own := t.own[entry.Key]
+	return own && entry.Role == topology.RoleAgent
+}
+
 // unsure lists the members that can't tell who has what: those that have not
 // reported just now, those that have started only now, and a new leader. A new
 // leader knows nothing of the subscribers of a controller that was lost and is
