Elect sooner after a split vote, and send a follower less twice

- An election that is not decided is tried again after a third to two thirds of the election timeout, not after a whole one to two.
- A probe was sent again with every heartbeat answer, however slow the disk; it is now only where it was lost.
What waits for a peer that is down is dropped.
- A promotion is done once the new voter holds what was committed when it became one, not what has been committed by the time of asking, which under load may never hold; asked for again after a lost answer it waits for the same, which the controller passed over.
- New members log their incarnation as the admin command takes it.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -21,7 +21,7 @@
 func (c *Core) startPreVote() {
 	c.leader = 0
 	c.votes = map[topology.ReplicaID]bool{c.config.ID: true}
-	c.resetElectionDeadline()
+	c.setRetryDeadline()
 	c.askVotes(MessagePreVote, c.hard.Term+1)
 	c.decidePreVote()
 }
@@ -35,10 +35,18 @@
 	c.ackUpTo, c.matched = 0, 0
 	c.votes = map[topology.ReplicaID]bool{}
 	c.earlierLeasesEnd = 0
-	c.resetElectionDeadline()
+	c.setRetryDeadline()
 	c.askVotes(MessageVote, c.hard.Term)
 }
 
+// setRetryDeadline sets when an election that is not decided is tried again:
+// the group has no leader for that long, so it is sooner than the wait of a
+// follower, but leaves time for a round trip and a sync.
+func (c *Core) setRetryDeadline() {
+	least := c.config.ElectionTimeout / 3
+	c.electionDeadline = c.now + least + time.Duration(c.random.Int64N(int64(least)))
+}
+
 func (c *Core) askVotes(kind MessageKind, term uint64) {
 	for _, member := range c.Membership().Members {
 		if member.Learner || member.ID == c.config.ID {
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -164,7 +164,7 @@
 	if progress.Lost(m.Round, m.LogIndex) {
 		progress.Unreachable()
 	}
-	progress.RetryProbe()
+	progress.RetryProbe(m.Round, m.LogIndex)
 	if progress.Match < c.log.lastIndex() {
 		c.leading.appendWanted = true
 	}
--- a/internal/consensus/tracker/progress.go
+++ b/internal/consensus/tracker/progress.go
@@ -46,6 +46,8 @@
 	// HeardAt is when the replica last answered; zero is never.
 	HeardAt time.Duration
 
+	// probe is the Append of ProbeSent.
+	probe         sent
 	inflight      []sent
 	inflightBytes int
 }
@@ -77,6 +79,7 @@
 	switch p.State {
 	case Probe:
 		p.ProbeSent = true
+		p.probe = sent{last, bytes, round}
 	case Replicate:
 		p.Next = last + 1
 		p.inflight = append(p.inflight, sent{last, bytes, round})
@@ -146,8 +149,14 @@
 	p.Next = p.Match + 1
 }
 
-// RetryProbe allows the next Append of a Probe, after a heartbeat was answered.
-func (p *Progress) RetryProbe() { p.ProbeSent = false }
+// RetryProbe allows the next Append of a Probe where the last one was lost:
+// the replica answered a heartbeat that was sent after it, and does not know
+// its log to match up to it. A slow disk alone is not waited on with copies.
+func (p *Progress) RetryProbe(answeredRound, matched uint64) {
+	if p.probe.round < answeredRound && (matched < p.probe.last || p.probe.last == 0) {
+		p.ProbeSent = false
+	}
+}
 
 // InflightBytes is what was sent and is not acknowledged.
 func (p *Progress) InflightBytes() int { return p.inflightBytes }
--- a/internal/controller/rpc_controllers.go
+++ b/internal/controller/rpc_controllers.go
@@ -108,9 +108,11 @@
 	return connect.NewResponse(&quartzdockv1.RemoveControllerResponse{Result: answer}), nil
 }
 
-// changeMembership makes a change unless the membership shows it already.
+// changeMembership makes a change unless the membership shows it already. A
+// promotion is asked for in any case, since it ends only when the new voter
+// durably holds what was committed.
 func (s *adminServer) changeMembership(ctx context.Context, change consensus.Change) error {
-	if changeDone(s.controller.replica.Status().Membership, change) {
+	if change.Kind != consensus.Promote && changeDone(s.controller.replica.Status().Membership, change) {
 		return nil
 	}
 	if err := s.controller.replica.ChangeMembership(ctx, change); err != nil {
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -386,3 +386,93 @@
 		})
 	}
 }
+
+// BenchmarkCatchUp restarts a follower that missed changes of 100 shards each
+// and counts what the leader sends until it has them all.
+func BenchmarkCatchUp(b *testing.B) {
+	for _, missed := range []int{10, 300, 3_000} {
+		b.Run(fmt.Sprintf("missed=%d", missed), func(b *testing.B) {
+			var bytes []uint64
+			var took []time.Duration
+			for b.Loop() {
+				sent, duration := catchUp(b, missed)
+				bytes, took = append(bytes, sent), append(took, duration)
+			}
+			slices.Sort(bytes)
+			b.ReportMetric(float64(bytes[len(bytes)/2]), "sent-bytes")
+			b.ReportMetric(float64(bytes[len(bytes)/2])/float64(missed), "sent-bytes/change")
+			reportLatencies(b, took)
+		})
+	}
+}
+
+func catchUp(b *testing.B, missed int) (uint64, time.Duration) {
+	g := newBenchGroup(b, 3, func(config *Config) {
+		config.Machine = stateMachine{controlstate.New(1)}
+		config.FS, config.DataDir = vfs.NewMemory(1), "data"
+		config.WAL.SegmentBytes = 1 << 20
+	})
+	defer g.stop()
+	leader := g.leader()
+	populated := populate(b, g.replicas[leader], fleetShards)
+	away := (leader + 1) % len(g.replicas)
+	waitApplied(g.replicas[away], uint64(populated))
+	assert.NilError(b, g.replicas[away].Stop())
+	g.replicas[away] = nil
+	const changedShards = 100
+	var last uint64
+	for change := range missed {
+		from := change * changedShards % fleetShards
+		epoch := topology.Epoch(1 + change*changedShards/fleetShards)
+		last = uint64(propose(b, g.replicas[leader], reassign(fleetShards, from, from+changedShards, epoch, 2)))
+	}
+	before := g.replicas[leader].BytesSent()
+	g.configs[away].Listener = nil
+	g.configs[away].Machine = stateMachine{controlstate.New(1)}
+	began := time.Now()
+	replica, err := Start(g.configs[away])
+	assert.NilError(b, err)
+	g.replicas[away] = replica
+	waitApplied(replica, last)
+	return g.replicas[leader].BytesSent() - before, time.Since(began)
+}
+
+func waitApplied(replica *Replica, index uint64) {
+	for replica.Status().Applied < index {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func propose(b *testing.B, leader *Replica, command controlstate.Command) topology.Revision {
+	b.Helper()
+	data, err := controlstate.EncodeCommand(command)
+	assert.NilError(b, err)
+	result, err := leader.Propose(context.Background(), data)
+	assert.NilError(b, err)
+	assert.NilError(b, result.(controlstate.Result).Err())
+	if command.ChangeOwnership != nil {
+		assert.Equal(b, result.(controlstate.Result).OwnershipApplied, len(command.ChangeOwnership.Changes))
+	}
+	return result.(controlstate.Result).Revision
+}
+
+// populate makes two services with shards and one back end each, through the
+// log.
+func populate(b *testing.B, leader *Replica, shards int) topology.Revision {
+	b.Helper()
+	revision := topology.Revision(0)
+	operator := func(command controlstate.Command) {
+		command.RequestID, command.Author, command.ExpectedRevision = fmt.Sprint("populate-", revision), "bench", revision
+		assert.NilError(b, command.Seal())
+		revision = propose(b, leader, command)
+	}
+	for service := range 2 {
+		name := fmt.Sprint("service-", service)
+		operator(controlstate.Command{CreateService: &controlstate.CreateService{Service: topology.Service{Name: name, InitialShards: uint32(shards / 2)}}})
+		operator(controlstate.Command{CreateBackend: &controlstate.CreateBackend{Service: name, Backend: topology.Backend{
+			Name: "backend", Location: topology.Location{Region: "se-west", Zone: "hall-1"},
+			AgentAddress: fmt.Sprintf("127.%d.0.1:7201", service+1), Slots: 20, Connections: 100,
+		}}})
+	}
+	return propose(b, leader, reassign(shards, 0, shards, 0, 2))
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -83,7 +83,9 @@
 	// default 10,000.
 	SnapshotEntries uint64
 	// SnapshotBytes is after how many bytes of applied commands a snapshot is
-	// taken at the latest; default 32 MB.
+	// taken at the latest, or after as many as the last snapshot had, if those
+	// are more; default 4 MB. A replica that missed much so never receives more
+	// than two to three times the state.
 	SnapshotBytes int64
 	// RetainEntries before a snapshot stay in memory, so that a replica that
 	// missed few changes catches up without the snapshot; default 2,000.
@@ -98,7 +100,7 @@
 const (
 	DefaultTickInterval    = 10 * time.Millisecond
 	DefaultSnapshotEntries = 10_000
-	DefaultSnapshotBytes   = 32 << 20
+	DefaultSnapshotBytes   = 4 << 20
 	DefaultRetainEntries   = 2_000
 )
 
--- a/internal/replica/control.go
+++ b/internal/replica/control.go
@@ -37,6 +37,8 @@
 	lastSnapshot uint64
 	// appliedBytes counts the commands applied since the last snapshot began.
 	appliedBytes int64
+	// snapshotSize is that of the last snapshot.
+	snapshotSize int64
 	snapshotting bool
 	// compactTo is the index of a snapshot whose log is to be removed.
 	compactTo uint64
@@ -53,7 +55,8 @@
 	done  func(any, error)
 }
 
-// promotion waits until a new voter durably holds an index.
+// promotion waits until a new voter durably holds an index and it is
+// committed.
 type promotion struct {
 	change consensus.Change
 	index  uint64
@@ -112,6 +115,7 @@
 	}
 	c.core = core
 	c.lastSnapshot = found.snapshot.Meta.Index
+	c.snapshotSize = int64(len(found.snapshot.Data))
 	c.publish()
 	return nil
 }
@@ -281,6 +285,8 @@
 		return
 	}
 	c.lastSnapshot = snapshot.Meta.Index
+	c.snapshotSize = int64(len(snapshot.Data))
+	c.appliedBytes = 0
 	for index, waiting := range c.proposals {
 		if index <= snapshot.Meta.Index {
 			delete(c.proposals, index)
@@ -384,6 +390,10 @@
 		done(nil, err)
 		return
 	}
+	if change.Kind == consensus.Promote && c.core.Membership().IsVoter(change.Member.ID) {
+		c.awaitPromoted(change, done)
+		return
+	}
 	index, term, err := c.core.ProposeMembership(change)
 	switch {
 	case errors.Is(err, consensus.ErrNotCaughtUp), errors.Is(err, consensus.ErrTermNotCommitted), errors.Is(err, consensus.ErrChangeInProgress):
@@ -399,11 +409,18 @@
 			done(change, err)
 			return
 		}
-		c.promoted = append(c.promoted, promotion{change, index, done})
-		c.checkPromotions()
+		c.awaitPromoted(change, done)
 	}}
 }
 
+// awaitPromoted waits until a voter durably holds all that is committed now,
+// its promotion included. A promotion that is asked for again, because the
+// answer was lost, waits as well.
+func (c *control) awaitPromoted(change consensus.Change, done func(any, error)) {
+	c.promoted = append(c.promoted, promotion{change, c.core.Status().LastIndex, done})
+	c.checkPromotions()
+}
+
 func (c *control) retryChange(ctx context.Context, change consensus.Change, done func(any, error), cause error) {
 	if ctx.Err() != nil {
 		done(nil, cause)
@@ -436,7 +453,7 @@
 		switch {
 		case status.Role != consensus.Leader:
 			p.done(nil, c.notLeader())
-		case durableAt(status, p.change.Member.ID) >= max(p.index, status.Commit):
+		case status.Commit >= p.index && durableAt(status, p.change.Member.ID) >= p.index:
 			p.done(p.change, nil)
 		default:
 			waiting = append(waiting, p)
@@ -446,6 +463,9 @@
 }
 
 func durableAt(status consensus.Status, id topology.ReplicaID) uint64 {
+	if id == status.ID {
+		return status.Durable
+	}
 	for _, peer := range status.Peers {
 		if peer.ID == id {
 			return peer.Match
--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -283,3 +284,19 @@
 	g.start(id)
 	return g.replicas[id]
 }
+
+func TestAPromotionThatIsAskedForAgainWaitsForTheDisk(t *testing.T) {
+	g, _, _ := memoryGroup(t, 3)
+	g.propose("a")
+	id := g.follower()
+	g.kill(id)
+	g.propose("b")
+	promote := consensus.Change{Kind: consensus.Promote, Member: consensus.Member{ID: id}}
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := g.leader().ChangeMembership(ctx, promote)
+	assert.ErrorIs(t, err, context.DeadlineExceeded, "the voter is down and lacks an entry")
+	g.start(id)
+	_, err = g.leader().ChangeMembership(testContext(t), promote)
+	assert.NilError(t, err)
+}
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io/fs"
 	"reflect"
+	"strconv"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
@@ -56,6 +57,10 @@
 
 func (f *founding) load(r *Replica) error {
 	f.r = r
+	if len(f.founders()) == 0 {
+		r.config.Logger.Info("waiting to be added to the group as a new member",
+			"incarnation", hexadecimal(r.incarnation), "peer_address", r.Address())
+	}
 	f.heard = map[topology.ReplicaID]foundingNotice{}
 	content, err := vfs.ReadAll(r.config.FS, f.path())
 	if errors.Is(err, fs.ErrNotExist) {
@@ -138,7 +143,12 @@
 		return
 	}
 	f.conflict = true
-	f.r.config.Logger.Warn(what, "incarnation", uint64(f.r.incarnation), "address", f.r.Address())
+	f.r.config.Logger.Warn(what, "incarnation", hexadecimal(f.r.incarnation), "peer_address", f.r.Address())
+}
+
+// hexadecimal is an incarnation as operators' commands take it.
+func hexadecimal(incarnation topology.Incarnation) string {
+	return strconv.FormatUint(uint64(incarnation), 16)
 }
 
 // advance enters the next phase when all founders have told enough.
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -152,7 +152,9 @@
 			if conn == nil {
 				conn = s.dial(address)
 			}
-			if conn != nil {
+			if conn == nil {
+				drop(queue)
+			} else {
 				before := conn.BytesSent()
 				err := conn.send(e)
 				s.sent.Add(conn.BytesSent() - before)
@@ -164,6 +166,18 @@
 	}
 }
 
+// drop empties a queue: what waits while a peer is down is old by the time that
+// it is back.
+func drop(queue chan envelope) {
+	for {
+		select {
+		case <-queue:
+		default:
+			return
+		}
+	}
+}
+
 // dial opens a connection, or returns nil after a pause.
 func (s *peerSet) dial(address string) *peerConn {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -134,7 +134,8 @@
 // ChangeMembership proposes a change and returns it, with the ID that was
 // given, once it is committed. Promote waits until the learner has caught up,
 // and returns once the new voter durably holds everything that was committed
-// at that moment, the promotion included: a second machine may then be lost.
+// when it became one, the promotion included: a second machine may then be
+// lost. Asked for a voter, it waits for the same.
 func (r *Replica) ChangeMembership(ctx context.Context, change consensus.Change) (consensus.Change, error) {
 	result, err := r.await(ctx, ErrOutcomeUnknown, func(done func(any, error)) {
 		r.control.changeMembership(ctx, change, done)
--- a/internal/replica/writer.go
+++ b/internal/replica/writer.go
@@ -137,7 +137,7 @@
 		return
 	}
 	status := c.core.Status()
-	due := status.Applied >= c.lastSnapshot+c.r.config.SnapshotEntries || c.appliedBytes >= c.r.config.SnapshotBytes
+	due := status.Applied >= c.lastSnapshot+c.r.config.SnapshotEntries || c.appliedBytes >= max(c.r.config.SnapshotBytes, c.snapshotSize)
 	if !due || status.Applied == c.lastSnapshot || status.Applied > status.Durable {
 		return
 	}
@@ -179,6 +179,7 @@
 	default:
 		// A replica that is further behind gets the snapshot, which is smaller
 		// than the entries would be.
+		c.snapshotSize = int64(len(snapshot.Data))
 		retained := c.core.EntriesWithin(snapshot.Meta.Index, max(len(snapshot.Data), leastRetainedBytes))
 		c.core.Compact(snapshot.Meta, min(retained, c.r.config.RetainEntries))
 		c.compactTo = max(c.compactTo, snapshot.Meta.Index)
