--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -21,8 +21,7 @@
 // child with the least one goes first. A request is charged the estimate of
 // its class when it starts and the difference to what it used when it ends.
 // The levels are the service, the parts of the caller's name and the class;
-// docs/decisions/010-queues-and-fairness.md
-// compares them with others.
+// docs/decisions/010-queues-and-fairness.md compares them with others.
 //
 // # Refusals
 //
