Don't let one caller's failing requests take owner after owner down

Ten failures in a row counted against a back end as soon as they were of two shards. A single caller whose requests all fail would so have taken the owner of its shards away, then the next one, and with them the other callers' service. Failures of a single caller now need the tenfold number, like those of a single shard; the test for it failed before, and the old test for shards is part of it.

The tests' leader asked for reports from several goroutines, which the subscription never does and the race detector now saw; it asks for one at a time.

--- a/internal/agent/fitness.go
+++ b/internal/agent/fitness.go
@@ -17,9 +17,10 @@
 	DefaultStallMaximum   = 10 * time.Second
 	DefaultRestFirst      = 2 * time.Second
 	DefaultRestLimit      = time.Minute
-	// sameShardFactor multiplies FailuresInARow where all failures were on one
-	// shard, which may be the fault of one key's requests.
-	sameShardFactor = 10
+	// sameSourceFactor multiplies FailuresInARow where all failures were on one
+	// shard or of one caller: the fault may be in these requests, and would
+	// follow them to the next owner.
+	sameSourceFactor = 10
 	// patienceFactor times the average answer time, and patienceMinimum, must
 	// have been waited for a missed deadline to count as a failure.
 	patienceFactor  = 2
@@ -68,9 +69,10 @@
 	mutex        sync.Mutex
 	failures     int
 	firstFailure time.Duration
-	// firstShard had the first failure; spread says that another had one too.
-	firstShard topology.ShardID
-	spread     bool
+	// first had the first failure; otherShard and otherCaller say that another
+	// shard and another caller had one too.
+	first                   failureSource
+	otherShard, otherCaller bool
 	// waiting look-ups, and since when none of them was answered.
 	waiting       int
 	quietSince    time.Duration
@@ -78,6 +80,12 @@
 	counts        fitnessCounts
 }
 
+// failureSource is whose request failed.
+type failureSource struct {
+	shard  topology.ShardID
+	caller string
+}
+
 // fitnessCounts are totals since the last report.
 type fitnessCounts struct{ completed, failed uint32 }
 
@@ -115,27 +123,28 @@
 
 // failed notes a server error, a broken or missing answer, or that the back end
 // shed a request although it was asked for no more than its slots.
-func (fitness *fitness) failed(now time.Duration, shard topology.ShardID) {
+func (fitness *fitness) failed(now time.Duration, source failureSource) {
 	fitness.mutex.Lock()
 	defer fitness.mutex.Unlock()
 	if fitness.failures == 0 {
 		fitness.firstFailure = now
-		fitness.firstShard = shard
-		fitness.spread = false
+		fitness.first = source
+		fitness.otherShard, fitness.otherCaller = false, false
 	}
-	fitness.spread = fitness.spread || shard != fitness.firstShard
+	fitness.otherShard = fitness.otherShard || source.shard != fitness.first.shard
+	fitness.otherCaller = fitness.otherCaller || source.caller != fitness.first.caller
 	fitness.failures++
 	fitness.counts.failed++
 }
 
 // timedOut notes an answer that did not come before the deadline. Deadlines
 // that ordinary answers would not have met either are no failure.
-func (fitness *fitness) timedOut(now, waited time.Duration, shard topology.ShardID) {
+func (fitness *fitness) timedOut(now, waited time.Duration, source failureSource) {
 	fitness.mutex.Lock()
 	patient := waited >= max(patienceFactor*fitness.averageAnswer, patienceMinimum)
 	fitness.mutex.Unlock()
 	if patient {
-		fitness.failed(now, shard)
+		fitness.failed(now, source)
 	}
 }
 
@@ -168,8 +177,8 @@
 	fitness.mutex.Lock()
 	defer fitness.mutex.Unlock()
 	needed := fitness.config.FailuresInARow
-	if !fitness.spread {
-		needed *= sameShardFactor
+	if !fitness.otherShard || !fitness.otherCaller {
+		needed *= sameSourceFactor
 	}
 	failing := fitness.failures >= needed &&
 		now-fitness.firstFailure >= fitness.config.FailureSpan
--- a/internal/agent/fitness_test.go
+++ b/internal/agent/fitness_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -78,19 +79,31 @@
 	return leader.failed
 }
 
-// TestOneShardsFailuresAreNotTheBackEnds: requests of a single shard may be at
-// fault themselves.
-func TestOneShardsFailuresAreNotTheBackEnds(t *testing.T) {
-	judge := newFitness(FitnessConfig{}.withDefaults())
+// TestOneSourcesFailuresAreNotTheBackEnds: requests of a single shard or caller
+// may be at fault themselves, and would take one owner after another down.
+func TestOneSourcesFailuresAreNotTheBackEnds(t *testing.T) {
 	one, two := topology.ShardID{Service: 1, Shard: 1}, topology.ShardID{Service: 1, Shard: 2}
-	for i := range DefaultFailuresInARow {
-		judge.failed(time.Duration(i)*time.Second, one)
+	for name, others := range map[string]failureSource{
+		"one shard":  {shard: one, caller: "b"},
+		"one caller": {shard: two, caller: "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			judge := newFitness(FitnessConfig{}.withDefaults())
+			judge.failed(0, failureSource{shard: one, caller: "a"})
+			for i := range DefaultFailuresInARow {
+				judge.failed(time.Duration(i)*time.Second, others)
+			}
+			assert.Equal(t, judge.verdict(time.Minute), "")
+			judge.failed(time.Minute, failureSource{shard: two, caller: "b"})
+			assert.Equal(t, judge.verdict(time.Minute), "requests fail")
+			judge.succeeded(time.Minute, time.Millisecond)
+			assert.Equal(t, judge.verdict(time.Minute), "")
+			for range sameSourceFactor * DefaultFailuresInARow {
+				judge.failed(time.Minute, failureSource{shard: one, caller: "a"})
+			}
+			assert.Equal(t, judge.verdict(2*time.Minute), "requests fail", "so many are not one request's fault")
+		})
 	}
-	assert.Equal(t, judge.verdict(time.Minute), "")
-	judge.failed(time.Minute, two)
-	assert.Equal(t, judge.verdict(time.Minute), "requests fail")
-	judge.succeeded(time.Minute, time.Millisecond)
-	assert.Equal(t, judge.verdict(time.Minute), "")
 }
 
 func TestHastyDeadlinesAreNoFailures(t *testing.T) {
@@ -99,7 +112,7 @@
 		judge.succeeded(0, 300*time.Millisecond)
 	}
 	for i := range 200 {
-		judge.timedOut(time.Duration(i)*time.Second, 100*time.Millisecond, topology.ShardID{Shard: topology.ShardNumber(i)})
+		judge.timedOut(time.Duration(i)*time.Second, 100*time.Millisecond, failureSource{shard: topology.ShardID{Shard: topology.ShardNumber(i)}, caller: strconv.Itoa(i)})
 	}
 	assert.Equal(t, judge.verdict(time.Hour), "")
 }
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -126,7 +126,7 @@
 	now := agent.now()
 	switch {
 	case ended.broken || status >= http.StatusInternalServerError:
-		agent.fitness.failed(now, parsed.shard)
+		agent.fitness.failed(now, parsed.source())
 	case ended.ran:
 		agent.fitness.succeeded(now, took)
 	}
@@ -164,17 +164,17 @@
 	case notSent && expired:
 		return notRun(http.StatusGatewayTimeout, wire.ReasonExpired, err.Error())
 	case notSent && ctx.Err() == nil:
-		agent.fitness.failed(agent.now(), parsed.shard)
+		agent.fitness.failed(agent.now(), parsed.source())
 		fallthrough
 	case notSent:
 		answer := notRun(http.StatusServiceUnavailable, wire.ReasonUnreachable, err.Error())
 		answer.retryAfter = time.Second
 		return answer
 	case expired:
-		agent.fitness.timedOut(agent.now(), took, parsed.shard)
+		agent.fitness.timedOut(agent.now(), took, parsed.source())
 		return unknown(http.StatusGatewayTimeout, wire.ReasonTimedOut, err.Error())
 	case ctx.Err() == nil:
-		agent.fitness.failed(agent.now(), parsed.shard)
+		agent.fitness.failed(agent.now(), parsed.source())
 	}
 	return unknown(http.StatusBadGateway, wire.ReasonInterrupted, err.Error())
 }
@@ -185,7 +185,7 @@
 	case http.StatusPreconditionFailed:
 		return notRun(http.StatusMisdirectedRequest, wire.ReasonNoLease, "the back end's fence refused the request")
 	case http.StatusServiceUnavailable:
-		agent.fitness.failed(agent.now(), parsed.shard)
+		agent.fitness.failed(agent.now(), parsed.source())
 		answer := notRun(http.StatusServiceUnavailable, wire.ReasonShed, "the back end shed the request")
 		answer.retryAfter = time.Second
 		return answer
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -47,6 +47,11 @@
 	timeout time.Duration
 }
 
+// source says whose request it is.
+func (parsed *request) source() failureSource {
+	return failureSource{shard: parsed.shard, caller: parsed.caller}
+}
+
 // parseRequest reads the headers. All findings are joined.
 func parseRequest(r *http.Request, defaultTimeout time.Duration) (request, error) {
 	header := r.Header
--- a/internal/agent/rig_test.go
+++ b/internal/agent/rig_test.go
@@ -44,6 +44,7 @@
 	refuses atomic.Bool
 	// renewEach is the time between renewals.
 	renewEach atomic.Int64
+	reporting sync.Mutex
 
 	mutex    sync.Mutex
 	messages []wire.ToController
@@ -62,7 +63,7 @@
 // RenewNow answers one renewal as the leader would.
 func (leader *leader) RenewNow() {
 	sentAt := leader.agent.now()
-	renew := leader.agent.report()
+	renew := leader.report()
 	leader.mutex.Lock()
 	leader.released = renew.Release
 	leader.failed += renew.Backend.Failed
@@ -74,6 +75,14 @@
 	}
 }
 
+// report asks for one report at a time, as the subscription's sending goroutine
+// does.
+func (leader *leader) report() wire.Renew {
+	leader.reporting.Lock()
+	defer leader.reporting.Unlock()
+	return leader.agent.report()
+}
+
 func (leader *leader) Stop() {}
 
 func (leader *leader) hasReleased() bool {
