Report load as the product does, and let a restart choose its moment

Cause: agents had come to report load twice a second instead of with each renewal, so the emulator knew of shifts sooner than the product, and the product named hot keys every 4 s only, as it counts reports. And the agent's stop, where the shards wait for it, closed at once, before the hot shards could be handed over and while long requests ran. Change: the emulated agent reports every 500 ms, hot keys are named in every second report; the agent goes on until nothing has moved for 500 ms and no long request runs, for at most nine tenths of its grace, so that it closes with an answer that says when to come back. The test of the reporter sends as many requests as before.

--- a/internal/agent/served.go
+++ b/internal/agent/served.go
@@ -79,6 +79,13 @@
 	return uint32(long)
 }
 
+// runsLong says whether a request has been running since before the last report.
+func (shard *served) runsLong() bool {
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	return shard.long > 0
+}
+
 // close lets no request in any more; those that run go on.
 func (shard *served) close() {
 	shard.mutex.Lock()
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -45,8 +45,10 @@
 	return nil
 }
 
-// awaitMoves returns once nothing is owned, nothing will be moved, or nothing
-// has been moving for moveGap although the grace has passed.
+// awaitMoves returns once nothing is owned, or nothing has been moving for
+// moveGap and either the shards wait for the restart and no long request runs,
+// or the grace has passed. It does so before new work is refused, so that
+// callers are told when to come back.
 func (agent *Agent) awaitMoves() {
 	begun := agent.now()
 	lastMove := begun
@@ -55,12 +57,25 @@
 		if agent.moving.Load() > 0 {
 			lastMove = now
 		}
-		stays := agent.waitsForRestart.Load() && agent.moving.Load() == 0
+		planned := now-lastMove >= min(moveGap, agent.config.LeavingGrace/2)
+		idle := !agent.runsLong() || now-begun >= agent.config.LeavingGrace*9/10
+		stays := agent.waitsForRestart.Load() && planned && idle
 		stuck := now-begun >= agent.config.LeavingGrace && now-lastMove >= moveGap
 		return stays || stuck || agent.ownsNothing()
 	})
 }
 
+// runsLong says whether a request runs for which the restart would have to wait
+// noticeably, while nobody is served.
+func (agent *Agent) runsLong() bool {
+	for _, shard := range agent.view.Load().shards {
+		if shard.runsLong() {
+			return true
+		}
+	}
+	return false
+}
+
 func (agent *Agent) ownsNothing() bool { return len(agent.view.Load().shards) == 0 }
 
 // waitUntil returns whether the condition came true in time.
--- a/internal/hotkeys/reporter.go
+++ b/internal/hotkeys/reporter.go
@@ -4,7 +4,7 @@
 
 const (
 	// reportEvery is every how many reports hot keys are named.
-	reportEvery = 8
+	reportEvery = 2
 	// reporterCapacity is the number of keys kept per shard.
 	reporterCapacity = 16
 	// reporterShare is the least share of a key that is named.
--- a/internal/hotkeys/reporter_test.go
+++ b/internal/hotkeys/reporter_test.go
@@ -12,7 +12,7 @@
 	reporter := NewReporter()
 	named := func(hot topology.KeyHash) []Frequency {
 		var all []Frequency
-		for number := range 10 * reportEvery {
+		for number := range 80 {
 			reporter.Add(hot)
 			reporter.Add(topology.KeyHash(number))
 			all = append(all, reporter.Report(4)...)
--- a/lab/experiment/server.go
+++ b/lab/experiment/server.go
@@ -43,6 +43,8 @@
 	sequence uint64
 	// reportedAt is when the last report was made.
 	reportedAt time.Duration
+	// loadDue is when load is reported again.
+	loadDue time.Duration
 }
 
 // shardCounts is what the agent counted of a shard since its last report.
@@ -54,6 +56,8 @@
 
 const (
 	probeInterval = time.Second
+	// loadInterval is how often the product's agents report load.
+	loadInterval = 500 * time.Millisecond
 	// leavingGrace is how long a back end that restarts serves on while long
 	// requests run.
 	leavingGrace = 3 * time.Second
@@ -285,6 +289,11 @@
 	renewal := &wire.Renew{
 		Sequence: s.sequence, SentAt: now, Applied: s.table.Revision(), Leaving: s.leaving,
 	}
+	if now < s.loadDue {
+		renewal.LoadOmitted = true
+		return renewal
+	}
+	s.loadDue = now + loadInterval
 	busy := time.Duration(0)
 	for shard, requests := range s.running {
 		for _, request := range requests {
@@ -307,7 +316,7 @@
 		renewal.Load = append(renewal.Load, s.shardLoad(shard.ID.Shard, counted))
 	}
 	s.reportedAt = now
-	claimed := s.claimFactor * busy.Seconds() / ownership.DefaultRenewInterval.Seconds()
+	claimed := s.claimFactor * busy.Seconds() / loadInterval.Seconds()
 	renewal.Backend.Claimed = uint32(claimed + 0.5)
 	renewal.Backend.Running = uint32(s.limit.Running())
 	renewal.Backend.Queued = uint32(s.limit.Waiting())
