Leave time for renewals and heartbeats between decisions

Cause: every back end that comes or goes asks placement at once. The new test counts decisions while reasons never end: they take at most a third of the time.

--- a/internal/coordinator/batches_test.go
+++ b/internal/coordinator/batches_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/coordinator"
+	"github.com/quartzdock/quartzdock/internal/placement"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -43,3 +44,26 @@
 	assert.Equal(t, batches, 2)
 	assert.Equal(t, s.ownedBy(1), shards)
 }
+
+// TestDecisionsLeaveTimeForRenewals: while back ends come one after the other,
+// each is a reason to decide, and a decision of a large fleet takes long.
+func TestDecisionsLeaveTimeForRenewals(t *testing.T) {
+	s := settled(t, 12, 3)
+	const long = 200 * time.Millisecond
+	decisions := 0
+	s.electWith(coordinator.Config{Evaluate: func(placement.Input) placement.Decision {
+		decisions++
+		s.now += long
+		return placement.Decision{}
+	}})
+	s.run(lease)
+	begun := s.now
+	decisions = 0
+	for s.now < begun+10*time.Second {
+		s.coordinator.ConfigurationChanged(s.now)
+		s.coordinator.Tick(s.now, 0)
+		s.now += tick
+	}
+	busy := time.Duration(decisions) * long
+	assert.Assert(t, decisions > 0 && busy <= (s.now-begun)/3, "decisions took %s of %s", busy, s.now-begun)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -40,7 +40,7 @@
 	// DecideInterval between two decisions about load. Losses are decided at
 	// once.
 	DecideInterval time.Duration
-	// DecideAgain is the least time between two decisions where moves wait for
+	// DecideAgain is the least time between two decisions, also where moves wait for
 	// the room that ended ones have made.
 	DecideAgain time.Duration
 	// ReleasePatience is how long a move whose target is ready waits for long
@@ -121,8 +121,12 @@
 
 	// decideAt is when placement is asked next, decidedAt when it was last, and
 	// roomMade says that a move has ended since.
-	decideAt   time.Duration
-	decidedAt  time.Duration
+	decideAt  time.Duration
+	decidedAt time.Duration
+	// deciding is set from a decision to the next tick; pause is the least time
+	// between this decision and the next.
+	deciding   bool
+	pause      time.Duration
 	roomMade   bool
 	decision   placement.Decision
 	settling   settling
@@ -215,6 +219,7 @@
 	c.roomMade = false
 	c.commits = commits{}
 	c.removedAt = 0
+	c.deciding, c.pause = false, 0
 }
 
 // Leading reports whether the coordinator acts as the leader.
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -20,6 +20,7 @@
 		return controlstate.Command{}, false
 	}
 	c.findLost(now)
+	c.notePause(now)
 	if c.inFlight != nil {
 		return controlstate.Command{}, false
 	}
@@ -36,13 +37,30 @@
 	return c.propose(steps, unixMilli), true
 }
 
-// decisionDue reports whether placement is to be asked: at its interval, and
-// sooner where a move has ended and others wait for its room.
+// decisionDue reports whether placement is to be asked: at its interval, sooner
+// after a loss or a change, and where a move has ended and others wait for its
+// room; but not before the pause after the last decision has passed.
 func (c *Coordinator) decisionDue(now time.Duration) bool {
-	if now >= c.decideAt {
-		return true
+	if now < c.decidedAt+c.pause {
+		return false
+	}
+	return now >= c.decideAt || (c.roomMade && c.decision.Waiting > 0)
+}
+
+// decisionShare bounds the part of the time that decisions take up.
+const decisionShare = 0.25
+
+// notePause sets the pause after a decision by how long that took: the next tick
+// comes after it. While many back ends come and go, each is a reason to decide at
+// once; without a pause the decisions of a large fleet left no time for renewals
+// and heartbeats, so that more leases ended.
+func (c *Coordinator) notePause(now time.Duration) {
+	if !c.deciding {
+		return
 	}
-	return c.roomMade && c.decision.Waiting > 0 && now >= c.decidedAt+c.config.DecideAgain
+	c.deciding = false
+	took := float64(now - c.decidedAt)
+	c.pause = min(max(time.Duration(took/decisionShare), c.config.DecideAgain), c.config.DecideInterval)
 }
 
 // propose adds steps to those that wait and takes the first of them as the next
@@ -170,6 +188,7 @@
 	}
 	c.decision = c.config.Evaluate(c.input(now, unixMilli))
 	c.decidedAt = now
+	c.deciding = true
 	c.roomMade = false
 	taken := make(map[topology.ShardID]bool, len(steps))
 	for _, step := range steps {
