--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -25,6 +25,12 @@
 	sink      countingSink
 	idleSince time.Time
 
+	// raw, peek and nothingToRead belong to quiet; broken: there is no raw.
+	raw           syscall.RawConn
+	peek          func(file uintptr) bool
+	nothingToRead bool
+	broken        bool
+
 	mutex sync.Mutex
 	// ending: awaitEnd has begun; interrupt changes nothing any more.
 	ending bool
@@ -36,6 +42,7 @@
 	connection.sink = countingSink{net: netConn}
 	connection.reader = bufio.NewReaderSize(&connection.source, bufferSize)
 	connection.writer = bufio.NewWriterSize(&connection.sink, bufferSize)
+	connection.preparePeek()
 	return connection
 }
 
@@ -82,22 +89,32 @@
 	if connection.reader.Buffered() > 0 {
 		return false
 	}
+	if connection.raw == nil {
+		return !connection.broken
+	}
+	connection.nothingToRead = false
+	return connection.raw.Read(connection.peek) == nil && connection.nothingToRead
+}
+
+// preparePeek makes what quiet needs once for all its calls. Connections
+// without a file, as under TLS, are taken for quiet.
+func (connection *conn) preparePeek() {
 	withFile, ok := connection.net.(syscall.Conn)
 	if !ok {
-		return true
+		return
 	}
 	raw, err := withFile.SyscallConn()
 	if err != nil {
-		return false
+		connection.broken = true
+		return
 	}
-	quiet := false
 	var peeked [1]byte
-	err = raw.Read(func(file uintptr) bool {
-		_, _, peekErr := syscall.Recvfrom(int(file), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = peekErr == syscall.EAGAIN
+	connection.raw = raw
+	connection.peek = func(file uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(file), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		connection.nothingToRead = err == syscall.EAGAIN
 		return true
-	})
-	return err == nil && quiet
+	}
 }
 
 // limitedSource reads the connection and bounds how much of it a header takes.
