Take turns at greeting sessions, so that a herd does not unseat the leader

After an election all agents open new sessions at once, and the first message of each costs about a millisecond of processor, as gob prepares its types anew. With 1,100 agents on a busy machine that kept the control goroutine from the processor for longer than the election timeout: the next leader was elected, the agents came again, and a fleet stayed without leases for two minutes (settled after 124.7 s, measured).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,6 +40,7 @@
 	snapshots   snapshotCache
 	frames      routingFrames
 	open        sessionSet
+	greetings   chan struct{}
 	subscribers subscribers
 	freshness   freshness
 	relay       *relay
@@ -89,13 +90,14 @@
 
 func newController(config Config) *Controller {
 	c := &Controller{
-		started:  time.Now(),
-		config:   config,
-		log:      config.Log,
-		state:    controlstate.New(config.Group),
-		deltas:   distribution.NewLog(0),
-		agents:   make(agentSessions),
-		stopping: make(chan struct{}),
+		started:   time.Now(),
+		config:    config,
+		log:       config.Log,
+		state:     controlstate.New(config.Group),
+		deltas:    distribution.NewLog(0),
+		agents:    make(agentSessions),
+		stopping:  make(chan struct{}),
+		greetings: make(chan struct{}, greetingsAtOnce),
 	}
 	c.coordinator = coordinator.New(config.Coordinator, c.state)
 	c.subscribers.start(c.now())
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -18,6 +18,11 @@
 	// sessionIdle ends a session whose subscriber sends nothing: agents renew
 	// and routers report far more often.
 	sessionIdle = 15 * time.Second
+	// greetingsAtOnce bounds the greetings in progress. The first message of a
+	// session costs about a millisecond, as gob prepares its types anew; a
+	// thousand agents that come at once after an election would keep the control
+	// goroutine from the processor until the group elects another leader.
+	greetingsAtOnce = 16
 )
 
 // session is one open session.
@@ -120,8 +125,8 @@
 	defer s.controller.open.remove(s)
 	defer s.close()
 	s.conn.SetIdleTimeout(helloTimeout)
-	var first wire.ToController
-	if err := s.conn.Receive(&first); err != nil || first.Hello == nil {
+	first, err := s.receiveHello()
+	if err != nil || first.Hello == nil {
 		s.controller.metrics.refusedSessions.Inc()
 		return
 	}
@@ -146,6 +151,23 @@
 	}
 }
 
+// receiveHello takes its turn among greetings, once there is something to
+// receive: a silent peer takes none.
+func (s *session) receiveHello() (first wire.ToController, err error) {
+	if err := s.conn.Await(); err != nil {
+		return first, err
+	}
+	turns := s.controller.greetings
+	select {
+	case turns <- struct{}{}:
+	case <-s.closed:
+		return first, errStopping
+	}
+	defer func() { <-turns }()
+	err = s.conn.Receive(&first)
+	return first, err
+}
+
 // refusal returns why the session is not served, or nothing.
 func (s *session) refusal() string {
 	switch {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -198,6 +198,18 @@
 	return nil
 }
 
+// Await returns once the next message has begun to arrive, or the idle timeout
+// is over. The goroutine that receives may call it.
+func (c *Conn) Await() error {
+	if c.options.IdleTimeout > 0 {
+		if err := c.stream.SetReadDeadline(time.Now().Add(c.options.IdleTimeout)); err != nil {
+			return c.finish("receive from", err)
+		}
+	}
+	_, err := c.reader.Peek(1)
+	return c.finish("receive from", err)
+}
+
 // SetIdleTimeout changes Options.IdleTimeout for later calls of Receive. It is
 // called by the goroutine that receives.
 func (c *Conn) SetIdleTimeout(timeout time.Duration) { c.options.IdleTimeout = timeout }
