Show the experiment's outcome at a glance

Cause: the report's page had plots and a table of all figures, and a reader had to compare them for himself. Change: a first table with one line per scenario sets our three measures beside the best baseline's on each alone, green where ours is as good; our line is drawn thicker, plots have a grid and imbalance starts at 1. No figure changes.

--- a/lab/experiment/report.go
+++ b/lab/experiment/report.go
@@ -17,6 +17,8 @@
 const (
 	plotWidth  = 16 * vg.Centimeter
 	plotHeight = 7 * vg.Centimeter
+	// ownLineWidth makes our policy stand out.
+	ownLineWidth = 0.8 * vg.Millimeter
 )
 
 // measurePlot is one of the three measures over time.
@@ -35,6 +37,63 @@
 type page struct {
 	Summaries []Summary
 	Sections  []section
+	Glances   []glance
+	OwnPolicy string
+}
+
+// glance is one deployment and scenario in a line: our policy's three measures
+// beside the best of the baselines, each on its own.
+type glance struct {
+	Deployment, Scenario string
+	Cells                []glanceCell
+}
+
+// glanceCell is one measure.
+type glanceCell struct {
+	Ours, Best float64
+	// BestPolicy is the baseline with the best value.
+	BestPolicy string
+}
+
+// Better says that ours is at least as good.
+func (c glanceCell) Better() bool { return c.Ours <= c.Best }
+
+// glances returns a line per deployment and scenario in which our policy and a
+// baseline ran.
+func glances(summaries []Summary) []glance {
+	var lines []glance
+	for _, ours := range summaries {
+		if ours.Policy != ownPolicy {
+			continue
+		}
+		line := glance{Deployment: ours.Deployment, Scenario: ours.Scenario}
+		for _, measure := range glanceMeasures {
+			cell := glanceCell{Ours: measure(&ours)}
+			for _, other := range summaries {
+				same := other.Deployment == ours.Deployment && other.Scenario == ours.Scenario
+				if same && other.Policy != ownPolicy && (cell.BestPolicy == "" || measure(&other) < cell.Best) {
+					cell.Best, cell.BestPolicy = measure(&other), other.Policy
+				}
+			}
+			if cell.BestPolicy != "" {
+				line.Cells = append(line.Cells, cell)
+			}
+		}
+		if len(line.Cells) > 0 {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// ownPolicy is the product's.
+const ownPolicy = "quartzdock"
+
+// glanceMeasures are the three measures in the order of the columns.
+var glanceMeasures = []func(*Summary) float64{
+	func(s *Summary) float64 { return s.Imbalance },
+	func(s *Summary) float64 { return s.ChurnKeys },
+	func(s *Summary) float64 { return s.UnavailableKeyMillis },
 }
 
 // section is one deployment and scenario, with a plot file per measure.
@@ -50,7 +109,8 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return err
 	}
-	shown := page{Summaries: Summarize(results)}
+	shown := page{Summaries: Summarize(results), OwnPolicy: ownPolicy}
+	shown.Glances = glances(shown.Summaries)
 	for _, group := range groupByScenario(results) {
 		made, err := writeSection(folder, group)
 		if err != nil {
@@ -103,6 +163,10 @@
 	drawn.Title.Text = measure.title
 	drawn.X.Label.Text = "s"
 	drawn.Y.Label.Text = measure.unit
+	drawn.Add(plotter.NewGrid())
+	if measure.name == "imbalance" {
+		drawn.Y.Min = 1
+	}
 	drawn.Legend.Top = true
 	drawn.Legend.Left = measure.name != "imbalance"
 	for number, result := range group {
@@ -115,6 +179,9 @@
 			return err
 		}
 		line.Color = plotutil.Color(number)
+		if result.Policy == ownPolicy {
+			line.Width = ownLineWidth
+		}
 		line.Dashes = plotutil.Dashes(number / len(plotutil.DefaultColors))
 		drawn.Add(line)
 		drawn.Legend.Add(result.Policy, line)
@@ -128,18 +195,23 @@
 body { font-family: sans-serif; margin: 2em; max-width: 110em; }
 table { border-collapse: collapse; } td, th { border: 1px solid #ccc; padding: 0.2em 0.5em; text-align: right; }
 td:nth-child(-n+3), th:nth-child(-n+3) { text-align: left; } tr.ours { font-weight: bold; }
-img { width: 32%; }
+img { width: 32%; } td.better { background: #d8f0d8; } td.worse { background: #f8e0d8; }
 </style></head><body>
 <h1>Placement experiment</h1>
 <p>Three measures per deployment and scenario, one line per policy. Lower is better everywhere.
 The plots show the first seed, the table the mean over all seeds. Definitions: docs/glossary/placement.md.</p>
+{{if .Glances}}<h2>At a glance: ours, and the best baseline on each measure alone</h2>
+<table><tr><th>deployment</th><th>scenario</th><th>imbalance</th><th>keys moved</th><th>unavailable per key, ms</th></tr>
+{{range .Glances}}<tr><td>{{.Deployment}}</td><td>{{.Scenario}}</td>{{range .Cells}}<td class="{{if .Better}}better{{else}}worse{{end}}">{{printf "%.2f" .Ours}} &middot; {{printf "%.2f" .Best}} {{.BestPolicy}}</td>{{end}}</tr>
+{{end}}</table>
+<p>A hash that never moves a key has no churn and no unavailable time and all the imbalance; no policy is best at all three.</p>{{end}}
 {{range .Sections}}<h2>{{.Deployment}}, {{.Scenario}} (seed {{.Seed}})</h2>
 {{range .Plots}}<img src="{{.}}" alt="{{.}}">{{end}}
 {{end}}
 <h2>Table</h2>
 <table><tr><th>deployment</th><th>scenario</th><th>policy</th><th>seeds</th><th>imbalance</th><th>p99</th><th>worst after 10 s</th>
 <th>churn per hour</th><th>keys moved</th><th>least keys</th><th>unavailable ms</th><th>p99 ms</th><th>per key ms</th><th>request p50 ms</th><th>p99 ms</th><th>violations</th></tr>
-{{range .Summaries}}<tr{{if eq .Policy "quartzdock"}} class="ours"{{end}}><td>{{.Deployment}}</td><td>{{.Scenario}}</td><td>{{.Policy}}</td><td>{{.Seeds}}</td>
+{{range .Summaries}}<tr{{if eq .Policy $.OwnPolicy}} class="ours"{{end}}><td>{{.Deployment}}</td><td>{{.Scenario}}</td><td>{{.Policy}}</td><td>{{.Seeds}}</td>
 <td>{{printf "%.3f" .Imbalance}}</td><td>{{printf "%.2f" .ImbalanceP99}}</td><td>{{printf "%.2f" .ImbalanceSettled}}</td>
 <td>{{printf "%.2f" .ChurnPerHour}}</td><td>{{printf "%.0f" .ChurnKeys}}</td><td>{{printf "%.1f" .ChurnBoundKeys}}</td>
 <td>{{printf "%.0f" .UnavailableMillis}}</td><td>{{printf "%.0f" .UnavailableP99Millis}}</td><td>{{printf "%.1f" .UnavailableKeyMillis}}</td>
