--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -60,6 +60,16 @@
 
 // Emulate runs a scenario once. Equal configurations give equal results.
 func Emulate(config Config) (*Result, error) {
+	e, err := prepare(config)
+	if err != nil {
+		return nil, err
+	}
+	e.queue.run(config.Scenario.Duration)
+	return e.measures.result(), nil
+}
+
+// prepare builds the cluster and schedules the scenario.
+func prepare(config Config) (*emulation, error) {
 	service, found := dividedService(config.Deployment)
 	if !found {
 		return nil, fmt.Errorf("deployment %s: no service is divided by key", config.Deployment.Name)
@@ -77,8 +87,7 @@
 		return nil, err
 	}
 	e.schedule()
-	e.queue.run(config.Scenario.Duration)
-	return e.measures.result(), nil
+	return e, nil
 }
 
 // dividedService is the first service that is divided by key.
