Leave an owner's attempts alone when it stays

The router ends an attempt without answer when its shard has a later epoch, so that a frozen owner is left soon. Now an attempt ends only where its key has another owner.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -137,7 +137,9 @@
 // the shard gets a new owner, or when another back end may be faster.
 func (f *forwarding) watch(to target, cancel context.CancelCauseFunc) (stop func()) {
 	if to.keyed {
-		pending := &pendingAttempt{shard: to.shard, epoch: to.epoch, cancel: cancel}
+		pending := &pendingAttempt{
+			shard: to.shard, epoch: to.epoch, key: f.request.position, owner: to.peer.id, cancel: cancel,
+		}
 		to.peer.attempts.add(pending)
 		return func() { to.peer.attempts.remove(pending) }
 	}
--- a/internal/router/ownership_test.go
+++ b/internal/router/ownership_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -163,6 +164,36 @@
 	assert.Equal(t, later.requests.Load(), int64(1), "the write must not run a second time")
 }
 
+// A split or a merge raises the epoch, but the owner stays and answers what it
+// has begun.
+func TestOwnerThatStaysIsWaitedForWhenTheEpochRises(t *testing.T) {
+	goOn := make(chan struct{})
+	answer := sync.OnceFunc(func() { close(goOn) })
+	owner := newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+		<-goOn
+		ok(w, r)
+	})
+	defer answer()
+	f := newFixture(t, func(c *Config) { c.SupersededGrace = time.Millisecond }, owner)
+	write := make(chan reply, 1)
+	go func() { write <- f.post() }()
+	poll.WaitOn(t, arrived(owner, 1))
+	f.setShard(topology.ShardOwned, 1, 2)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		cancels := f.router.view.Load().peers[1].attempts.superseded(f.router.view.Load())
+		if len(cancels) > 0 {
+			return poll.Error(errSuperseded)
+		}
+		if f.router.view.Load().table.Revision() < f.table.Revision() {
+			return poll.Continue("the table is not in force yet")
+		}
+		return poll.Success()
+	})
+	answer()
+	(<-write).check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	assert.Equal(t, owner.requests.Load(), int64(1))
+}
+
 // arrived waits until an agent got so many requests.
 func arrived(agent *agentServer, count int64) poll.Check {
 	return func(poll.LogT) poll.Result {
--- a/internal/router/superseded.go
+++ b/internal/router/superseded.go
@@ -28,6 +28,8 @@
 type pendingAttempt struct {
 	shard  topology.ShardID
 	epoch  topology.Epoch
+	key    topology.KeyHash
+	owner  topology.BackendID
 	cancel context.CancelCauseFunc
 	before *pendingAttempt
 	after  *pendingAttempt
@@ -57,15 +59,20 @@
 	p.before, p.after = nil, nil
 }
 
-// superseded returns how to cancel the attempts whose shard has a later epoch
-// in the view.
+// superseded returns how to cancel the attempts whose key has a new owner in
+// the view. After a split or a merge the epoch is a later one as well, but the
+// owner goes on with what it began.
 func (l *attemptList) superseded(v *view) []context.CancelCauseFunc {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var found []context.CancelCauseFunc
 	for p := l.first; p != nil; p = p.after {
 		shard, present := v.table.Shard(p.shard)
-		if !present || shard.Epoch > p.epoch {
+		if present && shard.Epoch <= p.epoch {
+			continue
+		}
+		route, routed := v.table.Lookup(p.shard.Service, p.key)
+		if !routed || route.Shard.Owner != p.owner {
 			found = append(found, p.cancel)
 		}
 	}
