--- a/internal/agent/continuity.go
+++ b/internal/agent/continuity.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -27,31 +28,12 @@
 	followLimit = time.Second
 )
 
-// taken is a grant that the back end confirmed.
-type taken struct {
-	// epoch is what the back end was told, owner the epoch of the ownership that
-	// the grant serves. They differ after a split, merge or cancelled move.
-	epoch, owner topology.Epoch
-	// broken: the ownership was interrupted, and the next grant needs the epoch
-	// of the new one.
-	broken bool
-}
-
-// grantEpoch is the epoch to tell the back end for an owned shard.
-func (state *grantState) grantEpoch(shard topology.Shard) topology.Epoch {
-	held, granted := state.taken[shard.ID]
-	if granted && !held.broken {
-		return held.epoch
-	}
-	return shard.Epoch
-}
-
 // closeEnded closes the shards whose epoch has ended, and reports whether there
 // were any.
 func (control *controlLoop) closeEnded() bool {
 	closed := false
 	for id, shard := range control.shards {
-		if owned, ok := control.owned[id]; ok && owned.Epoch == shard.epoch {
+		if owned, ok := control.mine.owned[id]; ok && owned.Epoch == shard.epoch {
 			continue
 		}
 		shard.close()
@@ -64,35 +46,15 @@
 }
 
 // endInterrupted ends what lingers of ranges that this agent does not own
-// altogether any more, and marks the grants of shards that went to others.
+// altogether any more.
 func (control *controlLoop) endInterrupted() {
-	owned := control.ownedRanges()
+	owned := slices.Collect(maps.Values(control.mine.covers))
 	control.lingering = slices.DeleteFunc(control.lingering, func(shard *served) bool {
 		if !shard.covers.CoveredBy(owned) {
 			shard.ended.Store(true)
 		}
 		return shard.ended.Load() || shard.isIdle()
 	})
-	for id, held := range control.grants.taken {
-		if _, still := control.owned[id]; !still && !control.lingers(id) {
-			held.broken = true
-			control.grants.taken[id] = held
-		}
-	}
-}
-
-// ownedRanges are the ranges of all shards that the table gives this agent.
-func (control *controlLoop) ownedRanges() []requestrecord.Range {
-	if control.table == nil {
-		return nil
-	}
-	var owned []requestrecord.Range
-	for id, covers := range control.ranges() {
-		if _, ok := control.owned[id]; ok {
-			owned = append(owned, covers)
-		}
-	}
-	return owned
 }
 
 // lingers says whether requests of an ended epoch of the shard still run.
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -4,12 +4,11 @@
 	"context"
 	"log/slog"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/grants"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
-	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/statechart"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -23,16 +22,14 @@
 type controlLoop struct {
 	*Agent
 
-	table *routing.Table
-	self  topology.BackendID
-	// owned is what the table gives this agent.
-	owned map[topology.ShardID]topology.Shard
+	// mine is what the present table gives this agent.
+	mine *share
 	// shards that are granted and begun, or finishing.
 	shards  map[topology.ShardID]*served
 	unbound *served
 	// leavingSince is when the back end began to leave; zero while it does not.
 	leavingSince time.Duration
-	grants       grantState
+	grants       *grants.State
 	warmings     map[topology.ShardID]*warming
 	releases     map[topology.ShardID]*release
 	// lingering are shards whose epoch ended while requests ran.
@@ -47,9 +44,9 @@
 func newControl(agent *Agent) *controlLoop {
 	return &controlLoop{
 		Agent:    agent,
-		owned:    make(map[topology.ShardID]topology.Shard),
+		mine:     &share{},
 		shards:   make(map[topology.ShardID]*served),
-		grants:   newGrantState(agent.config.ClockDrift),
+		grants:   grants.New(agent.config.ClockDrift, agent.now()),
 		warmings: make(map[topology.ShardID]*warming),
 		releases: make(map[topology.ShardID]*release),
 		state:    backendTable.Initial(),
@@ -81,7 +78,7 @@
 		control.fitness.giveUp()
 		control.fire(eventFailed)
 	}
-	if control.state == stateFit && control.grants.lost(now) {
+	if control.state == stateFit && control.grants.Lost(now) {
 		control.fitReport = "grants were not answered"
 		control.fire(eventLost)
 	}
@@ -133,37 +130,22 @@
 }
 
 // tableChanged follows a new routing table, which the holder already has.
-func (control *controlLoop) tableChanged(table *routing.Table, self topology.BackendID) {
-	control.table = table
-	control.self = self
-	backend, known := table.Backend(self)
-	if !known {
-		control.owned = make(map[topology.ShardID]topology.Shard)
-		control.reconcile()
-		control.following.Store(uint64(table.Revision()))
-		return
-	}
-	control.applyLimits(backend)
-	control.followState(backend)
-	control.owned = make(map[topology.ShardID]topology.Shard)
-	service, _ := table.Service(backend.Service)
-	for shard := range ownShards(service) {
-		if shard.Owner == self {
-			control.owned[shard.ID] = *shard
-		}
+func (control *controlLoop) tableChanged(mine *share) {
+	control.mine = mine
+	if mine.backend != nil {
+		control.applyLimits(mine.backend)
+		control.followState(mine.backend)
+		control.followMoves(mine)
+		control.followWarmings(mine.warming)
 	}
-	control.followMoves(backend, service)
-	control.followWarmings(service)
 	control.reconcile()
-	control.following.Store(uint64(table.Revision()))
+	if mine.table != nil {
+		control.following.Store(uint64(mine.table.Revision()))
+	}
 }
 
 // refollow looks at the present table again.
-func (control *controlLoop) refollow() {
-	if control.table != nil {
-		control.tableChanged(control.table, control.self)
-	}
-}
+func (control *controlLoop) refollow() { control.tableChanged(control.mine) }
 
 // reconcile closes what is no longer owned and lets releases begin.
 func (control *controlLoop) reconcile() {
@@ -188,14 +170,13 @@
 		return
 	}
 	slices.SortFunc(granted, func(a, b topology.Shard) int { return int(b.ID.Shard) - int(a.ID.Shard) })
-	ranges := control.ranges()
 	changed := false
 	for _, shard := range granted {
-		owned, still := control.owned[shard.ID]
+		owned, still := control.mine.owned[shard.ID]
 		if !still || owned.Epoch != shard.Epoch {
 			continue
 		}
-		changed = control.beginShard(owned, ranges[shard.ID]) || changed
+		changed = control.beginShard(owned, control.mine.covers[shard.ID]) || changed
 	}
 	if changed {
 		control.publish()
@@ -203,9 +184,9 @@
 }
 
 func (control *controlLoop) beginShard(shard topology.Shard, covers requestrecord.Range) bool {
-	granted := control.grants.taken[shard.ID].epoch
+	granted := uint64(control.grants.Epoch(shard.ID))
 	if held, ok := control.shards[shard.ID]; ok && held.epoch == shard.Epoch {
-		held.granted.Store(uint64(granted)) // the back end was restarted
+		held.granted.Store(granted) // the back end was restarted
 		return false
 	}
 	continued, err := control.record.Begin(shard.ID, shard.Epoch, covers)
@@ -217,28 +198,7 @@
 		control.counts.recordsLost.Add(1)
 	}
 	begun := newServed(shard.ID, shard.Epoch, covers)
-	begun.granted.Store(uint64(granted))
+	begun.granted.Store(granted)
 	control.shards[shard.ID] = begun
 	return true
 }
-
-// ranges returns what each shard of this agent's service covers.
-func (control *controlLoop) ranges() map[topology.ShardID]requestrecord.Range {
-	ranges := make(map[topology.ShardID]requestrecord.Range)
-	backend, known := control.table.Backend(control.self)
-	if !known {
-		return ranges
-	}
-	service, _ := control.table.Service(backend.Service)
-	var previous *topology.Shard
-	for shard := range ownShards(service) {
-		if previous != nil {
-			ranges[previous.ID] = requestrecord.Range{Start: previous.Start, Last: shard.Start - 1}
-		}
-		previous = shard
-	}
-	if previous != nil {
-		ranges[previous.ID] = requestrecord.Range{Start: previous.Start, Last: math.MaxUint64}
-	}
-	return ranges
-}
--- a/internal/inforce/progress.go
+++ b/internal/inforce/progress.go
@@ -33,28 +33,39 @@
 // Progress tells, at the leader, who does not have a revision in force yet.
 func (t *Tracker) Progress(revision topology.Revision, status *consensus.Status, now time.Duration) Progress {
 	result := Progress{Revision: revision}
-	if now-t.commits.at(revision, now) > RelyingBound {
-		result.Everywhere = true
-		return result
-	}
+	late := now-t.commits.at(revision, now) > RelyingBound
 	for _, entry := range t.Subscribers(status.ID) {
-		if entry.Applied < revision && !entry.StoppedRelying(now) {
+		if entry.Applied >= revision || entry.StoppedRelying(now) {
+			continue
+		}
+		if !late || t.mayHoldLease(&entry) {
 			result.Lagging = append(result.Lagging, entry)
 		}
 	}
-	result.Lagging = append(result.Lagging, t.unsure(status, now)...)
+	if !late {
+		result.Lagging = append(result.Lagging, t.unsure(status, now)...)
+	}
 	result.Everywhere = len(result.Lagging) == 0
 	return result
 }
 
+// mayHoldLease reports whether a subscriber is an agent that had a session here,
+// at the leader, just now: its lease lets it serve without a proof of freshness.
+func (t *Tracker) mayHoldLease(entry *Subscriber) bool {
+	_, own := t.own[entry.Key]
+	return own && entry.Role == topology.RoleAgent
+}
+
 // unsure lists the members that can't tell who has what: those that have not
-// reported just now, and those that have started only now.
+// reported just now, those that have started only now, and a new leader. A new
+// leader knows nothing of the subscribers of a controller that was lost and is
+// no member any more, until those have stopped relying.
 func (t *Tracker) unsure(status *consensus.Status, now time.Duration) []Subscriber {
 	var found []Subscriber
 	for _, entry := range status.Membership.Members {
 		known, heard := t.members[entry.ID]
 		if entry.ID == status.ID {
-			known, heard = member{heardAt: now, started: t.started}, true
+			known, heard = member{heardAt: now, started: max(t.started, t.leads)}, true
 		}
 		silent := !heard || now-known.heardAt > 2*ReportInterval+reportSlack
 		if silent || now-known.started <= RelyingBound {
--- a/internal/replica/control.go
+++ b/internal/replica/control.go
@@ -35,6 +35,14 @@
 	transfers []func(any, error)
 
 	lastSnapshot uint64
+	// appliedBytes counts the commands applied since the last snapshot began.
+	appliedBytes int64
+	// snapshotSize is that of the last snapshot.
+	snapshotSize int64
+	snapshotting bool
+	// compactTo is the index of a snapshot whose log is to be removed.
+	compactTo uint64
+	fetching  fetching
 }
 
 type proposal struct {
@@ -47,7 +55,8 @@
 	done  func(any, error)
 }
 
-// promotion waits until a new voter durably holds an index.
+// promotion waits until a new voter durably holds an index and it is
+// committed.
 type promotion struct {
 	change consensus.Change
 	index  uint64
@@ -106,6 +115,7 @@
 	}
 	c.core = core
 	c.lastSnapshot = found.snapshot.Meta.Index
+	c.snapshotSize = int64(len(found.snapshot.Data))
 	c.publish()
 	return nil
 }
@@ -157,6 +167,7 @@
 		c.core.Tick(now)
 		c.checkPromotions()
 		c.probeDisk(now)
+		c.tickFetching(now)
 	}
 	c.publish()
 	c.r.config.OnTick(now, c.r.Status())
@@ -169,9 +180,23 @@
 		c.founding.receive(received)
 	case received.Message != nil:
 		c.step(*received.Message)
+	case received.Offer != nil:
+		c.receiveOffer(*received.Offer, c.addressOf(received))
+	case received.Want != nil:
+		c.sendPart(*received.Want, c.addressOf(received))
+	case received.Part != nil:
+		c.receivePart(*received.Part)
 	}
 }
 
+// addressOf is where the sender takes messages.
+func (c *control) addressOf(received envelope) string {
+	if c.core == nil {
+		return received.Address
+	}
+	return c.r.peers.address(received.From, c.core.Membership())
+}
+
 func (c *control) step(m consensus.Message) {
 	if c.core == nil && !c.founding.join(m) {
 		return
@@ -205,12 +230,13 @@
 	if c.writing {
 		c.send(c.core.TakeEarly())
 	}
-	c.maybeSnapshot()
+	c.maybeCompact()
 }
 
 // apply runs the committed commands. They need no write of this replica.
 func (c *control) apply(ready consensus.Ready) {
 	for _, entry := range ready.Committed {
+		c.appliedBytes += int64(len(entry.Data))
 		var result any
 		if entry.Kind == consensus.EntryCommand {
 			result = c.r.config.Machine.Apply(topology.Revision(entry.Index), entry.Data)
@@ -242,6 +268,7 @@
 		c.finishRead(read)
 	}
 	c.core.Advance(ready)
+	c.maybeSnapshot()
 	c.releaseBarriers()
 	if len(c.transfers) > 0 && c.core.Role() != consensus.Leader {
 		for _, done := range c.transfers {
@@ -258,6 +285,8 @@
 		return
 	}
 	c.lastSnapshot = snapshot.Meta.Index
+	c.snapshotSize = int64(len(snapshot.Data))
+	c.appliedBytes = 0
 	for index, waiting := range c.proposals {
 		if index <= snapshot.Meta.Index {
 			delete(c.proposals, index)
@@ -361,6 +390,10 @@
 		done(nil, err)
 		return
 	}
+	if change.Kind == consensus.Promote && c.core.Membership().IsVoter(change.Member.ID) {
+		c.awaitPromoted(change, done)
+		return
+	}
 	index, term, err := c.core.ProposeMembership(change)
 	switch {
 	case errors.Is(err, consensus.ErrNotCaughtUp), errors.Is(err, consensus.ErrTermNotCommitted), errors.Is(err, consensus.ErrChangeInProgress):
@@ -376,11 +409,18 @@
 			done(change, err)
 			return
 		}
-		c.promoted = append(c.promoted, promotion{change, index, done})
-		c.checkPromotions()
+		c.awaitPromoted(change, done)
 	}}
 }
 
+// awaitPromoted waits until a voter durably holds all that is committed now,
+// its promotion included. A promotion that is asked for again, because the
+// answer was lost, waits as well.
+func (c *control) awaitPromoted(change consensus.Change, done func(any, error)) {
+	c.promoted = append(c.promoted, promotion{change, c.core.Status().LastIndex, done})
+	c.checkPromotions()
+}
+
 func (c *control) retryChange(ctx context.Context, change consensus.Change, done func(any, error), cause error) {
 	if ctx.Err() != nil {
 		done(nil, cause)
@@ -413,7 +453,7 @@
 		switch {
 		case status.Role != consensus.Leader:
 			p.done(nil, c.notLeader())
-		case durableAt(status, p.change.Member.ID) >= max(p.index, status.Commit):
+		case status.Commit >= p.index && durableAt(status, p.change.Member.ID) >= p.index:
 			p.done(p.change, nil)
 		default:
 			waiting = append(waiting, p)
@@ -423,6 +463,9 @@
 }
 
 func durableAt(status consensus.Status, id topology.ReplicaID) uint64 {
+	if id == status.ID {
+		return status.Durable
+	}
 	for _, peer := range status.Peers {
 		if peer.ID == id {
 			return peer.Match
@@ -455,6 +498,7 @@
 
 // abandon ends the requests that wait.
 func (c *control) abandon() {
+	c.endFetching()
 	for _, waiting := range c.proposals {
 		waiting.done(nil, errors.Join(ErrOutcomeUnknown, ErrStopped))
 	}
--- a/internal/wire/shard_loads.go
+++ b/internal/wire/shard_loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"math"
 
@@ -14,20 +13,18 @@
 // of the 12 that gob needs for the struct.
 //
 // Each shard is a varint of the distance from the number before it, a uvarint
-// of Requests shifted by two with the flags, and a uvarint of BusyMicros; by
-// the flags, Refused and HotKeys follow.
+// of Requests shifted by three with the flags, and a uvarint of BusyMicros; by
+// the flags, Refused, LongRunning and HotKeys follow.
 type ShardLoads []ShardLoad
 
 // Flags beside ShardLoad.Requests.
 const (
-	flagRefused  = 1
-	flagHotKeys  = 2
-	requestsBits = 2
+	flagRefused     = 1
+	flagHotKeys     = 2
+	flagLongRunning = 4
+	requestsBits    = 3
 )
 
-// errDamagedLoads says that a packed report is cut short or out of range.
-var errDamagedLoads = errors.New("wire: damaged load report")
-
 // GobEncode implements gob.GobEncoder.
 func (loads ShardLoads) GobEncode() ([]byte, error) {
 	const usual = 8
@@ -50,6 +47,9 @@
 	if load.Refused > 0 {
 		requests |= flagRefused
 	}
+	if load.LongRunning > 0 {
+		requests |= flagLongRunning
+	}
 	if len(load.HotKeys) > 0 {
 		requests |= flagHotKeys
 	}
@@ -58,6 +58,9 @@
 	if load.Refused > 0 {
 		packed = binary.AppendUvarint(packed, uint64(load.Refused))
 	}
+	if load.LongRunning > 0 {
+		packed = binary.AppendUvarint(packed, uint64(load.LongRunning))
+	}
 	if len(load.HotKeys) == 0 {
 		return packed
 	}
@@ -71,31 +74,22 @@
 
 // GobDecode implements gob.GobDecoder.
 func (loads *ShardLoads) GobDecode(packed []byte) error {
-	reader := loadReader{rest: packed}
+	reader := unpacker{rest: packed}
 	var unpacked ShardLoads
-	var number int64
+	var number uint32
 	for len(reader.rest) > 0 && !reader.damaged {
-		number += reader.varint()
-		if number < 0 || number > math.MaxUint32 {
-			return errDamagedLoads
-		}
+		number = reader.number(int64(number))
 		unpacked = append(unpacked, reader.load(topology.ShardNumber(number)))
 	}
 	if reader.damaged {
-		return errDamagedLoads
+		return errDamaged
 	}
 	*loads = unpacked
 	return nil
 }
 
-// loadReader takes values off packed bytes; once damaged it returns zeros.
-type loadReader struct {
-	rest    []byte
-	damaged bool
-}
-
-func (r *loadReader) load(number topology.ShardNumber) ShardLoad {
-	requests := r.uvarint(math.MaxUint32<<requestsBits | flagRefused | flagHotKeys)
+func (r *unpacker) load(number topology.ShardNumber) ShardLoad {
+	requests := r.uvarint(math.MaxUint32<<requestsBits | flagRefused | flagHotKeys | flagLongRunning)
 	load := ShardLoad{
 		Shard:      number,
 		Requests:   uint32(requests >> requestsBits),
@@ -104,21 +98,24 @@
 	if requests&flagRefused != 0 {
 		load.Refused = uint32(r.uvarint(math.MaxUint32))
 	}
+	if requests&flagLongRunning != 0 {
+		load.LongRunning = uint32(r.uvarint(math.MaxUint32))
+	}
 	if requests&flagHotKeys != 0 {
 		load.HotKeys = r.hotKeys()
 	}
 	return load
 }
 
-func (r *loadReader) hotKeys() []KeyLoad {
+func (r *unpacker) hotKeys() []KeyLoad {
 	const keyBytes = 8 + 4
-	count := r.bytes(1)
-	if r.damaged || count[0] > MaximumHotKeys {
+	count := r.byte()
+	if count > MaximumHotKeys {
 		r.damaged = true
 		return nil
 	}
-	keys := make([]KeyLoad, 0, count[0])
-	for range count[0] {
+	keys := make([]KeyLoad, 0, count)
+	for range count {
 		packed := r.bytes(keyBytes)
 		if r.damaged {
 			return nil
@@ -130,33 +127,3 @@
 	}
 	return keys
 }
-
-func (r *loadReader) bytes(count int) []byte {
-	if len(r.rest) < count {
-		r.damaged = true
-		return nil
-	}
-	taken := r.rest[:count]
-	r.rest = r.rest[count:]
-	return taken
-}
-
-func (r *loadReader) varint() int64 {
-	value, size := binary.Varint(r.rest)
-	if size <= 0 {
-		r.damaged = true
-		return 0
-	}
-	r.rest = r.rest[size:]
-	return value
-}
-
-func (r *loadReader) uvarint(limit uint64) uint64 {
-	value, size := binary.Uvarint(r.rest)
-	if size <= 0 || value > limit {
-		r.damaged = true
-		return 0
-	}
-	r.rest = r.rest[size:]
-	return value
-}
