--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -105,7 +105,7 @@
 	if watched {
 		agent.fitness.sent(started)
 	}
-	response, err := agent.requests.DoNotify(ctx, outgoing(ctx, r, body), ended)
+	response, err := agent.requests.DoNotify(ctx, outgoing(ctx, r, body, parsed.served), ended)
 	if watched {
 		agent.fitness.settled()
 	}
@@ -126,15 +126,15 @@
 	now := agent.now()
 	switch {
 	case ended.broken || status >= http.StatusInternalServerError:
-		agent.fitness.failed(now, parsed.shard)
+		agent.fitness.failed(now, parsed.source())
 	case ended.ran:
 		agent.fitness.succeeded(now, took)
 	}
 }
 
 // outgoing is the request as the back end gets it: the same, with what is left
-// of the deadline.
-func outgoing(ctx context.Context, r *http.Request, body *requestBody) *http.Request {
+// of the deadline and the epoch that the back end knows its shard by.
+func outgoing(ctx context.Context, r *http.Request, body *requestBody, shard *served) *http.Request {
 	sent := &http.Request{
 		Method: r.Method,
 		URL:    &url.URL{Scheme: "http", Host: r.Host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
@@ -142,6 +142,9 @@
 		Header: make(http.Header, len(r.Header)),
 	}
 	copyHeader(sent.Header, r.Header)
+	if r.Header.Get(wire.HeaderShard) != "" {
+		sent.Header.Set(wire.HeaderEpoch, strconv.FormatUint(shard.granted.Load(), decimal))
+	}
 	if _, set := sent.Header["User-Agent"]; !set {
 		sent.Header["User-Agent"] = []string{""} // none, instead of Go's own
 	}
@@ -164,17 +167,17 @@
 	case notSent && expired:
 		return notRun(http.StatusGatewayTimeout, wire.ReasonExpired, err.Error())
 	case notSent && ctx.Err() == nil:
-		agent.fitness.failed(agent.now(), parsed.shard)
+		agent.fitness.failed(agent.now(), parsed.source())
 		fallthrough
 	case notSent:
 		answer := notRun(http.StatusServiceUnavailable, wire.ReasonUnreachable, err.Error())
 		answer.retryAfter = time.Second
 		return answer
 	case expired:
-		agent.fitness.timedOut(agent.now(), took, parsed.shard)
+		agent.fitness.timedOut(agent.now(), took, parsed.source())
 		return unknown(http.StatusGatewayTimeout, wire.ReasonTimedOut, err.Error())
 	case ctx.Err() == nil:
-		agent.fitness.failed(agent.now(), parsed.shard)
+		agent.fitness.failed(agent.now(), parsed.source())
 	}
 	return unknown(http.StatusBadGateway, wire.ReasonInterrupted, err.Error())
 }
@@ -185,7 +188,7 @@
 	case http.StatusPreconditionFailed:
 		return notRun(http.StatusMisdirectedRequest, wire.ReasonNoLease, "the back end's fence refused the request")
 	case http.StatusServiceUnavailable:
-		agent.fitness.failed(agent.now(), parsed.shard)
+		agent.fitness.failed(agent.now(), parsed.source())
 		answer := notRun(http.StatusServiceUnavailable, wire.ReasonShed, "the back end shed the request")
 		answer.retryAfter = time.Second
 		return answer
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	DefaultDrainLimit      = 30 * time.Second
 	DefaultSettleTime      = 300 * time.Millisecond
 	DefaultLongestSettle   = 2 * time.Second
+	DefaultStuckAfter      = 10 * time.Second
 	// leavingPatience bounds ReleasePatience for a back end that leaves, which
 	// is to take no new work after a few seconds.
 	leavingPatience = 2 * time.Second
@@ -39,12 +40,15 @@
 	// DecideInterval between two decisions about load. Losses are decided at
 	// once.
 	DecideInterval time.Duration
-	// DecideAgain is the least time between two decisions where moves wait for
+	// DecideAgain is the least time between two decisions, also where moves wait for
 	// the room that ended ones have made.
 	DecideAgain time.Duration
 	// ReleasePatience is how long a move whose target is ready waits for long
 	// requests at the owner, which goes on serving.
 	ReleasePatience time.Duration
+	// StuckAfter is how long an agent may renew without a revision in force
+	// before it gets no lease any more.
+	StuckAfter time.Duration
 	// WarmLimit is how long a target may take to prepare a shard.
 	WarmLimit time.Duration
 	// SettleTime is how long the first owners of a new service's shards wait
@@ -63,6 +67,7 @@
 	setDefault(&config.DecideAgain, DefaultDecideAgain)
 	setDefault(&config.ReleasePatience, DefaultReleasePatience)
 	setDefault(&config.WarmLimit, DefaultWarmLimit)
+	setDefault(&config.StuckAfter, DefaultStuckAfter)
 	setDefault(&config.SettleTime, DefaultSettleTime)
 	setDefault(&config.LongestSettle, DefaultLongestSettle)
 	if config.Evaluate == nil {
@@ -116,8 +121,12 @@
 
 	// decideAt is when placement is asked next, decidedAt when it was last, and
 	// roomMade says that a move has ended since.
-	decideAt   time.Duration
-	decidedAt  time.Duration
+	decideAt  time.Duration
+	decidedAt time.Duration
+	// deciding is set from a decision to the next tick; pause is the least time
+	// between this decision and the next.
+	deciding   bool
+	pause      time.Duration
 	roomMade   bool
 	decision   placement.Decision
 	settling   settling
@@ -210,6 +219,7 @@
 	c.roomMade = false
 	c.commits = commits{}
 	c.removedAt = 0
+	c.deciding, c.pause = false, 0
 }
 
 // Leading reports whether the coordinator acts as the leader.
@@ -235,6 +245,10 @@
 // Findings returns what placement wants the operator to know.
 func (c *Coordinator) Findings() []placement.Finding { return c.decision.Findings }
 
+// ClaimsDiscounted returns how many reports of this term carried a claimed load
+// that contradicted what was observed.
+func (c *Coordinator) ClaimsDiscounted() uint64 { return c.loads.Discounted() }
+
 // Load returns what was observed of a back end.
 func (c *Coordinator) Load(backend topology.BackendID, now time.Duration) loadtable.Backend {
 	return c.loads.Backend(backend, now)
