--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -32,9 +32,11 @@
 	grants       *grants.State
 	warmings     map[topology.ShardID]*warming
 	releases     map[topology.ShardID]*release
-	state        statechart.State
-	rest         rest
-	fitReport    string
+	// lingering are shards whose epoch ended while requests ran.
+	lingering []*served
+	state     statechart.State
+	rest      rest
+	fitReport string
 	// releaseSignalled: the controller was told that the lease was given up.
 	releaseSignalled bool
 }
@@ -137,6 +139,9 @@
 		control.followWarmings(mine.warming)
 	}
 	control.reconcile()
+	if mine.table != nil {
+		control.following.Store(uint64(mine.table.Revision()))
+	}
 }
 
 // refollow looks at the present table again.
@@ -144,15 +149,7 @@
 
 // reconcile closes what is no longer owned and lets releases begin.
 func (control *controlLoop) reconcile() {
-	changed := false
-	for id, shard := range control.shards {
-		if owned, ok := control.mine.owned[id]; !ok || owned.Epoch != shard.epoch {
-			shard.close()
-			delete(control.shards, id)
-			changed = true
-		}
-	}
-	if changed {
+	if control.closeEnded() {
 		control.publish()
 	}
 	control.followReleases()
@@ -187,8 +184,10 @@
 }
 
 func (control *controlLoop) beginShard(shard topology.Shard, covers requestrecord.Range) bool {
+	granted := uint64(control.grants.Epoch(shard.ID))
 	if held, ok := control.shards[shard.ID]; ok && held.epoch == shard.Epoch {
-		return false // granted again after the back end was restarted
+		held.granted.Store(granted) // the back end was restarted
+		return false
 	}
 	continued, err := control.record.Begin(shard.ID, shard.Epoch, covers)
 	if err != nil {
@@ -198,6 +197,8 @@
 	if !continued {
 		control.counts.recordsLost.Add(1)
 	}
-	control.shards[shard.ID] = newServed(shard.ID, shard.Epoch, covers)
+	begun := newServed(shard.ID, shard.Epoch, covers)
+	begun.granted.Store(granted)
+	control.shards[shard.ID] = begun
 	return true
 }
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -43,10 +43,17 @@
 	nonRepeatable bool
 	// id is set for non-repeatable requests.
 	id requestid.ID
+	// served counts the request from its admission on.
+	served *served
 	// timeout is the time left.
 	timeout time.Duration
 }
 
+// source says whose request it is.
+func (parsed *request) source() failureSource {
+	return failureSource{shard: parsed.shard, caller: parsed.caller}
+}
+
 // parseRequest reads the headers. All findings are joined.
 func parseRequest(r *http.Request, defaultTimeout time.Duration) (request, error) {
 	header := r.Header
