--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -20,6 +20,7 @@
 		Backend:    control.mine.self,
 		Owned:      control.mine.owned,
 		Closing:    control.closing,
+		Lingers:    control.lingers,
 		LeaseUntil: control.holder.ValidUntil(),
 		Repeat:     control.state == stateUnreachable,
 	}, control.now())
--- a/internal/grants/state.go
+++ b/internal/grants/state.go
@@ -33,7 +33,7 @@
 	sequence uint64
 	replaced bool
 	// taken is what the back end confirmed.
-	taken map[topology.ShardID]topology.Epoch
+	taken map[topology.ShardID]taken
 	// possible is what the back end may hold: all that was sent, until its
 	// revocation is confirmed.
 	possible map[topology.ShardID]topology.Epoch
@@ -51,13 +51,23 @@
 	failedAt time.Duration
 }
 
+// taken is a grant that the back end confirmed.
+type taken struct {
+	// epoch is what the back end was told, owner the epoch of the ownership that
+	// the grant serves. They differ after a split, a merge or a cancelled move.
+	epoch, owner topology.Epoch
+	// interrupted: the shard was not owned for a time, and the next grant needs
+	// the epoch of the new ownership.
+	interrupted bool
+}
+
 // New returns the state of an agent that starts at now. Drift bounds how much
 // faster the back end's clock may run, as a share.
 func New(drift float64, now time.Duration) *State {
 	return &State{
 		clock:    backendapi.Clock{Drift: drift},
 		started:  now,
-		taken:    make(map[topology.ShardID]topology.Epoch),
+		taken:    make(map[topology.ShardID]taken),
 		possible: make(map[topology.ShardID]topology.Epoch),
 		refused:  make(map[topology.ShardID]topology.Epoch),
 	}
@@ -101,6 +111,12 @@
 	Owned map[topology.ShardID]topology.Shard
 	// Closing tells of owned shards that are being released.
 	Closing func(topology.ShardID) (Closing, bool)
+	// Lingers tells of shards that are not owned under their number any more
+	// while requests admitted before still run. If it is set, a shard whose epoch
+	// rises while its owner stays keeps the grant at the epoch that the back end
+	// knows, so that its fence lets running requests finish; nil grants each
+	// epoch anew.
+	Lingers func(topology.ShardID) bool
 	// LeaseUntil is the end of the agent's lease; zero is none.
 	LeaseUntil time.Duration
 	// Repeat sends a message also where nothing has changed.
@@ -116,12 +132,15 @@
 	possibleBefore time.Duration
 	granted        []topology.Shard
 	revoked        []topology.ShardID
+	// epochs are what the back end is told for granted.
+	epochs []topology.Epoch
 }
 
 // Next returns the next message, which must be sent once and then answered by
 // Answered. It returns nil while one is on its way, right after a failure, and
 // where the back end has all that it should have.
 func (s *State) Next(wanted Wanted, now time.Duration) *Message {
+	s.noteInterrupted(wanted)
 	resting := s.failures > 0 && now-s.failedAt < retryAfter
 	if s.sending || resting {
 		return nil
@@ -135,12 +154,38 @@
 	next.Grants.Sequence = s.sequence
 	next.possibleBefore = s.possibleUntil
 	s.possibleUntil = max(s.possibleUntil, next.until)
-	for _, shard := range next.granted {
-		s.possible[shard.ID] = shard.Epoch
+	for index, shard := range next.granted {
+		s.possible[shard.ID] = next.epochs[index]
 	}
 	return next
 }
 
+// noteInterrupted must see every change of what is owned.
+func (s *State) noteInterrupted(wanted Wanted) {
+	for id, held := range s.taken {
+		if _, owned := wanted.Owned[id]; !owned && !wanted.lingers(id) {
+			held.interrupted = true
+			s.taken[id] = held
+		}
+	}
+}
+
+func (wanted *Wanted) lingers(id topology.ShardID) bool {
+	return wanted.Lingers != nil && wanted.Lingers(id)
+}
+
+// Epoch is the epoch at which the back end knows a shard; zero is not at all.
+func (s *State) Epoch(shard topology.ShardID) topology.Epoch { return s.taken[shard].epoch }
+
+// epochFor is the epoch to tell the back end for an owned shard.
+func (s *State) epochFor(shard topology.Shard, wanted Wanted) topology.Epoch {
+	held, granted := s.taken[shard.ID]
+	if granted && !held.interrupted && wanted.Lingers != nil {
+		return held.epoch
+	}
+	return shard.Epoch
+}
+
 func (s *State) compose(wanted Wanted, now time.Duration) *Message {
 	next := &Message{Grants: backendapi.Grants{Backend: wanted.Backend}}
 	if !s.clock.Known() {
@@ -176,7 +221,9 @@
 
 func (s *State) addGrants(next *Message, wanted Wanted) {
 	for id, shard := range wanted.Owned {
-		if s.taken[id] == shard.Epoch || s.refused[id] >= shard.Epoch {
+		held, granted := s.taken[id]
+		serves := granted && !held.interrupted && held.owner == shard.Epoch
+		if serves || s.refused[id] >= shard.Epoch {
 			continue
 		}
 		if closing, releasing := wanted.Closing(id); releasing && closing.Epoch == shard.Epoch {
@@ -186,7 +233,9 @@
 	}
 	slices.SortFunc(next.granted, func(a, b topology.Shard) int { return compareShards(a.ID, b.ID) })
 	for _, shard := range next.granted {
-		next.Grants.Grants = append(next.Grants.Grants, backendapi.Grant{Shard: shard.ID.String(), Epoch: shard.Epoch})
+		epoch := s.epochFor(shard, wanted)
+		next.epochs = append(next.epochs, epoch)
+		next.Grants.Grants = append(next.Grants.Grants, backendapi.Grant{Shard: shard.ID.String(), Epoch: epoch})
 	}
 }
 
@@ -205,7 +254,7 @@
 // keeps says that a granted shard is still to be served or finished here.
 func keeps(wanted Wanted, id topology.ShardID) bool {
 	if _, owned := wanted.Owned[id]; !owned {
-		return false
+		return wanted.lingers(id)
 	}
 	closing, releasing := wanted.Closing(id)
 	return !releasing || closing.KeepGrant
@@ -261,8 +310,8 @@
 	s.replaced = s.replaced || sent.Grants.Replace
 	s.confirmedUntil = sent.until
 	s.possibleUntil = sent.until
-	for _, shard := range sent.granted {
-		s.taken[shard.ID] = shard.Epoch
+	for index, shard := range sent.granted {
+		s.taken[shard.ID] = taken{epoch: sent.epochs[index], owner: shard.Epoch}
 	}
 	for _, id := range sent.revoked {
 		delete(s.taken, id)
