Let bulk use its own slots under overload, and estimate with deviations

At ten times the capacity two slots in twenty stood idle: those reserved for bulk, which bulk could not take either while look-ups had not the room that they are kept against it. A test on virtual time failed before.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -19,7 +19,7 @@
 	if q.root.waiting == 0 && q.eligible()[request.Class] {
 		return nil
 	}
-	if q.estimatedWait(request)+q.cost[request.Class] > left {
+	if q.estimatedWait(request)+q.cautiousCost(request.Class) > left {
 		return &Refusal{Reason: wire.ReasonShed, RetryAfter: q.RetryAfter()}
 	}
 	return nil
--- a/internal/admission/fairness_test.go
+++ b/internal/admission/fairness_test.go
@@ -251,6 +251,16 @@
 	assert.Assert(t, with < 3*without, "p99 is %.1f ms with bulk and %.1f ms without", with, without)
 }
 
+// The slots that nobody else may use must not stand idle because look-ups want
+// room as well: at ten times the capacity two slots in twenty are a twentieth of
+// what bulk asks for.
+func TestBulkUsesItsOwnSlotsUnderOverload(t *testing.T) {
+	overloaded := emulate(1, chosen, mix(10, true))
+	bulk := overloaded.groups["bulk"]
+	assert.Assert(t, bulk.share() > 0.03, "%.3f of the bulk requests were answered in time", bulk.share())
+	assert.Assert(t, overloaded.goodput() > 0.97, "%.3f of the slot time was of use", overloaded.goodput())
+}
+
 // BenchmarkFairness compares orders on equal seeds: go test -bench Fairness
 // -benchtime 3x ./internal/admission.
 func BenchmarkFairness(b *testing.B) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -28,6 +28,8 @@
 	initialCost = 5 * time.Millisecond
 	// costSmoothing is the weight of a new sample in the moving average.
 	costSmoothing = 0.1
+	// cautiousDeviations is how many deviations are allowed for.
+	cautiousDeviations = 2
 	// minimumRetryAfter is the least time after which asking again is worth it.
 	minimumRetryAfter = 100 * time.Millisecond
 	// sweepInterval is after how many offers the queues of callers that are
@@ -125,6 +127,10 @@
 	root    node
 	running [classCount]int
 	cost    [classCount]time.Duration
+	// deviation is the moving average of how far slot times lie from cost.
+	deviation [classCount]time.Duration
+	// learned says that a class's slot time was seen.
+	learned [classCount]bool
 	// used are moving averages of running, as of observedAt.
 	used       [classCount]float64
 	observedAt time.Duration
@@ -172,11 +178,30 @@
 	used := max(now-t.startedAt, 0)
 	q.observe(now)
 	q.running[class]--
-	q.cost[class] += time.Duration(costSmoothing * float64(used-q.cost[class]))
+	q.learn(class, used)
 	t.queue.settle(used - t.charged)
 	q.start(now)
 }
 
+// learn takes a sample of a class's slot time. The first one stands for all, as
+// in RFC 6298, since the initial cost is a guess.
+func (q *Queue) learn(class Class, used time.Duration) {
+	if !q.learned[class] {
+		q.learned[class] = true
+		q.cost[class], q.deviation[class] = used, used/2
+		return
+	}
+	off := used - q.cost[class]
+	q.cost[class] += time.Duration(costSmoothing * float64(off))
+	q.deviation[class] += time.Duration(costSmoothing * float64(off.Abs()-q.deviation[class]))
+}
+
+// cautiousCost is the slot time that most requests of a class stay below: the
+// mean and some deviations, as in TCP's timeout (RFC 6298).
+func (q *Queue) cautiousCost(class Class) time.Duration {
+	return q.cost[class] + cautiousDeviations*q.deviation[class]
+}
+
 // Withdraw takes back a waiting ticket, because its caller is gone or its
 // latest start has passed. It says whether the ticket still waited.
 func (q *Queue) Withdraw(t *Ticket) bool {
@@ -194,7 +219,7 @@
 	if request.Deadline == 0 {
 		return 0
 	}
-	return request.Deadline - q.cost[request.Class]
+	return request.Deadline - q.cautiousCost(request.Class)
 }
 
 // SetSlots changes the number of slots. Running requests keep theirs.
@@ -283,7 +308,11 @@
 	var result [classCount]bool
 	result[ClassLookup] = free > unusedWrites+unusedBulk
 	result[ClassWrite] = free > unusedLookups+unusedBulk
-	result[ClassBulk] = free > unusedWrites+max(q.lookupsAgainstBulk()-q.running[ClassLookup], 0)
+	result[ClassBulk] = free > unusedWrites+unusedLookups
+	if unusedBulk == 0 {
+		// Beyond its own slots, which nobody else can use.
+		result[ClassBulk] = free > unusedWrites+max(q.lookupsAgainstBulk()-q.running[ClassLookup], 0)
+	}
 	return result
 }
 
