Report load with each renewal while shards move

Change: an agent from which shards are moving reports with each renewal, in the product and in the emulator.

--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -7,7 +7,8 @@
 )
 
 // loadInterval is how often an agent reports load. Failures are reported with the
-// next renewal. Renewals are more frequent:
+// next renewal, and all load with each one while shards move from here, because a
+// move waits until no long request is reported. Renewals are more frequent:
 // with a report in each, the reports alone would be more than a node may spend.
 const loadInterval = 500 * time.Millisecond
 
@@ -20,7 +21,7 @@
 	}
 	renew := wire.Renew{Release: release, Leaving: agent.leaving.Load()}
 	now := agent.now()
-	if now < agent.loadDue && !agent.fitness.hasFailures() {
+	if now < agent.loadDue && !agent.fitness.hasFailures() && agent.moving.Load() == 0 {
 		renew.LoadOmitted = true
 		return renew
 	}
--- a/lab/experiment/server.go
+++ b/lab/experiment/server.go
@@ -269,6 +269,18 @@
 	return waits != nil && waits(service.Placement)
 }
 
+// moving says whether a shard is on its way from this back end. Then load is
+// reported with each renewal, as the move waits for long requests.
+func (s *server) moving() bool {
+	service, _ := s.table.Service(s.emulation.leader.service)
+	for shard := range service.Shards() {
+		if shard.Owner == s.id && shard.Target != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // runsLong says whether a request has been running since before the last
 // report.
 func (s *server) runsLong() bool {
@@ -289,7 +301,7 @@
 	renewal := &wire.Renew{
 		Sequence: s.sequence, SentAt: now, Applied: s.table.Revision(), Leaving: s.leaving,
 	}
-	if now < s.loadDue {
+	if now < s.loadDue && !s.moving() {
 		renewal.LoadOmitted = true
 		return renewal
 	}
