--- a/internal/requestrecord/bench_test.go
+++ b/internal/requestrecord/bench_test.go
@@ -159,3 +159,57 @@
 	}
 	return total
 }
+
+// fullLedger holds as many ids as the limits allow, of one shard, with answers
+// of 40 bytes.
+func fullLedger(b *testing.B) *Ledger {
+	ledger := NewLedger(Limits{}, nil)
+	at := start.Add(DefaultClockBound)
+	_, _ = ledger.Begin(shard, 1, whole, start.UnixMilli())
+	for n := range uint64(DefaultMaxEntries) {
+		var random [10]byte
+		binary.BigEndian.PutUint64(random[2:], n)
+		id := requestid.New(at, random)
+		if _, err := ledger.Admit(shard, 1, id, 7, at.UnixMilli()); err != nil {
+			b.Fatal(err)
+		}
+		ledger.Finish(shard, id, &Answer{Status: 200, Header: http.Header{"Content-Type": {"text/plain"}}, Body: make([]byte, 40)})
+	}
+	ledger.Release(shard, 1)
+	return ledger
+}
+
+// BenchmarkFullLedger is for how long a full record holds its mutex, when the
+// journal is written anew and when a shard's record is sent on, and how long
+// taking such a record over takes.
+func BenchmarkFullLedger(b *testing.B) {
+	ledger := fullLedger(b)
+	b.Run("changes", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_ = ledger.Changes()
+		}
+	})
+	transfer, err := ledger.Export(shard, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("snapshot", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _ = ledger.snapshot(shard, 1)
+		}
+	})
+	b.Run("export", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _ = ledger.Export(shard, 1)
+		}
+	})
+	b.Run("import", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_ = NewLedger(Limits{}, nil).Import(transfer, start.UnixMilli())
+		}
+	})
+}
--- a/internal/requestrecord/changes.go
+++ b/internal/requestrecord/changes.go
@@ -50,7 +50,13 @@
 	Shard    topology.ShardID
 	ID       requestid.ID
 	Answered bool
-	Answer   *Answer
+	// Answer is nil when it was not kept; BodyBytes is the length of its body.
+	Answer    packedAnswer
+	BodyBytes uint32
+}
+
+func newFinished(shard topology.ShardID, id requestid.ID, answer *Answer) *finishedChange {
+	return &finishedChange{Shard: shard, ID: id, Answered: true, Answer: packAnswer(answer), BodyBytes: uint32(answer.size())}
 }
 
 type abandonedChange struct {
@@ -142,7 +148,7 @@
 	record.covers = begun.Covers
 	record.takeoverFloor = begun.TakeoverFloor
 	for _, from := range begun.From {
-		exported := state.shard(from).export(from)
+		exported := state.shard(from).snapshot(from).transfer()
 		for _, entry := range exported.Entries {
 			state.mergeEntry(begun.Shard, record, entry)
 		}
@@ -166,7 +172,7 @@
 	kept.state = stateUnknown
 	if finished.Answered {
 		kept.state = stateAnswered
-		kept.keep(finished.Answer)
+		kept.answer, kept.bodyBytes = finished.Answer, finished.BodyBytes
 		state.keptBytes += int(kept.bodyBytes)
 	}
 }
@@ -184,7 +190,7 @@
 		return
 	}
 	state.keptBytes -= int(kept.bodyBytes)
-	kept.keep(nil)
+	kept.answer, kept.bodyBytes = nil, 0
 }
 
 func (state *state) restore(restored *restoredChange) {
--- a/internal/requestrecord/ledger.go
+++ b/internal/requestrecord/ledger.go
@@ -241,7 +241,7 @@
 	if answer != nil && len(answer.Body) > ledger.limits.MaxAnswerBytes {
 		answer = nil
 	}
-	ledger.make(Change{Finished: &finishedChange{Shard: shard, ID: id, Answered: true, Answer: answer}}, false)
+	ledger.make(Change{Finished: newFinished(shard, id, answer)}, false)
 }
 
 // Lose notes that it is not known whether an admitted request ran.
@@ -264,12 +264,21 @@
 // requests should have ended; those that have not are listed without an
 // outcome.
 func (ledger *Ledger) Export(shard topology.ShardID, epoch topology.Epoch) (wire.RecordTransfer, error) {
+	taken, err := ledger.snapshot(shard, epoch)
+	if err != nil {
+		return wire.RecordTransfer{}, err
+	}
+	return taken.transfer(), nil
+}
+
+// snapshot is Export without the work that needs no ledger.
+func (ledger *Ledger) snapshot(shard topology.ShardID, epoch topology.Epoch) (snapshot, error) {
 	held := ledger.state.shard(shard)
 	if held.epoch != epoch || held.released < epoch {
-		return wire.RecordTransfer{}, fmt.Errorf("export shard %s at epoch %d: record is of epoch %d, released %d: %w",
+		return snapshot{}, fmt.Errorf("export shard %s at epoch %d: record is of epoch %d, released %d: %w",
 			shard, epoch, held.epoch, held.released, ErrNotServing)
 	}
-	return held.export(shard), nil
+	return held.snapshot(shard), nil
 }
 
 // Import keeps a previous owner's record, by a durable change. It may come
--- a/internal/requestrecord/packed.go
+++ b/internal/requestrecord/packed.go
@@ -63,7 +63,7 @@
 	if fields > 0 {
 		unpacked.Header = make(http.Header)
 	}
-	for range fields {
+	for ; fields > 0 && len(rest) > 0; fields-- {
 		name := rest.takeText()
 		unpacked.Header[name] = append(unpacked.Header[name], rest.takeText())
 	}
@@ -73,12 +73,16 @@
 
 func (packed *packedAnswer) takeNumber() uint64 {
 	number, length := binary.Uvarint(*packed)
+	if length <= 0 {
+		*packed = nil // damaged
+		return 0
+	}
 	*packed = (*packed)[length:]
 	return number
 }
 
 func (packed *packedAnswer) takeText() string {
-	length := packed.takeNumber()
+	length := min(packed.takeNumber(), uint64(len(*packed)))
 	text := string((*packed)[:length])
 	*packed = (*packed)[length:]
 	return text
--- a/internal/requestrecord/packed_test.go
+++ b/internal/requestrecord/packed_test.go
@@ -25,3 +25,14 @@
 		assert.Equal(t, string(back.Body), string(answer.Body))
 	})
 }
+
+func TestDamagedPackedAnswerIsReadWithoutAPanic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		packed := packedAnswer(rapid.SliceOf(rapid.Byte()).Draw(t, "packed"))
+		_ = packed.answer()
+	})
+	whole := packAnswer(&Answer{Status: 200, Header: http.Header{"A": {"b"}}, Body: []byte("ok")})
+	for length := range whole {
+		_ = whole[:length].answer()
+	}
+}
--- a/internal/requestrecord/record.go
+++ b/internal/requestrecord/record.go
@@ -168,14 +168,19 @@
 	record.ledger.Abandon(shard, id)
 }
 
-// Export is Release and then Ledger.Export.
+// Export is Release and then Ledger.Export. Admissions to other shards go on
+// while the record is unpacked.
 func (record *Record) Export(shard topology.ShardID, epoch topology.Epoch) (wire.RecordTransfer, error) {
 	if err := record.Release(shard, epoch); err != nil {
 		return wire.RecordTransfer{}, err
 	}
 	record.mutex.Lock()
-	defer record.mutex.Unlock()
-	return record.ledger.Export(shard, epoch)
+	taken, err := record.ledger.snapshot(shard, epoch)
+	record.mutex.Unlock()
+	if err != nil {
+		return wire.RecordTransfer{}, err
+	}
+	return taken.transfer(), nil
 }
 
 // Release is Ledger.Release.
--- a/internal/requestrecord/segment.go
+++ b/internal/requestrecord/segment.go
@@ -129,9 +129,10 @@
 	return stream, true
 }
 
-// changes returns what rebuilds the state, for a rewritten journal.
+// changes returns what rebuilds the state, for a rewritten journal. The caller
+// holds up all admissions meanwhile, so it copies little and allocates in bulk.
 func (state *state) changes() []Change {
-	var rebuilt []Change
+	rebuilt := make([]Change, 0, len(state.shards)+2*len(state.order))
 	for _, id := range state.sortedShards() {
 		record := state.shards[id]
 		rebuilt = append(rebuilt, Change{Restored: &restoredChange{
@@ -139,16 +140,20 @@
 			TakeoverFloor: record.takeoverFloor, RetentionFloor: record.retentionFloor,
 		}})
 	}
-	for _, ordered := range state.order {
+	admitted := make([]admittedChange, len(state.order))
+	finished := make([]finishedChange, len(state.order))
+	for i, ordered := range state.order {
 		kept, ok := state.shard(ordered.shard).entries[ordered.id]
 		if !ok {
 			continue
 		}
-		rebuilt = append(rebuilt, Change{Admitted: &admittedChange{Shard: ordered.shard, ID: ordered.id,
-			Fingerprint: kept.fingerprint, AtUnixMilli: ordered.atUnixMilli}})
+		admitted[i] = admittedChange{Shard: ordered.shard, ID: ordered.id,
+			Fingerprint: kept.fingerprint, AtUnixMilli: ordered.atUnixMilli}
+		rebuilt = append(rebuilt, Change{Admitted: &admitted[i]})
 		if kept.state != stateRunning {
-			rebuilt = append(rebuilt, Change{Finished: &finishedChange{Shard: ordered.shard, ID: ordered.id,
-				Answered: kept.state == stateAnswered, Answer: kept.answer.answer()}})
+			finished[i] = finishedChange{Shard: ordered.shard, ID: ordered.id,
+				Answered: kept.state == stateAnswered, Answer: kept.answer, BodyBytes: kept.bodyBytes}
+			rebuilt = append(rebuilt, Change{Finished: &finished[i]})
 		}
 	}
 	return rebuilt
--- a/internal/requestrecord/transfer.go
+++ b/internal/requestrecord/transfer.go
@@ -9,22 +9,45 @@
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
-// export returns the record for the next owner. Entries that still run are
-// listed without an outcome.
-func (record *shardRecord) export(shard topology.ShardID) wire.RecordTransfer {
+// snapshot is a shard's record at one moment. It shares no memory that changes.
+type snapshot struct {
+	shard   topology.ShardID
+	epoch   topology.Epoch
+	covers  Range
+	floor   int64
+	entries []idEntry
+}
+
+type idEntry struct {
+	id   requestid.ID
+	kept entry
+}
+
+func (record *shardRecord) snapshot(shard topology.ShardID) snapshot {
+	taken := snapshot{shard: shard, epoch: record.epoch, covers: record.covers, floor: record.floor(),
+		entries: make([]idEntry, 0, len(record.entries))}
+	for id, kept := range record.entries {
+		taken.entries = append(taken.entries, idEntry{id, *kept})
+	}
+	return taken
+}
+
+// transfer returns the record for the next owner, in the order of ids. Entries
+// that still run are listed without an outcome.
+func (taken snapshot) transfer() wire.RecordTransfer {
+	slices.SortFunc(taken.entries, func(a, b idEntry) int { return bytes.Compare(a.id[:], b.id[:]) })
 	transfer := wire.RecordTransfer{
-		Shard:                  shard,
-		Epoch:                  record.epoch,
-		RangeStart:             record.covers.Start,
-		RangeLast:              record.covers.Last,
-		CompleteSinceUnixMilli: record.floor(),
-		Entries:                make([]wire.RecordEntry, 0, len(record.entries)),
+		Shard:                  taken.shard,
+		Epoch:                  taken.epoch,
+		RangeStart:             taken.covers.Start,
+		RangeLast:              taken.covers.Last,
+		CompleteSinceUnixMilli: taken.floor,
+		Entries:                make([]wire.RecordEntry, 0, len(taken.entries)),
 		Last:                   true,
 	}
-	for id, kept := range record.entries {
-		transfer.Entries = append(transfer.Entries, exportEntry(id, kept))
+	for i := range taken.entries {
+		transfer.Entries = append(transfer.Entries, exportEntry(taken.entries[i].id, &taken.entries[i].kept))
 	}
-	slices.SortFunc(transfer.Entries, func(a, b wire.RecordEntry) int { return bytes.Compare(a.ID[:], b.ID[:]) })
 	return transfer
 }
 
