Log the incarnation that admin asks for

The command that adds a controller wants the incarnation of the new one's data folder, "as printed at its start", but nothing printed it: a controller that waits to be added said only that it serves. Its line "controller serves" now names the incarnation and the peer address as well, and the tests that replace a controller take them from there instead of from inside the process.

--- a/internal/controller/admin_test.go
+++ b/internal/controller/admin_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -185,7 +187,7 @@
 	o.run("service", "create", serviceFile)
 
 	joined, incarnation := g.join()
-	added := o.run("controller", "add", strconv.FormatUint(incarnation, 16),
+	added := o.run("controller", "add", incarnation,
 		"--peer-address", g.joinedPeer, "--session-address", joined.Sessions, "--rpc-address", joined.RPC)
 	assert.Assert(t, strings.Contains(added, "replica 4, a learner"), added)
 	o.eventually("accepted", "controller", "promote", "4")
@@ -200,19 +202,19 @@
 	assert.Assert(t, strings.Contains(o.run("service", "list"), "wayfinder"))
 }
 
-// join starts a controller that belongs to no group yet.
-func (g *group) join() (controller.Addresses, uint64) {
+// join starts a controller that belongs to no group yet, and returns the
+// incarnation that it logs.
+func (g *group) join() (controller.Addresses, string) {
 	g.t.Helper()
-	var incarnation uint64
-	replicate := controller.ReplicateOn(replica.Config{
-		Group: 1, DataDir: g.t.TempDir(), Peers: g.peers, Listen: "127.0.0.1:0",
-	})
+	log := &lockedBuffer{}
 	member, err := controller.Start(controller.Config{
 		Group: 1, SessionListen: "127.0.0.1:0", RPCListen: "127.0.0.1:0",
+		Log: slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelInfo})),
 		Replicate: func(machine controller.Machine) (controller.Replicator, error) {
-			started, err := replicate(machine)
+			started, err := controller.ReplicateOn(replica.Config{
+				Group: 1, DataDir: g.t.TempDir(), Peers: g.peers, Listen: "127.0.0.1:0",
+			})(machine)
 			if err == nil {
-				incarnation = uint64(started.Incarnation())
 				g.joinedPeer = started.PeerAddress()
 			}
 			return started, err
@@ -220,5 +222,25 @@
 	})
 	assert.NilError(g.t, err)
 	g.members = append(g.members, member)
-	return member.Addresses(), incarnation
+	logged := regexp.MustCompile(`controller serves.* incarnation=([0-9a-f]+)`).FindStringSubmatch(log.String())
+	assert.Equal(g.t, len(logged), 2, "%s", log.String())
+	return member.Addresses(), logged[1]
+}
+
+// lockedBuffer takes a log from several goroutines.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(line)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -158,7 +159,8 @@
 	c.background.Go(func() { c.relay.run(ctx) })
 	c.background.Go(func() { c.followMachineList(ctx) })
 	addresses := c.Addresses()
-	c.log.Info("controller serves", "sessions", addresses.Sessions, "rpc", addresses.RPC)
+	c.log.Info("controller serves", "sessions", addresses.Sessions, "rpc", addresses.RPC,
+		"peers", c.replica.PeerAddress(), "incarnation", strconv.FormatUint(uint64(c.replica.Incarnation()), 16))
 	if c.config.OnReady != nil {
 		c.config.OnReady(addresses)
 	}
--- a/internal/controller/lost_disk_test.go
+++ b/internal/controller/lost_disk_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"regexp"
-	"strconv"
 	"strings"
 	"testing"
 
@@ -43,7 +42,7 @@
 			g.stop(lost)
 			joined, incarnation := g.join()
 			values := strings.NewReplacer(
-				"INCARNATION", strconv.FormatUint(incarnation, 16), "PEER", g.joinedPeer,
+				"INCARNATION", incarnation, "PEER", g.joinedPeer,
 				"SESSION", joined.Sessions, "RPC", joined.RPC, "LOST", fmt.Sprint(g.peers[lost].ID), "NEW", "4",
 			)
 			var last string
