Wait until the map pack runs before its shard is split

TestSplitCutsOffNothingThatRuns failed once in 12 runs of the package under load: the pack was sent in the background, reached the agent after the split, and was refused for its old epoch, as it must be. The test now waits until the back end runs both requests, which is what it means to test; nothing that it asks for is less strict.

--- a/internal/agent/continuity_test.go
+++ b/internal/agent/continuity_test.go
@@ -37,15 +37,19 @@
 	return call{method: http.MethodPost, path: "/closures/edit/k?work=400ms", body: "closed", epoch: 1, id: id}
 }
 
-var slowPack = call{method: http.MethodGet, path: "/closures/pack/k?bytes=4000000&pace=400ms", epoch: 1,
-	header: map[string]string{wire.HeaderClass: classBulk}}
+func slowPack(id string) call {
+	return call{method: http.MethodGet, path: "/closures/pack/k?bytes=4000000&pace=400ms", epoch: 1,
+		header: map[string]string{wire.HeaderClass: classBulk, wire.HeaderRequestID: id}}
+}
 
 func TestSplitCutsOffNothingThatRuns(t *testing.T) {
 	r := startRig(t, backend.Config{}, shortClockBound)
 	r.own(1, 1)
 	id := r.freshID()
-	edit, pack := r.background(slowEdit(id)), r.background(slowPack)
+	packID := r.freshID()
+	edit, pack := r.background(slowEdit(id)), r.background(slowPack(packID))
 	r.running(id)
+	r.running(packID)
 	r.split(2, 2, topology.ShardOwned, topology.ShardOwned)
 	r.serves(2)
 	r.waitFor("the right part served", func() bool { return r.agent.view.Load().shards[rightPart] != nil })
