Let a leader that removes itself finish it after a restart

- The entry that removes a leader may be on its disk alone.
After a restart it was no voter, and the others' logs were shorter than what it answered.
It now stands for election until the removal is known to be committed, without a vote of its own (Ongaro, section 4.2.2).
- After a power cut the others waited for that entry as their floor.
A member that is being removed now answers with the log before its removal, which is all that a quorum with it can have committed.
- The log of a learner counted for the floor of a group of one or two.

TestARemovedLeaderCommitsItsRemovalAfterARestart and TestAPowerCutDuringALeadersRemovalLeavesAGroup provoke the first two.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -144,7 +144,11 @@
 }
 
 func (c *Core) tally() (granted, refused int) {
-	for _, vote := range c.votes {
+	membership := c.Membership()
+	for id, vote := range c.votes {
+		if !membership.IsVoter(id) {
+			continue
+		}
 		if vote {
 			granted++
 		} else {
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -96,8 +96,12 @@
 	if index <= c.log.committed {
 		return
 	}
+	removalOpen := c.removalOpen()
 	c.log.committed = index
 	c.hard.Commit = index
+	if removalOpen && c.role != Leader && !c.removalOpen() {
+		c.membershipChanged()
+	}
 }
 
 // snapshotFromLeader replaces the log by a snapshot, unless the log already
--- a/internal/consensus/recovery.go
+++ b/internal/consensus/recovery.go
@@ -84,6 +84,29 @@
 	return logEnd{c.log.stable, term}
 }
 
+// reportedEnd is the end of the log that counts for others' recovery. Entries
+// from this replica's own removal on are committed by a quorum without it,
+// which answers for them; a leader that removes itself may be the only one to
+// hold them, and no voter could ever reach that floor. Those of a learner count
+// for nothing.
+func (c *Core) reportedEnd() logEnd {
+	end := c.durableEnd()
+	if c.Membership().IsVoter(c.config.ID) {
+		return end
+	}
+	for position := len(c.memberships) - 1; position > 0; position-- {
+		if !c.memberships[position-1].membership.IsVoter(c.config.ID) {
+			continue
+		}
+		before := c.memberships[position].index - 1
+		if term, ok := c.log.term(before); ok && before < end.index {
+			return logEnd{before, term}
+		}
+		return end
+	}
+	return logEnd{}
+}
+
 // recoveryMembers are those that must answer: all voters that this replica or
 // an answer names, and the learners of a group so small that one of them may
 // have become a voter without any of the voters but this one.
@@ -127,7 +150,7 @@
 // answerRecovery tells a replica that starts what is durable here, and whether
 // it showed more in an earlier run than it holds now.
 func (c *Core) answerRecovery(m Message) {
-	end := c.durableEnd()
+	end := c.reportedEnd()
 	membership := c.Membership()
 	c.send(Message{
 		Kind: MessageRecoveryAnswer, To: m.From, ToIncarnation: m.FromIncarnation,
--- a/internal/consensus/recovery_test.go
+++ b/internal/consensus/recovery_test.go
@@ -209,3 +209,57 @@
 	c.drop = nil
 	c.until("it applies all", func() bool { return follower.core.Status().Applied >= last })
 }
+
+// The leader's own removal is on its disk alone when the power fails. Nobody
+// else holds that entry, and the leader is no voter any more.
+func TestAPowerCutDuringALeadersRemovalLeavesAGroup(t *testing.T) {
+	c := newCluster(t, 47, 3)
+	c.commit("a")
+	leader := c.waitLeader()
+	c.run(time.Second)
+	c.isolate(leader.member.ID)
+	_, _, err := leader.core.ProposeMembership(Change{Kind: Remove, Member: leader.member})
+	assert.NilError(t, err)
+	c.work(leader)
+	for _, id := range c.ids() {
+		c.crash(id)
+	}
+	c.heal()
+	for _, id := range c.ids() {
+		c.powerCycle(id)
+	}
+	c.commitAfterRemoval()
+}
+
+// commitAfterRemoval waits until a member leads; the removed leader leads only
+// until its removal is committed.
+func (c *cluster) commitAfterRemoval() {
+	c.until("a member leads", func() bool {
+		n := c.leader()
+		return n != nil && n.core.Membership().IsVoter(n.member.ID)
+	})
+	c.commit("b")
+}
+
+// Without a power cut the leader stands for election again, to commit its own
+// removal, which nobody else holds.
+func TestARemovedLeaderCommitsItsRemovalAfterARestart(t *testing.T) {
+	for _, size := range []int{2, 3} {
+		c := newCluster(t, 48, size)
+		c.commit("a")
+		leader := c.waitLeader()
+		c.run(time.Second)
+		c.isolate(leader.member.ID)
+		_, _, err := leader.core.ProposeMembership(Change{Kind: Remove, Member: leader.member})
+		assert.NilError(t, err)
+		c.work(leader)
+		for _, id := range c.ids() {
+			c.crash(id)
+		}
+		c.heal()
+		for _, id := range c.ids() {
+			c.restart(id)
+		}
+		c.commitAfterRemoval()
+	}
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -157,7 +157,7 @@
 // membershipChanged brings role and tracking in line with the membership in
 // force. A leader that is removed leads on until its removal is committed.
 func (c *Core) membershipChanged() {
-	voter := c.recovered() && c.Membership().IsVoter(c.config.ID) && c.Membership().Names(c.config.ID, c.config.Incarnation)
+	voter := c.recovered() && (c.votesIn(c.Membership()) || c.removalOpen())
 	switch {
 	case c.role == Leader:
 		c.trackMembers()
@@ -168,6 +168,19 @@
 	}
 }
 
+func (c *Core) votesIn(membership Membership) bool {
+	return membership.IsVoter(c.config.ID) && membership.Names(c.config.ID, c.config.Incarnation)
+}
+
+// removalOpen reports whether the newest membership, which is not known to be
+// committed, takes the vote of this replica away. It then still stands for
+// election, without a vote of its own, as it may be the only one to hold that
+// entry (Ongaro, section 4.2.2).
+func (c *Core) removalOpen() bool {
+	last := len(c.memberships) - 1
+	return last > 0 && c.memberships[last].index > c.log.committed && c.votesIn(c.memberships[last-1].membership)
+}
+
 // trackMembers keeps a progress for each other member, and for no one else.
 func (c *Core) trackMembers() {
 	membership := c.Membership()
