Model lease, fence and handover in Promela

Cause: why no key has two owners was argued in prose alone. A second model checks leases, the back end's fence, assignment after a loss, planned moves, changes of leader, restarts of agents and frozen back ends, in six sets of bounds, with seventeen deliberate defects that are all caught. It found two faults of the agent on its way, kept as the defects RESTART_FORGETS_GRANTS and FORGETS_UNANSWERED_GRANT: a restarted agent ends its lease and promises to release although grants of the process before may be in force, and an agent takes a grant whose answer is out as not given.

--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -41,6 +41,13 @@
 	lostDisks     = []string{"LOSSES=2", "CHANGES=3", "CRASHES=0", "HIGHEST_ASKED=highest"}
 )
 
+// Bounds that several checks of ownership.pml share.
+var (
+	noMishaps    = []string{"RESTARTS=0", "TIMEOUTS=0", "GIVE_UPS=0", "ELECTIONS=0"}
+	lossesOnly   = []string{"MOVES=0", "REVISIONS=2"}
+	plannedMoves = []string{"LOSSES=0", "DRIFT=0", "REVISIONS=3"}
+)
+
 var checks = []check{
 	{
 		name:   "elections and restarts",
@@ -87,6 +94,52 @@
 		short:   bounds(lostDisks, "TERMS=1", "LOG=4", "ELECTIONS=1"),
 		defects: []string{"LOST_DISK_KEEPS_IDENTITY", "REPAIR_REPORTED_EARLY", "LEARNER_COUNTS"},
 	},
+	{
+		name:   "losses and planned moves",
+		model:  "ownership.pml",
+		bounds: bounds(noMishaps, "REVISIONS=3"),
+		short:  bounds(noMishaps, "REVISIONS=2"),
+		defects: []string{
+			"ASSIGNS_BEFORE_LEASE_ENDS", "NO_DRIFT_MARGIN", "LEASE_COUNTS_FROM_RECEIPT",
+			"RENEWS_WHILE_ASSIGNING", "RENEWS_STALE_HOLDER", "GRANT_COUNTS_FROM_RECEIPT",
+			"WRITES_WITHOUT_FENCE", "PROMISES_BEFORE_REVOCATION",
+		},
+	},
+	{
+		name:    "leases given up while the leader changes",
+		model:   "ownership.pml",
+		bounds:  bounds(lossesOnly, "RESTARTS=0", "TIMEOUTS=0", "GIVE_UPS=1", "ELECTIONS=1"),
+		short:   bounds(lossesOnly, "RESTARTS=0", "TIMEOUTS=0", "GIVE_UPS=1", "ELECTIONS=0"),
+		defects: []string{"NEW_LEADER_DOES_NOT_WAIT", "DEPOSED_LEADER_GRANTS", "RELEASES_LEASE_EARLY", "LATE_ANSWER_TAKEN"},
+	},
+	{
+		name:    "a restarted agent and a change of leader",
+		model:   "ownership.pml",
+		bounds:  bounds(lossesOnly, "DRIFT=0", "RESTARTS=1", "TIMEOUTS=0", "GIVE_UPS=0", "ELECTIONS=1"),
+		short:   bounds(lossesOnly, "DRIFT=0", "RESTARTS=1", "TIMEOUTS=0", "GIVE_UPS=0", "ELECTIONS=0"),
+		defects: []string{"RESTART_FORGETS_GRANTS"},
+	},
+	{
+		name:    "a restarted agent during a planned move",
+		model:   "ownership.pml",
+		bounds:  bounds(plannedMoves, "RESTARTS=1", "TIMEOUTS=0", "GIVE_UPS=0", "ELECTIONS=0"),
+		short:   bounds(plannedMoves, "RESTARTS=0", "TIMEOUTS=0", "GIVE_UPS=0", "ELECTIONS=0"),
+		defects: []string{"FORGETS_UNANSWERED_GRANT", "FIRST_TABLE_IS_OLD"},
+	},
+	{
+		name:    "a frozen back end during a planned move",
+		model:   "ownership.pml",
+		bounds:  bounds(plannedMoves, "RESTARTS=0", "TIMEOUTS=1", "GIVE_UPS=0", "ELECTIONS=0"),
+		short:   bounds(plannedMoves, "RESTARTS=0", "TIMEOUTS=1", "GIVE_UPS=0", "ELECTIONS=0"),
+		defects: []string{"OVERTAKEN_MESSAGE_TAKEN"},
+	},
+	{
+		name:    "moves that are given up",
+		model:   "ownership.pml",
+		bounds:  bounds(noMishaps, "LOSSES=0", "DRIFT=0", "REVISIONS=5"),
+		short:   bounds(noMishaps, "LOSSES=0", "DRIFT=0", "REVISIONS=4"),
+		defects: []string{"RELEASED_OF_ANY_EPOCH"},
+	},
 }
 
 func bounds(common []string, more ...string) []string {
@@ -174,7 +227,7 @@
 	}
 	run(t, folder, tools.spin, append(generate, model)...)
 	run(t, folder, tools.compiler, "-O1", "-w", "-DSAFETY", "-DHC4", "-DMEMLIM=3000", "-o", "pan", "pan.c")
-	output := run(t, folder, "./pan", "-m10000")
+	output := run(t, folder, "./pan", "-m1000000")
 	for _, mark := range incomplete {
 		assert.Assert(t, !strings.Contains(output, mark), "the search is incomplete: %s", output)
 	}
