Release nothing before the back end has replaced earlier grants

Cause: a restarted agent knew of no grants, so its first renewal said that the lease had ended, and a shard in the releasing phase was promised at once, although the back end could still act on the process before's grants; likewise a grant whose answer was outstanding counted as not given. Now the end of grants is unknown until the back end has replaced them, and a grant counts from when it is sent until its revocation is answered. Two tests provoke both and failed before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -108,6 +108,7 @@
 		stopped: make(chan struct{}),
 	}
 	agent.view.Store(newView(nil, nil))
+	agent.grantsPossibleUntil.Store(int64(unknownEnd))
 	agent.holder = ownership.NewHolder(agent.config.ClockDrift)
 	agent.lease = &lease{holder: agent.holder, withheld: true, extended: agent.leaseExtended}
 	agent.fitness = newFitness(agent.config.Fitness)
--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/backendapi"
@@ -29,13 +30,17 @@
 	// whatever an earlier process granted.
 	sequence uint64
 	replaced bool
-	// taken is what the back end confirmed.
-	taken map[topology.ShardID]topology.Epoch
+	// taken is what the back end confirmed. Offered has also what was sent
+	// without an answer, which the back end may have taken or may take yet.
+	taken   map[topology.ShardID]topology.Epoch
+	offered map[topology.ShardID]topology.Epoch
 	// refused epochs: the back end has seen a higher one.
 	refused map[topology.ShardID]topology.Epoch
 	// confirmedUntil is the end of the grants in the last message that was
 	// answered; possibleUntil also counts messages that were not, which the back
-	// end may still take. Both by this process's monotonic clock.
+	// end may still take. Both by this process's monotonic clock. Until the
+	// back end has replaced the grants of the process before, possibleUntil is
+	// unknownEnd.
 	confirmedUntil time.Duration
 	possibleUntil  time.Duration
 	// sending: a message is on its way.
@@ -45,10 +50,16 @@
 	failedAt time.Duration
 }
 
+// unknownEnd is the end of grants that an earlier process gave.
+const unknownEnd = time.Duration(math.MaxInt64)
+
 func newGrantState(drift float64) grantState {
 	return grantState{
+		possibleUntil: unknownEnd,
+
 		clock:   backendapi.Clock{Drift: drift},
 		taken:   make(map[topology.ShardID]topology.Epoch),
+		offered: make(map[topology.ShardID]topology.Epoch),
 		refused: make(map[topology.ShardID]topology.Epoch),
 	}
 }
@@ -85,6 +96,9 @@
 	state.sending = true
 	state.sequence++
 	next.message.Sequence = state.sequence
+	for _, shard := range next.granted {
+		state.offered[shard.ID] = shard.Epoch
+	}
 	next.possibleBefore = state.possibleUntil
 	state.possibleUntil = max(state.possibleUntil, next.until)
 	control.grantsPossibleUntil.Store(int64(state.possibleUntil))
@@ -142,7 +156,7 @@
 }
 
 func (control *controlLoop) addRevocations(next *grantMessage) {
-	for id := range control.grants.taken {
+	for id := range control.grants.offered {
 		if control.keepsGrant(id) {
 			continue
 		}
@@ -212,12 +226,15 @@
 	state.sequence = max(state.sequence, reading.Sequence)
 	state.replaced = state.replaced || sent.message.Replace
 	state.confirmedUntil = sent.until
-	state.possibleUntil = sent.until
+	if state.replaced {
+		state.possibleUntil = sent.until
+	}
 	for _, shard := range sent.granted {
 		state.taken[shard.ID] = shard.Epoch
 	}
 	for _, id := range sent.revoked {
 		delete(state.taken, id)
+		delete(state.offered, id)
 	}
 	control.begin(sent.granted)
 	if control.state == stateUnreachable {
@@ -232,6 +249,7 @@
 	state.clock.Observe(reading, received)
 	state.sequence = max(state.sequence, reading.Sequence)
 	state.taken = make(map[topology.ShardID]topology.Epoch)
+	state.offered = make(map[topology.ShardID]topology.Epoch)
 	state.refused = make(map[topology.ShardID]topology.Epoch)
 	state.possibleUntil = 0
 	state.confirmedUntil = 0
--- a/internal/agent/release.go
+++ b/internal/agent/release.go
@@ -128,8 +128,9 @@
 
 // grantGone says that the back end can't act on the shard's grant any more.
 func (control *controlLoop) grantGone(running *release, now time.Duration) bool {
-	_, granted := control.grants.taken[running.shard]
-	return !granted || now >= running.grantEndsBy
+	_, offered := control.grants.offered[running.shard]
+	revoked := control.grants.replaced && !offered
+	return revoked || now >= running.grantEndsBy
 }
 
 func (control *controlLoop) beginTransfer(running *release) {
--- /dev/null
+++ b/internal/agent/restart_test.go
@@ -0,0 +1,83 @@
+package agent
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/backendapi"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// silentBackend answers messages of grants until it is silenced.
+type silentBackend struct {
+	silent atomic.Bool
+	start  time.Time
+	ended  chan struct{}
+}
+
+func (b *silentBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.silent.Load() {
+		<-b.ended
+		return
+	}
+	reading := backendapi.Reading{Boot: "b", ClockMilliseconds: time.Since(b.start).Milliseconds()}
+	_ = json.NewEncoder(w).Encode(reading)
+}
+
+func startSilentBackend(t *testing.T) (*silentBackend, string) {
+	t.Helper()
+	handler := &silentBackend{start: time.Now(), ended: make(chan struct{})}
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		close(handler.ended)
+		server.Close()
+	})
+	return handler, strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestRestartedAgentReleasesNothingUnheard: the process before may have granted
+// the back end what it still acts on, so neither the lease nor a shard is given
+// up before the back end has replaced those grants.
+func TestRestartedAgentReleasesNothingUnheard(t *testing.T) {
+	agent, err := New(Config{
+		Name: "one", Listen: "127.0.0.1:0", Controllers: []string{"127.0.0.1:1"},
+		DataFolder: t.TempDir(), BackendAddress: "127.0.0.1:1",
+	})
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, agent.release()) }()
+	assert.Assert(t, !agent.mustRelease(), "the lease")
+
+	state := newGrantState(0)
+	control := &controlLoop{Agent: agent, grants: state}
+	running := &release{shard: shard, epoch: 1, grantEndsBy: state.possibleUntil}
+	assert.Assert(t, !control.grantGone(running, time.Hour), "a shard")
+}
+
+// TestUnansweredGrantIsRevokedBeforeTheShardIsReleased: the back end falls silent
+// with a grant on its way to it, which it may take later.
+func TestUnansweredGrantIsRevokedBeforeTheShardIsReleased(t *testing.T) {
+	handler, address := startSilentBackend(t)
+	r := startAgent(t, self, address, t.TempDir(), nil)
+	handler.silent.Store(true)
+	r.give(1, topology.Shard{Phase: topology.ShardOwned, Owner: self, Epoch: 1})
+	offered := func() bool {
+		found := make(chan bool, 1)
+		r.agent.post(func(control *controlLoop) {
+			_, ok := control.grants.offered[shard]
+			found <- ok
+		})
+		return <-found
+	}
+	r.waitFor("grant sent", offered)
+	r.give(2, topology.Shard{Phase: topology.ShardReleasing, Owner: self, Epoch: 1, Target: other})
+	r.waitFor("release", func() bool { return r.leader.releasedShard(shard) != nil })
+	assert.Assert(t, r.agent.now() >= time.Duration(r.agent.grantsPossibleUntil.Load()) || !offered(),
+		"released while the back end may take the grant")
+}
