--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,7 +5,8 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"iter"
+	"maps"
+	"math"
 	"net"
 	"path/filepath"
 	"sync"
@@ -92,6 +93,9 @@
 	claimed         atomic.Uint32
 	self            atomic.Uint32
 	service         atomic.Uint32
+	// following is the revision of the table that the control goroutine has
+	// followed.
+	following atomic.Uint64
 	// table is the newest one put in force.
 	table atomic.Pointer[routing.Table]
 }
@@ -108,7 +112,8 @@
 		stopped: make(chan struct{}),
 	}
 	agent.view.Store(newView(nil, nil))
-	agent.grantsPossibleUntil.Store(int64(unknownEnd))
+	// Unknown until the back end has replaced the grants of the process before.
+	agent.grantsPossibleUntil.Store(math.MaxInt64)
 	agent.holder = ownership.NewHolder(agent.config.ClockDrift)
 	agent.lease = &lease{holder: agent.holder, withheld: true, extended: agent.leaseExtended}
 	agent.fitness = newFitness(agent.config.Fitness)
@@ -282,32 +287,9 @@
 func (agent *Agent) onTable(table *routing.Table) {
 	self := topology.BackendID(agent.self.Load())
 	agent.table.Store(table)
-	agent.holder.SetShards(shardsOf(table, self), self)
-	agent.post(func(control *controlLoop) { control.tableChanged(table, self) })
-}
-
-// shardsOf yields the shards of a back end's service.
-func shardsOf(table *routing.Table, self topology.BackendID) iter.Seq[topology.Shard] {
-	return func(yield func(topology.Shard) bool) {
-		backend, known := table.Backend(self)
-		if !known {
-			return
-		}
-		service, _ := table.Service(backend.Service)
-		for shard := range ownShards(service) {
-			if !yield(*shard) {
-				return
-			}
-		}
-	}
-}
-
-// ownShards yields the shards of a service, none for nil.
-func ownShards(service *routing.Service) iter.Seq[*topology.Shard] {
-	if service == nil {
-		return func(func(*topology.Shard) bool) {}
-	}
-	return service.Shards()
+	mine := newShare(table, self)
+	agent.holder.SetShards(maps.Values(mine.owned), self)
+	agent.post(func(control *controlLoop) { control.tableChanged(mine) })
 }
 
 // send tells the controller; what is lost with a session is repeated by the
--- a/internal/agent/release.go
+++ b/internal/agent/release.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -32,6 +33,7 @@
 	shard  topology.ShardID
 	epoch  topology.Epoch
 	target topology.BackendID
+	covers requestrecord.Range
 	stage  releaseStage
 	// drainUntil ends the wait for running requests.
 	drainUntil time.Duration
@@ -46,13 +48,13 @@
 // releasing, and forgets those that the table has gone past.
 func (control *controlLoop) followReleases() {
 	for id, running := range control.releases {
-		owned, ok := control.owned[id]
+		owned, ok := control.mine.owned[id]
 		if !ok || owned.Epoch != running.epoch || owned.Phase != topology.ShardReleasing {
 			delete(control.releases, id)
 		}
 	}
 	now := control.now()
-	for id, shard := range control.owned {
+	for id, shard := range control.mine.owned {
 		if _, begun := control.releases[id]; !begun && shard.Phase == topology.ShardReleasing {
 			control.beginRelease(shard, now)
 		}
@@ -65,6 +67,7 @@
 		shard:      shard.ID,
 		epoch:      shard.Epoch,
 		target:     shard.Target,
+		covers:     control.mine.covers[shard.ID],
 		stage:      stageDraining,
 		drainUntil: now + control.drainLimit(),
 	}
@@ -85,12 +88,8 @@
 
 // drainLimit is the service's own bound for running requests.
 func (control *controlLoop) drainLimit() time.Duration {
-	backend, known := control.table.Backend(control.self)
-	if !known {
-		return DefaultDrainLimit
-	}
-	service, known := control.table.Service(backend.Service)
-	if !known || service.DrainLimit == 0 {
+	service := control.mine.service
+	if service == nil || service.DrainLimit == 0 {
 		return DefaultDrainLimit
 	}
 	return service.DrainLimit
@@ -114,30 +113,24 @@
 }
 
 func (control *controlLoop) drained(running *release, now time.Duration) bool {
-	held, serving := control.shards[running.shard]
-	if !serving || now >= running.drainUntil {
+	if now >= running.drainUntil {
 		return true
 	}
-	select {
-	case <-held.idle:
-		return true
-	default:
-		return false
-	}
+	held, serving := control.shards[running.shard]
+	return (!serving || held.isIdle()) && len(control.lingeringIn(running.covers)) == 0
 }
 
 // grantGone says that the back end can't act on the shard's grant any more.
 func (control *controlLoop) grantGone(running *release, now time.Duration) bool {
-	_, offered := control.grants.offered[running.shard]
-	revoked := control.grants.replaced && !offered
-	return revoked || now >= running.grantEndsBy
+	return !control.grants.MayHold(running.shard) || now >= running.grantEndsBy
 }
 
 func (control *controlLoop) beginTransfer(running *release) {
 	running.stage = stageTransferring
-	running.grantEndsBy = control.grants.possibleUntil
+	control.endAll(running)
+	running.grantEndsBy = control.grants.AllEndBy()
 	control.syncGrants()
-	target, known := control.table.Backend(running.target)
+	target, known := control.mine.table.Backend(running.target)
 	address := ""
 	if known {
 		address = target.AgentAddress
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,7 @@
 	snapshots   snapshotCache
 	frames      routingFrames
 	open        sessionSet
+	greetings   chan struct{}
 	subscribers subscribers
 	freshness   freshness
 	relay       *relay
@@ -52,7 +54,11 @@
 	deltas      *distribution.Log
 	coordinator *coordinator.Coordinator
 	leadership  leadership.Leadership
-	agents      agentSessions
+	findings    *findings
+	// discounted is how many claims the coordinator had discounted when it was
+	// last looked at.
+	discounted uint64
+	agents     agentSessions
 	// redirectBy is by when the agents of a leadership that ended are sent
 	// away; zero where there are none.
 	redirectBy time.Duration
@@ -89,18 +95,20 @@
 
 func newController(config Config) *Controller {
 	c := &Controller{
-		started:  time.Now(),
-		config:   config,
-		log:      config.Log,
-		state:    controlstate.New(config.Group),
-		deltas:   distribution.NewLog(0),
-		agents:   make(agentSessions),
-		stopping: make(chan struct{}),
+		started:   time.Now(),
+		config:    config,
+		log:       config.Log,
+		state:     controlstate.New(config.Group),
+		deltas:    distribution.NewLog(0),
+		agents:    make(agentSessions),
+		stopping:  make(chan struct{}),
+		greetings: make(chan struct{}, greetingsAtOnce),
 	}
 	c.coordinator = coordinator.New(config.Coordinator, c.state)
 	c.subscribers.start(c.now())
 	c.view.Store(c.deltas.View())
 	c.metrics = newMetrics(config.Registerer, c)
+	c.findings = newFindings(c.log, c.metrics.findings)
 	return c
 }
 
@@ -151,7 +159,8 @@
 	c.background.Go(func() { c.relay.run(ctx) })
 	c.background.Go(func() { c.followMachineList(ctx) })
 	addresses := c.Addresses()
-	c.log.Info("controller serves", "sessions", addresses.Sessions, "rpc", addresses.RPC)
+	c.log.Info("controller serves", "sessions", addresses.Sessions, "rpc", addresses.RPC,
+		"peers", c.replica.PeerAddress(), "incarnation", strconv.FormatUint(uint64(c.replica.Incarnation()), 16))
 	if c.config.OnReady != nil {
 		c.config.OnReady(addresses)
 	}
--- a/internal/requestrecord/shard.go
+++ b/internal/requestrecord/shard.go
@@ -1,7 +1,9 @@
 package requestrecord
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 
 	"github.com/quartzdock/quartzdock/internal/requestid"
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -55,9 +57,17 @@
 // entry is one admitted id.
 type entry struct {
 	fingerprint uint64
-	state       entryState
 	// answer is nil when it was not kept.
-	answer *Answer
+	answer packedAnswer
+	// bodyBytes is the length of the body in answer.
+	bodyBytes uint32
+	state     entryState
+}
+
+// keep sets the answer.
+func (kept *entry) keep(answer *Answer) {
+	kept.answer = packAnswer(answer)
+	kept.bodyBytes = uint32(answer.size())
 }
 
 func (kept *entry) verdict(fingerprint uint64) Verdict {
@@ -71,7 +81,7 @@
 	case kept.answer == nil:
 		return Verdict{Decision: AnswerGone}
 	}
-	return Verdict{Decision: Answered, Answer: kept.answer}
+	return Verdict{Decision: Answered, Answer: kept.answer.answer()}
 }
 
 // Range is the part of the hash space that a shard covers, both ends included.
@@ -83,10 +93,32 @@
 	return outer.Start <= inner.Start && inner.Last <= outer.Last
 }
 
-func (one Range) overlaps(other Range) bool {
+// Overlaps reports whether two ranges have a key in common.
+func (one Range) Overlaps(other Range) bool {
 	return one.Start <= other.Last && other.Start <= one.Last
 }
 
+// CoveredBy reports whether every key of the range is in one of the others,
+// which do not overlap each other.
+func (one Range) CoveredBy(others []Range) bool {
+	others = slices.Clone(others)
+	slices.SortFunc(others, func(a, b Range) int { return cmp.Compare(a.Start, b.Start) })
+	next := one.Start
+	for _, other := range others {
+		if other.Last < next {
+			continue
+		}
+		if other.Start > next {
+			return false
+		}
+		if other.Last >= one.Last {
+			return true
+		}
+		next = other.Last + 1
+	}
+	return false
+}
+
 // shardRecord is the record of one shard. Its floor is the higher of the two.
 type shardRecord struct {
 	// epoch under which the record is exact, for ids of keys in covers.
--- a/internal/requestrecord/transfer.go
+++ b/internal/requestrecord/transfer.go
@@ -9,31 +9,54 @@
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
-// export returns the record for the next owner. Entries that still run are
-// listed without an outcome.
-func (record *shardRecord) export(shard topology.ShardID) wire.RecordTransfer {
+// snapshot is a shard's record at one moment. It shares no memory that changes.
+type snapshot struct {
+	shard   topology.ShardID
+	epoch   topology.Epoch
+	covers  Range
+	floor   int64
+	entries []idEntry
+}
+
+type idEntry struct {
+	id   requestid.ID
+	kept entry
+}
+
+func (record *shardRecord) snapshot(shard topology.ShardID) snapshot {
+	taken := snapshot{shard: shard, epoch: record.epoch, covers: record.covers, floor: record.floor(),
+		entries: make([]idEntry, 0, len(record.entries))}
+	for id, kept := range record.entries {
+		taken.entries = append(taken.entries, idEntry{id, *kept})
+	}
+	return taken
+}
+
+// transfer returns the record for the next owner, in the order of ids. Entries
+// that still run are listed without an outcome.
+func (taken snapshot) transfer() wire.RecordTransfer {
+	slices.SortFunc(taken.entries, func(a, b idEntry) int { return bytes.Compare(a.id[:], b.id[:]) })
 	transfer := wire.RecordTransfer{
-		Shard:                  shard,
-		Epoch:                  record.epoch,
-		RangeStart:             record.covers.Start,
-		RangeLast:              record.covers.Last,
-		CompleteSinceUnixMilli: record.floor(),
-		Entries:                make([]wire.RecordEntry, 0, len(record.entries)),
+		Shard:                  taken.shard,
+		Epoch:                  taken.epoch,
+		RangeStart:             taken.covers.Start,
+		RangeLast:              taken.covers.Last,
+		CompleteSinceUnixMilli: taken.floor,
+		Entries:                make([]wire.RecordEntry, 0, len(taken.entries)),
 		Last:                   true,
 	}
-	for id, kept := range record.entries {
-		transfer.Entries = append(transfer.Entries, exportEntry(id, kept))
+	for i := range taken.entries {
+		transfer.Entries = append(transfer.Entries, exportEntry(taken.entries[i].id, &taken.entries[i].kept))
 	}
-	slices.SortFunc(transfer.Entries, func(a, b wire.RecordEntry) int { return bytes.Compare(a.ID[:], b.ID[:]) })
 	return transfer
 }
 
 func exportEntry(id requestid.ID, kept *entry) wire.RecordEntry {
 	exported := wire.RecordEntry{ID: id, Fingerprint: kept.fingerprint, Answered: kept.state == stateAnswered}
-	if kept.answer != nil {
-		exported.Status = kept.answer.Status
-		exported.Header = kept.answer.Header
-		exported.Body = kept.answer.Body
+	if answer := kept.answer.answer(); answer != nil {
+		exported.Status = answer.Status
+		exported.Header = answer.Header
+		exported.Body = answer.Body
 	}
 	return exported
 }
@@ -71,7 +94,7 @@
 	}
 	held.state = stateAnswered
 	if imported.Status != 0 {
-		held.answer = &Answer{Status: imported.Status, Header: imported.Header, Body: imported.Body}
-		state.keptBytes += held.answer.size()
+		held.keep(&Answer{Status: imported.Status, Header: imported.Header, Body: imported.Body})
+		state.keptBytes += int(held.bodyBytes)
 	}
 }
