--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"path/filepath"
 	"sync"
@@ -92,6 +93,9 @@
 	claimed         atomic.Uint32
 	self            atomic.Uint32
 	service         atomic.Uint32
+	// following is the revision of the table that the control goroutine has
+	// followed.
+	following atomic.Uint64
 	// table is the newest one put in force.
 	table atomic.Pointer[routing.Table]
 }
@@ -108,6 +112,8 @@
 		stopped: make(chan struct{}),
 	}
 	agent.view.Store(newView(nil, nil))
+	// Unknown until the back end has replaced the grants of the process before.
+	agent.grantsPossibleUntil.Store(math.MaxInt64)
 	agent.holder = ownership.NewHolder(agent.config.ClockDrift)
 	agent.lease = &lease{holder: agent.holder, withheld: true, extended: agent.leaseExtended}
 	agent.fitness = newFitness(agent.config.Fitness)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,7 @@
 	snapshots   snapshotCache
 	frames      routingFrames
 	open        sessionSet
+	greetings   chan struct{}
 	subscribers subscribers
 	freshness   freshness
 	relay       *relay
@@ -93,13 +95,14 @@
 
 func newController(config Config) *Controller {
 	c := &Controller{
-		started:  time.Now(),
-		config:   config,
-		log:      config.Log,
-		state:    controlstate.New(config.Group),
-		deltas:   distribution.NewLog(0),
-		agents:   make(agentSessions),
-		stopping: make(chan struct{}),
+		started:   time.Now(),
+		config:    config,
+		log:       config.Log,
+		state:     controlstate.New(config.Group),
+		deltas:    distribution.NewLog(0),
+		agents:    make(agentSessions),
+		stopping:  make(chan struct{}),
+		greetings: make(chan struct{}, greetingsAtOnce),
 	}
 	c.coordinator = coordinator.New(config.Coordinator, c.state)
 	c.subscribers.start(c.now())
@@ -156,7 +159,8 @@
 	c.background.Go(func() { c.relay.run(ctx) })
 	c.background.Go(func() { c.followMachineList(ctx) })
 	addresses := c.Addresses()
-	c.log.Info("controller serves", "sessions", addresses.Sessions, "rpc", addresses.RPC)
+	c.log.Info("controller serves", "sessions", addresses.Sessions, "rpc", addresses.RPC,
+		"peers", c.replica.PeerAddress(), "incarnation", strconv.FormatUint(uint64(c.replica.Incarnation()), 16))
 	if c.config.OnReady != nil {
 		c.config.OnReady(addresses)
 	}
