--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"path/filepath"
 	"sync"
@@ -111,6 +112,8 @@
 		stopped: make(chan struct{}),
 	}
 	agent.view.Store(newView(nil, nil))
+	// Unknown until the back end has replaced the grants of the process before.
+	agent.grantsPossibleUntil.Store(math.MaxInt64)
 	agent.holder = ownership.NewHolder(agent.config.ClockDrift)
 	agent.lease = &lease{holder: agent.holder, withheld: true, extended: agent.leaseExtended}
 	agent.fitness = newFitness(agent.config.Fitness)
