Test that held bodies take bounded memory

The hold buffer is bounded by requests and by bytes; only the first bound had a test. A request whose body does not fit is refused at once as shed, and the one that is held is answered by the next owner.

--- a/internal/router/ownership_test.go
+++ b/internal/router/ownership_test.go
@@ -94,6 +94,18 @@
 	(<-replies).check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
 }
 
+// Held bodies take bounded memory: one that does not fit is refused at once.
+func TestHoldBufferBoundsBytes(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.HoldBytes = 10; c.HoldTimeout = time.Hour }, newAgent(t, ok))
+	f.setShard(topology.ShardReleasing, 1, 1)
+	replies := make(chan reply, 1)
+	go func() { replies <- f.post() }() // 6 bytes
+	poll.WaitOn(t, f.held(1))
+	f.post().check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonShed)
+	f.setShard(topology.ShardOwned, 1, 2)
+	(<-replies).check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+}
+
 // The owner refuses as out of step (it is draining): the request waits for the
 // next owner, also when it is non-repeatable, because it was not run.
 func TestRefusedRequestGoesToTheNextOwner(t *testing.T) {
