Catch a voter that forgets its own leadership by a script

TestAVoterThatLedTellsOfItsOwnLease now elects a replica that was cut off by the vote of the leader before it, and fails without that part of the report.

--- a/internal/consensus/predecessor_test.go
+++ b/internal/consensus/predecessor_test.go
@@ -101,3 +101,25 @@
 		})
 	}
 }
+
+// TestAVoterThatLedTellsOfItsOwnLease elects a replica that was cut off, by the
+// vote of the leader before it: nobody else can tell until when that one acted.
+func TestAVoterThatLedTellsOfItsOwnLease(t *testing.T) {
+	elected := 0
+	for seed := range uint64(20) {
+		c := newCluster(t, 500+seed, 3)
+		last := c.commit("a")
+		c.until("all replicas apply", func() bool { return c.allApplied(last) })
+		old := c.waitLeader()
+		followers := c.others(old.member.ID)
+		c.isolate(followers[0].member.ID)
+		c.run(time.Second)
+		c.crash(followers[1].member.ID)
+		c.until("the leader stops", func() bool { return old.core.Role() != Leader })
+		c.heal()
+		if c.until("another leader", func() bool { return c.leader() != nil && c.leader().core.Status().Term > 1 }); c.leader() == followers[0] {
+			elected++
+		}
+	}
+	assert.Assert(t, elected > 0, "the replica that was cut off was never elected")
+}
