--- a/internal/backendapi/client.go
+++ b/internal/backendapi/client.go
@@ -1,6 +1,5 @@
 // Package backendapi speaks the back ends' side protocol: fenced grants, warming
-// of a shard's state, health and load (docs/INTERFACES.md, "Back end
-// protocol").
+// of a shard's state, health and load (docs/operators/backends.md).
 package backendapi
 
 import (
