--- a/internal/controlstate/command.go
+++ b/internal/controlstate/command.go
@@ -149,6 +149,7 @@
 	content := *c
 	content.UnixMilli = 0
 	content.RequestID = ""
+	content.ExpectedRevision = 0 // an operator's client may read it anew
 	content.Digest = Digest{}
 	content.clearLeaderFields()
 	text, err := json.Marshal(content)
