--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -27,7 +27,7 @@
 	if next == nil {
 		return
 	}
-	control.grantsPossibleUntil.Store(int64(control.grants.PossibleUntil()))
+	control.grantsPossibleUntil.Store(int64(control.grants.AllEndBy()))
 	control.background.Go(func() { control.sendGrants(next) })
 }
 
@@ -73,7 +73,7 @@
 // signalRelease renews at once, with Release set, when a lease was given up
 // and the back end can't act on its grants any more.
 func (control *controlLoop) signalRelease(now time.Duration) {
-	until := control.grants.PossibleUntil()
+	until := control.grants.AllEndBy()
 	control.grantsPossibleUntil.Store(int64(until))
 	if control.wantLease.Load() || control.releaseSignalled || now < until {
 		return
