--- a/internal/replica/control.go
+++ b/internal/replica/control.go
@@ -232,6 +232,9 @@
 		if entry.Kind == consensus.EntryCommand {
 			result = c.r.config.Machine.Apply(topology.Revision(entry.Index), entry.Data)
 		}
+		if entry.Kind == consensus.EntryMembership {
+			c.publish() // who reads after this change sees it at once
+		}
 		c.resolve(entry, result)
 	}
 }
