Join the measurements and the glossary

Cause: each area kept pages of its own; users and the issues name one page of figures and one glossary. No figure was measured anew.

--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -20,7 +20,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// The commands of docs/measurements/consensus.md run these benchmarks.
+// The commands of docs/MEASUREMENTS.md run these benchmarks.
 
 // slowSync is the operating system's files with syncs that take a set time and
 // do nothing else.
--- a/lab/experiment/report.go
+++ b/lab/experiment/report.go
@@ -199,7 +199,7 @@
 </style></head><body>
 <h1>Placement experiment</h1>
 <p>Three measures per deployment and scenario, one line per policy. Lower is better everywhere.
-The plots show the first seed, the table the mean over all seeds. Definitions: docs/glossary/placement.md.</p>
+The plots show the first seed, the table the mean over all seeds. Definitions: docs/GLOSSARY.md.</p>
 {{if .Glances}}<h2>At a glance: ours, and the best baseline on each measure alone</h2>
 <table><tr><th>deployment</th><th>scenario</th><th>imbalance</th><th>keys moved</th><th>unavailable per key, ms</th></tr>
 {{range .Glances}}<tr><td>{{.Deployment}}</td><td>{{.Scenario}}</td>{{range .Cells}}<td class="{{if .Better}}better{{else}}worse{{end}}">{{printf "%.2f" .Ours}} &middot; {{printf "%.2f" .Best}} {{.BestPolicy}}</td>{{end}}</tr>
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Result is what one run measured, after the warm-up. docs/glossary/placement.md
+// Result is what one run measured, after the warm-up. docs/GLOSSARY.md
 // defines each measure.
 type Result struct {
 	Deployment string `json:"deployment"`
