End continued grants before a part moves that unanswered work may touch

Cause: since a split keeps the grant of the shard at the epoch that the back end knows, a request that timed out at the agent could run on there and write a key of the part that has moved to another owner: found by reading. Change: the agent notes under which grants requests had no answer; before a shard moves away, continued grants with such requests are replaced by ones of the present epoch, and the release waits for that. The new test fails without it (epoch 1 instead of 2). What runs under the replaced grant is then not kept by the back end.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -78,6 +78,7 @@
 	wantLease           atomic.Bool
 	grantsPossibleUntil atomic.Int64
 	leaving             atomic.Bool
+	unanswered          unanswered
 	// closedToNew: the back end has been leaving for LeavingGrace.
 	closedToNew atomic.Bool
 	// stopping: requests are refused and connections closed with their answers.
--- a/internal/agent/continuity.go
+++ b/internal/agent/continuity.go
@@ -12,12 +12,17 @@
 // A split, a merge or a cancelled move gives a shard a new epoch while its owner
 // stays. What was admitted before goes on: no other owner can have been in
 // between, since the lease was never without a successor and this agent has
-// promised no release. Three things follow.
+// promised no release. Four things follow.
 //
 //   - The back end keeps the grant that it has, at its epoch, as long as the
 //     ownership continues, so that its fence lets running requests finish.
 //   - A shard whose epoch ended stays in lingering until nothing of it runs. Its
 //     answers may be released unless it was ended.
+//   - Requests whose end the agent never learned may still run at the back end,
+//     and after a split its fence, which knows shards by number, would let them
+//     act for keys of a part that has moved. So before a shard moves away, grants
+//     that continue and had such requests are replaced by ones of the present
+//     epoch. What runs under them is then not kept by the back end.
 //   - A shard moves away only when no lingering shard runs requests that may
 //     concern its keys, or the drain limit has passed; then they are ended.
 
@@ -77,13 +82,16 @@
 }
 
 // endAll lets nothing of a shard that moves away be answered as done any more.
+// Nor may what the back end still runs of before a split act for its keys.
 func (control *controlLoop) endAll(running *release) {
 	if held, serving := control.shards[running.shard]; serving {
 		held.ended.Store(true)
 	}
 	for _, shard := range control.lingeringIn(running.covers) {
 		shard.ended.Store(true)
+		control.unanswered.note(shard)
 	}
+	control.grants.EndContinued(control.unanswered.under)
 }
 
 // continues says whether a request that was admitted at an ended epoch may go
--- a/internal/agent/continuity_test.go
+++ b/internal/agent/continuity_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -102,6 +105,27 @@
 	assert.Equal(t, (<-result).outcome, wire.OutcomeAnswered)
 }
 
+// TestPartMovesOnlyWhenNothingUnansweredCanAct: a request timed out at the agent
+// and may run on at the back end, under the grant of before the split. The part
+// that may hold its key must not move while the back end would still let it act.
+func TestPartMovesOnlyWhenNothingUnansweredCanAct(t *testing.T) {
+	muted := &mutedBackend{begun: time.Now()}
+	server := httptest.NewServer(muted)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	r := startAgent(t, self, strings.TrimPrefix(server.URL, "http://"), t.TempDir(), shortClockBound)
+	r.own(1, 1)
+	timedOut := slowEdit(r.freshID())
+	timedOut.header = map[string]string{wire.HeaderDeadline: "50"}
+	assert.Equal(t, r.do(timedOut).reason, wire.ReasonTimedOut)
+	r.split(2, 2, topology.ShardOwned, topology.ShardOwned)
+	r.serves(2)
+	assert.Equal(t, muted.epoch(shard.String()), topology.Epoch(1), "the grant continues")
+	r.split(3, 2, topology.ShardOwned, topology.ShardReleasing)
+	r.waitFor("release", func() bool { return r.leader.releasedShard(rightPart) != nil })
+	assert.Equal(t, muted.epoch(shard.String()), topology.Epoch(2), "what was sent at epoch 1 could act")
+}
+
 func TestPartThatOthersOwnEndsWhatRan(t *testing.T) {
 	r := startRig(t, backend.Config{}, shortClockBound)
 	r.own(1, 1)
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -173,6 +173,9 @@
 		answer := notRun(http.StatusServiceUnavailable, wire.ReasonUnreachable, err.Error())
 		answer.retryAfter = time.Second
 		return answer
+	}
+	agent.unanswered.note(parsed.served)
+	switch {
 	case expired:
 		agent.fitness.timedOut(agent.now(), took, parsed.source())
 		return unknown(http.StatusGatewayTimeout, wire.ReasonTimedOut, err.Error())
--- a/internal/agent/grants_test.go
+++ b/internal/agent/grants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -22,7 +23,9 @@
 	begun time.Time
 	mutex sync.Mutex
 	// held is what a back end would serve.
-	held     []string
+	held []string
+	// epochs are the last that were granted of each shard.
+	epochs   map[string]topology.Epoch
 	sequence uint64
 	muted    bool
 	// lost messages, of those that follow the first reading, are not taken.
@@ -30,6 +33,11 @@
 }
 
 func (muted *mutedBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.Contains(r.URL.Path, "/edit/") {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done() // no answer, and the work goes on
+		return
+	}
 	if !strings.HasSuffix(r.URL.Path, "/grants") {
 		_, _ = w.Write([]byte(`{}`))
 		return
@@ -56,11 +64,12 @@
 		muted.lost--
 		return true
 	}
-	if message.Replace {
-		muted.held = nil
+	if muted.epochs == nil || message.Replace {
+		muted.held, muted.epochs = nil, make(map[string]topology.Epoch)
 	}
 	for _, grant := range message.Grants {
 		muted.held = append(muted.held, grant.Shard)
+		muted.epochs[grant.Shard] = grant.Epoch
 	}
 	muted.held = slices.DeleteFunc(muted.held, func(held string) bool { return slices.Contains(message.Revoked, held) })
 	muted.sequence = message.Sequence
@@ -73,6 +82,12 @@
 	return backendapi.Reading{Boot: "b", ClockMilliseconds: time.Since(muted.begun).Milliseconds(), Sequence: muted.sequence}
 }
 
+func (muted *mutedBackend) epoch(shard string) topology.Epoch {
+	muted.mutex.Lock()
+	defer muted.mutex.Unlock()
+	return muted.epochs[shard]
+}
+
 func (muted *mutedBackend) holds(shard string) bool {
 	muted.mutex.Lock()
 	defer muted.mutex.Unlock()
--- a/internal/agent/release.go
+++ b/internal/agent/release.go
@@ -122,7 +122,8 @@
 
 // grantGone says that the back end can't act on the shard's grant any more.
 func (control *controlLoop) grantGone(running *release, now time.Duration) bool {
-	return !control.grants.MayHold(running.shard) || now >= running.grantEndsBy
+	gone := !control.grants.MayHold(running.shard) || now >= running.grantEndsBy
+	return gone && !control.grants.Ending()
 }
 
 func (control *controlLoop) beginTransfer(running *release) {
--- a/internal/grants/state.go
+++ b/internal/grants/state.go
@@ -174,6 +174,28 @@
 	return wanted.Lingers != nil && wanted.Lingers(id)
 }
 
+// EndContinued has grants that continue from an earlier epoch replaced by ones
+// of the present epoch, where the caller says so, so that nothing that was sent
+// to the back end under them can act any more.
+func (s *State) EndContinued(ends func(shard topology.ShardID, epoch topology.Epoch) bool) {
+	for id, held := range s.taken {
+		if held.epoch != held.owner && ends(id, held.epoch) {
+			held.interrupted = true
+			s.taken[id] = held
+		}
+	}
+}
+
+// Ending says that the back end may still hold a grant that EndContinued ends.
+func (s *State) Ending() bool {
+	for _, held := range s.taken {
+		if held.interrupted && held.epoch != held.owner {
+			return true
+		}
+	}
+	return false
+}
+
 // Epoch is the epoch at which the back end knows a shard; zero is not at all.
 func (s *State) Epoch(shard topology.ShardID) topology.Epoch { return s.taken[shard].epoch }
 
