Count violations once and drop a type with a single field

Cause: a last read of the change found the same loop over violations for one simulation and for several, and a struct that only wrapped a function. Change: one function counts for both; reads hold the function itself.

--- a/lab/simulate/command.go
+++ b/lab/simulate/command.go
@@ -141,13 +141,7 @@
 }
 
 // Violated counts the violations.
-func (t *Total) Violated() int {
-	total := 0
-	for _, count := range t.Violations {
-		total += count
-	}
-	return total
-}
+func (t *Total) Violated() int { return sum(t.Violations) }
 
 // Sum adds results up.
 func Sum(results []*Result) *Total {
--- a/lab/simulate/controller.go
+++ b/lab/simulate/controller.go
@@ -39,7 +39,7 @@
 	full        bool
 	snapshotted uint64
 	proposals   map[uint64]proposal
-	reads       map[uint64]read
+	reads       map[uint64]func(confirmed bool)
 	nextRead    uint64
 	barriers    []barrier
 
@@ -57,8 +57,6 @@
 	done func(result controlstate.Result, committed bool)
 }
 
-type read struct{ done func(confirmed bool) }
-
 // barrier waits until an index is applied.
 type barrier struct {
 	index uint64
@@ -86,7 +84,7 @@
 	c.peers = make(map[topology.ReplicaID]*controller)
 	c.writing, c.full = false, false
 	c.proposals = make(map[uint64]proposal)
-	c.reads = make(map[uint64]read)
+	c.reads = make(map[uint64]func(confirmed bool))
 	c.barriers = nil
 	c.leadership = leadership.Leadership{}
 	c.freshness = inforce.Freshness{}
@@ -426,21 +424,21 @@
 		done(false)
 		return
 	}
-	c.reads[c.nextRead] = read{done}
+	c.reads[c.nextRead] = done
 	c.later(c.work)
 }
 
 func (c *controller) finishRead(state consensus.ReadState) {
-	waiting, ok := c.reads[state.Token]
+	done, ok := c.reads[state.Token]
 	if !ok {
 		return
 	}
 	delete(c.reads, state.Token)
 	if state.Failed {
-		waiting.done(false)
+		done(false)
 		return
 	}
-	c.barriers = append(c.barriers, barrier{state.Index, waiting.done})
+	c.barriers = append(c.barriers, barrier{state.Index, done})
 }
 
 func (c *controller) releaseBarriers() {
--- a/lab/simulate/run.go
+++ b/lab/simulate/run.go
@@ -41,9 +41,11 @@
 }
 
 // Violated counts the violations.
-func (r *Result) Violated() int {
+func (r *Result) Violated() int { return sum(r.Violations) }
+
+func sum(violations map[Promise]int) int {
 	total := 0
-	for _, count := range r.Violations {
+	for _, count := range violations {
 		total += count
 	}
 	return total
