--- /dev/null
+++ b/internal/fleetcontroller/controller.go
@@ -0,0 +1,204 @@
+package fleetcontroller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/fleetstate"
+	"github.com/quartzdock/quartzdock/internal/keylease"
+	"github.com/quartzdock/quartzdock/internal/leadership"
+	"github.com/quartzdock/quartzdock/internal/replica"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/topology"
+	"github.com/quartzdock/quartzdock/internal/transport"
+)
+
+// Controller is one running controller.
+type Controller struct {
+	config   Config
+	member   *replica.Replica
+	listener *transport.Listener
+	stop     context.CancelFunc
+	ended    sync.WaitGroup
+
+	// view is what senders read.
+	view atomic.Pointer[view]
+
+	sessionsMutex sync.Mutex
+	sessions      map[*session]struct{}
+	stopped       bool
+
+	control control
+	// admitting allows one change of membership at a time.
+	admitting sync.Mutex
+}
+
+// control is owned by the replica's control goroutine.
+type control struct {
+	state      *fleetstate.State
+	leadership leadership.Leadership
+	// planner is nil unless this controller leads.
+	planner   *keylease.Planner
+	healAt    time.Duration
+	published published
+}
+
+// Start opens the data folder, joins or founds the group, and serves.
+func Start(config Config) (*Controller, error) {
+	c := &Controller{config: config.withDefaults(), sessions: map[*session]struct{}{}}
+	c.control.state = fleetstate.New()
+	c.view.Store(&view{})
+	founders, err := loadFounders(&c.config)
+	if err != nil {
+		return nil, fmt.Errorf("controller: %w", err)
+	}
+	if c.listener, err = transport.Listen(c.config.SessionListen, sessionOptions); err != nil {
+		return nil, fmt.Errorf("controller: %w", err)
+	}
+	ready := make(chan struct{})
+	c.member, err = replica.Start(replica.Config{
+		Group:             c.config.Group,
+		ID:                founders.Self,
+		Peers:             founders.Peers,
+		DataDir:           c.config.DataDir,
+		Listen:            c.config.PeerListen,
+		Machine:           machine{c},
+		OnTick:            func(now time.Duration, status consensus.Status) { <-ready; c.tick(now, status) },
+		Logger:            c.config.Log,
+		TickInterval:      c.config.TickInterval,
+		HeartbeatInterval: c.config.HeartbeatInterval,
+		ElectionTimeout:   c.config.ElectionTimeout,
+		TrustSynced:       true,
+	})
+	if err != nil {
+		return nil, errors.Join(err, c.listener.Close())
+	}
+	close(ready)
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	c.ended.Add(2)
+	go c.accept()
+	go c.seekAdmission(ctx)
+	return c, nil
+}
+
+// Stop hands leadership over, if it is held here, and ends the process's part
+// in the group.
+func (c *Controller) Stop() error {
+	c.handOver()
+	c.stop()
+	err := c.listener.Close()
+	c.closeSessions(true)
+	c.ended.Wait()
+	return errors.Join(err, c.member.Stop())
+}
+
+// handOverLimit bounds the transfer of leadership.
+const handOverLimit = time.Second
+
+func (c *Controller) handOver() {
+	status := c.member.Status()
+	if status.Role != consensus.Leader {
+		return
+	}
+	target := successor(status)
+	if target == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverLimit)
+	defer cancel()
+	if err := c.member.TransferLeadership(ctx, target); err != nil {
+		c.config.Log.Warn("leadership not handed over", "to", uint64(target), "error", err)
+	}
+}
+
+// successor returns the voter that lacks the least of the log; zero is none.
+func successor(status consensus.Status) topology.ReplicaID {
+	var best consensus.PeerStatus
+	for _, peer := range status.Peers {
+		if status.Membership.IsVoter(peer.ID) && (best.ID == 0 || peer.Match > best.Match) {
+			best = peer
+		}
+	}
+	return best.ID
+}
+
+// Change replicates a change of the configuration. ErrNotLeader says that
+// nothing was done; any other error leaves the outcome unknown.
+func (c *Controller) Change(ctx context.Context, change *fleetstate.ChangeConfiguration) (fleetstate.Result, error) {
+	checked, err := c.check(ctx, change)
+	if err != nil || checked.Outcome != fleetstate.Accepted {
+		return checked, err
+	}
+	command := fleetstate.Command{Configuration: change}
+	data, err := command.Encode()
+	if err != nil {
+		return fleetstate.Result{}, err
+	}
+	result, err := c.member.Propose(ctx, data)
+	if err != nil {
+		return fleetstate.Result{}, classify(err)
+	}
+	return result.(fleetstate.Result), nil
+}
+
+// check asks the leader's newest state what would become of a change.
+func (c *Controller) check(ctx context.Context, change *fleetstate.ChangeConfiguration) (fleetstate.Result, error) {
+	if err := c.member.ReadBarrier(ctx); err != nil {
+		return fleetstate.Result{}, classify(err)
+	}
+	checked := make(chan fleetstate.Result, 1)
+	c.member.Post(func() { checked <- c.control.state.Check(change) })
+	select {
+	case result := <-checked:
+		return result, nil
+	case <-ctx.Done():
+		return fleetstate.Result{}, ctx.Err()
+	}
+}
+
+// Read returns the newest configuration, nil where there is none yet.
+func (c *Controller) Read(ctx context.Context) (*routeconfig.Document, error) {
+	if err := c.member.ReadBarrier(ctx); err != nil {
+		return nil, classify(err)
+	}
+	read := make(chan *routeconfig.Document, 1)
+	c.member.Post(func() { read <- c.control.state.Document() })
+	select {
+	case document := <-read:
+		return document, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func classify(err error) error {
+	var elsewhere *replica.NotLeaderError
+	if errors.As(err, &elsewhere) || errors.Is(err, replica.ErrNotMember) {
+		return errors.Join(ErrNotLeader, err)
+	}
+	return err
+}
+
+// Leader returns the session address of the leader, empty where none is known
+// or this controller leads.
+func (c *Controller) Leader() string {
+	status := c.member.Status()
+	if status.Leader == 0 || status.Leader == status.ID {
+		return ""
+	}
+	leader, ok := status.Membership.Find(status.Leader)
+	if !ok {
+		return ""
+	}
+	return c.config.sessionAddress(leader.Address)
+}
+
+// Ready reports whether this controller has a part in the group and knows a
+// leader.
+func (c *Controller) Ready() bool { return c.member.Status().Leader != 0 }
--- /dev/null
+++ b/internal/fleetcontroller/founders.go
@@ -0,0 +1,70 @@
+package fleetcontroller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	iofs "io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/quartzdock/quartzdock/internal/replica"
+	"github.com/quartzdock/quartzdock/internal/storage/vfs"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// foundersName is the file that keeps who founds the group with this member, so
+// that a restart before the founding goes on with it.
+const foundersName = "founders.json"
+
+// founderList is the content of the file.
+type founderList struct {
+	Self  topology.ReplicaID
+	Peers []replica.Peer
+}
+
+// loadFounders returns the first members of the group if this is one of them.
+// They are stored at the first start and read back at later ones.
+func loadFounders(config *Config) (founderList, error) {
+	path := filepath.Join(config.DataDir, foundersName)
+	content, err := os.ReadFile(path)
+	if err == nil {
+		var stored founderList
+		if err := json.Unmarshal(content, &stored); err != nil {
+			return founderList{}, fmt.Errorf("%s: %w", path, err)
+		}
+		return stored, nil
+	}
+	if !errors.Is(err, iofs.ErrNotExist) {
+		return founderList{}, err
+	}
+	if !config.Founding {
+		return founderList{}, nil
+	}
+	peers, self := config.founders()
+	if self == 0 {
+		return founderList{}, nil
+	}
+	found := founderList{Self: self, Peers: peers}
+	if content, err = json.Marshal(found); err != nil {
+		return founderList{}, err
+	}
+	files := vfs.OS{}
+	if err := files.MakeDir(config.DataDir); err != nil {
+		return founderList{}, err
+	}
+	return found, vfs.WriteAtomically(files, config.DataDir, foundersName, content)
+}
+
+// empty removes all that a data folder holds.
+func empty(folder string) error {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return err
+	}
+	var failures []error
+	for _, entry := range entries {
+		failures = append(failures, os.RemoveAll(filepath.Join(folder, entry.Name())))
+	}
+	return errors.Join(failures...)
+}
--- /dev/null
+++ b/internal/fleetcontroller/sessions.go
@@ -0,0 +1,235 @@
+package fleetcontroller
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/transport"
+)
+
+// sessionOptions bound a session: a gateway reports several times in the idle
+// timeout.
+var sessionOptions = transport.Options{WriteTimeout: 2 * time.Second, IdleTimeout: 4 * time.Second}
+
+// sendPause is the least time between two messages of a session, so that
+// changes that come together travel together.
+const sendPause = 5 * time.Millisecond
+
+// session is one gateway's connection.
+type session struct {
+	conn *transport.Conn
+	node string
+	wake chan struct{}
+
+	mutex sync.Mutex
+	lease *fleetwire.Lease
+	known *fleetwire.Instance
+	// ended tells the sender to stop; redirect says where the gateway goes on.
+	ended    bool
+	redirect *fleetwire.Redirect
+}
+
+// sent is what a session's gateway has.
+type sent struct {
+	version           routeconfig.Version
+	ownersIndex       uint64
+	term              uint64
+	instancesRevision uint64
+	complete          bool
+	any               bool
+}
+
+func (s *session) notify() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// accept takes sessions until the listener is closed.
+func (c *Controller) accept() {
+	defer c.ended.Done()
+	for {
+		conn, err := c.listener.Accept()
+		if errors.Is(err, transport.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(sendPause)
+			continue
+		}
+		c.ended.Add(1)
+		go c.serve(conn)
+	}
+}
+
+// serve reads one session from its Hello to its end.
+func (c *Controller) serve(conn *transport.Conn) {
+	defer c.ended.Done()
+	defer conn.Close()
+	var first fleetwire.ToController
+	if conn.Receive(&first) != nil || first.Hello == nil {
+		return
+	}
+	if !c.leads() {
+		_ = conn.Send(fleetwire.FromController{Redirect: c.redirect()})
+		return
+	}
+	if join := first.Hello.Join; join != nil {
+		_ = conn.Send(fleetwire.FromController{Admission: c.admit(join)})
+		return
+	}
+	s := &session{conn: conn, node: first.Hello.Node, wake: make(chan struct{}, 1)}
+	if !c.register(s) {
+		return
+	}
+	defer c.unregister(s)
+	c.ended.Add(1)
+	go c.send(s)
+	c.member.Post(func() {
+		if c.control.planner != nil {
+			s.mutex.Lock()
+			s.known = c.control.planner.Known(s.node)
+			s.mutex.Unlock()
+			s.notify()
+		}
+	})
+	for {
+		var message fleetwire.ToController
+		if conn.Receive(&message) != nil {
+			return
+		}
+		if message.Report != nil {
+			c.member.Post(func() { c.takeReport(s, message.Report) })
+		}
+	}
+}
+
+// leads reports whether this controller may act as the leader now.
+func (c *Controller) leads() bool { return c.member.IsLeader() }
+
+func (c *Controller) redirect() *fleetwire.Redirect {
+	return &fleetwire.Redirect{Leader: c.Leader(), Controllers: c.controllers(c.member.Status().Membership)}
+}
+
+// takeReport answers a report on the control goroutine, if this controller
+// leads at this moment.
+func (c *Controller) takeReport(s *session, report *fleetwire.Report) {
+	status, now := c.member.Status(), c.member.Now()
+	if c.control.planner == nil || !c.control.leadership.Leads(&status, now) {
+		return
+	}
+	lease := c.control.planner.Report(report, now)
+	s.mutex.Lock()
+	s.lease = lease
+	s.mutex.Unlock()
+	if len(report.Released) > 0 || report.Instance != nil && report.Instance.State != fleetwire.InstanceReady {
+		c.decide(now)
+	}
+	c.publish()
+	s.notify()
+}
+
+// send passes on leases and views as they change.
+func (c *Controller) send(s *session) {
+	defer c.ended.Done()
+	defer s.conn.Close()
+	var has sent
+	for range s.wake {
+		s.mutex.Lock()
+		lease, known, ended, redirect := s.lease, s.known, s.ended, s.redirect
+		s.lease, s.known = nil, nil
+		s.mutex.Unlock()
+		if ended {
+			if redirect != nil {
+				_ = s.conn.Send(fleetwire.FromController{Redirect: redirect})
+			}
+			return
+		}
+		message := fleetwire.FromController{Lease: lease, Known: known, View: c.news(&has)}
+		if message == (fleetwire.FromController{}) {
+			continue
+		}
+		if s.conn.Send(message) != nil {
+			return
+		}
+		time.Sleep(sendPause)
+	}
+}
+
+// news returns what a gateway lacks of the present view, or nil.
+func (c *Controller) news(has *sent) *fleetwire.View {
+	now := c.view.Load()
+	var news fleetwire.View
+	changed := false
+	if now.document != nil && now.document.Version != has.version {
+		news.Document = now.document
+		has.version = now.document.Version
+		changed = true
+	}
+	if now.ownersIndex != has.ownersIndex {
+		news.OwnersIndex, news.Owners = now.ownersIndex, now.owners
+		has.ownersIndex = now.ownersIndex
+		changed = true
+	}
+	if !has.any || now.term != has.term || now.instancesRevision != has.instancesRevision || now.complete != has.complete {
+		news.Instances, news.HasInstances, news.Complete = now.instances, true, now.complete
+		news.Controllers = now.controllers
+		has.any, has.term, has.instancesRevision, has.complete = true, now.term, now.instancesRevision, now.complete
+		changed = true
+	}
+	if !changed {
+		return nil
+	}
+	return &news
+}
+
+func (c *Controller) register(s *session) bool {
+	c.sessionsMutex.Lock()
+	defer c.sessionsMutex.Unlock()
+	if c.stopped {
+		return false
+	}
+	c.sessions[s] = struct{}{}
+	return true
+}
+
+func (c *Controller) unregister(s *session) {
+	c.sessionsMutex.Lock()
+	delete(c.sessions, s)
+	c.sessionsMutex.Unlock()
+	s.end(nil)
+}
+
+// end stops a session's sender.
+func (s *session) end(redirect *fleetwire.Redirect) {
+	s.mutex.Lock()
+	s.ended = true
+	if redirect != nil {
+		s.redirect = redirect
+	}
+	s.mutex.Unlock()
+	s.notify()
+}
+
+func (c *Controller) wakeSessions() {
+	c.sessionsMutex.Lock()
+	defer c.sessionsMutex.Unlock()
+	for s := range c.sessions {
+		s.notify()
+	}
+}
+
+// closeSessions sends all gateways elsewhere.
+func (c *Controller) closeSessions(final bool) {
+	redirect := c.redirect()
+	c.sessionsMutex.Lock()
+	defer c.sessionsMutex.Unlock()
+	c.stopped = c.stopped || final
+	for s := range c.sessions {
+		s.end(redirect)
+	}
+}
--- /dev/null
+++ b/internal/fleetwire/messages.go
@@ -0,0 +1,168 @@
+// Package fleetwire holds the messages between gateways and controllers. They
+// travel as gob over internal/transport, one envelope for each direction.
+package fleetwire
+
+import (
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+// InstanceState is what a back end says of itself.
+type InstanceState uint8
+
+// States of an instance.
+const (
+	// InstanceReady takes new work.
+	InstanceReady InstanceState = iota + 1
+	// InstanceDraining serves on for a short while and is about to end.
+	InstanceDraining
+	// InstanceGone has ended, or must get nothing any more.
+	InstanceGone
+)
+
+// Instance is one life of a back end and the gateway beside it.
+type Instance struct {
+	// ID is new at each start of the back end.
+	ID      string
+	Service string
+	// Node is the name of the gateway beside it, Address where that takes
+	// requests from other gateways, "IP:port".
+	Node    string
+	Address string
+	Zone    string
+	// Slots is how many requests it runs at once.
+	Slots int
+	State InstanceState
+	// Sequence orders what the back end has said of itself.
+	Sequence uint64
+	// Released says that it holds no keys any more and never will.
+	Released bool
+	// Leaving says that the gateway beside it is being stopped.
+	Leaving bool
+}
+
+// Hello opens a session. Exactly one is sent, first.
+type Hello struct {
+	Node string
+	// Boot is drawn at random at each start of the process.
+	Boot uint64
+	// Join is set by a controller that asks for admission to the group, and by
+	// nobody else.
+	Join *Join
+}
+
+// Join asks for admission of a controller to the group.
+type Join struct {
+	Incarnation topology.Incarnation
+	// Replica is the ID that the folder has, or zero.
+	Replica topology.ReplicaID
+	// PeerAddress takes connections of other replicas, "IP:port".
+	PeerAddress string
+}
+
+// KeyLoad is the slot time that requests of one bucket of keys used.
+type KeyLoad struct {
+	Bucket uint32
+	// BusyMicros is slot time since the last report.
+	BusyMicros uint64
+}
+
+// Released is a gateway's promise that its back end will not serve the keys
+// again under a fence.
+type Released struct {
+	Keys  keyspace.Range
+	Fence keyspace.Fence
+	// Handover is what the back end left for the next owner.
+	Handover string
+}
+
+// Report renews a gateway's lease and tells what is beside it.
+type Report struct {
+	// SentAt is the gateway's own monotonic clock; it is returned unread.
+	SentAt time.Duration
+	// Instance is nil where no back end is known.
+	Instance *Instance
+	// Released promises, repeated until a lease no longer asks for them.
+	Released []Released
+	// Load by key since the last report.
+	Load []KeyLoad
+	// Running and Waiting requests at the back end.
+	Running, Waiting int
+	// Version of the configuration in force.
+	Version routeconfig.Version
+}
+
+// Held is a range that a back end may hold, with its fence.
+type Held struct {
+	Keys     keyspace.Range
+	Fence    keyspace.Fence
+	Handover string
+}
+
+// Lease answers a Report.
+type Lease struct {
+	SentAt time.Duration
+	// Duration counts from SentAt. Until then the back end may hold Held.
+	Duration time.Duration
+	// Instance that the lease is for.
+	Instance string
+	Held     []Held
+	// Release lists what the gateway must take back and report as Released.
+	Release []Held
+}
+
+// ServiceOwners are the owners of one service's keys.
+type ServiceOwners struct {
+	Service     string
+	Assignments []keyspace.Assignment
+}
+
+// View is what a gateway needs to route requests. Parts that have not changed
+// since the last view of the session are left out.
+type View struct {
+	// Document is nil where the gateway has the current one already.
+	Document *routeconfig.Document
+	// OwnersIndex orders Owners; views with a lower one are older.
+	OwnersIndex uint64
+	Owners      []ServiceOwners
+	// Instances of the fleet. Unless Complete is set, others may exist.
+	Instances    []Instance
+	Complete     bool
+	HasInstances bool
+	// Controllers are the session addresses of the group's members.
+	Controllers []string
+}
+
+// Redirect sends a gateway to the leader; an empty address means that none is
+// known.
+type Redirect struct {
+	Leader string
+	// Controllers are the session addresses of the group's members.
+	Controllers []string
+}
+
+// Admission answers a Join.
+type Admission struct {
+	// Refused says that the replica's identity is no member any more.
+	Refused bool
+}
+
+// ToController is what a gateway sends; one field is set.
+type ToController struct {
+	Hello  *Hello
+	Report *Report
+}
+
+// FromController is what a controller sends.
+type FromController struct {
+	Redirect  *Redirect
+	View      *View
+	Lease     *Lease
+	Admission *Admission
+	// Known is the last that the leader knew of the instance beside a gateway
+	// that has just started.
+	Known *Instance
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+)
+
+const (
+	// holdLimit bounds how long a request waits for its key to get an owner, or
+	// its service an instance, and holdShare the part of its time for that.
+	holdLimit = 1500 * time.Millisecond
+	holdShare = 0.5
+	// holdStep is how often a held request looks again without news.
+	holdStep = 40 * time.Millisecond
+	// maxTries bounds how many gateways one request is offered to.
+	maxTries = 8
+	// crossZone is what a way to another zone counts, in seconds.
+	crossZone = 0.004
+	// choiceNoise spreads equal choices, as a share.
+	choiceNoise = 0.1
+	// leastPatience is how long a request may always wait for a slot.
+	leastPatience = 30 * time.Millisecond
+)
+
+// run tries a request until it has an answer or is given up.
+func (g *Gateway) run(ctx context.Context, c *call) *forwardResult {
+	key, hasKey := parseKey(c.request.Header.Get(g.config.Headers.Key))
+	hasKey = hasKey && c.service.Keyed
+	holdUntil := c.began.Add(min(holdLimit, time.Duration(holdShare*float64(c.deadline.Sub(c.began)))))
+	tried := map[string]bool{}
+	result := notRun(reasonNoInstance)
+	sends := 0
+	for range maxTries {
+		target, ok := g.choose(c, key, hasKey, tried)
+		if !ok {
+			if !g.hold(ctx, holdUntil, hasKey) {
+				return result
+			}
+			clear(tried)
+			continue
+		}
+		result = g.try(ctx, c, target, key, hasKey)
+		if result.Sent {
+			sends++
+		}
+		if g.final(ctx, c, result, sends) {
+			return result
+		}
+		if hasKey && !g.hold(ctx, holdUntil, true) {
+			return result
+		}
+		tried[target.ID] = !hasKey
+	}
+	return result
+}
+
+// final reports whether a result is the request's end.
+func (g *Gateway) final(ctx context.Context, c *call, result *forwardResult, sends int) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	repeats := c.route.Repetition.MayRepeat()
+	switch result.Outcome {
+	case outcomeAnswered:
+		if result.Status < http.StatusInternalServerError || !repeats {
+			return true
+		}
+	case outcomeUnknown:
+		if !repeats {
+			return true
+		}
+	}
+	if !result.Sent {
+		return result.Reason == reasonNoRoom && c.service.Keyed
+	}
+	if sends >= c.route.Attempts || time.Until(c.deadline) < leastPatience {
+		return true
+	}
+	return !g.budgets.repeat(c.service.Name, time.Now())
+}
+
+// hold waits a moment for news and reports whether the request may be tried
+// again.
+func (g *Gateway) hold(ctx context.Context, until time.Time, _ bool) bool {
+	left := time.Until(until)
+	if left <= 0 || ctx.Err() != nil {
+		return false
+	}
+	g.views.load().await(ctx.Done(), min(left, holdStep))
+	return ctx.Err() == nil
+}
+
+// choose picks the instance for a request: the owner of its key, or the one
+// expected to answer first among those not tried yet.
+func (g *Gateway) choose(c *call, key keyOf, hasKey bool, tried map[string]bool) (fleetwire.Instance, bool) {
+	v := g.views.load()
+	if hasKey {
+		return v.owner(c.service.Name, key)
+	}
+	now := time.Now()
+	var best fleetwire.Instance
+	bestCost := 0.0
+	for _, candidate := range v.instances[c.service.Name] {
+		if tried[candidate.ID] || candidate.State != fleetwire.InstanceReady {
+			continue
+		}
+		cost := g.cost(candidate, now)
+		if best.ID == "" || cost < bestCost {
+			best, bestCost = candidate, cost
+		}
+	}
+	return best, best.ID != ""
+}
+
+const (
+	// avoidedCost and leavingCost put an instance behind all others, in seconds.
+	avoidedCost = 100
+	leavingCost = 50
+)
+
+// cost estimates how long a request takes at an instance, in seconds.
+func (g *Gateway) cost(candidate fleetwire.Instance, now time.Time) float64 {
+	var cost float64
+	if candidate.Node == g.config.Name {
+		load := g.slots.load()
+		utilization := float64(load.running+load.waiting+1) / float64(load.slots)
+		cost = load.serviceTime.Seconds() * (1 + crowding*max(0, utilization-crowdedFrom))
+	} else {
+		expected, avoided := g.peers.get(candidate.Address).expected(now)
+		cost = expected
+		if avoided {
+			cost += avoidedCost
+		}
+	}
+	cost *= 1 + choiceNoise*(rand.Float64()-0.5)
+	if candidate.Zone != g.config.Zone {
+		cost += crossZone
+	}
+	if candidate.Leaving {
+		cost += leavingCost
+	}
+	return cost
+}
+
+// try offers a request to one instance.
+func (g *Gateway) try(ctx context.Context, c *call, target fleetwire.Instance, key keyOf, hasKey bool) *forwardResult {
+	request := &forwardRequest{
+		Method:   c.request.Method,
+		Target:   c.request.RequestURI,
+		Host:     c.request.Host,
+		Header:   forwardable(c.request.Header),
+		Body:     c.body,
+		ID:       c.id,
+		Service:  c.service.Name,
+		Instance: target.ID,
+		Key:      key,
+		HasKey:   hasKey,
+		Priority: c.route.Priority,
+		Deadline: c.deadline,
+		Patience: g.patience(c),
+	}
+	names := &g.config.Headers
+	request.Header.Set(names.CallerService, g.config.Service)
+	request.Header.Del(names.TargetInstance)
+	if target.Node == g.config.Name {
+		return g.egress.serve(ctx, request)
+	}
+	request.Header.Set(names.Deadline, milliseconds(max(time.Until(c.deadline), time.Millisecond)))
+	peer := g.peers.get(target.Address)
+	peer.begin()
+	result := peer.send(ctx, request)
+	peer.end(result, time.Now())
+	return result
+}
+
+// patience is how long a request may wait for a slot.
+func (g *Gateway) patience(c *call) time.Duration {
+	left := time.Until(c.deadline)
+	wanted := c.route.TargetLatency - time.Since(c.began)
+	return max(leastPatience, min(left, wanted))
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+)
+
+// HeaderNames are the names of the fields between callers, gateways and back
+// ends, in canonical form.
+type HeaderNames struct {
+	// RequestID names one attempt of a caller, Deadline how many milliseconds
+	// it waits.
+	RequestID, Deadline string
+	// Seal is on every whole answer of a back end.
+	Seal string
+	// TargetInstance is the only instance that may run a request, and Instance
+	// the one that refused another's.
+	TargetInstance, Instance string
+	// Load is "running,waiting,slots" of a back end.
+	Load string
+	// NotExecuted proves that a back end did not run a request.
+	NotExecuted string
+	// CallerService is the service beside which a request began.
+	CallerService string
+	// Key is the key of a request to a keyed service.
+	Key string
+}
+
+// GrantOrder gives keys to a back end.
+type GrantOrder struct {
+	Keys     keyspace.Range
+	Fence    keyspace.Fence
+	Hold     time.Duration
+	Handover string
+}
+
+// KeyHolder is a back end that takes and gives up keys.
+type KeyHolder interface {
+	// Grant gives keys for a time, or renews them. Any error leaves it open
+	// whether the back end holds them.
+	Grant(ctx context.Context, order GrantOrder) error
+	// Release takes keys back and returns, once the work on them has ended, what
+	// is to be handed to the next owner.
+	Release(ctx context.Context, keys keyspace.Range, fence keyspace.Fence) (handover string, err error)
+}
+
+// RetryBudget bounds repeats of all gateways together.
+type RetryBudget struct {
+	// Ratio of repeats to requests of a service within Window, and Slack beside.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Config of a gateway. Zero durations take the defaults.
+type Config struct {
+	// Name of the process, and Zone where it runs.
+	Name string
+	Zone string
+	// Service of the back end beside the gateway.
+	Service string
+	// CallerListen takes requests of callers and PeerListen those of other
+	// gateways, "IP:port".
+	CallerListen string
+	PeerListen   string
+	// BackendAddress is the back end beside the gateway, "IP:port".
+	BackendAddress string
+	// Controllers are session addresses of some controllers.
+	Controllers []string
+	Headers     HeaderNames
+	// Keys speaks to the back end about its keys.
+	Keys   KeyHolder
+	Budget RetryBudget
+	// DrainWithin is how long after its announcement a leaving back end may
+	// still get requests.
+	DrainWithin time.Duration
+	// LongestHold is the longest time for which keys are granted.
+	LongestHold time.Duration
+	// StopWithin bounds a planned stop.
+	StopWithin time.Duration
+	Log        *slog.Logger
+}
+
+// Defaults of Config.
+const (
+	DefaultDrainWithin = 2 * time.Second
+	DefaultLongestHold = 10 * time.Second
+	DefaultStopWithin  = 5500 * time.Millisecond
+	DefaultWindow      = 10 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	c.DrainWithin = cmp.Or(c.DrainWithin, DefaultDrainWithin)
+	c.LongestHold = cmp.Or(c.LongestHold, DefaultLongestHold)
+	c.StopWithin = cmp.Or(c.StopWithin, DefaultStopWithin)
+	c.Budget.Window = cmp.Or(c.Budget.Window, DefaultWindow)
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/gateway/egress.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/upstream"
+)
+
+const (
+	// backendConnections bounds connections to the back end beside its slots.
+	backendConnections = 8
+	// backendIdle closes connections before the back end does.
+	backendIdle = 4 * time.Second
+	backendDial = 400 * time.Millisecond
+	// answerMargin is how much earlier than the caller the egress gives up, so
+	// that its word still arrives.
+	answerMargin = 15 * time.Millisecond
+	// maxAnswer bounds the body of an answer.
+	maxAnswer = 64 << 20
+)
+
+// errNoAnswer: what came back is not the answer to the request.
+var errNoAnswer = errors.New("not an answer to this request")
+
+// egress passes requests on to the back end beside the gateway.
+type egress struct {
+	gateway *Gateway
+	pool    *upstream.Pool
+}
+
+func newEgress(g *Gateway) (*egress, error) {
+	pool, err := upstream.New(upstream.Config{
+		Address:        g.config.BackendAddress,
+		MaxConnections: backendConnections,
+		MinWarm:        -1,
+		DialTimeout:    backendDial,
+		IdleTimeout:    backendIdle,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &egress{gateway: g, pool: pool}, nil
+}
+
+// setSlots follows the back end's number of slots.
+func (e *egress) setSlots(slots int) {
+	e.pool.SetMaxConnections(slots + backendConnections)
+	e.gateway.slots.setCapacity(slots)
+}
+
+// serve tries a request at the back end.
+func (e *egress) serve(ctx context.Context, request *forwardRequest) *forwardResult {
+	result := e.try(ctx, request)
+	result.Load = e.gateway.slots.load()
+	return result
+}
+
+func notRun(why reason) *forwardResult { return &forwardResult{Outcome: outcomeNotRun, Reason: why} }
+
+func (e *egress) try(ctx context.Context, request *forwardRequest) *forwardResult {
+	if why := e.refuses(request); why != reasonNone {
+		return notRun(why)
+	}
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
+	defer cancel()
+	if err := e.gateway.slots.acquire(ctx, request.Priority, request.Patience); err != nil {
+		if errors.Is(err, errNoRoom) {
+			return notRun(reasonNoRoom)
+		}
+		return notRun(reasonTimeout)
+	}
+	began := time.Now()
+	defer func() { e.release(request, time.Since(began)) }()
+	if why := e.refuses(request); why != reasonNone {
+		return notRun(why)
+	}
+	return e.exchange(ctx, request)
+}
+
+// refuses says why the back end must not get a request now.
+func (e *egress) refuses(request *forwardRequest) reason {
+	now := time.Now()
+	if !e.gateway.registry.admits(request.Instance, now) {
+		return reasonNotAdmitted
+	}
+	if request.HasKey && !e.gateway.keys.holds(request.Key, now) {
+		return reasonNotOwner
+	}
+	return reasonNone
+}
+
+func (e *egress) release(request *forwardRequest, used time.Duration) {
+	e.gateway.slots.release(used)
+	if request.HasKey {
+		e.gateway.keyLoad.add(request.Key, used)
+	}
+}
+
+// exchange sends the request once and reads its answer.
+func (e *egress) exchange(ctx context.Context, request *forwardRequest) *forwardResult {
+	outgoing, err := e.outgoing(request)
+	if err != nil {
+		return notRun(reasonBroken)
+	}
+	response, err := e.pool.Do(ctx, outgoing)
+	if err != nil {
+		return e.failed(request, err)
+	}
+	defer response.Body.Close()
+	if response.Header.Get(e.gateway.config.Headers.RequestID) != request.ID {
+		return e.broken(request, errNoAnswer)
+	}
+	body, err := readAnswer(response)
+	if err != nil {
+		return e.broken(request, err)
+	}
+	return e.judge(request, response, body)
+}
+
+// outgoing builds the request for the back end.
+func (e *egress) outgoing(request *forwardRequest) (*http.Request, error) {
+	target, err := url.ParseRequestURI(request.Target)
+	if err != nil {
+		return nil, err
+	}
+	names := &e.gateway.config.Headers
+	header := request.Header
+	header.Set(names.TargetInstance, request.Instance)
+	left := max(time.Until(request.Deadline)-answerMargin, time.Millisecond)
+	header.Set(names.Deadline, milliseconds(left))
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""}
+	}
+	outgoing := &http.Request{Method: request.Method, URL: target, Host: request.Host, Header: header, ContentLength: int64(len(request.Body))}
+	if len(request.Body) > 0 {
+		outgoing.Body = io.NopCloser(bytes.NewReader(request.Body))
+	}
+	return outgoing, nil
+}
+
+func readAnswer(response *http.Response) ([]byte, error) {
+	if response.ContentLength > maxAnswer {
+		return nil, errNoAnswer
+	}
+	if response.ContentLength > 0 {
+		body := make([]byte, response.ContentLength)
+		if _, err := io.ReadFull(response.Body, body); err != nil {
+			return nil, err
+		}
+		// One more read lets the connection know that the body has ended.
+		if _, err := response.Body.Read(make([]byte, 1)); err != io.EOF {
+			return nil, errNoAnswer
+		}
+		return body, nil
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+}
+
+// failed classifies an exchange without an answer.
+func (e *egress) failed(request *forwardRequest, err error) *forwardResult {
+	e.gateway.suspect(request.Instance, err)
+	if errors.Is(err, upstream.ErrNotSent) {
+		return notRun(reasonUnreachable)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &forwardResult{Outcome: outcomeUnknown, Reason: reasonTimeout, Sent: true}
+	}
+	return e.broken(request, err)
+}
+
+func (e *egress) broken(request *forwardRequest, err error) *forwardResult {
+	e.gateway.config.Log.Info("exchange with back end broken off", "request", request.ID, "instance", request.Instance, "error", err)
+	return &forwardResult{Outcome: outcomeUnknown, Reason: reasonBroken, Sent: true}
+}
+
+// judge says what a whole answer proves.
+func (e *egress) judge(request *forwardRequest, response *http.Response, body []byte) *forwardResult {
+	names := &e.gateway.config.Headers
+	status := response.StatusCode
+	if response.Header.Get(names.NotExecuted) != "" || status == http.StatusMisdirectedRequest {
+		e.gateway.config.Log.Info("refused by back end", "request", request.ID, "instance", request.Instance, "status", status, "key", request.Key)
+		return &forwardResult{Outcome: outcomeNotRun, Reason: reasonRefused, Sent: true}
+	}
+	success := status >= http.StatusOK && status < http.StatusMultipleChoices
+	if success && (response.Header.Get(names.Seal) == "" || response.Header.Get("Content-Encoding") != "") {
+		return e.broken(request, errNoAnswer)
+	}
+	return &forwardResult{
+		Outcome: outcomeAnswered,
+		Sent:    true,
+		Status:  status,
+		Header:  forwardable(response.Header),
+		Body:    body,
+	}
+}
+
+// refusedConnection says that nothing listens at an address.
+func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+)
+
+// outcome is what is known of a request after one try.
+type outcome string
+
+// Outcomes.
+const (
+	// outcomeAnswered: the back end's whole answer is there.
+	outcomeAnswered outcome = "answered"
+	// outcomeNotRun: proof that the back end has not run it and never will.
+	outcomeNotRun outcome = "not-run"
+	// outcomeUnknown: anything else.
+	outcomeUnknown outcome = "unknown"
+)
+
+// reason says why a request was not answered.
+type reason string
+
+// Reasons.
+const (
+	reasonNone reason = ""
+	// reasonNotAdmitted: the back end is another one, or it leaves.
+	reasonNotAdmitted reason = "not-admitted"
+	// reasonNotOwner: the back end does not hold the key now.
+	reasonNotOwner reason = "not-owner"
+	// reasonNoRoom: no slot in the time left.
+	reasonNoRoom reason = "no-room"
+	// reasonRefused: the back end itself did not run it.
+	reasonRefused reason = "refused-by-back-end"
+	// reasonUnreachable: no byte of it could be sent.
+	reasonUnreachable reason = "unreachable"
+	// reasonBroken: the exchange broke off, or the answer was no answer to it.
+	reasonBroken reason = "broken-off"
+	// reasonTimeout: no answer in the time.
+	reasonTimeout reason = "timeout"
+	// reasonNoInstance: no instance of the service is known.
+	reasonNoInstance reason = "no-instance"
+	// reasonNoConfiguration: the gateway knows no configuration yet.
+	reasonNoConfiguration reason = "no-configuration"
+	// reasonNoRoute: no route has the request's host and path.
+	reasonNoRoute reason = "no-route"
+)
+
+// forwardRequest is one try of a request at one back end.
+type forwardRequest struct {
+	Method string
+	// Target is the request target as the caller sent it.
+	Target  string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	ID      string
+	Service string
+	// Instance is the only one that may run it.
+	Instance string
+	Key      keyspace.Key
+	HasKey   bool
+	Priority int
+	// Deadline is when the caller stops waiting, Patience how long the request
+	// may wait for a slot.
+	Deadline time.Time
+	Patience time.Duration
+}
+
+// forwardResult is what became of one try.
+type forwardResult struct {
+	Outcome outcome
+	Reason  reason
+	// Sent says that the back end may have been sent the request.
+	Sent bool
+	// Status, Header and Body are set where the outcome is answered.
+	Status int
+	Header http.Header
+	Body   []byte
+	Load   peerLoad
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/httpserver"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+)
+
+// keyOf is the key of a request.
+type keyOf = keyspace.Key
+
+// Gateway is one running gateway.
+type Gateway struct {
+	config   Config
+	views    *views
+	registry *registry
+	keys     *keyKeeper
+	keyLoad  *keyLoad
+	slots    *slotGate
+	peers    *peerSet
+	budgets  *retryBudgets
+	egress   *egress
+	session  *sessionClient
+
+	callers *httpserver.Server
+	inbound *httpserver.Server
+	cancel  context.CancelFunc
+	ended   sync.WaitGroup
+	probing atomic.Bool
+
+	// stopping is set once a planned stop has begun, active counts requests of
+	// callers in progress, and lastCaller is when the last one came, in
+	// nanoseconds since 1970.
+	stopping   atomic.Bool
+	active     atomic.Int64
+	lastCaller atomic.Int64
+}
+
+const (
+	serverHeaderTimeout = 10 * time.Second
+	// serverIdle is longer than callers rest their connections.
+	serverIdle = 75 * time.Second
+)
+
+// Start listens and serves until Stop.
+func Start(config Config) (*Gateway, error) {
+	g := &Gateway{config: config.withDefaults()}
+	g.views = newViews()
+	g.slots = newSlotGate()
+	g.keyLoad = newKeyLoad()
+	g.peers = newPeerSet()
+	g.budgets = newRetryBudgets(g.config.Budget)
+	g.registry = newRegistry(g.instanceChanged)
+	g.registry.current = fleetwire.Instance{Node: g.config.Name, Address: g.config.PeerListen, Zone: g.config.Zone}
+	g.keys = newKeyKeeper(g)
+	g.session = newSessionClient(g)
+	var err error
+	if g.egress, err = newEgress(g); err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	if g.callers, err = g.listen(g.config.CallerListen, g.callerHandler); err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	if g.inbound, err = g.listen(g.config.PeerListen, g.peerHandler); err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.background(func() { g.session.run(ctx) })
+	g.background(func() { g.keys.run(ctx) })
+	g.background(func() { _ = g.callers.Serve() })
+	g.background(func() { _ = g.inbound.Serve() })
+	return g, nil
+}
+
+func (g *Gateway) background(run func()) {
+	g.ended.Add(1)
+	go func() {
+		defer g.ended.Done()
+		run()
+	}()
+}
+
+func (g *Gateway) listen(address string, handler http.HandlerFunc) (*httpserver.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdle}
+	return httpserver.New(server, listener.(*net.TCPListener), 0), nil
+}
+
+// Ready reports whether the gateway can serve callers.
+func (g *Gateway) Ready() bool {
+	v := g.views.load()
+	return !g.stopping.Load() && v.table != nil && len(v.byID) > 0
+}
+
+// Heartbeat takes the word of the back end beside the gateway. It is
+// acknowledged by its return.
+func (g *Gateway) Heartbeat(told Registration) {
+	g.registry.heartbeat(told, g.drainWithin(), time.Now())
+}
+
+// Deregister takes a back end's word that it leaves.
+func (g *Gateway) Deregister(id string) {
+	g.registry.deregister(id, g.drainWithin(), time.Now())
+}
+
+// drainWithin is how long a leaving back end gets requests here: a part of the
+// bound, which counts from the acknowledgement.
+func (g *Gateway) drainWithin() time.Duration { return g.config.DrainWithin * 7 / 10 }
+
+// instanceChanged follows what the back end has said.
+func (g *Gateway) instanceChanged() {
+	instance := g.registry.snapshot()
+	if instance.Slots > 0 {
+		g.egress.setSlots(instance.Slots)
+	}
+	g.config.Log.Info("back end", "instance", instance.ID, "service", instance.Service, "state", int(instance.State), "leaving", instance.Leaving)
+	g.session.report()
+	g.keys.signal()
+}
+
+// suspect looks closer at a back end that failed: where nothing listens at its
+// address, its process has ended.
+func (g *Gateway) suspect(instance string, err error) {
+	if !refusedConnection(err) || !g.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.probing.Store(false)
+		const again = 50 * time.Millisecond
+		time.Sleep(again)
+		conn, err := net.DialTimeout("tcp", g.config.BackendAddress, backendDial)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
+		if refusedConnection(err) {
+			g.registry.dead(instance)
+		}
+	}()
+}
+
+const (
+	// quietBeforeStop is how long no caller must have come, and leastStop how
+	// long callers are given to go elsewhere.
+	quietBeforeStop = 400 * time.Millisecond
+	leastStop       = 2200 * time.Millisecond
+	stopStep        = 25 * time.Millisecond
+	// stopReserve is kept of a planned stop for what is still running.
+	stopReserve = 1500 * time.Millisecond
+)
+
+// Stop lets callers go elsewhere, finishes what runs, and ends.
+func (g *Gateway) Stop() error {
+	began := time.Now()
+	g.stopping.Store(true)
+	g.registry.leaving()
+	for time.Since(began) < g.config.StopWithin-stopReserve {
+		quiet := time.Since(time.Unix(0, g.lastCaller.Load())) > quietBeforeStop && g.active.Load() == 0
+		if quiet && time.Since(began) > leastStop {
+			break
+		}
+		time.Sleep(stopStep)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.config.StopWithin))
+	defer cancel()
+	err := errors.Join(g.callers.Stop(ctx), g.inbound.Stop(ctx))
+	g.cancel()
+	g.ended.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/gateway/headers.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+)
+
+// Fields between gateways.
+const (
+	fieldPrefix   = "Quartzdock-"
+	fieldService  = fieldPrefix + "Service"
+	fieldInstance = fieldPrefix + "Instance"
+	fieldPriority = fieldPrefix + "Priority"
+	// fieldPatience is how many milliseconds the request may wait for a slot.
+	fieldPatience = fieldPrefix + "Patience-Ms"
+	fieldOutcome  = fieldPrefix + "Outcome"
+	fieldReason   = fieldPrefix + "Reason"
+	// fieldSent says that the back end was sent the request.
+	fieldSent = fieldPrefix + "Sent"
+	fieldLoad = fieldPrefix + "Load"
+)
+
+// connectionFields belong to one connection (RFC 9110, section 7.6.1).
+var connectionFields = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// forwardable returns the fields of a header that go on to the next hop.
+func forwardable(header http.Header) http.Header {
+	result := make(http.Header, len(header)+4)
+	for name, values := range header {
+		if !strings.HasPrefix(name, fieldPrefix) {
+			result[name] = values
+		}
+	}
+	for _, listed := range header["Connection"] {
+		for name := range strings.SplitSeq(listed, ",") {
+			delete(result, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range connectionFields {
+		delete(result, name)
+	}
+	return result
+}
+
+// milliseconds writes a duration as whole milliseconds.
+func milliseconds(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// parseMilliseconds reads a field of whole milliseconds.
+func parseMilliseconds(text string) (time.Duration, bool) {
+	value, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || value < 0 || value > int64(24*time.Hour/time.Millisecond) {
+		return 0, false
+	}
+	return time.Duration(value) * time.Millisecond, true
+}
+
+// parseKey reads a request's key.
+func parseKey(text string) (keyspace.Key, bool) {
+	value, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || value > uint64(keyspace.LastKey) {
+		return 0, false
+	}
+	return keyspace.Key(value), true
+}
+
+// formatLoad writes a load for the field between gateways.
+func formatLoad(load peerLoad) string {
+	buffer := make([]byte, 0, 32)
+	buffer = strconv.AppendInt(buffer, int64(load.running), 10)
+	buffer = append(buffer, ',')
+	buffer = strconv.AppendInt(buffer, int64(load.waiting), 10)
+	buffer = append(buffer, ',')
+	buffer = strconv.AppendInt(buffer, int64(load.slots), 10)
+	buffer = append(buffer, ',')
+	buffer = strconv.AppendInt(buffer, load.serviceTime.Microseconds(), 10)
+	return string(buffer)
+}
+
+// parseLoad reads what formatLoad wrote.
+func parseLoad(text string) (peerLoad, bool) {
+	parts := strings.Split(text, ",")
+	const fields = 4
+	if len(parts) != fields {
+		return peerLoad{}, false
+	}
+	var numbers [fields]int
+	for i, part := range parts {
+		number, err := strconv.Atoi(part)
+		if err != nil {
+			return peerLoad{}, false
+		}
+		numbers[i] = number
+	}
+	return peerLoad{
+		running: numbers[0], waiting: numbers[1], slots: numbers[2],
+		serviceTime: time.Duration(numbers[3]) * time.Microsecond,
+	}, true
+}
--- /dev/null
+++ b/internal/gateway/ingress.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+)
+
+const (
+	// defaultDeadline stands where a caller states none.
+	defaultDeadline = 30 * time.Second
+	// deadlineMargin is kept of a caller's deadline for the way back.
+	deadlineMargin = 5 * time.Millisecond
+	// defaultMaxBody bounds request bodies before the first configuration.
+	defaultMaxBody = 64 << 20
+)
+
+// call is one request of a caller.
+type call struct {
+	request  *http.Request
+	body     []byte
+	id       string
+	route    *routeconfig.Route
+	service  *routeconfig.Service
+	began    time.Time
+	deadline time.Time
+	// timesOut says that the deadline is the route's timeout.
+	timesOut bool
+}
+
+// callerHandler takes requests of callers.
+func (g *Gateway) callerHandler(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	began := time.Now()
+	g.lastCaller.Store(began.UnixNano())
+	v := g.views.load()
+	if v.table == nil {
+		g.refuse(w, r, reasonNoConfiguration, shortRetry)
+		return
+	}
+	route := v.table.Find(r.Host, r.URL.Path)
+	if route == nil {
+		g.config.Log.Info("no route", "request", r.Header.Get(g.config.Headers.RequestID), "host", r.Host, "path", r.URL.Path, "version", uint64(v.version()))
+		http.Error(w, string(reasonNoRoute), http.StatusNotFound)
+		return
+	}
+	c, status := g.newCall(w, r, v, route, began)
+	if c == nil {
+		http.Error(w, "request body not read", status)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	g.answer(w, c, g.run(ctx, c))
+}
+
+// newCall reads a request, or returns the status of its refusal.
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, v *view, route *routeconfig.Route, began time.Time) (*call, int) {
+	limit := v.table.Document().Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	var body []byte
+	if r.ContentLength != 0 {
+		var err error
+		if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit)); err != nil {
+			var tooLarge *http.MaxBytesError
+			if errors.As(err, &tooLarge) {
+				return nil, http.StatusRequestEntityTooLarge
+			}
+			return nil, http.StatusBadRequest
+		}
+	}
+	c := &call{
+		request: r,
+		body:    body,
+		id:      r.Header.Get(g.config.Headers.RequestID),
+		route:   route,
+		service: v.table.Service(route.Pick(rand.Float64())),
+		began:   began,
+	}
+	waits, ok := parseMilliseconds(r.Header.Get(g.config.Headers.Deadline))
+	if !ok {
+		waits = defaultDeadline
+	}
+	c.deadline = began.Add(waits - deadlineMargin)
+	if limit := began.Add(route.Timeout); limit.Before(c.deadline) {
+		c.deadline, c.timesOut = limit, true
+	}
+	g.budgets.request(c.service.Name, began)
+	return c, 0
+}
+
+// answer writes the final answer of a request.
+func (g *Gateway) answer(w http.ResponseWriter, c *call, result *forwardResult) {
+	if c.request.Context().Err() != nil {
+		return
+	}
+	switch result.Outcome {
+	case outcomeAnswered:
+		header := w.Header()
+		for name, values := range result.Header {
+			header[name] = values
+		}
+		writeAnswer(w, result.Status, result.Body)
+		return
+	case outcomeNotRun:
+		g.refuse(w, c.request, result.Reason, g.retryAfter(c, result))
+	default:
+		status := http.StatusBadGateway
+		if result.Reason == reasonTimeout {
+			status = http.StatusGatewayTimeout
+		}
+		g.logFailure(c.request, status, result.Reason, time.Since(c.began))
+		http.Error(w, string(result.Reason), status)
+	}
+}
+
+// shortRetry is when to come back where a thing should be over in a moment.
+const shortRetry = 150 * time.Millisecond
+
+// retryAfter says when a refused request should come back: a little later, at
+// different times for different callers.
+func (g *Gateway) retryAfter(c *call, result *forwardResult) time.Duration {
+	base := shortRetry
+	if result.Reason == reasonNoRoom {
+		base = max(base, 2*result.Load.serviceTime)
+	}
+	return base/2 + time.Duration(rand.Float64()*float64(base))
+}
+
+// refuse answers a request that has not run and will not.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, why reason, after time.Duration) {
+	g.logFailure(r, http.StatusServiceUnavailable, why, after)
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	http.Error(w, string(why), http.StatusServiceUnavailable)
+}
+
+func (g *Gateway) logFailure(r *http.Request, status int, why reason, after time.Duration) {
+	g.config.Log.Info("request not served", "request", r.Header.Get(g.config.Headers.RequestID), "status", status, "reason", string(why),
+		"after_ms", after.Milliseconds(), "host", r.Host, "path", r.URL.Path, "key", r.Header.Get(g.config.Headers.Key), "version", uint64(g.views.load().version()))
+}
--- /dev/null
+++ b/internal/gateway/keys.go
@@ -0,0 +1,312 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+)
+
+const (
+	// holdFor is for how long keys are granted where the lease allows it.
+	holdFor = 5 * time.Second
+	// renewAfter is the age at which a grant is renewed.
+	renewAfter = 1250 * time.Millisecond
+	// regrantAfter is the pause after a grant without an answer.
+	regrantAfter = 150 * time.Millisecond
+	// leastHold is the shortest grant worth sending.
+	leastHold = 200 * time.Millisecond
+	// clockDrift bounds how slowly a back end's clock may run, as a share, and
+	// how much faster a controller's runs than this process's.
+	clockDrift = 0.03
+	// transit is taken off each hold for the way to the back end.
+	transit      = 20 * time.Millisecond
+	grantTimeout = 600 * time.Millisecond
+	// releaseTimeout bounds one call; the back end answers once its work on the
+	// keys has ended.
+	releaseTimeout = 4 * time.Second
+	releaseAgain   = 200 * time.Millisecond
+	keysInterval   = 100 * time.Millisecond
+)
+
+// heldKey names a range under a fence.
+type heldKey struct {
+	keys  keyspace.Range
+	fence keyspace.Fence
+}
+
+// grant is what was sent to the back end for one range.
+type grant struct {
+	fleetwire.Held
+	// until is when the back end surely holds the range no longer; zero where
+	// it never confirmed. possibleUntil is when it surely does not any more.
+	until         time.Time
+	possibleUntil time.Time
+	sentAt        time.Time
+	nextAt        time.Time
+	inFlight      bool
+}
+
+// release is a range being taken back.
+type release struct {
+	held     fleetwire.Held
+	inFlight bool
+	nextAt   time.Time
+	done     bool
+	handover string
+}
+
+// keyKeeper grants the keys of the present lease to the back end and takes back
+// what the controller asks for.
+type keyKeeper struct {
+	gateway *Gateway
+	wake    chan struct{}
+	started time.Time
+
+	mutex      sync.Mutex
+	instance   string
+	leaseUntil time.Time
+	wanted     []fleetwire.Held
+	grants     map[heldKey]*grant
+	releases   map[heldKey]*release
+}
+
+func newKeyKeeper(g *Gateway) *keyKeeper {
+	return &keyKeeper{
+		gateway:  g,
+		wake:     make(chan struct{}, 1),
+		started:  time.Now(),
+		grants:   map[heldKey]*grant{},
+		releases: map[heldKey]*release{},
+	}
+}
+
+// take puts a lease in force. Epoch is the zero of the clock that reports carry.
+func (k *keyKeeper) take(lease *fleetwire.Lease, epoch time.Time) {
+	if lease.Instance == "" || lease.Instance != k.gateway.registry.snapshot().ID {
+		return
+	}
+	k.mutex.Lock()
+	if lease.Instance != k.instance {
+		k.reset(lease.Instance)
+	}
+	duration := time.Duration(float64(lease.Duration) * (1 - clockDrift))
+	k.leaseUntil = epoch.Add(lease.SentAt + duration)
+	k.wanted = lease.Held
+	k.takeReleases(lease.Release)
+	k.mutex.Unlock()
+	k.signal()
+}
+
+// reset forgets what an earlier life of the back end held: it holds nothing.
+func (k *keyKeeper) reset(instance string) {
+	k.instance = instance
+	k.wanted = nil
+	k.grants = map[heldKey]*grant{}
+	k.releases = map[heldKey]*release{}
+}
+
+func (k *keyKeeper) takeReleases(asked []fleetwire.Held) {
+	still := make(map[heldKey]*release, len(asked))
+	for _, held := range asked {
+		key := heldKey{held.Keys, held.Fence}
+		running, ok := k.releases[key]
+		if !ok {
+			running = &release{held: held}
+		}
+		still[key] = running
+	}
+	k.releases = still
+}
+
+func (k *keyKeeper) signal() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// promises returns what has been taken back.
+func (k *keyKeeper) promises() []fleetwire.Released {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var promises []fleetwire.Released
+	for _, running := range k.releases {
+		if running.done {
+			promises = append(promises, fleetwire.Released{Keys: running.held.Keys, Fence: running.held.Fence, Handover: running.handover})
+		}
+	}
+	return promises
+}
+
+// holds reports whether the back end holds a key at a time.
+func (k *keyKeeper) holds(key keyspace.Key, now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	one := keyspace.Range{First: key, Last: key}
+	for _, held := range k.wanted {
+		if !held.Keys.Contains(one) {
+			continue
+		}
+		for granted, sent := range k.grants {
+			if granted.fence == held.Fence && granted.keys.Contains(one) && now.Before(sent.until) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// run sends grants and releases until the context ends.
+func (k *keyKeeper) run(ctx context.Context) {
+	ticker := time.NewTicker(keysInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-k.wake:
+		}
+		k.work(ctx, time.Now())
+	}
+}
+
+func (k *keyKeeper) work(ctx context.Context, now time.Time) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.instance == "" {
+		return
+	}
+	gone := k.gateway.registry.snapshot().State == fleetwire.InstanceGone
+	if !gone {
+		k.startGrants(ctx, now)
+	}
+	k.startReleases(ctx, now, gone)
+	for key, sent := range k.grants {
+		if !sent.inFlight && now.After(sent.possibleUntil) && !k.wants(key) {
+			delete(k.grants, key)
+		}
+	}
+}
+
+func (k *keyKeeper) wants(key heldKey) bool {
+	for _, held := range k.wanted {
+		if held.Keys == key.keys && held.Fence == key.fence {
+			return true
+		}
+	}
+	return false
+}
+
+// startGrants sends what is due.
+func (k *keyKeeper) startGrants(ctx context.Context, now time.Time) {
+	left := time.Duration(float64(k.leaseUntil.Sub(now))*(1-clockDrift)) - transit
+	hold := min(holdFor, k.gateway.config.LongestHold, left)
+	if hold < leastHold {
+		return
+	}
+	for _, held := range k.wanted {
+		key := heldKey{held.Keys, held.Fence}
+		sent, ok := k.grants[key]
+		if !ok {
+			sent = &grant{Held: held}
+			k.grants[key] = sent
+		}
+		if sent.inFlight || now.Before(sent.nextAt) {
+			continue
+		}
+		sent.inFlight = true
+		sent.sentAt = now
+		sent.possibleUntil = later(sent.possibleUntil, now.Add(grantTimeout+time.Duration(float64(hold)*(1+clockDrift))))
+		go k.send(ctx, k.instance, sent, hold)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// send makes one grant and notes its answer.
+func (k *keyKeeper) send(ctx context.Context, instance string, sent *grant, hold time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	order := GrantOrder{Keys: sent.Keys, Fence: sent.Fence, Hold: hold, Handover: sent.Handover}
+	err := k.gateway.config.Keys.Grant(ctx, order)
+	if err != nil {
+		k.gateway.config.Log.Info("grant not confirmed", "instance", instance, "first", sent.Keys.First, "last", sent.Keys.Last, "fence", uint64(sent.Fence), "error", err)
+		k.gateway.suspect(instance, err)
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	sent.inFlight = false
+	if err != nil {
+		sent.nextAt = time.Now().Add(regrantAfter)
+		return
+	}
+	sent.until = later(sent.until, sent.sentAt.Add(hold))
+	sent.nextAt = sent.sentAt.Add(renewAfter)
+}
+
+// startReleases takes back what was asked for. No grant of those keys may be on
+// its way meanwhile.
+func (k *keyKeeper) startReleases(ctx context.Context, now time.Time, gone bool) {
+	for _, running := range k.releases {
+		if running.done || running.inFlight || now.Before(running.nextAt) || k.granting(running.held) {
+			continue
+		}
+		if gone || now.After(k.possibleUntil(running.held)) {
+			running.done = true
+			k.gateway.session.report()
+			continue
+		}
+		running.inFlight = true
+		go k.takeBack(ctx, running)
+	}
+}
+
+func (k *keyKeeper) granting(held fleetwire.Held) bool {
+	for key, sent := range k.grants {
+		if sent.inFlight && key.fence == held.Fence && key.keys.Overlaps(held.Keys) {
+			return true
+		}
+	}
+	return false
+}
+
+// possibleUntil is when the back end surely holds none of a range any more,
+// whatever this process or an earlier one has granted.
+func (k *keyKeeper) possibleUntil(held fleetwire.Held) time.Time {
+	until := k.started.Add(time.Duration(float64(holdFor)*(1+clockDrift)) + grantTimeout)
+	for key, sent := range k.grants {
+		if key.fence == held.Fence && key.keys.Overlaps(held.Keys) {
+			until = later(until, sent.possibleUntil)
+		}
+	}
+	return until
+}
+
+func (k *keyKeeper) takeBack(ctx context.Context, running *release) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	handover, err := k.gateway.config.Keys.Release(ctx, running.held.Keys, running.held.Fence)
+	k.mutex.Lock()
+	running.inFlight = false
+	if err != nil {
+		running.nextAt = time.Now().Add(releaseAgain)
+	} else {
+		running.done = true
+		running.handover = handover
+	}
+	k.mutex.Unlock()
+	if err != nil {
+		k.gateway.config.Log.Info("release not confirmed", "first", running.held.Keys.First, "last", running.held.Keys.Last, "error", err)
+		return
+	}
+	k.gateway.session.report()
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/upstream"
+)
+
+const (
+	peerConnections = 256
+	peerIdle        = 20 * time.Second
+	peerDial        = 300 * time.Millisecond
+	// firstPenalty is how long a gateway that failed is avoided, doubled with
+	// each failure in a row up to longestPenalty.
+	firstPenalty   = 200 * time.Millisecond
+	longestPenalty = 3200 * time.Millisecond
+	// loadFresh is how long a reported load counts.
+	loadFresh = 2 * time.Second
+)
+
+// peerLoad is what a gateway says of the back end beside it.
+type peerLoad struct {
+	running, waiting, slots int
+	// serviceTime is how long a request uses a slot, on average.
+	serviceTime time.Duration
+}
+
+// peer is another gateway as this one sees it.
+type peer struct {
+	pool *upstream.Pool
+
+	mutex sync.Mutex
+	// pending requests were sent there and have no answer yet; pendingThen is
+	// how many there were when load was reported.
+	pending     int
+	pendingThen int
+	load        peerLoad
+	loadAt      time.Time
+	failures    int
+	avoidUntil  time.Time
+}
+
+// peerSet holds the gateways that this one has sent requests to, by address.
+type peerSet struct {
+	mutex sync.Mutex
+	byURL map[string]*peer
+}
+
+func newPeerSet() *peerSet { return &peerSet{byURL: map[string]*peer{}} }
+
+// get returns the peer at an address.
+func (s *peerSet) get(address string) *peer {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	found, ok := s.byURL[address]
+	if ok {
+		return found
+	}
+	pool, err := upstream.New(upstream.Config{
+		Address: address, MaxConnections: peerConnections, MinWarm: -1,
+		DialTimeout: peerDial, IdleTimeout: peerIdle,
+	})
+	if err != nil {
+		pool = nil
+	}
+	found = &peer{pool: pool}
+	s.byURL[address] = found
+	return found
+}
+
+// retain closes the connections to addresses that a view does not name.
+func (s *peerSet) retain(v *view) {
+	named := make(map[string]bool, len(v.byID))
+	for _, instance := range v.byID {
+		named[instance.Address] = true
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for address, known := range s.byURL {
+		if !named[address] {
+			if known.pool != nil {
+				known.pool.Close()
+			}
+			delete(s.byURL, address)
+		}
+	}
+}
+
+// expected estimates how long a request takes at the peer, in seconds; avoided
+// says that it failed a moment ago.
+func (p *peer) expected(now time.Time) (seconds float64, avoided bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	load := p.load
+	busy := p.pending
+	if now.Sub(p.loadAt) < loadFresh {
+		busy = max(load.running+load.waiting+p.pending-p.pendingThen, p.pending)
+	}
+	serviceTime := load.serviceTime
+	if serviceTime == 0 {
+		serviceTime = initialServiceTime
+	}
+	utilization := float64(busy+1) / float64(max(load.slots, 1))
+	if load.slots == 0 {
+		utilization = float64(busy) / unknownSlots
+	}
+	return serviceTime.Seconds() * (1 + crowding*max(0, utilization-crowdedFrom)), now.Before(p.avoidUntil)
+}
+
+const (
+	// unknownSlots stands for the slots of a back end that has told none.
+	unknownSlots = 16
+	// crowdedFrom is the utilization from which a back end is expected to be
+	// slower, and crowding by how much for each whole utilization more.
+	crowdedFrom = 0.5
+	crowding    = 6
+)
+
+func (p *peer) begin() {
+	p.mutex.Lock()
+	p.pending++
+	p.mutex.Unlock()
+}
+
+// end takes the result of a try.
+func (p *peer) end(result *forwardResult, now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pending--
+	if result.Load.slots > 0 {
+		p.load, p.loadAt, p.pendingThen = result.Load, now, p.pending
+	}
+	switch {
+	case result.Outcome == outcomeAnswered && result.Status < http.StatusInternalServerError:
+		p.failures = 0
+	case result.Reason == reasonUnreachable || result.Reason == reasonBroken || result.Reason == reasonTimeout:
+		penalty := min(firstPenalty<<min(p.failures, 8), longestPenalty)
+		p.failures++
+		p.avoidUntil = now.Add(penalty)
+	}
+}
+
+// send tries a request at the back end beside a peer.
+func (p *peer) send(ctx context.Context, request *forwardRequest) *forwardResult {
+	if p.pool == nil {
+		return notRun(reasonUnreachable)
+	}
+	outgoing, err := encodeForward(request)
+	if err != nil {
+		return notRun(reasonBroken)
+	}
+	response, err := p.pool.Do(ctx, outgoing)
+	if err != nil {
+		return peerFailed(err)
+	}
+	defer response.Body.Close()
+	body, err := readAnswer(response)
+	if err != nil {
+		return peerFailed(errors.Join(upstream.ErrInterrupted, err))
+	}
+	return decodeResult(response, body)
+}
+
+// peerFailed classifies a try without a result. The back end may have been sent
+// the request.
+func peerFailed(err error) *forwardResult {
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		return notRun(reasonUnreachable)
+	case errors.Is(err, context.DeadlineExceeded):
+		return &forwardResult{Outcome: outcomeUnknown, Reason: reasonTimeout, Sent: true}
+	}
+	return &forwardResult{Outcome: outcomeUnknown, Reason: reasonBroken, Sent: true}
+}
+
+// encodeForward writes a try as a request to a peer.
+func encodeForward(request *forwardRequest) (*http.Request, error) {
+	target, err := url.ParseRequestURI(request.Target)
+	if err != nil {
+		return nil, err
+	}
+	header := request.Header
+	header[fieldService] = []string{request.Service}
+	header[fieldInstance] = []string{request.Instance}
+	header[fieldPriority] = []string{strconv.Itoa(request.Priority)}
+	header[fieldPatience] = []string{milliseconds(request.Patience)}
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""}
+	}
+	outgoing := &http.Request{Method: request.Method, URL: target, Host: request.Host, Header: header, ContentLength: int64(len(request.Body))}
+	if len(request.Body) > 0 {
+		outgoing.Body = io.NopCloser(bytes.NewReader(request.Body))
+	}
+	return outgoing, nil
+}
+
+// decodeResult reads a peer's word.
+func decodeResult(response *http.Response, body []byte) *forwardResult {
+	header := response.Header
+	result := &forwardResult{
+		Outcome: outcome(header.Get(fieldOutcome)),
+		Reason:  reason(header.Get(fieldReason)),
+		Sent:    header.Get(fieldSent) != "",
+	}
+	result.Load, _ = parseLoad(header.Get(fieldLoad))
+	switch result.Outcome {
+	case outcomeAnswered:
+		result.Status, result.Body, result.Header = response.StatusCode, body, forwardable(header)
+	case outcomeNotRun, outcomeUnknown:
+	default:
+		return &forwardResult{Outcome: outcomeUnknown, Reason: reasonBroken, Sent: true}
+	}
+	return result
+}
--- /dev/null
+++ b/internal/gateway/peerserver.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// peerHandler takes requests of other gateways for the back end beside this
+// one.
+func (g *Gateway) peerHandler(w http.ResponseWriter, r *http.Request) {
+	request, ok := g.decodeForward(r)
+	if !ok {
+		http.Error(w, "not from a gateway", http.StatusBadRequest)
+		return
+	}
+	result := g.egress.serve(r.Context(), request)
+	header := w.Header()
+	for name, values := range result.Header {
+		header[name] = values
+	}
+	header[fieldOutcome] = []string{string(result.Outcome)}
+	header[fieldLoad] = []string{formatLoad(result.Load)}
+	if result.Reason != reasonNone {
+		header[fieldReason] = []string{string(result.Reason)}
+	}
+	if result.Sent {
+		header[fieldSent] = []string{"1"}
+	}
+	status := result.Status
+	if status == 0 {
+		status = http.StatusServiceUnavailable
+	}
+	writeAnswer(w, status, result.Body)
+}
+
+// writeAnswer writes a whole answer with its length.
+func writeAnswer(w http.ResponseWriter, status int, body []byte) {
+	header := w.Header()
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil // no guessing
+	}
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// decodeForward reads what encodeForward wrote.
+func (g *Gateway) decodeForward(r *http.Request) (*forwardRequest, bool) {
+	names := &g.config.Headers
+	left, ok := parseMilliseconds(r.Header.Get(names.Deadline))
+	patience, okPatience := parseMilliseconds(r.Header.Get(fieldPatience))
+	priority, err := strconv.Atoi(r.Header.Get(fieldPriority))
+	instance := r.Header.Get(fieldInstance)
+	if !ok || !okPatience || err != nil || instance == "" {
+		return nil, false
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, false
+	}
+	request := &forwardRequest{
+		Method:   r.Method,
+		Target:   r.RequestURI,
+		Host:     r.Host,
+		Body:     body,
+		ID:       r.Header.Get(names.RequestID),
+		Service:  r.Header.Get(fieldService),
+		Instance: instance,
+		Priority: priority,
+		Deadline: time.Now().Add(left),
+		Patience: patience,
+	}
+	request.Header = forwardable(r.Header)
+	if v := g.views.load(); v.table != nil {
+		if service := v.table.Service(request.Service); service != nil && service.Keyed {
+			request.Key, request.HasKey = parseKey(r.Header.Get(names.Key))
+		}
+	}
+	return request, true
+}
--- /dev/null
+++ b/internal/gateway/registration.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+)
+
+// Registration is what a back end says of itself.
+type Registration struct {
+	// ID is new at each start of the back end.
+	ID      string
+	Service string
+	Slots   int
+	State   fleetwire.InstanceState
+	// Sequence grows with each heartbeat of a life, so that a late one is known.
+	Sequence uint64
+}
+
+// registry keeps what is known of the back end beside the gateway.
+type registry struct {
+	mutex   sync.Mutex
+	current fleetwire.Instance
+	// left is set once the back end has said that it leaves for good.
+	left bool
+	// refuseFrom is when a leaving back end gets nothing new any more.
+	refuseFrom time.Time
+	// ended has the lives that are over.
+	ended map[string]bool
+	// changed is called after each change, without the mutex.
+	changed func()
+}
+
+func newRegistry(changed func()) *registry {
+	return &registry{ended: map[string]bool{}, changed: changed}
+}
+
+// snapshot returns the present instance; its ID is empty where none is known.
+func (r *registry) snapshot() fleetwire.Instance {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.current
+}
+
+// admits reports whether an instance may get a request at a time.
+func (r *registry) admits(instance string, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.current.ID == "" || r.current.ID != instance || r.current.State == fleetwire.InstanceGone {
+		return false
+	}
+	return r.refuseFrom.IsZero() || now.Before(r.refuseFrom)
+}
+
+// heartbeat takes a back end's word, drainWithin being for how long a leaving
+// one may still get requests.
+func (r *registry) heartbeat(told Registration, drainWithin time.Duration, now time.Time) {
+	if r.take(told, drainWithin, now) {
+		r.changed()
+	}
+}
+
+func (r *registry) take(told Registration, drainWithin time.Duration, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.ended[told.ID] {
+		return false
+	}
+	if told.ID != r.current.ID {
+		r.begin(told)
+	} else if told.Sequence <= r.current.Sequence {
+		return false
+	}
+	r.current.Sequence = told.Sequence
+	r.current.Slots = told.Slots
+	if r.left {
+		return true
+	}
+	before := r.current.State
+	r.current.State = told.State
+	if told.State == fleetwire.InstanceDraining && r.refuseFrom.IsZero() {
+		r.refuseFrom = now.Add(drainWithin)
+	}
+	return before != told.State
+}
+
+// begin starts a new life of the back end.
+func (r *registry) begin(told Registration) {
+	if r.current.ID != "" {
+		r.ended[r.current.ID] = true
+	}
+	r.left = false
+	r.refuseFrom = time.Time{}
+	address, node, zone := r.current.Address, r.current.Node, r.current.Zone
+	r.current = fleetwire.Instance{ID: told.ID, Service: told.Service, Node: node, Address: address, Zone: zone, Slots: told.Slots}
+}
+
+// deregister takes a back end's word that it leaves for good.
+func (r *registry) deregister(id string, drainWithin time.Duration, now time.Time) {
+	r.mutex.Lock()
+	known := id == r.current.ID && id != ""
+	if !known {
+		r.ended[id] = true
+	}
+	if known && !r.left {
+		r.left = true
+		if r.current.State == fleetwire.InstanceReady {
+			r.current.State = fleetwire.InstanceDraining
+		}
+		if r.refuseFrom.IsZero() {
+			r.refuseFrom = now.Add(drainWithin)
+		}
+	}
+	r.mutex.Unlock()
+	r.changed()
+}
+
+// dead says that the process of an instance has ended.
+func (r *registry) dead(instance string) {
+	r.mutex.Lock()
+	known := instance != "" && instance == r.current.ID && r.current.State != fleetwire.InstanceGone
+	if known {
+		r.current.State = fleetwire.InstanceGone
+		r.current.Released = true
+	}
+	r.mutex.Unlock()
+	if known {
+		r.changed()
+	}
+}
+
+// restore takes what the leader last knew, at the start of the process.
+func (r *registry) restore(known fleetwire.Instance, drainWithin time.Duration, now time.Time) {
+	r.mutex.Lock()
+	fresh := r.current.ID == ""
+	if fresh && known.State != fleetwire.InstanceGone {
+		r.current.ID, r.current.Service = known.ID, known.Service
+		r.current.Slots, r.current.State, r.current.Sequence = known.Slots, known.State, known.Sequence
+		if known.State == fleetwire.InstanceDraining {
+			r.left = true
+			r.refuseFrom = now
+		}
+	}
+	r.mutex.Unlock()
+	if fresh {
+		r.changed()
+	}
+}
+
+// leaving marks that the gateway itself is being stopped.
+func (r *registry) leaving() {
+	r.mutex.Lock()
+	r.current.Leaving = true
+	r.mutex.Unlock()
+	r.changed()
+}
--- /dev/null
+++ b/internal/gateway/session.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/transport"
+)
+
+const (
+	// reportInterval is how often a gateway reports when nothing changes.
+	reportInterval = 500 * time.Millisecond
+	// sessionSilence is when a session that hears nothing is given up.
+	sessionSilence = 1600 * time.Millisecond
+	sessionDial    = 500 * time.Millisecond
+	// sessionRetry is the pause after all known controllers were tried.
+	sessionRetry = 100 * time.Millisecond
+	// maxRedirects bounds how often one search follows a redirect.
+	maxRedirects = 4
+)
+
+// sessionClient keeps a session with the leading controller.
+type sessionClient struct {
+	gateway *Gateway
+	boot    uint64
+	started time.Time
+	// known are session addresses, the most promising first. One goroutine uses
+	// them.
+	known []string
+	wake  chan struct{}
+}
+
+func newSessionClient(g *Gateway) *sessionClient {
+	return &sessionClient{
+		gateway: g,
+		boot:    rand.Uint64(),
+		started: time.Now(),
+		known:   g.config.Controllers,
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// now is the clock that reports carry.
+func (s *sessionClient) now() time.Duration { return time.Since(s.started) }
+
+// report asks for a report at once.
+func (s *sessionClient) report() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps a session until the context ends.
+func (s *sessionClient) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, address := range s.known {
+			s.follow(ctx, address)
+			if ctx.Err() != nil {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(sessionRetry):
+		}
+	}
+}
+
+// follow opens a session at an address and goes on where it is redirected.
+func (s *sessionClient) follow(ctx context.Context, address string) {
+	for range maxRedirects {
+		redirect := s.hold(ctx, address)
+		if redirect == nil {
+			return
+		}
+		s.learn(redirect.Controllers)
+		if redirect.Leader == "" || redirect.Leader == address {
+			return
+		}
+		address = redirect.Leader
+	}
+}
+
+// learn keeps the addresses of controllers, the given seeds last.
+func (s *sessionClient) learn(controllers []string) {
+	if len(controllers) == 0 {
+		return
+	}
+	known := append([]string{}, controllers...)
+	for _, seed := range s.gateway.config.Controllers {
+		if !contains(known, seed) {
+			known = append(known, seed)
+		}
+	}
+	s.known = known
+}
+
+func contains(list []string, wanted string) bool {
+	for _, entry := range list {
+		if entry == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// hold runs one session to its end and returns where the controller sent the
+// gateway, if it did.
+func (s *sessionClient) hold(ctx context.Context, address string) *fleetwire.Redirect {
+	dialing, dialed := context.WithTimeout(ctx, sessionDial)
+	conn, err := transport.Dial(dialing, address, transport.Options{WriteTimeout: time.Second, IdleTimeout: sessionSilence})
+	dialed()
+	if err != nil {
+		return nil
+	}
+	defer conn.Close()
+	hello := &fleetwire.Hello{Node: s.gateway.config.Name, Boot: s.boot}
+	if conn.Send(fleetwire.ToController{Hello: hello}) != nil {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	go s.sendReports(ctx, conn)
+	for {
+		var message fleetwire.FromController
+		if conn.Receive(&message) != nil {
+			return nil
+		}
+		if message.Redirect != nil {
+			return message.Redirect
+		}
+		s.take(&message)
+	}
+}
+
+func (s *sessionClient) take(message *fleetwire.FromController) {
+	g := s.gateway
+	if message.Known != nil {
+		g.registry.restore(*message.Known, g.config.DrainWithin, time.Now())
+	}
+	if message.View != nil {
+		before := g.views.load().version()
+		g.views.advance(message.View)
+		s.learn(message.View.Controllers)
+		if after := g.views.load().version(); after != before {
+			g.config.Log.Info("configuration in force", "version", uint64(after))
+		}
+		g.peers.retain(g.views.load())
+	}
+	if message.Lease != nil {
+		g.keys.take(message.Lease, s.started)
+	}
+}
+
+// sendReports reports at intervals and on changes.
+func (s *sessionClient) sendReports(ctx context.Context, conn *transport.Conn) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		if conn.Send(fleetwire.ToController{Report: s.build()}) != nil {
+			_ = conn.Close()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.wake:
+		}
+	}
+}
+
+func (s *sessionClient) build() *fleetwire.Report {
+	g := s.gateway
+	report := &fleetwire.Report{SentAt: s.now(), Version: g.views.load().version()}
+	if instance := g.registry.snapshot(); instance.ID != "" {
+		report.Instance = &instance
+		report.Released = g.keys.promises()
+		report.Load = g.keyLoad.take()
+		report.Running, report.Waiting = g.slots.counts()
+	}
+	return report
+}
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+)
+
+// view is what requests are routed by. It is immutable.
+type view struct {
+	// table is nil before the first configuration.
+	table       *routeconfig.Table
+	ownersIndex uint64
+	owners      map[string]*keyspace.Map
+	// instances of the fleet by service, and by ID.
+	instances map[string][]fleetwire.Instance
+	byID      map[string]fleetwire.Instance
+	// next is closed when there is a newer view.
+	next chan struct{}
+}
+
+// views holds the present view. One goroutine advances it.
+type views struct {
+	present atomic.Pointer[view]
+}
+
+func newViews() *views {
+	v := &views{}
+	v.present.Store(&view{next: make(chan struct{})})
+	return v
+}
+
+func (v *views) load() *view { return v.present.Load() }
+
+// advance takes what a controller sent. Configurations and owners never go
+// back; instances of an incomplete view are added to the known ones.
+func (v *views) advance(news *fleetwire.View) {
+	before := v.load()
+	after := *before
+	after.next = make(chan struct{})
+	if news.Document != nil && news.Document.Version > before.version() {
+		after.table = routeconfig.NewTable(news.Document)
+	}
+	if news.OwnersIndex > before.ownersIndex {
+		after.ownersIndex = news.OwnersIndex
+		after.owners = ownersByService(news.Owners)
+	}
+	if news.HasInstances {
+		after.setInstances(news.Instances, news.Complete)
+	}
+	v.present.Store(&after)
+	close(before.next)
+}
+
+func (v *view) version() routeconfig.Version {
+	if v.table == nil {
+		return 0
+	}
+	return v.table.Document().Version
+}
+
+func ownersByService(all []fleetwire.ServiceOwners) map[string]*keyspace.Map {
+	owners := make(map[string]*keyspace.Map, len(all))
+	for _, service := range all {
+		owners[service.Service] = &keyspace.Map{Assignments: service.Assignments}
+	}
+	return owners
+}
+
+func (v *view) setInstances(told []fleetwire.Instance, complete bool) {
+	if !complete {
+		told = slices.Concat(told, v.others(told))
+	}
+	v.instances = map[string][]fleetwire.Instance{}
+	v.byID = make(map[string]fleetwire.Instance, len(told))
+	for _, instance := range told {
+		v.instances[instance.Service] = append(v.instances[instance.Service], instance)
+		v.byID[instance.ID] = instance
+	}
+}
+
+// others returns the known instances beside gateways that are not named.
+func (v *view) others(told []fleetwire.Instance) []fleetwire.Instance {
+	named := make(map[string]bool, len(told))
+	for _, instance := range told {
+		named[instance.Node] = true
+	}
+	var rest []fleetwire.Instance
+	for _, instance := range v.byID {
+		if !named[instance.Node] {
+			rest = append(rest, instance)
+		}
+	}
+	return rest
+}
+
+// owner returns the instance that owns a key of a service.
+func (v *view) owner(service string, key keyspace.Key) (fleetwire.Instance, bool) {
+	owners, ok := v.owners[service]
+	if !ok {
+		return fleetwire.Instance{}, false
+	}
+	instance, ok := v.byID[owners.Find(key).Owner]
+	return instance, ok
+}
+
+// await returns when there is a newer view, or after a time.
+func (v *view) await(done <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-v.next:
+	case <-timer.C:
+	case <-done:
+	}
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -90,6 +90,11 @@
 	// RetainEntries before a snapshot stay in memory, so that a replica that
 	// missed few changes catches up without the snapshot; default 2,000.
 	RetainEntries uint64
+	// TrustSynced says that the storage either keeps all that was synced or
+	// loses the whole folder, and never comes back as an older copy. A restart
+	// then votes at once, also after a loss of power with another member's disk
+	// lost; otherwise it asks the others first (docs/decisions/003 and 017).
+	TrustSynced bool
 	// FS is the file system; default the operating system's.
 	FS vfs.FS
 	// WAL options of the log's segments.
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -90,7 +90,7 @@
 	if found.entries, err = f.join(found.snapshot.Meta, contents); err != nil {
 		return loaded{}, err
 	}
-	found.unproven = !proven || found.torn > 0
+	found.unproven = !config.TrustSynced && (!proven || found.torn > 0)
 	return found, f.noteRun(!found.unproven)
 }
 
--- /dev/null
+++ b/internal/routeconfig/validate.go
@@ -0,0 +1,97 @@
+package routeconfig
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// maxTargetBeyondTimeout is the least by which a target latency must not
+// exceed its route's timeout.
+const maxTargetBeyondTimeout = time.Minute
+
+// Finding is one fault of a document, with the field that has it.
+type Finding struct {
+	// Field is a path in the document, for example "routes[2].timeout".
+	Field  string
+	Reason string
+}
+
+// Findings lists every fault of a document.
+type Findings []Finding
+
+// Error implements error.
+func (f Findings) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, finding := range f {
+		lines = append(lines, finding.Field+": "+finding.Reason)
+	}
+	return strings.Join(lines, "; ")
+}
+
+func (f *Findings) add(field, format string, arguments ...any) {
+	*f = append(*f, Finding{Field: field, Reason: fmt.Sprintf(format, arguments...)})
+}
+
+// Validate returns every fault of a document that is to follow a version.
+func (d *Document) Validate(current Version) Findings {
+	var findings Findings
+	if d.Version <= current {
+		findings.add("version", "%d does not exceed the current %d", d.Version, current)
+	}
+	known := make(map[string]bool, len(d.Services))
+	for i, service := range d.Services {
+		field := fmt.Sprintf("services[%d].name", i)
+		if service.Name == "" {
+			findings.add(field, "not given")
+		}
+		if known[service.Name] {
+			findings.add(field, "%q stands twice", service.Name)
+		}
+		known[service.Name] = true
+	}
+	names := make(map[string]bool, len(d.Routes))
+	places := make(map[string]bool, len(d.Routes))
+	for i := range d.Routes {
+		d.Routes[i].validate(fmt.Sprintf("routes[%d]", i), known, &findings)
+		route := &d.Routes[i]
+		if names[route.Name] {
+			findings.add(fmt.Sprintf("routes[%d].name", i), "%q stands twice", route.Name)
+		}
+		names[route.Name] = true
+		place := route.Host + route.PathPrefix
+		if places[place] {
+			findings.add(fmt.Sprintf("routes[%d]", i), "another route has %s", place)
+		}
+		places[place] = true
+	}
+	return findings
+}
+
+func (r *Route) validate(field string, services map[string]bool, findings *Findings) {
+	if r.Name == "" {
+		findings.add(field+".name", "not given")
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		findings.add(field+".pathPrefix", "%q does not begin with a slash", r.PathPrefix)
+	}
+	if r.Timeout <= 0 {
+		findings.add(field+".timeout", "must be above zero")
+	}
+	if r.TargetLatency >= r.Timeout+maxTargetBeyondTimeout {
+		findings.add(field+".targetLatency", "exceeds the timeout by a minute or more")
+	}
+	if r.Attempts <= 0 {
+		findings.add(field+".attempts", "must be above zero")
+	}
+	var sum uint64
+	for i, destination := range r.Destinations {
+		if !services[destination.Service] {
+			findings.add(fmt.Sprintf("%s.destinations[%d]", field, i), "unknown service %q", destination.Service)
+		}
+		sum += uint64(destination.Weight)
+	}
+	if sum == 0 {
+		findings.add(field+".destinations", "the weights sum to 0")
+	}
+}
