Take a folder for its own where the storage is trusted

Ruled out: a lost sync of the folder (the content was whole). Change: with TrustSynced the identity of files is not looked at.

--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -37,7 +37,11 @@
 }
 
 func openFiles(config Config) (*files, loaded, error) {
-	folder, err := datadir.Open(config.FS, config.DataDir, config.Group)
+	open := datadir.Open
+	if config.TrustSynced {
+		open = datadir.OpenTrusted
+	}
+	folder, err := open(config.FS, config.DataDir, config.Group)
 	if err != nil {
 		return nil, loaded{}, err
 	}
--- a/internal/storage/datadir/datadir.go
+++ b/internal/storage/datadir/datadir.go
@@ -57,8 +57,28 @@
 // the replica promised after the copy was taken is not in it.
 var ErrCopied = errors.New("the data folder is a copy: its identity file is not the file that was written here; start with an empty data folder and replace the member, or, if the folder was only moved to another file system and nothing was lost, see docs/operators/replace-a-lost-disk.md, \"A moved data folder\"")
 
-// Open opens a data folder, and makes it where there is none.
+// Open opens a data folder, and makes it where there is none. A copy of the
+// folder is refused.
 func Open(fs vfs.FS, dir string, group topology.GroupID) (*Folder, error) {
+	return openFolder(fs, dir, group, refuseCopies)
+}
+
+// OpenTrusted is Open on a storage that never brings a folder back from a copy.
+// The files' identities, which may change there with each start of the machine,
+// are not looked at.
+func OpenTrusted(fs vfs.FS, dir string, group topology.GroupID) (*Folder, error) {
+	return openFolder(fs, dir, group, trustCopies)
+}
+
+// copies says what becomes of a folder that looks like a copy.
+type copies bool
+
+const (
+	refuseCopies copies = false
+	trustCopies  copies = true
+)
+
+func openFolder(fs vfs.FS, dir string, group topology.GroupID, trust copies) (*Folder, error) {
 	if err := fs.MakeDir(dir); err != nil {
 		return nil, fmt.Errorf("data folder: %w", err)
 	}
@@ -67,14 +87,14 @@
 		return nil, fmt.Errorf("data folder %s: %w", dir, err)
 	}
 	folder := &Folder{fs: fs, dir: dir, lock: lock}
-	if err := folder.load(group); err != nil {
+	if err := folder.load(group, trust); err != nil {
 		lock.Close()
 		return nil, err
 	}
 	return folder, nil
 }
 
-func (f *Folder) load(group topology.GroupID) error {
+func (f *Folder) load(group topology.GroupID, trust copies) error {
 	content, err := vfs.ReadAll(f.fs, f.path())
 	if errors.Is(err, iofs.ErrNotExist) {
 		if err := f.checkUnused(); err != nil {
@@ -100,7 +120,7 @@
 	if err != nil {
 		return fmt.Errorf("data folder: %w", err)
 	}
-	if actual.Inode != identity.File.Inode {
+	if trust == refuseCopies && actual.Inode != identity.File.Inode {
 		return fmt.Errorf("data folder %s: %w", f.dir, ErrCopied)
 	}
 	f.identity = identity
--- a/internal/storage/datadir/datadir_test.go
+++ b/internal/storage/datadir/datadir_test.go
@@ -74,6 +74,20 @@
 	assert.ErrorIs(t, err, ErrCopied)
 }
 
+func TestAFolderWithAnotherInodeIsTakenWhereTheStorageIsTrusted(t *testing.T) {
+	fs := vfs.NewMemory(1)
+	folder := open(t, fs)
+	incarnation := folder.Identity().Incarnation
+	assert.NilError(t, folder.Close())
+	content, err := vfs.ReadAll(fs, dir+"/"+identityName)
+	assert.NilError(t, err)
+	write(t, fs, dir+"/"+identityName, string(content))
+	trusted, err := OpenTrusted(fs, dir, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, trusted.Identity().Incarnation, incarnation)
+	assert.NilError(t, trusted.Close())
+}
+
 func TestADamagedIdentityStopsTheStart(t *testing.T) {
 	fs := vfs.NewMemory(1)
 	assert.NilError(t, open(t, fs).Close())
