--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,8 +22,6 @@
 	crossZone = 0.004
 	// choiceNoise spreads equal choices, as a share.
 	choiceNoise = 0.1
-	// leastPatience is how long a request may always wait for a slot.
-	leastPatience = 30 * time.Millisecond
 )
 
 // run tries a request until it has an answer or is given up.
@@ -108,7 +106,7 @@
 		if tried[candidate.ID] || candidate.State != fleetwire.InstanceReady {
 			continue
 		}
-		cost := g.cost(candidate, now)
+		cost := g.cost(c, candidate, now)
 		if best.ID == "" || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
@@ -123,14 +121,13 @@
 )
 
 // cost estimates how long a request takes at an instance, in seconds.
-func (g *Gateway) cost(candidate fleetwire.Instance, now time.Time) float64 {
+func (g *Gateway) cost(c *call, candidate fleetwire.Instance, now time.Time) float64 {
 	var cost float64
 	if candidate.Node == g.config.Name {
 		load := g.slots.load()
-		utilization := float64(load.running+load.waiting+1) / float64(load.slots)
-		cost = load.serviceTime.Seconds() * (1 + crowding*max(0, utilization-crowdedFrom))
+		cost = load.expected(load.running+load.waiting, c.short)
 	} else {
-		expected, avoided := g.peers.get(candidate.Address).expected(now)
+		expected, avoided := g.peers.get(candidate.Address).expected(c.short, now)
 		cost = expected
 		if avoided {
 			cost += avoidedCost
@@ -160,8 +157,9 @@
 		Key:      key,
 		HasKey:   hasKey,
 		Priority: c.route.Priority,
+		Short:    c.short,
+		Due:      c.began.Add(c.route.TargetLatency),
 		Deadline: c.deadline,
-		Patience: g.patience(c),
 	}
 	names := &g.config.Headers
 	request.Header.Set(names.CallerService, g.config.Service)
@@ -176,10 +174,3 @@
 	peer.end(result, time.Now())
 	return result
 }
-
-// patience is how long a request may wait for a slot.
-func (g *Gateway) patience(c *call) time.Duration {
-	left := time.Until(c.deadline)
-	wanted := c.route.TargetLatency - time.Since(c.began)
-	return max(leastPatience, min(left, wanted))
-}
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -70,11 +70,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
 	defer cancel()
-	if err := e.gateway.slots.acquire(ctx, request.Priority, request.Patience); err != nil {
-		if errors.Is(err, errNoRoom) {
-			return notRun(reasonNoRoom)
-		}
-		return notRun(reasonTimeout)
+	if err := e.gateway.slots.acquire(ctx, e.demand(request)); err != nil {
+		return e.noSlot(request, err)
 	}
 	began := time.Now()
 	defer func() { e.release(request, time.Since(began)) }()
@@ -84,6 +81,38 @@
 	return e.exchange(ctx, request)
 }
 
+const (
+	// leastPatience is how long a request may always wait for a slot.
+	leastPatience = 30 * time.Millisecond
+	// serviceMargin is what is kept of the time to the due moment, in service
+	// times.
+	serviceMargin = 1.2
+)
+
+// demand is what a request asks of the slots: it may wait as long as its answer
+// can still come in time.
+func (e *egress) demand(request *forwardRequest) demand {
+	load := e.gateway.slots.load()
+	kept := time.Duration(serviceMargin * float64(load.service(request.Short)))
+	return demand{
+		priority: request.Priority,
+		due:      request.Due,
+		short:    request.Short,
+		patience: max(leastPatience, time.Until(request.Due)-kept),
+	}
+}
+
+// noSlot refuses a request. Its key's load counts all the same.
+func (e *egress) noSlot(request *forwardRequest, err error) *forwardResult {
+	if !errors.Is(err, errNoRoom) {
+		return notRun(reasonTimeout)
+	}
+	if request.HasKey {
+		e.gateway.keyLoad.add(request.Key, e.gateway.slots.load().serviceTime)
+	}
+	return notRun(reasonNoRoom)
+}
+
 // refuses says why the back end must not get a request now.
 func (e *egress) refuses(request *forwardRequest) reason {
 	now := time.Now()
@@ -97,7 +126,7 @@
 }
 
 func (e *egress) release(request *forwardRequest, used time.Duration) {
-	e.gateway.slots.release(used)
+	e.gateway.slots.release(request.Short, used)
 	if request.HasKey {
 		e.gateway.keyLoad.add(request.Key, used)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -63,10 +63,12 @@
 	Key      keyspace.Key
 	HasKey   bool
 	Priority int
-	// Deadline is when the caller stops waiting, Patience how long the request
-	// may wait for a slot.
+	// Short requests are due much sooner than others of the service.
+	Short bool
+	// Due is when the answer is worth most, Deadline when the caller stops
+	// waiting.
+	Due      time.Time
 	Deadline time.Time
-	Patience time.Duration
 }
 
 // forwardResult is what became of one try.
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -16,10 +16,12 @@
 	fieldService  = fieldPrefix + "Service"
 	fieldInstance = fieldPrefix + "Instance"
 	fieldPriority = fieldPrefix + "Priority"
-	// fieldPatience is how many milliseconds the request may wait for a slot.
-	fieldPatience = fieldPrefix + "Patience-Ms"
-	fieldOutcome  = fieldPrefix + "Outcome"
-	fieldReason   = fieldPrefix + "Reason"
+	// fieldDue is in how many milliseconds the answer is due, fieldShort marks
+	// short requests.
+	fieldDue     = fieldPrefix + "Due-Ms"
+	fieldShort   = fieldPrefix + "Short"
+	fieldOutcome = fieldPrefix + "Outcome"
+	fieldReason  = fieldPrefix + "Reason"
 	// fieldSent says that the back end was sent the request.
 	fieldSent = fieldPrefix + "Sent"
 	fieldLoad = fieldPrefix + "Load"
@@ -73,7 +75,7 @@
 
 // formatLoad writes a load for the field between gateways.
 func formatLoad(load peerLoad) string {
-	buffer := make([]byte, 0, 32)
+	buffer := make([]byte, 0, 40)
 	buffer = strconv.AppendInt(buffer, int64(load.running), 10)
 	buffer = append(buffer, ',')
 	buffer = strconv.AppendInt(buffer, int64(load.waiting), 10)
@@ -81,13 +83,15 @@
 	buffer = strconv.AppendInt(buffer, int64(load.slots), 10)
 	buffer = append(buffer, ',')
 	buffer = strconv.AppendInt(buffer, load.serviceTime.Microseconds(), 10)
+	buffer = append(buffer, ',')
+	buffer = strconv.AppendInt(buffer, load.shortService.Microseconds(), 10)
 	return string(buffer)
 }
 
 // parseLoad reads what formatLoad wrote.
 func parseLoad(text string) (peerLoad, bool) {
 	parts := strings.Split(text, ",")
-	const fields = 4
+	const fields = 5
 	if len(parts) != fields {
 		return peerLoad{}, false
 	}
@@ -101,6 +105,7 @@
 	}
 	return peerLoad{
 		running: numbers[0], waiting: numbers[1], slots: numbers[2],
-		serviceTime: time.Duration(numbers[3]) * time.Microsecond,
+		serviceTime:  time.Duration(numbers[3]) * time.Microsecond,
+		shortService: time.Duration(numbers[4]) * time.Microsecond,
 	}, true
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,8 +29,29 @@
 // peerLoad is what a gateway says of the back end beside it.
 type peerLoad struct {
 	running, waiting, slots int
-	// serviceTime is how long a request uses a slot, on average.
-	serviceTime time.Duration
+	// serviceTime is how long a request uses a slot, on average, and
+	// shortService a short one.
+	serviceTime  time.Duration
+	shortService time.Duration
+}
+
+// service returns the service time of a kind of request.
+func (l *peerLoad) service(short bool) time.Duration {
+	if short {
+		return l.shortService
+	}
+	return l.serviceTime
+}
+
+// expected estimates how long a request takes, in seconds, where a number of
+// requests are there.
+func (l *peerLoad) expected(busy int, short bool) float64 {
+	slots := l.slots
+	if slots == 0 {
+		slots = unknownSlots
+	}
+	utilization := float64(busy+1) / float64(slots)
+	return l.service(short).Seconds() * (1 + crowding*max(0, utilization-crowdedFrom))
 }
 
 // peer is another gateway as this one sees it.
@@ -95,24 +116,25 @@
 }
 
 // expected estimates how long a request takes at the peer, in seconds; avoided
-// says that it failed a moment ago.
-func (p *peer) expected(now time.Time) (seconds float64, avoided bool) {
+// says that it failed a moment ago. What was heard long ago counts less and
+// less, so that a back end that was slow is tried again.
+func (p *peer) expected(short bool, now time.Time) (seconds float64, avoided bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	load := p.load
+	if load.slots == 0 {
+		load.serviceTime, load.shortService = initialServiceTime, initialServiceTime
+	}
 	busy := p.pending
-	if now.Sub(p.loadAt) < loadFresh {
+	age := now.Sub(p.loadAt)
+	if age < loadFresh {
 		busy = max(load.running+load.waiting+p.pending-p.pendingThen, p.pending)
 	}
-	serviceTime := load.serviceTime
-	if serviceTime == 0 {
-		serviceTime = initialServiceTime
+	seconds = load.expected(busy, short)
+	if age > loadFresh/2 {
+		seconds *= float64(loadFresh) / float64(loadFresh+age)
 	}
-	utilization := float64(busy+1) / float64(max(load.slots, 1))
-	if load.slots == 0 {
-		utilization = float64(busy) / unknownSlots
-	}
-	return serviceTime.Seconds() * (1 + crowding*max(0, utilization-crowdedFrom)), now.Before(p.avoidUntil)
+	return seconds, now.Before(p.avoidUntil)
 }
 
 const (
@@ -191,7 +213,10 @@
 	header[fieldService] = []string{request.Service}
 	header[fieldInstance] = []string{request.Instance}
 	header[fieldPriority] = []string{strconv.Itoa(request.Priority)}
-	header[fieldPatience] = []string{milliseconds(request.Patience)}
+	header[fieldDue] = []string{milliseconds(max(time.Until(request.Due), 0))}
+	if request.Short {
+		header[fieldShort] = []string{"1"}
+	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""}
 	}
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -52,12 +52,13 @@
 func (g *Gateway) decodeForward(r *http.Request) (*forwardRequest, bool) {
 	names := &g.config.Headers
 	left, ok := parseMilliseconds(r.Header.Get(names.Deadline))
-	patience, okPatience := parseMilliseconds(r.Header.Get(fieldPatience))
+	due, okDue := parseMilliseconds(r.Header.Get(fieldDue))
 	priority, err := strconv.Atoi(r.Header.Get(fieldPriority))
 	instance := r.Header.Get(fieldInstance)
-	if !ok || !okPatience || err != nil || instance == "" {
+	if !ok || !okDue || err != nil || instance == "" {
 		return nil, false
 	}
+	now := time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, false
@@ -71,8 +72,9 @@
 		Service:  r.Header.Get(fieldService),
 		Instance: instance,
 		Priority: priority,
-		Deadline: time.Now().Add(left),
-		Patience: patience,
+		Short:    r.Header.Get(fieldShort) != "",
+		Due:      now.Add(due),
+		Deadline: now.Add(left),
 	}
 	request.Header = forwardable(r.Header)
 	if v := g.views.load(); v.table != nil {
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -11,37 +11,44 @@
 // errNoRoom: the request would wait too long for a slot.
 var errNoRoom = errors.New("no slot within the time left")
 
-// reservedShare of the slots is kept for the most urgent requests, which others
-// that hold slots may be waiting for.
-const reservedShare = 6
+// demand is what a request asks of the slots.
+type demand struct {
+	// priority ranks requests; 0 goes first. Among equals, who is due first.
+	priority int
+	due      time.Time
+	// short requests may use the slots that are kept for them: others that hold
+	// slots, here or elsewhere, may be waiting for their answers.
+	short bool
+	// patience is how long it may wait.
+	patience time.Duration
+}
 
 // ticket is a request that waits for a slot.
 type ticket struct {
-	priority int
-	order    uint64
+	demand
 	admitted chan struct{}
+	// position in the queue, below zero once admitted.
 	position int
 }
 
-// ticketQueue orders tickets by priority, then by arrival.
+// ticketQueue orders tickets by priority, then by when they are due.
 type ticketQueue []*ticket
 
-func (q ticketQueue) Len() int { return len(q) }
-func (q ticketQueue) Less(i, j int) bool {
-	if q[i].priority != q[j].priority {
-		return q[i].priority < q[j].priority
-	}
-	return q[i].order < q[j].order
-}
+func (q ticketQueue) Len() int           { return len(q) }
+func (q ticketQueue) Less(i, j int) bool { return q[i].before(&q[j].demand) }
 func (q ticketQueue) Swap(i, j int) {
 	q[i], q[j] = q[j], q[i]
 	q[i].position, q[j].position = i, j
 }
+
+// Push implements heap.Interface.
 func (q *ticketQueue) Push(x any) {
 	t := x.(*ticket)
 	t.position = len(*q)
 	*q = append(*q, t)
 }
+
+// Pop implements heap.Interface.
 func (q *ticketQueue) Pop() any {
 	old := *q
 	t := old[len(old)-1]
@@ -50,16 +57,35 @@
 	return t
 }
 
+func (d *demand) before(other *demand) bool {
+	if d.priority != other.priority {
+		return d.priority < other.priority
+	}
+	return d.due.Before(other.due)
+}
+
+// slotUse counts the slots of one kind of request.
+type slotUse struct {
+	running int
+	// queue of those that wait.
+	queue ticketQueue
+	// serviceTime is a moving average of how long a slot is used, and busy one
+	// of how many are.
+	serviceTime time.Duration
+	busy        float64
+}
+
 // slotGate lets as many requests to the back end as it has slots, the most
-// urgent first, and refuses what would wait too long.
+// urgent first, and refuses what would wait too long. Some slots are kept for
+// short requests, as many as those used of late and a few more, so that
+// requests which wait for each other's calls can't fill all slots of a circle
+// of services.
 type slotGate struct {
 	mutex    sync.Mutex
 	capacity int
-	running  int
-	order    uint64
-	queue    ticketQueue
-	// serviceTime is a moving average of how long a slot is used.
-	serviceTime time.Duration
+	short    slotUse
+	long     slotUse
+	usedAt   time.Time
 }
 
 const (
@@ -67,9 +93,19 @@
 	initialServiceTime = 50 * time.Millisecond
 	// serviceTimeWeight of a new measurement.
 	serviceTimeWeight = 0.1
+	// busyHalfLife weighs older counts of used slots.
+	busyHalfLife = time.Second
+	// spareShort slots are kept for short requests beside those they use, where
+	// they use any, and mostShort is the greatest part of all.
+	spareShort = 2
+	mostShort  = 0.4
+	leastBusy  = 0.05
 )
 
-func newSlotGate() *slotGate { return &slotGate{capacity: 1, serviceTime: initialServiceTime} }
+func newSlotGate() *slotGate {
+	unknown := slotUse{serviceTime: initialServiceTime}
+	return &slotGate{capacity: 1, short: unknown, long: unknown, usedAt: time.Now()}
+}
 
 // setCapacity changes the number of slots.
 func (g *slotGate) setCapacity(slots int) {
@@ -80,64 +116,97 @@
 }
 
 func (g *slotGate) counts() (running, waiting int) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.running, len(g.queue)
+	load := g.load()
+	return load.running, load.waiting
 }
 
 // load returns what other gateways choose by.
 func (g *slotGate) load() peerLoad {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return peerLoad{running: g.running, waiting: len(g.queue), slots: g.capacity, serviceTime: g.serviceTime}
+	return peerLoad{
+		running:      g.short.running + g.long.running,
+		waiting:      len(g.short.queue) + len(g.long.queue),
+		slots:        g.capacity,
+		serviceTime:  g.long.serviceTime,
+		shortService: g.short.serviceTime,
+	}
+}
+
+// use returns the counts for a kind of request.
+func (g *slotGate) use(short bool) *slotUse {
+	if short {
+		return &g.short
+	}
+	return &g.long
+}
+
+// advance brings the moving averages of used slots up to now.
+func (g *slotGate) advance(now time.Time) {
+	elapsed := now.Sub(g.usedAt)
+	g.usedAt = now
+	keep := float64(busyHalfLife) / float64(busyHalfLife+max(elapsed, 0))
+	for _, use := range []*slotUse{&g.short, &g.long} {
+		use.busy = use.busy*keep + float64(use.running)*(1-keep)
+	}
 }
 
-// limit is how many slots a priority may use.
-func (g *slotGate) limit(priority int) int {
-	if priority <= 0 {
-		return g.capacity
+// reserved is how many slots only short requests may use.
+func (g *slotGate) reserved() int {
+	if g.short.busy < leastBusy {
+		return 0
 	}
-	return max(1, g.capacity-g.capacity/reservedShare)
+	wanted := int(g.short.busy) + spareShort
+	return min(wanted, int(mostShort*float64(g.capacity)))
 }
 
-// acquire waits for a slot, at most for a time. Where the estimated wait is
-// longer it refuses at once.
-func (g *slotGate) acquire(ctx context.Context, priority int, patience time.Duration) error {
+// fits says that a request of a kind may take a slot now.
+func (g *slotGate) fits(short bool) bool {
+	if g.short.running+g.long.running >= g.capacity {
+		return false
+	}
+	return short || g.long.running < g.capacity-g.reserved()
+}
+
+// acquire waits for a slot. Where the estimated wait is longer than the request
+// may wait, it refuses at once.
+func (g *slotGate) acquire(ctx context.Context, wanted demand) error {
 	g.mutex.Lock()
-	if g.running < g.limit(priority) && !g.ahead(priority) {
-		g.running++
+	g.advance(time.Now())
+	use := g.use(wanted.short)
+	if g.fits(wanted.short) && len(use.queue) == 0 {
+		use.running++
 		g.mutex.Unlock()
 		return nil
 	}
-	if g.estimate(priority) > patience {
+	if g.estimate(&wanted) > wanted.patience {
 		g.mutex.Unlock()
 		return errNoRoom
 	}
-	g.order++
-	waiting := &ticket{priority: priority, order: g.order, admitted: make(chan struct{})}
-	heap.Push(&g.queue, waiting)
+	waiting := &ticket{demand: wanted, admitted: make(chan struct{})}
+	heap.Push(&use.queue, waiting)
 	g.mutex.Unlock()
-	return g.await(ctx, waiting, patience)
-}
-
-// ahead says that a request at least as urgent waits already.
-func (g *slotGate) ahead(priority int) bool {
-	return len(g.queue) > 0 && g.queue[0].priority <= priority
-}
-
-// estimate is how long a request of a priority would wait now.
-func (g *slotGate) estimate(priority int) time.Duration {
-	before := 1
-	for _, waiting := range g.queue {
-		if waiting.priority <= priority {
-			before++
+	return g.await(ctx, waiting)
+}
+
+// estimate is how long a request would wait now.
+func (g *slotGate) estimate(wanted *demand) time.Duration {
+	var work time.Duration
+	for _, use := range []*slotUse{&g.short, &g.long} {
+		ahead := 0
+		for _, waiting := range use.queue {
+			if !wanted.before(&waiting.demand) {
+				ahead++
+			}
 		}
+		work += use.serviceTime * time.Duration(ahead)
 	}
-	return g.serviceTime * time.Duration(before) / time.Duration(g.limit(priority))
+	work += g.use(wanted.short).serviceTime
+	return work / time.Duration(g.capacity)
 }
 
-func (g *slotGate) await(ctx context.Context, waiting *ticket, patience time.Duration) error {
-	timer := time.NewTimer(patience)
+func (g *slotGate) await(ctx context.Context, waiting *ticket) error {
+	timer := time.NewTimer(waiting.patience)
 	defer timer.Stop()
 	var cause error
 	select {
@@ -150,29 +219,35 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	use := g.use(waiting.short)
 	if waiting.position < 0 {
-		g.running--
+		use.running--
 		g.admit()
 		return cause
 	}
-	heap.Remove(&g.queue, waiting.position)
+	heap.Remove(&use.queue, waiting.position)
 	return cause
 }
 
 // release gives a slot back that was used for a time.
-func (g *slotGate) release(used time.Duration) {
+func (g *slotGate) release(short bool, used time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.running--
-	g.serviceTime += time.Duration(serviceTimeWeight * float64(used-g.serviceTime))
+	g.advance(time.Now())
+	use := g.use(short)
+	use.running--
+	use.serviceTime += time.Duration(serviceTimeWeight * float64(used-use.serviceTime))
 	g.admit()
 }
 
-// admit lets waiting requests in while there is room.
+// admit lets waiting requests in while there is room: short ones first.
 func (g *slotGate) admit() {
-	for len(g.queue) > 0 && g.running < g.limit(g.queue[0].priority) {
-		next := heap.Pop(&g.queue).(*ticket)
-		g.running++
-		close(next.admitted)
+	for _, short := range []bool{true, false} {
+		use := g.use(short)
+		for len(use.queue) > 0 && g.fits(short) {
+			next := heap.Pop(&use.queue).(*ticket)
+			use.running++
+			close(next.admitted)
+		}
 	}
 }
