Move keys in few ranges, and all of an ended owner's to its next life

A new leader did not know that an owner whose gateway had another instance had ended and waited 8 s.

--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -47,6 +47,8 @@
 	Service  string
 	Keys     keyspace.Range
 	From, To string
+	// Node is the gateway beside To.
+	Node     string
 	Handover string
 }
 
@@ -194,7 +196,10 @@
 func (s *State) changeOwnership(index uint64, batch *ChangeOwnership) Result {
 	for _, change := range batch.Changes {
 		owners := &keyspace.Map{Assignments: s.Owners(change.Service).Assignments}
-		if owners.Assign(change.Keys, change.From, change.To, keyspace.Fence(index), change.Handover) {
+		given := keyspace.Assignment{
+			Range: change.Keys, Owner: change.To, Node: change.Node, Fence: keyspace.Fence(index), Handover: change.Handover,
+		}
+		if owners.Assign(change.From, given) {
 			s.owners[change.Service] = owners
 			s.ownersIndex = index
 		}
--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -22,8 +22,6 @@
 	// that is worth a move, and busy the least utilization of who gives.
 	imbalance = 0.25
 	busy      = 0.55
-	// maxMovesAtOnce bounds the ranges of one decision.
-	maxMovesAtOnce = 6
 	// keyWeight is what a key counts beside its measured load, in slots, so that
 	// keys without load are spread evenly too.
 	keyWeight = 1.0 / 65536
@@ -124,8 +122,8 @@
 		return
 	}
 	wanted := (high - low) / 2 * float64(most.Slots)
-	for _, part := range p.choose(service, most, wanted) {
-		p.begin(service, part.from, part.keys, least.ID, now)
+	if chosen, ok := p.choose(service, most, wanted); ok {
+		p.begin(service, chosen.from, chosen.keys, least.ID, now)
 	}
 }
 
@@ -146,26 +144,61 @@
 	load float64
 }
 
-// choose picks ranges of an owner that together have about the wanted load,
-// with as few keys as possible.
-func (p *Planner) choose(service string, owner *instance, wanted float64) []part {
-	var buckets []part
+const (
+	// leastOfWanted and mostOfWanted bound the load of a part beside the wanted.
+	leastOfWanted = 0.4
+	mostOfWanted  = 1.25
+)
+
+// choose picks the range of an owner with about the wanted load and the fewest
+// keys, so that little moves and owners' ranges stay few.
+func (p *Planner) choose(service string, owner *instance, wanted float64) (part, bool) {
+	var best part
 	for _, owned := range p.state.Owners(service).OwnedBy(owner.ID) {
-		buckets = append(buckets, bucketsOf(owned, &owner.load)...)
+		for _, candidate := range windows(bucketsOf(owned, &owner.load), wanted) {
+			if best.load == 0 || better(candidate, best, wanted) {
+				best = candidate
+			}
+		}
+	}
+	return best, best.load >= leastOfWanted*wanted
+}
+
+// better prefers a load near the wanted one, then fewer keys.
+func better(a, b part, wanted float64) bool {
+	enoughA, enoughB := a.load >= wanted/mostOfWanted, b.load >= wanted/mostOfWanted
+	if enoughA != enoughB {
+		return enoughA
+	}
+	if enoughA {
+		return a.keys.Size() < b.keys.Size()
 	}
-	slices.SortStableFunc(buckets, func(a, b part) int { return cmp.Compare(b.load, a.load) })
-	var chosen []part
-	for _, bucket := range buckets {
-		if bucket.load > wanted {
-			continue // it would only move the load, not divide it
+	return a.load > b.load
+}
+
+// windows returns, for each first bucket, the shortest run of buckets that has
+// the wanted load, or the longest that does not exceed it.
+func windows(buckets []part, wanted float64) []part {
+	var found []part
+	last, load := 0, 0.0
+	for first := range buckets {
+		for last < len(buckets) && load < wanted && load+buckets[last].load <= wanted*mostOfWanted {
+			load += buckets[last].load
+			last++
+		}
+		if last > first {
+			keys := keyspace.Range{First: buckets[first].keys.First, Last: buckets[last-1].keys.Last}
+			found = append(found, part{from: buckets[first].from, keys: keys, load: load})
+			load -= buckets[first].load
+		} else {
+			last = first + 1
 		}
-		wanted -= bucket.load
-		chosen = append(chosen, bucket)
 	}
-	return join(chosen)
+	return found
 }
 
-// bucketsOf cuts an assignment at the borders of buckets that have load.
+// bucketsOf cuts an assignment at the borders of buckets that have load, in the
+// order of their keys.
 func bucketsOf(owned keyspace.Assignment, load *loadTable) []part {
 	var buckets []part
 	for bucket, slots := range load.busy {
@@ -178,19 +211,3 @@
 	slices.SortFunc(buckets, func(a, b part) int { return cmp.Compare(a.keys.First, b.keys.First) })
 	return buckets
 }
-
-// join merges neighbouring parts and keeps the most loaded ones.
-func join(chosen []part) []part {
-	slices.SortFunc(chosen, func(a, b part) int { return cmp.Compare(a.keys.First, b.keys.First) })
-	var joined []part
-	for _, next := range chosen {
-		if last := len(joined) - 1; last >= 0 && joined[last].keys.Last+1 == next.keys.First && joined[last].from.Contains(next.keys) {
-			joined[last].keys.Last = next.keys.Last
-			joined[last].load += next.load
-			continue
-		}
-		joined = append(joined, next)
-	}
-	slices.SortStableFunc(joined, func(a, b part) int { return cmp.Compare(b.load, a.load) })
-	return joined[:min(len(joined), maxMovesAtOnce)]
-}
--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -230,16 +230,33 @@
 	return known
 }
 
-// succeed ends the earlier life of the back end beside a gateway.
+// succeed ends the earlier lives of the back end beside a gateway, also those
+// that only the owners of keys tell of.
 func (p *Planner) succeed(told *fleetwire.Instance) {
-	earlier := p.instances[p.nodes[told.Node]]
-	p.nodes[told.Node] = told.ID
-	if earlier == nil || earlier.ID == told.ID {
+	earlier := p.nodes[told.Node]
+	if earlier == told.ID {
 		return
 	}
-	earlier.State = fleetwire.InstanceGone
-	earlier.Released = true
-	earlier.leasedUntil = 0
+	p.nodes[told.Node] = told.ID
+	if known := p.instances[earlier]; known != nil {
+		p.end(known)
+	}
+	for service, owners := range p.state.AllOwners() {
+		for _, owned := range owners.All() {
+			if owned.Node == told.Node && owned.Owner != told.ID && p.instances[owned.Owner] == nil {
+				ended := &instance{Instance: fleetwire.Instance{ID: owned.Owner, Service: service, Node: owned.Node}}
+				p.instances[owned.Owner] = ended
+				p.end(ended)
+			}
+		}
+	}
+}
+
+// end says that an instance's process has ended.
+func (p *Planner) end(known *instance) {
+	known.State = fleetwire.InstanceGone
+	known.Released = true
+	known.leasedUntil = 0
 	p.revision++
 }
 
@@ -344,7 +361,7 @@
 	var changes []fleetstate.OwnershipChange
 	for _, keys := range free {
 		for i, part := range divide(keys, len(targets)) {
-			changes = append(changes, fleetstate.OwnershipChange{Service: service, Keys: part, To: targets[i].ID})
+			changes = append(changes, fleetstate.OwnershipChange{Service: service, Keys: part, To: targets[i].ID, Node: targets[i].Node})
 		}
 	}
 	return changes
@@ -374,12 +391,27 @@
 		if assignment.Owner == "" || !p.ends(assignment.Owner, now) {
 			continue
 		}
+		candidates := targets
+		if successor := p.successor(service, assignment, targets); successor != nil {
+			candidates = []*instance{successor}
+		}
 		for _, keys := range p.notMoving(service, assignment.Range) {
-			p.spread(service, assignment, keys, targets, now)
+			p.spread(service, assignment, keys, candidates, now)
 		}
 	}
 }
 
+// successor is the next life of an ended owner, which gets all its keys: it has
+// no others.
+func (p *Planner) successor(service string, ended keyspace.Assignment, targets []*instance) *instance {
+	for _, target := range targets {
+		if target.Node == ended.Node && len(p.state.Owners(service).OwnedBy(target.ID)) == 0 {
+			return target
+		}
+	}
+	return nil
+}
+
 // ends says that an owner should lose its keys: it drains, it has ended, or its
 // lease ran out.
 func (p *Planner) ends(owner string, now time.Duration) bool {
@@ -404,10 +436,14 @@
 	return rest
 }
 
-// spread begins to move a range to several targets, the least loaded first.
+// wholeRange is the size up to which a range is moved to one target.
+const wholeRange = 2048
+
+// spread begins to move a range to several targets, the least loaded first. A
+// small range goes to one.
 func (p *Planner) spread(service string, from keyspace.Assignment, keys keyspace.Range, targets []*instance, now time.Duration) {
 	ordered := p.byLoad(service, targets, now)
-	parts := divide(keys, len(ordered))
+	parts := divide(keys, min(len(ordered), 1+keys.Size()/wholeRange))
 	for i, part := range parts {
 		p.begin(service, from, part, ordered[i].ID, now)
 	}
@@ -440,29 +476,30 @@
 			continue
 		}
 		to := p.target(moving, now)
-		if to == "" {
+		if to == nil {
 			continue
 		}
 		moving.proposed = true
 		changes = append(changes, fleetstate.OwnershipChange{
-			Service: moving.service, Keys: moving.held.Keys, From: moving.from, To: to, Handover: moving.handover,
+			Service: moving.service, Keys: moving.held.Keys, From: moving.from, To: to.ID, Node: to.Node, Handover: moving.handover,
 		})
 	}
 	return changes
 }
 
-// target returns the wanted target, or the least loaded one where that is lost.
-func (p *Planner) target(moving *move, now time.Duration) string {
+// target returns the wanted target, or the least loaded one where that is
+// lost; nil is none.
+func (p *Planner) target(moving *move, now time.Duration) *instance {
 	targets := p.targets(moving.service, now)
 	for _, candidate := range targets {
 		if candidate.ID == moving.to {
-			return moving.to
+			return candidate
 		}
 	}
 	if len(targets) == 0 {
-		return ""
+		return nil
 	}
-	return p.byLoad(moving.service, targets, now)[0].ID
+	return p.byLoad(moving.service, targets, now)[0]
 }
 
 // Began is when this term began.
--- a/internal/keyspace/map.go
+++ b/internal/keyspace/map.go
@@ -56,6 +56,9 @@
 	Range
 	// Owner is the instance that owns the range; empty is nobody.
 	Owner string
+	// Node is the gateway beside the owner. Another instance there means that
+	// the owner has ended.
+	Node string
 	// Fence of the owner; zero where there never was one.
 	Fence Fence
 	// Handover is what the last owner left for this one.
@@ -97,12 +100,13 @@
 	return owned
 }
 
-// Assign gives a range to an owner under a fence, where every key in it has
-// the owner "from" and a lower fence. It reports whether it did.
-func (m *Map) Assign(keys Range, from, to string, fence Fence, handover string) bool {
+// Assign puts an assignment in the place of what its range has, where every
+// key in it has the owner "from" and a lower fence. It reports whether it did.
+func (m *Map) Assign(from string, given Assignment) bool {
 	all := m.All()
+	keys := given.Range
 	for _, assignment := range all {
-		if assignment.Overlaps(keys) && (assignment.Owner != from || assignment.Fence >= fence) {
+		if assignment.Overlaps(keys) && (assignment.Owner != from || assignment.Fence >= given.Fence) {
 			return false
 		}
 	}
@@ -119,7 +123,7 @@
 			next = append(next, left)
 		}
 		if !added {
-			next = append(next, Assignment{Range: keys, Owner: to, Fence: fence, Handover: handover})
+			next = append(next, given)
 			added = true
 		}
 	}
