Grant a range anew that was taken back before it is served again

Ruled out: a late grant, a grant's end. Change: what was taken back is kept with its time; older grants do not cover it and it is granted at once. Test: fails without the check.

--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,8 +46,10 @@
 	until         time.Time
 	possibleUntil time.Time
 	sentAt        time.Time
-	nextAt        time.Time
-	inFlight      bool
+	// confirmed is when the last confirmed message was sent.
+	confirmed time.Time
+	nextAt    time.Time
+	inFlight  bool
 }
 
 // release is a range being taken back.
@@ -58,6 +61,16 @@
 	handover string
 }
 
+// taken is a range that was taken back from the back end. Grants sent before do
+// not cover it any more, also where a later lease lists it again.
+type taken struct {
+	heldKey
+	at time.Time
+}
+
+// takenKept is for how long a taken range matters: longer than any grant.
+const takenKept = 30 * time.Second
+
 // keyKeeper grants the keys of the present lease to the back end and takes back
 // what the controller asks for.
 type keyKeeper struct {
@@ -71,6 +84,7 @@
 	wanted     []fleetwire.Held
 	grants     map[heldKey]*grant
 	releases   map[heldKey]*release
+	taken      []taken
 }
 
 func newKeyKeeper(g *Gateway) *keyKeeper {
@@ -104,6 +118,7 @@
 func (k *keyKeeper) reset(instance string) {
 	k.instance = instance
 	k.wanted = nil
+	k.taken = nil
 	k.grants = map[heldKey]*grant{}
 	k.releases = map[heldKey]*release{}
 }
@@ -151,7 +166,8 @@
 			continue
 		}
 		for granted, sent := range k.grants {
-			if granted.fence == held.Fence && granted.keys.Contains(one) && now.Before(sent.until) {
+			covers := granted.fence == held.Fence && granted.keys.Contains(one) && now.Before(sent.until)
+			if covers && !k.takenSince(one, held.Fence, sent.confirmed) {
 				return true
 			}
 		}
@@ -159,6 +175,16 @@
 	return false
 }
 
+// takenSince says that a part of a range was taken back at or after a time.
+func (k *keyKeeper) takenSince(keys keyspace.Range, fence keyspace.Fence, since time.Time) bool {
+	for _, back := range k.taken {
+		if back.fence == fence && back.keys.Overlaps(keys) && !back.at.Before(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // run sends grants and releases until the context ends.
 func (k *keyKeeper) run(ctx context.Context) {
 	ticker := time.NewTicker(keysInterval)
@@ -185,11 +211,17 @@
 		k.startGrants(ctx, now)
 	}
 	k.startReleases(ctx, now, gone)
+	k.forget(now)
+}
+
+// forget drops what matters no more.
+func (k *keyKeeper) forget(now time.Time) {
 	for key, sent := range k.grants {
 		if !sent.inFlight && now.After(sent.possibleUntil) && !k.wants(key) {
 			delete(k.grants, key)
 		}
 	}
+	k.taken = slices.DeleteFunc(k.taken, func(back taken) bool { return now.After(back.at.Add(takenKept)) })
 }
 
 func (k *keyKeeper) wants(key heldKey) bool {
@@ -215,7 +247,8 @@
 			sent = &grant{Held: held}
 			k.grants[key] = sent
 		}
-		if sent.inFlight || now.Before(sent.nextAt) {
+		due := now.After(sent.nextAt) || k.takenSince(held.Keys, held.Fence, sent.confirmed)
+		if sent.inFlight || !due {
 			continue
 		}
 		sent.inFlight = true
@@ -250,6 +283,7 @@
 		return
 	}
 	sent.until = later(sent.until, sent.sentAt.Add(hold))
+	sent.confirmed = sent.sentAt
 	sent.nextAt = sent.sentAt.Add(renewAfter)
 }
 
@@ -266,6 +300,7 @@
 			continue
 		}
 		running.inFlight = true
+		k.taken = append(k.taken, taken{heldKey{running.held.Keys, running.held.Fence}, now})
 		go k.takeBack(ctx, running)
 	}
 }
--- /dev/null
+++ b/internal/gateway/keys_test.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"gotest.tools/v3/assert"
+)
+
+// fakeHolder is a back end that takes orders about keys.
+type fakeHolder struct {
+	mutex    sync.Mutex
+	grants   []GrantOrder
+	releases []keyspace.Range
+	// refuse makes each call fail.
+	refuse error
+}
+
+func (h *fakeHolder) Grant(_ context.Context, order GrantOrder) error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.grants = append(h.grants, order)
+	return h.refuse
+}
+
+func (h *fakeHolder) Release(_ context.Context, keys keyspace.Range, _ keyspace.Fence) (string, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.releases = append(h.releases, keys)
+	return "handed", h.refuse
+}
+
+func (h *fakeHolder) granted() []GrantOrder {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return append([]GrantOrder{}, h.grants...)
+}
+
+// keyRig is a key keeper with a back end that has registered.
+type keyRig struct {
+	holder *fakeHolder
+	g      *Gateway
+	epoch  time.Time
+}
+
+func newKeyRig(t *testing.T) *keyRig {
+	rig := &keyRig{holder: &fakeHolder{}, epoch: time.Now()}
+	rig.g = &Gateway{config: Config{Keys: rig.holder}.withDefaults()}
+	rig.g.views = newViews()
+	rig.g.registry = newRegistry(func() {})
+	rig.g.session = newSessionClient(rig.g)
+	rig.g.keys = newKeyKeeper(rig.g)
+	rig.g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		rig.g.keys.run(ctx)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return rig
+}
+
+// lease gives the rig a lease of ranges that was asked for just now.
+func (r *keyRig) lease(held, release []fleetwire.Held) {
+	r.g.keys.take(&fleetwire.Lease{
+		SentAt: time.Since(r.epoch), Duration: 8 * time.Second, Instance: "i-1", Held: held, Release: release,
+	}, r.epoch)
+	time.Sleep(keysInterval)
+	synctest.Wait()
+}
+
+func held(first, last keyspace.Key) []fleetwire.Held {
+	return []fleetwire.Held{{Keys: keyspace.Range{First: first, Last: last}, Fence: 7}}
+}
+
+func TestKeysAreServedOnlyWhileGrantedAndLeased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		assert.Assert(t, !rig.g.keys.holds(5, time.Now()))
+		rig.lease(held(0, 99), nil)
+		assert.Assert(t, rig.g.keys.holds(5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds(100, time.Now()))
+		// No report is answered any more: the lease and every grant end within it.
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, !rig.g.keys.holds(5, time.Now()))
+		for _, order := range rig.holder.granted() {
+			assert.Assert(t, order.Hold <= holdFor)
+		}
+	})
+}
+
+func TestAnUnconfirmedGrantServesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.holder.refuse = errors.New("no answer")
+		rig.lease(held(0, 99), nil)
+		assert.Assert(t, !rig.g.keys.holds(5, time.Now()))
+	})
+}
+
+// A leader that asked for a range may lose its office before the move is in the
+// log. Its successor lists the range again, while the back end has given it up.
+func TestARangeThatWasTakenBackIsGrantedAnewBeforeItIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.lease(held(0, 99), nil)
+		rest := append(held(0, 39), held(50, 99)...)
+		rig.lease(rest, held(40, 49))
+		assert.Assert(t, !rig.g.keys.holds(45, time.Now()))
+		assert.Assert(t, rig.g.keys.holds(5, time.Now()))
+		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		rig.holder.mutex.Lock()
+		rig.holder.refuse = errors.New("no answer")
+		before := len(rig.holder.grants)
+		rig.holder.mutex.Unlock()
+		rig.lease(held(0, 99), nil)
+		assert.Assert(t, !rig.g.keys.holds(45, time.Now()), "the old grant does not cover what was taken back")
+		assert.Assert(t, len(rig.holder.granted()) > before, "it is granted anew at once")
+	})
+}
