--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
 const (
@@ -18,8 +19,11 @@
 	holdStep = 40 * time.Millisecond
 	// maxTries bounds how many gateways one request is offered to.
 	maxTries = 8
-	// crossZone is what a way to another zone counts, in seconds.
-	crossZone = 0.004
+	// crossZone is what a way to another zone counts, in seconds, and
+	// crossZoneTransfer where the answer is large: bytes between zones are dear,
+	// so a transfer leaves its zone only where that has nothing to offer.
+	crossZone         = 0.02
+	crossZoneTransfer = 1.0
 	// choiceNoise spreads equal choices, as a share.
 	choiceNoise = 0.1
 )
@@ -135,7 +139,7 @@
 	}
 	cost *= 1 + choiceNoise*(rand.Float64()-0.5)
 	if candidate.Zone != g.config.Zone {
-		cost += crossZone
+		cost += zoneCost(c.route.Repetition)
 	}
 	if candidate.Leaving {
 		cost += leavingCost
@@ -143,6 +147,13 @@
 	return cost
 }
 
+func zoneCost(repetition routeconfig.Repetition) float64 {
+	if repetition == routeconfig.RepeatableTransfer {
+		return crossZoneTransfer
+	}
+	return crossZone
+}
+
 // try offers a request to one instance.
 func (g *Gateway) try(ctx context.Context, c *call, target fleetwire.Instance, key keyOf, hasKey bool) *forwardResult {
 	request := &forwardRequest{
