--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -17,8 +17,10 @@
 	holdShare = 0.5
 	// holdStep is how often a held request looks again without news.
 	holdStep = 40 * time.Millisecond
-	// maxTries bounds how many gateways one request is offered to.
-	maxTries = 8
+	// maxTries bounds how many gateways one request is offered to, and
+	// maxRefusals after how many that had no room it is refused.
+	maxTries    = 8
+	maxRefusals = 2
 	// crossZone is what a way to another zone counts, in seconds, and
 	// crossZoneTransfer where the answer is large: bytes between zones are dear,
 	// so a transfer leaves its zone only where that has nothing to offer.
@@ -35,7 +37,7 @@
 	holdUntil := c.began.Add(min(holdLimit, time.Duration(holdShare*float64(c.deadline.Sub(c.began)))))
 	tried := map[string]bool{}
 	result := notRun(reasonNoInstance)
-	sends := 0
+	sends, refusals := 0, 0
 	for range maxTries {
 		target, ok := g.choose(c, key, hasKey, tried)
 		if !ok {
@@ -49,7 +51,10 @@
 		if result.Sent {
 			sends++
 		}
-		if g.final(ctx, c, result, sends) {
+		if result.Reason == reasonNoRoom {
+			refusals++
+		}
+		if refusals == maxRefusals || g.final(ctx, c, result, sends) {
 			return result
 		}
 		if hasKey && !g.hold(ctx, holdUntil, true) {
@@ -68,7 +73,8 @@
 	repeats := c.route.Repetition.MayRepeat()
 	switch result.Outcome {
 	case outcomeAnswered:
-		if result.Status < http.StatusInternalServerError || !repeats {
+		// A back end that has requests waiting would fail again for want of room.
+		if result.Status < http.StatusInternalServerError || !repeats || result.Load.waiting > 0 {
 			return true
 		}
 	case outcomeUnknown:
@@ -129,9 +135,9 @@
 	var cost float64
 	if candidate.Node == g.config.Name {
 		load := g.slots.load()
-		cost = load.expected(load.running+load.waiting, c.short)
+		cost = load.expected(load.running+load.waiting, c.route.TargetLatency)
 	} else {
-		expected, avoided := g.peers.get(candidate.Address).expected(c.short, now)
+		expected, avoided := g.peers.get(candidate.Address).expected(c.route.TargetLatency, now)
 		cost = expected
 		if avoided {
 			cost += avoidedCost
@@ -158,7 +164,7 @@
 func (g *Gateway) try(ctx context.Context, c *call, target fleetwire.Instance, key keyOf, hasKey bool) *forwardResult {
 	request := &forwardRequest{
 		Method:   c.request.Method,
-		Target:   c.request.RequestURI,
+		URI:      c.request.RequestURI,
 		Host:     c.request.Host,
 		Header:   forwardable(c.request.Header),
 		Body:     c.body,
@@ -168,7 +174,7 @@
 		Key:      key,
 		HasKey:   hasKey,
 		Priority: c.route.Priority,
-		Short:    c.short,
+		Target:   c.route.TargetLatency,
 		Due:      c.began.Add(c.route.TargetLatency),
 		Deadline: c.deadline,
 	}
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -57,24 +57,35 @@
 
 // serve tries a request at the back end.
 func (e *egress) serve(ctx context.Context, request *forwardRequest) *forwardResult {
-	result := e.try(ctx, request)
+	began := time.Now()
+	result, used := e.try(ctx, request)
+	e.gateway.tally.count(result, time.Since(began)-used, used)
 	result.Load = e.gateway.slots.load()
 	return result
 }
 
 func notRun(why reason) *forwardResult { return &forwardResult{Outcome: outcomeNotRun, Reason: why} }
 
-func (e *egress) try(ctx context.Context, request *forwardRequest) *forwardResult {
+// try returns what became of a request and for how long it used a slot.
+func (e *egress) try(ctx context.Context, request *forwardRequest) (*forwardResult, time.Duration) {
 	if why := e.refuses(request); why != reasonNone {
-		return notRun(why)
+		return notRun(why), 0
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
 	defer cancel()
-	if err := e.gateway.slots.acquire(ctx, e.demand(request)); err != nil {
-		return e.noSlot(request, err)
+	taken, err := e.gateway.slots.acquire(ctx, e.demand(request))
+	if err != nil {
+		return e.noSlot(request, err), 0
 	}
 	began := time.Now()
-	defer func() { e.release(request, time.Since(began)) }()
+	result := e.useSlot(ctx, request)
+	used := time.Since(began)
+	e.release(request, taken, used)
+	return result, used
+}
+
+// useSlot sends the request, unless things have changed while it waited.
+func (e *egress) useSlot(ctx context.Context, request *forwardRequest) *forwardResult {
 	if why := e.refuses(request); why != reasonNone {
 		return notRun(why)
 	}
@@ -93,11 +104,11 @@
 // can still come in time.
 func (e *egress) demand(request *forwardRequest) demand {
 	load := e.gateway.slots.load()
-	kept := time.Duration(serviceMargin * float64(load.service(request.Short)))
+	kept := time.Duration(serviceMargin * float64(load.service(request.Target)))
 	return demand{
 		priority: request.Priority,
 		due:      request.Due,
-		short:    request.Short,
+		target:   request.Target,
 		patience: max(leastPatience, time.Until(request.Due)-kept),
 	}
 }
@@ -125,8 +136,8 @@
 	return reasonNone
 }
 
-func (e *egress) release(request *forwardRequest, used time.Duration) {
-	e.gateway.slots.release(request.Short, used)
+func (e *egress) release(request *forwardRequest, taken slot, used time.Duration) {
+	e.gateway.slots.release(taken, used)
 	if request.HasKey {
 		e.gateway.keyLoad.add(request.Key, used)
 	}
@@ -155,7 +166,7 @@
 
 // outgoing builds the request for the back end.
 func (e *egress) outgoing(request *forwardRequest) (*http.Request, error) {
-	target, err := url.ParseRequestURI(request.Target)
+	target, err := url.ParseRequestURI(request.URI)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -51,8 +51,8 @@
 // forwardRequest is one try of a request at one back end.
 type forwardRequest struct {
 	Method string
-	// Target is the request target as the caller sent it.
-	Target  string
+	// URI is the request target as the caller sent it.
+	URI     string
 	Host    string
 	Header  http.Header
 	Body    []byte
@@ -63,10 +63,9 @@
 	Key      keyspace.Key
 	HasKey   bool
 	Priority int
-	// Short requests are due much sooner than others of the service.
-	Short bool
-	// Due is when the answer is worth most, Deadline when the caller stops
-	// waiting.
+	// Target is the time within which the answer is worth most, Due when that
+	// is over, Deadline when the caller stops waiting.
+	Target   time.Duration
 	Due      time.Time
 	Deadline time.Time
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	budgets  *retryBudgets
 	egress   *egress
 	session  *sessionClient
+	tally    tally
 
 	callers *httpserver.Server
 	inbound *httpserver.Server
@@ -77,6 +78,7 @@
 	g.cancel = cancel
 	g.background(func() { g.session.run(ctx) })
 	g.background(func() { g.keys.run(ctx) })
+	g.background(func() { g.summarize(ctx) })
 	g.background(func() { _ = g.callers.Serve() })
 	g.background(func() { _ = g.inbound.Serve() })
 	return g, nil
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -16,10 +16,10 @@
 	fieldService  = fieldPrefix + "Service"
 	fieldInstance = fieldPrefix + "Instance"
 	fieldPriority = fieldPrefix + "Priority"
-	// fieldDue is in how many milliseconds the answer is due, fieldShort marks
-	// short requests.
+	// fieldDue is in how many milliseconds the answer is due, fieldTarget the
+	// whole time that it should take.
 	fieldDue     = fieldPrefix + "Due-Ms"
-	fieldShort   = fieldPrefix + "Short"
+	fieldTarget  = fieldPrefix + "Target-Ms"
 	fieldOutcome = fieldPrefix + "Outcome"
 	fieldReason  = fieldPrefix + "Reason"
 	// fieldSent says that the back end was sent the request.
@@ -85,13 +85,15 @@
 	buffer = strconv.AppendInt(buffer, load.serviceTime.Microseconds(), 10)
 	buffer = append(buffer, ',')
 	buffer = strconv.AppendInt(buffer, load.shortService.Microseconds(), 10)
+	buffer = append(buffer, ',')
+	buffer = strconv.AppendInt(buffer, load.shortUpTo.Microseconds(), 10)
 	return string(buffer)
 }
 
 // parseLoad reads what formatLoad wrote.
 func parseLoad(text string) (peerLoad, bool) {
 	parts := strings.Split(text, ",")
-	const fields = 5
+	const fields = 6
 	if len(parts) != fields {
 		return peerLoad{}, false
 	}
@@ -107,5 +109,6 @@
 		running: numbers[0], waiting: numbers[1], slots: numbers[2],
 		serviceTime:  time.Duration(numbers[3]) * time.Microsecond,
 		shortService: time.Duration(numbers[4]) * time.Microsecond,
+		shortUpTo:    time.Duration(numbers[5]) * time.Microsecond,
 	}, true
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -28,7 +28,6 @@
 	id       string
 	route    *routeconfig.Route
 	service  *routeconfig.Service
-	short    bool
 	began    time.Time
 	deadline time.Time
 	// timesOut says that the deadline is the route's timeout.
@@ -90,7 +89,6 @@
 		service: v.table.Service(route.Pick(rand.Float64())),
 		began:   began,
 	}
-	c.short = v.table.Short(route, c.service.Name)
 	waits, ok := parseMilliseconds(r.Header.Get(g.config.Headers.Deadline))
 	if !ok {
 		waits = defaultDeadline
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -33,11 +33,13 @@
 	// shortService a short one.
 	serviceTime  time.Duration
 	shortService time.Duration
+	// shortUpTo is the longest target of a short request.
+	shortUpTo time.Duration
 }
 
-// service returns the service time of a kind of request.
-func (l *peerLoad) service(short bool) time.Duration {
-	if short {
+// service returns the service time of requests with a target.
+func (l *peerLoad) service(target time.Duration) time.Duration {
+	if target <= l.shortUpTo {
 		return l.shortService
 	}
 	return l.serviceTime
@@ -45,13 +47,13 @@
 
 // expected estimates how long a request takes, in seconds, where a number of
 // requests are there.
-func (l *peerLoad) expected(busy int, short bool) float64 {
+func (l *peerLoad) expected(busy int, target time.Duration) float64 {
 	slots := l.slots
 	if slots == 0 {
 		slots = unknownSlots
 	}
 	utilization := float64(busy+1) / float64(slots)
-	return l.service(short).Seconds() * (1 + crowding*max(0, utilization-crowdedFrom))
+	return l.service(target).Seconds() * (1 + crowding*max(0, utilization-crowdedFrom))
 }
 
 // peer is another gateway as this one sees it.
@@ -118,7 +120,7 @@
 // expected estimates how long a request takes at the peer, in seconds; avoided
 // says that it failed a moment ago. What was heard long ago counts less and
 // less, so that a back end that was slow is tried again.
-func (p *peer) expected(short bool, now time.Time) (seconds float64, avoided bool) {
+func (p *peer) expected(target time.Duration, now time.Time) (seconds float64, avoided bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	load := p.load
@@ -130,7 +132,7 @@
 	if age < loadFresh {
 		busy = max(load.running+load.waiting+p.pending-p.pendingThen, p.pending)
 	}
-	seconds = load.expected(busy, short)
+	seconds = load.expected(busy, target)
 	if age > loadFresh/2 {
 		seconds *= float64(loadFresh) / float64(loadFresh+age)
 	}
@@ -205,7 +207,7 @@
 
 // encodeForward writes a try as a request to a peer.
 func encodeForward(request *forwardRequest) (*http.Request, error) {
-	target, err := url.ParseRequestURI(request.Target)
+	target, err := url.ParseRequestURI(request.URI)
 	if err != nil {
 		return nil, err
 	}
@@ -214,9 +216,7 @@
 	header[fieldInstance] = []string{request.Instance}
 	header[fieldPriority] = []string{strconv.Itoa(request.Priority)}
 	header[fieldDue] = []string{milliseconds(max(time.Until(request.Due), 0))}
-	if request.Short {
-		header[fieldShort] = []string{"1"}
-	}
+	header[fieldTarget] = []string{milliseconds(request.Target)}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""}
 	}
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -53,9 +53,10 @@
 	names := &g.config.Headers
 	left, ok := parseMilliseconds(r.Header.Get(names.Deadline))
 	due, okDue := parseMilliseconds(r.Header.Get(fieldDue))
+	target, okTarget := parseMilliseconds(r.Header.Get(fieldTarget))
 	priority, err := strconv.Atoi(r.Header.Get(fieldPriority))
 	instance := r.Header.Get(fieldInstance)
-	if !ok || !okDue || err != nil || instance == "" {
+	if !ok || !okDue || !okTarget || err != nil || instance == "" {
 		return nil, false
 	}
 	now := time.Now()
@@ -65,14 +66,14 @@
 	}
 	request := &forwardRequest{
 		Method:   r.Method,
-		Target:   r.RequestURI,
+		URI:      r.RequestURI,
 		Host:     r.Host,
 		Body:     body,
 		ID:       r.Header.Get(names.RequestID),
 		Service:  r.Header.Get(fieldService),
 		Instance: instance,
 		Priority: priority,
-		Short:    r.Header.Get(fieldShort) != "",
+		Target:   target,
 		Due:      now.Add(due),
 		Deadline: now.Add(left),
 	}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -16,9 +16,10 @@
 	// priority ranks requests; 0 goes first. Among equals, who is due first.
 	priority int
 	due      time.Time
-	// short requests may use the slots that are kept for them: others that hold
+	// target is the time within which the answer is worth most. Requests with a
+	// short one may use the slots that are kept for them: others that hold
 	// slots, here or elsewhere, may be waiting for their answers.
-	short bool
+	target time.Duration
 	// patience is how long it may wait.
 	patience time.Duration
 }
@@ -26,6 +27,7 @@
 // ticket is a request that waits for a slot.
 type ticket struct {
 	demand
+	short    bool
 	admitted chan struct{}
 	// position in the queue, below zero once admitted.
 	position int
@@ -86,6 +88,8 @@
 	short    slotUse
 	long     slotUse
 	usedAt   time.Time
+	// target is the mean target of requests, weighed by the slot time they use.
+	target time.Duration
 }
 
 const (
@@ -98,8 +102,14 @@
 	// spareShort slots are kept for short requests beside those they use, where
 	// they use any, and mostShort is the greatest part of all.
 	spareShort = 2
-	mostShort  = 0.4
+	mostShort  = 0.65
 	leastBusy  = 0.05
+	// shortShare is the part of the mean target up to which one is short.
+	shortShare = 0.6
+	// targetWeight is the weight of a second of slot time in the mean target,
+	// mostTargetWeight that of any one request.
+	targetWeight     = 0.25
+	mostTargetWeight = 0.1
 )
 
 func newSlotGate() *slotGate {
@@ -130,9 +140,15 @@
 		slots:        g.capacity,
 		serviceTime:  g.long.serviceTime,
 		shortService: g.short.serviceTime,
+		shortUpTo:    g.shortUpTo(),
 	}
 }
 
+// shortUpTo is the longest target that counts as short.
+func (g *slotGate) shortUpTo() time.Duration {
+	return time.Duration(shortShare * float64(g.target))
+}
+
 // use returns the counts for a kind of request.
 func (g *slotGate) use(short bool) *slotUse {
 	if short {
@@ -168,29 +184,39 @@
 	return short || g.long.running < g.capacity-g.reserved()
 }
 
+// slot is one that was acquired.
+type slot struct {
+	short  bool
+	target time.Duration
+}
+
 // acquire waits for a slot. Where the estimated wait is longer than the request
 // may wait, it refuses at once.
-func (g *slotGate) acquire(ctx context.Context, wanted demand) error {
+func (g *slotGate) acquire(ctx context.Context, wanted demand) (slot, error) {
 	g.mutex.Lock()
 	g.advance(time.Now())
-	use := g.use(wanted.short)
-	if g.fits(wanted.short) && len(use.queue) == 0 {
+	if g.target == 0 {
+		g.target = wanted.target
+	}
+	taken := slot{short: wanted.target <= g.shortUpTo(), target: wanted.target}
+	use := g.use(taken.short)
+	if g.fits(taken.short) && len(use.queue) == 0 {
 		use.running++
 		g.mutex.Unlock()
-		return nil
+		return taken, nil
 	}
-	if g.estimate(&wanted) > wanted.patience {
+	if g.estimate(&wanted, taken.short) > wanted.patience {
 		g.mutex.Unlock()
-		return errNoRoom
+		return slot{}, errNoRoom
 	}
-	waiting := &ticket{demand: wanted, admitted: make(chan struct{})}
+	waiting := &ticket{demand: wanted, short: taken.short, admitted: make(chan struct{})}
 	heap.Push(&use.queue, waiting)
 	g.mutex.Unlock()
-	return g.await(ctx, waiting)
+	return taken, g.await(ctx, waiting)
 }
 
 // estimate is how long a request would wait now.
-func (g *slotGate) estimate(wanted *demand) time.Duration {
+func (g *slotGate) estimate(wanted *demand, short bool) time.Duration {
 	var work time.Duration
 	for _, use := range []*slotUse{&g.short, &g.long} {
 		ahead := 0
@@ -201,7 +227,7 @@
 		}
 		work += use.serviceTime * time.Duration(ahead)
 	}
-	work += g.use(wanted.short).serviceTime
+	work += g.use(short).serviceTime
 	return work / time.Duration(g.capacity)
 }
 
@@ -230,11 +256,13 @@
 }
 
 // release gives a slot back that was used for a time.
-func (g *slotGate) release(short bool, used time.Duration) {
+func (g *slotGate) release(taken slot, used time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.advance(time.Now())
-	use := g.use(short)
+	weight := min(targetWeight*used.Seconds(), mostTargetWeight)
+	g.target += time.Duration(weight * float64(taken.target-g.target))
+	use := g.use(taken.short)
 	use.running--
 	use.serviceTime += time.Duration(serviceTimeWeight * float64(used-use.serviceTime))
 	g.admit()
--- /dev/null
+++ b/internal/gateway/summary.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// summaryInterval is how often a gateway writes what it has done.
+const summaryInterval = time.Second
+
+// tally counts tries at the back end beside the gateway since the last summary.
+type tally struct {
+	answered, failed, refusedHere, refusedThere, unknown atomic.Int64
+	// waitMicros and runMicros are the times that the tries waited for a slot
+	// and used it.
+	waitMicros, runMicros atomic.Int64
+}
+
+// count takes the result of a try.
+func (t *tally) count(result *forwardResult, waited, used time.Duration) {
+	t.waitMicros.Add(waited.Microseconds())
+	t.runMicros.Add(used.Microseconds())
+	switch {
+	case result.Outcome == outcomeAnswered && result.Status < 500:
+		t.answered.Add(1)
+	case result.Outcome == outcomeAnswered:
+		t.failed.Add(1)
+	case result.Outcome == outcomeUnknown:
+		t.unknown.Add(1)
+	case result.Sent:
+		t.refusedThere.Add(1)
+	default:
+		t.refusedHere.Add(1)
+	}
+}
+
+// summarize writes a line each interval in which there was work.
+func (g *Gateway) summarize(ctx context.Context) {
+	ticker := time.NewTicker(summaryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.writeSummary()
+		}
+	}
+}
+
+func (g *Gateway) writeSummary() {
+	t := &g.tally
+	answered, failed, unknown := t.answered.Swap(0), t.failed.Swap(0), t.unknown.Swap(0)
+	here, there := t.refusedHere.Swap(0), t.refusedThere.Swap(0)
+	waited, used := t.waitMicros.Swap(0), t.runMicros.Swap(0)
+	ran := answered + failed + unknown
+	if ran+here+there == 0 {
+		return
+	}
+	load := g.slots.load()
+	const microsPerMilli = 1000
+	g.config.Log.Info("back end in the last second", "service", g.config.Service, "answered", answered, "failed", failed,
+		"unknown", unknown, "refused_here", here, "refused_there", there,
+		"wait_ms", waited/max(ran+here+there, 1)/microsPerMilli, "run_ms", used/max(ran, 1)/microsPerMilli,
+		"running", load.running, "waiting", load.waiting, "slots", load.slots,
+		"long_ms", load.serviceTime.Milliseconds(), "short_ms", load.shortService.Milliseconds())
+}
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 )
 
 // Table finds the route of a request. It is immutable.
@@ -12,28 +11,18 @@
 	// hosts has the routes of each host, longest prefix first.
 	hosts    map[string][]*Route
 	services map[string]*Service
-	// longest is the greatest target latency of each service's routes.
-	longest map[string]time.Duration
 }
 
-// shortShare is the part of a service's greatest target latency up to which a
-// route counts as short.
-const shortShare = 0.5
-
 // NewTable compiles a document, which must not change any more.
 func NewTable(document *Document) *Table {
 	table := &Table{
 		document: document,
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]*Service, len(document.Services)),
-		longest:  make(map[string]time.Duration, len(document.Services)),
 	}
 	for i := range document.Routes {
 		route := &document.Routes[i]
 		table.hosts[route.Host] = append(table.hosts[route.Host], route)
-		for _, destination := range route.Destinations {
-			table.longest[destination.Service] = max(table.longest[destination.Service], route.TargetLatency)
-		}
 	}
 	for _, routes := range table.hosts {
 		slices.SortFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -50,12 +39,6 @@
 // Service returns the service of a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Short says that a route's answers are due much sooner than others of the
-// service. Requests that already run may be waiting for them.
-func (t *Table) Short(route *Route, service string) bool {
-	return route.TargetLatency <= time.Duration(shortShare*float64(t.longest[service]))
-}
-
 // Find returns the route of a host and path, or nil. A port in the host is
 // ignored.
 func (t *Table) Find(host, path string) *Route {
