--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -78,10 +78,9 @@
 }
 
 // slotGate lets as many requests to the back end as it has slots, the most
-// urgent first, and refuses what would wait too long. Some slots are kept for
-// short requests, as many as those used of late and a few more, so that
-// requests which wait for each other's calls can't fill all slots of a circle
-// of services.
+// urgent first, and refuses what would wait too long. Short requests go first,
+// and some slots are kept for them, so that requests which wait for each other's
+// calls can't fill all slots of a circle of services.
 type slotGate struct {
 	mutex    sync.Mutex
 	capacity int
@@ -99,11 +98,11 @@
 	serviceTimeWeight = 0.1
 	// busyHalfLife weighs older counts of used slots.
 	busyHalfLife = time.Second
-	// spareShort slots are kept for short requests beside those they use, where
-	// they use any, and mostShort is the greatest part of all.
-	spareShort = 2
-	mostShort  = 0.65
-	leastBusy  = 0.05
+	// keptForShort slots are kept for short requests, where those use any.
+	// Beside them a short request gets the next slot that becomes free, so that
+	// no more need to be idle.
+	keptForShort = 2
+	leastBusy    = 0.05
 	// shortShare is the part of the mean target up to which one is short.
 	shortShare = 0.6
 	// targetWeight is the weight of a second of slot time in the mean target,
@@ -172,8 +171,7 @@
 	if g.short.busy < leastBusy {
 		return 0
 	}
-	wanted := int(g.short.busy) + spareShort
-	return min(wanted, int(mostShort*float64(g.capacity)))
+	return min(keptForShort, g.capacity/2)
 }
 
 // fits says that a request of a kind may take a slot now.
@@ -215,20 +213,20 @@
 	return taken, g.await(ctx, waiting)
 }
 
-// estimate is how long a request would wait now.
+// estimate is how long a request would wait now. Long requests have the slots
+// that short ones do not use.
 func (g *slotGate) estimate(wanted *demand, short bool) time.Duration {
-	var work time.Duration
-	for _, use := range []*slotUse{&g.short, &g.long} {
-		ahead := 0
-		for _, waiting := range use.queue {
-			if !wanted.before(&waiting.demand) {
-				ahead++
-			}
+	use, slots := g.use(short), float64(g.capacity)
+	if !short {
+		slots = max(1, slots-g.short.busy)
+	}
+	ahead := 1
+	for _, waiting := range use.queue {
+		if !wanted.before(&waiting.demand) {
+			ahead++
 		}
-		work += use.serviceTime * time.Duration(ahead)
 	}
-	work += g.use(short).serviceTime
-	return work / time.Duration(g.capacity)
+	return time.Duration(float64(use.serviceTime) * float64(ahead) / slots)
 }
 
 func (g *slotGate) await(ctx context.Context, waiting *ticket) error {
