Keep more of the time to the due moment for the run itself

Cause: reads that waited up to due time less 1.2 service times came late where a run took longer than the mean. Change: 1.8 service times.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -97,7 +97,7 @@
 	leastPatience = 30 * time.Millisecond
 	// serviceMargin is what is kept of the time to the due moment, in service
 	// times.
-	serviceMargin = 1.2
+	serviceMargin = 1.8
 )
 
 // demand is what a request asks of the slots: it may wait as long as its answer
