--- /dev/null
+++ b/internal/gateway/egress_test.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"gotest.tools/v3/assert"
+)
+
+// rawBackend answers each request on a connection with what its script says;
+// an empty answer closes the connection.
+type rawBackend struct {
+	listener net.Listener
+	requests chan *http.Request
+}
+
+func startRawBackend(t *testing.T, answer func(r *http.Request) string) *rawBackend {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	b := &rawBackend{listener: listener, requests: make(chan *http.Request, 100)}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn, answer)
+		}
+	}()
+	return b
+}
+
+func (b *rawBackend) serve(conn net.Conn, answer func(r *http.Request) string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		b.requests <- request
+		text := answer(request)
+		if text == "" {
+			return
+		}
+		if _, err := conn.Write([]byte(text)); err != nil {
+			return
+		}
+		if strings.Contains(text, "Connection: close") {
+			return
+		}
+	}
+}
+
+func testHeaders() HeaderNames {
+	return HeaderNames{
+		RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", TargetInstance: "Target-Instance",
+		NotExecuted: "Not-Executed", CallerService: "Caller-Service", Key: "Key",
+	}
+}
+
+func egressOver(t *testing.T, backend *rawBackend) *Gateway {
+	config := Config{BackendAddress: backend.listener.Addr().String(), Headers: testHeaders()}
+	g := &Gateway{config: config.withDefaults()}
+	g.views = newViews()
+	g.slots = newSlotGate()
+	g.keyLoad = newKeyLoad()
+	g.registry = newRegistry(func() {})
+	g.session = newSessionClient(g)
+	g.keys = newKeyKeeper(g)
+	var err error
+	g.egress, err = newEgress(g)
+	assert.NilError(t, err)
+	t.Cleanup(g.egress.pool.Close)
+	g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
+	g.egress.setSlots(4)
+	return g
+}
+
+func tryOf(id string) *forwardRequest {
+	return &forwardRequest{
+		Method: http.MethodGet, URI: "/a/b%2Fc?q=1", Host: "h", Header: http.Header{"Request-Id": {id}}, ID: id,
+		Instance: "i-1", Target: time.Second, Due: time.Now().Add(time.Second), Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+func answerText(status, id, extra, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s", status, id, len(body), extra, body)
+}
+
+const seal = "Seal: x\r\n"
+
+func TestWhatAnAnswerProves(t *testing.T) {
+	cases := map[string]struct {
+		answer  func(r *http.Request) string
+		outcome outcome
+		status  int
+	}{
+		"whole":                  {func(r *http.Request) string { return answerText("200 OK", "r1", seal, "body") }, outcomeAnswered, 200},
+		"own failure":            {func(r *http.Request) string { return answerText("500 X", "r1", seal, "no") }, outcomeAnswered, 500},
+		"another request's":      {func(r *http.Request) string { return answerText("200 OK", "r0", seal, "body") }, outcomeUnknown, 0},
+		"success without a seal": {func(r *http.Request) string { return answerText("200 OK", "r1", "", "body") }, outcomeUnknown, 0},
+		"encoded": {func(r *http.Request) string {
+			return answerText("200 OK", "r1", seal+"Content-Encoding: gzip\r\n", "body")
+		}, outcomeUnknown, 0},
+		"proof that it did not run": {func(r *http.Request) string { return answerText("503 X", "r1", "Not-Executed: 1\r\n", "") }, outcomeNotRun, 0},
+		"another instance":          {func(r *http.Request) string { return answerText("421 X", "r1", "", "") }, outcomeNotRun, 0},
+		"503 without proof":         {func(r *http.Request) string { return answerText("503 X", "r1", "", "") }, outcomeAnswered, 503},
+		"closed without an answer":  {func(r *http.Request) string { return "" }, outcomeUnknown, 0},
+		"bytes that are no answer":  {func(r *http.Request) string { return "garbage\r\n\r\n" }, outcomeUnknown, 0},
+		"body broken off": {func(r *http.Request) string {
+			return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: x\r\nContent-Length: 9\r\nConnection: close\r\n\r\nab"
+		}, outcomeUnknown, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := egressOver(t, startRawBackend(t, c.answer))
+			result := g.egress.serve(t.Context(), tryOf("r1"))
+			assert.Equal(t, result.Outcome, c.outcome, "%+v", result)
+			assert.Equal(t, result.Status, c.status)
+			assert.Assert(t, result.Sent)
+		})
+	}
+}
+
+// A second answer comes behind the first, or later in the place of the next.
+func TestASurplusAnswerReachesNobody(t *testing.T) {
+	backend := startRawBackend(t, func(r *http.Request) string {
+		id := r.Header.Get("Request-Id")
+		return answerText("200 OK", id, seal, "own") + answerText("200 OK", id, seal, "surplus")
+	})
+	g := egressOver(t, backend)
+	for i := range 5 {
+		id := fmt.Sprintf("r%d", i)
+		result := g.egress.serve(t.Context(), tryOf(id))
+		assert.Equal(t, result.Outcome, outcomeAnswered)
+		assert.Equal(t, result.Header.Get("Request-Id"), id)
+		assert.Equal(t, string(result.Body), "own")
+	}
+}
+
+func TestTheBackEndGetsTheRequestUnaltered(t *testing.T) {
+	backend := startRawBackend(t, func(r *http.Request) string { return answerText("200 OK", "r1", seal, "") })
+	g := egressOver(t, backend)
+	assert.Equal(t, g.egress.serve(t.Context(), tryOf("r1")).Outcome, outcomeAnswered)
+	got := <-backend.requests
+	assert.Equal(t, got.RequestURI, "/a/b%2Fc?q=1")
+	assert.Equal(t, got.Header.Get("Target-Instance"), "i-1")
+	left, ok := parseMilliseconds(got.Header.Get("Deadline-Ms"))
+	assert.Assert(t, ok && left <= 5*time.Second)
+}
+
+func TestNothingListeningIsProof(t *testing.T) {
+	backend := startRawBackend(t, func(*http.Request) string { return "" })
+	g := egressOver(t, backend)
+	assert.NilError(t, backend.listener.Close())
+	result := g.egress.serve(t.Context(), tryOf("r1"))
+	assert.Equal(t, result.Outcome, outcomeNotRun)
+	assert.Assert(t, !result.Sent)
+}
+
+func TestAnotherInstanceOrALeavingOneIsNotSentAnything(t *testing.T) {
+	backend := startRawBackend(t, func(*http.Request) string { return "" })
+	g := egressOver(t, backend)
+	other := tryOf("r1")
+	other.Instance = "i-0"
+	assert.Equal(t, g.egress.serve(t.Context(), other).Reason, reasonNotAdmitted)
+	keyed := tryOf("r2")
+	keyed.HasKey, keyed.Key = true, 5
+	assert.Equal(t, g.egress.serve(t.Context(), keyed).Reason, reasonNotOwner)
+	g.registry.deregister("i-1", 0, time.Now())
+	assert.Equal(t, g.egress.serve(t.Context(), tryOf("r3")).Reason, reasonNotAdmitted)
+	assert.Equal(t, len(backend.requests), 0)
+}
+
+// What a peer passes on keeps its meaning over the way between gateways.
+func TestATryOverAPeerKeepsItsOutcome(t *testing.T) {
+	backend := startRawBackend(t, func(r *http.Request) string {
+		if r.Header.Get("Request-Id") == "shed" {
+			return answerText("503 X", "shed", "Not-Executed: 1\r\n", "")
+		}
+		return answerText("200 OK", r.Header.Get("Request-Id"), seal, "body")
+	})
+	g := egressOver(t, backend)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(g.peerHandler)}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	peers := newPeerSet()
+	target := peers.get(listener.Addr().String())
+	send := func(id string) *forwardResult {
+		request := tryOf(id)
+		request.Header.Set("Deadline-Ms", "4000")
+		return target.send(t.Context(), request)
+	}
+	answered := send("r1")
+	assert.Equal(t, answered.Outcome, outcomeAnswered)
+	assert.Equal(t, string(answered.Body), "body")
+	assert.Equal(t, answered.Header.Get("Seal"), "x")
+	assert.Equal(t, answered.Header.Get(fieldOutcome), "", "our own fields stay between us")
+	shed := send("shed")
+	assert.Equal(t, shed.Outcome, outcomeNotRun)
+	assert.Assert(t, shed.Sent)
+	assert.Equal(t, shed.Load.slots, 4)
+	target.pool.Close()
+}
--- /dev/null
+++ b/internal/gateway/slots_test.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	longTarget  = 400 * time.Millisecond
+	shortTarget = 100 * time.Millisecond
+)
+
+func wants(target, patience time.Duration) demand {
+	return demand{priority: 1, due: time.Now().Add(target), target: target, patience: patience}
+}
+
+// gateWithShort is a gate that has seen long requests and a short one, which
+// still runs.
+func gateWithShort(t *testing.T, slots int) *slotGate {
+	g := newSlotGate()
+	g.setCapacity(slots)
+	for range 20 {
+		taken, err := g.acquire(t.Context(), wants(longTarget, time.Second))
+		assert.NilError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		g.release(taken, 50*time.Millisecond)
+	}
+	taken, err := g.acquire(t.Context(), wants(shortTarget, time.Second))
+	assert.NilError(t, err)
+	assert.Assert(t, taken.short)
+	time.Sleep(500 * time.Millisecond)
+	g.release(taken, 20*time.Millisecond)
+	return g
+}
+
+// Requests that wait for calls elsewhere must not fill every slot that such
+// calls need here.
+func TestLongRequestsLeaveSlotsForShortOnesThatCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gateWithShort(t, 6)
+		admitted := 0
+		for range 6 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			if _, err := g.acquire(ctx, wants(longTarget, time.Second)); err == nil {
+				admitted++
+			}
+			cancel()
+		}
+		assert.Equal(t, admitted, 6-keptForShort)
+		_, err := g.acquire(t.Context(), wants(shortTarget, time.Millisecond))
+		assert.NilError(t, err)
+	})
+}
+
+// Without short requests no slot stays empty.
+func TestLongRequestsUseAllSlotsWhereNoShortOnesCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSlotGate()
+		g.setCapacity(6)
+		for range 6 {
+			_, err := g.acquire(t.Context(), wants(longTarget, time.Millisecond))
+			assert.NilError(t, err)
+		}
+		_, err := g.acquire(t.Context(), wants(longTarget, time.Millisecond))
+		assert.ErrorIs(t, err, errNoRoom)
+	})
+}
+
+func TestTheMoreUrgentGetsTheNextSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSlotGate()
+		g.setCapacity(1)
+		first, err := g.acquire(t.Context(), wants(longTarget, time.Second))
+		assert.NilError(t, err)
+		var order atomic.Int32
+		positions := make([]int32, 3)
+		for i, priority := range []int{2, 1, 0} {
+			go func() {
+				wanted := wants(longTarget, time.Second)
+				wanted.priority = priority
+				taken, err := g.acquire(t.Context(), wanted)
+				assert.Check(t, err)
+				positions[priority] = order.Add(1)
+				g.release(taken, time.Millisecond)
+			}()
+			_ = i
+		}
+		synctest.Wait()
+		g.release(first, time.Millisecond)
+		synctest.Wait()
+		assert.DeepEqual(t, positions, []int32{1, 2, 3})
+	})
+}
+
+// A request that can't be served in its time is refused at once, not held.
+func TestAHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSlotGate()
+		g.setCapacity(1)
+		_, err := g.acquire(t.Context(), wants(longTarget, time.Second))
+		assert.NilError(t, err)
+		began := time.Now()
+		_, err = g.acquire(t.Context(), wants(longTarget, 10*time.Millisecond))
+		assert.ErrorIs(t, err, errNoRoom)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
+func TestALeavingCallerGivesItsPlaceBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSlotGate()
+		g.setCapacity(1)
+		first, err := g.acquire(t.Context(), wants(longTarget, time.Second))
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _, _ = g.acquire(ctx, wants(longTarget, time.Second)) }()
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		g.release(first, time.Millisecond)
+		running, waiting := g.counts()
+		assert.Equal(t, running+waiting, 0)
+	})
+}
