--- /dev/null
+++ b/lab/platformstandin/backend.go
@@ -0,0 +1,293 @@
+// Package platformstandin stands in for the users' platform, written from their
+// published protocol: machines with settings files, back ends that register
+// themselves and take keys, an operator, and callers. Real processes of the
+// product run against it in the tests.
+package platformstandin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Instance is a stand-in of one life of a back end.
+type Instance struct {
+	ID      string
+	Service string
+	Keyed   bool
+	// Control takes heartbeats, "IP:port".
+	Control string
+	Slots   int
+
+	ledger *Ledger
+	server *http.Server
+
+	mutex    sync.Mutex
+	state    string
+	sequence uint64
+	held     []heldRange
+}
+
+// heldRange is a range that an instance holds until a time.
+type heldRange struct {
+	first, last uint32
+	fence       uint64
+	until       time.Time
+}
+
+// Ledger keeps what all instances saw, and what broke a promise.
+type Ledger struct {
+	mutex sync.Mutex
+	// Ran counts the runs of each request id.
+	ran        map[string]int
+	violations []string
+	instances  []*Instance
+	// fences has the highest fence of each key that was granted, with its holder.
+	fences map[uint32]fenceOf
+}
+
+type fenceOf struct {
+	fence  uint64
+	holder string
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{ran: map[string]int{}, fences: map[uint32]fenceOf{}}
+}
+
+// Violations returns every broken promise so far.
+func (l *Ledger) Violations() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]string{}, l.violations...)
+}
+
+// Runs returns how often a request ran.
+func (l *Ledger) Runs(id string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.ran[id]
+}
+
+func (l *Ledger) violate(format string, arguments ...any) {
+	l.violations = append(l.violations, fmt.Sprintf(format, arguments...))
+}
+
+// run notes a run. A request that must not repeat may run once.
+func (l *Ledger) run(instance *Instance, r *http.Request) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	id := r.Header.Get("Request-Id")
+	l.ran[id]++
+	if r.Method == http.MethodPost && l.ran[id] > 1 {
+		l.violate("request %s ran %d times", id, l.ran[id])
+	}
+	if target := r.Header.Get("Target-Instance"); target != "" && target != instance.ID {
+		l.violate("request %s for %s ran at %s", id, target, instance.ID)
+	}
+}
+
+// keysPerCheck is the distance of the keys whose fences are compared.
+const keysPerCheck = 64
+
+// granted checks that fences rise from holder to holder and that no other
+// instance holds the range.
+func (l *Ledger) granted(instance *Instance, given heldRange) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for key := given.first - given.first%keysPerCheck; key <= given.last; key += keysPerCheck {
+		before := l.fences[key]
+		if before.holder != instance.ID && before.holder != "" && given.fence <= before.fence {
+			l.violate("key %d went to %s under fence %d, not above %d", key, instance.ID, given.fence, before.fence)
+		}
+		l.fences[key] = fenceOf{given.fence, instance.ID}
+	}
+	for _, other := range l.instances {
+		if other != instance && other.Service == instance.Service && other.holdsAny(given) {
+			l.violate("%s and %s both hold keys of %d to %d", instance.ID, other.ID, given.first, given.last)
+		}
+	}
+}
+
+// StartInstance serves a back end at an address and begins its heartbeats, which
+// end with the context.
+func StartInstance(ctx context.Context, ledger *Ledger, address string, instance *Instance) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	instance.ledger = ledger
+	instance.state = "ready"
+	ledger.mutex.Lock()
+	ledger.instances = append(ledger.instances, instance)
+	ledger.mutex.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /grant", instance.grant)
+	mux.HandleFunc("POST /release", instance.release)
+	mux.HandleFunc("/", instance.work)
+	instance.server = &http.Server{Handler: mux}
+	go func() { _ = instance.server.Serve(listener) }()
+	go instance.beat(ctx, address)
+	return nil
+}
+
+// Stop ends the instance as a crash does.
+func (i *Instance) Stop() {
+	i.mutex.Lock()
+	i.state, i.held = "ended", nil
+	i.mutex.Unlock()
+	_ = i.server.Close()
+}
+
+// Drain announces that the instance leaves.
+func (i *Instance) Drain() {
+	i.mutex.Lock()
+	i.state = "draining"
+	i.mutex.Unlock()
+}
+
+const heartbeatInterval = 200 * time.Millisecond
+
+func (i *Instance) beat(ctx context.Context, address string) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil && i.sendBeat(ctx, address) {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// sendBeat sends one heartbeat, and reports whether the instance lives.
+func (i *Instance) sendBeat(ctx context.Context, address string) bool {
+	i.mutex.Lock()
+	i.sequence++
+	state, sequence := i.state, i.sequence
+	i.mutex.Unlock()
+	if state == "ended" {
+		return false
+	}
+	body := fmt.Sprintf(`{"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"sequence":%d,"warmupLeft":"0ms"}}`,
+		address, i.Service, i.Slots, state, sequence)
+	_, _ = post(ctx, "http://"+i.Control+"/instances/"+i.ID+"/heartbeat", body)
+	return true
+}
+
+// post sends a JSON body and returns the status.
+func post(ctx context.Context, url, body string) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, nil
+}
+
+// grantCall is the body of a grant or a release.
+type grantCall struct {
+	FromRev       uint32 `json:"fromRev"`
+	TargetVersion uint32 `json:"targetVersion"`
+	Fence         uint64 `json:"fence"`
+	HoldTime      string `json:"hold_time"`
+}
+
+func (i *Instance) grant(w http.ResponseWriter, r *http.Request) {
+	var call grantCall
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	hold, err := time.ParseDuration(call.HoldTime)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	given := heldRange{call.FromRev, call.TargetVersion, call.Fence, time.Now().Add(hold)}
+	i.ledger.granted(i, given)
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.take(given)
+	i.held = append(i.held, given)
+}
+
+// take removes a range from what is held.
+func (i *Instance) take(taken heldRange) {
+	var rest []heldRange
+	for _, held := range i.held {
+		if taken.last < held.first || held.last < taken.first {
+			rest = append(rest, held)
+			continue
+		}
+		if held.first < taken.first {
+			left := held
+			left.last = taken.first - 1
+			rest = append(rest, left)
+		}
+		if taken.last < held.last {
+			right := held
+			right.first = taken.last + 1
+			rest = append(rest, right)
+		}
+	}
+	i.held = rest
+}
+
+func (i *Instance) release(w http.ResponseWriter, r *http.Request) {
+	var call grantCall
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	i.mutex.Lock()
+	i.take(heldRange{first: call.FromRev, last: call.TargetVersion})
+	i.mutex.Unlock()
+	w.Header().Set("Handover", fmt.Sprintf("%016x", call.Fence))
+}
+
+func (i *Instance) holdsAny(wanted heldRange) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	now := time.Now()
+	for _, held := range i.held {
+		if now.Before(held.until) && held.first <= wanted.last && wanted.first <= held.last {
+			return true
+		}
+	}
+	return false
+}
+
+// work runs a request.
+func (i *Instance) work(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if i.Keyed {
+		key, err := strconv.ParseUint(r.Header.Get("Shard-Key"), 10, 32)
+		if err != nil || !i.holdsAny(heldRange{first: uint32(key), last: uint32(key)}) {
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	i.ledger.run(i, r)
+	w.Header().Set("Response-Seal", "seal-"+id)
+	fmt.Fprintf(w, "%s %s %s %s %d", i.ID, i.Service, r.RequestURI, r.Header.Get("Caller-Service"), len(body))
+}
--- /dev/null
+++ b/lab/platformstandin/fleet.go
@@ -0,0 +1,239 @@
+package platformstandin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Ports that every machine has alike.
+type Ports struct{ Inbound, Outbound, Ready, Control, App, Own int }
+
+// Machine is one machine with a process of the product.
+type Machine struct {
+	Name string
+	IP   string
+	Role string
+	// Service of the back end beside a gateway.
+	Service string
+
+	fleet   *Fleet
+	command *exec.Cmd
+	ended   chan struct{}
+	started int
+}
+
+// Fleet is a set of machines on loopback addresses.
+type Fleet struct {
+	Program string
+	Folder  string
+	Ports   Ports
+	Cores   []*Machine
+	Sides   []*Machine
+	Ledger  *Ledger
+}
+
+// portCount is how many ports a machine needs.
+const portCount = 8
+
+// FreePorts returns ports that are free at all loopback addresses now.
+func FreePorts() (Ports, error) {
+	const first, last, step = 21000, 29000, 16
+	for base := first; base < last; base += step {
+		if free(base) {
+			return Ports{base, base + 1, base + 2, base + 3, base + 4, base + 5}, nil
+		}
+	}
+	return Ports{}, errors.New("no free ports")
+}
+
+func free(base int) bool {
+	for port := base; port < base+portCount; port++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf(":%d", port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
+// NewFleet lays out machines: cores, and a gateway for each service named.
+func NewFleet(program, folder string, cores int, services []string) (*Fleet, error) {
+	ports, err := FreePorts()
+	if err != nil {
+		return nil, err
+	}
+	fleet := &Fleet{Program: program, Folder: folder, Ports: ports, Ledger: NewLedger()}
+	for i := range cores {
+		fleet.Cores = append(fleet.Cores, &Machine{
+			Name: fmt.Sprintf("core-%d", i+1), IP: fmt.Sprintf("127.77.1.%d", i+1), Role: "controller", fleet: fleet,
+		})
+	}
+	for i, service := range services {
+		fleet.Sides = append(fleet.Sides, &Machine{
+			Name: fmt.Sprintf("side-%d", i+1), IP: fmt.Sprintf("127.77.2.%d", i+1), Role: "gateway", Service: service, fleet: fleet,
+		})
+	}
+	return fleet, nil
+}
+
+func (m *Machine) address(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
+
+// Control is the machine's address for operators or its back end.
+func (m *Machine) Control() string { return m.address(m.fleet.Ports.Control) }
+
+// Outbound takes the machine's callers.
+func (m *Machine) Outbound() string { return m.address(m.fleet.Ports.Outbound) }
+
+// App is where the back end beside a gateway serves.
+func (m *Machine) App() string { return m.address(m.fleet.Ports.App) }
+
+// settings writes the machine's settings file and returns its path.
+func (m *Machine) settings() (string, error) {
+	ports := &m.fleet.Ports
+	var seeds []string
+	for _, core := range m.fleet.Cores[:min(3, len(m.fleet.Cores))] {
+		seeds = append(seeds, fmt.Sprintf("    - %q\n", core.Control()))
+	}
+	self := fmt.Sprintf("self:\n  nodeName: %q\n  ip: %q\n  zone: \"z\"\n  bootstrap: %v\n  limits:\n    memoryMb: 280\n  futureField: 1\n",
+		m.Name, m.IP, m.started == 0)
+	if m.Role == "controller" {
+		self += fmt.Sprintf("  dataDir: %q\n", m.DataDir())
+	} else {
+		self += fmt.Sprintf("  appAddr: %q\n  service: %q\n", m.App(), m.Service)
+	}
+	network := fmt.Sprintf("network:\n  bindAddrs:\n    inbound: %q\n    outbound: %q\n    ready: %q\n    control: %q\n  ephemeralPorts:\n    - %d\n    - %d\n  seedNodes:\n%s",
+		m.address(ports.Inbound), m.Outbound(), m.address(ports.Ready), m.Control(), ports.Own, ports.Own+1, strings.Join(seeds, ""))
+	terms := "terms:\n  bounds:\n    drain: \"2000ms\"\n    grace: \"6s\"\n    retryBudgetRatio: 0.2\n    budgetWindow: \"10s\"\n    budgetSlack: 58\n    holdMax: \"10000ms\"\n"
+	path := filepath.Join(m.fleet.Folder, m.Name+".yaml")
+	return path, os.WriteFile(path, []byte(self+network+terms), 0o600)
+}
+
+// DataDir is the disk of a core machine.
+func (m *Machine) DataDir() string { return filepath.Join(m.fleet.Folder, m.Name+"-disk") }
+
+// Start starts the machine's process.
+func (m *Machine) Start() error {
+	path, err := m.settings()
+	if err != nil {
+		return err
+	}
+	m.started++
+	m.command = exec.Command(m.fleet.Program, m.Role)
+	m.command.Env = append(os.Environ(), "QUARTZDOCK_BOOT="+path)
+	log, err := os.OpenFile(filepath.Join(m.fleet.Folder, m.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	m.command.Stdout, m.command.Stderr = log, log
+	if err := m.command.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	m.ended = ended
+	go func() {
+		_ = m.command.Wait()
+		_ = log.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the machine's process and waits for its end.
+func (m *Machine) Signal(signal syscall.Signal) {
+	_ = m.command.Process.Signal(signal)
+	<-m.ended
+}
+
+// Stop ends all processes.
+func (f *Fleet) Stop() {
+	for _, machine := range append(append([]*Machine{}, f.Sides...), f.Cores...) {
+		if machine.command != nil {
+			_ = machine.command.Process.Kill()
+			<-machine.ended
+		}
+	}
+}
+
+// Operate sends a change to the controllers in turn until one gives a clear
+// answer, as an operator does.
+func (f *Fleet) Operate(ctx context.Context, path, body string) (int, error) {
+	for ctx.Err() == nil {
+		for _, core := range f.Cores {
+			attempt, cancel := context.WithTimeout(ctx, time.Second)
+			status, err := post(attempt, "http://"+core.Control()+path, body)
+			cancel()
+			if err == nil && status < http.StatusInternalServerError {
+				return status, nil
+			}
+		}
+	}
+	return 0, ctx.Err()
+}
+
+// Configuration reads the newest configuration from a controller.
+func (f *Fleet) Configuration(ctx context.Context) (string, error) {
+	for ctx.Err() == nil {
+		for _, core := range f.Cores {
+			response, err := http.Get("http://" + core.Control() + "/config/get")
+			if err != nil {
+				continue
+			}
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if err == nil && response.StatusCode == http.StatusOK {
+				return string(body), nil
+			}
+		}
+	}
+	return "", ctx.Err()
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+}
+
+// Call sends one attempt of a caller at a machine.
+func (m *Machine) Call(ctx context.Context, method, host, path, id, key, body string) (Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+m.Outbound()+path, strings.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	request.Host = host
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "3000")
+	request.Header.Set("Caller-Service", "forged")
+	if key != "" {
+		request.Header.Set("Shard-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return Answer{response.StatusCode, response.Header, string(content)}, err
+}
+
+// Log returns the last lines of a machine's log.
+func (m *Machine) Log() string {
+	content, _ := os.ReadFile(filepath.Join(m.fleet.Folder, m.Name+".log"))
+	const most = 4000
+	if len(content) > most {
+		content = content[len(content)-most:]
+	}
+	return string(content)
+}
