Decide about hot keys each 0.2 s, with one move for each back end at a time

Cause: a hot range was found after 1.5 s and moved one range after the other, while its owner refused 200 requests a second.

--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// reportInterval is how often a gateway reports when nothing changes.
+	// reportInterval is how often a gateway reports when nothing changes, and
+	// keyedInterval where its back end holds keys, whose load may shift.
 	reportInterval = 500 * time.Millisecond
+	keyedInterval  = 200 * time.Millisecond
 	// sessionSilence is when a session that hears nothing is given up.
 	sessionSilence = 1600 * time.Millisecond
 	sessionDial    = 500 * time.Millisecond
@@ -159,17 +161,23 @@
 
 // sendReports reports at intervals and on changes.
 func (s *sessionClient) sendReports(ctx context.Context, conn *transport.Conn) {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
 	for {
-		if conn.Send(fleetwire.ToController{Report: s.build()}) != nil {
+		report := s.build()
+		if conn.Send(fleetwire.ToController{Report: report}) != nil {
 			_ = conn.Close()
 			return
 		}
+		interval := reportInterval
+		if len(report.Load) > 0 {
+			interval = keyedInterval
+		}
+		timer.Reset(interval)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-s.wake:
 		}
 	}
--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -17,11 +17,11 @@
 
 const (
 	// loadHalfLife weighs older reports.
-	loadHalfLife = time.Second
+	loadHalfLife = 800 * time.Millisecond
 	// imbalance is the least difference of utilization, as a part of all slots,
 	// that is worth a move, and busy the least utilization of who gives.
 	imbalance = 0.25
-	busy      = 0.55
+	busy      = 0.5
 	// keyWeight is what a key counts beside its measured load, in slots, so that
 	// keys without load are spread evenly too.
 	keyWeight = 1.0 / 65536
@@ -106,29 +106,31 @@
 	return ordered
 }
 
-// rebalance begins to move keys from the most to the least loaded back end
-// where they differ by much.
+// rebalance begins to move keys from the most to the least loaded back ends
+// where they differ by much. Each back end takes part in one move at a time.
 func (p *Planner) rebalance(service string, now time.Duration) {
-	if now < p.rebalanceAt || !p.Complete(now) || p.movingAny(service) {
+	if now < p.rebalanceAt || !p.Complete(now) {
 		return
 	}
 	ordered := p.byLoad(service, p.warm(p.targets(service, now), now), now)
-	if len(ordered) < 2 {
-		return
-	}
-	least, most := ordered[0], ordered[len(ordered)-1]
-	low, high := p.utilization(service, least), p.utilization(service, most)
-	if high < busy || high-low < imbalance {
-		return
-	}
-	wanted := (high - low) / 2 * float64(most.Slots)
-	if chosen, ok := p.choose(service, most, wanted); ok {
-		p.begin(service, chosen.from, chosen.keys, least.ID, now)
+	ordered = slices.DeleteFunc(ordered, func(candidate *instance) bool { return p.moving(candidate.ID) })
+	for len(ordered) >= 2 {
+		least, most := ordered[0], ordered[len(ordered)-1]
+		ordered = ordered[1 : len(ordered)-1]
+		low, high := p.utilization(service, least), p.utilization(service, most)
+		if high < busy || high-low < imbalance {
+			return
+		}
+		wanted := (high - low) / 2 * float64(most.Slots)
+		if chosen, ok := p.choose(service, most, wanted); ok {
+			p.begin(service, chosen.from, chosen.keys, least.ID, now)
+		}
 	}
 }
 
-func (p *Planner) movingAny(service string) bool {
-	return slices.ContainsFunc(p.moves, func(moving *move) bool { return moving.service == service })
+// moving says that an instance gives or gets keys.
+func (p *Planner) moving(id string) bool {
+	return slices.ContainsFunc(p.moves, func(moving *move) bool { return moving.from == id || moving.to == id })
 }
 
 func (p *Planner) warm(targets []*instance, now time.Duration) []*instance {
--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -53,7 +53,7 @@
 	DefaultLeaseDuration     = 8 * time.Second
 	DefaultSettleTime        = 700 * time.Millisecond
 	DefaultLongestSettle     = 3 * time.Second
-	DefaultRebalanceInterval = 500 * time.Millisecond
+	DefaultRebalanceInterval = 200 * time.Millisecond
 	DefaultSilentAfter       = 2500 * time.Millisecond
 	DefaultWarmUp            = 3 * time.Second
 )
