Cover grants without an answer before their keys are given up

Ruled out: two leaders, a gateway that restarted (none did). Change: the lower 16 bits of a fence at the back end are the gateway's; each grant after an unanswered one has a higher fence, and keys are given up only once such a grant is confirmed for them.

--- /dev/null
+++ b/internal/gateway/fences.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+)
+
+// subFenceBits is how much of a fence, at the back end, the gateway uses itself:
+// the upper part is the owner's fence from the controllers.
+const subFenceBits = 16
+
+// openGrant is a grant without an answer, which the back end may still take.
+type openGrant struct {
+	keys  keyspace.Range
+	owner keyspace.Fence
+	sub   uint16
+	at    time.Time
+}
+
+// openKept is for how long a grant without an answer may still be taken.
+const openKept = 20 * time.Second
+
+// fenceLedger makes grants that got no answer harmless. One may be taken
+// seconds later, when its keys already have another owner. A back end refuses a
+// grant with a lower fence than it has seen on one of the keys; so each grant
+// after one without an answer has a higher fence, and keys are given up only
+// once the back end has confirmed such a grant for all of them. The next owner's
+// fence is higher than all of these.
+type fenceLedger struct {
+	// used is the highest part of its own that the gateway has used with each
+	// owner's fence.
+	used map[keyspace.Fence]uint16
+	open []openGrant
+}
+
+func newFenceLedger() fenceLedger { return fenceLedger{used: map[keyspace.Fence]uint16{}} }
+
+// compose returns the fence as the back end sees it.
+func compose(owner keyspace.Fence, sub uint16) keyspace.Fence {
+	return owner<<subFenceBits | keyspace.Fence(sub)
+}
+
+// next returns the part for a grant of a range: a higher one than before where
+// an earlier grant may still be taken.
+func (l *fenceLedger) next(keys keyspace.Range, owner keyspace.Fence) uint16 {
+	if l.isOpen(keys, owner) {
+		l.used[owner]++
+	}
+	return l.used[owner]
+}
+
+// isOpen says that a grant of some of the keys has no answer.
+func (l *fenceLedger) isOpen(keys keyspace.Range, owner keyspace.Fence) bool {
+	for _, open := range l.open {
+		if open.owner == owner && open.keys.Overlaps(keys) {
+			return true
+		}
+	}
+	return false
+}
+
+// unanswered notes a grant without an answer.
+func (l *fenceLedger) unanswered(open openGrant) { l.open = append(l.open, open) }
+
+// confirmed notes that the back end took a grant: earlier ones of these keys are
+// refused from now on.
+func (l *fenceLedger) confirmed(keys keyspace.Range, owner keyspace.Fence, sub uint16) {
+	var rest []openGrant
+	for _, open := range l.open {
+		if open.owner != owner || open.sub >= sub {
+			rest = append(rest, open)
+			continue
+		}
+		for _, left := range open.keys.Without(keys) {
+			remaining := open
+			remaining.keys = left
+			rest = append(rest, remaining)
+		}
+	}
+	l.open = rest
+}
+
+// forget drops grants that can't be taken any more.
+func (l *fenceLedger) forget(now time.Time) {
+	var rest []openGrant
+	for _, open := range l.open {
+		if now.Before(open.at.Add(openKept)) {
+			rest = append(rest, open)
+		}
+	}
+	l.open = rest
+}
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -24,7 +24,7 @@
 	clockDrift = 0.03
 	// transit is taken off each hold for the way to the back end.
 	transit      = 20 * time.Millisecond
-	grantTimeout = 600 * time.Millisecond
+	grantTimeout = 400 * time.Millisecond
 	// releaseTimeout bounds one call; the back end answers once its work on the
 	// keys has ended.
 	releaseTimeout = 4 * time.Second
@@ -50,6 +50,8 @@
 	confirmed time.Time
 	nextAt    time.Time
 	inFlight  bool
+	// sub is the gateway's part of the fence of the last message.
+	sub uint16
 }
 
 // release is a range being taken back.
@@ -85,6 +87,7 @@
 	grants     map[heldKey]*grant
 	releases   map[heldKey]*release
 	taken      []taken
+	fences     fenceLedger
 }
 
 func newKeyKeeper(g *Gateway) *keyKeeper {
@@ -94,6 +97,7 @@
 		started:  time.Now(),
 		grants:   map[heldKey]*grant{},
 		releases: map[heldKey]*release{},
+		fences:   newFenceLedger(),
 	}
 }
 
@@ -119,6 +123,7 @@
 	k.instance = instance
 	k.wanted = nil
 	k.taken = nil
+	k.fences = newFenceLedger()
 	k.grants = map[heldKey]*grant{}
 	k.releases = map[heldKey]*release{}
 }
@@ -221,6 +226,7 @@
 			delete(k.grants, key)
 		}
 	}
+	k.fences.forget(now)
 	k.taken = slices.DeleteFunc(k.taken, func(back taken) bool { return now.After(back.at.Add(takenKept)) })
 }
 
@@ -251,13 +257,19 @@
 		if sent.inFlight || !due {
 			continue
 		}
-		sent.inFlight = true
-		sent.sentAt = now
-		sent.possibleUntil = later(sent.possibleUntil, now.Add(grantTimeout+time.Duration(float64(hold)*(1+clockDrift))))
-		go k.send(ctx, k.instance, sent, hold)
+		k.start(ctx, sent, hold, now)
 	}
 }
 
+// start sends one grant.
+func (k *keyKeeper) start(ctx context.Context, sent *grant, hold time.Duration, now time.Time) {
+	sent.inFlight = true
+	sent.sentAt = now
+	sent.sub = k.fences.next(sent.Keys, sent.Fence)
+	sent.possibleUntil = later(sent.possibleUntil, now.Add(grantTimeout+time.Duration(float64(hold)*(1+clockDrift))))
+	go k.send(ctx, k.instance, sent, hold)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -269,7 +281,7 @@
 func (k *keyKeeper) send(ctx context.Context, instance string, sent *grant, hold time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	order := GrantOrder{Keys: sent.Keys, Fence: sent.Fence, Hold: hold, Handover: sent.Handover}
+	order := GrantOrder{Keys: sent.Keys, Fence: compose(sent.Fence, sent.sub), Hold: hold, Handover: sent.Handover}
 	err := k.gateway.config.Keys.Grant(ctx, order)
 	if err != nil {
 		k.gateway.config.Log.Info("grant not confirmed", "instance", instance, "first", sent.Keys.First, "last", sent.Keys.Last, "fence", uint64(sent.Fence), "error", err)
@@ -278,13 +290,19 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	sent.inFlight = false
+	if instance != k.instance {
+		return
+	}
 	if err != nil {
 		sent.nextAt = time.Now().Add(regrantAfter)
+		k.fences.unanswered(openGrant{keys: sent.Keys, owner: sent.Fence, sub: sent.sub, at: sent.sentAt})
 		return
 	}
+	k.fences.confirmed(sent.Keys, sent.Fence, sent.sub)
 	sent.until = later(sent.until, sent.sentAt.Add(hold))
 	sent.confirmed = sent.sentAt
 	sent.nextAt = sent.sentAt.Add(renewAfter)
+	k.signal()
 }
 
 // startReleases takes back what was asked for. No grant of those keys may be on
@@ -294,14 +312,33 @@
 		if running.done || running.inFlight || now.Before(running.nextAt) || k.granting(running.held) {
 			continue
 		}
-		if gone || now.After(k.possibleUntil(running.held)) {
+		over := now.After(k.possibleUntil(running.held)) && !k.fences.isOpen(running.held.Keys, running.held.Fence)
+		if gone || over {
 			running.done = true
 			k.gateway.session.report()
 			continue
 		}
+		if k.fences.isOpen(running.held.Keys, running.held.Fence) {
+			k.cover(ctx, running.held, now)
+			continue
+		}
 		running.inFlight = true
 		k.taken = append(k.taken, taken{heldKey{running.held.Keys, running.held.Fence}, now})
-		go k.takeBack(ctx, running)
+		go k.takeBack(ctx, running, compose(running.held.Fence, k.fences.used[running.held.Fence]))
+	}
+}
+
+// cover grants a range that is to be given up once more, under a higher fence
+// than those of the grants that may still be taken.
+func (k *keyKeeper) cover(ctx context.Context, held fleetwire.Held, now time.Time) {
+	key := heldKey{held.Keys, held.Fence}
+	sent, ok := k.grants[key]
+	if !ok {
+		sent = &grant{Held: held}
+		k.grants[key] = sent
+	}
+	if !now.Before(sent.nextAt) {
+		k.start(ctx, sent, leastHold, now)
 	}
 }
 
@@ -326,10 +363,10 @@
 	return until
 }
 
-func (k *keyKeeper) takeBack(ctx context.Context, running *release) {
+func (k *keyKeeper) takeBack(ctx context.Context, running *release, fence keyspace.Fence) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	handover, err := k.gateway.config.Keys.Release(ctx, running.held.Keys, running.held.Fence)
+	handover, err := k.gateway.config.Keys.Release(ctx, running.held.Keys, fence)
 	k.mutex.Lock()
 	running.inFlight = false
 	if err != nil {
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -36,6 +36,18 @@
 	return "handed", h.refuse
 }
 
+func (h *fakeHolder) setRefuse(err error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.refuse = err
+}
+
+func (h *fakeHolder) released() []keyspace.Range {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return append([]keyspace.Range{}, h.releases...)
+}
+
 func (h *fakeHolder) granted() []GrantOrder {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -119,12 +131,37 @@
 		assert.Assert(t, !rig.g.keys.holds(45, time.Now()))
 		assert.Assert(t, rig.g.keys.holds(5, time.Now()))
 		assert.Equal(t, len(rig.g.keys.promises()), 1)
-		rig.holder.mutex.Lock()
-		rig.holder.refuse = errors.New("no answer")
-		before := len(rig.holder.grants)
-		rig.holder.mutex.Unlock()
+		rig.holder.setRefuse(errors.New("no answer"))
+		before := len(rig.holder.granted())
 		rig.lease(held(0, 99), nil)
 		assert.Assert(t, !rig.g.keys.holds(45, time.Now()), "the old grant does not cover what was taken back")
 		assert.Assert(t, len(rig.holder.granted()) > before, "it is granted anew at once")
 	})
 }
+
+// A grant without an answer may be taken seconds later, when its keys already
+// have another owner. By then the back end must have seen a higher fence on them.
+func TestKeysWithAnUnansweredGrantAreCoveredBeforeTheyAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.lease(held(0, 99), nil)
+		rig.holder.setRefuse(errors.New("no answer"))
+		time.Sleep(renewAfter + keysInterval)
+		synctest.Wait()
+		rig.lease(held(0, 39), held(40, 99))
+		assert.Equal(t, len(rig.holder.released()), 0, "not given up while a grant may still be taken")
+		unanswered := rig.holder.granted()
+		late := unanswered[len(unanswered)-1]
+		rig.holder.setRefuse(nil)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(rig.holder.released()), 1)
+		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		covered := false
+		for _, order := range rig.holder.granted()[len(unanswered):] {
+			covered = covered || order.Keys.Contains(keyspace.Range{First: 40, Last: 99}) && order.Fence > late.Fence
+		}
+		assert.Assert(t, covered, "a higher fence was confirmed for all of them")
+		assert.Assert(t, compose(8, 0) > rig.holder.granted()[len(rig.holder.granted())-1].Fence, "the next owner's is higher still")
+	})
+}
