Give a gateway's next process its keys under a new fence

Ruled out: the cover of unanswered grants (the process that made them had ended). Change: assignments name the process; another one gets its keys by a log entry of their own, under a higher fence, and a range is given up only once a grant under its fence was confirmed; the leader lets a move be covered for 3 s and counts that as a lease. Gateways whose keys change are asked to report at once.

--- a/internal/fleetcontroller/machine.go
+++ b/internal/fleetcontroller/machine.go
@@ -165,6 +165,7 @@
 	planner := c.control.planner
 	batch := planner.Tick(now)
 	if batch == nil {
+		c.askConcerned(planner.Concerned())
 		return
 	}
 	for _, change := range batch.Changes {
@@ -180,6 +181,7 @@
 		if c.control.planner == planner {
 			planner.BatchDone()
 			c.publish()
+			c.askConcerned(planner.Concerned())
 		}
 	})
 }
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -27,6 +27,8 @@
 	mutex sync.Mutex
 	lease *fleetwire.Lease
 	known *fleetwire.Instance
+	// reportNow asks the gateway for a report.
+	reportNow bool
 	// ended tells the sender to stop; redirect says where the gateway goes on.
 	ended    bool
 	redirect *fleetwire.Redirect
@@ -141,7 +143,8 @@
 	for range s.wake {
 		s.mutex.Lock()
 		lease, known, ended, redirect := s.lease, s.known, s.ended, s.redirect
-		s.lease, s.known = nil, nil
+		reportNow := s.reportNow
+		s.lease, s.known, s.reportNow = nil, nil, false
 		s.mutex.Unlock()
 		if ended {
 			if redirect != nil {
@@ -149,7 +152,7 @@
 			}
 			return
 		}
-		message := fleetwire.FromController{Lease: lease, Known: known, View: c.news(&has)}
+		message := fleetwire.FromController{Lease: lease, Known: known, ReportNow: reportNow, View: c.news(&has)}
 		if message == (fleetwire.FromController{}) {
 			continue
 		}
@@ -215,6 +218,23 @@
 	s.notify()
 }
 
+// askConcerned asks the gateways for reports whose back ends' keys have changed.
+func (c *Controller) askConcerned(concerned map[string]bool) {
+	if len(concerned) == 0 {
+		return
+	}
+	c.sessionsMutex.Lock()
+	defer c.sessionsMutex.Unlock()
+	for s := range c.sessions {
+		if concerned[s.node] {
+			s.mutex.Lock()
+			s.reportNow = true
+			s.mutex.Unlock()
+			s.notify()
+		}
+	}
+}
+
 func (c *Controller) wakeSessions() {
 	c.sessionsMutex.Lock()
 	defer c.sessionsMutex.Unlock()
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -47,8 +47,9 @@
 	Service  string
 	Keys     keyspace.Range
 	From, To string
-	// Node is the gateway beside To.
+	// Node is the gateway beside To, and Boot its process.
 	Node     string
+	Boot     uint64
 	Handover string
 }
 
@@ -197,7 +198,7 @@
 	for _, change := range batch.Changes {
 		owners := &keyspace.Map{Assignments: s.Owners(change.Service).Assignments}
 		given := keyspace.Assignment{
-			Range: change.Keys, Owner: change.To, Node: change.Node, Fence: keyspace.Fence(index), Handover: change.Handover,
+			Range: change.Keys, Owner: change.To, Node: change.Node, Boot: change.Boot, Fence: keyspace.Fence(index), Handover: change.Handover,
 		}
 		if owners.Assign(change.From, given) {
 			s.owners[change.Service] = owners
--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -83,6 +83,8 @@
 type Report struct {
 	// SentAt is the gateway's own monotonic clock; it is returned unread.
 	SentAt time.Duration
+	// Boot is that of Hello.
+	Boot uint64
 	// Instance is nil where no back end is known.
 	Instance *Instance
 	// Released promises, repeated until a lease no longer asks for them.
@@ -100,6 +102,9 @@
 	Keys     keyspace.Range
 	Fence    keyspace.Fence
 	Handover string
+	// MayCover says, of a range to be released, that the back end may hold it
+	// once more within this lease, under a higher fence of the gateway's own.
+	MayCover bool
 }
 
 // Lease answers a Report.
@@ -165,4 +170,6 @@
 	// Known is the last that the leader knew of the instance beside a gateway
 	// that has just started.
 	Known *Instance
+	// ReportNow asks for a report: what the gateway's back end holds has changed.
+	ReportNow bool
 }
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -56,11 +56,13 @@
 
 // release is a range being taken back.
 type release struct {
-	held     fleetwire.Held
-	inFlight bool
-	nextAt   time.Time
-	done     bool
-	handover string
+	held fleetwire.Held
+	// coverUntil is the end of the last lease that allows to cover the range.
+	coverUntil time.Time
+	inFlight   bool
+	nextAt     time.Time
+	done       bool
+	handover   string
 }
 
 // taken is a range that was taken back from the back end. Grants sent before do
@@ -136,6 +138,9 @@
 		if !ok {
 			running = &release{held: held}
 		}
+		if held.MayCover {
+			running.coverUntil = k.leaseUntil
+		}
 		still[key] = running
 	}
 	k.releases = still
@@ -318,8 +323,8 @@
 			k.gateway.session.report()
 			continue
 		}
-		if k.fences.isOpen(running.held.Keys, running.held.Fence) {
-			k.cover(ctx, running.held, now)
+		if k.fences.isOpen(running.held.Keys, running.held.Fence) || !k.everConfirmed(running.held) {
+			k.cover(ctx, running, now)
 			continue
 		}
 		running.inFlight = true
@@ -328,16 +333,28 @@
 	}
 }
 
+// everConfirmed says that the back end has confirmed a grant of all of a range
+// under its fence, so that it refuses those of earlier processes.
+func (k *keyKeeper) everConfirmed(held fleetwire.Held) bool {
+	for key, sent := range k.grants {
+		if key.fence == held.Fence && key.keys.Contains(held.Keys) && !sent.confirmed.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // cover grants a range that is to be given up once more, under a higher fence
 // than those of the grants that may still be taken.
-func (k *keyKeeper) cover(ctx context.Context, held fleetwire.Held, now time.Time) {
-	key := heldKey{held.Keys, held.Fence}
+func (k *keyKeeper) cover(ctx context.Context, running *release, now time.Time) {
+	key := heldKey{running.held.Keys, running.held.Fence}
 	sent, ok := k.grants[key]
 	if !ok {
-		sent = &grant{Held: held}
+		sent = &grant{Held: running.held}
 		k.grants[key] = sent
 	}
-	if !now.Before(sent.nextAt) {
+	const longest = leastHold + leastHold/10 + grantTimeout
+	if !now.Before(sent.nextAt) && now.Add(longest).Before(running.coverUntil) {
 		k.start(ctx, sent, leastHold, now)
 	}
 }
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -95,6 +95,13 @@
 	return []fleetwire.Held{{Keys: keyspace.Range{First: first, Last: last}, Fence: 7}}
 }
 
+// asked is a range to be released that may be covered.
+func asked(first, last keyspace.Key) []fleetwire.Held {
+	all := held(first, last)
+	all[0].MayCover = true
+	return all
+}
+
 func TestKeysAreServedOnlyWhileGrantedAndLeased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
@@ -127,7 +134,7 @@
 		rig := newKeyRig(t)
 		rig.lease(held(0, 99), nil)
 		rest := append(held(0, 39), held(50, 99)...)
-		rig.lease(rest, held(40, 49))
+		rig.lease(rest, asked(40, 49))
 		assert.Assert(t, !rig.g.keys.holds(45, time.Now()))
 		assert.Assert(t, rig.g.keys.holds(5, time.Now()))
 		assert.Equal(t, len(rig.g.keys.promises()), 1)
@@ -148,7 +155,7 @@
 		rig.holder.setRefuse(errors.New("no answer"))
 		time.Sleep(renewAfter + keysInterval)
 		synctest.Wait()
-		rig.lease(held(0, 39), held(40, 99))
+		rig.lease(held(0, 39), asked(40, 99))
 		assert.Equal(t, len(rig.holder.released()), 0, "not given up while a grant may still be taken")
 		unanswered := rig.holder.granted()
 		late := unanswered[len(unanswered)-1]
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -154,6 +154,9 @@
 		}
 		g.peers.retain(g.views.load())
 	}
+	if message.ReportNow {
+		s.report()
+	}
 	if message.Lease != nil {
 		g.keys.take(message.Lease, s.started)
 	}
@@ -185,7 +188,7 @@
 
 func (s *sessionClient) build() *fleetwire.Report {
 	g := s.gateway
-	report := &fleetwire.Report{SentAt: s.now(), Version: g.views.load().version()}
+	report := &fleetwire.Report{SentAt: s.now(), Boot: s.boot, Version: g.views.load().version()}
 	if instance := g.registry.snapshot(); instance.ID != "" {
 		report.Instance = &instance
 		report.Released = g.keys.promises()
--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -157,6 +157,9 @@
 func (p *Planner) choose(service string, owner *instance, wanted float64) (part, bool) {
 	var best part
 	for _, owned := range p.state.Owners(service).OwnedBy(owner.ID) {
+		if p.renewing(owned) {
+			continue
+		}
 		for _, candidate := range windows(bucketsOf(owned, &owner.load), wanted) {
 			if best.load == 0 || better(candidate, best, wanted) {
 				best = candidate
--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -76,6 +76,8 @@
 	// leasedUntil is when the last lease given to it ends.
 	leasedUntil time.Duration
 	load        loadTable
+	// boot is the gateway's process that was heard last.
+	boot uint64
 }
 
 // move is a range on its way from one owner to another.
@@ -83,6 +85,7 @@
 	service string
 	held    fleetwire.Held
 	from    string
+	began   time.Duration
 	// to is the wanted target; another one is taken where that is lost.
 	to string
 	// freeAt is when every lease that lists the range has ended.
@@ -110,6 +113,8 @@
 	rebalanceAt time.Duration
 	// revision counts changes of the instances.
 	revision uint64
+	// concerned are the gateways that should report.
+	concerned map[string]bool
 }
 
 // New returns the planner of a leader that began at now, where the leader
@@ -123,6 +128,7 @@
 		settledAt: max(earlierEnd, 0) + config.LeaseDuration,
 		instances: map[string]*instance{},
 		nodes:     map[string]string{},
+		concerned: map[string]bool{},
 	}
 }
 
@@ -162,6 +168,7 @@
 		return lease
 	}
 	told := p.learn(report.Instance, now)
+	told.boot = report.Boot
 	told.load.add(report.Load, now)
 	p.takeReleased(told, report.Released)
 	lease.Instance = told.ID
@@ -171,21 +178,31 @@
 	lease.Duration = p.config.LeaseDuration
 	told.leasedUntil = now + p.config.LeaseDuration
 	for _, owned := range p.state.Owners(told.Service).OwnedBy(told.ID) {
-		p.list(lease, told, owned)
+		if owned.Boot == told.boot {
+			p.list(lease, told, owned, now)
+		}
 	}
 	return lease
 }
 
+// coverFor is how long after its begin a move lets the gateway grant the range
+// once more to make unanswered grants harmless. Such a lease counts for it.
+const coverFor = 3 * time.Second
+
 // list adds an owned range to a lease: what is on its way elsewhere is to be
 // released, the rest is held.
-func (p *Planner) list(lease *fleetwire.Lease, told *instance, owned keyspace.Assignment) {
+func (p *Planner) list(lease *fleetwire.Lease, told *instance, owned keyspace.Assignment, now time.Duration) {
 	rest := []keyspace.Range{owned.Range}
 	for _, moving := range p.moves {
 		if moving.service != told.Service || moving.from != told.ID || !owned.Overlaps(moving.held.Keys) {
 			continue
 		}
 		if !moving.released {
-			lease.Release = append(lease.Release, moving.held)
+			asked := moving.held
+			if asked.MayCover = now < moving.began+coverFor; asked.MayCover {
+				moving.freeAt = max(moving.freeAt, now+lease.Duration)
+			}
+			lease.Release = append(lease.Release, asked)
 		}
 		rest = subtract(rest, moving.held.Keys)
 	}
@@ -291,6 +308,7 @@
 		if !service.Keyed {
 			continue
 		}
+		batch.Changes = append(batch.Changes, p.renewFences(service.Name)...)
 		p.takeFromEnded(service.Name, now)
 		batch.Changes = append(batch.Changes, p.firstOwners(service.Name, now)...)
 		p.rebalance(service.Name, now)
@@ -303,9 +321,41 @@
 		return nil
 	}
 	p.inFlight = true
+	for _, change := range batch.Changes {
+		p.concerned[change.Node] = true
+	}
 	return &batch
 }
 
+// Concerned returns and forgets the gateways for which something has changed, so
+// that they should report now.
+func (p *Planner) Concerned() map[string]bool {
+	concerned := p.concerned
+	p.concerned = map[string]bool{}
+	return concerned
+}
+
+// renewFences gives owners whose gateway has another process their keys under a
+// new fence. Moves that the last process did not end begin anew.
+func (p *Planner) renewFences(service string) []fleetstate.OwnershipChange {
+	var changes []fleetstate.OwnershipChange
+	for _, owned := range p.state.Owners(service).All() {
+		owner, ok := p.instances[owned.Owner]
+		if !ok || owner.boot == 0 || owner.boot == owned.Boot || owner.State == fleetwire.InstanceGone {
+			continue
+		}
+		p.moves = slices.DeleteFunc(p.moves, func(moving *move) bool {
+			return moving.from == owner.ID && !moving.released && moving.held.Fence == owned.Fence
+		})
+		for _, keys := range p.notMoving(service, owned.Range) {
+			changes = append(changes, fleetstate.OwnershipChange{
+				Service: service, Keys: keys, From: owner.ID, To: owner.ID, Node: owner.Node, Boot: owner.boot,
+			})
+		}
+	}
+	return changes
+}
+
 // forget drops instances that ended long ago.
 func (p *Planner) forget(now time.Duration) {
 	const kept = time.Minute
@@ -361,7 +411,7 @@
 	var changes []fleetstate.OwnershipChange
 	for _, keys := range free {
 		for i, part := range divide(keys, len(targets)) {
-			changes = append(changes, fleetstate.OwnershipChange{Service: service, Keys: part, To: targets[i].ID, Node: targets[i].Node})
+			changes = append(changes, fleetstate.OwnershipChange{Service: service, Keys: part, To: targets[i].ID, Node: targets[i].Node, Boot: targets[i].boot})
 		}
 	}
 	return changes
@@ -395,12 +445,21 @@
 		if successor := p.successor(service, assignment, targets); successor != nil {
 			candidates = []*instance{successor}
 		}
+		if p.renewing(assignment) {
+			continue
+		}
 		for _, keys := range p.notMoving(service, assignment.Range) {
 			p.spread(service, assignment, keys, candidates, now)
 		}
 	}
 }
 
+// renewing says that an owner is about to get a new fence for an assignment.
+func (p *Planner) renewing(assignment keyspace.Assignment) bool {
+	owner, ok := p.instances[assignment.Owner]
+	return ok && owner.boot != 0 && owner.boot != assignment.Boot && owner.State != fleetwire.InstanceGone
+}
+
 // successor is the next life of an ended owner, which gets all its keys: it has
 // no others.
 func (p *Planner) successor(service string, ended keyspace.Assignment, targets []*instance) *instance {
@@ -455,10 +514,12 @@
 	if owner, ok := p.instances[from.Owner]; ok {
 		freeAt = owner.leasedUntil
 	}
+	p.concerned[from.Node] = true
 	p.moves = append(p.moves, &move{
 		service: service,
 		held:    fleetwire.Held{Keys: keys, Fence: from.Fence},
 		from:    from.Owner,
+		began:   now,
 		to:      to,
 		freeAt:  freeAt,
 	})
@@ -481,7 +542,7 @@
 		}
 		moving.proposed = true
 		changes = append(changes, fleetstate.OwnershipChange{
-			Service: moving.service, Keys: moving.held.Keys, From: moving.from, To: to.ID, Node: to.Node, Handover: moving.handover,
+			Service: moving.service, Keys: moving.held.Keys, From: moving.from, To: to.ID, Node: to.Node, Boot: to.boot, Handover: moving.handover,
 		})
 	}
 	return changes
--- a/internal/keylease/planner_test.go
+++ b/internal/keylease/planner_test.go
@@ -64,7 +64,32 @@
 }
 
 func (l *leader) report(told *fleetwire.Instance, released ...fleetwire.Released) *fleetwire.Lease {
-	return l.planner.Report(&fleetwire.Report{Instance: told, Released: released}, l.now)
+	return l.reportFrom(1, told, released...)
+}
+
+// reportFrom reports from a process of the gateway.
+func (l *leader) reportFrom(boot uint64, told *fleetwire.Instance, released ...fleetwire.Released) *fleetwire.Lease {
+	return l.planner.Report(&fleetwire.Report{Boot: boot, Instance: told, Released: released}, l.now)
+}
+
+// A gateway that was restarted does not know what its last process sent to the
+// back end; a grant of that may still be taken.
+func TestARestartedGatewayGetsItsKeysUnderANewFence(t *testing.T) {
+	l := newLeader()
+	for range 60 {
+		l.report(instance(0, 0))
+		l.report(instance(1, 0))
+		l.advance(100 * time.Millisecond)
+	}
+	before := l.state.Owners(service).OwnedBy("i-0-0")
+	lease := l.reportFrom(2, instance(0, 0))
+	assert.Equal(t, len(lease.Held), 0, "not under the old fence")
+	l.advance(25 * time.Millisecond)
+	lease = l.reportFrom(2, instance(0, 0))
+	assert.Equal(t, len(lease.Held), 1)
+	assert.Equal(t, lease.Held[0].Keys, before[0].Range)
+	assert.Assert(t, lease.Held[0].Fence > before[0].Fence)
+	assert.Assert(t, l.planner.Concerned()["node-0"])
 }
 
 func TestFirstOwnersShareTheKeys(t *testing.T) {
@@ -174,7 +199,7 @@
 		for bucket := range uint32(4) {
 			load = append(load, fleetwire.KeyLoad{Bucket: keylease.BucketOf(hot) + bucket, BusyMicros: 90_000})
 		}
-		lease := l.planner.Report(&fleetwire.Report{Instance: instance(0, 0), Load: load}, l.now)
+		lease := l.planner.Report(&fleetwire.Report{Boot: 1, Instance: instance(0, 0), Load: load}, l.now)
 		var promises []fleetwire.Released
 		for _, held := range lease.Release {
 			promises = append(promises, fleetwire.Released{Keys: held.Keys, Fence: held.Fence})
--- a/internal/keyspace/map.go
+++ b/internal/keyspace/map.go
@@ -59,6 +59,10 @@
 	// Node is the gateway beside the owner. Another instance there means that
 	// the owner has ended.
 	Node string
+	// Boot is the process of that gateway to which the fence was given. Another
+	// process does not know what the last one sent to the owner, and needs a new
+	// fence.
+	Boot uint64
 	// Fence of the owner; zero where there never was one.
 	Fence Fence
 	// Handover is what the last owner left for this one.
