--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -80,7 +80,7 @@
 	began := time.Now()
 	result := e.useSlot(ctx, request)
 	used := time.Since(began)
-	e.release(request, taken, used)
+	e.release(request, taken, used, result.Outcome == outcomeAnswered && result.Status == http.StatusInternalServerError)
 	return result, used
 }
 
@@ -136,8 +136,8 @@
 	return reasonNone
 }
 
-func (e *egress) release(request *forwardRequest, taken slot, used time.Duration) {
-	e.gateway.slots.release(taken, used)
+func (e *egress) release(request *forwardRequest, taken slot, used time.Duration, failed bool) {
+	e.gateway.slots.release(taken, used, failed)
 	if request.HasKey {
 		e.gateway.keyLoad.add(request.Key, used)
 	}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -89,6 +89,8 @@
 	usedAt   time.Time
 	// target is the mean target of requests, weighed by the slot time they use.
 	target time.Duration
+	// limit is for long requests: those that call other services.
+	limit failureLimit
 }
 
 const (
@@ -103,6 +105,9 @@
 	// no more need to be idle.
 	keptForShort = 2
 	leastBusy    = 0.05
+	// mostShort is the part of the slots that short requests may use while long
+	// ones wait, so that these are not starved.
+	mostShort = 0.72
 	// shortShare is the part of the mean target up to which one is short.
 	shortShare = 0.6
 	// targetWeight is the weight of a second of slot time in the mean target,
@@ -113,7 +118,7 @@
 
 func newSlotGate() *slotGate {
 	unknown := slotUse{serviceTime: initialServiceTime}
-	return &slotGate{capacity: 1, short: unknown, long: unknown, usedAt: time.Now()}
+	return &slotGate{capacity: 1, short: unknown, long: unknown, usedAt: time.Now(), limit: newFailureLimit()}
 }
 
 // setCapacity changes the number of slots.
@@ -179,7 +184,10 @@
 	if g.short.running+g.long.running >= g.capacity {
 		return false
 	}
-	return short || g.long.running < g.capacity-g.reserved()
+	if short {
+		return len(g.long.queue) == 0 || float64(g.short.running) < mostShort*float64(g.capacity)
+	}
+	return g.long.running < min(g.limit.of(g.capacity), g.capacity-g.reserved())
 }
 
 // slot is one that was acquired.
@@ -218,7 +226,7 @@
 func (g *slotGate) estimate(wanted *demand, short bool) time.Duration {
 	use, slots := g.use(short), float64(g.capacity)
 	if !short {
-		slots = max(1, slots-g.short.busy)
+		slots = max(1, min(slots-g.short.busy, float64(g.limit.of(g.capacity))))
 	}
 	ahead := 1
 	for _, waiting := range use.queue {
@@ -253,11 +261,16 @@
 	return cause
 }
 
-// release gives a slot back that was used for a time.
-func (g *slotGate) release(taken slot, used time.Duration) {
+// release gives a slot back that was used for a time; failed says that the run
+// ended with a failure of the back end's own.
+func (g *slotGate) release(taken slot, used time.Duration, failed bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.advance(time.Now())
+	now := time.Now()
+	g.advance(now)
+	if !taken.short {
+		g.limit.count(failed, now)
+	}
 	weight := min(targetWeight*used.Seconds(), mostTargetWeight)
 	g.target += time.Duration(weight * float64(taken.target-g.target))
 	use := g.use(taken.short)
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -28,13 +28,13 @@
 		taken, err := g.acquire(t.Context(), wants(longTarget, time.Second))
 		assert.NilError(t, err)
 		time.Sleep(50 * time.Millisecond)
-		g.release(taken, 50*time.Millisecond)
+		g.release(taken, 50*time.Millisecond, false)
 	}
 	taken, err := g.acquire(t.Context(), wants(shortTarget, time.Second))
 	assert.NilError(t, err)
 	assert.Assert(t, taken.short)
 	time.Sleep(500 * time.Millisecond)
-	g.release(taken, 20*time.Millisecond)
+	g.release(taken, 20*time.Millisecond, false)
 	return g
 }
 
@@ -86,12 +86,12 @@
 				taken, err := g.acquire(t.Context(), wanted)
 				assert.Check(t, err)
 				positions[priority] = order.Add(1)
-				g.release(taken, time.Millisecond)
+				g.release(taken, time.Millisecond, false)
 			}()
 			_ = i
 		}
 		synctest.Wait()
-		g.release(first, time.Millisecond)
+		g.release(first, time.Millisecond, false)
 		synctest.Wait()
 		assert.DeepEqual(t, positions, []int32{1, 2, 3})
 	})
@@ -122,8 +122,55 @@
 		synctest.Wait()
 		cancel()
 		synctest.Wait()
-		g.release(first, time.Millisecond)
+		g.release(first, time.Millisecond, false)
 		running, waiting := g.counts()
 		assert.Equal(t, running+waiting, 0)
 	})
 }
+
+// Runs that fail since their calls find no room leave slots free, and take them
+// back once they succeed.
+func TestFailingRunsLowerTheLimitAndSuccessRaisesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSlotGate()
+		g.setCapacity(10)
+		run := func(failed bool) {
+			taken, err := g.acquire(t.Context(), wants(longTarget, time.Second))
+			assert.NilError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			g.release(taken, 50*time.Millisecond, failed)
+		}
+		for range 100 {
+			run(true)
+		}
+		lowered := g.limit.of(10)
+		assert.Assert(t, lowered < 5 && lowered >= 3, "%d", lowered)
+		for range 200 {
+			run(false)
+		}
+		assert.Equal(t, g.limit.of(10), 10)
+	})
+}
+
+// A flood of short requests leaves long ones their part.
+func TestShortRequestsDoNotStarveLongOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gateWithShort(t, 8)
+		go func() {
+			taken, err := g.acquire(t.Context(), wants(longTarget, time.Second))
+			assert.Check(t, err)
+			time.Sleep(50 * time.Millisecond)
+			g.release(taken, 50*time.Millisecond, false)
+		}()
+		synctest.Wait()
+		for range 12 {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			_, _ = g.acquire(ctx, wants(shortTarget, time.Second))
+			cancel()
+		}
+		assert.Assert(t, g.short.running < 8)
+		taken, err := g.acquire(t.Context(), wants(longTarget, time.Second))
+		assert.NilError(t, err)
+		g.release(taken, time.Millisecond, false)
+	})
+}
