--- a/internal/fleetcontroller/config.go
+++ b/internal/fleetcontroller/config.go
@@ -65,8 +65,8 @@
 
 // Defaults of Config.
 const (
-	DefaultHeartbeatInterval = 100 * time.Millisecond
-	DefaultElectionTimeout   = 500 * time.Millisecond
+	DefaultHeartbeatInterval = 70 * time.Millisecond
+	DefaultElectionTimeout   = 350 * time.Millisecond
 	DefaultTickInterval      = 25 * time.Millisecond
 	DefaultDeadAfter         = 10 * time.Second
 )
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -45,7 +45,7 @@
 	g.lastCaller.Store(began.UnixNano())
 	v := g.views.load()
 	if v.table == nil {
-		g.refuse(w, r, reasonNoConfiguration, shortRetry)
+		g.refuse(w, r, reasonNoConfiguration, retryAfter(notRun(reasonNoConfiguration)))
 		return
 	}
 	route := v.table.Find(r.Host, r.URL.Path)
@@ -115,7 +115,7 @@
 		writeAnswer(w, result.Status, result.Body)
 		return
 	case outcomeNotRun:
-		g.refuse(w, c.request, result.Reason, g.retryAfter(c, result))
+		g.refuse(w, c.request, result.Reason, retryAfter(result))
 	default:
 		status := http.StatusBadGateway
 		if result.Reason == reasonTimeout {
@@ -126,15 +126,23 @@
 	}
 }
 
-// shortRetry is when to come back where a thing should be over in a moment.
-const shortRetry = 150 * time.Millisecond
+const (
+	// retryOutage is when to come back where something is being replaced: a
+	// leader, an owner, an instance. Callers that come back sooner spend their
+	// repeats before it is over.
+	retryOutage = 600 * time.Millisecond
+	// retryRoom is when to come back at the earliest to a full back end, and
+	// retryServices in how many of its service times.
+	retryRoom     = 300 * time.Millisecond
+	retryServices = 3
+)
 
-// retryAfter says when a refused request should come back: a little later, at
-// different times for different callers.
-func (g *Gateway) retryAfter(c *call, result *forwardResult) time.Duration {
-	base := shortRetry
+// retryAfter says when a refused request should come back, at different times
+// for different callers.
+func retryAfter(result *forwardResult) time.Duration {
+	base := retryOutage
 	if result.Reason == reasonNoRoom {
-		base = max(base, 2*result.Load.serviceTime)
+		base = max(retryRoom, retryServices*result.Load.serviceTime)
 	}
 	return base/2 + time.Duration(rand.Float64()*float64(base))
 }
