Move several ranges of an overloaded owner where no single one has enough

Ruled out: a stuck move, a lost session (both were there). Change: at most 0.6 of the slots is wanted at once, and several ranges are taken where one is not enough.

--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -121,8 +121,9 @@
 		if high < busy || high-low < imbalance {
 			return
 		}
-		wanted := (high - low) / 2 * float64(most.Slots)
-		if chosen, ok := p.choose(service, most, wanted); ok {
+		// What callers ask of a full back end may be many times its slots.
+		wanted := min((high-low)/2, mostMoved) * float64(most.Slots)
+		for _, chosen := range p.choose(service, most, wanted) {
 			p.begin(service, chosen.from, chosen.keys, least.ID, now)
 		}
 	}
@@ -150,23 +151,53 @@
 	// leastOfWanted and mostOfWanted bound the load of a part beside the wanted.
 	leastOfWanted = 0.4
 	mostOfWanted  = 1.25
+	// mostParts bounds the ranges of one decision, and mostMoved its load as a
+	// part of the slots of a back end.
+	mostParts = 16
+	mostMoved = 0.6
 )
 
 // choose picks the range of an owner with about the wanted load and the fewest
-// keys, so that little moves and owners' ranges stay few.
-func (p *Planner) choose(service string, owner *instance, wanted float64) (part, bool) {
+// keys, so that little moves and owners' ranges stay few; or several ranges
+// where none has enough.
+func (p *Planner) choose(service string, owner *instance, wanted float64) []part {
 	var best part
+	var widest []part
 	for _, owned := range p.state.Owners(service).OwnedBy(owner.ID) {
 		if p.renewing(owned) {
 			continue
 		}
+		var heaviest part
 		for _, candidate := range windows(bucketsOf(owned, &owner.load), wanted) {
 			if best.load == 0 || better(candidate, best, wanted) {
 				best = candidate
 			}
+			if candidate.load > heaviest.load {
+				heaviest = candidate
+			}
+		}
+		if heaviest.load > 0 {
+			widest = append(widest, heaviest)
+		}
+	}
+	if best.load >= leastOfWanted*wanted {
+		return []part{best}
+	}
+	return several(widest, wanted)
+}
+
+// several picks parts of different assignments, the most loaded first, where no
+// single one has enough.
+func several(candidates []part, wanted float64) []part {
+	slices.SortStableFunc(candidates, func(a, b part) int { return cmp.Compare(b.load, a.load) })
+	var chosen []part
+	for _, candidate := range candidates {
+		if candidate.load <= wanted*mostOfWanted && len(chosen) < mostParts {
+			chosen = append(chosen, candidate)
+			wanted -= candidate.load
 		}
 	}
-	return best, best.load >= leastOfWanted*wanted
+	return chosen
 }
 
 // better prefers a load near the wanted one, then fewer keys.
--- a/internal/keylease/planner_test.go
+++ b/internal/keylease/planner_test.go
@@ -277,3 +277,37 @@
 		}
 	}
 }
+
+// After others have left, one owner may hold many small ranges and be asked for
+// much more than it has slots. A new back end must still get a part.
+func TestANewBackEndGetsKeysOfAnOwnerWithManySmallRanges(t *testing.T) {
+	l := newLeader()
+	const ranges = 32
+	var batch fleetstate.ChangeOwnership
+	for i := range keyspace.Key(ranges) {
+		size := (keyspace.LastKey + 1) / ranges
+		keys := keyspace.Range{First: i * size, Last: (i+1)*size - 1}
+		batch.Changes = append(batch.Changes, fleetstate.OwnershipChange{Service: service, Keys: keys, To: "i-0-0", Node: "node-0", Boot: 1})
+		l.apply(&fleetstate.Command{Ownership: &batch})
+		batch.Changes = nil
+	}
+	for range 100 {
+		var load []fleetwire.KeyLoad
+		for bucket := uint32(0); bucket < 4096; bucket += 64 {
+			load = append(load, fleetwire.KeyLoad{Bucket: bucket, BusyMicros: 60_000})
+		}
+		lease := l.planner.Report(&fleetwire.Report{Boot: 1, Instance: instance(0, 0), Load: load}, l.now)
+		var promises []fleetwire.Released
+		for _, held := range lease.Release {
+			promises = append(promises, fleetwire.Released{Keys: held.Keys, Fence: held.Fence})
+		}
+		l.report(instance(0, 0), promises...)
+		l.report(instance(1, 0))
+		l.advance(100 * time.Millisecond)
+	}
+	moved := 0
+	for _, owned := range l.state.Owners(service).OwnedBy("i-1-0") {
+		moved += owned.Size()
+	}
+	assert.Assert(t, moved > 8192, "%d keys", moved)
+}
