--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -179,16 +179,14 @@
 		return nil, Result{Outcome: Conflict, Current: s.Version()}
 	}
 	next := change.Document
-	var findings routeconfig.Findings
 	if change.Patch != nil {
 		base := s.document
 		if base == nil {
 			base = &routeconfig.Document{}
 		}
-		next, findings = change.Patch.Apply(base)
+		next = change.Patch.Apply(base)
 	}
-	findings = append(findings, next.Validate(s.Version())...)
-	if len(findings) > 0 {
+	if findings := next.Validate(s.Version()); len(findings) > 0 {
 		return nil, Result{Outcome: Invalid, Current: s.Version(), Findings: findings}
 	}
 	return next, Result{Outcome: Accepted, Current: next.Version}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
@@ -41,7 +42,7 @@
 	for range maxTries {
 		target, ok := g.choose(c, key, hasKey, tried)
 		if !ok {
-			if !g.hold(ctx, holdUntil, hasKey) {
+			if !g.hold(ctx, holdUntil) {
 				return result
 			}
 			clear(tried)
@@ -57,7 +58,7 @@
 		if refusals == maxRefusals || g.final(ctx, c, result, sends) {
 			return result
 		}
-		if hasKey && !g.hold(ctx, holdUntil, true) {
+		if hasKey && !g.hold(ctx, holdUntil) {
 			return result
 		}
 		tried[target.ID] = !hasKey
@@ -93,7 +94,7 @@
 
 // hold waits a moment for news and reports whether the request may be tried
 // again.
-func (g *Gateway) hold(ctx context.Context, until time.Time, _ bool) bool {
+func (g *Gateway) hold(ctx context.Context, until time.Time) bool {
 	left := time.Until(until)
 	if left <= 0 || ctx.Err() != nil {
 		return false
@@ -104,7 +105,7 @@
 
 // choose picks the instance for a request: the owner of its key, or the one
 // expected to answer first among those not tried yet.
-func (g *Gateway) choose(c *call, key keyOf, hasKey bool, tried map[string]bool) (fleetwire.Instance, bool) {
+func (g *Gateway) choose(c *call, key keyspace.Key, hasKey bool, tried map[string]bool) (fleetwire.Instance, bool) {
 	v := g.views.load()
 	if hasKey {
 		return v.owner(c.service.Name, key)
@@ -161,7 +162,7 @@
 }
 
 // try offers a request to one instance.
-func (g *Gateway) try(ctx context.Context, c *call, target fleetwire.Instance, key keyOf, hasKey bool) *forwardResult {
+func (g *Gateway) try(ctx context.Context, c *call, target fleetwire.Instance, key keyspace.Key, hasKey bool) *forwardResult {
 	request := &forwardRequest{
 		Method:   c.request.Method,
 		URI:      c.request.RequestURI,
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -17,11 +17,8 @@
 	RequestID, Deadline string
 	// Seal is on every whole answer of a back end.
 	Seal string
-	// TargetInstance is the only instance that may run a request, and Instance
-	// the one that refused another's.
-	TargetInstance, Instance string
-	// Load is "running,waiting,slots" of a back end.
-	Load string
+	// TargetInstance is the only instance that may run a request.
+	TargetInstance string
 	// NotExecuted proves that a back end did not run a request.
 	NotExecuted string
 	// CallerService is the service beside which a request began.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,12 +12,8 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/httpserver"
-	"github.com/quartzdock/quartzdock/internal/keyspace"
 )
 
-// keyOf is the key of a request.
-type keyOf = keyspace.Key
-
 // Gateway is one running gateway.
 type Gateway struct {
 	config   Config
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -152,25 +152,29 @@
 	})
 }
 
-// A flood of short requests leaves long ones their part.
+// A flood of short requests leaves long ones their part: the next free slot goes
+// to the long one that waits, not to one of the short ones before it.
 func TestShortRequestsDoNotStarveLongOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gateWithShort(t, 8)
-		go func() {
-			taken, err := g.acquire(t.Context(), wants(longTarget, time.Second))
-			assert.Check(t, err)
-			time.Sleep(50 * time.Millisecond)
-			g.release(taken, 50*time.Millisecond, false)
-		}()
-		synctest.Wait()
-		for range 12 {
-			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
-			_, _ = g.acquire(ctx, wants(shortTarget, time.Second))
-			cancel()
+		var taken []slot
+		for range 8 {
+			short, err := g.acquire(t.Context(), wants(shortTarget, time.Second))
+			assert.NilError(t, err)
+			taken = append(taken, short)
 		}
-		assert.Assert(t, g.short.running < 8)
-		taken, err := g.acquire(t.Context(), wants(longTarget, time.Second))
-		assert.NilError(t, err)
-		g.release(taken, time.Millisecond, false)
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 20 {
+			go func() { _, _ = g.acquire(ctx, wants(shortTarget, time.Second)) }()
+		}
+		synctest.Wait()
+		go func() { _, _ = g.acquire(ctx, wants(longTarget, time.Second)) }()
+		synctest.Wait()
+		g.release(taken[0], time.Millisecond, false)
+		synctest.Wait()
+		assert.Equal(t, g.long.running, 1)
+		assert.Equal(t, g.short.running, 7)
+		cancel()
+		synctest.Wait()
 	})
 }
--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -94,7 +94,7 @@
 }
 
 // byLoad orders targets by their utilization, the least first.
-func (p *Planner) byLoad(service string, targets []*instance, _ time.Duration) []*instance {
+func (p *Planner) byLoad(service string, targets []*instance) []*instance {
 	ordered := slices.Clone(targets)
 	utilization := make(map[string]float64, len(ordered))
 	for _, target := range ordered {
@@ -112,7 +112,7 @@
 	if now < p.rebalanceAt || !p.Complete(now) {
 		return
 	}
-	ordered := p.byLoad(service, p.warm(p.targets(service, now), now), now)
+	ordered := p.byLoad(service, p.warm(p.targets(service, now), now))
 	ordered = slices.DeleteFunc(ordered, func(candidate *instance) bool { return p.moving(candidate.ID) })
 	for len(ordered) >= 2 {
 		least, most := ordered[0], ordered[len(ordered)-1]
--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -44,8 +44,6 @@
 	SilentAfter time.Duration
 	// WarmUp is how long a new back end is not given keys for its load's sake.
 	WarmUp time.Duration
-	// MovesFor bounds how long a move may wait for its owner's promise.
-	MovesFor time.Duration
 }
 
 // Defaults of Config.
@@ -501,7 +499,7 @@
 // spread begins to move a range to several targets, the least loaded first. A
 // small range goes to one.
 func (p *Planner) spread(service string, from keyspace.Assignment, keys keyspace.Range, targets []*instance, now time.Duration) {
-	ordered := p.byLoad(service, targets, now)
+	ordered := p.byLoad(service, targets)
 	parts := divide(keys, min(len(ordered), 1+keys.Size()/wholeRange))
 	for i, part := range parts {
 		p.begin(service, from, part, ordered[i].ID, now)
@@ -560,7 +558,7 @@
 	if len(targets) == 0 {
 		return nil
 	}
-	return p.byLoad(moving.service, targets, now)[0]
+	return p.byLoad(moving.service, targets)[0]
 }
 
 // Began is when this term began.
--- a/internal/routeconfig/patch.go
+++ b/internal/routeconfig/patch.go
@@ -13,10 +13,9 @@
 	RemoveServices []string
 }
 
-// Apply returns the document with the changes of the patch, and what the patch
-// names that is not there. The result is not validated.
-func (p *Patch) Apply(base *Document) (*Document, Findings) {
-	var findings Findings
+// Apply returns the document with the changes of the patch. Names to remove that
+// are not there are passed over; the result is not validated.
+func (p *Patch) Apply(base *Document) *Document {
 	next := &Document{Version: p.Version, Limits: base.Limits}
 	if p.Limits != nil {
 		next.Limits = *p.Limits
@@ -25,7 +24,7 @@
 	serviceName := func(service *Service) string { return service.Name }
 	next.Routes = merge(base.Routes, p.UpsertRoutes, p.RemoveRoutes, routeName)
 	next.Services = merge(base.Services, p.UpsertServices, p.RemoveServices, serviceName)
-	return next, findings
+	return next
 }
 
 // merge returns the items without the removed, with the changed ones in the
--- a/internal/routeconfig/routeconfig_test.go
+++ b/internal/routeconfig/routeconfig_test.go
@@ -66,8 +66,7 @@
 	base := valid()
 	changed := route("short", "/new/")
 	patch := routeconfig.Patch{Version: 3, UpsertRoutes: []routeconfig.Route{changed, route("added", "/added/")}, RemoveRoutes: []string{"long"}}
-	next, findings := patch.Apply(base)
-	assert.Equal(t, len(findings), 0)
+	next := patch.Apply(base)
 	assert.Equal(t, len(next.Routes), 2)
 	assert.Equal(t, next.Routes[0].PathPrefix, "/new/")
 	assert.Equal(t, next.Routes[1].Name, "added")
