--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
@@ -93,22 +94,13 @@
 	}
 	known := append([]string{}, controllers...)
 	for _, seed := range s.gateway.config.Controllers {
-		if !contains(known, seed) {
+		if !slices.Contains(known, seed) {
 			known = append(known, seed)
 		}
 	}
 	s.known = known
 }
 
-func contains(list []string, wanted string) bool {
-	for _, entry := range list {
-		if entry == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // hold runs one session to its end and returns where the controller sent the
 // gateway, if it did.
 func (s *sessionClient) hold(ctx context.Context, address string) *fleetwire.Redirect {
