--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,10 +22,13 @@
 	// maxRefusals after how many that had no room it is refused.
 	maxTries    = 8
 	maxRefusals = 2
-	// crossZone is what a way to another zone counts, in seconds, and
-	// crossZoneTransfer where the answer is large: bytes between zones are dear,
-	// so a transfer leaves its zone only where that has nothing to offer.
+	// crossZone is the least that a way to another zone counts, in seconds, and
+	// crossZoneShare what it counts of the route's target: an answer that comes
+	// well within the target is worth no less for coming somewhat later, and
+	// bytes between zones are dear. crossZoneTransfer stands where the answer is
+	// large: a transfer leaves its zone only where that has nothing to offer.
 	crossZone         = 0.02
+	crossZoneShare    = 0.25
 	crossZoneTransfer = 1.0
 	// choiceNoise spreads equal choices, as a share.
 	choiceNoise = 0.1
@@ -146,7 +149,7 @@
 	}
 	cost *= 1 + choiceNoise*(rand.Float64()-0.5)
 	if candidate.Zone != g.config.Zone {
-		cost += zoneCost(c.route.Repetition)
+		cost += zoneCost(c.route)
 	}
 	if candidate.Leaving {
 		cost += leavingCost
@@ -154,11 +157,12 @@
 	return cost
 }
 
-func zoneCost(repetition routeconfig.Repetition) float64 {
-	if repetition == routeconfig.RepeatableTransfer {
+// zoneCost is what a way to another zone counts for a request, in seconds.
+func zoneCost(route *routeconfig.Route) float64 {
+	if route.Repetition == routeconfig.RepeatableTransfer {
 		return crossZoneTransfer
 	}
-	return crossZone
+	return max(crossZone, crossZoneShare*route.TargetLatency.Seconds())
 }
 
 // try offers a request to one instance.
--- /dev/null
+++ b/internal/gateway/choice_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"gotest.tools/v3/assert"
+)
+
+// choosingGateway knows one instance in its own zone and one in another.
+func choosingGateway(t *testing.T) *Gateway {
+	t.Helper()
+	g := &Gateway{
+		config: Config{Name: "chooser", Zone: "a"}.withDefaults(),
+		views:  newViews(),
+		peers:  newPeerSet(),
+		slots:  newSlotGate(),
+	}
+	g.views.advance(&fleetwire.View{HasInstances: true, Complete: true, Instances: []fleetwire.Instance{
+		{ID: "near", Service: "s", Node: "node-near", Zone: "a", Address: "127.0.0.1:1", State: fleetwire.InstanceReady},
+		{ID: "far", Service: "s", Node: "node-far", Zone: "b", Address: "127.0.0.1:2", State: fleetwire.InstanceReady},
+	}})
+	t.Cleanup(func() { g.peers.retain(&view{}) })
+	return g
+}
+
+// tell lets the gateway know of an instance's load.
+func (g *Gateway) tell(address string, running int, serviceTime time.Duration) {
+	load := peerLoad{running: running, slots: 10, serviceTime: serviceTime, shortService: serviceTime}
+	known := g.peers.get(address)
+	known.mutex.Lock()
+	defer known.mutex.Unlock()
+	known.load, known.loadAt = load, time.Now()
+}
+
+func chosen(g *Gateway, repetition routeconfig.Repetition) string {
+	route := &routeconfig.Route{Repetition: repetition, TargetLatency: 500 * time.Millisecond}
+	found, _ := g.choose(&call{service: &routeconfig.Service{Name: "s"}, route: route}, 0, false, nil)
+	return found.ID
+}
+
+// A somewhat faster back end elsewhere is not worth the bytes between zones
+// while the near one answers well within the target.
+func TestARequestStaysInItsZoneWhileThatServesItInTime(t *testing.T) {
+	g := choosingGateway(t)
+	g.tell("127.0.0.1:1", 2, 180*time.Millisecond)
+	g.tell("127.0.0.1:2", 2, 100*time.Millisecond)
+	for range 50 {
+		assert.Equal(t, chosen(g, routeconfig.NonRepeatable), "near")
+	}
+}
+
+// A crowded back end in the own zone is no reason to be late.
+func TestARequestLeavesItsZoneWhereThatIsCrowded(t *testing.T) {
+	g := choosingGateway(t)
+	g.tell("127.0.0.1:1", 10, 180*time.Millisecond)
+	g.tell("127.0.0.1:2", 2, 100*time.Millisecond)
+	for range 50 {
+		assert.Equal(t, chosen(g, routeconfig.NonRepeatable), "far")
+	}
+}
