--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -40,7 +40,7 @@
 		ShortHelp: "route requests to the one back end that owns their key",
 	}
 	root.Subcommands = append(root.Subcommands, roleCommands(out, errOut)...)
-	root.Subcommands = append(root.Subcommands, admin.Command(out), versionCommand(out))
+	root.Subcommands = append(root.Subcommands, admin.Command(out), explainCommand(out), versionCommand(out))
 	return root
 }
 
--- a/internal/fleetcontroller/config.go
+++ b/internal/fleetcontroller/config.go
@@ -26,6 +26,8 @@
 	"net"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/quartzdock/quartzdock/internal/keylease"
 	"github.com/quartzdock/quartzdock/internal/replica"
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -58,6 +60,8 @@
 
 	Planner keylease.Config
 	Log     *slog.Logger
+	// Registry takes the metrics; nil shows them nowhere.
+	Registry prometheus.Registerer
 	// OnExpelled is called when the group has removed this member; its folder
 	// has been emptied and the process must start anew.
 	OnExpelled func()
@@ -76,6 +80,9 @@
 	c.ElectionTimeout = cmp.Or(c.ElectionTimeout, DefaultElectionTimeout)
 	c.TickInterval = cmp.Or(c.TickInterval, DefaultTickInterval)
 	c.DeadAfter = cmp.Or(c.DeadAfter, DefaultDeadAfter)
+	if c.Registry == nil {
+		c.Registry = prometheus.NewRegistry()
+	}
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"sync"
@@ -21,6 +22,7 @@
 // Controller is one running controller.
 type Controller struct {
 	config   Config
+	metrics  *controllerMetrics
 	member   *replica.Replica
 	listener *transport.Listener
 	stop     context.CancelFunc
@@ -51,6 +53,7 @@
 // Start opens the data folder, joins or founds the group, and serves.
 func Start(config Config) (*Controller, error) {
 	c := &Controller{config: config.withDefaults(), sessions: map[*session]struct{}{}}
+	c.metrics = newControllerMetrics(c.config.Registry)
 	c.control.state = fleetstate.New()
 	c.view.Store(&view{})
 	founders, err := loadFounders(&c.config)
@@ -79,6 +82,7 @@
 		return nil, errors.Join(err, c.listener.Close())
 	}
 	close(ready)
+	c.config.Registry.MustRegister(c.gauges()...)
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	c.ended.Add(2)
@@ -131,6 +135,30 @@
 // Change replicates a change of the configuration. ErrNotLeader says that
 // nothing was done; any other error leaves the outcome unknown.
 func (c *Controller) Change(ctx context.Context, change *fleetstate.ChangeConfiguration) (fleetstate.Result, error) {
+	result, err := c.propose(ctx, change)
+	c.metrics.change(result, err)
+	c.logChange(change, result, err)
+	return result, err
+}
+
+// logChange tells what became of an operator's change.
+func (c *Controller) logChange(change *fleetstate.ChangeConfiguration, result fleetstate.Result, err error) {
+	fields := []any{"base", uint64(change.Base), "digest", hex.EncodeToString(change.Digest[:4])}
+	switch {
+	case err != nil && isNotLeader(err):
+		return // told by the redirect
+	case err != nil:
+		fields = append(fields, "outcome", outcomeUnknown, "error", err)
+	default:
+		fields = append(fields, "outcome", result.Outcome.String())
+		if len(result.Findings) > 0 {
+			fields = append(fields, "findings", result.Findings.Error())
+		}
+	}
+	c.config.Log.Info("configuration change", fields...)
+}
+
+func (c *Controller) propose(ctx context.Context, change *fleetstate.ChangeConfiguration) (fleetstate.Result, error) {
 	checked, err := c.check(ctx, change)
 	if err != nil || checked.Outcome != fleetstate.Accepted {
 		return checked, err
@@ -177,6 +205,8 @@
 	}
 }
 
+func isNotLeader(err error) bool { return errors.Is(err, ErrNotLeader) }
+
 func classify(err error) error {
 	var elsewhere *replica.NotLeaderError
 	if errors.As(err, &elsewhere) || errors.Is(err, replica.ErrNotMember) {
--- a/internal/fleetcontroller/machine.go
+++ b/internal/fleetcontroller/machine.go
@@ -154,6 +154,7 @@
 			return
 		}
 		now := c.member.Now()
+		c.metrics.leaderships.Inc()
 		c.config.Log.Info("leadership begins", "term", term, "version", uint64(c.control.state.Version()))
 		c.control.planner = keylease.New(c.config.Planner, c.control.state, status.EarlierLeasesEnd, now)
 		c.publish()
@@ -168,6 +169,7 @@
 		c.askConcerned(planner.Concerned())
 		return
 	}
+	c.metrics.moved(batch)
 	for _, change := range batch.Changes {
 		c.config.Log.Info("keys change owner", "service", change.Service, "first", change.Keys.First, "last", change.Keys.Last,
 			"from", change.From, "to", change.To, "handover", change.Handover != "")
--- /dev/null
+++ b/internal/fleetcontroller/metrics.go
@@ -0,0 +1,104 @@
+package fleetcontroller
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/fleetstate"
+	"github.com/quartzdock/quartzdock/internal/metrics"
+)
+
+const subsystem = "fleet"
+
+// Outcomes of changes of the configuration beside those of fleetstate.
+const (
+	outcomeElsewhere = "not-leader"
+	outcomeUnknown   = "unknown"
+)
+
+// controllerMetrics are the process's counters.
+type controllerMetrics struct {
+	leaderships prometheus.Counter
+	changes     *prometheus.CounterVec
+	moves       *prometheus.CounterVec
+	reports     prometheus.Counter
+}
+
+func newControllerMetrics(registry prometheus.Registerer) *controllerMetrics {
+	options := func(name, help string) prometheus.CounterOpts {
+		return prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help}
+	}
+	m := &controllerMetrics{
+		leaderships: prometheus.NewCounter(options("leaderships_total", "Times that this controller began to lead.")),
+		changes:     prometheus.NewCounterVec(options("configuration_changes_total", "Changes of the configuration that operators sent, by outcome."), []string{"outcome"}),
+		moves:       prometheus.NewCounterVec(options("ranges_moved_total", "Ranges of keys given to an owner, by whether its predecessor handed them over."), []string{"handover"}),
+		reports:     prometheus.NewCounter(options("reports_total", "Reports of gateways that this controller answered.")),
+	}
+	registry.MustRegister(m.leaderships, m.changes, m.moves, m.reports)
+	return m
+}
+
+// change counts a change of the configuration by its outcome.
+func (m *controllerMetrics) change(result fleetstate.Result, err error) {
+	outcome := outcomeUnknown
+	switch {
+	case err == nil:
+		outcome = result.Outcome.String()
+	case isNotLeader(err):
+		outcome = outcomeElsewhere
+	}
+	m.changes.WithLabelValues(outcome).Inc()
+}
+
+// moved counts the changes of owners that were proposed.
+func (m *controllerMetrics) moved(batch *fleetstate.ChangeOwnership) {
+	for i := range batch.Changes {
+		handover := "no"
+		if batch.Changes[i].Handover != "" {
+			handover = "yes"
+		}
+		m.moves.WithLabelValues(handover).Inc()
+	}
+}
+
+// gauges are read when metrics are collected.
+func (c *Controller) gauges() []prometheus.Collector {
+	gauge := func(name, help string, read func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help}, read)
+	}
+	return []prometheus.Collector{
+		gauge("leads", "1 where this controller is the leader.", func() float64 {
+			if c.member.Status().Role == consensus.Leader {
+				return 1
+			}
+			return 0
+		}),
+		gauge("term", "Term of the group.", func() float64 { return float64(c.member.Status().Term) }),
+		gauge("voters", "Members of the group that vote.", func() float64 { return float64(c.member.Status().Membership.Voters()) }),
+		gauge("leader_silence_seconds", "Time since a leader was heard; zero at the leader.", func() float64 { return c.leaderSilence().Seconds() }),
+		gauge("sessions", "Gateways with a session here.", func() float64 { return float64(c.sessionCount()) }),
+		gauge("instances", "Back ends that the leader knows.", func() float64 { return float64(len(c.view.Load().instances)) }),
+		gauge("configuration_version", "Version of the configuration that was published last.", func() float64 {
+			if document := c.view.Load().document; document != nil {
+				return float64(document.Version)
+			}
+			return 0
+		}),
+	}
+}
+
+func (c *Controller) leaderSilence() time.Duration {
+	status := c.member.Status()
+	if status.Role == consensus.Leader {
+		return 0
+	}
+	return c.member.Now() - status.LeaderHeardAt
+}
+
+func (c *Controller) sessionCount() int {
+	c.sessionsMutex.Lock()
+	defer c.sessionsMutex.Unlock()
+	return len(c.sessions)
+}
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -124,6 +124,7 @@
 	if c.control.planner == nil || !c.control.leadership.Leads(&status, now) {
 		return
 	}
+	c.metrics.reports.Inc()
 	lease := c.control.planner.Report(report, now)
 	s.mutex.Lock()
 	s.lease = lease
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -87,6 +87,12 @@
 	Invalid
 )
 
+// outcomeNames are the words of logs and metrics.
+var outcomeNames = map[Outcome]string{Accepted: "accepted", Repeated: "repeated", Conflict: "conflict", Invalid: "invalid"}
+
+// String implements fmt.Stringer.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Result of a command.
 type Result struct {
 	Outcome  Outcome
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,7 +92,9 @@
 	if sends >= c.route.Attempts || time.Until(c.deadline) < leastPatience {
 		return true
 	}
-	return !g.budgets.repeat(c.service.Name, time.Now())
+	allowed := g.budgets.repeat(c.service.Name, time.Now())
+	g.metrics.repeat(c.service.Name, allowed)
+	return !allowed
 }
 
 // hold waits a moment for news and reports whether the request may be tried
@@ -186,13 +188,19 @@
 	names := &g.config.Headers
 	request.Header.Set(names.CallerService, g.config.Service)
 	request.Header.Del(names.TargetInstance)
+	began := time.Now()
 	if target.Node == g.config.Name {
-		return g.egress.serve(ctx, request)
+		result := g.egress.serve(ctx, request)
+		c.record(target.ID, target.Node, result, time.Since(began))
+		return result
 	}
 	request.Header.Set(names.Deadline, milliseconds(max(time.Until(c.deadline), time.Millisecond)))
 	peer := g.peers.get(target.Address)
 	peer.begin()
 	result := peer.send(ctx, request)
-	peer.end(result, time.Now())
+	now := time.Now()
+	peer.end(result, now)
+	c.record(target.ID, target.Node, result, now.Sub(began))
+	g.metrics.peerTry(result)
 	return result
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 )
 
@@ -80,6 +82,8 @@
 	// StopWithin bounds a planned stop.
 	StopWithin time.Duration
 	Log        *slog.Logger
+	// Registry takes the metrics; nil shows them nowhere.
+	Registry prometheus.Registerer
 }
 
 // Defaults of Config.
@@ -95,6 +99,9 @@
 	c.LongestHold = cmp.Or(c.LongestHold, DefaultLongestHold)
 	c.StopWithin = cmp.Or(c.StopWithin, DefaultStopWithin)
 	c.Budget.Window = cmp.Or(c.Budget.Window, DefaultWindow)
+	if c.Registry == nil {
+		c.Registry = prometheus.NewRegistry()
+	}
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -59,7 +59,12 @@
 func (e *egress) serve(ctx context.Context, request *forwardRequest) *forwardResult {
 	began := time.Now()
 	result, used := e.try(ctx, request)
-	e.gateway.tally.count(result, time.Since(began)-used, used)
+	waited := time.Since(began) - used
+	e.gateway.tally.count(result, waited, used)
+	e.gateway.metrics.backendTry(result, waited, used)
+	if result.Outcome == outcomeNotRun && !result.Sent {
+		e.logRefusal(request, result.Reason)
+	}
 	result.Load = e.gateway.slots.load()
 	return result
 }
--- a/internal/gateway/egress_test.go
+++ b/internal/gateway/egress_test.go
@@ -69,6 +69,7 @@
 func egressOver(t *testing.T, backend *rawBackend) *Gateway {
 	config := Config{BackendAddress: backend.listener.Addr().String(), Headers: testHeaders()}
 	g := &Gateway{config: config.withDefaults()}
+	g.metrics = newGatewayMetrics(g.config.Registry)
 	g.views = newViews()
 	g.slots = newSlotGate()
 	g.keyLoad = newKeyLoad()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	egress   *egress
 	session  *sessionClient
 	tally    tally
+	metrics  *gatewayMetrics
 
 	callers *httpserver.Server
 	inbound *httpserver.Server
@@ -51,6 +52,7 @@
 // Start listens and serves until Stop.
 func Start(config Config) (*Gateway, error) {
 	g := &Gateway{config: config.withDefaults()}
+	g.metrics = newGatewayMetrics(g.config.Registry)
 	g.views = newViews()
 	g.slots = newSlotGate()
 	g.keyLoad = newKeyLoad()
@@ -70,6 +72,7 @@
 	if g.inbound, err = g.listen(g.config.PeerListen, g.peerHandler); err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
+	g.config.Registry.MustRegister(g.gauges()...)
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.background(func() { g.session.run(ctx) })
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -32,6 +32,8 @@
 	deadline time.Time
 	// timesOut says that the deadline is the route's timeout.
 	timesOut bool
+	// tries that were made, for the log.
+	tries []tryRecord
 }
 
 // callerHandler takes requests of callers.
@@ -45,12 +47,13 @@
 	g.lastCaller.Store(began.UnixNano())
 	v := g.views.load()
 	if v.table == nil {
-		g.refuse(w, r, reasonNoConfiguration, retryAfter(notRun(reasonNoConfiguration)))
+		g.refuse(w, r, reasonNoConfiguration, retryAfter(notRun(reasonNoConfiguration)), nil)
 		return
 	}
 	route := v.table.Find(r.Host, r.URL.Path)
 	if route == nil {
-		g.config.Log.Info("no route", "request", r.Header.Get(g.config.Headers.RequestID), "host", r.Host, "path", r.URL.Path, "version", uint64(v.version()))
+		g.metrics.request("", outcomeNotRun, reasonNoRoute)
+		g.config.Log.Info("no route", g.requestFields(r)...)
 		http.Error(w, string(reasonNoRoute), http.StatusNotFound)
 		return
 	}
@@ -103,11 +106,15 @@
 
 // answer writes the final answer of a request.
 func (g *Gateway) answer(w http.ResponseWriter, c *call, result *forwardResult) {
+	took := time.Since(c.began)
 	if c.request.Context().Err() != nil {
+		g.metrics.callerLeft(c.service.Name)
 		return
 	}
+	g.metrics.answered(c, result, took)
 	switch result.Outcome {
 	case outcomeAnswered:
+		g.logAnswer(c, result, took)
 		header := w.Header()
 		for name, values := range result.Header {
 			header[name] = values
@@ -115,13 +122,13 @@
 		writeAnswer(w, result.Status, result.Body)
 		return
 	case outcomeNotRun:
-		g.refuse(w, c.request, result.Reason, retryAfter(result))
+		g.refuse(w, c.request, result.Reason, retryAfter(result), c.tries)
 	default:
 		status := http.StatusBadGateway
 		if result.Reason == reasonTimeout {
 			status = http.StatusGatewayTimeout
 		}
-		g.logFailure(c.request, status, result.Reason, time.Since(c.began))
+		g.logFailure(c.request, status, result.Reason, 0, c.tries)
 		http.Error(w, string(result.Reason), status)
 	}
 }
@@ -148,13 +155,8 @@
 }
 
 // refuse answers a request that has not run and will not.
-func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, why reason, after time.Duration) {
-	g.logFailure(r, http.StatusServiceUnavailable, why, after)
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, why reason, after time.Duration, tries []tryRecord) {
+	g.logFailure(r, http.StatusServiceUnavailable, why, after, tries)
 	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	http.Error(w, string(why), http.StatusServiceUnavailable)
 }
-
-func (g *Gateway) logFailure(r *http.Request, status int, why reason, after time.Duration) {
-	g.config.Log.Info("request not served", "request", r.Header.Get(g.config.Headers.RequestID), "status", status, "reason", string(why),
-		"after_ms", after.Milliseconds(), "host", r.Host, "path", r.URL.Path, "key", r.Header.Get(g.config.Headers.Key), "version", uint64(g.views.load().version()))
-}
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -235,6 +235,23 @@
 	k.taken = slices.DeleteFunc(k.taken, func(back taken) bool { return now.After(back.at.Add(takenKept)) })
 }
 
+// leaseLeft is how long the present lease lasts.
+func (k *keyKeeper) leaseLeft(now time.Time) time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.leaseUntil.IsZero() {
+		return 0
+	}
+	return k.leaseUntil.Sub(now)
+}
+
+// rangesHeld is how many ranges the present lease lists.
+func (k *keyKeeper) rangesHeld() int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return len(k.wanted)
+}
+
 func (k *keyKeeper) wants(key heldKey) bool {
 	for _, held := range k.wanted {
 		if held.Keys == key.keys && held.Fence == key.fence {
@@ -288,6 +305,7 @@
 	defer cancel()
 	order := GrantOrder{Keys: sent.Keys, Fence: compose(sent.Fence, sent.sub), Hold: hold, Handover: sent.Handover}
 	err := k.gateway.config.Keys.Grant(ctx, order)
+	k.gateway.metrics.grant(err)
 	if err != nil {
 		k.gateway.config.Log.Info("grant not confirmed", "instance", instance, "first", sent.Keys.First, "last", sent.Keys.Last, "fence", uint64(sent.Fence), "error", err)
 		k.gateway.suspect(instance, err)
@@ -384,6 +402,7 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	handover, err := k.gateway.config.Keys.Release(ctx, running.held.Keys, fence)
+	k.gateway.metrics.release(err)
 	k.mutex.Lock()
 	running.inFlight = false
 	if err != nil {
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -64,6 +64,7 @@
 func newKeyRig(t *testing.T) *keyRig {
 	rig := &keyRig{holder: &fakeHolder{}, epoch: time.Now()}
 	rig.g = &Gateway{config: Config{Keys: rig.holder}.withDefaults()}
+	rig.g.metrics = newGatewayMetrics(rig.g.config.Registry)
 	rig.g.views = newViews()
 	rig.g.registry = newRegistry(func() {})
 	rig.g.session = newSessionClient(rig.g)
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/metrics"
+)
+
+const subsystem = "gateway"
+
+// requestBuckets, in seconds, span a short look-up to a caller's deadline, and
+// queueBuckets a free slot to the longest wait.
+var (
+	requestBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, .8, 1.2, 2, 5}
+	queueBuckets   = []float64{.001, .005, .02, .05, .1, .2, .5, 1}
+)
+
+// Kinds of tries by the hop that made them.
+const (
+	hopPeer    = "peer"
+	hopBackend = "back-end"
+)
+
+// Results of grants, releases and repeats.
+const (
+	resultConfirmed = "confirmed"
+	resultFailed    = "failed"
+	resultAllowed   = "allowed"
+	resultExhausted = "budget-exhausted"
+)
+
+// gatewayMetrics are the process's counters. Every label has few values: the
+// services of the configuration, outcomes and reasons.
+type gatewayMetrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	tries    *prometheus.CounterVec
+	repeats  *prometheus.CounterVec
+	left     *prometheus.CounterVec
+	queue    prometheus.Histogram
+	run      prometheus.Histogram
+	grants   *prometheus.CounterVec
+	releases *prometheus.CounterVec
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, buckets []float64) prometheus.HistogramOpts {
+	return prometheus.HistogramOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help, Buckets: buckets}
+}
+
+func newGatewayMetrics(registry prometheus.Registerer) *gatewayMetrics {
+	m := &gatewayMetrics{
+		requests: counters("requests_total", "Requests of callers by what they were told; the reason is empty where a back end answered.", "service", "outcome", "reason"),
+		latency:  prometheus.NewHistogramVec(histogram("request_seconds", "Time from a caller's request to the back end's answer.", requestBuckets), []string{"service"}),
+		tries:    counters("tries_total", "Tries by the hop that made them and what became of them.", "hop", "outcome", "reason"),
+		repeats:  counters("repeats_total", "Requests that were to be sent again, by whether the retry budget allowed it.", "service", "result"),
+		left:     counters("callers_left_total", "Requests whose caller left before the answer.", "service"),
+		queue:    prometheus.NewHistogram(histogram("queue_seconds", "Time that a try waited for a slot of the back end.", queueBuckets)),
+		run:      prometheus.NewHistogram(histogram("run_seconds", "Time that a try used a slot of the back end.", requestBuckets)),
+		grants:   counters("grants_total", "Grants and renewals of keys sent to the back end.", "result"),
+		releases: counters("releases_total", "Ranges of keys taken back from the back end.", "result"),
+	}
+	registry.MustRegister(m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases)
+	return m
+}
+
+// request counts the end of a caller's request.
+func (m *gatewayMetrics) request(service string, told outcome, why reason) {
+	m.requests.WithLabelValues(service, string(told), string(why)).Inc()
+}
+
+// answered counts the end of a request and how long it took.
+func (m *gatewayMetrics) answered(c *call, result *forwardResult, took time.Duration) {
+	m.request(c.service.Name, result.Outcome, result.Reason)
+	if result.Outcome == outcomeAnswered {
+		m.latency.WithLabelValues(c.service.Name).Observe(took.Seconds())
+	}
+}
+
+func (m *gatewayMetrics) callerLeft(service string) { m.left.WithLabelValues(service).Inc() }
+
+func (m *gatewayMetrics) peerTry(result *forwardResult) {
+	m.tries.WithLabelValues(hopPeer, string(result.Outcome), string(result.Reason)).Inc()
+}
+
+// backendTry counts a try at the back end beside the gateway.
+func (m *gatewayMetrics) backendTry(result *forwardResult, waited, used time.Duration) {
+	m.tries.WithLabelValues(hopBackend, string(result.Outcome), string(result.Reason)).Inc()
+	m.queue.Observe(waited.Seconds())
+	if result.Sent {
+		m.run.Observe(used.Seconds())
+	}
+}
+
+func (m *gatewayMetrics) repeat(service string, allowed bool) {
+	result := resultAllowed
+	if !allowed {
+		result = resultExhausted
+	}
+	m.repeats.WithLabelValues(service, result).Inc()
+}
+
+func resultOf(err error) string {
+	if err != nil {
+		return resultFailed
+	}
+	return resultConfirmed
+}
+
+func (m *gatewayMetrics) grant(err error)   { m.grants.WithLabelValues(resultOf(err)).Inc() }
+func (m *gatewayMetrics) release(err error) { m.releases.WithLabelValues(resultOf(err)).Inc() }
+
+// gauge returns one that is read when metrics are collected.
+func gauge(name, help string, read func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: name, Help: help}, read)
+}
+
+// gauges of a gateway's state.
+func (g *Gateway) gauges() []prometheus.Collector {
+	return []prometheus.Collector{
+		gauge("ready", "1 where the gateway can serve callers.", func() float64 { return one(g.Ready()) }),
+		gauge("in_flight", "Requests of callers in progress.", func() float64 { return float64(g.active.Load()) }),
+		gauge("slots", "Slots of the back end beside the gateway.", func() float64 { return float64(g.slots.load().slots) }),
+		gauge("slots_used", "Slots in use.", func() float64 { return float64(g.slots.load().running) }),
+		gauge("queue_length", "Requests that wait for a slot.", func() float64 { return float64(g.slots.load().waiting) }),
+		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.views.load().version()) }),
+		gauge("configuration_age_seconds", "Time since the configuration in force was taken.", func() float64 { return g.views.load().age(time.Now()).Seconds() }),
+		gauge("instances_ready", "Ready back ends that the gateway knows.", func() float64 { return float64(g.views.load().count(fleetwire.InstanceReady)) }),
+		gauge("session_silence_seconds", "Time since the leading controller was heard.", func() float64 { return g.session.silence(time.Now()).Seconds() }),
+		gauge("lease_seconds", "Time left of the lease on the back end's keys; negative where it has run out.", func() float64 { return g.keys.leaseLeft(time.Now()).Seconds() }),
+		gauge("ranges_held", "Ranges of keys that the back end may hold.", func() float64 { return float64(g.keys.rangesHeld()) }),
+	}
+}
+
+// one is a truth as a gauge tells it.
+func one(truth bool) float64 {
+	if truth {
+		return 1
+	}
+	return 0
+}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
@@ -33,6 +34,8 @@
 	// them.
 	known []string
 	wake  chan struct{}
+	// heardAt is when the leader was last heard, in nanoseconds since started.
+	heardAt atomic.Int64
 }
 
 func newSessionClient(g *Gateway) *sessionClient {
@@ -48,6 +51,11 @@
 // now is the clock that reports carry.
 func (s *sessionClient) now() time.Duration { return time.Since(s.started) }
 
+// silence is how long the leader has not been heard.
+func (s *sessionClient) silence(now time.Time) time.Duration {
+	return now.Sub(s.started) - time.Duration(s.heardAt.Load())
+}
+
 // report asks for a report at once.
 func (s *sessionClient) report() {
 	select {
@@ -128,6 +136,7 @@
 		if message.Redirect != nil {
 			return message.Redirect
 		}
+		s.heardAt.Store(int64(s.now()))
 		s.take(&message)
 	}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -13,7 +13,9 @@
 // view is what requests are routed by. It is immutable.
 type view struct {
 	// table is nil before the first configuration.
-	table       *routeconfig.Table
+	table *routeconfig.Table
+	// tableAt is when table was taken.
+	tableAt     time.Time
 	ownersIndex uint64
 	owners      map[string]*keyspace.Map
 	// instances of the fleet by service, and by ID.
@@ -44,6 +46,7 @@
 	after.next = make(chan struct{})
 	if news.Document != nil && news.Document.Version > before.version() {
 		after.table = routeconfig.NewTable(news.Document)
+		after.tableAt = time.Now()
 	}
 	if news.OwnersIndex > before.ownersIndex {
 		after.ownersIndex = news.OwnersIndex
@@ -63,6 +66,25 @@
 	return v.table.Document().Version
 }
 
+// age is how long the configuration has been in force, zero before the first.
+func (v *view) age(now time.Time) time.Duration {
+	if v.table == nil {
+		return 0
+	}
+	return now.Sub(v.tableAt)
+}
+
+// count returns how many instances are in a state.
+func (v *view) count(state fleetwire.InstanceState) int {
+	count := 0
+	for _, instance := range v.byID {
+		if instance.State == state {
+			count++
+		}
+	}
+	return count
+}
+
 func ownersByService(all []fleetwire.ServiceOwners) map[string]*keyspace.Map {
 	owners := make(map[string]*keyspace.Map, len(all))
 	for _, service := range all {
--- a/internal/logbuffer/logbuffer.go
+++ b/internal/logbuffer/logbuffer.go
@@ -24,6 +24,8 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	// lost counts what was dropped since the start.
+	lost    atomic.Int64
 	closing chan struct{}
 	ended   chan struct{}
 	once    sync.Once
@@ -44,6 +46,7 @@
 	case w.lines <- kept:
 	default:
 		w.dropped.Add(1)
+		w.lost.Add(1)
 	}
 	return len(line), nil
 }
@@ -51,6 +54,9 @@
 // Dropped counts the lines dropped since they were last reported.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
+// Lost counts the lines dropped since the start.
+func (w *Writer) Lost() int64 { return w.lost.Load() }
+
 // Close passes on what waits, for at most a time.
 func (w *Writer) Close(limit time.Duration) {
 	w.once.Do(func() { close(w.closing) })
--- /dev/null
+++ b/internal/requesthistory/cause.go
@@ -0,0 +1,111 @@
+package requesthistory
+
+import "slices"
+
+// Reasons that gateways give.
+const (
+	reasonNoConfiguration = "no-configuration"
+	reasonNoInstance      = "no-instance"
+	reasonNoRoom          = "no-room"
+	reasonNotOwner        = "not-owner"
+	reasonNotAdmitted     = "not-admitted"
+	reasonRefused         = "refused-by-back-end"
+	reasonUnreachable     = "unreachable"
+	reasonBroken          = "broken-off"
+	reasonTimeout         = "timeout"
+	reasonNoRoute         = "no-route"
+)
+
+// explanation tells where the cause of a reason stands, the best place first,
+// and what it means.
+type explanation struct {
+	messages []string
+	meaning  string
+}
+
+var explanations = map[string]explanation{
+	reasonNoConfiguration: {[]string{messageInForce, messageLeads, messageNotServed},
+		"the gateway had just started and no leading controller had told it a configuration yet"},
+	reasonNoInstance: {[]string{messageBackend, messageMove, messageNotServed},
+		"no ready back end of the service, or no owner of the key, was known while the request could wait"},
+	reasonNoRoom: {[]string{messageRefused, messageNotServed},
+		"every back end that it was offered to was full for longer than its answer could wait"},
+	reasonNotOwner: {[]string{messageMove, messageGrant, messageRelease, messageRefused},
+		"the key was on its way between owners: the gateway beside the one that was tried did not hold it"},
+	reasonNotAdmitted: {[]string{messageBackend, messageRefused},
+		"the back end that was tried was leaving, had ended, or was another one by then"},
+	reasonRefused: {[]string{messageByBackend, messageNotServed},
+		"the back end itself refused the request without running it"},
+	reasonUnreachable: {[]string{messageBackend, messageNotServed},
+		"no byte of it could be sent to the back end or the gateway beside it"},
+	reasonBroken: {[]string{messageBroken, messageBackend, messageNotServed},
+		"the exchange broke off after it was sent: it may have run"},
+	reasonTimeout: {[]string{messageSummary, messageNotServed},
+		"no answer came within the request's time: it may have run"},
+	reasonNoRoute: {[]string{messageInForce, "no route"},
+		"no route of the configuration in force has its host and path"},
+}
+
+// answeredMeaning explains what a back end answered itself.
+const answeredMeaning = "the back end's own answer went back unchanged; its status and the tries before it are in the line"
+
+// decide marks the decisive line and explains it.
+func (h *History) decide() {
+	final := h.final()
+	if final < 0 {
+		h.Cause = "its end is in none of these logs: its caller left, or the process that took it was killed"
+		h.mark(len(h.Entries) - 1)
+		return
+	}
+	end := &h.Entries[final]
+	if end.Message == messageAnswered {
+		h.Cause = answeredMeaning
+		h.mark(final)
+		return
+	}
+	known, ok := explanations[end.Reason]
+	if !ok {
+		h.Cause = "reason " + end.Reason
+		h.mark(final)
+		return
+	}
+	h.Cause = known.meaning
+	h.mark(h.nearest(known.messages, final))
+}
+
+// final is the place of the line that ends the request, or below zero.
+func (h *History) final() int {
+	for i, entry := range slices.Backward(h.Entries) {
+		if entry.Own && (entry.Message == messageNotServed || entry.Message == messageAnswered || entry.Message == "no route") {
+			return i
+		}
+	}
+	return -1
+}
+
+// nearest returns the line with the first of the messages that there is,
+// nearest in time to the end; the end itself where there is none.
+func (h *History) nearest(messages []string, end int) int {
+	for _, message := range messages {
+		best := -1
+		for i := range h.Entries {
+			if h.Entries[i].Message == message && (best < 0 || h.distance(i, end) < h.distance(best, end)) {
+				best = i
+			}
+		}
+		if best >= 0 {
+			return best
+		}
+	}
+	return end
+}
+
+func (h *History) distance(i, j int) int64 {
+	return int64(h.Entries[i].At.Sub(h.Entries[j].At).Abs())
+}
+
+func (h *History) mark(i int) {
+	if i >= 0 {
+		h.Entries[i].Decisive = true
+	}
+}
--- /dev/null
+++ b/internal/requesthistory/history_test.go
@@ -0,0 +1,85 @@
+package requesthistory
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// read returns the lines of some processes' logs.
+func read(t *testing.T, logs ...string) []Line {
+	t.Helper()
+	var all []Line
+	for _, log := range logs {
+		lines, err := Read(strings.NewReader(log))
+		assert.NilError(t, err)
+		all = append(all, lines...)
+	}
+	return all
+}
+
+func decisive(h *History) Line {
+	for _, entry := range h.Entries {
+		if entry.Decisive {
+			return entry.Line
+		}
+	}
+	return Line{}
+}
+
+const moveLog = `{"time":"2026-01-01T00:00:09.9Z","msg":"keys change owner","node":"core","first":100,"last":200,"from":"i-old","to":"i-new","handover":false}
+{"time":"2026-01-01T00:00:09.9Z","msg":"keys change owner","node":"core","first":300,"last":400,"from":"i-old","to":"i-new","handover":false}
+`
+
+const gatewayLog = `not JSON at all
+ 10.2 side-1 {"time":"2026-01-01T00:00:10.2Z","msg":"request not served","node":"side-1","request":"r1","status":503,"reason":"not-owner","key":"150","tries":[{"instance":"i-new","node":"side-2","outcome":"not-run","reason":"not-owner"}]}
+{"time":"2026-01-01T00:00:10.3Z","msg":"request not served","node":"side-1","request":"r2","status":503,"reason":"no-room","key":"","tries":[{"instance":"i-full","node":"side-3","outcome":"not-run","reason":"no-room"}]}
+`
+
+const peerLog = `{"time":"2026-01-01T00:00:10.1Z","msg":"try refused","node":"side-2","request":"r1","reason":"not-owner","because":"not-granted","instance":"i-new"}
+{"time":"2026-01-01T00:00:10.25Z","msg":"try refused","node":"side-3","request":"r2","reason":"no-room","running":4,"waiting":9,"instance":"i-full"}
+`
+
+// One search over all logs tells the whole way of a request in order, and the
+// move that left its key without an owner is what decided it.
+func TestARequestWhoseKeyMovedIsExplainedByTheMove(t *testing.T) {
+	history, err := Find("r1", read(t, gatewayLog, moveLog, peerLog))
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.Entries), 3, "the move of its key, the refused try, its end; not the other move")
+	found := decisive(history)
+	assert.Equal(t, found.Message, "keys change owner")
+	assert.Equal(t, found.First, uint32(100))
+	assert.Assert(t, history.Entries[0].At.Before(history.Entries[1].At))
+	var out strings.Builder
+	assert.NilError(t, history.Write(&out))
+	assert.Assert(t, strings.Contains(out.String(), "=>   -0.200 core"), "%s", out.String())
+	assert.Assert(t, strings.Contains(out.String(), "cause: the key was on its way"), "%s", out.String())
+}
+
+func TestAFullBackEndIsTheCauseWhereItRefused(t *testing.T) {
+	history, err := Find("r2", read(t, gatewayLog, moveLog, peerLog))
+	assert.NilError(t, err)
+	assert.Equal(t, decisive(history).Message, "try refused")
+	assert.Equal(t, decisive(history).Node, "side-3")
+}
+
+// A process that was killed writes no last line; that is said, not guessed.
+func TestARequestWithoutAnEndIsToldSo(t *testing.T) {
+	history, err := Find("r1", read(t, peerLog))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(history.Cause, "was killed"), "%s", history.Cause)
+	_, err = Find("nobody", read(t, peerLog))
+	assert.Assert(t, errors.Is(err, ErrNotFound))
+}
+
+// Every reason that a gateway gives has an explanation.
+func TestEachReasonIsExplained(t *testing.T) {
+	for _, why := range []string{
+		reasonNoConfiguration, reasonNoInstance, reasonNoRoom, reasonNotOwner, reasonNotAdmitted,
+		reasonRefused, reasonUnreachable, reasonBroken, reasonTimeout, reasonNoRoute,
+	} {
+		assert.Assert(t, explanations[why].meaning != "", why)
+	}
+}
