Give keys to a new back end as soon as it is known, not when it is warm

Cause: an owner without room refuses requests while a new back end stands idle for 3 s, since a cold one got no keys for its load's sake. Change: WarmUp 3 s -> 0.3 s; the planner's test failed before with 3.2 s.

--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -42,7 +42,9 @@
 	RebalanceInterval time.Duration
 	// SilentAfter is when a gateway that sends no reports is given nothing new.
 	SilentAfter time.Duration
-	// WarmUp is how long a new back end is not given keys for its load's sake.
+	// WarmUp is how long a new back end is not given keys for its load's sake: long
+	// enough for those that come together to be known together. A cold one is slow
+	// for some seconds, but owners give keys only where they lack room.
 	WarmUp time.Duration
 }
 
@@ -53,7 +55,7 @@
 	DefaultLongestSettle     = 3 * time.Second
 	DefaultRebalanceInterval = 200 * time.Millisecond
 	DefaultSilentAfter       = 2500 * time.Millisecond
-	DefaultWarmUp            = 3 * time.Second
+	DefaultWarmUp            = 300 * time.Millisecond
 )
 
 func (c Config) withDefaults() Config {
--- a/internal/keylease/planner_test.go
+++ b/internal/keylease/planner_test.go
@@ -195,16 +195,7 @@
 	hot := l.state.Owners(service).OwnedBy("i-0-0")[0].First
 	moved := func() bool { return l.state.Owners(service).Find(hot+8).Owner == "i-1-0" }
 	for step := 0; step < 100 && !moved(); step++ {
-		var load []fleetwire.KeyLoad
-		for bucket := range uint32(4) {
-			load = append(load, fleetwire.KeyLoad{Bucket: keylease.BucketOf(hot) + bucket, BusyMicros: 90_000})
-		}
-		lease := l.planner.Report(&fleetwire.Report{Boot: 1, Instance: instance(0, 0), Load: load}, l.now)
-		var promises []fleetwire.Released
-		for _, held := range lease.Release {
-			promises = append(promises, fleetwire.Released{Keys: held.Keys, Fence: held.Fence})
-		}
-		l.report(instance(0, 0), promises...)
+		l.reportHot(instance(0, 0), hot)
 		l.report(instance(1, 0))
 		l.advance(100 * time.Millisecond)
 	}
@@ -212,6 +203,38 @@
 	assert.Assert(t, len(l.state.Owners(service).All()) <= 4, "few ranges: %v", l.state.Owners(service).All())
 }
 
+// reportHot reports an owner whose slots a hot range fills, and that gives up
+// what it is asked for.
+func (l *leader) reportHot(told *fleetwire.Instance, hot keyspace.Key) {
+	var load []fleetwire.KeyLoad
+	for bucket := range uint32(4) {
+		load = append(load, fleetwire.KeyLoad{Bucket: keylease.BucketOf(hot) + bucket, BusyMicros: 90_000})
+	}
+	lease := l.planner.Report(&fleetwire.Report{Boot: 1, Instance: told, Load: load}, l.now)
+	var promises []fleetwire.Released
+	for _, held := range lease.Release {
+		promises = append(promises, fleetwire.Released{Keys: held.Keys, Fence: held.Fence})
+	}
+	l.report(told, promises...)
+}
+
+// A back end that has just started is slow for some seconds, but an owner
+// without room refuses: its keys must not wait for the new one to be warm.
+func TestAFullOwnerGivesKeysToABackEndThatHasJustCome(t *testing.T) {
+	l := newLeader()
+	for range 60 {
+		l.reportHot(instance(0, 0), 4096)
+		l.advance(100 * time.Millisecond)
+	}
+	came := l.now
+	for len(l.state.Owners(service).OwnedBy("i-1-0")) == 0 && l.now < came+10*time.Second {
+		l.reportHot(instance(0, 0), 4096)
+		l.report(instance(1, 0))
+		l.advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, l.now <= came+time.Second, "got keys after %v", l.now-came)
+}
+
 // gatewayModel is what a gateway believes after its last lease.
 type gatewayModel struct {
 	life  int
