One pause that a context cuts short, and one choice of the next leader

Cause: the duplicates' list showed the lab's wait for a time or a context written five times (backend, faultproxy, faults, history, load) and the choice of a successor leader twice (controller, fleetcontroller). Change: lab/pause.For and consensus.Status.Successor; behaviour is the same but that an ended context is told also by a wait of no length, as three of the five did.

--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -53,6 +53,18 @@
 	return s.Role == Leader && now < s.LeaseUntil
 }
 
+// Successor returns the voter that lacks the least of the leader's log, to which
+// leadership is best given; zero is none.
+func (s Status) Successor() topology.ReplicaID {
+	var best PeerStatus
+	for _, peer := range s.Peers {
+		if s.Membership.IsVoter(peer.ID) && (best.ID == 0 || peer.Match > best.Match) {
+			best = peer
+		}
+	}
+	return best.ID
+}
+
 // Status returns a copy of the replica's state.
 func (c *Core) Status() Status {
 	status := Status{
--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
-	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
 
@@ -32,7 +31,7 @@
 	if !c.leads(c.replica.Now()) {
 		return
 	}
-	target := successor(status)
+	target := status.Successor()
 	if target == 0 {
 		return
 	}
@@ -46,17 +45,6 @@
 	c.awaitAgentsGone(ctx)
 }
 
-// successor returns the voter that lacks the least of the log; zero is none.
-func successor(status consensus.Status) topology.ReplicaID {
-	var best consensus.PeerStatus
-	for _, peer := range status.Peers {
-		if status.Membership.IsVoter(peer.ID) && (best.ID == 0 || peer.Match > best.Match) {
-			best = peer
-		}
-	}
-	return best.ID
-}
-
 // awaitAgentsGone waits until no agent has a session here.
 func (c *Controller) awaitAgentsGone(ctx context.Context) {
 	ticker := time.NewTicker(leaderPoll)
--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -15,7 +15,6 @@
 	"github.com/quartzdock/quartzdock/internal/leadership"
 	"github.com/quartzdock/quartzdock/internal/replica"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
-	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
 
@@ -110,7 +109,7 @@
 	if status.Role != consensus.Leader {
 		return
 	}
-	target := successor(status)
+	target := status.Successor()
 	if target == 0 {
 		return
 	}
@@ -121,17 +120,6 @@
 	}
 }
 
-// successor returns the voter that lacks the least of the log; zero is none.
-func successor(status consensus.Status) topology.ReplicaID {
-	var best consensus.PeerStatus
-	for _, peer := range status.Peers {
-		if status.Membership.IsVoter(peer.ID) && (best.ID == 0 || peer.Match > best.Match) {
-			best = peer
-		}
-	}
-	return best.ID
-}
-
 // Change replicates a change of the configuration. ErrNotLeader says that
 // nothing was done; any other error leaves the outcome unknown.
 func (c *Controller) Change(ctx context.Context, change *fleetstate.ChangeConfiguration) (fleetstate.Result, error) {
--- a/lab/backend/requests.go
+++ b/lab/backend/requests.go
@@ -13,6 +13,7 @@
 	"github.com/quartzdock/quartzdock/internal/wire"
 	"github.com/quartzdock/quartzdock/lab/answer"
 	"github.com/quartzdock/quartzdock/lab/ledger"
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // maxRequestBytes bounds the body of a request.
@@ -114,7 +115,7 @@
 	if behaviour.SwallowRequests {
 		<-ctx.Done()
 	}
-	if err := sleep(ctx, scale(request.work, behaviour.SlowFactor)); err != nil {
+	if err := pause.For(ctx, scale(request.work, behaviour.SlowFactor)); err != nil {
 		b.record(request, ledger.KindAbandoned, time.Now(), err.Error())
 		http.Error(w, err.Error(), statusClientClosed)
 		return
@@ -159,7 +160,7 @@
 			return
 		}
 		controller.Flush()
-		if sleep(ctx, pace/paceParts) != nil {
+		if pause.For(ctx, pace/paceParts) != nil {
 			return
 		}
 	}
@@ -193,17 +194,3 @@
 	}
 	return time.Duration(float64(duration) * factor)
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/lab/faultproxy/link.go
+++ b/lab/faultproxy/link.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // pieceBytes is the most that one read takes.
@@ -124,7 +126,7 @@
 
 // pass does to one piece what the faults in force demand.
 func (f *flow) pass(taken piece) error {
-	if err := wait(f.link.ctx, time.Until(taken.due)); err != nil {
+	if err := pause.For(f.link.ctx, time.Until(taken.due)); err != nil {
 		return err
 	}
 	if err := f.awaitStallEnd(); err != nil {
--- a/lab/faultproxy/proxy.go
+++ b/lab/faultproxy/proxy.go
@@ -13,6 +13,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // dialTimeout bounds the connection to the target.
@@ -128,7 +130,7 @@
 func (p *Proxy) Run(ctx context.Context, script []Step) error {
 	start := time.Now()
 	for _, step := range script {
-		if err := wait(ctx, time.Until(start.Add(time.Duration(step.At)))); err != nil {
+		if err := pause.For(ctx, time.Until(start.Add(time.Duration(step.At)))); err != nil {
 			return err
 		}
 		if err := p.Set(step.Faults); err != nil {
@@ -231,17 +233,3 @@
 	connection.SetLinger(0)
 	connection.Close()
 }
-
-func wait(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -19,6 +19,7 @@
 	"github.com/quartzdock/quartzdock/lab/fleet"
 	"github.com/quartzdock/quartzdock/lab/ledger"
 	"github.com/quartzdock/quartzdock/lab/load"
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // Config of a measurement.
@@ -206,7 +207,7 @@
 
 func (b *bench) strikeOnce(ctx context.Context, kind kind) (strike, error) {
 	spread := time.Duration(b.random.Float64() * float64(strikeSpread))
-	if err := sleep(ctx, quietTime+spread); err != nil {
+	if err := pause.For(ctx, quietTime+spread); err != nil {
 		return strike{}, err
 	}
 	victim, err := b.victim(ctx)
@@ -221,7 +222,7 @@
 	if err != nil {
 		return strike{}, err
 	}
-	if err := sleep(ctx, quietTime); err != nil {
+	if err := pause.For(ctx, quietTime); err != nil {
 		return strike{}, err
 	}
 	happened.to = time.Now().UnixNano()
@@ -280,12 +281,3 @@
 	measured.countOutcomes(callers, backends, strikes)
 	return measured, nil
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	select {
-	case <-time.After(duration):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/lab/faults/kinds.go
+++ b/lab/faults/kinds.go
@@ -7,6 +7,7 @@
 
 	"github.com/quartzdock/quartzdock/lab/faultproxy"
 	"github.com/quartzdock/quartzdock/lab/fleet"
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // kind is a kind of fault. strike causes it, returns once the system has
@@ -135,7 +136,7 @@
 	if err := leader.Kill(); err != nil {
 		return nil, err
 	}
-	return startAll(leader), sleep(ctx, settleTime)
+	return startAll(leader), pause.For(ctx, settleTime)
 }
 
 func freezeLeader(ctx context.Context, b *bench, _ *fleet.Member) (func() error, error) {
@@ -146,7 +147,7 @@
 	if err := leader.Freeze(); err != nil {
 		return nil, err
 	}
-	return thawAll(leader), sleep(ctx, settleTime)
+	return thawAll(leader), pause.For(ctx, settleTime)
 }
 
 func killLeaderAndMachine(ctx context.Context, b *bench, victim *fleet.Member) (func() error, error) {
@@ -165,7 +166,7 @@
 	if err := router.Kill(); err != nil {
 		return nil, err
 	}
-	return startAll(router), sleep(ctx, settleTime)
+	return startAll(router), pause.For(ctx, settleTime)
 }
 
 func plannedStop(ctx context.Context, b *bench, victim *fleet.Member) (func() error, error) {
--- a/lab/history/operator.go
+++ b/lab/history/operator.go
@@ -13,6 +13,7 @@
 
 	quartzdockv1 "github.com/quartzdock/quartzdock/api/quartzdock/v1"
 	"github.com/quartzdock/quartzdock/api/quartzdock/v1/quartzdockv1connect"
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 const (
@@ -72,7 +73,7 @@
 	if o.random.IntN(3) > 0 {
 		o.change(ctx)
 	}
-	sleep(ctx, time.Duration(o.random.Int64N(int64(retryPause))))
+	_ = pause.For(ctx, time.Duration(o.random.Int64N(int64(retryPause))))
 }
 
 // Read asks one controller for the configuration's revision and records the
@@ -154,7 +155,7 @@
 		}
 		last = err
 		limit = attemptLimit
-		sleep(ctx, retryPause)
+		_ = pause.For(ctx, retryPause)
 	}
 	o.recorder.Add(o.number, input, called, Output{Outcome: Unknown})
 	return last
@@ -188,10 +189,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	select {
-	case <-time.After(length):
-	case <-ctx.Done():
-	}
-}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -14,6 +14,7 @@
 
 	"github.com/quartzdock/quartzdock/lab/deployment"
 	"github.com/quartzdock/quartzdock/lab/ledger"
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // Config of a run.
@@ -98,7 +99,7 @@
 			return nil
 		}
 		due := start.Add(next.next)
-		if err := sleepUntil(ctx, due); err != nil {
+		if err := pause.For(ctx, time.Until(due)); err != nil {
 			return nil
 		}
 		request := c.draw(next, due, random)
@@ -142,18 +143,3 @@
 	}
 	return first
 }
-
-func sleepUntil(ctx context.Context, due time.Time) error {
-	wait := time.Until(due)
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/lab/load/probe.go
+++ b/lab/load/probe.go
@@ -10,6 +10,7 @@
 
 	"github.com/quartzdock/quartzdock/lab/deployment"
 	"github.com/quartzdock/quartzdock/lab/ledger"
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // ProbeConfig says what to probe.
@@ -81,7 +82,7 @@
 	var pending sync.WaitGroup
 	defer pending.Wait()
 	due := time.Now().Add(time.Duration(random.Float64() * float64(interval)))
-	for sleepUntil(ctx, due) == nil {
+	for pause.For(ctx, time.Until(due)) == nil {
 		probe := request{
 			id: newRequestID(time.Now(), random), service: service, operation: operation, key: key, due: due,
 		}
--- /dev/null
+++ b/lab/pause/pause_test.go
@@ -0,0 +1,25 @@
+package pause_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/lab/pause"
+)
+
+func TestAContextCutsAPauseShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		assert.NilError(t, pause.For(t.Context(), time.Second))
+		assert.Equal(t, time.Since(began), time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, pause.For(ctx, time.Minute), context.DeadlineExceeded)
+		assert.Equal(t, time.Since(began), 2*time.Second)
+		assert.ErrorIs(t, pause.For(ctx, 0), context.DeadlineExceeded, "an ended context is told also without a wait")
+	})
+}
