Never answer a caller that has left with an empty success

Cause: the handler of a request whose caller had left returned without an answer, which net/http turns into an empty 200. A caller that closes only its own side of the connection could read it: a success without a seal. Ruled out: the peer's handler, which writes a word of its own in each case. Change: the connection is aborted. TestAHalfClosedCallerGetsNoSuccess failed before with status 200. Tests beside it, all of two real gateways and a back end: a leaving caller ends the run two hops away; planned stops of both gateways let a request end; a drain binds a gateway that has not heard of it; a route's timeout ends without a promise.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -109,7 +109,9 @@
 	took := time.Since(c.began)
 	if c.request.Context().Err() != nil {
 		g.metrics.callerLeft(c.service.Name)
-		return
+		// A return would end in an empty success, which a caller that closed only
+		// its own side of the connection could read.
+		panic(http.ErrAbortHandler)
 	}
 	g.metrics.answered(c, result, took)
 	switch result.Outcome {
--- /dev/null
+++ b/internal/gateway/twohops_test.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+)
+
+// freeAddress returns an address of loopback that nothing listens at.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// twoHops are a gateway beside the caller and one beside a back end, which know
+// each other without a controller.
+type twoHops struct {
+	near, far *Gateway
+	caller    string
+}
+
+// twoHopsConfig sets up the routes of twoHops.
+type twoHopsConfig struct {
+	repetition routeconfig.Repetition
+	timeout    time.Duration
+	drain      time.Duration
+	// stop bounds a planned stop; zero ends at once.
+	stop time.Duration
+}
+
+func startTwoHops(t testing.TB, setup twoHopsConfig, backend http.Handler) *twoHops {
+	t.Helper()
+	server := httptest.NewServer(backend)
+	t.Cleanup(server.Close)
+	config := func(name string) Config {
+		return Config{
+			Name: name, Zone: "a", Service: "s", CallerListen: freeAddress(t), PeerListen: freeAddress(t),
+			BackendAddress: server.Listener.Addr().String(), Headers: testHeaders(),
+			DrainWithin: setup.drain, StopWithin: max(setup.stop, time.Millisecond),
+		}
+	}
+	far, near := config("far"), config("near")
+	near.BackendAddress = freeAddress(t)
+	view := &fleetwire.View{
+		Document: &routeconfig.Document{
+			Version: 1,
+			Routes: []routeconfig.Route{{
+				Name: "r", Host: "h", PathPrefix: "/", Repetition: setup.repetition, Timeout: setup.timeout, TargetLatency: 300 * time.Millisecond,
+				Attempts: 2, Destinations: []routeconfig.Destination{{Service: "s", Weight: 1}},
+			}},
+			Services: []routeconfig.Service{{Name: "s"}},
+		},
+		Instances:    []fleetwire.Instance{{ID: "i", Service: "s", Node: "far", Zone: "a", Address: far.PeerListen, State: fleetwire.InstanceReady, Slots: 64}},
+		HasInstances: true,
+		Complete:     true,
+	}
+	hops := &twoHops{caller: near.CallerListen}
+	for _, start := range []struct {
+		config Config
+		into   **Gateway
+	}{{far, &hops.far}, {near, &hops.near}} {
+		g, err := Start(start.config)
+		assert.NilError(t, err)
+		g.views.advance(view)
+		*start.into = g
+		t.Cleanup(func() {
+			if !g.stopping.Load() {
+				_ = g.Stop()
+			}
+		})
+	}
+	hops.far.Heartbeat(hops.word(fleetwire.InstanceReady, 1))
+	return hops
+}
+
+// word is what the back end says of itself.
+func (h *twoHops) word(state fleetwire.InstanceState, sequence uint64) Registration {
+	return Registration{ID: "i", Service: "s", Slots: 64, State: state, Sequence: sequence}
+}
+
+// request returns a caller's request.
+func (h *twoHops) request(ctx context.Context, t testing.TB, id string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.caller+"/a/b", strings.NewReader("body"))
+	assert.NilError(t, err)
+	request.Host = "h"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "20000")
+	return request
+}
+
+// answerWhole answers as a back end does.
+func answerWhole(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Seal", "x")
+	_, _ = io.WriteString(w, "whole")
+}
+
+// A caller that leaves ends the run at the back end, two hops away.
+func TestALeavingCallerEndsTheRunOverTwoHops(t *testing.T) {
+	running, ended := make(chan struct{}), make(chan struct{})
+	hops := startTwoHops(t, twoHopsConfig{repetition: routeconfig.Repeatable, timeout: 20 * time.Second}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(running)
+		<-r.Context().Done()
+		close(ended)
+	}))
+	ctx, leave := context.WithCancel(t.Context())
+	gone := make(chan error, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(hops.request(ctx, t, "r1"))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		gone <- err
+	}()
+	<-running
+	leave()
+	<-ended
+	assert.ErrorIs(t, <-gone, context.Canceled)
+}
+
+// A planned stop of the gateway that took a request, and of the one that passed
+// it on, lets it end.
+func TestAPlannedStopLetsRequestsEndOverTwoHops(t *testing.T) {
+	running, finish := make(chan struct{}), make(chan struct{})
+	hops := startTwoHops(t, twoHopsConfig{timeout: 20 * time.Second, stop: 5 * time.Second}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-finish
+		answerWhole(w, r)
+	}))
+	answered := make(chan string, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(hops.request(t.Context(), t, "r1"))
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		answered <- fmt.Sprint(response.StatusCode, " ", string(body))
+	}()
+	<-running
+	stopped := make(chan error, 2)
+	for _, g := range []*Gateway{hops.near, hops.far} {
+		go func() { stopped <- g.Stop() }()
+		for !g.stopping.Load() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	close(finish)
+	assert.Equal(t, <-answered, "200 whole")
+	assert.NilError(t, <-stopped)
+	assert.NilError(t, <-stopped)
+}
+
+// A back end that has said that it drains gets nothing once the bound is over,
+// also from a gateway that has not heard of it.
+func TestADrainBindsAGatewayThatHasNotHeardOfIt(t *testing.T) {
+	arrived := 0
+	hops := startTwoHops(t, twoHopsConfig{timeout: 20 * time.Second, drain: time.Millisecond}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived++
+		answerWhole(w, r)
+	}))
+	hops.far.Heartbeat(hops.word(fleetwire.InstanceDraining, 2))
+	for hops.far.registry.admits("i", time.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+	response, err := http.DefaultClient.Do(hops.request(t.Context(), t, "r1"))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, arrived, 0)
+}
+
+// A request that its back end does not answer ends at its route's timeout, and
+// its end promises nothing.
+func TestARouteTimeoutEndsARequestWithoutAPromise(t *testing.T) {
+	hops := startTwoHops(t, twoHopsConfig{timeout: 100 * time.Millisecond}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	response, err := http.DefaultClient.Do(hops.request(t.Context(), t, "r1"))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+}
+
+// A caller that closes its side of the connection counts as gone. Whatever it
+// still reads must not look like a success.
+func TestAHalfClosedCallerGetsNoSuccess(t *testing.T) {
+	running := make(chan struct{})
+	hops := startTwoHops(t, twoHopsConfig{timeout: 20 * time.Second}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(running)
+		<-r.Context().Done()
+	}))
+	conn, err := net.Dial("tcp", hops.caller)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /a/b HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 20000\r\n\r\n")
+	assert.NilError(t, err)
+	<-running
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		defer response.Body.Close()
+		assert.Assert(t, response.StatusCode >= http.StatusInternalServerError, "status %d", response.StatusCode)
+	}
+}
