Soak the real programs on the stand-in of the users' platform

Change: quartzdock-lab soak draws overlapping strikes from a seed (gateways and controllers killed, stopped, frozen, all controllers at once, a disk lost, back ends that crash, drain or take grants late), with callers and racing operators at work, and checks promises from outside. Not done: strikes on connections (the fault proxy), clocks and storage; deliberate breaks of the programs.

--- a/cmd/quartzdock-lab/main.go
+++ b/cmd/quartzdock-lab/main.go
@@ -70,6 +70,7 @@
 			loadCommand(),
 			machinesCommand(),
 			faultProxyCommand(),
+			soakCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/cmd/quartzdock-lab/soak.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/quartzdock/quartzdock/lab/soak"
+)
+
+// defaultSoak is how long a soak lasts.
+const defaultSoak = time.Minute
+
+func soakCommand() *ff.Command {
+	config := soak.Config{Output: os.Stdout}
+	flags := ff.NewFlagSet("soak")
+	flags.Uint64Var(&config.Seed, 0, "seed", 1, "what the strikes are drawn from")
+	flags.DurationVar(&config.Duration, 0, "duration", defaultSoak, "how long callers are at work")
+	flags.StringVar(&config.Program, 0, "program", "", "binary of the users' platform; empty builds it")
+	flags.StringListVar(&config.Kinds, 0, "kind", "kind of strike, all if none is given; may be repeated")
+	flags.StringVar(&config.KeepIn, 0, "keep-logs", "", "folder for the logs of a failing seed")
+	flags.BoolVar(&config.JSON, 0, "json", "write the report as JSON")
+	return &ff.Command{
+		Name: "soak", ShortHelp: "strike a fleet on the users' platform with faults and check its promises", Flags: flags,
+		Exec: func(ctx context.Context, _ []string) error { return soak.Run(ctx, config) },
+	}
+}
--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"iter"
 	"net"
 	"net/http"
 	"strconv"
@@ -33,6 +34,11 @@
 	state    string
 	sequence uint64
 	held     []heldRange
+	// seen has the highest fence that each sampled key was granted under.
+	seen map[uint32]uint64
+	// late draws for how long a grant is held up before it is taken without an
+	// answer; nil, or zero drawn, is not.
+	late func() time.Duration
 }
 
 // heldRange is a range that an instance holds until a time.
@@ -49,6 +55,8 @@
 	ran        map[string]int
 	violations []string
 	instances  []*Instance
+	// promised are the requests that callers were told are not run.
+	promised map[string]bool
 	// fences has the highest fence of each key that was granted, with its holder.
 	fences map[uint32]fenceOf
 }
@@ -60,7 +68,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{ran: map[string]int{}, fences: map[uint32]fenceOf{}}
+	return &Ledger{ran: map[string]int{}, promised: map[string]bool{}, fences: map[uint32]fenceOf{}}
 }
 
 // Violations returns every broken promise so far.
@@ -90,20 +98,65 @@
 	if r.Method == http.MethodPost && l.ran[id] > 1 {
 		l.violate("request %s ran %d times", id, l.ran[id])
 	}
+	if r.Method == http.MethodPost && l.promised[id] {
+		l.violate("request %s ran after its caller was told that it never will", id)
+	}
 	if target := r.Header.Get("Target-Instance"); target != "" && target != instance.ID {
 		l.violate("request %s for %s ran at %s", id, target, instance.ID)
 	}
 }
 
+// NotRun notes that a caller was told that a request has not run and never will.
+func (l *Ledger) NotRun(id string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.promised[id] = true
+	if l.ran[id] > 0 {
+		l.violate("request %s ran, and its caller was told that it did not", id)
+	}
+}
+
+// Broken notes any other broken promise.
+func (l *Ledger) Broken(format string, arguments ...any) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.violate(format, arguments...)
+}
+
+// Totals returns how many requests ran, and how many runs there were beyond the
+// first of each.
+func (l *Ledger) Totals() (requests, repeats int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, runs := range l.ran {
+		requests++
+		repeats += runs - 1
+	}
+	return requests, repeats
+}
+
 // keysPerCheck is the distance of the keys whose fences are compared.
-const keysPerCheck = 64
+const keysPerCheck = 16
+
+// checkedKeys are the keys of a range whose fences are compared. Ranges that do
+// not overlap share none.
+func checkedKeys(keys heldRange) iter.Seq[uint32] {
+	return func(yield func(uint32) bool) {
+		first := (keys.first + keysPerCheck - 1) / keysPerCheck * keysPerCheck
+		for key := first; key <= keys.last; key += keysPerCheck {
+			if !yield(key) {
+				return
+			}
+		}
+	}
+}
 
 // granted checks that fences rise from holder to holder and that no other
 // instance holds the range.
 func (l *Ledger) granted(instance *Instance, given heldRange) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for key := given.first - given.first%keysPerCheck; key <= given.last; key += keysPerCheck {
+	for key := range checkedKeys(given) {
 		before := l.fences[key]
 		if before.holder != instance.ID && before.holder != "" && given.fence <= before.fence {
 			l.violate("key %d went to %s under fence %d, not above %d", key, instance.ID, given.fence, before.fence)
@@ -217,12 +270,64 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	given := heldRange{call.FromRev, call.TargetVersion, call.Fence, time.Now().Add(hold)}
+	held := i.heldUp()
+	if !i.accept(heldRange{call.FromRev, call.TargetVersion, call.Fence, time.Now().Add(hold)}) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	if held {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// SetLate makes the instance hold up grants, and take them without an answer,
+// for as long as a function draws; nil ends it.
+func (i *Instance) SetLate(late func() time.Duration) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.late = late
+}
+
+// heldUp waits for the time by which a grant is late, and reports that it is.
+func (i *Instance) heldUp() bool {
+	i.mutex.Lock()
+	late := i.late
+	i.mutex.Unlock()
+	if late == nil {
+		return false
+	}
+	delay := late()
+	time.Sleep(delay)
+	return delay > 0
+}
+
+// accept takes a grant, unless a higher fence was seen on one of its keys or the
+// instance has ended.
+func (i *Instance) accept(given heldRange) bool {
+	i.mutex.Lock()
+	if i.state == "ended" {
+		i.mutex.Unlock()
+		return false
+	}
+	for key := range checkedKeys(given) {
+		if i.seen[key] > given.fence {
+			i.mutex.Unlock()
+			return false
+		}
+	}
+	if i.seen == nil {
+		i.seen = map[uint32]uint64{}
+	}
+	for key := range checkedKeys(given) {
+		i.seen[key] = given.fence
+	}
+	i.mutex.Unlock()
 	i.ledger.granted(i, given)
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	i.take(given)
 	i.held = append(i.held, given)
+	return true
 }
 
 // take removes a range from what is held.
--- a/lab/platformstandin/fleet.go
+++ b/lab/platformstandin/fleet.go
@@ -155,6 +155,12 @@
 	<-m.ended
 }
 
+// Freeze halts the machine's process until Thaw.
+func (m *Machine) Freeze() { _ = m.command.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (m *Machine) Thaw() { _ = m.command.Process.Signal(syscall.SIGCONT) }
+
 // Stop ends all processes.
 func (f *Fleet) Stop() {
 	for _, machine := range append(append([]*Machine{}, f.Sides...), f.Cores...) {
--- /dev/null
+++ b/lab/soak/fleet.go
@@ -0,0 +1,210 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/quartzdock/quartzdock/lab/pause"
+	"github.com/quartzdock/quartzdock/lab/platformstandin"
+)
+
+const (
+	// controllers of the fleet, and the services of its gateways.
+	controllers    = 5
+	keyedService   = "keyed"
+	plainService   = "plain"
+	slotsOfBackend = 8
+	// readyWithin bounds the fleet's start.
+	readyWithin = 30 * time.Second
+)
+
+var services = []string{keyedService, keyedService, keyedService, plainService, plainService}
+
+// place is a machine, or the back end beside a gateway, that one strike at a
+// time may have.
+type place struct {
+	mutex    sync.Mutex
+	machine  *platformstandin.Machine
+	instance *platformstandin.Instance
+	lives    int
+}
+
+// fleet is the fleet under soak.
+type fleet struct {
+	*platformstandin.Fleet
+	ctx         context.Context
+	controllers []*place
+	gateways    []*place
+	backends    []*place
+}
+
+func startFleet(ctx context.Context, program, folder string) (*fleet, error) {
+	laid, err := platformstandin.NewFleet(program, folder, controllers, services)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{Fleet: laid, ctx: ctx}
+	for _, machine := range laid.Cores {
+		f.controllers = append(f.controllers, &place{machine: machine})
+	}
+	for _, machine := range laid.Sides {
+		f.gateways = append(f.gateways, &place{machine: machine})
+		f.backends = append(f.backends, &place{machine: machine})
+	}
+	for _, machine := range append(append([]*platformstandin.Machine{}, laid.Cores...), laid.Sides...) {
+		if err := machine.Start(); err != nil {
+			return f, err
+		}
+	}
+	for _, backend := range f.backends {
+		if err := f.startBackend(backend); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// startBackend starts the next life of a back end. The caller has the place.
+func (f *fleet) startBackend(backend *place) error {
+	backend.lives++
+	side := backend.machine
+	backend.instance = &platformstandin.Instance{
+		ID: fmt.Sprintf("%s-%d", side.Name, backend.lives), Service: side.Service, Keyed: side.Service == keyedService,
+		Control: side.Control(), Slots: slotsOfBackend,
+	}
+	return platformstandin.StartInstance(f.ctx, f.Ledger, side.App(), backend.instance)
+}
+
+// stop ends what still runs.
+func (f *fleet) stop() {
+	f.Fleet.Stop()
+	for _, backend := range f.backends {
+		if backend.instance != nil {
+			backend.instance.Stop()
+		}
+	}
+}
+
+// awaitServed waits until every gateway serves every service.
+func (f *fleet) awaitServed(ctx context.Context, next func() string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	const again = 50 * time.Millisecond
+	for _, gateway := range f.gateways {
+		for !f.serves(ctx, gateway.machine, next) {
+			if err := pause.For(ctx, again); err != nil {
+				return fmt.Errorf("%s does not serve: %w", gateway.machine.Name, err)
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) serves(ctx context.Context, gateway *platformstandin.Machine, next func() string) bool {
+	for _, key := range []string{"1", "22000", "44000", "65535"} {
+		answer, err := gateway.Call(ctx, http.MethodGet, host, keyedPath, next(), key, "")
+		if err != nil || answer.Status != http.StatusOK {
+			return false
+		}
+	}
+	answer, err := gateway.Call(ctx, http.MethodPost, host, plainPath, next(), "", "body")
+	return err == nil && answer.Status == http.StatusOK
+}
+
+// strike does one fault to its end.
+func (f *fleet) strike(strike Strike) error {
+	switch strike.Kind {
+	case GatewayKill, GatewayStop, GatewayFreeze:
+		return f.strikeProcess(f.gateways[strike.Target%len(f.gateways)], strike)
+	case ControllerKill, ControllerStop, ControllerPause, ControllerWipe:
+		return f.strikeProcess(f.controllers[strike.Target%len(f.controllers)], strike)
+	case ControllersKill:
+		return f.strikeAll(f.controllers, strike)
+	default:
+		return f.strikeBackend(f.backends[strike.Target%len(f.backends)], strike)
+	}
+}
+
+func (f *fleet) strikeProcess(struck *place, strike Strike) error {
+	struck.mutex.Lock()
+	defer struck.mutex.Unlock()
+	switch strike.Kind {
+	case GatewayFreeze, ControllerPause:
+		struck.machine.Freeze()
+		_ = pause.For(f.ctx, strike.For)
+		struck.machine.Thaw()
+		return nil
+	case GatewayStop, ControllerStop:
+		struck.machine.Signal(syscall.SIGTERM)
+	default:
+		struck.machine.Signal(syscall.SIGKILL)
+	}
+	if strike.Kind == ControllerWipe {
+		if err := os.RemoveAll(struck.machine.DataDir()); err != nil {
+			return err
+		}
+	}
+	_ = pause.For(f.ctx, strike.For)
+	return struck.machine.Start()
+}
+
+// strikeAll kills all of some machines at once.
+func (f *fleet) strikeAll(struck []*place, strike Strike) error {
+	for _, each := range struck {
+		each.mutex.Lock()
+		defer each.mutex.Unlock()
+	}
+	for _, each := range struck {
+		each.machine.Signal(syscall.SIGKILL)
+	}
+	_ = pause.For(f.ctx, strike.For)
+	for _, each := range struck {
+		if err := each.machine.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drainTime is how long a back end serves on after its announcement.
+const drainTime = 3 * time.Second
+
+func (f *fleet) strikeBackend(struck *place, strike Strike) error {
+	struck.mutex.Lock()
+	defer struck.mutex.Unlock()
+	switch strike.Kind {
+	case LateGrants:
+		random := rand.New(rand.NewPCG(uint64(strike.At), uint64(strike.Target)))
+		struck.instance.SetLate(lateGrants(random))
+		_ = pause.For(f.ctx, strike.For)
+		struck.instance.SetLate(nil)
+		return nil
+	case BackendDrain:
+		struck.instance.Drain()
+		_ = pause.For(f.ctx, drainTime)
+	default:
+	}
+	struck.instance.Stop()
+	_ = pause.For(f.ctx, strike.For)
+	return f.startBackend(struck)
+}
+
+// lateGrants draws for how long grants are held up: half of them not at all.
+func lateGrants(random *rand.Rand) func() time.Duration {
+	const most = 6 * time.Second
+	var mutex sync.Mutex
+	return func() time.Duration {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if random.IntN(2) == 0 {
+			return 0
+		}
+		return time.Second + time.Duration(random.Int64N(int64(most-time.Second)))
+	}
+}
--- /dev/null
+++ b/lab/soak/plan.go
@@ -0,0 +1,91 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind of a strike.
+type Kind string
+
+// Kinds. All but the last three strike a machine's process.
+const (
+	GatewayKill     Kind = "gateway-kill"
+	GatewayStop     Kind = "gateway-stop"
+	GatewayFreeze   Kind = "gateway-freeze"
+	ControllerKill  Kind = "controller-kill"
+	ControllerStop  Kind = "controller-stop"
+	ControllerPause Kind = "controller-freeze"
+	// ControllersKill ends all controllers at the same moment.
+	ControllersKill Kind = "controllers-kill"
+	// ControllerWipe ends one and empties its disk.
+	ControllerWipe Kind = "controller-wipe"
+	BackendCrash   Kind = "back-end-crash"
+	BackendDrain   Kind = "back-end-drain"
+	// LateGrants holds grants to a back end up, which then takes them without an
+	// answer.
+	LateGrants Kind = "late-grants"
+)
+
+// Kinds that can be drawn, in a fixed order.
+var kinds = []Kind{
+	GatewayKill, GatewayStop, GatewayFreeze, ControllerKill, ControllerStop, ControllerPause,
+	ControllersKill, ControllerWipe, BackendCrash, BackendDrain, LateGrants,
+}
+
+const (
+	// shortest and longest bound how long a strike lasts.
+	shortest = 300 * time.Millisecond
+	longest  = 4 * time.Second
+	// meanPause between two strikes.
+	meanPause = 1200 * time.Millisecond
+	// wipePause is the least time between two lost disks: the fleet bears one at
+	// a time, and a replacement counts as whole after some seconds.
+	wipePause = 12 * time.Second
+	// firstStrike lets the fleet serve before.
+	firstStrike = time.Second
+)
+
+// Strike is one fault.
+type Strike struct {
+	Kind Kind          `json:"kind"`
+	At   time.Duration `json:"at"`
+	For  time.Duration `json:"for"`
+	// Target numbers the machine among those of its kind.
+	Target int `json:"target"`
+}
+
+// String implements fmt.Stringer.
+func (s Strike) String() string {
+	return fmt.Sprintf("%v %s %d for %v", s.At.Round(time.Millisecond), s.Kind, s.Target, s.For.Round(time.Millisecond))
+}
+
+// Draw returns the strikes of a seed, in the order of their times. Only is the
+// kinds to draw from; none is all.
+func Draw(seed uint64, duration time.Duration, only []Kind) []Strike {
+	if len(only) == 0 {
+		only = kinds
+	}
+	random := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
+	var strikes []Strike
+	wipeAfter := time.Duration(0)
+	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(meanPause)) {
+		strike := Strike{
+			Kind: only[random.IntN(len(only))], At: at, Target: random.IntN(1 << 16),
+			For: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
+		}
+		if strike.Kind == ControllerWipe {
+			if at < wipeAfter {
+				strike.Kind = ControllerKill
+			} else {
+				wipeAfter = at + wipePause
+			}
+		}
+		strikes = append(strikes, strike)
+	}
+	slices.SortStableFunc(strikes, func(a, b Strike) int { return cmp.Compare(a.At, b.At) })
+	return strikes
+}
--- /dev/null
+++ b/lab/soak/run.go
@@ -0,0 +1,202 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/lab/pause"
+)
+
+// Config of a soak.
+type Config struct {
+	Seed     uint64
+	Duration time.Duration
+	// Program is the binary of the users' platform; empty builds it.
+	Program string
+	// Kinds to draw from; none is all.
+	Kinds []string
+	// JSON writes the report as JSON.
+	JSON bool
+	// KeepIn is the folder in which the logs of a failing seed are kept.
+	KeepIn string
+	Output io.Writer
+}
+
+// Report is what a soak has found.
+type Report struct {
+	Seed       uint64   `json:"seed"`
+	DurationMS int64    `json:"duration_ms"`
+	Strikes    []Strike `json:"strikes"`
+	Sent       int64    `json:"requests_sent"`
+	Answered   int64    `json:"answered"`
+	NotRun     int64    `json:"not_run"`
+	Unknown    int64    `json:"unknown"`
+	Lost       int64    `json:"connections_lost"`
+	Repeats    int      `json:"runs_repeated"`
+	Versions   int      `json:"configurations_accepted"`
+	// Violations are the broken promises.
+	Violations []string `json:"violations"`
+	// Logs is where the processes' logs are, for a failing seed.
+	Logs string `json:"logs,omitempty"`
+}
+
+// ErrBroken says that a promise was broken.
+var ErrBroken = errors.New("promises were broken")
+
+// Run soaks a fleet and reports.
+func Run(ctx context.Context, config Config) error {
+	report, err := Soak(ctx, config)
+	if err != nil {
+		return err
+	}
+	if err := report.write(config.Output, config.JSON); err != nil {
+		return err
+	}
+	if len(report.Violations) > 0 {
+		return fmt.Errorf("seed %d: %w", config.Seed, ErrBroken)
+	}
+	return nil
+}
+
+// Soak runs a fleet under the strikes of a seed.
+func Soak(ctx context.Context, config Config) (*Report, error) {
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(folder)
+	if config.Program == "" {
+		config.Program = filepath.Join(folder, "quartzdock-node")
+		build := exec.CommandContext(ctx, "go", "build", "-o", config.Program, "./platform/cmd/quartzdock-node")
+		if output, err := build.CombinedOutput(); err != nil {
+			return nil, fmt.Errorf("build: %w: %s", err, output)
+		}
+	}
+	report, err := soak(ctx, config, folder)
+	if err == nil && len(report.Violations) > 0 && config.KeepIn != "" {
+		report.Logs, err = keepLogs(folder, filepath.Join(config.KeepIn, fmt.Sprintf("seed-%d", config.Seed)))
+	}
+	return report, err
+}
+
+func soak(ctx context.Context, config Config, folder string) (*Report, error) {
+	f, err := startFleet(ctx, config.Program, folder)
+	if f != nil {
+		defer f.stop()
+	}
+	if err != nil {
+		return nil, err
+	}
+	operators := &operator{fleet: f}
+	if err := operators.first(ctx); err != nil {
+		return nil, err
+	}
+	clients := &callers{fleet: f}
+	if err := f.awaitServed(ctx, clients.next); err != nil {
+		return nil, err
+	}
+	strikes := Draw(config.Seed, config.Duration, kindsOf(config.Kinds))
+	running, end := context.WithTimeout(ctx, config.Duration)
+	defer end()
+	var work sync.WaitGroup
+	work.Go(func() { clients.run(running, config.Seed) })
+	work.Go(func() { operators.run(running) })
+	struck := f.strikeAllOf(running, strikes)
+	work.Wait()
+	if struck != nil {
+		return nil, struck
+	}
+	// What was struck comes back, and what was acknowledged is still there.
+	if err := f.awaitServed(ctx, clients.next); err != nil && ctx.Err() == nil {
+		f.Ledger.Broken("after the strikes: %v", err)
+	}
+	operators.verify(ctx)
+	return f.report(config, strikes, clients, operators), ctx.Err()
+}
+
+// strikeAllOf does each strike at its time, and returns when all have ended.
+func (f *fleet) strikeAllOf(ctx context.Context, strikes []Strike) error {
+	began := time.Now()
+	var all sync.WaitGroup
+	failed := make(chan error, len(strikes))
+	for _, strike := range strikes {
+		if pause.For(ctx, strike.At-time.Since(began)) != nil {
+			break
+		}
+		all.Go(func() {
+			if err := f.strike(strike); err != nil {
+				failed <- fmt.Errorf("%v: %w", strike, err)
+			}
+		})
+	}
+	all.Wait()
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return nil
+	}
+}
+
+func kindsOf(names []string) []Kind {
+	var only []Kind
+	for _, name := range names {
+		only = append(only, Kind(name))
+	}
+	return only
+}
+
+func (f *fleet) report(config Config, strikes []Strike, clients *callers, operators *operator) *Report {
+	_, repeats := f.Ledger.Totals()
+	return &Report{
+		Seed: config.Seed, DurationMS: config.Duration.Milliseconds(), Strikes: strikes,
+		Sent: clients.counts.sent.Load(), Answered: clients.counts.answered.Load(), NotRun: clients.counts.notRun.Load(),
+		Unknown: clients.counts.unknown.Load(), Lost: clients.counts.lost.Load(),
+		Repeats: repeats, Versions: operators.accepted, Violations: f.Ledger.Violations(),
+	}
+}
+
+func (r *Report) write(out io.Writer, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(r)
+	}
+	_, err := fmt.Fprintf(out, "seed %d: %d strikes, %d requests (%d answered, %d not run, %d unknown, %d without an answer), %d runs repeated, %d configurations, %d promises broken\n",
+		r.Seed, len(r.Strikes), r.Sent, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Repeats, r.Versions, len(r.Violations))
+	for _, violation := range r.Violations {
+		if err == nil {
+			_, err = fmt.Fprintln(out, "  broken:", violation)
+		}
+	}
+	return err
+}
+
+// keepLogs copies the processes' logs.
+func keepLogs(from, to string) (string, error) {
+	if err := os.MkdirAll(to, 0o755); err != nil {
+		return "", err
+	}
+	logs, err := filepath.Glob(filepath.Join(from, "*.log"))
+	if err != nil {
+		return "", err
+	}
+	for _, path := range logs {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return "", err
+		}
+		if err := os.WriteFile(filepath.Join(to, filepath.Base(path)), content, 0o644); err != nil {
+			return "", err
+		}
+	}
+	return to, nil
+}
