Make no promise for a request that may have run at an earlier try

Change: a request one of whose tries may have run ends with that try's result where the last one says not-run. TestALaterRefusalMakesNoPromiseForAnEarlierTry failed before with 503 in place of 502.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,8 +34,18 @@
 	choiceNoise = 0.1
 )
 
-// run tries a request until it has an answer or is given up.
+// run tries a request until it has an answer or is given up. One that may have
+// run at an earlier try does not end as one that has not.
 func (g *Gateway) run(ctx context.Context, c *call) *forwardResult {
+	result := g.runTries(ctx, c)
+	if result.Outcome == outcomeNotRun && c.mayHaveRun != nil {
+		return c.mayHaveRun
+	}
+	return result
+}
+
+// runTries returns the result of the last try.
+func (g *Gateway) runTries(ctx context.Context, c *call) *forwardResult {
 	key, hasKey := parseKey(c.request.Header.Get(g.config.Headers.Key))
 	hasKey = hasKey && c.service.Keyed
 	holdUntil := c.began.Add(min(holdLimit, time.Duration(holdShare*float64(c.deadline.Sub(c.began)))))
@@ -52,6 +62,9 @@
 			continue
 		}
 		result = g.try(ctx, c, target, key, hasKey)
+		if result.Outcome != outcomeNotRun {
+			c.mayHaveRun = result
+		}
 		if result.Sent {
 			sends++
 		}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -32,6 +32,8 @@
 	deadline time.Time
 	// timesOut says that the deadline is the route's timeout.
 	timesOut bool
+	// mayHaveRun is the last result that is not proof of the contrary.
+	mayHaveRun *forwardResult
 	// tries that were made, for the log.
 	tries []tryRecord
 }
--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -224,3 +225,26 @@
 		assert.Assert(t, response.StatusCode >= http.StatusInternalServerError, "status %d", response.StatusCode)
 	}
 }
+
+// A request that may have run at its first try must not end as one that has not
+// run, whatever becomes of its later tries.
+func TestALaterRefusalMakesNoPromiseForAnEarlierTry(t *testing.T) {
+	var tries atomic.Int32
+	hops := startTwoHops(t, twoHopsConfig{repetition: routeconfig.Repeatable, timeout: 20 * time.Second}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if tries.Add(1) == 1 {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_ = conn.Close()
+			}
+			return
+		}
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	response, err := http.DefaultClient.Do(hops.request(t.Context(), t, "r1"))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, tries.Load(), int32(2))
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+}
