Pack a configuration once for all gateways

The leader encoded the whole document, about 900 KB, for each of 59 gateways with 0.24 of a core, and each took it over a link of 21 Mbit/s. Change: a view carries the document packed (gob, deflate), made once by the sender that needs it first; gateways unpack. Tests: what comes out is what went in; broken bytes end the session; one packing serves all.

--- a/internal/fleetcontroller/machine.go
+++ b/internal/fleetcontroller/machine.go
@@ -33,7 +33,7 @@
 
 // view is an immutable picture of what gateways need.
 type view struct {
-	document    *routeconfig.Document
+	document    *fleetwire.SharedDocument
 	ownersIndex uint64
 	owners      []fleetwire.ServiceOwners
 	// instances are those that the planner of a term knows at a revision.
@@ -74,7 +74,9 @@
 	}
 	before := c.view.Load()
 	next := *before
-	next.document = control.state.Document()
+	if document := control.state.Document(); document != nil && (before.document == nil || before.document.Document != document) {
+		next.document = &fleetwire.SharedDocument{Document: document}
+	}
 	next.term, next.instancesRevision, next.complete = now.term, now.instancesRevision, now.complete
 	if now.ownersIndex != control.published.ownersIndex || before.owners == nil {
 		next.ownersIndex = now.ownersIndex
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -153,7 +153,12 @@
 			}
 			return
 		}
-		message := fleetwire.FromController{Lease: lease, Known: known, ReportNow: reportNow, View: c.news(&has)}
+		news, err := c.news(&has)
+		if err != nil {
+			c.config.Log.Error("view not sent", "gateway", s.node, "error", err)
+			return
+		}
+		message := fleetwire.FromController{Lease: lease, Known: known, ReportNow: reportNow, View: news}
 		if message == (fleetwire.FromController{}) {
 			continue
 		}
@@ -165,12 +170,16 @@
 }
 
 // news returns what a gateway lacks of the present view, or nil.
-func (c *Controller) news(has *sent) *fleetwire.View {
+func (c *Controller) news(has *sent) (*fleetwire.View, error) {
 	now := c.view.Load()
 	var news fleetwire.View
 	changed := false
 	if now.document != nil && now.document.Version != has.version {
-		news.Document = now.document
+		packed, err := now.document.Pack()
+		if err != nil {
+			return nil, err
+		}
+		news.Packed = packed
 		has.version = now.document.Version
 		changed = true
 	}
@@ -186,9 +195,9 @@
 		changed = true
 	}
 	if !changed {
-		return nil
+		return nil, nil
 	}
-	return &news
+	return &news, nil
 }
 
 func (c *Controller) register(s *session) bool {
--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -128,7 +128,10 @@
 // View is what a gateway needs to route requests. Parts that have not changed
 // since the last view of the session are left out.
 type View struct {
-	// Document is nil where the gateway has the current one already.
+	// Packed is the document (PackDocument), empty where the gateway has the
+	// current one already. Document is what the receiver makes of it; it is nil on
+	// the way.
+	Packed   []byte
 	Document *routeconfig.Document
 	// OwnersIndex orders Owners; views with a lower one are older.
 	OwnersIndex uint64
--- /dev/null
+++ b/internal/fleetwire/pack_test.go
@@ -0,0 +1,70 @@
+package fleetwire_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+)
+
+// largeDocument has as many routes as a configuration may grow by.
+func largeDocument(routes int) *routeconfig.Document {
+	document := &routeconfig.Document{Version: 7}
+	for i := range routes {
+		source := fmt.Sprintf(`{"name":"r-%d","routeType":"safe","targetLatency":"600ms","priority":2,"match":{"pathPrefix":"/p%d/"},"action":{"service":"s%d","timeout":"1200ms","attempts":2}}`, i, i, i%7)
+		document.Routes = append(document.Routes, routeconfig.Route{
+			Name: fmt.Sprint("r-", i), Host: "h.example", PathPrefix: fmt.Sprintf("/p%d/", i), Timeout: 1200 * time.Millisecond,
+			TargetLatency: 600 * time.Millisecond, Attempts: 2, Source: []byte(source),
+			Destinations: []routeconfig.Destination{{Service: fmt.Sprint("s", i%7), Weight: 1}},
+		})
+	}
+	return document
+}
+
+func TestADocumentComesOutAsItWentIn(t *testing.T) {
+	document := largeDocument(50)
+	packed, err := fleetwire.PackDocument(document)
+	assert.NilError(t, err)
+	unpacked, err := fleetwire.UnpackDocument(packed)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, unpacked, document)
+	for _, broken := range [][]byte{nil, packed[:len(packed)/2], []byte("no document")} {
+		_, err := fleetwire.UnpackDocument(broken)
+		assert.Assert(t, err != nil)
+	}
+}
+
+// All senders share one packed document; packing for each gateway alone kept a
+// large configuration out of force for more than its bound.
+func TestADocumentIsPackedOnceForAllGateways(t *testing.T) {
+	shared := &fleetwire.SharedDocument{Document: largeDocument(2000)}
+	first, err := shared.Pack()
+	assert.NilError(t, err)
+	second, err := shared.Pack()
+	assert.NilError(t, err)
+	assert.Assert(t, &first[0] == &second[0], "the same bytes")
+	assert.Assert(t, len(first) < 200<<10, "%d bytes", len(first))
+}
+
+func BenchmarkPackDocument(b *testing.B) {
+	document := largeDocument(2000)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := fleetwire.PackDocument(document)
+		assert.NilError(b, err)
+	}
+}
+
+func BenchmarkUnpackDocument(b *testing.B) {
+	packed, err := fleetwire.PackDocument(largeDocument(2000))
+	assert.NilError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := fleetwire.UnpackDocument(packed)
+		assert.NilError(b, err)
+	}
+}
