Grant nothing to the next life of a back end under the fence of the last

All controllers were away; the gateway still had its lease for side-2-1, and as soon as side-2-2 had said that it was ready, the keeper of keys granted it what the lease listed: it looked only whether the present back end was gone, not whether it was the one that the lease is for. Change: the keeper works for the instance of its lease alone; requests are sent under a lease of their own instance. TestTheNextLifeOfABackEndIsNotGrantedTheKeysOfTheLast failed before with two grants to the next life.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -135,7 +135,7 @@
 	if !e.gateway.registry.admits(request.Instance, now) {
 		return reasonNotAdmitted
 	}
-	if request.HasKey && !e.gateway.keys.holds(request.Key, now) {
+	if request.HasKey && !e.gateway.keys.holds(request.Instance, request.Key, now) {
 		return reasonNotOwner
 	}
 	return reasonNone
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -41,7 +41,7 @@
 		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotGranted)
 		rig.holder.setRefuse(nil)
 		time.Sleep(time.Second)
-		assert.Assert(t, keys.holds(5, time.Now()))
+		assert.Assert(t, keys.holds("i-1", 5, time.Now()))
 		assert.Equal(t, keys.whyNot(5, time.Now().Add(time.Minute)), keyExpired)
 		rig.lease([]fleetwire.Held{}, asked(0, 9))
 		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotLeased)
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -166,10 +166,13 @@
 	return promises
 }
 
-// holds reports whether the back end holds a key at a time.
-func (k *keyKeeper) holds(key keyspace.Key, now time.Time) bool {
+// holds reports whether an instance holds a key at a time.
+func (k *keyKeeper) holds(instance string, key keyspace.Key, now time.Time) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	if instance != k.instance {
+		return false
+	}
 	one := keyspace.Range{First: key, Last: key}
 	for _, held := range k.wanted {
 		if !held.Keys.Contains(one) {
@@ -216,7 +219,10 @@
 	if k.instance == "" {
 		return
 	}
-	gone := k.gateway.registry.snapshot().State == fleetwire.InstanceGone
+	// The lease is for one life of the back end. What is at its address now may
+	// be the next one, also where no leader has heard of it.
+	present := k.gateway.registry.snapshot()
+	gone := present.State == fleetwire.InstanceGone || present.ID != k.instance
 	if !gone {
 		k.startGrants(ctx, now)
 	}
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -106,13 +106,13 @@
 func TestKeysAreServedOnlyWhileGrantedAndLeased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
-		assert.Assert(t, !rig.g.keys.holds(5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
 		rig.lease(held(0, 99), nil)
-		assert.Assert(t, rig.g.keys.holds(5, time.Now()))
-		assert.Assert(t, !rig.g.keys.holds(100, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 100, time.Now()))
 		// No report is answered any more: the lease and every grant end within it.
 		time.Sleep(8 * time.Second)
-		assert.Assert(t, !rig.g.keys.holds(5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
 		for _, order := range rig.holder.granted() {
 			assert.Assert(t, order.Hold <= holdFor)
 		}
@@ -124,7 +124,7 @@
 		rig := newKeyRig(t)
 		rig.holder.refuse = errors.New("no answer")
 		rig.lease(held(0, 99), nil)
-		assert.Assert(t, !rig.g.keys.holds(5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
 	})
 }
 
@@ -136,13 +136,13 @@
 		rig.lease(held(0, 99), nil)
 		rest := append(held(0, 39), held(50, 99)...)
 		rig.lease(rest, asked(40, 49))
-		assert.Assert(t, !rig.g.keys.holds(45, time.Now()))
-		assert.Assert(t, rig.g.keys.holds(5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 45, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
 		assert.Equal(t, len(rig.g.keys.promises()), 1)
 		rig.holder.setRefuse(errors.New("no answer"))
 		before := len(rig.holder.granted())
 		rig.lease(held(0, 99), nil)
-		assert.Assert(t, !rig.g.keys.holds(45, time.Now()), "the old grant does not cover what was taken back")
+		assert.Assert(t, !rig.g.keys.holds("i-1", 45, time.Now()), "the old grant does not cover what was taken back")
 		assert.Assert(t, len(rig.holder.granted()) > before, "it is granted anew at once")
 	})
 }
@@ -173,3 +173,20 @@
 		assert.Assert(t, compose(8, 0) > rig.holder.granted()[len(rig.holder.granted())-1].Fence, "the next owner's is higher still")
 	})
 }
+
+// While no leader is heard, a back end may end and its next life come at the same
+// address. What the lease gave to the last life must not be granted to the next.
+func TestTheNextLifeOfABackEndIsNotGrantedTheKeysOfTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.lease(held(0, 99), nil)
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		before := len(rig.holder.granted())
+		rig.g.registry.dead("i-1")
+		rig.g.registry.heartbeat(Registration{ID: "i-2", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
+		rig.g.keys.signal()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(rig.holder.granted()), before, "granted to another life")
+		assert.Assert(t, !rig.g.keys.holds("i-2", 5, time.Now()))
+	})
+}
