--- a/cmd/quartzdock-lab/soak.go
+++ b/cmd/quartzdock-lab/soak.go
@@ -7,7 +7,7 @@
 
 	"github.com/peterbourgon/ff/v4"
 
-	"github.com/quartzdock/quartzdock/lab/soak"
+	"github.com/quartzdock/quartzdock/lab/platformstandin/soak"
 )
 
 // defaultSoak is how long a soak lasts.
--- a/lab/platformstandin/fleet.go
+++ b/lab/platformstandin/fleet.go
@@ -129,20 +129,20 @@
 		return err
 	}
 	m.started++
-	m.command = exec.Command(m.fleet.Program, m.Role)
-	m.command.Env = append(os.Environ(), "QUARTZDOCK_BOOT="+path)
+	command := exec.Command(m.fleet.Program, m.Role)
+	command.Env = append(os.Environ(), "QUARTZDOCK_BOOT="+path)
 	log, err := os.OpenFile(filepath.Join(m.fleet.Folder, m.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	m.command.Stdout, m.command.Stderr = log, log
-	if err := m.command.Start(); err != nil {
-		return err
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return errors.Join(err, log.Close())
 	}
 	ended := make(chan struct{})
-	m.ended = ended
+	m.command, m.ended = command, ended
 	go func() {
-		_ = m.command.Wait()
+		_ = command.Wait()
 		_ = log.Close()
 		close(ended)
 	}()
