Pack the owners of keys once for all gateways, too

Change: fleetwire.Shared packs a value once, whoever sends it first; documents and owners use it. Tests: owners come out as they went in and take less than two thirds; a group of controllers serves a gateway.

--- a/internal/fleetcontroller/controller_test.go
+++ b/internal/fleetcontroller/controller_test.go
@@ -152,13 +152,14 @@
 				}
 				return poll.Continue("redirected")
 			}
-			if message.View != nil && len(message.View.Packed) > 0 {
-				found, err = fleetwire.UnpackDocument(message.View.Packed)
-				if err != nil {
-					return poll.Error(err)
-				}
-				return poll.Success()
+			if message.View == nil || len(message.View.PackedDocument) == 0 {
+				continue
+			}
+			if err := message.View.Unpack(); err != nil {
+				return poll.Error(err)
 			}
+			found = message.View.Document
+			return poll.Success()
 		}
 	}, poll.WithTimeout(patience), poll.WithDelay(10*time.Millisecond))
 	return found
--- a/internal/fleetcontroller/machine.go
+++ b/internal/fleetcontroller/machine.go
@@ -33,9 +33,9 @@
 
 // view is an immutable picture of what gateways need.
 type view struct {
-	document    *fleetwire.SharedDocument
+	document    *fleetwire.Shared[*routeconfig.Document]
 	ownersIndex uint64
-	owners      []fleetwire.ServiceOwners
+	owners      *fleetwire.Shared[[]fleetwire.ServiceOwners]
 	// instances are those that the planner of a term knows at a revision.
 	term              uint64
 	instancesRevision uint64
@@ -74,13 +74,13 @@
 	}
 	before := c.view.Load()
 	next := *before
-	if document := control.state.Document(); document != nil && (before.document == nil || before.document.Document != document) {
-		next.document = &fleetwire.SharedDocument{Document: document}
+	if document := control.state.Document(); document != nil && (before.document == nil || before.document.Value != document) {
+		next.document = &fleetwire.Shared[*routeconfig.Document]{Value: document}
 	}
 	next.term, next.instancesRevision, next.complete = now.term, now.instancesRevision, now.complete
 	if now.ownersIndex != control.published.ownersIndex || before.owners == nil {
 		next.ownersIndex = now.ownersIndex
-		next.owners = ownersOf(control.state)
+		next.owners = &fleetwire.Shared[[]fleetwire.ServiceOwners]{Value: ownersOf(control.state)}
 	}
 	next.instances = control.planner.Instances()
 	next.controllers = c.controllers(members)
--- a/internal/fleetcontroller/metrics.go
+++ b/internal/fleetcontroller/metrics.go
@@ -82,7 +82,7 @@
 		gauge("instances", "Back ends that the leader knows.", func() float64 { return float64(len(c.view.Load().instances)) }),
 		gauge("configuration_version", "Version of the configuration that was published last.", func() float64 {
 			if document := c.view.Load().document; document != nil {
-				return float64(document.Version)
+				return float64(document.Value.Version)
 			}
 			return 0
 		}),
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -174,17 +174,21 @@
 	now := c.view.Load()
 	var news fleetwire.View
 	changed := false
-	if now.document != nil && now.document.Version != has.version {
+	if now.document != nil && now.document.Value.Version != has.version {
 		packed, err := now.document.Pack()
 		if err != nil {
 			return nil, err
 		}
-		news.Packed = packed
-		has.version = now.document.Version
+		news.PackedDocument = packed
+		has.version = now.document.Value.Version
 		changed = true
 	}
 	if now.ownersIndex != has.ownersIndex {
-		news.OwnersIndex, news.Owners = now.ownersIndex, now.owners
+		packed, err := now.owners.Pack()
+		if err != nil {
+			return nil, err
+		}
+		news.OwnersIndex, news.PackedOwners = now.ownersIndex, packed
 		has.ownersIndex = now.ownersIndex
 		changed = true
 	}
--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -3,6 +3,7 @@
 package fleetwire
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/keyspace"
@@ -128,14 +129,16 @@
 // View is what a gateway needs to route requests. Parts that have not changed
 // since the last view of the session are left out.
 type View struct {
-	// Packed is the document (PackDocument), empty where the gateway has the
-	// current one already. Document is what the receiver makes of it; it is nil on
-	// the way.
-	Packed   []byte
-	Document *routeconfig.Document
+	// PackedDocument is the document, empty where the gateway has the current one
+	// already. Document is what the receiver makes of it; it is nil on the way.
+	PackedDocument []byte
+	Document       *routeconfig.Document
 	// OwnersIndex orders Owners; views with a lower one are older.
 	OwnersIndex uint64
-	Owners      []ServiceOwners
+	// PackedOwners are the owners, empty where the gateway has them already.
+	// Owners is what the receiver makes of them; it is nil on the way.
+	PackedOwners []byte
+	Owners       []ServiceOwners
 	// Instances of the fleet. Unless Complete is set, others may exist.
 	Instances    []Instance
 	Complete     bool
@@ -144,6 +147,22 @@
 	Controllers []string
 }
 
+// Unpack makes the document and the owners of what travelled.
+func (v *View) Unpack() error {
+	var err error
+	if len(v.PackedDocument) > 0 {
+		if v.Document, err = Unpack[*routeconfig.Document](v.PackedDocument); err != nil {
+			return fmt.Errorf("document: %w", err)
+		}
+	}
+	if len(v.PackedOwners) > 0 {
+		if v.Owners, err = Unpack[[]ServiceOwners](v.PackedOwners); err != nil {
+			return fmt.Errorf("owners: %w", err)
+		}
+	}
+	return nil
+}
+
 // Redirect sends a gateway to the leader; an empty address means that none is
 // known.
 type Redirect struct {
--- a/internal/fleetwire/pack_test.go
+++ b/internal/fleetwire/pack_test.go
@@ -1,6 +1,8 @@
 package fleetwire_test
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
@@ -27,13 +30,13 @@
 
 func TestADocumentComesOutAsItWentIn(t *testing.T) {
 	document := largeDocument(50)
-	packed, err := fleetwire.PackDocument(document)
+	packed, err := fleetwire.Pack(document)
 	assert.NilError(t, err)
-	unpacked, err := fleetwire.UnpackDocument(packed)
+	unpacked, err := fleetwire.Unpack[*routeconfig.Document](packed)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, unpacked, document)
 	for _, broken := range [][]byte{nil, packed[:len(packed)/2], []byte("no document")} {
-		_, err := fleetwire.UnpackDocument(broken)
+		_, err := fleetwire.Unpack[*routeconfig.Document](broken)
 		assert.Assert(t, err != nil)
 	}
 }
@@ -41,7 +44,7 @@
 // All senders share one packed document; packing for each gateway alone kept a
 // large configuration out of force for more than its bound.
 func TestADocumentIsPackedOnceForAllGateways(t *testing.T) {
-	shared := &fleetwire.SharedDocument{Document: largeDocument(2000)}
+	shared := &fleetwire.Shared[*routeconfig.Document]{Value: largeDocument(2000)}
 	first, err := shared.Pack()
 	assert.NilError(t, err)
 	second, err := shared.Pack()
@@ -50,21 +53,43 @@
 	assert.Assert(t, len(first) < 200<<10, "%d bytes", len(first))
 }
 
+// The owners of many ranges go to every gateway at each move: they travel packed,
+// too.
+func TestOwnersArePackedSmall(t *testing.T) {
+	var owners fleetwire.ServiceOwners
+	owners.Service = "keyed"
+	for i := range keyspace.Key(256) {
+		owners.Assignments = append(owners.Assignments, keyspace.Assignment{
+			Range: keyspace.Range{First: i * 256, Last: i*256 + 255}, Owner: fmt.Sprintf("i-%010x", i*7919), Node: fmt.Sprintf("side-hall-a-%d", i%60),
+			Fence: keyspace.Fence(1000 + i), Boot: uint64(i) << 40, Handover: fmt.Sprintf("%016x", uint64(i)*0x9e3779b97f4a7c15),
+		})
+	}
+	all := []fleetwire.ServiceOwners{owners}
+	packed, err := fleetwire.Pack(all)
+	assert.NilError(t, err)
+	var plain bytes.Buffer
+	assert.NilError(t, gob.NewEncoder(&plain).Encode(all))
+	assert.Assert(t, len(packed) < plain.Len()*2/3, "%d of %d bytes", len(packed), plain.Len())
+	unpacked, err := fleetwire.Unpack[[]fleetwire.ServiceOwners](packed)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, unpacked, all)
+}
+
 func BenchmarkPackDocument(b *testing.B) {
 	document := largeDocument(2000)
 	b.ReportAllocs()
 	for b.Loop() {
-		_, err := fleetwire.PackDocument(document)
+		_, err := fleetwire.Pack(document)
 		assert.NilError(b, err)
 	}
 }
 
 func BenchmarkUnpackDocument(b *testing.B) {
-	packed, err := fleetwire.PackDocument(largeDocument(2000))
+	packed, err := fleetwire.Pack(largeDocument(2000))
 	assert.NilError(b, err)
 	b.ReportAllocs()
 	for b.Loop() {
-		_, err := fleetwire.UnpackDocument(packed)
+		_, err := fleetwire.Unpack[*routeconfig.Document](packed)
 		assert.NilError(b, err)
 	}
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -137,24 +137,16 @@
 			return message.Redirect
 		}
 		s.heardAt.Store(int64(s.now()))
-		if err := unpack(&message); err != nil {
-			s.gateway.config.Log.Error("session ended", "controller", address, "error", err)
-			return nil
+		if message.View != nil {
+			if err := message.View.Unpack(); err != nil {
+				s.gateway.config.Log.Error("session ended", "controller", address, "error", err)
+				return nil
+			}
 		}
 		s.take(&message)
 	}
 }
 
-// unpack makes a view's document of what travelled.
-func unpack(message *fleetwire.FromController) error {
-	if message.View == nil || len(message.View.Packed) == 0 {
-		return nil
-	}
-	document, err := fleetwire.UnpackDocument(message.View.Packed)
-	message.View.Document = document
-	return err
-}
-
 func (s *sessionClient) take(message *fleetwire.FromController) {
 	g := s.gateway
 	if message.Known != nil {
