Wait for a vote, not for a learner's word, in the test of lost controllers

Cause: TestControllersAreLost hung once beside other tests (131 s), and a second time while it was watched. Logs: core-1, with an empty disk, said 'admitted to the group' at 12:03:05.806 as a learner; the test killed the leader at once, before it had made it a voter; one voter of two was left, and no change could be accepted. The test's own words, 'a member again: another may be lost', were not what it waited for: the platform bears one loss at a time, and counts a machine whose disk was lost until it has had its time. The two controllers were busy with the test's calls, which come without a pause. Ruled out: a clash of ports with the soak's fleet (both chose from the same numbers at the same addresses). It was not seen, but could happen; each process has loopback addresses of its own now. Change: the test waits for the leader's line that the member votes, with no error.

--- a/lab/platformstandin/fleet.go
+++ b/lab/platformstandin/fleet.go
@@ -45,8 +45,23 @@
 // portCount is how many ports a machine needs.
 const portCount = 8
 
-// FreePorts returns ports that are free at all loopback addresses now.
-func FreePorts() (Ports, error) {
+// subnet returns the first two numbers after 127 of this process's machines. Each
+// process has loopback addresses of its own, so that fleets of several processes
+// never ask for the same address and port.
+func subnet() string {
+	const second, secondCount, third = 64, 128, 256
+	id := os.Getpid()
+	return fmt.Sprintf("127.%d.%d", second+id/third%secondCount, id%third)
+}
+
+// Last numbers of the addresses of machines.
+const (
+	firstCore = 1
+	firstSide = 101
+)
+
+// freePorts returns ports that are free at this process's addresses now.
+func freePorts() (Ports, error) {
 	const first, last, step = 21000, 29000, 16
 	for base := first; base < last; base += step {
 		if free(base) {
@@ -56,32 +71,36 @@
 	return Ports{}, errors.New("no free ports")
 }
 
+// free looks at the first address of each kind: machines of one fleet use the
+// same ports.
 func free(base int) bool {
-	for port := base; port < base+portCount; port++ {
-		listener, err := net.Listen("tcp", fmt.Sprintf(":%d", port))
-		if err != nil {
-			return false
+	for _, host := range []int{firstCore, firstSide} {
+		for port := base; port < base+portCount; port++ {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", subnet(), host, port))
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
 		}
-		_ = listener.Close()
 	}
 	return true
 }
 
 // NewFleet lays out machines: cores, and a gateway for each service named.
 func NewFleet(program, folder string, cores int, services []string) (*Fleet, error) {
-	ports, err := FreePorts()
+	ports, err := freePorts()
 	if err != nil {
 		return nil, err
 	}
 	fleet := &Fleet{Program: program, Folder: folder, Ports: ports, Ledger: NewLedger()}
 	for i := range cores {
 		fleet.Cores = append(fleet.Cores, &Machine{
-			Name: fmt.Sprintf("core-%d", i+1), IP: fmt.Sprintf("127.77.1.%d", i+1), Role: "controller", fleet: fleet,
+			Name: fmt.Sprintf("core-%d", i+1), IP: fmt.Sprintf("%s.%d", subnet(), firstCore+i), Role: "controller", fleet: fleet,
 		})
 	}
 	for i, service := range services {
 		fleet.Sides = append(fleet.Sides, &Machine{
-			Name: fmt.Sprintf("side-%d", i+1), IP: fmt.Sprintf("127.77.2.%d", i+1), Role: "gateway", Service: service, fleet: fleet,
+			Name: fmt.Sprintf("side-%d", i+1), IP: fmt.Sprintf("%s.%d", subnet(), firstSide+i), Role: "gateway", Service: service, fleet: fleet,
 		})
 	}
 	return fleet, nil
--- a/lab/platformstandin/standin_test.go
+++ b/lab/platformstandin/standin_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -176,6 +177,9 @@
 	}
 }
 
+// votes is a leader's word that a member was made a voter.
+var votes = regexp.MustCompile(`"msg":"member admitted".*"error":null`)
+
 // The leader is killed, all controllers are killed, and one disk is lost: what
 // was acknowledged stays and keys keep one owner.
 func TestControllersAreLost(t *testing.T) {
@@ -194,12 +198,16 @@
 	status, err := r.Operate(r.ctx, "/config/put", fmt.Sprintf(configuration, 7, 5))
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
-	// The machine with the empty disk is a member again: another may be lost.
+	// The machine with the empty disk votes again: another may be lost. Its own
+	// word, "admitted to the group", comes when it is a learner as yet; a leader
+	// that is killed then leaves one voter of two.
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if strings.Contains(r.Cores[0].Log(), "admitted to the group") {
-			return poll.Success()
+		for _, core := range r.Cores {
+			if votes.MatchString(core.Log()) {
+				return poll.Success()
+			}
 		}
-		return poll.Continue("not admitted")
+		return poll.Continue("not admitted as a voter")
 	}, poll.WithTimeout(time.Minute), poll.WithDelay(50*time.Millisecond))
 	r.Cores[1].Signal(syscall.SIGKILL)
 	status, err = r.Operate(r.ctx, "/config/put", fmt.Sprintf(configuration, 9, 7))
