Show the calls that went unserved beside a back end that failed itself

Change: explain-request shows requests without a key that began beside that back end while it ran and were not served, as candidates; the test has one in the time of the run and three that are not. Gateways and controllers are unchanged.

--- a/internal/requesthistory/cause.go
+++ b/internal/requesthistory/cause.go
@@ -49,6 +49,10 @@
 // answeredMeaning explains what a back end answered itself.
 const answeredMeaning = "the back end's own answer went back unchanged; its status and the tries before it are in the line"
 
+// calledMeaning explains a back end's own failure beside which calls of its own
+// went unserved. Their ids are others, so that they are candidates, not proof.
+const calledMeaning = "the back end itself failed; while it ran, calls that began beside it, as its own do, were not served: see those"
+
 // decide marks the decisive line and explains it.
 func (h *History) decide() {
 	final := h.final()
@@ -60,6 +64,10 @@
 	end := &h.Entries[final]
 	if end.Message == messageAnswered {
 		h.Cause = answeredMeaning
+		if call := h.unservedCall(final); call >= 0 {
+			h.Cause = calledMeaning
+			final = call
+		}
 		h.mark(final)
 		return
 	}
@@ -73,6 +81,17 @@
 	h.mark(h.nearest(known.messages, final))
 }
 
+// unservedCall is the place of the last request of others that was not served
+// while a failed run lasted, or below zero.
+func (h *History) unservedCall(end int) int {
+	for i := end - 1; i >= 0; i-- {
+		if entry := &h.Entries[i]; !entry.Own && entry.Message == messageNotServed {
+			return i
+		}
+	}
+	return -1
+}
+
 // final is the place of the line that ends the request, or below zero.
 func (h *History) final() int {
 	for i, entry := range slices.Backward(h.Entries) {
--- a/internal/requesthistory/history.go
+++ b/internal/requesthistory/history.go
@@ -21,6 +21,9 @@
 	changeBefore = 300 * time.Millisecond
 )
 
+// leastFailure is the lowest status of a failure.
+const leastFailure = 500
+
 // Messages that tell of what decides requests.
 const (
 	messageNotServed = "request not served"
@@ -82,6 +85,10 @@
 	nodes       map[string]bool
 	key         uint64
 	hasKey      bool
+	// failedAt is the gateway beside the back end whose own answer was a failure,
+	// empty where there is none; it ran between runFrom and last.
+	failedAt string
+	runFrom  time.Time
 	// unconfigured says that a gateway knew no configuration.
 	unconfigured bool
 }
@@ -114,6 +121,10 @@
 	if key, err := strconv.ParseUint(line.Key, 10, 32); err == nil {
 		s.key, s.hasKey = key, true
 	}
+	if line.Message == messageAnswered && line.Status >= leastFailure && len(line.Tries) > 0 {
+		s.failedAt = line.Tries[len(line.Tries)-1].Node
+		s.runFrom = line.At.Add(-line.Took)
+	}
 	s.unconfigured = s.unconfigured || line.Reason == reasonNoConfiguration
 }
 
@@ -123,6 +134,9 @@
 		return false
 	}
 	switch line.Message {
+	case messageNotServed:
+		// A back end's own calls carry no key.
+		return s.failedAt != "" && line.Node == s.failedAt && line.Key == "" && line.At.After(s.runFrom) && !line.At.After(s.last)
 	case messageBackend:
 		return s.instances[line.Instance] || s.nodes[line.Node]
 	case messageSummary:
--- a/internal/requesthistory/history_test.go
+++ b/internal/requesthistory/history_test.go
@@ -65,6 +65,23 @@
 	assert.Equal(t, decisive(history).Node, "side-3")
 }
 
+const calledLog = `{"time":"2026-01-01T00:00:10.00Z","msg":"request not served","node":"side-9","request":"before","status":503,"reason":"no-room"}
+{"time":"2026-01-01T00:00:10.15Z","msg":"request not served","node":"side-9","request":"inner","status":503,"reason":"no-room"}
+{"time":"2026-01-01T00:00:10.16Z","msg":"request not served","node":"side-9","request":"a caller's","status":503,"reason":"no-room","key":"17"}
+{"time":"2026-01-01T00:00:10.16Z","msg":"request not served","node":"side-8","request":"elsewhere","status":503,"reason":"no-room"}
+{"time":"2026-01-01T00:00:10.20Z","msg":"request answered","node":"side-1","request":"r3","status":500,"took_ms":100,"tries":[{"instance":"i-9","node":"side-9","outcome":"answered"}]}
+`
+
+// A back end's own failure is often that of a call of its own, which has another
+// id: what went unserved beside it while it ran is shown.
+func TestABackEndsFailureShowsTheCallsThatFailedBesideIt(t *testing.T) {
+	history, err := Find("r3", read(t, calledLog))
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.Entries), 2, "the call in the time of the run, at that gateway alone")
+	assert.Equal(t, decisive(history).Request, "inner")
+	assert.Equal(t, history.Cause, calledMeaning)
+}
+
 // A process that was killed writes no last line; that is said, not guessed.
 func TestARequestWithoutAnEndIsToldSo(t *testing.T) {
 	history, err := Find("r1", read(t, peerLog))
--- a/internal/requesthistory/line.go
+++ b/internal/requesthistory/line.go
@@ -23,7 +23,10 @@
 	Reason   string
 	Service  string
 	Key      string
-	Tries    []Try
+	// Status is what the caller got, Took how long that was on its way.
+	Status int
+	Took   time.Duration
+	Tries  []Try
 	// First and Last are the range of keys that the line tells of; HasRange is
 	// unset where there is none.
 	First, Last uint32
@@ -50,6 +53,8 @@
 	Reason   string          `json:"reason"`
 	Service  string          `json:"service"`
 	Key      json.RawMessage `json:"key"`
+	Status   int             `json:"status"`
+	TookMS   int64           `json:"took_ms"`
 	Tries    []Try           `json:"tries"`
 	First    *uint32         `json:"first"`
 	Last     *uint32         `json:"last"`
@@ -86,6 +91,7 @@
 		At: body.Time, Node: body.Node, Message: body.Message,
 		Request: body.Request, Instance: body.Instance, Reason: body.Reason, Service: body.Service,
 		Key: string(bytes.Trim(body.Key, `"`)), Tries: body.Tries, Fields: fields,
+		Status: body.Status, Took: time.Duration(body.TookMS) * time.Millisecond,
 	}
 	if body.First != nil && body.Last != nil {
 		line.First, line.Last, line.HasRange = *body.First, *body.Last, true
