--- a/internal/keylease/planner_test.go
+++ b/internal/keylease/planner_test.go
@@ -72,6 +72,15 @@
 	return l.planner.Report(&fleetwire.Report{Boot: boot, Instance: told, Released: released}, l.now)
 }
 
+// promisesOf gives up what a lease asks for, each range with a handover.
+func promisesOf(asked []fleetwire.Held, handover string) []fleetwire.Released {
+	var promises []fleetwire.Released
+	for _, held := range asked {
+		promises = append(promises, fleetwire.Released{Keys: held.Keys, Fence: held.Fence, Handover: handover})
+	}
+	return promises
+}
+
 // A gateway that was restarted does not know what its last process sent to the
 // back end; a grant of that may still be taken.
 func TestARestartedGatewayGetsItsKeysUnderANewFence(t *testing.T) {
@@ -172,10 +181,7 @@
 	lease := l.report(leaving)
 	assert.Equal(t, len(lease.Held), 0)
 	assert.Assert(t, len(lease.Release) > 0)
-	var promises []fleetwire.Released
-	for _, held := range lease.Release {
-		promises = append(promises, fleetwire.Released{Keys: held.Keys, Fence: held.Fence, Handover: "left"})
-	}
+	promises := promisesOf(lease.Release, "left")
 	l.report(leaving, promises...)
 	l.advance(25 * time.Millisecond)
 	for _, owned := range l.state.Owners(service).OwnedBy("i-1-0") {
@@ -211,10 +217,7 @@
 		load = append(load, fleetwire.KeyLoad{Bucket: keylease.BucketOf(hot) + bucket, BusyMicros: 90_000})
 	}
 	lease := l.planner.Report(&fleetwire.Report{Boot: 1, Instance: told, Load: load}, l.now)
-	var promises []fleetwire.Released
-	for _, held := range lease.Release {
-		promises = append(promises, fleetwire.Released{Keys: held.Keys, Fence: held.Fence})
-	}
+	promises := promisesOf(lease.Release, "")
 	l.report(told, promises...)
 }
 
@@ -265,10 +268,7 @@
 					l.elect()
 				}
 			default:
-				var promises []fleetwire.Released
-				for _, held := range g.asked {
-					promises = append(promises, fleetwire.Released{Keys: held.Keys, Fence: held.Fence})
-				}
+				promises := promisesOf(g.asked, "")
 				told := instance(node, g.life)
 				if rapid.IntRange(0, 20).Draw(t, "drain") == 0 {
 					told.State = fleetwire.InstanceDraining
@@ -320,10 +320,7 @@
 			load = append(load, fleetwire.KeyLoad{Bucket: bucket, BusyMicros: 60_000})
 		}
 		lease := l.planner.Report(&fleetwire.Report{Boot: 1, Instance: instance(0, 0), Load: load}, l.now)
-		var promises []fleetwire.Released
-		for _, held := range lease.Release {
-			promises = append(promises, fleetwire.Released{Keys: held.Keys, Fence: held.Fence})
-		}
+		promises := promisesOf(lease.Release, "")
 		l.report(instance(0, 0), promises...)
 		l.report(instance(1, 0))
 		l.advance(100 * time.Millisecond)
--- a/lab/platformstandin/soak/operator.go
+++ b/lab/platformstandin/soak/operator.go
@@ -108,9 +108,8 @@
 	}
 }
 
-var (
-	versionField = regexp.MustCompile(`"version":(\d+)`)
-)
+// versionField is a configuration's version, as it is read back.
+var versionField = regexp.MustCompile(`"version":(\d+)`)
 
 // verify reads the configuration back: it must be the newest that was accepted.
 func (o *operator) verify(ctx context.Context) {
