--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -32,7 +32,8 @@
 // each other without a controller.
 type twoHops struct {
 	near, far *Gateway
-	caller    string
+	// caller and farCaller take callers' requests at near and at far.
+	caller, farCaller string
 }
 
 // twoHopsConfig sets up the routes of twoHops.
@@ -70,7 +71,7 @@
 		HasInstances: true,
 		Complete:     true,
 	}
-	hops := &twoHops{caller: near.CallerListen}
+	hops := &twoHops{caller: near.CallerListen, farCaller: far.CallerListen}
 	for _, start := range []struct {
 		config Config
 		into   **Gateway
