--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -135,3 +135,15 @@
 		}
 	}
 }
+
+// StopAll stops servers at once, so that each has the whole time that the
+// context leaves, and joins their errors.
+func StopAll(ctx context.Context, servers ...*Server) error {
+	failures := make([]error, len(servers))
+	var stopping sync.WaitGroup
+	for i, server := range servers {
+		stopping.Go(func() { failures[i] = server.Stop(ctx) })
+	}
+	stopping.Wait()
+	return errors.Join(failures...)
+}
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -132,3 +132,24 @@
 	assert.NilError(t, <-served)
 	client.CloseIdleConnections()
 }
+
+// The first server has a request in progress until its time is over. One after
+// the other, the second would go on accepting connections until then, and would
+// have no time left for its own requests.
+func TestStopAllStopsEachAtOnce(t *testing.T) {
+	entered, thaw := make(chan struct{}), make(chan struct{})
+	busy, address, _ := start(t, func(http.ResponseWriter, *http.Request) {
+		close(entered)
+		<-thaw
+	}, 0)
+	other, _, otherServed := start(t, func(http.ResponseWriter, *http.Request) {}, 0)
+	slow := make(chan error, 1)
+	go func() { slow <- get("http://" + address) }()
+	<-entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- httpserver.StopAll(t.Context(), busy, other) }()
+	assert.NilError(t, <-otherServed, "the second has stopped accepting while the first still waits")
+	close(thaw)
+	assert.NilError(t, <-slow)
+	assert.NilError(t, <-stopped)
+}
--- /dev/null
+++ b/internal/plannedstop/admission_test.go
@@ -0,0 +1,39 @@
+package plannedstop_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/plannedstop"
+)
+
+// Work that may outlast the stop is refused, to the nanosecond, and so is work
+// without a deadline.
+func TestAdmitsOnlyWhatEndsBeforeTheStop(t *testing.T) {
+	start := time.Now()
+	latest := start.Add(5*time.Second - plannedstop.AnswerMargin)
+	var admission plannedstop.Admission
+	assert.Assert(t, !admission.Stopping())
+	assert.Assert(t, admission.Admits(start.Add(time.Hour)), "no stop has begun")
+	assert.Assert(t, admission.Admits(time.Time{}))
+
+	admission.Begin(start.Add(5 * time.Second))
+	assert.Assert(t, admission.Stopping())
+	assert.Assert(t, admission.Admits(latest))
+	assert.Assert(t, !admission.Admits(latest.Add(1)))
+	assert.Assert(t, !admission.Admits(time.Time{}))
+}
+
+// A second signal or a stop that is asked for twice does not move the end, by
+// which work was admitted already.
+func TestEndOfAStopStays(t *testing.T) {
+	start := time.Now()
+	var admission plannedstop.Admission
+	admission.Begin(start.Add(5 * time.Second))
+	admission.Begin(start.Add(time.Second))
+	assert.Assert(t, admission.Admits(start.Add(4*time.Second)))
+	admission.Begin(start.Add(time.Minute))
+	assert.Assert(t, !admission.Admits(start.Add(10*time.Second)))
+}
