Admit nothing during a planned stop that its end would cut off

Cause: a gateway's stop had a fixed end, 5.0 s after SIGTERM, and went on admitting requests, above all those that other gateways passed on for keys its back end owns, whose time ended later. Change: from the begin of a stop on, a request is admitted only where its time ends before the stop (plannedstop); what is not is refused as not run (gateway-stopping), with when to come back. Gateways are told to leave a connection with its answer, as callers were.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -100,7 +100,7 @@
 		}
 	}
 	if !result.Sent {
-		return result.Reason == reasonNoRoom && c.service.Keyed
+		return c.service.Keyed && result.Reason.lasts()
 	}
 	if sends >= c.route.Attempts || time.Until(c.deadline) < leastPatience {
 		return true
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -132,6 +132,9 @@
 // refuses says why the back end must not get a request now.
 func (e *egress) refuses(request *forwardRequest) reason {
 	now := time.Now()
+	if !e.gateway.admission.Admits(request.Deadline) {
+		return reasonStopping
+	}
 	if !e.gateway.registry.admits(request.Instance, now) {
 		return reasonNotAdmitted
 	}
@@ -222,7 +225,7 @@
 
 func (e *egress) broken(request *forwardRequest, err error) *forwardResult {
 	e.gateway.config.Log.Info("exchange with back end broken off", "request", request.ID, "instance", request.Instance,
-		"gateway_stopping", e.gateway.stopping.Load(), "deadline_in_ms", time.Until(request.Deadline).Milliseconds(), "error", err)
+		"gateway_stopping", e.gateway.admission.Stopping(), "deadline_in_ms", time.Until(request.Deadline).Milliseconds(), "error", err)
 	return &forwardResult{Outcome: outcomeUnknown, Reason: reasonBroken, Sent: true}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -40,6 +40,9 @@
 	reasonBroken reason = "broken-off"
 	// reasonTimeout: no answer in the time.
 	reasonTimeout reason = "timeout"
+	// reasonStopping: the gateway is being stopped, and the request's time ends
+	// later than the stop.
+	reasonStopping reason = "gateway-stopping"
 	// reasonNoInstance: no instance of the service is known.
 	reasonNoInstance reason = "no-instance"
 	// reasonNoConfiguration: the gateway knows no configuration yet.
@@ -48,6 +51,10 @@
 	reasonNoRoute reason = "no-route"
 )
 
+// lasts says that another try at the same back end within the next moments would
+// end alike.
+func (r reason) lasts() bool { return r == reasonNoRoom || r == reasonStopping }
+
 // forwardRequest is one try of a request at one back end.
 type forwardRequest struct {
 	Method string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/httpserver"
+	"github.com/quartzdock/quartzdock/internal/plannedstop"
 )
 
 // Gateway is one running gateway.
@@ -34,10 +35,10 @@
 	ended   sync.WaitGroup
 	probing atomic.Bool
 
-	// stopping is set once a planned stop has begun. active counts requests of
-	// callers in progress, and peerActive those of other gateways. lastCaller is
-	// when the last caller's came, in nanoseconds since 1970.
-	stopping   atomic.Bool
+	// admission says what may still begin during a planned stop. active counts
+	// requests of callers in progress, and peerActive those of other gateways.
+	// lastCaller is when the last caller's came, in nanoseconds since 1970.
+	admission  plannedstop.Admission
 	active     atomic.Int64
 	peerActive atomic.Int64
 	lastCaller atomic.Int64
@@ -103,7 +104,7 @@
 // Ready reports whether the gateway can serve callers.
 func (g *Gateway) Ready() bool {
 	v := g.views.load()
-	return !g.stopping.Load() && v.table != nil && len(v.byID) > 0
+	return !g.admission.Stopping() && v.table != nil && len(v.byID) > 0
 }
 
 // Heartbeat takes the word of the back end beside the gateway. It is
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -42,9 +42,7 @@
 func (g *Gateway) callerHandler(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.closeWhileStopping(w)
 	began := time.Now()
 	g.lastCaller.Store(began.UnixNano())
 	v := g.views.load()
@@ -64,6 +62,11 @@
 		http.Error(w, "request body not read", status)
 		return
 	}
+	if !g.admission.Admits(c.deadline) {
+		g.metrics.request(c.service.Name, outcomeNotRun, reasonStopping)
+		g.refuse(w, r, reasonStopping, around(retryElsewhere), nil)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	g.answer(w, c, g.run(ctx, c))
@@ -142,6 +145,9 @@
 	// leader, an owner, an instance. Callers that come back sooner spend their
 	// repeats before it is over.
 	retryOutage = 600 * time.Millisecond
+	// retryElsewhere is when to come back where the gateway itself is being
+	// stopped: any other one can serve the request now.
+	retryElsewhere = 100 * time.Millisecond
 	// retryRoom is when to come back at the earliest to a full back end, and
 	// retryServices in how many of its service times.
 	retryRoom     = 300 * time.Millisecond
@@ -155,6 +161,11 @@
 	if result.Reason == reasonNoRoom {
 		base = max(retryRoom, retryServices*result.Load.serviceTime)
 	}
+	return around(base)
+}
+
+// around draws a time from half to one and a half of a base.
+func around(base time.Duration) time.Duration {
 	return base/2 + time.Duration(rand.Float64()*float64(base))
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -125,7 +125,7 @@
 func (g *Gateway) gauges() []prometheus.Collector {
 	return []prometheus.Collector{
 		gauge("ready", "1 where the gateway can serve callers.", func() float64 { return one(g.Ready()) }),
-		gauge("stopping", "1 while a planned stop is in progress.", func() float64 { return one(g.stopping.Load()) }),
+		gauge("stopping", "1 while a planned stop is in progress.", func() float64 { return one(g.admission.Stopping()) }),
 		gauge("peers_in_flight", "Requests of other gateways in progress.", func() float64 { return float64(g.peerActive.Load()) }),
 		gauge("in_flight", "Requests of callers in progress.", func() float64 { return float64(g.active.Load()) }),
 		gauge("slots", "Slots of the back end beside the gateway.", func() float64 { return float64(g.slots.load().slots) }),
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -12,6 +12,7 @@
 func (g *Gateway) peerHandler(w http.ResponseWriter, r *http.Request) {
 	g.peerActive.Add(1)
 	defer g.peerActive.Add(-1)
+	g.closeWhileStopping(w)
 	request, ok := g.decodeForward(r)
 	if !ok {
 		http.Error(w, "not from a gateway", http.StatusBadRequest)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -22,7 +22,7 @@
 func beginStop(g *Gateway) <-chan error {
 	stopped := make(chan error, 1)
 	go func() { stopped <- g.Stop() }()
-	for !g.stopping.Load() {
+	for !g.admission.Stopping() {
 		time.Sleep(time.Millisecond)
 	}
 	return stopped
--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -81,7 +81,7 @@
 		g.views.advance(view)
 		*start.into = g
 		t.Cleanup(func() {
-			if !g.stopping.Load() {
+			if !g.admission.Stopping() {
 				_ = g.Stop()
 			}
 		})
@@ -161,7 +161,7 @@
 	stopped := make(chan error, 2)
 	for _, g := range []*Gateway{hops.near, hops.far} {
 		go func() { stopped <- g.Stop() }()
-		for !g.stopping.Load() {
+		for !g.admission.Stopping() {
 			time.Sleep(time.Millisecond)
 		}
 	}
--- a/internal/requesthistory/cause.go
+++ b/internal/requesthistory/cause.go
@@ -14,6 +14,7 @@
 	reasonBroken          = "broken-off"
 	reasonTimeout         = "timeout"
 	reasonNoRoute         = "no-route"
+	reasonStopping        = "gateway-stopping"
 )
 
 // explanation tells where the cause of a reason stands, the best place first,
@@ -42,6 +43,8 @@
 		"the exchange broke off after it was sent: it may have run"},
 	reasonTimeout: {[]string{messageSummary, messageNotServed},
 		"no answer came within the request's time: it may have run"},
+	reasonStopping: {[]string{messageRefused, messageNotServed},
+		"the gateway that was to take it was being stopped and would have ended before the request's time was over"},
 	reasonNoRoute: {[]string{messageInForce, "no route"},
 		"no route of the configuration in force has its host and path"},
 }
