Failing tests: a replica's stop waits for its disk and its peers

Seen (go test ./internal/replica -run TestStop, each one run): Stop hangs in TestStopReturnsThoughTheDiskHangs, TestStopEndsADialThatNobodyAnswers and TestStopEndsASendThatNobodyReads, given up after 20 s. The tests take the transport's own bounds (dial 1 s, silence 1 s, stuck 3 s) for endless; with them the last two would cost that long. Config.dial is a seam for the tests, ErrStillWriting a name that nothing returns yet.

--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -9,6 +9,7 @@
 package replica
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -99,6 +100,9 @@
 	FS vfs.FS
 	// WAL options of the log's segments.
 	WAL wal.Options
+
+	// dial opens connections to peers; the default is transport.Dial.
+	dial func(ctx context.Context, address string, options transport.Options) (*transport.Conn, error)
 }
 
 // Defaults of Config.
@@ -134,6 +138,9 @@
 			os.Exit(1)
 		}
 	}
+	if c.dial == nil {
+		c.dial = transport.Dial
+	}
 	if c.OnTick == nil {
 		c.OnTick = func(time.Duration, consensus.Status) {}
 	}
@@ -191,6 +198,9 @@
 	ErrNotCommitted = errors.New("the proposal was not committed")
 	// ErrStopped says that the replica is stopping; nothing was proposed.
 	ErrStopped = errors.New("the replica is stopped")
+	// ErrStillWriting says that a stop was given up while the disk had not taken
+	// a write. The data folder stays open and locked until the process ends.
+	ErrStillWriting = errors.New("the disk has not taken a write in time")
 	// ErrNotMember says that no membership names this replica yet.
 	ErrNotMember = errors.New("the group has not admitted this replica yet")
 )
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -186,7 +186,7 @@
 	defer stop()
 	options := peerOptions(s.r.config)
 	options.IdleTimeout = peerSilence
-	opened, err := transport.Dial(ctx, address, options)
+	opened, err := s.r.config.dial(ctx, address, options)
 	if err == nil {
 		conn := &peerConn{Conn: opened}
 		s.r.ended.Add(1)
