A replica's stop ends its dials and sends, and waits 1.5 s for the disk at most

Cause: Stop waited for every goroutine. A sender's dial had a context of its own (1 s to a machine that is cut off), its send was ended only by the watch of the connection (1 s of silence, 3 s where the peer says that it lives but takes nothing), and the writer's sync, or a write of the control goroutine, had no bound at all.

Change: dials take a context that ends with the stop; connections opened here are closed with those that were accepted; Stop gives the disk StopLimit and then returns ErrStillWriting with the folder open and locked. Nothing is acknowledged that is not durable, so the process may end there as after a crash.

--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -57,11 +57,12 @@
 	r        *Replica
 	listener *transport.Listener
 
-	mu       sync.Mutex
-	senders  map[string]chan envelope
-	learned  map[topology.ReplicaID]string
-	accepted map[*transport.Conn]bool
-	closed   bool
+	mu      sync.Mutex
+	senders map[string]chan envelope
+	learned map[topology.ReplicaID]string
+	// open are the connections of either end that Stop closes.
+	open   map[*transport.Conn]bool
+	closed bool
 	// sent counts the bytes written to peers.
 	sent atomic.Uint64
 }
@@ -72,7 +73,7 @@
 		listener: listener,
 		senders:  map[string]chan envelope{},
 		learned:  map[topology.ReplicaID]string{},
-		accepted: map[*transport.Conn]bool{},
+		open:     map[*transport.Conn]bool{},
 	}
 }
 
@@ -180,16 +181,16 @@
 
 // dial opens a connection, or returns nil after a pause.
 func (s *peerSet) dial(address string) *peerConn {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(s.r.dialing, dialTimeout)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() {})
-	defer stop()
 	options := peerOptions(s.r.config)
 	options.IdleTimeout = peerSilence
 	opened, err := s.r.config.dial(ctx, address, options)
 	if err == nil {
+		if !s.admit(opened, 1) {
+			return nil
+		}
 		conn := &peerConn{Conn: opened}
-		s.r.ended.Add(1)
 		go s.watch(conn)
 		return conn
 	}
@@ -214,7 +215,7 @@
 // watch closes a connection once its receiving end is silent or gets nothing.
 func (s *peerSet) watch(conn *peerConn) {
 	defer s.r.ended.Done()
-	defer func() { _ = conn.Close() }()
+	defer s.release(conn.Conn)
 	var received uint64
 	advanced := s.r.Now()
 	for {
@@ -249,7 +250,7 @@
 			}
 			continue
 		}
-		if s.admit(conn) {
+		if s.admit(conn, 2) {
 			received := &atomic.Uint64{}
 			go s.receive(conn, received)
 			go s.sayAlive(conn, received)
@@ -257,18 +258,28 @@
 	}
 }
 
-func (s *peerSet) admit(conn *transport.Conn) bool {
+// admit counts the goroutines that a new connection gets, or closes it where
+// the replica is stopping.
+func (s *peerSet) admit(conn *transport.Conn, goroutines int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		_ = conn.Close()
 		return false
 	}
-	s.accepted[conn] = true
-	s.r.ended.Add(2)
+	s.open[conn] = true
+	s.r.ended.Add(goroutines)
 	return true
 }
 
+// release closes a connection.
+func (s *peerSet) release(conn *transport.Conn) {
+	_ = conn.Close()
+	s.mu.Lock()
+	delete(s.open, conn)
+	s.mu.Unlock()
+}
+
 // sayAlive tells the sending end of a connection how much has come.
 func (s *peerSet) sayAlive(conn *transport.Conn, received *atomic.Uint64) {
 	defer s.r.ended.Done()
@@ -285,12 +296,7 @@
 
 func (s *peerSet) receive(conn *transport.Conn, received *atomic.Uint64) {
 	defer s.r.ended.Done()
-	defer func() {
-		_ = conn.Close()
-		s.mu.Lock()
-		delete(s.accepted, conn)
-		s.mu.Unlock()
-	}()
+	defer s.release(conn)
 	for {
 		var e envelope
 		if conn.Receive(&e) != nil {
@@ -308,10 +314,11 @@
 	}
 }
 
+// close stops accepting and ends what is sent and received.
 func (s *peerSet) close() error {
 	s.mu.Lock()
 	s.closed = true
-	for conn := range s.accepted {
+	for conn := range s.open {
 		_ = conn.Close()
 	}
 	s.mu.Unlock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -29,10 +29,13 @@
 	control     control
 
 	stopping chan struct{}
-	stopOnce sync.Once
-	ended    sync.WaitGroup
-	failOnce sync.Once
-	failure  atomic.Pointer[error]
+	// dialing ends when the replica is stopped; cancelDials ends it.
+	dialing     context.Context
+	cancelDials context.CancelFunc
+	stopOnce    sync.Once
+	ended       sync.WaitGroup
+	failOnce    sync.Once
+	failure     atomic.Pointer[error]
 }
 
 // inboxSize bounds the messages received and not yet taken in.
@@ -64,8 +67,10 @@
 		stopping:    make(chan struct{}),
 		events:      eventQueue{wake: make(chan struct{}, 1)},
 	}
+	r.dialing, r.cancelDials = context.WithCancel(context.Background())
 	r.peers = newPeerSet(r, listener)
 	if err := r.startControl(found); err != nil {
+		r.cancelDials()
 		return nil, errors.Join(fmt.Errorf("replica: %w", err), listener.Close(), files.close())
 	}
 	r.ended.Add(3)
@@ -172,23 +177,50 @@
 	}
 }
 
+// StopLimit bounds Stop where the disk does not take a write. It is many times
+// what a sync takes on a slow disk, and a quarter of the 6 s that the users'
+// platform gives a process to end.
+const StopLimit = 1500 * time.Millisecond
+
 // Stop ends the replica and closes the data folder. A leader should call
-// TransferLeadership before.
+// TransferLeadership before. Where the disk does not take a write within
+// StopLimit, it returns ErrStillWriting; the process may then end all the same,
+// as nothing is acknowledged that is not durable.
 func (r *Replica) Stop() error {
-	r.stopOnce.Do(func() { close(r.stopping) })
+	r.signalStop()
 	closeErr := r.peers.close()
-	r.ended.Wait()
+	closed := make(chan error, 1)
+	go func() {
+		r.ended.Wait()
+		closed <- r.files.close()
+	}()
+	limit := time.NewTimer(StopLimit)
+	defer limit.Stop()
+	var filesErr error
+	select {
+	case filesErr = <-closed:
+	case <-limit.C:
+		filesErr = ErrStillWriting
+	}
 	if failure := r.failure.Load(); failure != nil {
-		return errors.Join(*failure, r.files.close())
+		return errors.Join(*failure, filesErr)
 	}
-	return errors.Join(closeErr, r.files.close())
+	return errors.Join(closeErr, filesErr)
+}
+
+// signalStop tells all goroutines to end.
+func (r *Replica) signalStop() {
+	r.stopOnce.Do(func() {
+		close(r.stopping)
+		r.cancelDials()
+	})
 }
 
 // fail ends the replica after an error that it must not go on from.
 func (r *Replica) fail(err error) {
 	r.failOnce.Do(func() {
 		r.failure.Store(&err)
-		r.stopOnce.Do(func() { close(r.stopping) })
+		r.signalStop()
 		r.config.OnFailure(err)
 	})
 }
