A controller's stop is bounded: 3.3 s, whatever gateways, members and disk do

Cause: Controller.Stop waited for all goroutines before it stopped the replica. A connection that had not said Hello yet was in no list and lived to its 4 s of silence; a session that nobody reads held a send for 2 s, and another one for the redirect; admissions took turns at a lock, each up to 3 s on a context that no stop ended, so that several members joining added up.

Ruled out: the members' search for admission (its dial and its connection end with the context), the hand-over (1 s), the views and the planner.

Change: all accepted connections are tracked and closed redirectLimit after the redirects; admissions and removals run on the controller's context and wait for their turn on it; what is left after endLimit is logged and left. A folder that the disk still writes to is not emptied after an expulsion. StopLimit = 1 s (hand-over) + 0.3 s + 0.5 s + 1.5 s (replica) = 3.3 s.

--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -24,19 +24,24 @@
 	metrics  *controllerMetrics
 	member   *replica.Replica
 	listener *transport.Listener
-	stop     context.CancelFunc
-	ended    sync.WaitGroup
+	// running ends when the controller is stopped; stop ends it.
+	running context.Context
+	stop    context.CancelFunc
+	ended   sync.WaitGroup
 
 	// view is what senders read.
 	view atomic.Pointer[view]
 
 	sessionsMutex sync.Mutex
 	sessions      map[*session]struct{}
-	stopped       bool
+	// connections are all that were accepted, also those without a session.
+	connections map[*transport.Conn]struct{}
+	stopped     bool
 
 	control control
-	// admitting allows one change of membership at a time.
-	admitting sync.Mutex
+	// admitting holds a value while a change of membership is made, one at a
+	// time.
+	admitting chan struct{}
 }
 
 // control is owned by the replica's control goroutine.
@@ -51,7 +56,12 @@
 
 // Start opens the data folder, joins or founds the group, and serves.
 func Start(config Config) (*Controller, error) {
-	c := &Controller{config: config.withDefaults(), sessions: map[*session]struct{}{}}
+	c := &Controller{
+		config:      config.withDefaults(),
+		sessions:    map[*session]struct{}{},
+		connections: map[*transport.Conn]struct{}{},
+		admitting:   make(chan struct{}, 1),
+	}
 	c.metrics = newControllerMetrics(c.config.Registry)
 	c.control.state = fleetstate.New()
 	c.view.Store(&view{})
@@ -62,6 +72,7 @@
 	if c.listener, err = transport.Listen(c.config.SessionListen, sessionOptions); err != nil {
 		return nil, fmt.Errorf("controller: %w", err)
 	}
+	c.running, c.stop = context.WithCancel(context.Background())
 	ready := make(chan struct{})
 	c.member, err = replica.Start(replica.Config{
 		Group:             c.config.Group,
@@ -78,31 +89,72 @@
 		TrustSynced:       true,
 	})
 	if err != nil {
+		c.stop()
 		return nil, errors.Join(err, c.listener.Close())
 	}
 	close(ready)
 	c.config.Registry.MustRegister(c.gauges()...)
-	ctx, stop := context.WithCancel(context.Background())
-	c.stop = stop
 	c.ended.Add(2)
 	go c.accept()
-	go c.seekAdmission(ctx)
+	go c.seekAdmission(c.running)
 	return c, nil
 }
 
+// Bounds of the steps of Stop. Their sum, with replica.StopLimit, is 3.3 s of
+// the 6 s that the users' platform gives a process to end.
+const (
+	// handOverLimit bounds the transfer of leadership.
+	handOverLimit = time.Second
+	// redirectLimit is how long gateways may take to read where they go on; it is
+	// several round trips between regions.
+	redirectLimit = 300 * time.Millisecond
+	// endLimit is how long the goroutines may take to end once their connections
+	// are closed and their contexts over. Only a disk that hangs takes longer.
+	endLimit = 500 * time.Millisecond
+)
+
+// StopLimit bounds Stop.
+const StopLimit = handOverLimit + redirectLimit + endLimit + replica.StopLimit
+
 // Stop hands leadership over, if it is held here, and ends the process's part
-// in the group.
+// in the group. It returns within StopLimit, whatever peers, gateways and the
+// disk do.
 func (c *Controller) Stop() error {
 	c.handOver()
 	c.stop()
 	err := c.listener.Close()
 	c.closeSessions(true)
-	c.ended.Wait()
+	c.awaitEnd()
 	return errors.Join(err, c.member.Stop())
 }
 
-// handOverLimit bounds the transfer of leadership.
-const handOverLimit = time.Second
+// awaitEnd lets the sessions send their last word and then closes what is open.
+func (c *Controller) awaitEnd() {
+	ended := make(chan struct{})
+	go func() {
+		c.ended.Wait()
+		close(ended)
+	}()
+	if within(ended, redirectLimit) {
+		return
+	}
+	c.config.Log.Info("sessions cut off by the stop", "connections", c.closeConnections())
+	if !within(ended, endLimit) {
+		c.config.Log.Warn("goroutines still run at the end of the stop")
+	}
+}
+
+// within reports whether a channel is closed within a time.
+func within(ended <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
 
 func (c *Controller) handOver() {
 	status := c.member.Status()
--- a/internal/fleetcontroller/join.go
+++ b/internal/fleetcontroller/join.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/replica"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
@@ -109,9 +111,14 @@
 }
 
 // expelled empties the folder of a member that the group has removed. What it
-// held is held by the group, which committed the removal.
+// held is held by the group, which committed the removal. A folder that the disk
+// still writes to is left for the next start, which is refused again.
 func (c *Controller) expelled() {
-	_ = c.member.Stop()
+	if err := c.member.Stop(); errors.Is(err, replica.ErrStillWriting) {
+		c.config.Log.Error("data folder not emptied", "error", err)
+		c.config.OnExpelled()
+		return
+	}
 	if err := empty(c.config.DataDir); err != nil {
 		c.config.Log.Error("data folder not emptied", "error", err)
 	}
@@ -120,10 +127,14 @@
 
 // admit makes a controller a voter, at the leader. It is called again until it
 // is one.
-func (c *Controller) admit(join *fleetwire.Join) *fleetwire.Admission {
-	c.admitting.Lock()
-	defer c.admitting.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), admitTimeout)
+func (c *Controller) admit(ctx context.Context, join *fleetwire.Join) *fleetwire.Admission {
+	select {
+	case c.admitting <- struct{}{}:
+	case <-ctx.Done():
+		return &fleetwire.Admission{}
+	}
+	defer c.admitted()
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
 	if c.member.ReadBarrier(ctx) != nil {
 		return &fleetwire.Admission{}
@@ -151,6 +162,9 @@
 	return &fleetwire.Admission{}
 }
 
+// admitted lets the next change of membership begin.
+func (c *Controller) admitted() { <-c.admitting }
+
 // replaceLostDisk removes the member that had the joining one's address: its
 // disk is gone.
 func (c *Controller) replaceLostDisk(ctx context.Context, membership consensus.Membership, join *fleetwire.Join) {
--- a/internal/fleetcontroller/members.go
+++ b/internal/fleetcontroller/members.go
@@ -40,11 +40,13 @@
 }
 
 func (c *Controller) remove(dead consensus.Member) {
-	if !c.admitting.TryLock() {
+	select {
+	case c.admitting <- struct{}{}:
+	default:
 		return
 	}
-	defer c.admitting.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), admitTimeout)
+	defer c.admitted()
+	ctx, cancel := context.WithTimeout(c.running, admitTimeout)
 	defer cancel()
 	_, err := c.member.ChangeMembership(ctx, consensus.Change{Kind: consensus.Remove, Member: dead})
 	c.config.Log.Info("silent member removed", "id", uint64(dead.ID), "address", dead.Address, "error", err)
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -72,6 +72,10 @@
 func (c *Controller) serve(conn *transport.Conn) {
 	defer c.ended.Done()
 	defer conn.Close()
+	if !c.track(conn) {
+		return
+	}
+	defer c.untrack(conn)
 	var first fleetwire.ToController
 	if conn.Receive(&first) != nil || first.Hello == nil {
 		return
@@ -81,7 +85,7 @@
 		return
 	}
 	if join := first.Hello.Join; join != nil {
-		_ = conn.Send(fleetwire.FromController{Admission: c.admit(join)})
+		_ = conn.Send(fleetwire.FromController{Admission: c.admit(c.running, join)})
 		return
 	}
 	s := &session{conn: conn, node: first.Hello.Node, wake: make(chan struct{}, 1)}
@@ -204,6 +208,33 @@
 	return &news, nil
 }
 
+// track notes an accepted connection, unless the controller is stopping.
+func (c *Controller) track(conn *transport.Conn) bool {
+	c.sessionsMutex.Lock()
+	defer c.sessionsMutex.Unlock()
+	if c.stopped {
+		return false
+	}
+	c.connections[conn] = struct{}{}
+	return true
+}
+
+func (c *Controller) untrack(conn *transport.Conn) {
+	c.sessionsMutex.Lock()
+	defer c.sessionsMutex.Unlock()
+	delete(c.connections, conn)
+}
+
+// closeConnections closes what is still open and returns how many those were.
+func (c *Controller) closeConnections() int {
+	c.sessionsMutex.Lock()
+	defer c.sessionsMutex.Unlock()
+	for conn := range c.connections {
+		_ = conn.Close()
+	}
+	return len(c.connections)
+}
+
 func (c *Controller) register(s *session) bool {
 	c.sessionsMutex.Lock()
 	defer c.sessionsMutex.Unlock()
