A stop does not wait for the next try to accept

Cause: where accepting fails with an error that passes (no file left, for one), http.Server sleeps up to 1 s before the next try, and Server.Stop, which first waits for Serve to return, waited with it, beyond its context; http.Server.Close waits for Serve as well, so that a bound in Stop alone would not help.

Ruled out: the backlog (200 ms at most), a Stop that comes before Serve runs (Accept returns at once), handlers (Stop and Close do not wait for them beyond the context).

Change: the listener makes the pause itself, 100 ms, and a stop ends it. The error is logged as before, now with the listener's address. That a process on the users' platform ran out of files was not seen; this is suspected only.

Before: TestStopDoesNotWaitForTheNextTryToAccept: 275 ms of virtual time. After: 0; internal/httpserver passes with -race.

--- a/internal/httpserver/accept_test.go
+++ b/internal/httpserver/accept_test.go
@@ -1,6 +1,8 @@
 package httpserver_test
 
 import (
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -42,7 +44,8 @@
 // stop does not wait for the next try. Time is virtual.
 func TestStopDoesNotWaitForTheNextTryToAccept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		server := httpserver.New(&http.Server{}, &exhausted{closed: make(chan struct{})}, 0)
+		quiet := log.New(io.Discard, "", 0)
+		server := httpserver.New(&http.Server{ErrorLog: quiet}, &exhausted{closed: make(chan struct{})}, 0)
 		served := make(chan error, 1)
 		go func() { served <- server.Serve() }()
 		// Long enough for the pauses of net/http to have grown to their full
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log"
 	"net"
 	"os"
 	"sync"
@@ -16,6 +17,9 @@
 	// backlogLimit is the longest that a stop empties the backlog, if
 	// connections keep coming.
 	backlogLimit = 200 * time.Millisecond
+	// acceptRetry is the pause after an error that passes, as where the process
+	// has no file left for a connection.
+	acceptRetry = 100 * time.Millisecond
 )
 
 // stoppableListener bounds the open connections, and takes those that wait in
@@ -28,10 +32,12 @@
 	// backlog up, in nanoseconds since 1970.
 	stopped chan struct{}
 	stopAt  atomic.Int64
+	// log takes errors that pass; nil is the standard logger, as in http.Server.
+	log *log.Logger
 }
 
-func newStoppableListener(listener Listener, maximumConnections int) *stoppableListener {
-	l := &stoppableListener{Listener: listener, stopped: make(chan struct{})}
+func newStoppableListener(listener Listener, maximumConnections int, errorLog *log.Logger) *stoppableListener {
+	l := &stoppableListener{Listener: listener, stopped: make(chan struct{}), log: errorLog}
 	if maximumConnections > 0 {
 		l.slots = make(chan struct{}, maximumConnections)
 	}
@@ -61,11 +67,15 @@
 }
 
 func (l *stoppableListener) accept() (net.Conn, error) {
-	if !l.stopping() {
+	for !l.stopping() {
 		connection, err := l.Listener.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+		if !passes(err) {
 			return connection, err
 		}
+		l.pause(err)
 	}
 	if now := time.Now(); now.UnixNano() < l.stopAt.Load() {
 		_ = l.SetDeadline(now.Add(backlogPause))
@@ -77,6 +87,28 @@
 	return nil, net.ErrClosed
 }
 
+// passes says that a listener is to be tried again after an error.
+func passes(err error) bool {
+	var passing interface{ Temporary() bool }
+	return errors.As(err, &passing) && passing.Temporary()
+}
+
+// pause waits before the next try, unless the stop begins. The pause of
+// http.Server, which grows to a second, would go on.
+func (l *stoppableListener) pause(err error) {
+	logf := log.Printf
+	if l.log != nil {
+		logf = l.log.Printf
+	}
+	logf("accept at %s, tried again in %v: %v", l.Addr(), acceptRetry, err)
+	timer := time.NewTimer(acceptRetry)
+	defer timer.Stop()
+	select {
+	case <-l.stopped:
+	case <-timer.C:
+	}
+}
+
 // takeSlot waits for room and returns whether a slot was taken. After the stop
 // there is room for the whole backlog, which the kernel bounds.
 func (l *stoppableListener) takeSlot() bool {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -58,7 +58,7 @@
 func New(server *http.Server, listener Listener, maximumConnections int) *Server {
 	s := &Server{
 		http:      server,
-		listener:  newStoppableListener(listener, maximumConnections),
+		listener:  newStoppableListener(listener, maximumConnections, server.ErrorLog),
 		accepting: make(chan struct{}),
 	}
 	server.ConnState = s.track
