--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -23,6 +23,9 @@
 	DefaultWriteTimeout = 5 * time.Second
 	// DefaultIdleTimeout is how long a peer may send nothing.
 	DefaultIdleTimeout = 30 * time.Second
+	// closeLimit is how long a peer may leave the last word of TLS unread: a few
+	// round trips between regions.
+	closeLimit = 300 * time.Millisecond
 )
 
 // Options of a connection or a listener. The zero value means plain TCP with
