A close over TLS waits 0.3 s at most

Cause: tls.Conn.Close writes its last word with a bound of its own of 5 s. A peer that reads nothing, with full buffers between, held each close for so long, and a replica's stop closed its connections one after the other.

Ruled out on the users' platform, where connections between our processes carry no TLS: this is for quartzdock's own roles.

Change: Conn.Close cuts the stream below after closeLimit (0.3 s); a replica's stop closes all its connections at the same time.

Before: TestCloseDoesNotWaitForAPeerThatReadsNothing: 5 s of virtual time. After: it passes, with -race.

--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -318,9 +318,11 @@
 func (s *peerSet) close() error {
 	s.mu.Lock()
 	s.closed = true
+	var closing sync.WaitGroup
 	for conn := range s.open {
-		_ = conn.Close()
+		closing.Go(func() { _ = conn.Close() })
 	}
+	closing.Wait()
 	s.mu.Unlock()
 	return s.listener.Close()
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -235,12 +235,19 @@
 }
 
 // Close closes the connection and ends Send and Receive calls in progress. It
-// may be called more than once.
+// may be called more than once. Over TLS it waits at most closeLimit for a peer
+// that does not read.
 func (c *Conn) Close() error {
 	if c.closed.Swap(true) {
 		return nil
 	}
-	return c.stream.Close()
+	secured, ok := c.stream.(*tls.Conn)
+	if !ok {
+		return c.stream.Close()
+	}
+	cut := time.AfterFunc(closeLimit, func() { _ = secured.NetConn().Close() })
+	defer cut.Stop()
+	return secured.Close()
 }
 
 // BytesSent counts the bytes written, frame headers included, TLS records and
