Failing test: a stopping router admits a request that may outlast its stop

Fails: stop_test.go:128, status 200 in place of 503: the router passes a request with an hour's deadline on although its planned stop ends within a minute.

--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -99,6 +100,43 @@
 	f.stopped <- nil
 }
 
+// A planned stop takes nothing that may outlast it: the caller is told so, with
+// proof, in place of being cut off while the owner works. What ends in time is
+// served on.
+func TestPlannedStopTakesNothingThatMayOutlastIt(t *testing.T) {
+	thaw := make(chan struct{})
+	release := sync.OnceFunc(func() { close(thaw) })
+	owner := newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+		if isBulk(r) {
+			<-thaw
+		}
+		answered(w, "ok")
+	})
+	f := newFixture(t, func(c *Config) { c.DrainLimit = time.Minute }, owner)
+	t.Cleanup(release) // also where the test fails before its end
+	pack := make(chan reply, 1)
+	go func() { pack <- f.get("/keyed/packs/terminal-5") }()
+	poll.WaitOn(t, arrived(owner, 1))
+	f.stop()
+	poll.WaitOn(t, f.refusesConnections()) // the stop has begun and goes on
+	// A second listener for the handler, as the router's own is closed by now:
+	// callers come before it is, which a test can't arrange without a race.
+	late := httptest.NewServer(f.router.Handler())
+	defer late.Close()
+	f.url = late.URL
+	got := f.get("/keyed/plans/a", wire.HeaderDeadline, "3600000")
+	got.check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonDraining)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Assert(t, got.closes)
+	f.post(wire.HeaderDeadline, "3600000").check(t, http.StatusServiceUnavailable, wire.OutcomeNotRun, wire.ReasonDraining)
+	assert.Equal(t, owner.requests.Load(), int64(1))
+	f.get("/keyed/plans/a", wire.HeaderDeadline, "20000").check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	release()
+	(<-pack).check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
+	assert.NilError(t, <-f.stopped)
+	f.stopped <- nil
+}
+
 // refusesConnections waits until the router listens no more.
 func (f *fixture) refusesConnections() poll.Check {
 	return func(poll.LogT) poll.Result {
