A stopping router takes nothing that may outlast its stop

Cause: for drain-delay the router served on whatever came, up to its longest timeout of an hour; at the drain limit those requests were cut off while their back ends were at work. Ruled out: a request held for an owner and one sent again, which both end by the caller's deadline. Change: plannedstop.Admission is asked with each request's deadline; the answer is not-run (draining) with Retry-After. The stop's end is fixed once. A test that set the field for a stop sets the new one, with the same asserts.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/quartzdock/quartzdock/internal/plannedstop"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -28,7 +29,8 @@
 	view     atomic.Pointer[view]
 	hold     holdBuffer
 	inFlight atomic.Int64
-	draining atomic.Bool
+	// admission says what a planned stop still takes.
+	admission plannedstop.Admission
 	// states belongs to the publishing goroutine.
 	states map[topology.ServiceID]*serviceState
 }
@@ -61,7 +63,7 @@
 // Ready returns why the router cannot do all of its work now, or nil.
 func (r *Router) Ready() error {
 	switch {
-	case r.draining.Load():
+	case r.admission.Stopping():
 		return ErrDraining
 	case r.view.Load() == nil:
 		return ErrNoTable
@@ -112,13 +114,17 @@
 
 // closeIfDraining asks the caller to connect elsewhere during a planned stop.
 func (r *Router) closeIfDraining(header http.Header) {
-	if r.draining.Load() {
+	if r.admission.Stopping() {
 		setOne(header, "Connection", "close")
 	}
 }
 
-// admit keeps the requests in progress within their limits.
+// admit keeps the requests in progress within their limits, and what may outlast
+// a planned stop out of it.
 func (r *Router) admit(w http.ResponseWriter, q *request) *refusal {
+	if !r.admission.Admits(q.deadline) {
+		return notRun(wire.ReasonDraining, "the router stops before the request's deadline")
+	}
 	defer r.inFlight.Add(-1)
 	defer q.service.state.inFlight.Add(-1)
 	total := r.inFlight.Add(1)
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -95,12 +95,13 @@
 
 // drain is the planned stop. For DrainDelay callers are still served and asked
 // to connect elsewhere; then the listener closes and what is in progress
-// finishes.
+// finishes. Requests that may outlast the stop are refused from its begin on.
 func (r *Router) drain(server *httpserver.Server) error {
-	r.draining.Store(true)
+	end := time.Now().Add(r.config.DrainDelay + r.config.DrainLimit)
+	r.admission.Begin(end)
 	r.config.Log.Info("router drains", "in_flight", r.inFlight.Load())
 	time.Sleep(r.config.DrainDelay)
-	limit, cancel := context.WithTimeout(context.Background(), r.config.DrainLimit)
+	limit, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := server.Stop(limit)
 	var cutOff *httpserver.CutOffError
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -57,7 +57,7 @@
 func TestStoppingRouterSaysSo(t *testing.T) {
 	f := newFixture(t, nil, newAgent(t, ok))
 	f.get("/keyed/plans/a").check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
-	f.router.draining.Store(true)
+	f.router.admission.Begin(time.Now().Add(time.Hour))
 	assert.ErrorIs(t, f.router.Ready(), ErrDraining)
 	got := f.get("/keyed/plans/a")
 	got.check(t, http.StatusOK, wire.OutcomeAnswered, noReason)
