Failing tests: a stop loses requests on kept-open connections

httpserver.Stop calls http.Server.SetKeepAlivesEnabled(false), which closes each connection whose next request's header was not read whole, without an answer. Fail with 'unexpected EOF': TestRequestThatIsBeingReadOnAKeptConnectionIsAnswered, TestRequestThatHasArrivedOnAKeptConnectionIsAnswered and TestStopTellsCallersToLeaveKeptConnections.

--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -153,3 +153,123 @@
 	assert.NilError(t, <-slow)
 	assert.NilError(t, <-stopped)
 }
+
+// countingListener tells each read of its connections.
+type countingListener struct {
+	*net.TCPListener
+	read chan struct{}
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	connection, err := l.TCPListener.Accept()
+	return countingConnection{connection, l.read}, err
+}
+
+type countingConnection struct {
+	net.Conn
+	read chan struct{}
+}
+
+func (c countingConnection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if count > 0 {
+		c.read <- struct{}{}
+	}
+	return count, err
+}
+
+// A connection is kept open after a request, and the next one's first bytes were
+// read before the stop. net/http counts the connection as idle until the whole
+// header was read, and closes it without an answer.
+func TestRequestThatIsBeingReadOnAKeptConnectionIsAnswered(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	counting := countingListener{listener.(*net.TCPListener), make(chan struct{}, 100)}
+	server := httpserver.New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}, counting, 0)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve() }()
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	_, err = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, !response.Close)
+	<-counting.read
+
+	_, err = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: a\r\n")
+	assert.NilError(t, err)
+	<-counting.read
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(t.Context()) }()
+	assert.NilError(t, <-served)
+	_, err = io.WriteString(connection, "\r\n")
+	assert.NilError(t, err)
+	response, err = http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Assert(t, response.Close)
+	assert.NilError(t, <-stopped)
+}
+
+// The next request on a kept-open connection has arrived in the kernel when the
+// stop begins, and was not read yet: closing the connection as idle loses it.
+func TestRequestThatHasArrivedOnAKeptConnectionIsAnswered(t *testing.T) {
+	const rounds, connections = 10, 16
+	for range rounds {
+		server, address, served := start(t, func(http.ResponseWriter, *http.Request) {}, 0)
+		var readers [connections]*bufio.Reader
+		var kept [connections]net.Conn
+		for i := range kept {
+			var err error
+			kept[i], err = net.Dial("tcp", address)
+			assert.NilError(t, err)
+			defer kept[i].Close()
+			readers[i] = bufio.NewReader(kept[i])
+			request(t, kept[i])
+			response, err := http.ReadResponse(readers[i], nil)
+			assert.NilError(t, err)
+			assert.Assert(t, !response.Close)
+		}
+		for _, connection := range kept {
+			request(t, connection)
+		}
+		stopped := make(chan error, 1)
+		go func() { stopped <- server.Stop(t.Context()) }()
+		for _, reader := range readers {
+			_, err := http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, <-served)
+		assert.NilError(t, <-stopped)
+	}
+}
+
+// A caller that goes on sending on a connection that it keeps is told to leave
+// it, and has an answer to each request.
+func TestStopTellsCallersToLeaveKeptConnections(t *testing.T) {
+	server, address, served := start(t, func(http.ResponseWriter, *http.Request) {}, 0)
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	request(t, connection)
+	_, err = http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Stop(t.Context()) }()
+	assert.NilError(t, <-served)
+	request(t, connection)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, response.Close)
+	assert.NilError(t, <-stopped)
+}
+
+func request(t *testing.T, connection net.Conn) {
+	t.Helper()
+	_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+}
