A stop answers requests on kept-open connections before it closes them

Cause: httpserver.Stop turned keep-alives off at once, which makes net/http close each idle connection; it counts one as idle until the next request's whole header was read. Requests that were being read, had arrived in the kernel, or came before their caller could know of the stop had no answer. Ruled out: the backlog and new connections, which have tests; a wrapper of the ResponseWriter, which costs an allocation for each request. Change: a stop answers with Connection: close from its begin on, and gives all open connections requestGrace (250 ms, as new ones had) to send. It then ends each connection only after a last read that found nothing. Left: a request sent in the moment of the close after that, which HTTP/1.1 can't rule out; and an answer whose header was written before the stop and whose body ends after it. Stops with open connections take up to 250 ms longer than before.

--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -54,10 +54,14 @@
 func (l *stoppableListener) Accept() (net.Conn, error) {
 	limited := l.takeSlot()
 	connection, err := l.accept()
-	if err == nil && limited {
-		return &limitedConnection{Conn: connection, free: sync.OnceFunc(l.freeSlot)}, nil
+	if err != nil {
+		return nil, err
 	}
-	return connection, err
+	taken := &trackedConnection{Conn: connection}
+	if limited {
+		taken.free = sync.OnceFunc(l.freeSlot)
+	}
+	return taken, nil
 }
 
 func (l *stoppableListener) accept() (net.Conn, error) {
@@ -92,16 +96,3 @@
 }
 
 func (l *stoppableListener) freeSlot() { <-l.slots }
-
-// limitedConnection gives its slot back when it is closed.
-type limitedConnection struct {
-	net.Conn
-	free func()
-}
-
-// Close implements net.Conn.
-func (c *limitedConnection) Close() error {
-	err := c.Conn.Close()
-	c.free()
-	return err
-}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -4,10 +4,13 @@
 // connections wait in the kernel's backlog, which resets them, and it closes a
 // connection whose next request is being read when the stop begins without an
 // answer. A caller can't tell such a request from one that ran. Stop takes the
-// backlog first, answers every request whose first byte was read, and gives
-// accepted connections a moment to send their first request. The handler should
-// answer with "Connection: close" once the stop is near, so that callers leave
-// connections before they are closed (RFC 9112, section 9.6).
+// backlog first, and answers with "Connection: close" from then on, so that
+// callers leave connections before they are closed (RFC 9112, section 9.6). It
+// gives open connections a moment to send a request, and answers every one whose
+// first byte arrived in it. A request that is sent in the very moment in which
+// its connection is closed, after that, still has no answer, as HTTP/1.1 can't
+// tell the caller in time; a handler that answers "Connection: close" earlier
+// makes this rarer.
 package httpserver
 
 import (
@@ -24,9 +27,10 @@
 const (
 	// stopPoll is how often a stop looks whether requests are in progress.
 	stopPoll = 2 * time.Millisecond
-	// firstRequestGrace is how long an accepted connection may take, after the
-	// listener closed, until the first byte of its first request.
-	firstRequestGrace = 250 * time.Millisecond
+	// requestGrace is how long an open connection may take, after the listener
+	// closed, for its next request's header. Connections without one are closed
+	// then.
+	requestGrace = 250 * time.Millisecond
 )
 
 // CutOffError says that a stop was given up with requests in progress, whose
@@ -52,7 +56,8 @@
 	SetDeadline(time.Time) error
 }
 
-// New prepares a server. It takes over server.ConnState. At most
+// New prepares a server. It takes over server.ConnState and wraps
+// server.Handler. At most
 // maximumConnections are open at once; further ones wait in the kernel's
 // backlog. Zero means any number.
 func New(server *http.Server, listener Listener, maximumConnections int) *Server {
@@ -62,6 +67,7 @@
 		accepting: make(chan struct{}),
 	}
 	server.ConnState = s.track
+	server.Handler = s.closing(server.Handler)
 	return s
 }
 
@@ -81,27 +87,80 @@
 	return err
 }
 
+// closing makes a handler's answers end their connection once the stop has begun.
+func (s *Server) closing(handler http.Handler) http.Handler {
+	if handler == nil {
+		handler = http.DefaultServeMux
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.listener.stopping() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Stop closes the listener and returns when all requests have been answered.
 // When the context ends first, it closes what is left and returns a
 // *CutOffError.
 // It must not be called before Serve.
 func (s *Server) Stop(ctx context.Context) error {
-	s.http.SetKeepAlivesEnabled(false) // also closes what is idle
 	s.listener.stop()
 	<-s.accepting
-	grace := time.Now().Add(firstRequestGrace)
+	grace := time.Now().Add(requestGrace)
+	if !waitWhile(ctx, func() bool { return s.anyOpen() && time.Now().Before(grace) }) || !waitWhile(ctx, s.retireIdle) {
+		return s.cutOff()
+	}
+	// No connection is idle any more, which this would close with its request.
+	s.http.SetKeepAlivesEnabled(false)
+	if !waitWhile(ctx, func() bool { return s.Open(http.StateActive) > 0 }) {
+		return s.cutOff()
+	}
+	return s.http.Close()
+}
+
+// waitWhile returns once the condition does not hold any more, or false when
+// the context ends first.
+func waitWhile(ctx context.Context, condition func() bool) bool {
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
-	for !s.quiet(time.Now().After(grace)) {
+	for condition() {
 		select {
 		case <-ctx.Done():
-			left := s.Open(http.StateActive)
-			_ = s.http.Close()
-			return &CutOffError{left}
+			return false
 		case <-ticker.C:
 		}
 	}
-	return s.http.Close()
+	return true
+}
+
+// cutOff closes all connections, with the requests that they carry.
+func (s *Server) cutOff() error {
+	left := s.Open(http.StateActive)
+	_ = s.http.Close()
+	return &CutOffError{left}
+}
+
+// anyOpen says that there are connections. One that counts as active may have
+// been answered already, and carry its next request.
+func (s *Server) anyOpen() bool {
+	return s.Open(http.StateNew)+s.Open(http.StateActive)+s.Open(http.StateIdle) > 0
+}
+
+// retireIdle ends connections without a request and returns whether there are
+// any left. One whose header is still not whole is not waited for.
+func (s *Server) retireIdle() (left bool) {
+	s.states.Range(func(connection, held any) bool {
+		if http.ConnState(held.(*atomic.Int32).Load()) != http.StateIdle {
+			return true
+		}
+		if known, ok := tracked(connection.(net.Conn)); ok && !known.receiving() {
+			known.retire()
+			left = true
+		}
+		return true
+	})
+	return left
 }
 
 // Open counts connections in a state.
@@ -116,12 +175,6 @@
 	return count
 }
 
-// quiet says that no connection carries a request, nor, before the grace has
-// passed, is likely to send one.
-func (s *Server) quiet(gracePassed bool) bool {
-	return s.Open(http.StateActive) == 0 && (gracePassed || s.Open(http.StateNew) == 0)
-}
-
 // track follows the connections' states; it is called on their goroutines.
 func (s *Server) track(connection net.Conn, state http.ConnState) {
 	switch state {
@@ -130,6 +183,7 @@
 	case http.StateClosed, http.StateHijacked:
 		s.states.Delete(connection)
 	default:
+		s.note(connection, state)
 		if held, known := s.states.Load(connection); known {
 			held.(*atomic.Int32).Store(int32(state))
 		}
@@ -147,3 +201,15 @@
 	stopping.Wait()
 	return errors.Join(failures...)
 }
+
+// note tells the connection where a request begins and ends.
+func (s *Server) note(connection net.Conn, state http.ConnState) {
+	known, ok := tracked(connection)
+	switch {
+	case !ok:
+	case state == http.StateActive:
+		known.resume()
+	case state == http.StateIdle:
+		known.idle()
+	}
+}
