Failing tests: an agent's stop admits what may outlast it, and leaves no time for its lease

TestPlannedStopTakesNothingThatMayOutlastIt (stop_test.go:209): a request with an hour's deadline is answered during the stop in place of refused. TestStopThatCutsOffStillReleasesTheLease (stop_test.go:244): the drain takes the whole stop-timeout, the process ends before the lease is released.

--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,11 +12,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/quartzdock/quartzdock/internal/ops"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 	"github.com/quartzdock/quartzdock/internal/wire"
 	"github.com/quartzdock/quartzdock/lab/answer"
 	"github.com/quartzdock/quartzdock/lab/backend"
+	"github.com/quartzdock/quartzdock/lab/ledger"
 )
 
 // shortGrace makes a leaving back end refuse new work soon.
@@ -185,3 +188,60 @@
 	assert.Equal(t, got.outcome, wire.OutcomeNotRun)
 	assert.Equal(t, got.reason, wire.ReasonDraining)
 }
+
+// TestPlannedStopTakesNothingThatMayOutlastIt: while shards move away, what ends
+// before the stop does is served on, and what may not is refused with proof.
+func TestPlannedStopTakesNothingThatMayOutlastIt(t *testing.T) {
+	r := startRig(t, backend.Config{}, func(config *Config) {
+		shortClockBound(config)
+		config.LeavingGrace = time.Minute // no limit of its own during the test
+		config.StopTimeout = time.Minute
+	})
+	r.own(1, 1)
+	r.give(2, topology.Shard{Phase: topology.ShardWarming, Owner: r.self, Target: other, Epoch: 1})
+	r.waitFor("move", func() bool { return r.agent.moving.Load() == 1 })
+	r.stop()
+	r.waitFor("stop announced", func() bool { return r.agent.leaving.Load() })
+	long, id := route(1), r.freshID()
+	long.header = map[string]string{wire.HeaderDeadline: "3600000"}
+	for _, sent := range []call{long, {method: http.MethodPost, path: "/closures/edit/k", epoch: 1, id: id, header: long.header}} {
+		got := r.do(sent)
+		assert.Equal(t, got.outcome, wire.OutcomeNotRun)
+		assert.Equal(t, got.reason, wire.ReasonDraining)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+	}
+	assert.Equal(t, r.count(id, ledger.KindRun), 0)
+	short := route(1)
+	short.header = map[string]string{wire.HeaderDeadline: "20000"}
+	assert.Equal(t, r.do(short).outcome, wire.OutcomeAnswered)
+	r.give(3, topology.Shard{Phase: topology.ShardOwned, Owner: other, Epoch: 2})
+	assert.NilError(t, <-r.ended)
+}
+
+// TestStopThatCutsOffStillReleasesTheLease: a request runs until the process's
+// time is over. The lease is given up before, so that the shards need not wait
+// until it has run out.
+func TestStopThatCutsOffStillReleasesTheLease(t *testing.T) {
+	const stopTimeout = 4 * time.Second
+	r := startRig(t, backend.Config{}, func(config *Config) {
+		shortGrace(config)
+		config.StopTimeout = stopTimeout
+	})
+	r.own(1, 1)
+	slow := r.background(call{method: http.MethodGet, path: "/closures/route/k?work=30s", epoch: 1})
+	r.waitFor("slot taken", func() bool { return r.agent.gate.Running() == 1 })
+	signalled, signal := context.WithCancel(context.Background())
+	signal()
+	err := ops.RunUntilSignal(signalled, ops.Lifecycle{
+		Run: func(context.Context) error {
+			r.stop()
+			return <-r.ended
+		},
+		StopTimeout: stopTimeout,
+		Log:         slog.New(slog.DiscardHandler),
+	})
+	// The process ends here.
+	assert.ErrorIs(t, err, ErrStopTimeout, "the agent's own, which says what was cut off")
+	assert.Assert(t, r.leader.hasReleased())
+	<-slow
+}
