A stopping agent takes nothing that may outlast its stop, and keeps time for its lease

Cause: during LeavingGrace and while shards move (up to half of stop-timeout) the agent admitted requests of any deadline, and cut off at stop-timeout those at which the back end was at work. The drain had the whole stop-timeout, which also ends the process (ops.Lifecycle), so that a stop that cut something off had no time left to end the grants, release the lease and close the record. Ruled out: requests that wait for a grant or a slot, which end by their deadline; a stop whose shards wait for the restart. Change: plannedstop.Admission is asked in the fence with the request's deadline; the refusal is not-run (draining) with Retry-After, which routers send on to the next owner. Of stop-timeout 1.5 s, at most a quarter, is kept for the release.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/quartzdock/quartzdock/internal/backendapi"
 	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/ownership"
+	"github.com/quartzdock/quartzdock/internal/plannedstop"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/routing"
 	"github.com/quartzdock/quartzdock/internal/subscription"
@@ -79,6 +80,8 @@
 	grantsPossibleUntil atomic.Int64
 	leaving             atomic.Bool
 	unanswered          unanswered
+	// admission says what a planned stop still takes.
+	admission plannedstop.Admission
 	// closedToNew: the back end has been leaving for LeavingGrace.
 	closedToNew atomic.Bool
 	// stopping: requests are refused and connections closed with their answers.
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -70,7 +70,8 @@
 	// LoadInterval is how often the back end's load endpoint is asked.
 	LoadInterval time.Duration
 	// StopTimeout bounds a planned stop: at most its first half waits until the
-	// shards have moved, the rest for requests in progress.
+	// shards have moved, the rest for requests in progress. A part at its end is
+	// kept for the release of the lease (see drainTime).
 	StopTimeout time.Duration
 	// LeavingGrace is for how long a back end that leaves still takes new work,
 	// while its shards move.
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -69,6 +69,7 @@
 		agent.finish(w, refusedResult(notRun(http.StatusBadRequest, wire.ReasonInvalid, err.Error())))
 		return
 	}
+	parsed.deadline = time.Now().Add(parsed.timeout)
 	ctx, cancel := requestContext(r, parsed)
 	defer cancel()
 	agent.finish(w, agent.serve(ctx, w, r, parsed))
@@ -82,7 +83,7 @@
 	if parsed.nonRepeatable {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithTimeout(ctx, parsed.timeout)
+	return context.WithDeadline(ctx, parsed.deadline)
 }
 
 // finish sends the agent's own answer, or breaks the connection where the
@@ -127,6 +128,9 @@
 	if agent.stopping.Load() {
 		return errStopping
 	}
+	if !agent.admission.Admits(parsed.deadline) {
+		return errOutlastsStop
+	}
 	if agent.closedToNew.Load() {
 		return ownership.ErrReleasing
 	}
--- a/internal/agent/refusal.go
+++ b/internal/agent/refusal.go
@@ -20,6 +20,9 @@
 // errStopping refuses requests while the agent stops as planned.
 var errStopping = errors.New("the agent is stopping")
 
+// errOutlastsStop refuses what may still run when a planned stop ends.
+var errOutlastsStop = fmt.Errorf("%w before the request's deadline", errStopping)
+
 // refusal is an answer of the agent's own: the request was not run, or whether
 // it ran is not known.
 type refusal struct {
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -45,8 +45,9 @@
 	id requestid.ID
 	// served counts the request from its admission on.
 	served *served
-	// timeout is the time left.
-	timeout time.Duration
+	// timeout is the time left on arrival, and deadline when it ends.
+	timeout  time.Duration
+	deadline time.Time
 }
 
 // source says whose request it is.
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -24,20 +24,35 @@
 	// releaseWait bounds the wait for the controller to be told of the release;
 	// without it the lease runs out by itself.
 	releaseWait = time.Second
+	// closeWait is kept of a planned stop, after the release, for the end of the
+	// session and the record's files. An assumption: they take milliseconds.
+	closeWait = 500 * time.Millisecond
+	// leastDrainShare is the part of a short planned stop that the drain has in
+	// any case; the release gets the rest, as 1 of leastDrainShare+1.
+	leastDrainShare = 3
 )
 
+// drainTime is how much of a planned stop's time the drain may take, so that
+// there is time left to release the lease and to close.
+func drainTime(stopTimeout time.Duration) time.Duration {
+	return max(stopTimeout-releaseWait-closeWait, stopTimeout*leastDrainShare/(leastDrainShare+1))
+}
+
 // stop is a planned stop. It announces that the back end leaves and serves on
-// while its shards move, for LeavingGrace; then it takes no new requests. It
-// waits for moves in progress for at most half of StopTimeout, and for running
-// requests until StopTimeout. Then it ends the grants and releases the lease.
+// while its shards move, for LeavingGrace; then it takes no new requests. What
+// may outlast the drain it refuses from the begin on. It waits for moves in
+// progress for at most half of StopTimeout, and for running requests for
+// drainTime. Then it ends the grants and releases the lease.
 func (agent *Agent) stop() error {
-	deadline := agent.now() + agent.config.StopTimeout
+	begun := agent.now()
+	deadline := begun + drainTime(agent.config.StopTimeout)
+	agent.admission.Begin(agent.start.Add(deadline))
 	agent.leaving.Store(true)
 	agent.post(func(control *controlLoop) { control.refollow() })
 	agent.subscription.RenewNow()
 	agent.awaitMoves()
 	drained := agent.drain(deadline)
-	agent.releaseLease()
+	agent.releaseLease(begun + agent.config.StopTimeout)
 	agent.subscription.Stop()
 	if !drained {
 		return fmt.Errorf("%w: %d requests were cut off", ErrStopTimeout, agent.gate.Running()+agent.gate.Waiting())
@@ -107,8 +122,9 @@
 }
 
 // releaseLease ends the lease in this process and at the back end, and tells
-// the controller once the back end can't act on its grants any more.
-func (agent *Agent) releaseLease() {
+// the controller once the back end can't act on its grants any more. The end is
+// that of the stop.
+func (agent *Agent) releaseLease(end time.Duration) {
 	agent.post(func(control *controlLoop) {
 		control.lease.withhold()
 		control.releasing.Store(true)
@@ -116,7 +132,7 @@
 		control.releaseSignalled = false
 		control.syncGrants()
 	})
-	agent.waitUntil(agent.now()+releaseWait, agent.releaseSent)
+	agent.waitUntil(min(agent.now()+releaseWait, end), agent.releaseSent)
 }
 
 // releaseSent asks for one more renewal once the release was reported: when
