A stopping controller answers operators' calls before it closes their connections

Cause: calls may wait 10 s for a quorum and 60 s for a revision to be in force; the stop closed their connections after 2 s. Where most controllers stop at once no quorum comes, and an operator's change ended without an answer. Ruled out: calls that come after the listener closed; Watch, which ends at once.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,11 +16,21 @@
 	"github.com/quartzdock/quartzdock/internal/coordinator"
 	"github.com/quartzdock/quartzdock/internal/distribution"
 	"github.com/quartzdock/quartzdock/internal/leadership"
+	"github.com/quartzdock/quartzdock/internal/plannedstop"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
 
-// stopTimeout bounds the wait for operators' calls in progress at a stop.
-const stopTimeout = 2 * time.Second
+const (
+	// stopTimeout bounds the wait for operators' calls in progress at a stop.
+	stopTimeout = 2 * time.Second
+	// shutdownPoll is how often http.Server.Shutdown looks whether calls have
+	// ended, at longest (net/http, shutdownPollIntervalMax, with its jitter of a
+	// tenth).
+	shutdownPoll = 550 * time.Millisecond
+	// callsEnd is how long calls may go on in a stop, so that their answers are
+	// written and Shutdown sees it.
+	callsEnd = stopTimeout - shutdownPoll - plannedstop.AnswerMargin
+)
 
 var errStopping = errors.New("the controller is stopping")
 
@@ -35,6 +45,9 @@
 	sessions *transport.Listener
 	rpc      net.Listener
 	server   *http.Server
+	// calls is the context below which operators' calls run; endCalls ends it.
+	calls    context.Context
+	endCalls context.CancelFunc
 
 	// view is the published end of the log of deltas.
 	view        atomic.Pointer[distribution.View]
@@ -148,6 +161,7 @@
 func (c *Controller) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.relay = newRelay(c)
+	c.calls, c.endCalls = context.WithCancel(context.Background())
 	c.server = c.newRPCServer()
 	c.server.RegisterOnShutdown(func() {
 		cancel()
@@ -180,11 +194,14 @@
 }
 
 // Stop hands leadership over, if it is held here, and ends sessions, calls and
-// the replicated log.
+// the replicated log. Calls that would outlast the stop are ended shortly before
+// it cuts them off, so that each is answered with what is known.
 func (c *Controller) Stop() error {
 	c.handOver()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
+	defer c.endCalls()
+	defer time.AfterFunc(callsEnd, c.endCalls).Stop()
 	_ = c.sessions.Close()
 	c.open.closeAll()
 	err := c.server.Shutdown(ctx)
--- a/internal/controller/rpc_server.go
+++ b/internal/controller/rpc_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"path"
 
@@ -32,6 +33,7 @@
 	router.Mount(prefix, handler)
 	limits := ops.Limits{WriteTimeout: -1, ReadTimeout: -1, BodyBytes: maximumCallBytes}
 	server := ops.NewHTTPServer(router, limits, c.config.OperatorTLS, c.log)
+	server.BaseContext = func(net.Listener) context.Context { return c.calls }
 	server.Protocols = new(http.Protocols)
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetHTTP2(true)
