--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -141,3 +141,31 @@
 	assert.ErrorIs(t, err, ErrStopTimeout)
 	assert.Equal(t, took, time.Duration(0))
 }
+
+// Monitoring has a request in progress that lasts for longer than its stop may,
+// as a profile does. The stop ends all the same.
+func TestStopOfMonitoringIsBounded(t *testing.T) {
+	entered, thaw := make(chan struct{}), make(chan struct{})
+	defer close(thaw)
+	server, err := StartServer(ServerConfig{
+		Listen: "127.0.0.1:0", Registry: metrics.NewRegistry("router", "r1"), Log: quiet(),
+		Ready: func() error {
+			close(entered)
+			<-thaw
+			return nil
+		},
+	})
+	assert.NilError(t, err)
+	cutOff := make(chan error, 1)
+	go func() {
+		_, err := http.Get("http://" + server.Address() + "/readyz")
+		cutOff <- err
+	}()
+	<-entered
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, server.Stop(ctx), context.DeadlineExceeded)
+	// Nothing of it is left behind: the listener has ended and so has the
+	// connection, which the handler still holds.
+	assert.Assert(t, <-cutOff != nil)
+}
