Start children that end with their parent in a package of its own

Cause: lab/fleet starts processes that the kernel ends with the lab; the stand-in's fleet needs the same. Change: lab/childprocess has it, lab/fleet uses it; no change of what it does.

--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -5,11 +5,12 @@
 	"fmt"
 	"os"
 	"os/exec"
-	"runtime"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/quartzdock/quartzdock/lab/childprocess"
 )
 
 // Process is one process of a fleet. It can be ended, frozen and started
@@ -29,27 +30,6 @@
 	status  error
 }
 
-// starter starts all processes on one operating system thread that lives as
-// long as this process: the kernel ends a child with SIGKILL once the thread
-// that started it ends (Pdeathsig, prctl(2)), so that a killed lab leaves no
-// process behind.
-var starter = sync.OnceValue(func() chan<- func() {
-	work := make(chan func())
-	go func() {
-		runtime.LockOSThread()
-		for task := range work {
-			task()
-		}
-	}()
-	return work
-})
-
-func startOnLivingThread(command *exec.Cmd) error {
-	result := make(chan error)
-	starter() <- func() { result <- command.Start() }
-	return <-result
-}
-
 // Start starts the process. It must not be running.
 func (p *Process) Start() error {
 	p.mutex.Lock()
@@ -61,8 +41,7 @@
 	defer log.Close()
 	command := exec.Command(p.binary, p.arguments...)
 	command.Stdout, command.Stderr = log, log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := startOnLivingThread(command); err != nil {
+	if err := childprocess.Start(command); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
 	p.command = command
