Check in the stand-in that planned stops cut off no run

A gateway that was stopping cut requests at which a back end was at work, and the stand-in could not see it: back ends were at work for no time, and nothing knew of stops. Change: back ends are at work for as long as a request asks, may make a call of their own meanwhile, and note each run and whether it was cut before its end. A timeline has planned stops and faults of each machine. CheckStops finds requests that got no answer of the back end while a planned stop of either machine was under way in a run, but for what the terms let go: other faults of either machine, the deadline, a back end that broke off, requests sent within 3 s of the SIGTERM and still at work in the last sixth of the grace. StopPlanned kills at the end of the grace and reports a process that is still there. CallReady is a caller that uses open connections and makes no new ones once two readiness questions failed (asked each second, which is assumed). Processes of the fleet end with the one that started it.

--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -22,10 +22,15 @@
 type Instance struct {
 	ID      string
 	Service string
+	// Machine is the name of the machine that it is beside.
+	Machine string
 	Keyed   bool
 	// Control takes heartbeats, "IP:port".
 	Control string
 	Slots   int
+	// Calls makes a call of the back end, and returns when it is over; nil makes
+	// none.
+	Calls func(context.Context, LookUp)
 
 	ledger *Ledger
 	server *http.Server
@@ -52,7 +57,9 @@
 type Ledger struct {
 	mutex sync.Mutex
 	// Ran counts the runs of each request id.
-	ran        map[string]int
+	ran map[string]int
+	// runs are all runs of each request id.
+	runs       map[string][]*Run
 	violations []string
 	instances  []*Instance
 	// promised are the requests that callers were told are not run.
@@ -68,7 +75,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{ran: map[string]int{}, promised: map[string]bool{}, fences: map[uint32]fenceOf{}}
+	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[uint32]fenceOf{}}
 }
 
 // Violations returns every broken promise so far.
@@ -90,7 +97,7 @@
 }
 
 // run notes a run. A request that must not repeat may run once.
-func (l *Ledger) run(instance *Instance, r *http.Request) {
+func (l *Ledger) run(instance *Instance, r *http.Request) *Run {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	id := r.Header.Get("Request-Id")
@@ -104,6 +111,7 @@
 	if target := r.Header.Get("Target-Instance"); target != "" && target != instance.ID {
 		l.violate("request %s for %s ran at %s", id, target, instance.ID)
 	}
+	return l.begins(instance, r, time.Now())
 }
 
 // NotRun notes that a caller was told that a request has not run and never will.
@@ -200,6 +208,12 @@
 	_ = i.server.Close()
 }
 
+func (i *Instance) ended() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.state == "ended"
+}
+
 // Drain announces that the instance leaves.
 func (i *Instance) Drain() {
 	i.mutex.Lock()
@@ -392,7 +406,12 @@
 	if err != nil {
 		return
 	}
-	i.ledger.run(i, r)
+	run := i.ledger.run(i, r)
+	whole := i.atWork(r.Context(), r)
+	i.ledger.ends(run, time.Now(), !whole, i.ended())
+	if !whole {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Response-Seal", "seal-"+id)
 	fmt.Fprintf(w, "%s %s %s %s %d", i.ID, i.Service, r.RequestURI, r.Header.Get("Caller-Service"), len(body))
 }
--- a/lab/platformstandin/fleet.go
+++ b/lab/platformstandin/fleet.go
@@ -11,8 +11,10 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
+	"sync/atomic"
 	"time"
+
+	"github.com/quartzdock/quartzdock/lab/childprocess"
 )
 
 // Ports that every machine has alike.
@@ -30,6 +32,13 @@
 	command *exec.Cmd
 	ended   chan struct{}
 	started int
+
+	// client is that of the machine's callers, who make no new connections to it
+	// once they have left.
+	client *http.Client
+	// beside is that of the back end beside the machine.
+	beside *http.Client
+	left   atomic.Bool
 }
 
 // Fleet is a set of machines on loopback addresses.
@@ -40,6 +49,8 @@
 	Cores   []*Machine
 	Sides   []*Machine
 	Ledger  *Ledger
+	// Timeline is what was done to the machines.
+	Timeline *Timeline
 }
 
 // portCount is how many ports a machine needs.
@@ -92,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet := &Fleet{Program: program, Folder: folder, Ports: ports, Ledger: NewLedger()}
+	fleet := &Fleet{Program: program, Folder: folder, Ports: ports, Ledger: NewLedger(), Timeline: NewTimeline()}
 	for i := range cores {
 		fleet.Cores = append(fleet.Cores, &Machine{
 			Name: fmt.Sprintf("core-%d", i+1), IP: fmt.Sprintf("%s.%d", subnet(), firstCore+i), Role: "controller", fleet: fleet,
@@ -102,6 +113,7 @@
 		fleet.Sides = append(fleet.Sides, &Machine{
 			Name: fmt.Sprintf("side-%d", i+1), IP: fmt.Sprintf("%s.%d", subnet(), firstSide+i), Role: "gateway", Service: service, fleet: fleet,
 		})
+		fleet.Sides[i].openToCallers()
 	}
 	return fleet, nil
 }
@@ -133,7 +145,7 @@
 	}
 	network := fmt.Sprintf("network:\n  bindAddrs:\n    inbound: %q\n    outbound: %q\n    ready: %q\n    control: %q\n  ephemeralPorts:\n    - %d\n    - %d\n  seedNodes:\n%s",
 		m.address(ports.Inbound), m.Outbound(), m.address(ports.Ready), m.Control(), ports.Own, ports.Own+1, strings.Join(seeds, ""))
-	terms := "terms:\n  bounds:\n    drain: \"2000ms\"\n    grace: \"6s\"\n    retryBudgetRatio: 0.2\n    budgetWindow: \"10s\"\n    budgetSlack: 58\n    holdMax: \"10000ms\"\n"
+	terms := "terms:\n  bounds:\n    drain: \"2000ms\"\n    grace: \"" + Grace.String() + "\"\n    retryBudgetRatio: 0.2\n    budgetWindow: \"10s\"\n    budgetSlack: 58\n    holdMax: \"10000ms\"\n"
 	path := filepath.Join(m.fleet.Folder, m.Name+".yaml")
 	return path, os.WriteFile(path, []byte(self+network+terms), 0o600)
 }
@@ -155,11 +167,12 @@
 		return err
 	}
 	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
+	if err := childprocess.Start(command); err != nil {
 		return errors.Join(err, log.Close())
 	}
 	ended := make(chan struct{})
 	m.command, m.ended = command, ended
+	m.fleet.Timeline.faultsEnd(m.Name, time.Now())
 	go func() {
 		_ = command.Wait()
 		_ = log.Close()
@@ -168,24 +181,11 @@
 	return nil
 }
 
-// Signal sends a signal to the machine's process and waits for its end.
-func (m *Machine) Signal(signal syscall.Signal) {
-	_ = m.command.Process.Signal(signal)
-	<-m.ended
-}
-
-// Freeze halts the machine's process until Thaw.
-func (m *Machine) Freeze() { _ = m.command.Process.Signal(syscall.SIGSTOP) }
-
-// Thaw lets a frozen process go on.
-func (m *Machine) Thaw() { _ = m.command.Process.Signal(syscall.SIGCONT) }
-
 // Stop ends all processes.
 func (f *Fleet) Stop() {
 	for _, machine := range append(append([]*Machine{}, f.Sides...), f.Cores...) {
 		if machine.command != nil {
-			_ = machine.command.Process.Kill()
-			<-machine.ended
+			machine.kill()
 		}
 	}
 }
@@ -224,35 +224,6 @@
 	return "", ctx.Err()
 }
 
-// Answer is what a caller got.
-type Answer struct {
-	Status int
-	Header http.Header
-	Body   string
-}
-
-// Call sends one attempt of a caller at a machine.
-func (m *Machine) Call(ctx context.Context, method, host, path, id, key, body string) (Answer, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+m.Outbound()+path, strings.NewReader(body))
-	if err != nil {
-		return Answer{}, err
-	}
-	request.Host = host
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "3000")
-	request.Header.Set("Caller-Service", "forged")
-	if key != "" {
-		request.Header.Set("Shard-Key", key)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return Answer{}, err
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	return Answer{response.StatusCode, response.Header, string(content)}, err
-}
-
 // Log returns the last lines of a machine's log.
 func (m *Machine) Log() string {
 	content, _ := os.ReadFile(filepath.Join(m.fleet.Folder, m.Name+".log"))
