--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -19,12 +20,25 @@
 	controllers    = 5
 	keyedService   = "keyed"
 	plainService   = "plain"
-	slotsOfBackend = 8
+	slotsOfBackend = 12
 	// readyWithin bounds the fleet's start.
 	readyWithin = 30 * time.Second
 )
 
-var services = []string{keyedService, keyedService, keyedService, plainService, plainService}
+// services of the gateways' back ends, and those where series of stops are drawn:
+// so many that some gateways still take requests while the others stop.
+var (
+	services       = []string{keyedService, keyedService, keyedService, plainService, plainService}
+	seriesServices = slices.Repeat([]string{keyedService, plainService, keyedService}, 4)
+)
+
+// servicesFor returns the services of a fleet that is to bear strikes.
+func servicesFor(strikes []Strike) []string {
+	if slices.ContainsFunc(strikes, func(strike Strike) bool { return strike.Kind == RollingStops }) {
+		return seriesServices
+	}
+	return services
+}
 
 // place is a machine, or the back end beside a gateway, that one strike at a
 // time may have.
@@ -39,17 +53,19 @@
 type fleet struct {
 	*platformstandin.Fleet
 	ctx         context.Context
+	callers     *callers
 	controllers []*place
 	gateways    []*place
 	backends    []*place
 }
 
-func startFleet(ctx context.Context, program, folder string) (*fleet, error) {
+func startFleet(ctx context.Context, program, folder string, services []string) (*fleet, error) {
 	laid, err := platformstandin.NewFleet(program, folder, controllers, services)
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{Fleet: laid, ctx: ctx}
+	f.callers = &callers{fleet: f}
 	for _, machine := range laid.Cores {
 		f.controllers = append(f.controllers, &place{machine: machine})
 	}
@@ -75,8 +91,9 @@
 	backend.lives++
 	side := backend.machine
 	backend.instance = &platformstandin.Instance{
-		ID: fmt.Sprintf("%s-%d", side.Name, backend.lives), Service: side.Service, Keyed: side.Service == keyedService,
+		ID: fmt.Sprintf("%s-%d", side.Name, backend.lives), Service: side.Service, Machine: side.Name, Keyed: side.Service == keyedService,
 		Control: side.Control(), Slots: slotsOfBackend,
+		Calls: func(ctx context.Context, call platformstandin.LookUp) { f.callers.lookUp(ctx, side, call) },
 	}
 	return platformstandin.StartInstance(f.ctx, f.Ledger, side.App(), backend.instance)
 }
@@ -126,6 +143,8 @@
 		return f.strikeProcess(f.controllers[strike.Target%len(f.controllers)], strike)
 	case ControllersKill:
 		return f.strikeAll(f.controllers, strike)
+	case RollingStops:
+		return f.rollingStops(strike)
 	default:
 		return f.strikeBackend(f.backends[strike.Target%len(f.backends)], strike)
 	}
@@ -140,10 +159,8 @@
 		_ = pause.For(f.ctx, strike.For)
 		struck.machine.Thaw()
 		return nil
-	case GatewayStop, ControllerStop:
-		struck.machine.Signal(syscall.SIGTERM)
 	default:
-		struck.machine.Signal(syscall.SIGKILL)
+		f.end(struck.machine, strike.Kind)
 	}
 	if strike.Kind == ControllerWipe {
 		if err := os.RemoveAll(struck.machine.DataDir()); err != nil {
@@ -151,7 +168,7 @@
 		}
 	}
 	_ = pause.For(f.ctx, strike.For)
-	return struck.machine.Start()
+	return f.start(struck.machine)
 }
 
 // strikeAll kills all of some machines at once.
@@ -165,7 +182,7 @@
 	}
 	_ = pause.For(f.ctx, strike.For)
 	for _, each := range struck {
-		if err := each.machine.Start(); err != nil {
+		if err := f.start(each.machine); err != nil {
 			return err
 		}
 	}
--- a/lab/platformstandin/soak/operator.go
+++ b/lab/platformstandin/soak/operator.go
@@ -14,6 +14,7 @@
 // configuration has gaps for its version, its base and its routes' time-out.
 const configuration = `{"version":%d,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"},"baseVersion":%d,` +
 	`"listeners":[{"host":"a.example","ruleSet":[{"name":"keyed","routeType":"safe","targetLatency":"900ms","priority":2,"match":{"pathPrefix":"/k/"},"action":{"service":"keyed","timeout":"%dms","attempts":2}},` +
+	`{"name":"once","routeType":"unsafe","targetLatency":"900ms","priority":1,"match":{"pathPrefix":"/o/"},"action":{"service":"keyed","timeout":"2500ms","attempts":2}},` +
 	`{"name":"plain","routeType":"unsafe","targetLatency":"900ms","priority":1,"match":{"pathPrefix":"/p/"},"action":{"service":"plain","timeout":"2500ms","attempts":2}}]}],` +
 	`"clusters":[{"name":"keyed","healthCheckPath":"/health","maxConnections":100,"protocol":"h1","tls":false,"sharded":true,"warm":"3s","grants":"call"},` +
 	`{"name":"plain","healthCheckPath":"/health","maxConnections":100,"protocol":"h1","tls":false}]}`
@@ -63,9 +64,9 @@
 }
 
 // run changes the configuration until the context ends. An operator that waits
-// for an answer is let finish.
+// for an answer is let finish, unless the soak itself ends.
 func (o *operator) run(ctx context.Context) {
-	whole := context.WithoutCancel(ctx)
+	whole := o.fleet.ctx
 	for number := 0; pause.For(ctx, changePause) == nil; number++ {
 		if number%2 == 0 {
 			o.settle(o.send(whole, change{version: o.version + 1, timeout: leastTimeout + number}, o.version))
@@ -98,6 +99,7 @@
 // settle takes the result of a change.
 func (o *operator) settle(sent change) {
 	switch {
+	case sent.err != nil && o.fleet.ctx.Err() != nil:
 	case sent.err != nil:
 		o.fleet.Ledger.Broken("version %d got no clear answer for %v", sent.version, changeTimeout)
 	case sent.status == http.StatusOK:
--- a/lab/platformstandin/soak/plan.go
+++ b/lab/platformstandin/soak/plan.go
@@ -11,7 +11,7 @@
 // Kind of a strike.
 type Kind string
 
-// Kinds. All but the last three strike a machine's process.
+// Kinds. Those of back ends and grants strike no machine's process.
 const (
 	GatewayKill     Kind = "gateway-kill"
 	GatewayStop     Kind = "gateway-stop"
@@ -28,9 +28,12 @@
 	// LateGrants holds grants to a back end up, which then takes them without an
 	// answer.
 	LateGrants Kind = "late-grants"
+	// RollingStops stops the gateways as planned, one after the other with a gap
+	// that is shorter than the stops, and starts each again.
+	RollingStops Kind = "rolling-stops"
 )
 
-// Kinds that can be drawn, in a fixed order.
+// Kinds that are drawn one at a time, in a fixed order. Series are drawn apart.
 var kinds = []Kind{
 	GatewayKill, GatewayStop, GatewayFreeze, ControllerKill, ControllerStop, ControllerPause,
 	ControllersKill, ControllerWipe, BackendCrash, BackendDrain, LateGrants,
@@ -56,10 +59,17 @@
 	For  time.Duration `json:"for"`
 	// Target numbers the machine among those of its kind.
 	Target int `json:"target"`
+	// Gap is the time between two stops of a series, and Rounds is how often it
+	// goes over all machines.
+	Gap    time.Duration `json:"gap,omitempty"`
+	Rounds int           `json:"rounds,omitempty"`
 }
 
 // String implements fmt.Stringer.
 func (s Strike) String() string {
+	if s.Kind == RollingStops {
+		return fmt.Sprintf("%v %s from %d each %v, %d rounds", s.At.Round(time.Millisecond), s.Kind, s.Target, s.Gap.Round(time.Millisecond), s.Rounds)
+	}
 	return fmt.Sprintf("%v %s %d for %v", s.At.Round(time.Millisecond), s.Kind, s.Target, s.For.Round(time.Millisecond))
 }
 
@@ -67,8 +77,22 @@
 // kinds to draw from; none is all.
 func Draw(seed uint64, duration time.Duration, only []Kind) []Strike {
 	if len(only) == 0 {
-		only = kinds
+		only = append(slices.Clone(kinds), RollingStops)
+	}
+	single := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return kind == RollingStops })
+	if len(single) == 0 {
+		return drawSeries(seed, firstStrike, duration)
 	}
+	strikes := drawSingle(seed, duration, single)
+	if len(single) < len(only) {
+		strikes = append(strikes, drawSeries(seed, firstSeries, duration)...)
+	}
+	slices.SortStableFunc(strikes, func(a, b Strike) int { return cmp.Compare(a.At, b.At) })
+	return strikes
+}
+
+// drawSingle returns the strikes of a seed that are no series.
+func drawSingle(seed uint64, duration time.Duration, only []Kind) []Strike {
 	random := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
 	var strikes []Strike
 	wipeAfter := time.Duration(0)
@@ -86,6 +110,5 @@
 		}
 		strikes = append(strikes, strike)
 	}
-	slices.SortStableFunc(strikes, func(a, b Strike) int { return cmp.Compare(a.At, b.At) })
 	return strikes
 }
--- a/lab/platformstandin/soak/run.go
+++ b/lab/platformstandin/soak/run.go
@@ -36,12 +36,25 @@
 	DurationMS int64    `json:"duration_ms"`
 	Strikes    []Strike `json:"strikes"`
 	Sent       int64    `json:"requests_sent"`
-	Answered   int64    `json:"answered"`
-	NotRun     int64    `json:"not_run"`
-	Unknown    int64    `json:"unknown"`
-	Lost       int64    `json:"connections_lost"`
-	Repeats    int      `json:"runs_repeated"`
-	Versions   int      `json:"configurations_accepted"`
+	// LookUps are calls that back ends made while at work; the counts below have
+	// them too.
+	LookUps  int64 `json:"calls_of_back_ends"`
+	Answered int64 `json:"answered"`
+	NotRun   int64 `json:"not_run"`
+	Unknown  int64 `json:"unknown"`
+	Lost     int64 `json:"connections_lost"`
+	Repeats  int   `json:"runs_repeated"`
+	Versions int   `json:"configurations_accepted"`
+	// Stops are planned stops, AtOnce how many of them were under way together at
+	// most, and LongestStopMS how long the longest lasted.
+	Stops         int   `json:"planned_stops"`
+	AtOnce        int   `json:"planned_stops_at_once"`
+	LongestStopMS int64 `json:"longest_stop_ms"`
+	// Cuts are runs whose connection went away while the back end was at work, for
+	// whatever cause; Excused are requests that planned stops had to do with and the
+	// rules let go without an answer of their back end.
+	Cuts    int `json:"runs_cut"`
+	Excused int `json:"stops_excused"`
 	// Violations are the broken promises.
 	Violations []string `json:"violations"`
 	// Logs is where the processes' logs are, for a failing seed.
@@ -88,7 +101,8 @@
 }
 
 func soak(ctx context.Context, config Config, folder string) (*Report, error) {
-	f, err := startFleet(ctx, config.Program, folder)
+	strikes := Draw(config.Seed, config.Duration, kindsOf(config.Kinds))
+	f, err := startFleet(ctx, config.Program, folder, servicesFor(strikes))
 	if f != nil {
 		defer f.stop()
 	}
@@ -99,16 +113,18 @@
 	if err := operators.first(ctx); err != nil {
 		return nil, err
 	}
-	clients := &callers{fleet: f}
+	clients := f.callers
 	if err := f.awaitServed(ctx, clients.next); err != nil {
 		return nil, err
 	}
-	strikes := Draw(config.Seed, config.Duration, kindsOf(config.Kinds))
 	running, end := context.WithTimeout(ctx, config.Duration)
 	defer end()
 	var work sync.WaitGroup
 	work.Go(func() { clients.run(running, config.Seed) })
 	work.Go(func() { operators.run(running) })
+	for _, gateway := range f.gateways {
+		work.Go(func() { gateway.machine.WatchReadiness(running) })
+	}
 	struck := f.strikeAllOf(running, strikes)
 	work.Wait()
 	if struck != nil {
@@ -156,11 +172,13 @@
 
 func (f *fleet) report(config Config, strikes []Strike, clients *callers, operators *operator) *Report {
 	_, repeats := f.Ledger.Totals()
+	excused := clients.checkStops()
 	return &Report{
 		Seed: config.Seed, DurationMS: config.Duration.Milliseconds(), Strikes: strikes,
-		Sent: clients.counts.sent.Load(), Answered: clients.counts.answered.Load(), NotRun: clients.counts.notRun.Load(),
+		Sent: clients.counts.sent.Load(), LookUps: clients.counts.lookUps.Load(), Answered: clients.counts.answered.Load(), NotRun: clients.counts.notRun.Load(),
 		Unknown: clients.counts.unknown.Load(), Lost: clients.counts.lost.Load(),
-		Repeats: repeats, Versions: operators.accepted, Violations: f.Ledger.Violations(),
+		Repeats: repeats, Versions: operators.accepted, Stops: len(f.Timeline.Stops()), AtOnce: f.Timeline.StopsAtOnce(), LongestStopMS: f.Timeline.LongestStop().Milliseconds(),
+		Cuts: f.Ledger.Cuts(), Excused: excused, Violations: f.Ledger.Violations(),
 	}
 }
 
@@ -170,8 +188,8 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(r)
 	}
-	_, err := fmt.Fprintf(out, "seed %d: %d strikes, %d requests (%d answered, %d not run, %d unknown, %d without an answer), %d runs repeated, %d configurations, %d promises broken\n",
-		r.Seed, len(r.Strikes), r.Sent, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Repeats, r.Versions, len(r.Violations))
+	_, err := fmt.Fprintf(out, "seed %d: %d strikes, %d requests and %d calls of back ends (%d answered, %d not run, %d unknown, %d without an answer), %d runs repeated, %d planned stops (%d at once, %d ms at most), %d runs cut, %d excused in planned stops, %d configurations, %d promises broken\n",
+		r.Seed, len(r.Strikes), r.Sent, r.LookUps, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Repeats, r.Stops, r.AtOnce, r.LongestStopMS, r.Cuts, r.Excused, r.Versions, len(r.Violations))
 	for _, violation := range r.Violations {
 		if err == nil {
 			_, err = fmt.Fprintln(out, "  broken:", violation)
--- a/lab/platformstandin/soak/soak_test.go
+++ b/lab/platformstandin/soak/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -79,9 +78,7 @@
 // the next one under the same fence, and 6 promised that a request had not run
 // that had. Both needed 40 s; the share keeps their kinds together.
 func TestStrikesBreakNoPromise(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "quartzdock-node")
-	output, err := exec.Command("go", "build", "-o", program, "../../../platform/cmd/quartzdock-node").CombinedOutput()
-	assert.NilError(t, err, "%s", output)
+	program := buildProgram(t)
 	for _, seed := range []uint64{5, 6} {
 		report, err := Soak(t.Context(), Config{Seed: seed, Duration: ciSoak, Program: program})
 		assert.NilError(t, err)
