End the fleet with its soak, whatever ends that

Cause: a soak's own process ended without a word in the background of a shell and left nine processes running (FINDINGS). Measured: TestTheFleetEndsWithItsSoak passes (SIGTERM, SIGINT, SIGHUP, SIGKILL; run twice). go test ./docs passes.

--- a/cmd/quartzdock-lab/main.go
+++ b/cmd/quartzdock-lab/main.go
@@ -27,11 +27,21 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), endSignals()...)
 	defer stop()
 	os.Exit(run(ctx, os.Args[1:]))
 }
 
+// endSignals are what ends the lab with its fleets. One that is to outlive its
+// terminal (nohup) goes on without it.
+func endSignals() []os.Signal {
+	signals := []os.Signal{os.Interrupt, syscall.SIGTERM}
+	if !signal.Ignored(syscall.SIGHUP) {
+		signals = append(signals, syscall.SIGHUP)
+	}
+	return signals
+}
+
 func run(ctx context.Context, arguments []string) int {
 	root := rootCommand()
 	err := root.Parse(arguments)
