Take a process for overdue only if its end is not known yet

Cause: where the end of a process and of its grace are both there, select takes either; the stop was then reported as outlasted. Change: the end is asked first. Measured: the tests of the stop in lab/platformstandin pass, also with -race; make lint passes.

--- a/lab/platformstandin/process.go
+++ b/lab/platformstandin/process.go
@@ -35,7 +35,7 @@
 	case <-ctx.Done():
 		m.kill()
 	case <-timer.C:
-		overran = true
+		overran = !m.hasEnded()
 		m.kill()
 	}
 	timeline.stopEnds(stop, time.Now(), overran)
@@ -44,6 +44,16 @@
 	}
 }
 
+// hasEnded says that the machine's process is gone.
+func (m *Machine) hasEnded() bool {
+	select {
+	case <-m.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // kill ends the machine's process.
 func (m *Machine) kill() {
 	_ = m.command.Process.Kill()
