--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -42,9 +42,7 @@
 func (g *Gateway) callerHandler(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.closeWhileStopping(w)
 	began := time.Now()
 	g.lastCaller.Store(began.UnixNano())
 	v := g.views.load()
@@ -64,6 +62,11 @@
 		http.Error(w, "request body not read", status)
 		return
 	}
+	if !g.admission.Admits(c.deadline) {
+		g.metrics.request(c.service.Name, outcomeNotRun, reasonStopping)
+		g.refuse(w, r, reasonStopping, retryAfter(g.refuseStopping()), nil)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	g.answer(w, c, g.run(ctx, c))
@@ -146,16 +149,22 @@
 	// retryServices in how many of its service times.
 	retryRoom     = 300 * time.Millisecond
 	retryServices = 3
+	// retrySpread is around when callers come back whose gateway is known to serve
+	// again at a certain time.
+	retrySpread = 200 * time.Millisecond
 )
 
 // retryAfter says when a refused request should come back, at different times
 // for different callers.
 func retryAfter(result *forwardResult) time.Duration {
 	base := retryOutage
-	if result.Reason == reasonNoRoom {
+	switch result.Reason {
+	case reasonStopping:
+		base = retrySpread
+	case reasonNoRoom:
 		base = max(retryRoom, retryServices*result.Load.serviceTime)
 	}
-	return base/2 + time.Duration(rand.Float64()*float64(base))
+	return result.RetryAfter + base/2 + time.Duration(rand.Float64()*float64(base))
 }
 
 // refuse answers a request that has not run and will not.
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -10,6 +10,9 @@
 // peerHandler takes requests of other gateways for the back end beside this
 // one.
 func (g *Gateway) peerHandler(w http.ResponseWriter, r *http.Request) {
+	g.peerActive.Add(1)
+	defer g.peerActive.Add(-1)
+	g.closeWhileStopping(w)
 	request, ok := g.decodeForward(r)
 	if !ok {
 		http.Error(w, "not from a gateway", http.StatusBadRequest)
@@ -28,6 +31,9 @@
 	if result.Sent {
 		header[fieldSent] = []string{"1"}
 	}
+	if result.RetryAfter > 0 {
+		header[fieldRetryAfter] = []string{milliseconds(result.RetryAfter)}
+	}
 	status := result.Status
 	if status == 0 {
 		status = http.StatusServiceUnavailable
--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -32,7 +32,8 @@
 // each other without a controller.
 type twoHops struct {
 	near, far *Gateway
-	caller    string
+	// caller and farCaller take callers' requests at near and at far.
+	caller, farCaller string
 }
 
 // twoHopsConfig sets up the routes of twoHops.
@@ -70,7 +71,7 @@
 		HasInstances: true,
 		Complete:     true,
 	}
-	hops := &twoHops{caller: near.CallerListen}
+	hops := &twoHops{caller: near.CallerListen, farCaller: far.CallerListen}
 	for _, start := range []struct {
 		config Config
 		into   **Gateway
@@ -80,7 +81,7 @@
 		g.views.advance(view)
 		*start.into = g
 		t.Cleanup(func() {
-			if !g.stopping.Load() {
+			if !g.admission.Stopping() {
 				_ = g.Stop()
 			}
 		})
@@ -160,7 +161,7 @@
 	stopped := make(chan error, 2)
 	for _, g := range []*Gateway{hops.near, hops.far} {
 		go func() { stopped <- g.Stop() }()
-		for !g.stopping.Load() {
+		for !g.admission.Stopping() {
 			time.Sleep(time.Millisecond)
 		}
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -63,7 +63,7 @@
 func New(server *http.Server, listener Listener, maximumConnections int) *Server {
 	s := &Server{
 		http:      server,
-		listener:  newStoppableListener(listener, maximumConnections),
+		listener:  newStoppableListener(listener, maximumConnections, server.ErrorLog),
 		accepting: make(chan struct{}),
 	}
 	server.ConnState = s.track
@@ -107,7 +107,7 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.listener.stop()
 	<-s.accepting
-	grace := time.Now().Add(requestGrace)
+	grace := graceOf(ctx, time.Now())
 	if !waitWhile(ctx, func() bool { return s.anyOpen() && time.Now().Before(grace) }) || !waitWhile(ctx, s.retireIdle) {
 		return s.cutOff()
 	}
@@ -119,6 +119,16 @@
 	return s.http.Close()
 }
 
+// graceOf is when connections without a request are closed: after requestGrace,
+// or half of a shorter stop, so that there is time left to close them in order.
+func graceOf(ctx context.Context, now time.Time) time.Time {
+	grace := requestGrace
+	if end, ok := ctx.Deadline(); ok {
+		grace = min(grace, end.Sub(now)/2)
+	}
+	return now.Add(grace)
+}
+
 // waitWhile returns once the condition does not hold any more, or false when
 // the context ends first.
 func waitWhile(ctx context.Context, condition func() bool) bool {
@@ -137,8 +147,11 @@
 // cutOff closes all connections, with the requests that they carry.
 func (s *Server) cutOff() error {
 	left := s.Open(http.StateActive)
-	_ = s.http.Close()
-	return &CutOffError{left}
+	err := s.http.Close()
+	if left > 0 {
+		return &CutOffError{left}
+	}
+	return err
 }
 
 // anyOpen says that there are connections. One that counts as active may have
