--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"time"
 
 	"github.com/quartzdock/quartzdock/internal/router"
 	"github.com/quartzdock/quartzdock/internal/settings"
@@ -38,7 +39,7 @@
 		RetryShare:         config.RetryShare,
 		StaleAfter:         config.StaleAfter,
 		DrainDelay:         config.DrainDelay,
-		DrainLimit:         config.StopTimeout - config.DrainDelay,
+		DrainLimit:         drainLimit(config.StopTimeout, config.DrainDelay),
 		Log:                p.log,
 		Registry:           p.registry,
 	})
@@ -50,6 +51,11 @@
 	return r.Serve(ctx)
 }
 
+// drainLimit is how long a planned stop may wait for requests after DrainDelay.
+func drainLimit(stopTimeout, drainDelay time.Duration) time.Duration {
+	return stopTimeout - drainDelay
+}
+
 // callerTLS returns the configuration of the callers' listener; nil is plain
 // HTTP. Its files are reread with the others.
 func callerTLS(p *process, config *settings.Router) (*tls.Config, error) {
