A router's drain leaves time for the end of its process

Cause: drain-delay and the drain together took exactly stop-timeout, at which ops.Lifecycle ends the process: two stages with one end. Which came first was a matter of chance, and with it whether the requests that were cut off were told. Change: 0.5 s, at most a quarter of what follows drain-delay, is kept. Before: TestDrainOfARouterEndsBeforeItsProcess fails. After: go test ./internal/command passes.

--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -51,9 +51,20 @@
 	return r.Serve(ctx)
 }
 
+const (
+	// routerEnd is kept of stop-timeout for what a router does after its drain: it
+	// counts what was cut off and closes its connections. An assumption: that
+	// takes milliseconds.
+	routerEnd = 500 * time.Millisecond
+	// routerEndShare is the largest part of the time after drain-delay that is
+	// kept, as 1 of routerEndShare.
+	routerEndShare = 4
+)
+
 // drainLimit is how long a planned stop may wait for requests after DrainDelay.
 func drainLimit(stopTimeout, drainDelay time.Duration) time.Duration {
-	return stopTimeout - drainDelay
+	left := stopTimeout - drainDelay
+	return left - min(routerEnd, left/routerEndShare)
 }
 
 // callerTLS returns the configuration of the callers' listener; nil is plain
