--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -288,3 +289,37 @@
 	_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	assert.NilError(t, err)
 }
+
+// Over TLS the same holds, with HTTP/1.1 and with HTTP/2: a request that has
+// arrived on a kept-open connection is answered, and the idle connection then
+// does not hold the stop up.
+func TestStopOverTLSAnswersOnKeptConnections(t *testing.T) {
+	for _, second := range []bool{false, true} {
+		certified := httptest.NewUnstartedServer(nil)
+		certified.EnableHTTP2 = second
+		certified.StartTLS()
+		defer certified.Close()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+		server := httpserver.New(&http.Server{Handler: handler, TLSConfig: certified.TLS.Clone()}, listener.(*net.TCPListener), 0)
+		served := make(chan error, 1)
+		go func() { served <- server.Serve() }()
+		url := "https://" + listener.Addr().String()
+		client := certified.Client()
+		send := func() error {
+			response, err := client.Get(url)
+			if err != nil {
+				return err
+			}
+			assert.Check(t, (response.ProtoMajor == 2) == second, response.Proto)
+			return response.Body.Close()
+		}
+		assert.NilError(t, send())
+		stopped := make(chan error, 1)
+		go func() { stopped <- server.Stop(t.Context()) }()
+		assert.NilError(t, <-served)
+		assert.NilError(t, send())
+		assert.NilError(t, <-stopped)
+	}
+}
