--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"time"
 
 	"github.com/quartzdock/quartzdock/internal/router"
 	"github.com/quartzdock/quartzdock/internal/settings"
@@ -38,7 +39,7 @@
 		RetryShare:         config.RetryShare,
 		StaleAfter:         config.StaleAfter,
 		DrainDelay:         config.DrainDelay,
-		DrainLimit:         config.StopTimeout - config.DrainDelay,
+		DrainLimit:         drainLimit(config.StopTimeout, config.DrainDelay),
 		Log:                p.log,
 		Registry:           p.registry,
 	})
@@ -50,6 +51,22 @@
 	return r.Serve(ctx)
 }
 
+const (
+	// routerEnd is kept of stop-timeout for what a router does after its drain: it
+	// counts what was cut off and closes its connections. An assumption: that
+	// takes milliseconds.
+	routerEnd = 500 * time.Millisecond
+	// routerEndShare is the largest part of the time after drain-delay that is
+	// kept, as 1 of routerEndShare.
+	routerEndShare = 4
+)
+
+// drainLimit is how long a planned stop may wait for requests after DrainDelay.
+func drainLimit(stopTimeout, drainDelay time.Duration) time.Duration {
+	left := stopTimeout - drainDelay
+	return left - min(routerEnd, left/routerEndShare)
+}
+
 // callerTLS returns the configuration of the callers' listener; nil is plain
 // HTTP. Its files are reread with the others.
 func callerTLS(p *process, config *settings.Router) (*tls.Config, error) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -107,7 +107,7 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.listener.stop()
 	<-s.accepting
-	grace := time.Now().Add(requestGrace)
+	grace := graceOf(ctx, time.Now())
 	if !waitWhile(ctx, func() bool { return s.anyOpen() && time.Now().Before(grace) }) || !waitWhile(ctx, s.retireIdle) {
 		return s.cutOff()
 	}
@@ -119,6 +119,16 @@
 	return s.http.Close()
 }
 
+// graceOf is when connections without a request are closed: after requestGrace,
+// or half of a shorter stop, so that there is time left to close them in order.
+func graceOf(ctx context.Context, now time.Time) time.Time {
+	grace := requestGrace
+	if end, ok := ctx.Deadline(); ok {
+		grace = min(grace, end.Sub(now)/2)
+	}
+	return now.Add(grace)
+}
+
 // waitWhile returns once the condition does not hold any more, or false when
 // the context ends first.
 func waitWhile(ctx context.Context, condition func() bool) bool {
