Refuse requests for another life in the stand-in's back ends, as the protocol says

The published protocol has a back end answer 421 to a request that names another instance; the stand-in ran it and blamed the gateway. Change: the stand-in answers 421 with proof that it has not run the request. The ledger's check of runs stays as it is.

--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -394,6 +394,11 @@
 func (i *Instance) work(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	if target := r.Header.Get("Target-Instance"); target != "" && target != i.ID {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if i.Keyed {
 		key, err := strconv.ParseUint(r.Header.Get("Shard-Key"), 10, 32)
 		if err != nil || !i.holdsAny(heldRange{first: uint32(key), last: uint32(key)}) {
