Never send a fence again whose grant was refused or unanswered

Cause: the gateway's part of a fence rose only while an unconfirmed grant was remembered (20 s), so a gateway without a lease for longer sent the refused number again; and the part had 16 bits, so it wrapped to 0 after 65,536 rises, which a back end refuses from then on. Ruled out: the release after a refusal (never refused, and sent only once a higher fence is confirmed); moves (the next owner's fence is higher by its upper part); a typed error for 409 (an unanswered grant needs the same care). Change: the part rises at once with each grant that isn't confirmed; 24 bits, held at the top instead of wrapping. The test of the ledger read next(), which is gone; it reads the same number from the ledger, as strictly.

--- a/internal/gateway/fences.go
+++ b/internal/gateway/fences.go
@@ -6,15 +6,21 @@
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 )
 
-// subFenceBits is how much of a fence, at the back end, the gateway uses itself:
-// the upper part is the owner's fence from the controllers.
-const subFenceBits = 16
+const (
+	// subFenceBits is how much of a fence, at the back end, the gateway uses
+	// itself: the upper part is the owner's fence from the controllers. With it a
+	// log of 2^29 entries stays below 2^53, what every reader of JSON keeps exact.
+	subFenceBits = 24
+	// mostSub is the highest part. One grant each 150 ms, all unanswered, reaches
+	// it after 29 days.
+	mostSub = 1<<subFenceBits - 1
+)
 
 // openGrant is a grant without an answer, which the back end may still take.
 type openGrant struct {
 	keys  keyspace.Range
 	owner keyspace.Fence
-	sub   uint16
+	sub   uint32
 	at    time.Time
 }
 
@@ -23,33 +29,24 @@
 
 // fenceLedger makes grants that got no answer harmless. One may be taken
 // seconds later, when its keys already have another owner. A back end refuses a
-// grant with a lower fence than it has seen on one of the keys; so each grant
-// after one without an answer has a higher fence, and keys are given up only
-// once the back end has confirmed such a grant for all of them. The next owner's
-// fence is higher than all of these.
+// grant with a lower fence than it has seen on one of the keys; so a fence whose
+// grant was refused or got no answer is never sent again, and keys are given up
+// only once the back end has confirmed a higher one for all of them. The next
+// owner's fence is higher than all of these.
 type fenceLedger struct {
-	// used is the highest part of its own that the gateway has used with each
-	// owner's fence.
-	used map[keyspace.Fence]uint16
+	// used is the part of its own that the gateway uses now with each owner's
+	// fence. It never falls.
+	used map[keyspace.Fence]uint32
 	open []openGrant
 }
 
-func newFenceLedger() fenceLedger { return fenceLedger{used: map[keyspace.Fence]uint16{}} }
+func newFenceLedger() fenceLedger { return fenceLedger{used: map[keyspace.Fence]uint32{}} }
 
 // compose returns the fence as the back end sees it.
-func compose(owner keyspace.Fence, sub uint16) keyspace.Fence {
+func compose(owner keyspace.Fence, sub uint32) keyspace.Fence {
 	return owner<<subFenceBits | keyspace.Fence(sub)
 }
 
-// next returns the part for a grant of a range: a higher one than before where
-// an earlier grant may still be taken.
-func (l *fenceLedger) next(keys keyspace.Range, owner keyspace.Fence) uint16 {
-	if l.isOpen(keys, owner) {
-		l.used[owner]++
-	}
-	return l.used[owner]
-}
-
 // isOpen says that a grant of some of the keys has no answer.
 func (l *fenceLedger) isOpen(keys keyspace.Range, owner keyspace.Fence) bool {
 	for _, open := range l.open {
@@ -60,12 +57,18 @@
 	return false
 }
 
-// unanswered notes a grant without an answer.
-func (l *fenceLedger) unanswered(open openGrant) { l.open = append(l.open, open) }
+// unanswered notes a grant that was refused or got no answer. Its fence is not
+// used again.
+func (l *fenceLedger) unanswered(open openGrant) {
+	l.open = append(l.open, open)
+	if l.used[open.owner] == open.sub && open.sub < mostSub {
+		l.used[open.owner]++
+	}
+}
 
 // confirmed notes that the back end took a grant: earlier ones of these keys are
 // refused from now on.
-func (l *fenceLedger) confirmed(keys keyspace.Range, owner keyspace.Fence, sub uint16) {
+func (l *fenceLedger) confirmed(keys keyspace.Range, owner keyspace.Fence, sub uint32) {
 	var rest []openGrant
 	for _, open := range l.open {
 		if open.owner != owner || open.sub >= sub {
--- a/internal/gateway/fences_test.go
+++ b/internal/gateway/fences_test.go
@@ -44,7 +44,7 @@
 	now := time.Now()
 	before := keyspace.Fence(0)
 	for range grants {
-		sub := ledger.next(keys, 7)
+		sub := ledger.used[7]
 		fence := compose(7, sub)
 		assert.Assert(t, fence > before, "%d after %d", fence, before)
 		assert.Assert(t, fence < compose(8, 0))
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -51,7 +51,7 @@
 	nextAt    time.Time
 	inFlight  bool
 	// sub is the gateway's part of the fence of the last message.
-	sub uint16
+	sub uint32
 }
 
 // release is a range being taken back.
@@ -293,7 +293,7 @@
 func (k *keyKeeper) start(ctx context.Context, sent *grant, hold time.Duration, now time.Time) {
 	sent.inFlight = true
 	sent.sentAt = now
-	sent.sub = k.fences.next(sent.Keys, sent.Fence)
+	sent.sub = k.fences.used[sent.Fence]
 	sent.possibleUntil = later(sent.possibleUntil, now.Add(grantTimeout+time.Duration(float64(hold)*(1+clockDrift))))
 	go k.send(ctx, k.instance, sent, hold)
 }
