Give a back end without keys some after 3 s, whatever the load

Cause: rebalance moved nothing below a utilization of 0.5, so a back end of a keyed service that joins in a calm time never held a key and served nobody. Ruled out: giving at once (it is slow at first, and nobody lacks room); services without keys (an unknown back end is chosen first in its zone). Change: an instance without any key that has been there for 3 s takes part in a rebalance below the thresholds.

--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -106,8 +106,20 @@
 	return ordered
 }
 
+// joinWarmUp is how long a back end without keys waits for its first ones where
+// nobody lacks room: the users' back ends are slow for some seconds after their
+// start, and such a one should serve within 6 s of it.
+const joinWarmUp = 3 * time.Second
+
+// joins says that a back end has been there for long enough without keys that it
+// is to get some whatever the load: nobody asks it for anything before.
+func (p *Planner) joins(service string, target *instance, now time.Duration) bool {
+	return now >= target.firstSeen+joinWarmUp && len(p.state.Owners(service).OwnedBy(target.ID)) == 0
+}
+
 // rebalance begins to move keys from the most to the least loaded back ends
-// where they differ by much. Each back end takes part in one move at a time.
+// where they differ by much, or where the least loaded one has none. Each back
+// end takes part in one move at a time.
 func (p *Planner) rebalance(service string, now time.Duration) {
 	if now < p.rebalanceAt || !p.Complete(now) {
 		return
@@ -118,7 +130,7 @@
 		least, most := ordered[0], ordered[len(ordered)-1]
 		ordered = ordered[1 : len(ordered)-1]
 		low, high := p.utilization(service, least), p.utilization(service, most)
-		if high < busy || high-low < imbalance {
+		if (high < busy || high-low < imbalance) && !p.joins(service, least, now) {
 			return
 		}
 		// What callers ask of a full back end may be many times its slots.
