Let a more urgent long request go before a less urgent short one

Cause: short requests went first whatever their priority, and two slots were kept for them. Ruled out: the queue's order and the estimate (right among requests of one kind); short first where priorities are equal or the short one's is higher, which holds as before (users' calls). Change: of the heads of the two queues, the long one goes first where it is more urgent; one slot in place of two is kept before it, which calls need to end at all. Far above capacity the kept slot can still invert them: not tested.

--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -75,12 +75,15 @@
 	// of how many are.
 	serviceTime time.Duration
 	busy        float64
+	// priority of the request that came last.
+	priority int
 }
 
 // slotGate lets as many requests to the back end as it has slots, the most
-// urgent first, and refuses what would wait too long. Short requests go first,
-// and some slots are kept for them, so that requests which wait for each other's
-// calls can't fill all slots of a circle of services.
+// urgent first, and refuses what would wait too long. Short requests go before
+// long ones that are no more urgent, and some slots are kept for them, so that
+// requests which wait for each other's calls can't fill all slots of a circle of
+// services.
 type slotGate struct {
 	mutex    sync.Mutex
 	capacity int
@@ -104,7 +107,10 @@
 	// Beside them a short request gets the next slot that becomes free, so that
 	// no more need to be idle.
 	keptForShort = 2
-	leastBusy    = 0.05
+	// keptForLessUrgent are kept before a long request that is more urgent: what
+	// calls need to end at all, and no more.
+	keptForLessUrgent = 1
+	leastBusy         = 0.05
 	// mostShort is the part of the slots that short requests may use while long
 	// ones wait, so that these are not starved.
 	mostShort = 0.72
@@ -171,23 +177,28 @@
 	}
 }
 
-// reserved is how many slots only short requests may use.
-func (g *slotGate) reserved() int {
+// reserved is how many slots only short requests may use, before a long one of a
+// priority.
+func (g *slotGate) reserved(priority int) int {
 	if g.short.busy < leastBusy {
 		return 0
 	}
-	return min(keptForShort, g.capacity/2)
+	kept := keptForShort
+	if priority < g.short.priority {
+		kept = keptForLessUrgent
+	}
+	return min(kept, g.capacity/2)
 }
 
-// fits says that a request of a kind may take a slot now.
-func (g *slotGate) fits(short bool) bool {
+// fits says that a request of a kind and priority may take a slot now.
+func (g *slotGate) fits(short bool, priority int) bool {
 	if g.short.running+g.long.running >= g.capacity {
 		return false
 	}
 	if short {
 		return len(g.long.queue) == 0 || float64(g.short.running) < mostShort*float64(g.capacity)
 	}
-	return g.long.running < min(g.limit.of(g.capacity), g.capacity-g.reserved())
+	return g.long.running < min(g.limit.of(g.capacity), g.capacity-g.reserved(priority))
 }
 
 // slot is one that was acquired.
@@ -206,7 +217,8 @@
 	}
 	taken := slot{short: wanted.target <= g.shortUpTo(), target: wanted.target}
 	use := g.use(taken.short)
-	if g.fits(taken.short) && len(use.queue) == 0 {
+	use.priority = wanted.priority
+	if g.fits(taken.short, wanted.priority) && len(use.queue) == 0 {
 		use.running++
 		g.mutex.Unlock()
 		return taken, nil
@@ -279,14 +291,36 @@
 	g.admit()
 }
 
-// admit lets waiting requests in while there is room: short ones first.
+// admit lets waiting requests in while there is room: short ones first, unless a
+// long one is more urgent.
 func (g *slotGate) admit() {
-	for _, short := range []bool{true, false} {
-		use := g.use(short)
-		for len(use.queue) > 0 && g.fits(short) {
-			next := heap.Pop(&use.queue).(*ticket)
-			use.running++
-			close(next.admitted)
+	for {
+		use := g.nextUse()
+		if use == nil {
+			return
 		}
+		next := heap.Pop(&use.queue).(*ticket)
+		use.running++
+		close(next.admitted)
 	}
 }
+
+// nextUse is the kind of request that gets the next free slot, or nil.
+func (g *slotGate) nextUse() *slotUse {
+	short, long := g.ready(true), g.ready(false)
+	switch {
+	case short && long && g.long.queue[0].priority < g.short.queue[0].priority:
+		return &g.long
+	case short:
+		return &g.short
+	case long:
+		return &g.long
+	}
+	return nil
+}
+
+// ready says that a request of a kind waits and may take a slot now.
+func (g *slotGate) ready(short bool) bool {
+	queue := g.use(short).queue
+	return len(queue) > 0 && g.fits(short, queue[0].priority)
+}
