--- /dev/null
+++ b/internal/gateway/parts_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+)
+
+// What the drawn part of a route can't take is refused, with proof, and no try of
+// it reaches another part that has room.
+func TestARequestStaysInThePartOfItsRouteThatWasDrawn(t *testing.T) {
+	full := map[string]http.HandlerFunc{
+		"without an instance": nil,
+		"without room": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+	}
+	for name, refuse := range full {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			hops := startTwoHops(t, twoHopsConfig{timeout: time.Second}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				answerWhole(w, r)
+			}))
+			instances := []fleetwire.Instance{hops.near.views.load().byID["i"]}
+			if refuse != nil {
+				instances = append(instances, startFullPart(t, refuse))
+			}
+			hops.near.views.advance(&fleetwire.View{Document: splitDocument(), Instances: instances, HasInstances: true, Complete: true})
+			v := hops.near.views.load()
+			const drawn = 0.75 // of the two halves, the one that is full
+			route := v.table.Find("h", "/a")
+			assert.Equal(t, route.Pick(drawn), "full")
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			began := time.Now()
+			result := hops.near.run(ctx, &call{
+				request: hops.request(ctx, t, "r1"), id: "r1", route: route, service: v.table.Service(route.Pick(drawn)),
+				began: began, deadline: began.Add(200 * time.Millisecond),
+			})
+			assert.Equal(t, result.Outcome, outcomeNotRun)
+			assert.Equal(t, runs.Load(), int32(0), "moved to the other part")
+		})
+	}
+}
+
+// splitDocument divides a route between a part with room and one without.
+func splitDocument() *routeconfig.Document {
+	return &routeconfig.Document{
+		Version: 2,
+		Routes: []routeconfig.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Repetition: routeconfig.Repeatable, Timeout: time.Second, TargetLatency: 300 * time.Millisecond,
+			Attempts: 3, Destinations: []routeconfig.Destination{{Service: "s", Weight: 1}, {Service: "full", Weight: 1}},
+		}},
+		Services: []routeconfig.Service{{Name: "s"}, {Name: "full"}},
+	}
+}
+
+// startFullPart runs a gateway beside a back end that refuses, and returns what a
+// view says of it.
+func startFullPart(t *testing.T, refuse http.HandlerFunc) fleetwire.Instance {
+	t.Helper()
+	server := httptest.NewServer(refuse)
+	t.Cleanup(server.Close)
+	config := Config{
+		Name: "full", Zone: "a", Service: "full", CallerListen: freeAddress(t), PeerListen: freeAddress(t),
+		BackendAddress: server.Listener.Addr().String(), Headers: testHeaders(), StopWithin: time.Millisecond,
+	}
+	g, err := Start(config)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = g.Stop() })
+	g.Heartbeat(Registration{ID: "f", Service: "full", Slots: 1, State: fleetwire.InstanceReady, Sequence: 1})
+	return fleetwire.Instance{ID: "f", Service: "full", Node: "full", Zone: "a", Address: config.PeerListen, State: fleetwire.InstanceReady, Slots: 1}
+}
+
+// A back end that has just joined gets a request of another machine in its zone
+// at once, although those that are known there have room.
+func TestABackEndThatJoinsIsChosen(t *testing.T) {
+	g := choosingGateway(t)
+	g.tell("127.0.0.1:1", 0, 20*time.Millisecond)
+	g.tell("127.0.0.1:2", 0, 20*time.Millisecond)
+	g.views.advance(&fleetwire.View{HasInstances: true, Instances: []fleetwire.Instance{
+		{ID: "joined", Service: "s", Node: "node-joined", Zone: "a", Address: "127.0.0.1:3", State: fleetwire.InstanceReady},
+	}})
+	assert.Equal(t, chosen(g, routeconfig.NonRepeatable), "joined")
+}
