--- /dev/null
+++ b/internal/gateway/keyreleases.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+)
+
+// startReleases takes back what was asked for. No grant of those keys may be on
+// its way meanwhile.
+func (k *keyKeeper) startReleases(ctx context.Context, now time.Time, gone bool) {
+	for _, running := range k.releases {
+		if running.done || running.inFlight || now.Before(running.nextAt) || k.granting(running.held) {
+			continue
+		}
+		over := now.After(k.possibleUntil(running.held)) && !k.fences.isOpen(running.held.Keys, running.held.Fence)
+		if gone || over {
+			running.done = true
+			k.gateway.session.report()
+			continue
+		}
+		if k.fences.isOpen(running.held.Keys, running.held.Fence) || !k.everConfirmed(running.held) {
+			k.cover(ctx, running, now)
+			continue
+		}
+		running.inFlight = true
+		k.taken = append(k.taken, taken{heldKey{running.held.Keys, running.held.Fence}, now})
+		go k.takeBack(ctx, running, compose(running.held.Fence, k.fences.used[running.held.Fence]))
+	}
+}
+
+// everConfirmed says that the back end has confirmed a grant of all of a range
+// under its fence, so that it refuses those of earlier processes.
+func (k *keyKeeper) everConfirmed(held fleetwire.Held) bool {
+	for key, sent := range k.grants {
+		if key.fence == held.Fence && key.keys.Contains(held.Keys) && !sent.confirmed.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// cover grants a range that is to be given up once more, under a higher fence
+// than those of the grants that may still be taken.
+func (k *keyKeeper) cover(ctx context.Context, running *release, now time.Time) {
+	key := heldKey{running.held.Keys, running.held.Fence}
+	sent, ok := k.grants[key]
+	if !ok {
+		sent = &grant{Held: running.held}
+		k.grants[key] = sent
+	}
+	const longest = leastHold + leastHold/10 + grantTimeout
+	if !now.Before(sent.nextAt) && now.Add(longest).Before(running.coverUntil) {
+		k.start(ctx, sent, leastHold, now)
+	}
+}
+
+func (k *keyKeeper) granting(held fleetwire.Held) bool {
+	for key, sent := range k.grants {
+		if sent.inFlight && key.fence == held.Fence && key.keys.Overlaps(held.Keys) {
+			return true
+		}
+	}
+	return false
+}
+
+// possibleUntil is when the back end surely holds none of a range any more,
+// whatever this process or an earlier one has granted.
+func (k *keyKeeper) possibleUntil(held fleetwire.Held) time.Time {
+	until := k.started.Add(time.Duration(float64(holdFor)*(1+clockDrift)) + grantTimeout)
+	for key, sent := range k.grants {
+		if key.fence == held.Fence && key.keys.Overlaps(held.Keys) {
+			until = later(until, sent.possibleUntil)
+		}
+	}
+	return until
+}
+
+func (k *keyKeeper) takeBack(ctx context.Context, running *release, fence keyspace.Fence) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	handover, err := k.gateway.config.Keys.Release(ctx, running.held.Keys, fence)
+	k.gateway.metrics.release(err)
+	k.mutex.Lock()
+	running.inFlight = false
+	if err != nil {
+		running.nextAt = time.Now().Add(releaseAgain)
+	} else {
+		running.done = true
+		running.handover = handover
+	}
+	k.mutex.Unlock()
+	if err != nil {
+		k.gateway.config.Log.Info("release not confirmed", "first", running.held.Keys.First, "last", running.held.Keys.Last, "error", err)
+		return
+	}
+	k.gateway.session.report()
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -57,9 +57,8 @@
 }
 
 // New prepares a server. It takes over server.ConnState and wraps
-// server.Handler. At most
-// maximumConnections are open at once; further ones wait in the kernel's
-// backlog. Zero means any number.
+// server.Handler. At most maximumConnections are open at once; further ones wait
+// in the kernel's backlog. Zero means any number.
 func New(server *http.Server, listener Listener, maximumConnections int) *Server {
 	s := &Server{
 		http:      server,
@@ -204,18 +203,6 @@
 	}
 }
 
-// StopAll stops servers at once, so that each has the whole time that the
-// context leaves, and joins their errors.
-func StopAll(ctx context.Context, servers ...*Server) error {
-	failures := make([]error, len(servers))
-	var stopping sync.WaitGroup
-	for i, server := range servers {
-		stopping.Go(func() { failures[i] = server.Stop(ctx) })
-	}
-	stopping.Wait()
-	return errors.Join(failures...)
-}
-
 // note tells the connection where a request begins and ends.
 func (s *Server) note(connection net.Conn, state http.ConnState) {
 	known, ok := tracked(connection)
@@ -227,3 +214,15 @@
 		known.idle()
 	}
 }
+
+// StopAll stops servers at once, so that each has the whole time that the
+// context leaves, and joins their errors.
+func StopAll(ctx context.Context, servers ...*Server) error {
+	failures := make([]error, len(servers))
+	var stopping sync.WaitGroup
+	for i, server := range servers {
+		stopping.Go(func() { failures[i] = server.Stop(ctx) })
+	}
+	stopping.Wait()
+	return errors.Join(failures...)
+}
