--- a/lab/platformstandin/process.go
+++ b/lab/platformstandin/process.go
@@ -21,8 +21,9 @@
 }
 
 // StopPlanned stops the machine's process as the platform does: SIGTERM, and
-// SIGKILL only at the end of the grace (the settings files tell Grace), or where the context ends before. A
-// process that is still there at the end of its grace breaks a promise.
+// SIGKILL only at the end of the grace (the settings files tell Grace), or where
+// the context ends before. A process that is still there at the end of its grace
+// breaks a promise.
 func (m *Machine) StopPlanned(ctx context.Context, grace time.Duration) {
 	timeline := m.fleet.Timeline
 	stop := timeline.stopBegins(m.Name, time.Now(), grace)
--- a/lab/platformstandin/readiness.go
+++ b/lab/platformstandin/readiness.go
@@ -28,9 +28,9 @@
 var ErrLeft = errors.New("the machine is not ready")
 
 // openToCallers makes the clients of a machine's callers and of the back end
-// beside it, which has no other gateway. Callers' connections that are
-// open stay in use for as long as the machine keeps them; new ones are made
-// unless the readiness has failed.
+// beside it, which has no other gateway. Callers' connections that are open stay
+// in use for as long as the machine keeps them; new ones are made unless the
+// readiness has failed.
 func (m *Machine) openToCallers() {
 	dialer := &net.Dialer{}
 	m.beside = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
