Tell back ends their keys by heartbeat where their service says so

Change: routeconfig.Service.Grants chooses the way; the lease, the fences and the releases are the ones that calls use (internal/gateway/keyheartbeats.go). The answer to a heartbeat lists all that the lease lists, for as long as the lease surely lasts, counted from the heartbeat's arrival, which is later than its sending. A range is promised as released once a heartbeat that follows an answer without it names it no more and no older answer that offered it can still be taken (one second), or once its time is over. A range that is not taken is offered under a higher fence. What a back end names is served on while its gateway, started anew, has no lease yet.

Ruled out: refusing heartbeats whose rows overlap, as the issue asks. Rows that run backwards or leave the key space are refused.

Tests: keyheartbeats_test.go (each failed on the code before, which knows no such answer), the stand-in's back ends speak the contract and three of its runs play both.

--- a/internal/gateway/fences.go
+++ b/internal/gateway/fences.go
@@ -47,6 +47,11 @@
 	return owner<<subFenceBits | keyspace.Fence(sub)
 }
 
+// decompose is the reverse of compose.
+func decompose(fence keyspace.Fence) (owner keyspace.Fence, sub uint32) {
+	return fence >> subFenceBits, uint32(fence & mostSub)
+}
+
 // isOpen says that a grant of some of the keys has no answer.
 func (l *fenceLedger) isOpen(keys keyspace.Range, owner keyspace.Fence) bool {
 	for _, open := range l.open {
@@ -61,8 +66,13 @@
 // used again.
 func (l *fenceLedger) unanswered(open openGrant) {
 	l.open = append(l.open, open)
-	if l.used[open.owner] == open.sub && open.sub < mostSub {
-		l.used[open.owner]++
+	l.skip(open.owner, open.sub)
+}
+
+// skip makes sure that a fence is not used again.
+func (l *fenceLedger) skip(owner keyspace.Fence, sub uint32) {
+	if l.used[owner] == sub && sub < mostSub {
+		l.used[owner]++
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,9 +108,19 @@
 }
 
 // Heartbeat takes the word of the back end beside the gateway. It is
-// acknowledged by its return.
-func (g *Gateway) Heartbeat(told Registration) {
-	g.registry.heartbeat(told, g.drainWithin(), time.Now())
+// acknowledged by its return, with the keys that the back end is to hold from the
+// moment it sent the heartbeat; nil tells nothing of keys. A KeyReportError says
+// that nothing was taken.
+func (g *Gateway) Heartbeat(told Registration) (*KeyOffer, error) {
+	if err := told.checkKeys(); err != nil {
+		g.config.Log.Warn("heartbeat refused", "instance", told.ID, "error", err)
+		return nil, err
+	}
+	now := time.Now()
+	if !g.registry.heartbeat(told, g.drainWithin(), now) {
+		return nil, nil
+	}
+	return g.keys.heartbeat(told.ID, told.Held, told.Freed, now), nil
 }
 
 // Deregister takes a back end's word that it leaves.
--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -7,8 +7,7 @@
 
 // startGrants sends what is due.
 func (k *keyKeeper) startGrants(ctx context.Context, now time.Time) {
-	left := time.Duration(float64(k.leaseUntil.Sub(now))*(1-clockDrift)) - transit
-	hold := min(holdFor, k.gateway.config.LongestHold, left)
+	hold := k.longestHold(now)
 	if hold < leastHold {
 		return
 	}
@@ -27,6 +26,13 @@
 	}
 }
 
+// longestHold is for how long keys may be granted at a time: surely not beyond
+// the lease.
+func (k *keyKeeper) longestHold(now time.Time) time.Duration {
+	left := time.Duration(float64(k.leaseUntil.Sub(now))*(1-clockDrift)) - transit
+	return min(holdFor, k.gateway.config.LongestHold, left)
+}
+
 // start sends one grant.
 func (k *keyKeeper) start(ctx context.Context, sent *grant, hold time.Duration, now time.Time) {
 	sent.inFlight = true
--- a/internal/gateway/keyreleases.go
+++ b/internal/gateway/keyreleases.go
@@ -8,17 +8,26 @@
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 )
 
-// startReleases takes back what was asked for. No grant of those keys may be on
-// its way meanwhile.
-func (k *keyKeeper) startReleases(ctx context.Context, now time.Time, gone bool) {
+// endOver promises the ranges that the back end surely holds no more, because it
+// is gone or its time is over.
+func (k *keyKeeper) endOver(now time.Time, gone bool) {
 	for _, running := range k.releases {
-		if running.done || running.inFlight || now.Before(running.nextAt) || k.granting(running.held) {
+		if running.done || running.inFlight || k.granting(running.held) {
 			continue
 		}
 		over := now.After(k.possibleUntil(running.held)) && !k.fences.isOpen(running.held.Keys, running.held.Fence)
 		if gone || over {
 			running.done = true
 			k.gateway.session.report()
+		}
+	}
+}
+
+// startReleases takes back what was asked for. No grant of those keys may be on
+// its way meanwhile.
+func (k *keyKeeper) startReleases(ctx context.Context, now time.Time) {
+	for _, running := range k.releases {
+		if running.done || running.inFlight || now.Before(running.nextAt) || k.granting(running.held) {
 			continue
 		}
 		if k.fences.isOpen(running.held.Keys, running.held.Fence) || !k.everConfirmed(running.held) {
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -57,6 +57,9 @@
 	inFlight  bool
 	// sub is the gateway's part of the fence of the last message.
 	sub uint32
+	// untaken counts heartbeats in a row that did not name the range although it
+	// had been offered.
+	untaken int
 }
 
 // release is a range being taken back.
@@ -68,6 +71,10 @@
 	nextAt     time.Time
 	done       bool
 	handover   string
+	// leftOutAt is when the first answer to a heartbeat left the range out, and
+	// letGo says that the back end has named it no more since.
+	leftOutAt time.Time
+	letGo     bool
 }
 
 // taken is a range that was taken back from the back end. Grants sent before do
@@ -95,6 +102,7 @@
 	releases   map[heldKey]*release
 	taken      []taken
 	fences     fenceLedger
+	reported   keyReport
 }
 
 func newKeyKeeper(g *Gateway) *keyKeeper {
@@ -130,6 +138,7 @@
 	k.instance = instance
 	k.wanted = nil
 	k.taken = nil
+	k.reported = keyReport{}
 	k.fences = newFenceLedger()
 	k.grants = map[heldKey]*grant{}
 	k.releases = map[heldKey]*release{}
@@ -173,11 +182,15 @@
 
 // holds reports whether an instance holds a key at a time.
 func (k *keyKeeper) holds(instance string, key keyspace.Key, now time.Time) bool {
+	byHeartbeat := k.byHeartbeat()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if instance != k.instance {
 		return false
 	}
+	if byHeartbeat {
+		return k.servesReported(key, now)
+	}
 	one := keyspace.Range{First: key, Last: key}
 	for _, held := range k.wanted {
 		if !held.Keys.Contains(one) {
@@ -219,6 +232,7 @@
 }
 
 func (k *keyKeeper) work(ctx context.Context, now time.Time) {
+	byHeartbeat := k.byHeartbeat()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if k.instance == "" {
@@ -228,10 +242,15 @@
 	// be the next one, also where no leader has heard of it.
 	present := k.gateway.registry.snapshot()
 	gone := present.State == fleetwire.InstanceGone || present.ID != k.instance
-	if !gone {
+	k.endOver(now, gone)
+	switch {
+	case byHeartbeat:
+		k.endReleases(now)
+	case gone:
+	default:
 		k.startGrants(ctx, now)
+		k.startReleases(ctx, now)
 	}
-	k.startReleases(ctx, now, gone)
 	k.forget(now)
 }
 
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -59,10 +59,12 @@
 	holder *fakeHolder
 	g      *Gateway
 	epoch  time.Time
+	// sequence of the last heartbeat.
+	sequence uint64
 }
 
 func newKeyRig(t *testing.T) *keyRig {
-	rig := &keyRig{holder: &fakeHolder{}, epoch: time.Now()}
+	rig := &keyRig{holder: &fakeHolder{}, epoch: time.Now(), sequence: 1}
 	rig.g = &Gateway{config: Config{Keys: rig.holder}.withDefaults()}
 	rig.g.metrics = newGatewayMetrics(rig.g.config.Registry)
 	rig.g.views = newViews()
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -16,6 +16,10 @@
 	State   fleetwire.InstanceState
 	// Sequence grows with each heartbeat of a life, so that a late one is known.
 	Sequence uint64
+	// Held is what it holds or still works on, and Freed what it has let go since
+	// its last acknowledged heartbeat, where it gets its keys by heartbeat.
+	Held  []HeldRange
+	Freed []FreedRange
 }
 
 // registry keeps what is known of the back end beside the gateway.
@@ -54,35 +58,38 @@
 }
 
 // heartbeat takes a back end's word, drainWithin being for how long a leaving
-// one may still get requests.
-func (r *registry) heartbeat(told Registration, drainWithin time.Duration, now time.Time) {
-	if r.take(told, drainWithin, now) {
+// one may still get requests. It reports whether this is the newest word of the
+// life that is there.
+func (r *registry) heartbeat(told Registration, drainWithin time.Duration, now time.Time) (newest bool) {
+	newest, changed := r.take(told, drainWithin, now)
+	if changed {
 		r.changed()
 	}
+	return newest
 }
 
-func (r *registry) take(told Registration, drainWithin time.Duration, now time.Time) bool {
+func (r *registry) take(told Registration, drainWithin time.Duration, now time.Time) (newest, changed bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.ended[told.ID] {
-		return false
+		return false, false
 	}
 	if told.ID != r.current.ID {
 		r.begin(told)
 	} else if told.Sequence <= r.current.Sequence {
-		return false
+		return false, false
 	}
 	r.current.Sequence = told.Sequence
 	r.current.Slots = told.Slots
 	if r.left {
-		return true
+		return true, true
 	}
 	before := r.current.State
 	r.current.State = told.State
 	if told.State == fleetwire.InstanceDraining && r.refuseFrom.IsZero() {
 		r.refuseFrom = now.Add(drainWithin)
 	}
-	return before != told.State
+	return true, before != told.State
 }
 
 // begin starts a new life of the back end.
--- a/internal/routeconfig/document.go
+++ b/internal/routeconfig/document.go
@@ -56,6 +56,18 @@
 	Source []byte
 }
 
+// GrantMode says how the back ends of a keyed service are told which keys they
+// hold.
+type GrantMode uint8
+
+// Modes.
+const (
+	// GrantByCall: the gateway beside a back end calls it.
+	GrantByCall GrantMode = iota
+	// GrantByHeartbeat: the answer to a back end's heartbeat tells it.
+	GrantByHeartbeat
+)
+
 // Service is a group of back ends that serve the same requests.
 type Service struct {
 	Name string
@@ -65,6 +77,8 @@
 	MaxConnections int
 	// Keyed services divide the key space among their back ends.
 	Keyed bool
+	// Grants is how the back ends of a keyed service get their keys.
+	Grants GrantMode
 	// Warm is how long keys are slow that came without a handover.
 	Warm time.Duration
 	// Source is the operator's own text of the service, kept to be read back.
--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -16,6 +16,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // Instance is a stand-in of one life of a back end.
@@ -25,6 +27,8 @@
 	// Machine is the name of the machine that it is beside.
 	Machine string
 	Keyed   bool
+	// ByHeartbeat says that it gets its keys by heartbeat and not by call.
+	ByHeartbeat bool
 	// Control takes heartbeats, "IP:port".
 	Control string
 	Slots   int
@@ -39,6 +43,7 @@
 	state    string
 	sequence uint64
 	held     []heldRange
+	keys     heartbeatKeys
 	// seen has the highest fence that each sampled key was granted under.
 	seen map[uint32]uint64
 	// late draws for how long a grant is held up before it is taken without an
@@ -172,7 +177,7 @@
 		l.fences[key] = fenceOf{given.fence, instance.ID}
 	}
 	for _, other := range l.instances {
-		if other != instance && other.Service == instance.Service && other.holdsAny(given) {
+		if other != instance && other.Service == instance.Service && other.holdsOrWorksOn(given) {
 			l.violate("%s and %s both hold keys of %d to %d", instance.ID, other.ID, given.first, given.last)
 		}
 	}
@@ -203,7 +208,7 @@
 // Stop ends the instance as a crash does.
 func (i *Instance) Stop() {
 	i.mutex.Lock()
-	i.state, i.held = "ended", nil
+	i.state, i.held, i.keys = "ended", nil, heartbeatKeys{running: i.keys.running}
 	i.mutex.Unlock()
 	_ = i.server.Close()
 }
@@ -224,29 +229,31 @@
 const heartbeatInterval = 200 * time.Millisecond
 
 func (i *Instance) beat(ctx context.Context, address string) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for ctx.Err() == nil && i.sendBeat(ctx, address) {
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
+	for ctx.Err() == nil {
+		i.mutex.Lock()
+		i.sequence++
+		state, sequence := i.state, i.sequence
+		i.mutex.Unlock()
+		if state == "ended" {
+			return
+		}
+		interval := heartbeatInterval
+		if i.ByHeartbeat {
+			if i.beatByHeartbeat(ctx, address, state, sequence) {
+				interval = hurriedInterval
+			}
+		} else {
+			i.sendBeat(ctx, address, state, sequence)
 		}
+		_ = pause.For(ctx, interval)
 	}
 }
 
-// sendBeat sends one heartbeat, and reports whether the instance lives.
-func (i *Instance) sendBeat(ctx context.Context, address string) bool {
-	i.mutex.Lock()
-	i.sequence++
-	state, sequence := i.state, i.sequence
-	i.mutex.Unlock()
-	if state == "ended" {
-		return false
-	}
+// sendBeat sends one heartbeat.
+func (i *Instance) sendBeat(ctx context.Context, address, state string, sequence uint64) {
 	body := fmt.Sprintf(`{"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"sequence":%d,"warmupLeft":"0ms"}}`,
 		address, i.Service, i.Slots, state, sequence)
 	_, _ = post(ctx, "http://"+i.Control+"/instances/"+i.ID+"/heartbeat", body)
-	return true
 }
 
 // post sends a JSON body and returns the status.
@@ -406,6 +413,8 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		i.startWork(uint32(key))
+		defer i.endWork(uint32(key))
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/lab/platformstandin/standin_test.go
+++ b/lab/platformstandin/standin_test.go
@@ -49,13 +49,29 @@
 	ctx       context.Context
 	instances []*Instance
 	next      int
+	// grants is how the keyed back ends get their keys, in the platform's word.
+	grants string
 }
 
-func newRig(t *testing.T) *rig {
+// byBoth runs a test with either way of granting keys.
+func byBoth(t *testing.T, test func(*testing.T, *rig)) {
+	for _, grants := range []string{"call", "heartbeat"} {
+		t.Run(grants, func(t *testing.T) { test(t, newRigWith(t, grants)) })
+	}
+}
+
+func newRig(t *testing.T) *rig { return newRigWith(t, "call") }
+
+// configuration returns one that builds on another.
+func (r *rig) configuration(version, base int) string {
+	return strings.Replace(fmt.Sprintf(configuration, version, base), `"grants":"call"`, `"grants":"`+r.grants+`"`, 1)
+}
+
+func newRigWith(t *testing.T, grants string) *rig {
 	fleet, err := NewFleet(program, t.TempDir(), 3, []string{"keyed", "keyed", "plain", "plain"})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
-	r := &rig{Fleet: fleet, t: t, ctx: ctx}
+	r := &rig{Fleet: fleet, t: t, ctx: ctx, grants: grants}
 	t.Cleanup(func() {
 		cancel()
 		fleet.Stop()
@@ -74,7 +90,7 @@
 	for i, side := range fleet.Sides {
 		r.startInstance(i, side, 1)
 	}
-	status, err := fleet.Operate(ctx, "/config/put", fmt.Sprintf(configuration, 5, 0))
+	status, err := fleet.Operate(ctx, "/config/put", r.configuration(5, 0))
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 	for _, side := range fleet.Sides {
@@ -86,6 +102,7 @@
 func (r *rig) startInstance(i int, side *Machine, life int) *Instance {
 	instance := &Instance{
 		ID: fmt.Sprintf("i-%d-%d", i, life), Service: side.Service, Keyed: side.Service == "keyed", Control: side.Control(), Slots: 8,
+		ByHeartbeat: r.grants == "heartbeat",
 	}
 	assert.NilError(r.t, StartInstance(r.ctx, r.Ledger, side.App(), instance))
 	r.instances = append(r.instances, instance)
@@ -122,8 +139,9 @@
 	assert.Equal(r.t, strings.Join(r.Ledger.Violations(), "\n"), "")
 }
 
-func TestACalmRun(t *testing.T) {
-	r := newRig(t)
+func TestACalmRun(t *testing.T) { byBoth(t, calmRun) }
+
+func calmRun(t *testing.T, r *rig) {
 	for i := range 400 {
 		side := r.Sides[i%len(r.Sides)]
 		method, path := http.MethodGet, "/k/a%2Fb?q=1"
@@ -182,8 +200,9 @@
 
 // The leader is killed, all controllers are killed, and one disk is lost: what
 // was acknowledged stays and keys keep one owner.
-func TestControllersAreLost(t *testing.T) {
-	r := newRig(t)
+func TestControllersAreLost(t *testing.T) { byBoth(t, controllersAreLost) }
+
+func controllersAreLost(t *testing.T, r *rig) {
 	for _, core := range r.Cores {
 		core.Signal(syscall.SIGKILL)
 	}
@@ -195,7 +214,7 @@
 	for _, core := range r.Cores {
 		assert.NilError(t, core.Start())
 	}
-	status, err := r.Operate(r.ctx, "/config/put", fmt.Sprintf(configuration, 7, 5))
+	status, err := r.Operate(r.ctx, "/config/put", r.configuration(7, 5))
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 	// The machine with the empty disk votes again: another may be lost. Its own
@@ -210,15 +229,16 @@
 		return poll.Continue("not admitted as a voter")
 	}, poll.WithTimeout(time.Minute), poll.WithDelay(50*time.Millisecond))
 	r.Cores[1].Signal(syscall.SIGKILL)
-	status, err = r.Operate(r.ctx, "/config/put", fmt.Sprintf(configuration, 9, 7))
+	status, err = r.Operate(r.ctx, "/config/put", r.configuration(9, 7))
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 	r.checkPromises()
 }
 
 // An owner drains, another crashes and comes back, a gateway is restarted.
-func TestBackEndsAndGatewaysComeAndGo(t *testing.T) {
-	r := newRig(t)
+func TestBackEndsAndGatewaysComeAndGo(t *testing.T) { byBoth(t, backEndsAndGatewaysComeAndGo) }
+
+func backEndsAndGatewaysComeAndGo(t *testing.T, r *rig) {
 	r.instances[0].Drain()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if r.instances[0].holdsAny(heldRange{first: 0, last: 65535}) {
