Let requests wait at the owner for a key that is on its way

Change: the owner's gateway holds such a request until the key is there, at most 1.3 s and half of its time (egress.awaitKey); a gateway whose try found the key on its way elsewhere waits for news of that key, not for any news (awaitOwner).

Tests: keywait_test.go, virtual time.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,6 +18,10 @@
 	holdShare = 0.5
 	// holdStep is how often a held request looks again without news.
 	holdStep = 40 * time.Millisecond
+	// sameOwnerAgain is when the owner of a key that did not hold it is asked
+	// again without news: it waits for the key itself (keyWait), so that the answer
+	// says that it has not come for long.
+	sameOwnerAgain = 200 * time.Millisecond
 	// maxTries bounds how many gateways one request is offered to, and
 	// maxRefusals after how many that had no room it is refused.
 	maxTries    = 8
@@ -74,7 +78,7 @@
 		if refusals == maxRefusals || g.final(ctx, c, result, sends) {
 			return result
 		}
-		if hasKey && !g.hold(ctx, holdUntil) {
+		if hasKey && !g.awaitOwner(ctx, c.service.Name, key, target.ID, result.Reason, holdUntil) {
 			return result
 		}
 		tried[target.ID] = !hasKey
@@ -121,6 +125,29 @@
 	return ctx.Err() == nil
 }
 
+// awaitOwner waits, after a try at the owner of a key failed, until another try may
+// end otherwise: the key has another owner, or a moment has passed. It reports
+// whether the request may be tried again.
+func (g *Gateway) awaitOwner(ctx context.Context, service string, key keyspace.Key, tried string, why reason, until time.Time) bool {
+	if why != reasonNotOwner && why != reasonNotAdmitted {
+		return g.hold(ctx, until)
+	}
+	again := time.Now().Add(sameOwnerAgain)
+	if again.After(until) {
+		again = until
+	}
+	if time.Until(until) <= 0 || ctx.Err() != nil {
+		return false
+	}
+	for v := g.views.load(); time.Now().Before(again) && ctx.Err() == nil; v = g.views.load() {
+		if owner, ok := v.owner(service, key); ok && owner.ID != tried {
+			break
+		}
+		v.await(ctx.Done(), time.Until(again))
+	}
+	return ctx.Err() == nil
+}
+
 // choose picks the instance for a request: the owner of its key, or the one
 // expected to answer first among those not tried yet.
 func (g *Gateway) choose(c *call, key keyspace.Key, hasKey bool, tried map[string]bool) (fleetwire.Instance, bool) {
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -22,6 +22,11 @@
 	// answerMargin is how much earlier than the caller the egress gives up, so
 	// that its word still arrives.
 	answerMargin = 15 * time.Millisecond
+	// keyWait bounds how long a request waits for its key where the back end is
+	// about to get it: the time between two heartbeats of back ends, 0.9 to 1.3 s.
+	// keyWaitShare is the part of the request's time that it may wait.
+	keyWait      = 1300 * time.Millisecond
+	keyWaitShare = 0.5
 	// maxAnswer bounds the body of an answer.
 	maxAnswer = 64 << 20
 )
@@ -73,7 +78,7 @@
 
 // try returns what became of a request and for how long it used a slot.
 func (e *egress) try(ctx context.Context, request *forwardRequest) (*forwardResult, time.Duration) {
-	if refusal := e.refuses(request); refusal != nil {
+	if refusal := e.awaitKey(ctx, request); refusal != nil {
 		return refusal, 0
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
@@ -89,6 +94,20 @@
 	return result, used
 }
 
+// awaitKey refuses a request as refuses does, but where only the key is missing
+// that the back end is about to get, it waits for it.
+func (e *egress) awaitKey(ctx context.Context, request *forwardRequest) *forwardResult {
+	refusal := e.refuses(request)
+	if refusal == nil || refusal.Reason != reasonNotOwner {
+		return refusal
+	}
+	left := time.Until(request.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, min(keyWait, time.Duration(keyWaitShare*float64(left))))
+	defer cancel()
+	e.gateway.keys.await(ctx, request.Instance, request.Key)
+	return e.refuses(request)
+}
+
 // useSlot sends the request, unless things have changed while it waited.
 func (e *egress) useSlot(ctx context.Context, request *forwardRequest) *forwardResult {
 	if refusal := e.refuses(request); refusal != nil {
--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -75,5 +75,6 @@
 	sent.until = later(sent.until, sent.sentAt.Add(hold))
 	sent.confirmed = sent.sentAt
 	sent.nextAt = sent.sentAt.Add(renewAfter)
+	k.announce()
 	k.signal()
 }
--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -140,6 +140,7 @@
 		return nil
 	}
 	k.noteLeftOut(now)
+	k.announce()
 	return offer
 }
 
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -103,6 +103,8 @@
 	taken      []taken
 	fences     fenceLedger
 	reported   keyReport
+	// changed is closed when more keys may be held than before.
+	changed chan struct{}
 }
 
 func newKeyKeeper(g *Gateway) *keyKeeper {
@@ -113,6 +115,43 @@
 		grants:   map[heldKey]*grant{},
 		releases: map[heldKey]*release{},
 		fences:   newFenceLedger(),
+		changed:  make(chan struct{}),
+	}
+}
+
+// announce wakes who waits for a key. The caller has the mutex.
+func (k *keyKeeper) announce() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// expects says that the back end is about to get a key: the lease lists it, or the
+// controllers have made it the owner.
+func (k *keyKeeper) expects(instance string, key keyspace.Key) bool {
+	if owner, ok := k.gateway.views.load().owner(k.gateway.registry.snapshot().Service, key); ok && owner.ID == instance {
+		return true
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	one := keyspace.Range{First: key, Last: key}
+	return instance == k.instance && slices.ContainsFunc(k.wanted, func(held fleetwire.Held) bool { return held.Keys.Contains(one) })
+}
+
+// await returns when an instance holds a key, when it is not to get it, or when
+// the context ends.
+func (k *keyKeeper) await(ctx context.Context, instance string, key keyspace.Key) {
+	for {
+		k.mutex.Lock()
+		changed := k.changed
+		k.mutex.Unlock()
+		if k.holds(instance, key, time.Now()) || !k.expects(instance, key) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -129,6 +168,7 @@
 	k.leaseUntil = epoch.Add(lease.SentAt + duration)
 	k.wanted = lease.Held
 	k.takeReleases(lease.Release)
+	k.announce()
 	k.mutex.Unlock()
 	k.signal()
 }
--- /dev/null
+++ b/internal/gateway/keywait_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"gotest.tools/v3/assert"
+)
+
+// awaited returns how long a request waits for a key of i-1, at most a limit.
+func (r *keyRig) awaited(key keyspace.Key, limit time.Duration) time.Duration {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	r.g.keys.await(ctx, "i-1", key)
+	return time.Since(began)
+}
+
+// A back end learns of a key with its next heartbeat; who asks for the key before
+// waits there, and is not sent to and fro.
+func TestARequestWaitsForAKeyThatItsOwnerIsAboutToGet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newHeartbeatRig(t)
+		rig.lease(held(0, 99), nil)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			rig.beat(t, "i-1", nil)
+		}()
+		assert.Equal(t, rig.awaited(5, time.Second), 300*time.Millisecond)
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		synctest.Wait()
+	})
+}
+
+func TestARequestWaitsForNoOtherKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newHeartbeatRig(t)
+		rig.lease(held(0, 99), nil)
+		assert.Equal(t, rig.awaited(100, time.Second), time.Duration(0))
+		rig.lease(nil, asked(0, 99))
+		assert.Equal(t, rig.awaited(5, time.Second), time.Duration(0), "it is being given up")
+	})
+}
+
+func TestARequestWaitsForItsKeyForABoundedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newHeartbeatRig(t)
+		rig.lease(held(0, 99), nil)
+		assert.Equal(t, rig.awaited(5, time.Second), time.Second)
+	})
+}
+
+// While an owner gives a key up, who asked for it there waits for news of its
+// next owner.
+func TestARequestWaitsForTheNextOwnerOfItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newHeartbeatRig(t)
+		owned := func(index uint64, owner string) {
+			packed := []fleetwire.ServiceOwners{{Service: "s", Assignments: []keyspace.Assignment{{
+				Range: keyspace.Range{First: 0, Last: keyspace.LastKey}, Owner: owner, Fence: keyspace.Fence(index),
+			}}}}
+			rig.g.views.advance(&fleetwire.View{
+				OwnersIndex: index, Owners: packed, HasInstances: true, Complete: true,
+				Instances: []fleetwire.Instance{{ID: "i-1", Service: "s"}, {ID: "i-2", Service: "s"}},
+			})
+		}
+		owned(1, "i-1")
+		began := time.Now()
+		until := began.Add(time.Second)
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			owned(2, "i-1") // news of other keys
+			time.Sleep(30 * time.Millisecond)
+			owned(3, "i-2")
+		}()
+		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-1", reasonNotOwner, until))
+		assert.Equal(t, time.Since(began), 80*time.Millisecond)
+		// Without news it is asked again after a moment, and not beyond its time.
+		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-2", reasonNotOwner, until))
+		assert.Equal(t, time.Since(began), 80*time.Millisecond+sameOwnerAgain)
+		time.Sleep(time.Until(until))
+		assert.Assert(t, !rig.g.awaitOwner(t.Context(), "s", 5, "i-2", reasonNotOwner, until))
+		synctest.Wait()
+	})
+}
