Decide by the steady clock, and share the retry slack by membership

The slack of the budget was a constant for each gateway: 1.5 a window, 420 at 280 gateways of the fleet's 602 and beyond it at 1,100.

Change: internal/steady has instants of the steady clock as a type that holds nothing else; those four use it. A gateway's slack is its part of 0.6 of the fleet's, by the gateways it knows, 1.5 at most as before.

Tests: TestTheSlackIsSharedByAllGateways fails on the code before at 1,100; the clocks are proved by type, as a test can't set the time of day back.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 const (
@@ -109,7 +110,7 @@
 	if sends >= c.route.Attempts || time.Until(c.deadline) < leastPatience {
 		return true
 	}
-	allowed := g.budgets.repeat(c.service.Name, time.Now())
+	allowed := g.budgets.repeat(c.service.Name, len(g.views.load().byID), steady.Now())
 	g.metrics.repeat(c.service.Name, allowed)
 	return !allowed
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/plannedstop"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // Gateway is one running gateway.
@@ -37,11 +38,11 @@
 
 	// admission says what may still begin during a planned stop. active counts
 	// requests of callers in progress, and peerActive those of other gateways.
-	// lastCaller is when the last caller's came, in nanoseconds since 1970.
+	// lastCaller is when the last caller's came.
 	admission  plannedstop.Admission
 	active     atomic.Int64
 	peerActive atomic.Int64
-	lastCaller atomic.Int64
+	lastCaller steady.Atomic
 }
 
 const (
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 const (
@@ -44,7 +45,7 @@
 	defer g.active.Add(-1)
 	g.closeWhileStopping(w)
 	began := time.Now()
-	g.lastCaller.Store(began.UnixNano())
+	g.lastCaller.Store(steady.At(began))
 	v := g.views.load()
 	if v.table == nil {
 		g.refuse(w, r, reasonNoConfiguration, retryAfter(notRun(reasonNoConfiguration)), nil)
@@ -105,7 +106,7 @@
 	if limit := began.Add(route.Timeout); limit.Before(c.deadline) {
 		c.deadline, c.timesOut = limit, true
 	}
-	g.budgets.request(c.service.Name, began)
+	g.budgets.request(c.service.Name, steady.At(began))
 	return c, 0
 }
 
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -8,6 +8,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -89,19 +90,33 @@
 }
 
 func TestRepeatsStayWithinTheBudgetOfEachWindow(t *testing.T) {
-	b := newRetryBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second})
-	now := time.Unix(1000, 0)
+	b := newRetryBudgets(RetryBudget{Ratio: 0.2, Slack: 58, Window: 10 * time.Second})
+	now := steady.Now()
 	for range 1000 {
 		b.request("s", now)
 	}
 	granted := 0
-	for b.repeat("s", now) {
+	for b.repeat("s", 12, now) {
 		granted++
 	}
 	assert.Assert(t, granted > 0 && float64(granted) <= 0.2*1000*ownShare+ownSlack, "%d", granted)
-	assert.Assert(t, !b.repeat("s", now.Add(9*time.Second)))
-	assert.Assert(t, b.repeat("s", now.Add(11*time.Second)), "the slack of a new window")
-	assert.Assert(t, !b.repeat("s", now.Add(12*time.Second)), "without requests there is no more")
+	assert.Assert(t, !b.repeat("s", 12, now.Add(9*time.Second)))
+	assert.Assert(t, b.repeat("s", 12, now.Add(11*time.Second)), "the slack of a new window")
+	assert.Assert(t, !b.repeat("s", 12, now.Add(12*time.Second)), "without requests there is no more")
+}
+
+// The budget is the fleet's: however many gateways there are, their slacks stay
+// within it.
+func TestTheSlackIsSharedByAllGateways(t *testing.T) {
+	const slack = 602
+	for _, gateways := range []int{1, 12, 280, 1100} {
+		b := newRetryBudgets(RetryBudget{Ratio: 0.2, Slack: slack, Window: 10 * time.Second})
+		own := 0
+		for b.repeat("s", gateways, steady.Now()) {
+			own++
+		}
+		assert.Assert(t, own*gateways <= slack, "%d gateways make %d each", gateways, own)
+	}
 }
 
 func TestOnlyEndToEndFieldsGoOn(t *testing.T) {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/httpserver"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 const (
@@ -62,7 +63,8 @@
 // time for what is running is left.
 func (g *Gateway) awaitQuietCallers(began time.Time) {
 	for time.Since(began) < g.config.StopWithin-drainReserve {
-		quiet := time.Since(time.Unix(0, g.lastCaller.Load())) > quietBeforeStop && g.active.Load() == 0
+		last, came := g.lastCaller.Load()
+		quiet := (!came || steady.Since(last) > quietBeforeStop) && g.active.Load() == 0
 		if quiet && time.Since(began) > leastStop {
 			return
 		}
--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -53,7 +53,7 @@
 		return Config{
 			Name: name, Zone: "a", Service: "s", CallerListen: freeAddress(t), PeerListen: freeAddress(t),
 			BackendAddress: server.Listener.Addr().String(), Headers: testHeaders(),
-			DrainWithin: setup.drain, StopWithin: max(setup.stop, time.Millisecond),
+			DrainWithin: setup.drain, StopWithin: max(setup.stop, time.Millisecond), Budget: RetryBudget{Ratio: 0.2, Slack: 58},
 		}
 	}
 	far, near := config("far"), config("near")
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -6,8 +6,9 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 const (
@@ -29,9 +30,9 @@
 	// slots bounds open connections; nil is no bound.
 	slots chan struct{}
 	// stopped is closed when the stop begins; stopAt is when it gives the
-	// backlog up, in nanoseconds since 1970.
+	// backlog up.
 	stopped chan struct{}
-	stopAt  atomic.Int64
+	stopAt  steady.Atomic
 	// log takes errors that pass; nil is the standard logger, as in http.Server.
 	log *log.Logger
 }
@@ -48,12 +49,15 @@
 // It may be called once.
 func (l *stoppableListener) stop() {
 	now := time.Now()
-	l.stopAt.Store(now.Add(backlogLimit).UnixNano())
+	l.stopAt.Store(steady.At(now).Add(backlogLimit))
 	close(l.stopped)
 	_ = l.SetDeadline(now)
 }
 
-func (l *stoppableListener) stopping() bool { return l.stopAt.Load() != 0 }
+func (l *stoppableListener) stopping() bool {
+	_, stopping := l.stopAt.Load()
+	return stopping
+}
 
 // Accept implements net.Listener. After the stop it returns net.ErrClosed once
 // the backlog is empty.
@@ -81,7 +85,8 @@
 		}
 		l.pause(err)
 	}
-	if now := time.Now(); now.UnixNano() < l.stopAt.Load() {
+	now := time.Now()
+	if stopAt, _ := l.stopAt.Load(); steady.At(now).Before(stopAt) {
 		_ = l.SetDeadline(now.Add(backlogPause))
 		if connection, err := l.Listener.Accept(); err == nil {
 			return connection, nil
--- a/internal/logbuffer/limit.go
+++ b/internal/logbuffer/limit.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // limitWindow is the time over which lines of one message are counted.
@@ -12,7 +14,7 @@
 
 // messageCount counts the lines of one message in the present window.
 type messageCount struct {
-	window     int64
+	window     time.Duration
 	passed     int
 	suppressed int64
 }
@@ -21,6 +23,7 @@
 type limitState struct {
 	mutex  sync.Mutex
 	most   int
+	began  steady.Instant
 	counts map[string]*messageCount
 	total  int64
 }
@@ -36,7 +39,7 @@
 
 // NewLimit returns a handler in front of another.
 func NewLimit(next slog.Handler, perSecond int) *Limit {
-	return &Limit{next: next, state: &limitState{most: perSecond, counts: map[string]*messageCount{}}}
+	return &Limit{next: next, state: &limitState{most: perSecond, began: steady.Now(), counts: map[string]*messageCount{}}}
 }
 
 // Enabled implements slog.Handler.
@@ -49,7 +52,7 @@
 	if record.Level >= slog.LevelWarn {
 		return l.next.Handle(ctx, record)
 	}
-	suppressed, passes := l.state.admit(record.Message, record.Time)
+	suppressed, passes := l.state.admit(record.Message, steady.Now())
 	if !passes {
 		return nil
 	}
@@ -61,7 +64,7 @@
 
 // admit reports whether a line passes, and how many of its message did not
 // since the last one that passed.
-func (s *limitState) admit(message string, now time.Time) (suppressed int64, passes bool) {
+func (s *limitState) admit(message string, now steady.Instant) (suppressed int64, passes bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	count, ok := s.counts[message]
@@ -69,7 +72,7 @@
 		count = &messageCount{}
 		s.counts[message] = count
 	}
-	if window := now.UnixNano() / int64(limitWindow); window != count.window {
+	if window := now.Sub(s.began) / limitWindow; window != count.window {
 		count.window, count.passed = window, 0
 	}
 	if count.passed >= s.most {
