--- a/internal/gateway/fences.go
+++ b/internal/gateway/fences.go
@@ -52,10 +52,11 @@
 	return fence >> subFenceBits, uint32(fence & mostSub)
 }
 
-// isOpen says that a grant of some of the keys has no answer.
+// isOpen says that a grant of some of the keys has no answer, under an owner's
+// fence or an earlier one.
 func (l *fenceLedger) isOpen(keys keyspace.Range, owner keyspace.Fence) bool {
 	for _, open := range l.open {
-		if open.owner == owner && open.keys.Overlaps(keys) {
+		if open.owner <= owner && open.keys.Overlaps(keys) {
 			return true
 		}
 	}
@@ -81,7 +82,7 @@
 func (l *fenceLedger) confirmed(keys keyspace.Range, owner keyspace.Fence, sub uint32) {
 	var rest []openGrant
 	for _, open := range l.open {
-		if open.owner != owner || open.sub >= sub {
+		if compose(open.owner, open.sub) >= compose(owner, sub) {
 			rest = append(rest, open)
 			continue
 		}
--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -126,9 +126,13 @@
 	}
 	ordered := p.byLoad(service, p.warm(p.targets(service, now), now))
 	ordered = slices.DeleteFunc(ordered, func(candidate *instance) bool { return p.moving(candidate.ID) })
+	owned := func(of *instance) int { return len(p.state.Owners(service).OwnedBy(of.ID)) }
 	for len(ordered) >= 2 {
 		least, most := ordered[0], ordered[len(ordered)-1]
 		ordered = ordered[1 : len(ordered)-1]
+		if owned(least) >= mostOwned {
+			continue
+		}
 		low, high := p.utilization(service, least), p.utilization(service, most)
 		if (high < busy || high-low < imbalance) && !p.joins(service, least, now) {
 			return
