--- a/cmd/quartzdock-lab/soak.go
+++ b/cmd/quartzdock-lab/soak.go
@@ -20,6 +20,7 @@
 	flags.DurationVar(&config.Duration, 0, "duration", defaultSoak, "how long callers are at work")
 	flags.StringVar(&config.Program, 0, "program", "", "binary of the users' platform; empty builds it")
 	flags.StringListVar(&config.Kinds, 0, "kind", "kind of strike, all if none is given; may be repeated")
+	flags.StringVar((*string)(&config.Grants), 0, "grants", string(soak.ByCall), "how keyed back ends get their keys: call or heartbeat")
 	flags.StringVar(&config.KeepIn, 0, "keep-logs", "", "folder for the logs of a failing seed")
 	flags.BoolVar(&config.JSON, 0, "json", "write the report as JSON")
 	return &ff.Command{
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -53,18 +53,19 @@
 type fleet struct {
 	*platformstandin.Fleet
 	ctx         context.Context
+	grants      Grants
 	callers     *callers
 	controllers []*place
 	gateways    []*place
 	backends    []*place
 }
 
-func startFleet(ctx context.Context, program, folder string, services []string) (*fleet, error) {
+func startFleet(ctx context.Context, program, folder string, grants Grants, services []string) (*fleet, error) {
 	laid, err := platformstandin.NewFleet(program, folder, controllers, services)
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{Fleet: laid, ctx: ctx}
+	f := &fleet{Fleet: laid, ctx: ctx, grants: grants}
 	f.callers = &callers{fleet: f}
 	for _, machine := range laid.Cores {
 		f.controllers = append(f.controllers, &place{machine: machine})
@@ -92,7 +93,7 @@
 	side := backend.machine
 	backend.instance = &platformstandin.Instance{
 		ID: fmt.Sprintf("%s-%d", side.Name, backend.lives), Service: side.Service, Machine: side.Name, Keyed: side.Service == keyedService,
-		Control: side.Control(), Slots: slotsOfBackend,
+		ByHeartbeat: f.grants == ByHeartbeat, Control: side.Control(), Slots: slotsOfBackend,
 		Calls: func(ctx context.Context, call platformstandin.LookUp) { f.callers.lookUp(ctx, side, call) },
 	}
 	return platformstandin.StartInstance(f.ctx, f.Ledger, side.App(), backend.instance)
--- a/lab/platformstandin/soak/operator.go
+++ b/lab/platformstandin/soak/operator.go
@@ -11,12 +11,13 @@
 	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
-// configuration has gaps for its version, its base and its routes' time-out.
+// configuration has gaps for its version, its base, its routes' time-out and how
+// keys are granted.
 const configuration = `{"version":%d,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"},"baseVersion":%d,` +
 	`"listeners":[{"host":"a.example","ruleSet":[{"name":"keyed","routeType":"safe","targetLatency":"900ms","priority":2,"match":{"pathPrefix":"/k/"},"action":{"service":"keyed","timeout":"%dms","attempts":2}},` +
 	`{"name":"once","routeType":"unsafe","targetLatency":"900ms","priority":1,"match":{"pathPrefix":"/o/"},"action":{"service":"keyed","timeout":"2500ms","attempts":2}},` +
 	`{"name":"plain","routeType":"unsafe","targetLatency":"900ms","priority":1,"match":{"pathPrefix":"/p/"},"action":{"service":"plain","timeout":"2500ms","attempts":2}}]}],` +
-	`"clusters":[{"name":"keyed","healthCheckPath":"/health","maxConnections":100,"protocol":"h1","tls":false,"sharded":true,"warm":"3s","grants":"call"},` +
+	`"clusters":[{"name":"keyed","healthCheckPath":"/health","maxConnections":100,"protocol":"h1","tls":false,"sharded":true,"warm":"3s","grants":%q},` +
 	`{"name":"plain","healthCheckPath":"/health","maxConnections":100,"protocol":"h1","tls":false}]}`
 
 const (
@@ -59,7 +60,7 @@
 func (o *operator) send(ctx context.Context, sent change, base int) change {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	sent.status, sent.err = o.fleet.Operate(ctx, "/config/put", fmt.Sprintf(configuration, sent.version, base, sent.timeout))
+	sent.status, sent.err = o.fleet.Operate(ctx, "/config/put", fmt.Sprintf(configuration, sent.version, base, sent.timeout, string(o.fleet.grants)))
 	return sent
 }
 
--- a/lab/platformstandin/soak/run.go
+++ b/lab/platformstandin/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,6 +24,9 @@
 	Program string
 	// Kinds to draw from; none is all.
 	Kinds []string
+	// Grants is how keyed back ends get their keys, in the platform's words; empty
+	// is ByCall.
+	Grants Grants
 	// JSON writes the report as JSON.
 	JSON bool
 	// KeepIn is the folder in which the logs of a failing seed are kept.
@@ -30,9 +34,27 @@
 	Output io.Writer
 }
 
+// Grants is how keyed back ends get their keys, in the platform's words.
+type Grants string
+
+// Ways of granting keys.
+const (
+	ByCall      Grants = "call"
+	ByHeartbeat Grants = "heartbeat"
+)
+
+// check refuses other words.
+func (g Grants) check() error {
+	if g != ByCall && g != ByHeartbeat {
+		return fmt.Errorf("keys are granted by %q or %q, not by %q", ByCall, ByHeartbeat, g)
+	}
+	return nil
+}
+
 // Report is what a soak has found.
 type Report struct {
 	Seed       uint64   `json:"seed"`
+	Grants     Grants   `json:"grants"`
 	DurationMS int64    `json:"duration_ms"`
 	Strikes    []Strike `json:"strikes"`
 	Sent       int64    `json:"requests_sent"`
@@ -81,6 +103,10 @@
 
 // Soak runs a fleet under the strikes of a seed.
 func Soak(ctx context.Context, config Config) (*Report, error) {
+	config.Grants = cmp.Or(config.Grants, ByCall)
+	if err := config.Grants.check(); err != nil {
+		return nil, err
+	}
 	folder, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, err
@@ -102,7 +128,7 @@
 
 func soak(ctx context.Context, config Config, folder string) (*Report, error) {
 	strikes := Draw(config.Seed, config.Duration, kindsOf(config.Kinds))
-	f, err := startFleet(ctx, config.Program, folder, servicesFor(strikes))
+	f, err := startFleet(ctx, config.Program, folder, config.Grants, servicesFor(strikes))
 	if f != nil {
 		defer f.stop()
 	}
@@ -174,7 +200,7 @@
 	_, repeats := f.Ledger.Totals()
 	excused := clients.checkStops()
 	return &Report{
-		Seed: config.Seed, DurationMS: config.Duration.Milliseconds(), Strikes: strikes,
+		Seed: config.Seed, Grants: config.Grants, DurationMS: config.Duration.Milliseconds(), Strikes: strikes,
 		Sent: clients.counts.sent.Load(), LookUps: clients.counts.lookUps.Load(), Answered: clients.counts.answered.Load(), NotRun: clients.counts.notRun.Load(),
 		Unknown: clients.counts.unknown.Load(), Lost: clients.counts.lost.Load(),
 		Repeats: repeats, Versions: operators.accepted, Stops: len(f.Timeline.Stops()), AtOnce: f.Timeline.StopsAtOnce(), LongestStopMS: f.Timeline.LongestStop().Milliseconds(),
@@ -188,8 +214,8 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(r)
 	}
-	_, err := fmt.Fprintf(out, "seed %d: %d strikes, %d requests and %d calls of back ends (%d answered, %d not run, %d unknown, %d without an answer), %d runs repeated, %d planned stops (%d at once, %d ms at most), %d runs cut, %d excused in planned stops, %d configurations, %d promises broken\n",
-		r.Seed, len(r.Strikes), r.Sent, r.LookUps, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Repeats, r.Stops, r.AtOnce, r.LongestStopMS, r.Cuts, r.Excused, r.Versions, len(r.Violations))
+	_, err := fmt.Fprintf(out, "seed %d, keys by %s: %d strikes, %d requests and %d calls of back ends (%d answered, %d not run, %d unknown, %d without an answer), %d runs repeated, %d planned stops (%d at once, %d ms at most), %d runs cut, %d excused in planned stops, %d configurations, %d promises broken\n",
+		r.Seed, r.Grants, len(r.Strikes), r.Sent, r.LookUps, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Repeats, r.Stops, r.AtOnce, r.LongestStopMS, r.Cuts, r.Excused, r.Versions, len(r.Violations))
 	for _, violation := range r.Violations {
 		if err == nil {
 			_, err = fmt.Fprintln(out, "  broken:", violation)
--- a/lab/platformstandin/soak/soak_test.go
+++ b/lab/platformstandin/soak/soak_test.go
@@ -80,13 +80,20 @@
 func TestStrikesBreakNoPromise(t *testing.T) {
 	program := buildProgram(t)
 	for _, seed := range []uint64{5, 6} {
-		report, err := Soak(t.Context(), Config{Seed: seed, Duration: ciSoak, Program: program})
-		assert.NilError(t, err)
-		assert.Equal(t, strings.Join(report.Violations, "\n"), "", "seed %d", seed)
-		assert.Assert(t, report.Answered > 0 && report.Versions > 1, "%+v", report)
+		for _, grants := range []Grants{ByCall, ByHeartbeat} {
+			report, err := Soak(t.Context(), Config{Seed: seed, Duration: ciSoak, Program: program, Grants: grants})
+			assert.NilError(t, err)
+			assert.Equal(t, strings.Join(report.Violations, "\n"), "", "seed %d, keys by %s", seed, grants)
+			assert.Assert(t, report.Answered > 0 && report.Versions > 1, "%+v", report)
+		}
 	}
 }
 
+func TestAnUnknownWayOfGrantingKeysIsAnError(t *testing.T) {
+	_, err := Soak(t.Context(), Config{Seed: 1, Duration: time.Second, Grants: "letter"})
+	assert.ErrorContains(t, err, "letter")
+}
+
 // A fleet whose program does not start is told, not passed over.
 func TestAProgramThatDoesNotStartIsAnError(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
