--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -103,13 +103,21 @@
 	keyNotGranted keyState = "not-granted"
 	keyExpired    keyState = "grant-expired"
 	keyTakenBack  keyState = "taken-back"
+	// keyNotTold: the back end gets its keys by heartbeat and has sent none since.
+	keyNotTold keyState = "not-told"
+	// keyNotTaken: it was told, by heartbeat, and does not name the key.
+	keyNotTaken keyState = "not-taken"
 )
 
 // whyNot explains why holds is false.
 func (k *keyKeeper) whyNot(key keyspace.Key, now time.Time) keyState {
+	byHeartbeat := k.byHeartbeat()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	one := keyspace.Range{First: key, Last: key}
+	if byHeartbeat {
+		return k.whyNotReported(one)
+	}
 	state := keyNotLeased
 	for _, held := range k.wanted {
 		if !held.Keys.Contains(one) {
@@ -128,3 +136,21 @@
 	}
 	return state
 }
+
+// whyNotReported is whyNot where keys are granted by heartbeat.
+func (k *keyKeeper) whyNotReported(one keyspace.Range) keyState {
+	for _, held := range k.wanted {
+		if !held.Keys.Contains(one) {
+			continue
+		}
+		sent, offered := k.grants[heldKey{held.Keys, held.Fence}]
+		switch {
+		case !offered || sent.sentAt.IsZero():
+			return keyNotTold
+		case sent.untaken > 0:
+			return keyNotTaken
+		}
+		return keyExpired
+	}
+	return keyNotLeased
+}
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -48,6 +48,21 @@
 	})
 }
 
+func TestWhyAKeyIsNotHeldIsToldApartByHeartbeatToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newHeartbeatRig(t)
+		keys := rig.g.keys
+		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotLeased)
+		rig.lease(held(0, 9), nil)
+		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotTold)
+		rig.beat(t, "i-1", nil)
+		assert.Assert(t, keys.holds("i-1", 5, time.Now()))
+		assert.Equal(t, keys.whyNot(5, time.Now().Add(time.Minute)), keyExpired)
+		rig.beat(t, "i-1", nil)
+		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotTaken)
+	})
+}
+
 // All hops draw the same requests for the log, about one in sampledOf.
 func TestSamplesAreDrawnByTheRequestsID(t *testing.T) {
 	drawn := 0
--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -64,6 +65,9 @@
 // Error implements error.
 func (e *KeyReportError) Error() string { return "keys of heartbeat: " + e.Reason }
 
+// errNotTaken: a back end does not name a range that it was offered.
+var errNotTaken = errors.New("not taken")
+
 // checkKeys refuses ranges that run backwards or lie outside the key space. They
 // may overlap: a range that is held anew may still be worked on by what began when
 // it was held before.
@@ -161,6 +165,7 @@
 	for _, sent := range k.grants {
 		if sent.confirmed.IsZero() && covered(sent.Keys, held) {
 			sent.confirmed = sent.sentAt
+			k.gateway.metrics.grant(nil)
 		}
 	}
 	for _, row := range held {
@@ -174,6 +179,7 @@
 		}
 		sent.confirmed = time.Time{}
 		sent.untaken++
+		k.gateway.metrics.grant(errNotTaken)
 		k.fences.skip(wanted.Fence, sent.sub)
 		if sent.untaken == untakenTold {
 			k.gateway.config.Log.Warn("keys not taken by back end", "instance", k.instance, "first", wanted.Keys.First, "last", wanted.Keys.Last,
