Pace large answers to the machine's link

Up to 14 answers at once filled the link's queue, and small answers waited behind them for about a second: the internal look-ups that posts wait for missed their 1.2 s, so that posts failed.

Change: bodies from 16 KB on are handed over in chunks, no faster than 0.93 of the link sends them, three at a time in the order they came (linkPacer). A gateway tells its link's backlog beside its load, and transfers choose by it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -184,8 +184,12 @@
 		load := g.slots.load()
 		cost = load.expected(load.running+load.waiting, c.route.TargetLatency)
 	} else {
-		expected, avoided := g.peers.get(candidate.Address).expected(c.route.TargetLatency, now)
+		peer := g.peers.get(candidate.Address)
+		expected, avoided := peer.expected(c.route.TargetLatency, now)
 		cost = expected
+		if c.route.Repetition == routeconfig.RepeatableTransfer {
+			cost += peer.linkBacklog(now).Seconds()
+		}
 		if avoided {
 			cost += avoidedCost
 		}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -74,6 +74,9 @@
 	// Keys speaks to the back end about its keys.
 	Keys   KeyHolder
 	Budget RetryBudget
+	// LinkBytesPerSecond is what the machine's link sends; zero is unknown, and
+	// answers are not paced.
+	LinkBytesPerSecond float64
 	// DrainWithin is how long after its announcement a leaving back end may
 	// still get requests.
 	DrainWithin time.Duration
--- a/internal/gateway/egress_test.go
+++ b/internal/gateway/egress_test.go
@@ -70,6 +70,7 @@
 	config := Config{BackendAddress: backend.listener.Addr().String(), Headers: testHeaders()}
 	g := &Gateway{config: config.withDefaults()}
 	g.metrics = newGatewayMetrics(g.config.Registry)
+	g.pacer = newLinkPacer(0)
 	g.views = newViews()
 	g.slots = newSlotGate()
 	g.keyLoad = newKeyLoad()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	slots    *slotGate
 	peers    *peerSet
 	budgets  *retryBudgets
+	pacer    *linkPacer
 	egress   *egress
 	session  *sessionClient
 	tally    tally
@@ -60,6 +61,7 @@
 	g.keyLoad = newKeyLoad()
 	g.peers = newPeerSet()
 	g.budgets = newRetryBudgets(g.config.Budget)
+	g.pacer = newLinkPacer(g.config.LinkBytesPerSecond)
 	g.registry = newRegistry(g.instanceChanged)
 	g.registry.current = fleetwire.Instance{Node: g.config.Name, Address: g.config.PeerListen, Zone: g.config.Zone}
 	g.keys = newKeyKeeper(g)
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -78,7 +78,7 @@
 
 // formatLoad writes a load for the field between gateways.
 func formatLoad(load peerLoad) string {
-	buffer := make([]byte, 0, 40)
+	buffer := make([]byte, 0, 48)
 	buffer = strconv.AppendInt(buffer, int64(load.running), 10)
 	buffer = append(buffer, ',')
 	buffer = strconv.AppendInt(buffer, int64(load.waiting), 10)
@@ -90,13 +90,15 @@
 	buffer = strconv.AppendInt(buffer, load.shortService.Microseconds(), 10)
 	buffer = append(buffer, ',')
 	buffer = strconv.AppendInt(buffer, load.shortUpTo.Microseconds(), 10)
+	buffer = append(buffer, ',')
+	buffer = strconv.AppendInt(buffer, load.linkBacklog.Microseconds(), 10)
 	return string(buffer)
 }
 
 // parseLoad reads what formatLoad wrote.
 func parseLoad(text string) (peerLoad, bool) {
 	parts := strings.Split(text, ",")
-	const fields = 6
+	const fields = 7
 	if len(parts) != fields {
 		return peerLoad{}, false
 	}
@@ -113,5 +115,6 @@
 		serviceTime:  time.Duration(numbers[3]) * time.Microsecond,
 		shortService: time.Duration(numbers[4]) * time.Microsecond,
 		shortUpTo:    time.Duration(numbers[5]) * time.Microsecond,
+		linkBacklog:  time.Duration(numbers[6]) * time.Microsecond,
 	}, true
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -127,7 +127,7 @@
 		for name, values := range result.Header {
 			header[name] = values
 		}
-		writeAnswer(w, result.Status, result.Body)
+		g.writeAnswer(c.request.Context(), w, result.Status, result.Body)
 		return
 	case outcomeNotRun:
 		g.refuse(w, c.request, result.Reason, retryAfter(result), c.tries)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -35,6 +35,8 @@
 	shortService time.Duration
 	// shortUpTo is the longest target of a short request.
 	shortUpTo time.Duration
+	// linkBacklog is how long the link of its machine takes for what waits there.
+	linkBacklog time.Duration
 }
 
 // service returns the service time of requests with a target.
@@ -124,6 +126,14 @@
 	}
 }
 
+// linkBacklog is how long a large answer of the peer waits for its link, by what it
+// told last.
+func (p *peer) linkBacklog(now time.Time) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return max(p.load.linkBacklog-now.Sub(p.loadAt), 0)
+}
+
 // expected estimates how long a request takes at the peer, in seconds; avoided
 // says that it failed a moment ago. What was heard long ago counts less and
 // less, so that a back end that was slow is tried again.
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -24,6 +25,7 @@
 		header[name] = values
 	}
 	header[fieldOutcome] = []string{string(result.Outcome)}
+	result.Load.linkBacklog = g.pacer.backlog(time.Now())
 	header[fieldLoad] = []string{formatLoad(result.Load)}
 	if result.Reason != reasonNone {
 		header[fieldReason] = []string{string(result.Reason)}
@@ -38,11 +40,12 @@
 	if status == 0 {
 		status = http.StatusServiceUnavailable
 	}
-	writeAnswer(w, status, result.Body)
+	g.writeAnswer(r.Context(), w, status, result.Body)
 }
 
-// writeAnswer writes a whole answer with its length.
-func writeAnswer(w http.ResponseWriter, status int, body []byte) {
+// writeAnswer writes a whole answer with its length. The reader of a part sees by
+// the length that it is one.
+func (g *Gateway) writeAnswer(ctx context.Context, w http.ResponseWriter, status int, body []byte) {
 	header := w.Header()
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // no guessing
@@ -51,7 +54,7 @@
 		header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	}
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	g.pacer.write(ctx, w, body)
 }
 
 // decodeForward reads what encodeForward wrote.
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -122,7 +122,7 @@
 }
 
 func TestLoadsSurviveTheWay(t *testing.T) {
-	load := peerLoad{running: 3, waiting: 1, slots: 18, serviceTime: 90 * time.Millisecond, shortService: 20 * time.Millisecond, shortUpTo: 150 * time.Millisecond}
+	load := peerLoad{running: 3, waiting: 1, slots: 18, serviceTime: 90 * time.Millisecond, shortService: 20 * time.Millisecond, shortUpTo: 150 * time.Millisecond, linkBacklog: time.Second}
 	read, ok := parseLoad(formatLoad(load))
 	assert.Assert(t, ok)
 	assert.Equal(t, read, load)
