Serve late requests in the slots that are left over

Callers come again once; then they have nothing.

Change: such a request waits behind all that can still be in time, for as long as its caller does, where the slots that those leave over will reach it by then (rate of the last second, without what is kept for short ones). Otherwise it is refused at once, as before. Nothing is held that is not likely to be served.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -125,7 +125,7 @@
 )
 
 // demand is what a request asks of the slots: it may wait as long as its answer
-// can still come in time.
+// can still come in time, and where slots are left over, before its caller leaves.
 func (e *egress) demand(request *forwardRequest) demand {
 	load := e.gateway.slots.load()
 	kept := time.Duration(serviceMargin * float64(load.service(request.Target)))
@@ -134,6 +134,7 @@
 		due:      request.Due,
 		target:   request.Target,
 		patience: max(leastPatience, time.Until(request.Due)-kept),
+		latest:   time.Until(request.Deadline) - answerMargin - kept,
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/lateslots.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Late requests can't be answered in time any more, but before their callers
+// leave. They get the slots that requests in time leave over; a caller is better
+// served late than sent away to come again. Where nothing is left over, they are
+// refused at once.
+
+// leastLeftOver is the part of the slots that must be left over for late requests
+// to wait at all: the rate is measured over a second, and with less its error is as
+// large as itself. With 0.1 of all slots, some of them kept for short requests,
+// fewer requests were in time under overload (docs/MEASUREMENTS.md).
+const leastLeftOver = 0.2
+
+// waiting is how many requests wait.
+func (u *slotUse) waiting() int { return len(u.queue) + len(u.late) }
+
+// waitLate lets a request wait as a late one, if it is likely to get a slot before
+// its caller leaves. The caller has the mutex.
+func (g *slotGate) waitLate(waiting *ticket, now time.Time) bool {
+	if g.estimateLate(waiting.short, waiting.priority) > waiting.latest-now.Sub(waiting.since) {
+		return false
+	}
+	waiting.late = true
+	use := g.use(waiting.short)
+	heap.Push(&use.late, waiting)
+	return true
+}
+
+// estimateLate is how long one more late request of a kind and priority would
+// wait: behind the late ones that are there, at the rate at which slots are left
+// over.
+func (g *slotGate) estimateLate(short bool, priority int) time.Duration {
+	const never = time.Hour
+	slots := g.usable(short, priority)
+	leftOver := slots - (g.long.busy - g.lateBusy)
+	if short {
+		leftOver -= g.short.busy
+	}
+	if leftOver < leastLeftOver*slots {
+		return never
+	}
+	use := g.use(short)
+	inTime := float64(len(g.short.queue)+len(g.long.queue)) / slots
+	behind := float64(len(g.short.late)+len(g.long.late)+1) / leftOver
+	return time.Duration(float64(use.serviceTime) * (inTime + behind))
+}
+
+// usable is how many slots requests of a kind and priority may use: long ones those
+// that are not kept for short ones, nor used by more of these.
+func (g *slotGate) usable(short bool, priority int) float64 {
+	slots := float64(g.capacity)
+	if short {
+		return slots
+	}
+	kept := max(float64(g.reserved(priority)), g.short.busy)
+	return max(1, min(float64(g.limit.of(g.capacity)), slots-kept))
+}
+
+// admitLate lets late requests in where no others are ready.
+func (g *slotGate) admitLate() {
+	for {
+		use := moreUrgent(&g.short, &g.long, g.ready(true, g.short.late), g.ready(false, g.long.late),
+			func(use *slotUse) ticketQueue { return use.late })
+		if use == nil {
+			return
+		}
+		next := heap.Pop(&use.late).(*ticket)
+		use.running++
+		g.lateRunning++
+		close(next.admitted)
+	}
+}
--- /dev/null
+++ b/internal/gateway/lateslots_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const lateService = 300 * time.Millisecond
+
+// lateGate is a gate whose runs are known to take lateService.
+func lateGate(slots int) *slotGate {
+	g := newSlotGate()
+	g.setCapacity(slots)
+	g.long.serviceTime = lateService
+	return g
+}
+
+// wish is a request that is due after one time and is given up after another.
+func wish(due, gone time.Duration) demand {
+	return demand{due: time.Now().Add(due), target: time.Second, patience: max(leastPatience, due-lateService), latest: gone - lateService}
+}
+
+// occupy takes all slots and gives them back after a time.
+func occupy(t *testing.T, g *slotGate, slots int, held time.Duration) {
+	for range slots {
+		taken, err := g.acquire(t.Context(), wish(time.Second, time.Second))
+		assert.NilError(t, err)
+		time.AfterFunc(held, func() { g.release(taken, held, false) })
+	}
+}
+
+// A caller that can't have its answer in time has it before it leaves.
+func TestALateRequestWaitsForASlotThatIsLeftOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := lateGate(2)
+		occupy(t, g, 2, lateService)
+		began := time.Now()
+		taken, err := g.acquire(t.Context(), wish(100*time.Millisecond, 2*time.Second))
+		assert.NilError(t, err)
+		assert.Assert(t, taken.late)
+		assert.Equal(t, time.Since(began), lateService)
+		g.release(taken, lateService, false)
+		synctest.Wait()
+		assert.Equal(t, g.lateRunning, 0)
+		assert.Equal(t, g.long.running, 0)
+	})
+}
+
+// Who can be answered in time goes before who can't, whoever came first.
+func TestALateRequestLetsOthersGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := lateGate(1)
+		occupy(t, g, 1, lateService)
+		order := make(chan string, 2)
+		ask := func(name string, wanted demand) {
+			taken, err := g.acquire(t.Context(), wanted)
+			assert.Check(t, err)
+			order <- name
+			time.Sleep(lateService)
+			g.release(taken, lateService, false)
+		}
+		go ask("late", wish(0, 3*time.Second))
+		synctest.Wait()
+		go ask("in time", wish(2*time.Second, 3*time.Second))
+		assert.Equal(t, <-order, "in time")
+		assert.Equal(t, <-order, "late")
+		time.Sleep(time.Second)
+	})
+}
+
+// Where all slots are in use for requests in time, a late one is sent away at
+// once.
+func TestALateRequestIsRefusedAtOnceWhereNothingIsLeftOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots = 4
+		g := lateGate(slots)
+		for range 30 {
+			occupy(t, g, slots, lateService)
+			time.Sleep(lateService)
+		}
+		occupy(t, g, slots, lateService)
+		began := time.Now()
+		_, err := g.acquire(t.Context(), wish(0, 3*time.Second))
+		assert.ErrorIs(t, err, errNoRoom)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		time.Sleep(time.Second)
+	})
+}
+
+func TestALateRequestThatIsGivenUpLeavesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := lateGate(1)
+		occupy(t, g, 1, 5*time.Second)
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, leave)
+		_, err := g.acquire(ctx, wish(0, 3*time.Second))
+		assert.ErrorIs(t, err, context.Canceled)
+		began := time.Now()
+		_, err = g.acquire(t.Context(), wish(0, time.Second))
+		assert.ErrorIs(t, err, errNoRoom)
+		assert.Assert(t, time.Since(began) <= time.Second-lateService)
+		assert.Equal(t, g.long.waiting(), 0)
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// served counts how many of a stream of callers are answered in time, late, and
+// not at all, with or without a place for late ones.
+func served(t *testing.T, load float64, places bool) (inTime, late, refused int) {
+	const slots, callers, target, leaves = 6, 1500, 600 * time.Millisecond, 1500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(7, 7))
+		g := lateGate(slots)
+		var mutex sync.Mutex
+		var all sync.WaitGroup
+		for range callers {
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(lateService) / slots / load))
+			work := time.Duration(random.ExpFloat64() * float64(lateService))
+			all.Go(func() {
+				began := time.Now()
+				wanted := wish(target, leaves)
+				if !places {
+					wanted.latest = 0
+				}
+				taken, err := g.acquire(t.Context(), wanted)
+				if err == nil {
+					time.Sleep(work)
+					g.release(taken, work, false)
+				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				switch took := time.Since(began); {
+				case err != nil:
+					refused++
+				case took <= target:
+					inTime++
+				default:
+					late++
+				}
+			})
+		}
+		all.Wait()
+	})
+	return inTime, late, refused
+}
+
+// A gain for callers: fewer are sent away, and hardly one that was answered in time
+// is answered late instead.
+func TestMoreCallersAreServed(t *testing.T) {
+	for _, load := range []float64{0.7, 0.9, 1.3} {
+		inTimeBefore, lateBefore, refusedBefore := served(t, load, false)
+		inTime, late, refused := served(t, load, true)
+		t.Logf("load %.1f: in time %d -> %d, late %d -> %d, refused %d -> %d", load, inTimeBefore, inTime, lateBefore, late, refusedBefore, refused)
+		assert.Assert(t, refused <= refusedBefore)
+		assert.Assert(t, float64(inTime) >= 0.97*float64(inTimeBefore))
+	}
+}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -20,14 +20,18 @@
 	// short one may use the slots that are kept for them: others that hold
 	// slots, here or elsewhere, may be waiting for their answers.
 	target time.Duration
-	// patience is how long it may wait.
+	// patience is how long it may wait and still be answered in time, and latest
+	// how long it may wait at all, if there is room for late ones.
 	patience time.Duration
+	latest   time.Duration
 }
 
 // ticket is a request that waits for a slot.
 type ticket struct {
 	demand
 	short    bool
+	late     bool
+	since    time.Time
 	admitted chan struct{}
 	// position in the queue, below zero once admitted.
 	position int
@@ -69,8 +73,10 @@
 // slotUse counts the slots of one kind of request.
 type slotUse struct {
 	running int
-	// queue of those that wait.
+	// queue of those that wait and can be answered in time, and late of those that
+	// can't.
 	queue ticketQueue
+	late  ticketQueue
 	// serviceTime is a moving average of how long a slot is used, and busy one
 	// of how many are.
 	serviceTime time.Duration
@@ -90,6 +96,10 @@
 	short    slotUse
 	long     slotUse
 	usedAt   time.Time
+	// lateRunning is how many slots late requests use, and lateBusy a moving
+	// average of it.
+	lateRunning int
+	lateBusy    float64
 	// target is the mean target of requests, weighed by the slot time they use.
 	target time.Duration
 	// limit is for long requests: those that call other services.
@@ -146,7 +156,7 @@
 	defer g.mutex.Unlock()
 	return peerLoad{
 		running:      g.short.running + g.long.running,
-		waiting:      len(g.short.queue) + len(g.long.queue),
+		waiting:      g.short.waiting() + g.long.waiting(),
 		slots:        g.capacity,
 		serviceTime:  g.long.serviceTime,
 		shortService: g.short.serviceTime,
@@ -175,6 +185,7 @@
 	for _, use := range []*slotUse{&g.short, &g.long} {
 		use.busy = use.busy*keep + float64(use.running)*(1-keep)
 	}
+	g.lateBusy = g.lateBusy*keep + float64(g.lateRunning)*(1-keep)
 }
 
 // reserved is how many slots only short requests may use, before a long one of a
@@ -204,6 +215,7 @@
 // slot is one that was acquired.
 type slot struct {
 	short  bool
+	late   bool
 	target time.Duration
 }
 
@@ -223,14 +235,17 @@
 		g.mutex.Unlock()
 		return taken, nil
 	}
-	if g.estimate(&wanted, taken.short) > wanted.patience {
+	waiting := &ticket{demand: wanted, short: taken.short, since: time.Now(), admitted: make(chan struct{})}
+	if g.estimate(&wanted, taken.short) <= wanted.patience {
+		heap.Push(&use.queue, waiting)
+	} else if !g.waitLate(waiting, waiting.since) {
 		g.mutex.Unlock()
 		return slot{}, errNoRoom
 	}
-	waiting := &ticket{demand: wanted, short: taken.short, admitted: make(chan struct{})}
-	heap.Push(&use.queue, waiting)
 	g.mutex.Unlock()
-	return taken, g.await(ctx, waiting)
+	err := g.await(ctx, waiting)
+	taken.late = waiting.late
+	return taken, err
 }
 
 // estimate is how long a request would wait now. Long requests have the slots
@@ -249,28 +264,51 @@
 	return time.Duration(float64(use.serviceTime) * float64(ahead) / slots)
 }
 
+// await returns once a request has a slot, or with why it gets none.
 func (g *slotGate) await(ctx context.Context, waiting *ticket) error {
-	timer := time.NewTimer(waiting.patience)
+	limit := waiting.patience
+	if waiting.late {
+		limit = waiting.latest
+	}
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	var cause error
-	select {
-	case <-waiting.admitted:
-		return nil
-	case <-timer.C:
-		cause = errNoRoom
-	case <-ctx.Done():
-		cause = context.Cause(ctx)
+	for {
+		var cause error
+		select {
+		case <-waiting.admitted:
+			return nil
+		case <-timer.C:
+			cause = errNoRoom
+		case <-ctx.Done():
+			cause = context.Cause(ctx)
+		}
+		if g.leave(waiting, ctx.Err() == nil) {
+			return cause
+		}
+		timer.Reset(waiting.latest - time.Since(waiting.since))
 	}
+}
+
+// leave takes a request out of its queue, and reports that it is out. One that
+// can't be answered in time any more may stay as a late one.
+func (g *slotGate) leave(waiting *ticket, mayStay bool) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	use := g.use(waiting.short)
 	if waiting.position < 0 {
 		use.running--
+		if waiting.late {
+			g.lateRunning--
+		}
 		g.admit()
-		return cause
+		return true
+	}
+	if waiting.late {
+		heap.Remove(&use.late, waiting.position)
+		return true
 	}
 	heap.Remove(&use.queue, waiting.position)
-	return cause
+	return !mayStay || !g.waitLate(waiting, time.Now())
 }
 
 // release gives a slot back that was used for a time; failed says that the run
@@ -287,40 +325,49 @@
 	g.target += time.Duration(weight * float64(taken.target-g.target))
 	use := g.use(taken.short)
 	use.running--
+	if taken.late {
+		g.lateRunning--
+	}
 	use.serviceTime += time.Duration(serviceTimeWeight * float64(used-use.serviceTime))
 	g.admit()
 }
 
 // admit lets waiting requests in while there is room: short ones first, unless a
-// long one is more urgent.
+// long one is more urgent, and late ones after all that can be answered in time.
 func (g *slotGate) admit() {
 	for {
 		use := g.nextUse()
 		if use == nil {
-			return
+			break
 		}
 		next := heap.Pop(&use.queue).(*ticket)
 		use.running++
 		close(next.admitted)
 	}
+	g.admitLate()
 }
 
 // nextUse is the kind of request that gets the next free slot, or nil.
 func (g *slotGate) nextUse() *slotUse {
-	short, long := g.ready(true), g.ready(false)
+	return moreUrgent(&g.short, &g.long, g.ready(true, g.short.queue), g.ready(false, g.long.queue),
+		func(use *slotUse) ticketQueue { return use.queue })
+}
+
+// moreUrgent is which of short and long requests goes first, of those that are
+// ready.
+func moreUrgent(short, long *slotUse, shortReady, longReady bool, queue func(*slotUse) ticketQueue) *slotUse {
 	switch {
-	case short && long && g.long.queue[0].priority < g.short.queue[0].priority:
-		return &g.long
-	case short:
-		return &g.short
-	case long:
-		return &g.long
+	case shortReady && longReady && queue(long)[0].priority < queue(short)[0].priority:
+		return long
+	case shortReady:
+		return short
+	case longReady:
+		return long
 	}
 	return nil
 }
 
-// ready says that a request of a kind waits and may take a slot now.
-func (g *slotGate) ready(short bool) bool {
-	queue := g.use(short).queue
+// ready says that a request of a kind waits in a queue and may take a slot now.
+func (g *slotGate) ready(short bool, queue ticketQueue) bool {
 	return len(queue) > 0 && g.fits(short, queue[0].priority)
 }
