Keep a new leader of a large fleet in office

Three things made one another worse: (1) a session that is behind got changes worked out and packed for its own distance, so a leader short of time got more work the further its sessions were behind, 280 packings a view with half a megabyte each; (2) all 280 gateways come to a new leader in the same moment; (3) 18 followers, a heartbeat each 70 ms and an election after 350 ms.

Ruled out: the planner. That (1) is what stood still is reasoned from the code, not seen in a profile.

Change: changes of views follow on each other; each step is packed once and a session gets those it lacks, up to 24, or the whole set. Compressors are kept. Gateways open their next session over 3 ms for each gateway, 1.5 s at most, and say which configuration and owners they have. While a new leader does not know all instances its views come three times as far apart.

--- a/internal/fleetcontroller/config.go
+++ b/internal/fleetcontroller/config.go
@@ -69,8 +69,11 @@
 
 // Defaults of Config.
 const (
-	DefaultHeartbeatInterval = 70 * time.Millisecond
-	DefaultElectionTimeout   = 350 * time.Millisecond
+	// DefaultHeartbeatInterval and DefaultElectionTimeout: a processor with a quota
+	// may stand still for a tenth of a second, at the leader and at a follower, and a
+	// new leader hears all gateways at once.
+	DefaultHeartbeatInterval = 90 * time.Millisecond
+	DefaultElectionTimeout   = 500 * time.Millisecond
 	DefaultTickInterval      = 25 * time.Millisecond
 	DefaultDeadAfter         = 10 * time.Second
 )
--- a/internal/fleetcontroller/publish.go
+++ b/internal/fleetcontroller/publish.go
@@ -1,7 +1,7 @@
 package fleetcontroller
 
 import (
-	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +19,9 @@
 	// longestPublish bounds that time: an owner's change should be known within a
 	// quarter of a second.
 	longestPublish = 200 * time.Millisecond
+	// incompleteFactor makes it longer while a new leader does not know all
+	// instances: gateways keep those that they know, and all of them come at once.
+	incompleteFactor = 3
 )
 
 // view is an immutable picture of what gateways need.
@@ -32,61 +35,117 @@
 	controllers []string
 }
 
-// versioned is a set as published, and its changes from earlier ones, each worked
-// out and packed when it is first sent, once.
-type versioned[Changes any] struct {
-	number uint64
-	digest uint64
+// mostSteps is how many views a session may be behind and still get the steps in
+// between; one that is further behind gets the whole set.
+const mostSteps = 24
 
-	mutex  sync.Mutex
-	packed map[uint64]*fleetwire.Shared[Changes]
+// lazyPack is something that is worked out and packed when it is first sent, once
+// for all sessions.
+type lazyPack struct {
+	once   sync.Once
+	make   func() ([]byte, error)
+	packed []byte
+	err    error
 }
 
-// ofNothing is the number that no set has.
-const ofNothing = math.MaxUint64
+// Pack returns the packed bytes. It is safe for concurrent use.
+func (l *lazyPack) Pack() ([]byte, error) {
+	l.once.Do(func() {
+		l.packed, l.err = l.make()
+		l.make = nil // frees the sets that it was made of
+	})
+	return l.packed, l.err
+}
+
+func packLater[T any](work func() T) *lazyPack {
+	return &lazyPack{make: func() ([]byte, error) { return fleetwire.Pack(work()) }}
+}
+
+// step leads from the set of a number to the next one.
+type step struct {
+	from    uint64
+	changes *lazyPack
+}
+
+// history is what leads to a set: the last steps, or all of it. What it costs to
+// make is the same however far the sessions are behind.
+type history struct {
+	// number of the set, which no other of its kind has in a term, and its digest.
+	number, digest uint64
+	steps          []step
+	whole          *lazyPack
+}
 
-// changes returns the changes from the set of a number, which make works out.
-func (v *versioned[Changes]) changes(from uint64, work func() Changes) ([]byte, error) {
-	v.mutex.Lock()
-	if v.packed == nil {
-		v.packed = map[uint64]*fleetwire.Shared[Changes]{}
+// follow returns the history of the set after another; nil is none.
+func (h *history) follow(number, digest uint64, changes, whole *lazyPack) history {
+	next := history{number: number, digest: digest, whole: whole}
+	if h != nil {
+		kept := h.steps[max(0, len(h.steps)+1-mostSteps):]
+		next.steps = append(slices.Clone(kept), step{h.number, changes})
 	}
-	shared, ok := v.packed[from]
-	if !ok {
-		shared = &fleetwire.Shared[Changes]{Value: work()}
-		v.packed[from] = shared
+	return next
+}
+
+// since returns the packed changes from the set of a number on, or all of it;
+// known is false where the gateway has none.
+func (h *history) since(number uint64, known bool) ([][]byte, error) {
+	at := slices.IndexFunc(h.steps, func(s step) bool { return s.from == number })
+	if !known || at < 0 && number != h.number {
+		packed, err := h.whole.Pack()
+		return [][]byte{packed}, err
+	}
+	if at < 0 {
+		return [][]byte{}, nil
+	}
+	var all [][]byte
+	for _, each := range h.steps[at:] {
+		packed, err := each.changes.Pack()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, packed)
 	}
-	v.mutex.Unlock()
-	return shared.Pack()
+	return all, nil
 }
 
-// instanceSet is a set of instances with its number, which no other has in a
-// process.
+// instanceSet is a set of instances, numbered by the leader.
 type instanceSet struct {
-	versioned[*fleetwire.InstanceChanges]
+	history
 	set fleetview.Instances
 }
 
-// since returns the packed changes from an earlier set; nil is none.
-func (s *instanceSet) since(earlier *instanceSet) ([]byte, error) {
-	if earlier == nil {
-		return s.changes(ofNothing, s.set.Snapshot)
+// newInstanceSet returns the set after another; nil is none.
+func newInstanceSet(before *instanceSet, number uint64, set fleetview.Instances) *instanceSet {
+	next := &instanceSet{set: set}
+	whole := packLater(set.Snapshot)
+	if before == nil {
+		next.history = (*history)(nil).follow(number, set.Digest(), nil, whole)
+		return next
 	}
-	return s.changes(earlier.number, func() *fleetwire.InstanceChanges { return s.set.ChangesFrom(earlier.set) })
+	earlier := before.set
+	changes := packLater(func() *fleetwire.InstanceChanges { return set.ChangesFrom(earlier) })
+	next.history = before.follow(number, set.Digest(), changes, whole)
+	return next
 }
 
 // ownerSet is a set of owners, numbered by the log index of the last change.
 type ownerSet struct {
-	versioned[*fleetwire.OwnerChanges]
+	history
 	set fleetview.Owners
 }
 
-// since returns the packed changes from an earlier set; nil is none.
-func (s *ownerSet) since(earlier *ownerSet) ([]byte, error) {
-	if earlier == nil {
-		return s.changes(ofNothing, s.set.Snapshot)
+// newOwnerSet returns the set after another; nil is none.
+func newOwnerSet(before *ownerSet, index uint64, set fleetview.Owners) *ownerSet {
+	next := &ownerSet{set: set}
+	whole := packLater(set.Snapshot)
+	if before == nil {
+		next.history = (*history)(nil).follow(index, set.Digest(), nil, whole)
+		return next
 	}
-	return s.changes(earlier.number, func() *fleetwire.OwnerChanges { return s.set.ChangesFrom(earlier.set) })
+	earlier := before.set
+	changes := packLater(func() *fleetwire.OwnerChanges { return set.ChangesFrom(earlier) })
+	next.history = before.follow(index, set.Digest(), changes, whole)
+	return next
 }
 
 // published remembers from what the last view was made.
@@ -125,12 +184,21 @@
 	if next == control.published || now < control.publishAt && !next.urgent(control.published) {
 		return
 	}
-	control.publishAt = now + min(longestPublish, time.Duration(c.sessionCount())*publishPerSession)
+	control.publishAt = now + publishInterval(c.sessionCount(), next.complete)
 	c.view.Store(c.nextView(next, c.controllers(members)))
 	control.published = next
 	c.wakeSessions()
 }
 
+// publishInterval is the least time between two views that are not urgent.
+func publishInterval(sessions int, complete bool) time.Duration {
+	interval := min(longestPublish, time.Duration(sessions)*publishPerSession)
+	if !complete {
+		interval *= incompleteFactor
+	}
+	return interval
+}
+
 // nextView makes a view; parts that have not changed are those of the last one.
 func (c *Controller) nextView(now published, controllers []string) *view {
 	control := &c.control
@@ -143,26 +211,25 @@
 		next.document = &fleetwire.Shared[*routeconfig.Document]{Value: document}
 	}
 	if now.ownersIndex != control.published.ownersIndex || before.owners == nil {
-		set := fleetview.NewOwners(control.state.AllOwners())
-		next.owners = &ownerSet{set: set}
-		next.owners.number, next.owners.digest = now.ownersIndex, set.Digest()
+		next.owners = newOwnerSet(before.owners, now.ownersIndex, fleetview.NewOwners(control.state.AllOwners()))
 	}
 	if now.instancesRevision != control.published.instancesRevision || now.term != control.published.term || before.instances == nil {
-		set := fleetview.NewInstances(control.planner.Instances())
 		control.instanceSets++
-		next.instances = &instanceSet{set: set}
-		next.instances.number, next.instances.digest = control.instanceSets, set.Digest()
+		next.instances = newInstanceSet(before.instances, control.instanceSets, fleetview.NewInstances(control.planner.Instances()))
 	}
 	return next
 }
 
 // sent is what a session's gateway has.
 type sent struct {
-	version   routeconfig.Version
-	owners    *ownerSet
-	instances *instanceSet
-	term      uint64
-	complete  bool
+	// hello is what it said to have, until that was compared with the first view.
+	hello   *fleetwire.Hello
+	version routeconfig.Version
+	// owners and instances are the numbers of the sets; zero is none.
+	owners, instances uint64
+	hasOwners         bool
+	term              uint64
+	complete          bool
 	// controllers is how many it knows.
 	controllers int
 }
@@ -170,6 +237,7 @@
 // news returns what a gateway lacks of the present view, or nil.
 func (c *Controller) news(has *sent) (*fleetwire.View, error) {
 	now := c.view.Load()
+	has.compare(now)
 	news, changed := &fleetwire.View{}, false
 	var err error
 	if now.document != nil && now.document.Value.Version != has.version {
@@ -178,19 +246,19 @@
 		}
 		has.version, changed = now.document.Value.Version, true
 	}
-	if now.owners != nil && now.owners != has.owners {
-		if news.PackedOwners, err = now.owners.since(has.owners); err != nil {
+	if now.owners != nil && (now.owners.number != has.owners || !has.hasOwners) {
+		if news.PackedOwners, err = now.owners.since(has.owners, has.hasOwners); err != nil {
 			return nil, err
 		}
 		news.OwnersIndex, news.OwnersDigest = now.owners.number, now.owners.digest
-		has.owners, changed = now.owners, true
+		has.owners, has.hasOwners, changed = now.owners.number, true, true
 	}
-	if now.instances != nil && (now.instances != has.instances || now.term != has.term || now.complete != has.complete) {
-		if news.PackedInstances, err = now.instances.since(has.instances); err != nil {
+	if now.instances != nil && (now.instances.number != has.instances || now.term != has.term || now.complete != has.complete) {
+		if news.PackedInstances, err = now.instances.since(has.instances, has.instances != 0); err != nil {
 			return nil, err
 		}
-		news.InstancesDigest, news.Complete = now.instances.digest, now.complete
-		has.instances, has.term, has.complete, changed = now.instances, now.term, now.complete, true
+		news.HasInstances, news.InstancesDigest, news.Complete = true, now.instances.digest, now.complete
+		has.instances, has.term, has.complete, changed = now.instances.number, now.term, now.complete, true
 	}
 	if len(now.controllers) != has.controllers {
 		news.Controllers, has.controllers, changed = now.controllers, len(now.controllers), true
@@ -200,3 +268,15 @@
 	}
 	return news, nil
 }
+
+// compare takes the owners that a gateway brings from an earlier session for those
+// of a view, where they are the same.
+func (s *sent) compare(now *view) {
+	if s.hello == nil || now.owners == nil {
+		return
+	}
+	if s.hello.OwnersIndex == now.owners.number && s.hello.OwnersDigest == now.owners.digest {
+		s.owners, s.hasOwners = now.owners.number, true
+	}
+	s.hello = nil
+}
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -83,7 +83,7 @@
 	}
 	defer c.unregister(s)
 	c.ended.Add(1)
-	go c.send(s)
+	go c.send(s, sent{version: first.Hello.Version, hello: first.Hello})
 	c.member.Post(func() {
 		if c.control.planner != nil {
 			s.mutex.Lock()
@@ -129,11 +129,11 @@
 	s.notify()
 }
 
-// send passes on leases and views as they change.
-func (c *Controller) send(s *session) {
+// send passes on leases and views as they change, to a gateway that has something
+// already.
+func (c *Controller) send(s *session, has sent) {
 	defer c.ended.Done()
 	defer s.conn.Close()
-	var has sent
 	for range s.wake {
 		s.mutex.Lock()
 		lease, known, ended, redirect := s.lease, s.known, s.ended, s.redirect
--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -50,6 +50,11 @@
 	Node string
 	// Boot is drawn at random at each start of the process.
 	Boot uint64
+	// Version of the configuration, and index and digest of the owners, that the
+	// gateway has already.
+	Version      routeconfig.Version
+	OwnersIndex  uint64
+	OwnersDigest uint64
 	// Join is set by a controller that asks for admission to the group, and by
 	// nobody else.
 	Join *Join
@@ -146,7 +151,7 @@
 // View is what a gateway needs to route requests. Parts that have not changed
 // since the last view of the session are left out. Packed parts are packed once
 // for all gateways; what the receiver makes of them stands beside them and is nil
-// on the way.
+// on the way. Changes follow on each other in their order.
 type View struct {
 	// PackedDocument is the document.
 	PackedDocument []byte
@@ -154,13 +159,14 @@
 	// OwnersIndex orders sets of owners, and OwnersDigest is that of the set.
 	OwnersIndex  uint64
 	OwnersDigest uint64
-	PackedOwners []byte
-	Owners       *OwnerChanges
-	// InstancesDigest is that of the leader's set. Unless Complete is set, others
-	// may exist.
+	PackedOwners [][]byte
+	Owners       []*OwnerChanges
+	// HasInstances says that the next four fields are set. InstancesDigest is that of
+	// the leader's set. Unless Complete is set, others may exist.
+	HasInstances    bool
 	InstancesDigest uint64
-	PackedInstances []byte
-	Instances       *InstanceChanges
+	PackedInstances [][]byte
+	Instances       []*InstanceChanges
 	Complete        bool
 	// Controllers are the session addresses of the group's members.
 	Controllers []string
@@ -174,19 +180,27 @@
 			return fmt.Errorf("document: %w", err)
 		}
 	}
-	if len(v.PackedOwners) > 0 {
-		if v.Owners, err = Unpack[*OwnerChanges](v.PackedOwners); err != nil {
-			return fmt.Errorf("owners: %w", err)
-		}
+	if v.Owners, err = unpackAll[OwnerChanges](v.PackedOwners, v.Owners); err != nil {
+		return fmt.Errorf("owners: %w", err)
 	}
-	if len(v.PackedInstances) > 0 {
-		if v.Instances, err = Unpack[*InstanceChanges](v.PackedInstances); err != nil {
-			return fmt.Errorf("instances: %w", err)
-		}
+	if v.Instances, err = unpackAll[InstanceChanges](v.PackedInstances, v.Instances); err != nil {
+		return fmt.Errorf("instances: %w", err)
 	}
 	return nil
 }
 
+// unpackAll adds what was packed.
+func unpackAll[T any](packed [][]byte, all []*T) ([]*T, error) {
+	for _, each := range packed {
+		value, err := Unpack[*T](each)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, value)
+	}
+	return all, nil
+}
+
 // Redirect sends a gateway to the leader; an empty address means that none is
 // known.
 type Redirect struct {
--- a/internal/fleetwire/pack.go
+++ b/internal/fleetwire/pack.go
@@ -12,15 +12,24 @@
 // maxUnpacked bounds what is unpacked, in bytes.
 const maxUnpacked = 256 << 20
 
+// compressors are kept: a new one takes over half a megabyte, which a small change
+// is not worth.
+var compressors = sync.Pool{New: func() any {
+	compressor, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant of the package
+	}
+	return compressor
+}}
+
 // Pack encodes and compresses a value. A leader does so once for all gateways: a
 // large document that was encoded for each of them alone would be in force too
 // late.
 func Pack[T any](value T) ([]byte, error) {
 	var packed bytes.Buffer
-	compressor, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("pack: %w", err)
-	}
+	compressor := compressors.Get().(*flate.Writer)
+	defer compressors.Put(compressor)
+	compressor.Reset(&packed)
 	if err := gob.NewEncoder(compressor).Encode(value); err != nil {
 		return nil, fmt.Errorf("pack: %w", err)
 	}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -21,6 +21,12 @@
 	sessionDial    = 500 * time.Millisecond
 	// sessionRetry is the pause after all known controllers were tried.
 	sessionRetry = 100 * time.Millisecond
+	// spreadPerGateway is for each gateway of the fleet the time over which all open
+	// their sessions after a leader's end: a session costs the next leader about 0.5
+	// ms of a whole core, of which the users' machines have a quarter. longestSpread
+	// bounds it well within a lease (keylease.DefaultLeaseDuration).
+	spreadPerGateway = 3 * time.Millisecond
+	longestSpread    = 1500 * time.Millisecond
 	// maxRedirects bounds how often one search follows a redirect.
 	maxRedirects = 4
 )
@@ -34,6 +40,8 @@
 	// them.
 	known []string
 	wake  chan struct{}
+	// served says that the last session brought a view.
+	served bool
 	// heardAt is when the leader was last heard, in nanoseconds since started.
 	heardAt atomic.Int64
 }
@@ -83,6 +91,9 @@
 // follow opens a session at an address and goes on where it is redirected.
 func (s *sessionClient) follow(ctx context.Context, address string) {
 	for range maxRedirects {
+		if !s.spread(ctx) {
+			return
+		}
 		redirect := s.hold(ctx, address)
 		if redirect == nil {
 			return
@@ -95,6 +106,18 @@
 	}
 }
 
+// spread waits before the next session after one that served: when a leader ends,
+// all gateways come to the next one, which must not be late with its heartbeats for
+// their sake. It reports whether the context still runs.
+func (s *sessionClient) spread(ctx context.Context) bool {
+	if !s.served {
+		return ctx.Err() == nil
+	}
+	s.served = false
+	longest := min(longestSpread, time.Duration(len(s.gateway.views.load().byID))*spreadPerGateway)
+	return pauseFor(ctx, time.Duration(rand.Float64()*float64(longest)))
+}
+
 // learn keeps the addresses of controllers, the given seeds last.
 func (s *sessionClient) learn(controllers []string) {
 	if len(controllers) == 0 {
@@ -119,7 +142,11 @@
 		return nil
 	}
 	defer conn.Close()
-	hello := &fleetwire.Hello{Node: s.gateway.config.Name, Boot: s.boot}
+	has := s.gateway.views.load()
+	hello := &fleetwire.Hello{
+		Node: s.gateway.config.Name, Boot: s.boot,
+		Version: has.version(), OwnersIndex: has.ownersIndex, OwnersDigest: has.owners.Digest(),
+	}
 	if conn.Send(fleetwire.ToController{Hello: hello}) != nil {
 		return nil
 	}
@@ -173,11 +200,12 @@
 	if err := g.views.advance(news); err != nil {
 		return err
 	}
+	s.served = true
 	s.learn(news.Controllers)
 	if after := g.views.load().version(); after != before {
 		g.config.Log.Info("configuration in force", "version", uint64(after))
 	}
-	if news.Instances != nil {
+	if news.HasInstances {
 		g.peers.follow(g.views.load())
 	}
 	return nil
--- /dev/null
+++ b/internal/gateway/spread_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+)
+
+// When a leader ends, the gateways of a large fleet come to the next one over a
+// time that grows with their number; at the start nobody waits.
+func TestSessionsAfterALeadersEndAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gateways = 280
+		var fleet []fleetwire.Instance
+		for i := range gateways {
+			fleet = append(fleet, fleetwire.Instance{ID: fmt.Sprint("i-", i), Node: fmt.Sprint("node-", i)})
+		}
+		var waited []time.Duration
+		for range gateways {
+			g := &Gateway{views: newViews()}
+			advance(t, g.views, viewOf(true, fleet...))
+			s := &sessionClient{gateway: g}
+			began := time.Now()
+			assert.Assert(t, s.spread(t.Context()))
+			assert.Equal(t, time.Since(began), time.Duration(0))
+			s.served = true
+			assert.Assert(t, s.spread(t.Context()))
+			waited = append(waited, time.Since(began))
+		}
+		const parts = 4
+		var counts [parts]int
+		for _, wait := range waited {
+			assert.Assert(t, wait < gateways*spreadPerGateway)
+			counts[int(wait*parts/(gateways*spreadPerGateway))]++
+		}
+		for _, count := range counts {
+			assert.Assert(t, count > gateways/parts/2, "%v", counts)
+		}
+	})
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -57,12 +57,12 @@
 		after.table = routeconfig.NewTable(news.Document)
 		after.tableAt = time.Now()
 	}
-	if news.Owners != nil {
+	if len(news.Owners) > 0 {
 		if err := after.setOwners(news); err != nil {
 			return err
 		}
 	}
-	if news.Instances != nil {
+	if news.HasInstances {
 		if err := after.setInstances(news); err != nil {
 			return err
 		}
@@ -78,7 +78,9 @@
 		return fmt.Errorf("owners of index %d after %d: %w", news.OwnersIndex, v.ownersIndex, errOtherView)
 	}
 	v.ownersIndex = news.OwnersIndex
-	v.owners = v.owners.Apply(news.Owners)
+	for _, changes := range news.Owners {
+		v.owners = v.owners.Apply(changes)
+	}
 	if digest := v.owners.Digest(); digest != news.OwnersDigest {
 		return fmt.Errorf("owners of index %d: %w", news.OwnersIndex, errOtherView)
 	}
@@ -113,7 +115,9 @@
 
 // setInstances applies a view's changes of instances.
 func (v *view) setInstances(news *fleetwire.View) error {
-	v.told = v.told.Apply(news.Instances)
+	for _, changes := range news.Instances {
+		v.told = v.told.Apply(changes)
+	}
 	if digest := v.told.Digest(); digest != news.InstancesDigest {
 		return fmt.Errorf("instances: %w", errOtherView)
 	}
--- a/internal/gateway/view_test.go
+++ b/internal/gateway/view_test.go
@@ -13,13 +13,15 @@
 // viewOf is a whole view of instances.
 func viewOf(complete bool, instances ...fleetwire.Instance) *fleetwire.View {
 	set := fleetview.NewInstances(instances)
-	return &fleetwire.View{Instances: set.Snapshot(), InstancesDigest: set.Digest(), Complete: complete}
+	return &fleetwire.View{
+		HasInstances: true, Instances: []*fleetwire.InstanceChanges{set.Snapshot()}, InstancesDigest: set.Digest(), Complete: complete,
+	}
 }
 
 // viewOfOwners is a whole view of the owners of service s.
 func viewOfOwners(index uint64, assignments ...keyspace.Assignment) *fleetwire.View {
 	set := fleetview.NewOwners(map[string]*keyspace.Map{"s": {Assignments: assignments}})
-	return &fleetwire.View{OwnersIndex: index, Owners: set.Snapshot(), OwnersDigest: set.Digest()}
+	return &fleetwire.View{OwnersIndex: index, Owners: []*fleetwire.OwnerChanges{set.Snapshot()}, OwnersDigest: set.Digest()}
 }
 
 // owned is all keys under one owner.
@@ -41,10 +43,10 @@
 	advance(t, v, viewOfOwners(4, owned("a")))
 	before := v.load()
 	lost := viewOf(true, fleetwire.Instance{ID: "a", Service: "s"})
-	lost.Instances = &fleetwire.InstanceChanges{Gone: []string{"c"}}
+	lost.Instances = []*fleetwire.InstanceChanges{{Gone: []string{"c"}}}
 	assert.ErrorIs(t, v.advance(lost), errOtherView)
 	moved := viewOfOwners(5, owned("b"))
-	moved.Owners = &fleetwire.OwnerChanges{}
+	moved.Owners = []*fleetwire.OwnerChanges{{}}
 	assert.ErrorIs(t, v.advance(moved), errOtherView)
 	assert.Equal(t, v.load(), before)
 	assert.Equal(t, len(v.load().byID), 2)
