Count what is held under earlier fences before keys are given up

Cause, by reading, then by a test that fails: since neighbouring ranges are joined under a higher fence, a range may be asked for under a fence under which it was never offered. What its back end held under the fence before was not counted (possibleUntil, granting compared fences for equality), so the range was promised at once, and the back end let it go with its next heartbeat. With calls alike. Before ranges were joined a fence changed only with the gateway's process.

Change: grants under the fence or an earlier one of the same owner count.

Tests: TestARangeHeldUnderAnEarlierFenceIsNotGivenUpAtOnce and its like for calls failed before."

--- a/internal/gateway/keyheartbeats_test.go
+++ b/internal/gateway/keyheartbeats_test.go
@@ -321,3 +321,51 @@
 		assert.Assert(t, !rig.g.keys.holds("i-1", 399, time.Now()), "what is not offered is not asked for")
 	})
 }
+
+// refenced is a lease that lists a range under a higher fence than before, as where
+// ranges were joined, and asks for a part of it at once.
+func refenced(rig *keyRig) {
+	joined := fleetwire.Held{Keys: keyspace.Range{First: 0, Last: 199}, Fence: 9}
+	part := fleetwire.Held{Keys: keyspace.Range{First: 40, Last: 49}, Fence: 9, MayCover: true}
+	rig.lease([]fleetwire.Held{
+		{Keys: keyspace.Range{First: 0, Last: 39}, Fence: joined.Fence}, {Keys: keyspace.Range{First: 50, Last: 199}, Fence: joined.Fence},
+	}, []fleetwire.Held{part})
+}
+
+// A hunted day of caixarapida-pt (trouble-3, seed 999651665299) had two back ends
+// with one range for 627 ms. A part of a range that had just got a higher fence was
+// asked for before it was offered under that; what was held under the fence before
+// was not counted.
+func TestARangeHeldUnderAnEarlierFenceIsNotGivenUpAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newHeartbeatRig(t)
+		time.Sleep(20 * time.Second)
+		rig.lease(held(0, 99), nil)
+		rig.beat(t, "i-1", nil)
+		rig.beat(t, "i-1", heldAs(0, 99, compose(7, 0)))
+		refenced(rig)
+		assert.Equal(t, len(rig.g.keys.promises()), 0, "the back end still holds it")
+		rig.beat(t, "i-1", heldAs(0, 99, compose(7, 0)))
+		assert.Equal(t, len(rig.g.keys.promises()), 0)
+		rig.beat(t, "i-1", append(heldAs(0, 39, compose(9, 0)), heldAs(50, 199, compose(9, 0))...))
+		time.Sleep(2 * answerVoid)
+		synctest.Wait()
+		assert.Equal(t, len(rig.g.keys.promises()), 1)
+	})
+}
+
+func TestARangeCalledUnderAnEarlierFenceIsNotGivenUpAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		time.Sleep(20 * time.Second)
+		rig.lease(held(0, 99), nil)
+		rig.holder.setRefuse(errors.New("no answer"))
+		refenced(rig)
+		assert.Equal(t, len(rig.g.keys.promises()), 0, "the back end still holds it")
+		rig.holder.setRefuse(nil)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		assert.Equal(t, len(rig.holder.released()), 1)
+	})
+}
--- a/internal/gateway/keyreleases.go
+++ b/internal/gateway/keyreleases.go
@@ -68,7 +68,7 @@
 
 func (k *keyKeeper) granting(held fleetwire.Held) bool {
 	for key, sent := range k.grants {
-		if sent.inFlight && key.fence == held.Fence && key.keys.Overlaps(held.Keys) {
+		if sent.inFlight && key.concerns(held) {
 			return true
 		}
 	}
@@ -80,7 +80,7 @@
 func (k *keyKeeper) possibleUntil(held fleetwire.Held) time.Time {
 	until := k.started.Add(time.Duration(float64(holdFor)*(1+clockDrift)) + grantTimeout)
 	for key, sent := range k.grants {
-		if key.fence == held.Fence && key.keys.Overlaps(held.Keys) {
+		if key.concerns(held) {
 			until = later(until, sent.possibleUntil)
 		}
 	}
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -43,6 +43,12 @@
 	fence keyspace.Fence
 }
 
+// concerns says that what was granted for the range may still let the back end hold
+// keys of another one: under its fence, or an earlier one of the same owner.
+func (k heldKey) concerns(held fleetwire.Held) bool {
+	return k.fence <= held.Fence && k.keys.Overlaps(held.Keys)
+}
+
 // grant is what was sent to the back end for one range.
 type grant struct {
 	fleetwire.Held
