--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -69,8 +69,15 @@
 	instances  []*Instance
 	// promised are the requests that callers were told are not run.
 	promised map[string]bool
-	// fences has the highest fence of each key that was granted, with its holder.
-	fences map[uint32]fenceOf
+	// fences has the highest fence of each key of a service that was granted, with
+	// its holder.
+	fences map[serviceKey]fenceOf
+}
+
+// serviceKey is a key of one service; each has its own.
+type serviceKey struct {
+	service string
+	key     uint32
 }
 
 type fenceOf struct {
@@ -80,7 +87,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[uint32]fenceOf{}}
+	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[serviceKey]fenceOf{}}
 }
 
 // Violations returns every broken promise so far.
@@ -170,11 +177,12 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for key := range checkedKeys(given) {
-		before := l.fences[key]
+		of := serviceKey{instance.Service, key}
+		before := l.fences[of]
 		if before.holder != instance.ID && before.holder != "" && given.fence <= before.fence {
 			l.violate("key %d went to %s under fence %d, not above %d", key, instance.ID, given.fence, before.fence)
 		}
-		l.fences[key] = fenceOf{given.fence, instance.ID}
+		l.fences[of] = fenceOf{given.fence, instance.ID}
 	}
 	for _, other := range l.instances {
 		if other != instance && other.Service == instance.Service && other.holdsOrWorksOn(given) {
