--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -98,9 +98,8 @@
 	until time.Time
 }
 
-// keyReport is what a back end said of its keys in its last heartbeat.
+// keyReport is what follows from a back end's heartbeats about its keys.
 type keyReport struct {
-	held []HeldRange
 	// served are the ranges that it may be asked for.
 	served []servedRange
 	// freed are ranges that it has let go, kept until they are asked for or
@@ -134,7 +133,6 @@
 	if instance != k.instance {
 		return nil
 	}
-	k.reported.held = held
 	k.noteFreed(freed, now)
 	k.noteTaken(held)
 	k.noteReleases(held, now)
