--- a/internal/gateway/lateslots.go
+++ b/internal/gateway/lateslots.go
@@ -60,18 +60,3 @@
 	kept := max(float64(g.reserved(priority)), g.short.busy)
 	return max(1, min(float64(g.limit.of(g.capacity)), slots-kept))
 }
-
-// admitLate lets late requests in where no others are ready.
-func (g *slotGate) admitLate() {
-	for {
-		use := moreUrgent(&g.short, &g.long, g.ready(true, g.short.late), g.ready(false, g.long.late),
-			func(use *slotUse) ticketQueue { return use.late })
-		if use == nil {
-			return
-		}
-		next := heap.Pop(&use.late).(*ticket)
-		use.running++
-		g.lateRunning++
-		close(next.admitted)
-	}
-}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -335,34 +335,36 @@
 // admit lets waiting requests in while there is room: short ones first, unless a
 // long one is more urgent, and late ones after all that can be answered in time.
 func (g *slotGate) admit() {
+	g.admitFrom(func(use *slotUse) *ticketQueue { return &use.queue })
+	g.admitFrom(func(use *slotUse) *ticketQueue { return &use.late })
+}
+
+// admitFrom lets requests of one queue of both kinds in while there is room.
+func (g *slotGate) admitFrom(queue func(*slotUse) *ticketQueue) {
 	for {
-		use := g.nextUse()
+		use := g.nextUse(*queue(&g.short), *queue(&g.long))
 		if use == nil {
-			break
+			return
 		}
-		next := heap.Pop(&use.queue).(*ticket)
+		next := heap.Pop(queue(use)).(*ticket)
 		use.running++
+		if next.late {
+			g.lateRunning++
+		}
 		close(next.admitted)
 	}
-	g.admitLate()
 }
 
 // nextUse is the kind of request that gets the next free slot, or nil.
-func (g *slotGate) nextUse() *slotUse {
-	return moreUrgent(&g.short, &g.long, g.ready(true, g.short.queue), g.ready(false, g.long.queue),
-		func(use *slotUse) ticketQueue { return use.queue })
-}
-
-// moreUrgent is which of short and long requests goes first, of those that are
-// ready.
-func moreUrgent(short, long *slotUse, shortReady, longReady bool, queue func(*slotUse) ticketQueue) *slotUse {
+func (g *slotGate) nextUse(shortQueue, longQueue ticketQueue) *slotUse {
+	short, long := g.ready(true, shortQueue), g.ready(false, longQueue)
 	switch {
-	case shortReady && longReady && queue(long)[0].priority < queue(short)[0].priority:
-		return long
-	case shortReady:
-		return short
-	case longReady:
-		return long
+	case short && long && longQueue[0].priority < shortQueue[0].priority:
+		return &g.long
+	case short:
+		return &g.short
+	case long:
+		return &g.long
 	}
 	return nil
 }
