--- a/internal/fleetcontroller/publish.go
+++ b/internal/fleetcontroller/publish.go
@@ -47,30 +47,40 @@
 	changes func() Changes
 }
 
-// history is what leads to a set: the last steps, or all of it, which is packed
-// when it is first sent, once. What it costs the leader to make is the same however
-// far the sessions are behind.
-type history[Changes any] struct {
+// set is what travels as changes: fleetview.Instances and fleetview.Owners.
+type set[Set, Changes any] interface {
+	Digest() uint64
+	Snapshot() Changes
+	ChangesFrom(earlier Set) Changes
+}
+
+// history is a set with what leads to it: the last steps, or all of it, which is
+// packed when it is first sent, once. What it costs the leader to make is the same
+// however far the sessions are behind.
+type history[Set set[Set, Changes], Changes any] struct {
+	set Set
 	// number of the set, which no other of its kind has in a term, and its digest.
 	number, digest uint64
 	steps          []step[Changes]
 	whole          func() ([]byte, error)
 }
 
-// newHistory returns the history of the set after another; nil is none.
-func newHistory[Changes any](before *history[Changes], number, digest uint64, changes, whole func() Changes) history[Changes] {
-	next := history[Changes]{number: number, digest: digest}
-	next.whole = sync.OnceValues(func() ([]byte, error) { return fleetwire.Pack(whole()) })
+// newHistory returns a set with its history after another; nil is none.
+func newHistory[Set set[Set, Changes], Changes any](before *history[Set, Changes], number uint64, present Set) *history[Set, Changes] {
+	next := &history[Set, Changes]{set: present, number: number, digest: present.Digest()}
+	next.whole = sync.OnceValues(func() ([]byte, error) { return fleetwire.Pack(present.Snapshot()) })
 	if before != nil {
+		earlier := before.set
+		changes := sync.OnceValue(func() Changes { return present.ChangesFrom(earlier) })
 		kept := before.steps[max(0, len(before.steps)+1-mostSteps):]
-		next.steps = append(slices.Clone(kept), step[Changes]{before.number, sync.OnceValue(changes)})
+		next.steps = append(slices.Clone(kept), step[Changes]{before.number, changes})
 	}
 	return next
 }
 
 // since returns the changes from the set of a number on, or all of the set, packed,
 // where the gateway has none or is too far behind.
-func (h *history[Changes]) since(number uint64, known bool) (steps []Changes, whole []byte, err error) {
+func (h *history[Set, Changes]) since(number uint64, known bool) (steps []Changes, whole []byte, err error) {
 	if known && number == h.number {
 		return nil, nil, nil
 	}
@@ -85,37 +95,12 @@
 	return steps, nil, nil
 }
 
-// instanceSet is a set of instances, numbered by the leader.
-type instanceSet struct {
-	history[*fleetwire.InstanceChanges]
-	set fleetview.Instances
-}
-
-// newInstanceSet returns the set after another; nil is none.
-func newInstanceSet(before *instanceSet, number uint64, set fleetview.Instances) *instanceSet {
-	if before == nil {
-		return &instanceSet{set: set, history: newHistory(nil, number, set.Digest(), nil, set.Snapshot)}
-	}
-	earlier := before.set
-	changes := func() *fleetwire.InstanceChanges { return set.ChangesFrom(earlier) }
-	return &instanceSet{set: set, history: newHistory(&before.history, number, set.Digest(), changes, set.Snapshot)}
-}
-
-// ownerSet is a set of owners, numbered by the log index of the last change.
-type ownerSet struct {
-	history[*fleetwire.OwnerChanges]
-	set fleetview.Owners
-}
-
-// newOwnerSet returns the set after another; nil is none.
-func newOwnerSet(before *ownerSet, index uint64, set fleetview.Owners) *ownerSet {
-	if before == nil {
-		return &ownerSet{set: set, history: newHistory(nil, index, set.Digest(), nil, set.Snapshot)}
-	}
-	earlier := before.set
-	changes := func() *fleetwire.OwnerChanges { return set.ChangesFrom(earlier) }
-	return &ownerSet{set: set, history: newHistory(&before.history, index, set.Digest(), changes, set.Snapshot)}
-}
+// instanceSet is numbered by the leader, and ownerSet by the log index of the last
+// change.
+type (
+	instanceSet = history[fleetview.Instances, *fleetwire.InstanceChanges]
+	ownerSet    = history[fleetview.Owners, *fleetwire.OwnerChanges]
+)
 
 // published remembers from what the last view was made.
 type published struct {
@@ -180,11 +165,11 @@
 		next.document = &fleetwire.Shared[*routeconfig.Document]{Value: document}
 	}
 	if now.ownersIndex != control.published.ownersIndex || before.owners == nil {
-		next.owners = newOwnerSet(before.owners, now.ownersIndex, fleetview.NewOwners(control.state.AllOwners()))
+		next.owners = newHistory(before.owners, now.ownersIndex, fleetview.NewOwners(control.state.AllOwners()))
 	}
 	if now.instancesRevision != control.published.instancesRevision || now.term != control.published.term || before.instances == nil {
 		control.instanceSets++
-		next.instances = newInstanceSet(before.instances, control.instanceSets, fleetview.NewInstances(control.planner.Instances()))
+		next.instances = newHistory(before.instances, control.instanceSets, fleetview.NewInstances(control.planner.Instances()))
 	}
 	return next
 }
--- a/internal/fleetcontroller/publish_test.go
+++ b/internal/fleetcontroller/publish_test.go
@@ -24,14 +24,14 @@
 	}}})
 	next := &view{term: 1, complete: true, controllers: []string{"c"}}
 	if before == nil {
-		next.instances = newInstanceSet(nil, 1, fleetview.NewInstances(all))
-		next.owners = newOwnerSet(nil, index, owners)
+		next.instances = newHistory((*instanceSet)(nil), 1, fleetview.NewInstances(all))
+		next.owners = newHistory((*ownerSet)(nil), index, owners)
 		return next
 	}
-	next.instances = newInstanceSet(before.instances, before.instances.number+1, fleetview.NewInstances(all))
+	next.instances = newHistory(before.instances, before.instances.number+1, fleetview.NewInstances(all))
 	next.owners = before.owners
 	if index != before.owners.number {
-		next.owners = newOwnerSet(before.owners, index, owners)
+		next.owners = newHistory(before.owners, index, owners)
 	}
 	return next
 }
