Digest views with the library's hash

Read again after the landing: fleetview/hash.go wrote FNV-1a again; hash/fnv does it over an entry's bytes.

--- a/internal/fleetview/hash.go
+++ b/internal/fleetview/hash.go
@@ -1,28 +1,26 @@
 package fleetview
 
-// hash is FNV-1a of 64 bits (the parameters are those of RFC 9923), which all
-// processes compute alike.
-type hash uint64
-
-const (
-	hashOffset hash = 14695981039346656037
-	hashPrime  hash = 1099511628211
+import (
+	"encoding/binary"
+	"hash/fnv"
 )
 
-func newHash() hash { return hashOffset }
+// entry is one entry of a set as bytes, for its part of the digest.
+type entry []byte
 
-// text adds a text and its end.
-func (h *hash) text(text string) {
-	for i := range len(text) {
-		*h = (*h ^ hash(text[i])) * hashPrime
-	}
-	*h *= hashPrime
+// text adds a text with its length.
+func (e *entry) text(text string) {
+	e.number(uint64(len(text)))
+	*e = append(*e, text...)
 }
 
-// number adds eight bytes.
-func (h *hash) number(number uint64) {
-	for range 8 {
-		*h = (*h ^ hash(number&0xff)) * hashPrime
-		number >>= 8
-	}
+// number adds a number.
+func (e *entry) number(number uint64) { *e = binary.AppendUvarint(*e, number) }
+
+// sum is the entry's part of a digest: FNV-1a of 64 bits, which all processes
+// compute alike.
+func (e *entry) sum() uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write(*e)
+	return hash.Sum64()
 }
--- a/internal/fleetview/instances.go
+++ b/internal/fleetview/instances.go
@@ -74,16 +74,17 @@
 // Digest is alike for equal sets.
 func (i Instances) Digest() uint64 {
 	var sum uint64
+	var one entry
 	for _, instance := range i {
-		hash := newHash()
+		one = one[:0]
 		for _, text := range []string{instance.ID, instance.Service, instance.Node, instance.Address, instance.Zone} {
-			hash.text(text)
+			one.text(text)
 		}
-		hash.number(uint64(instance.Slots)<<8 | uint64(instance.State))
+		one.number(uint64(instance.Slots)<<8 | uint64(instance.State))
 		if instance.Leaving {
-			hash.number(1)
+			one.number(1)
 		}
-		sum += uint64(hash)
+		sum += one.sum()
 	}
 	return sum
 }
--- a/internal/fleetview/owners.go
+++ b/internal/fleetview/owners.go
@@ -87,13 +87,14 @@
 // Digest is alike for equal sets.
 func (o Owners) Digest() uint64 {
 	var sum uint64
+	var one entry
 	for service, owners := range o {
 		for _, assignment := range owners.All() {
-			hash := newHash()
-			hash.text(service)
-			hash.number(uint64(assignment.First)<<32 | uint64(assignment.Last))
-			hash.text(assignment.Owner)
-			sum += uint64(hash)
+			one = one[:0]
+			one.text(service)
+			one.number(uint64(assignment.First)<<32 | uint64(assignment.Last))
+			one.text(assignment.Owner)
+			sum += one.sum()
 		}
 	}
 	return sum
