Notice back ends that end or stand still while nobody asks for their keys

A gateway noticed the end of its back end by a refused call or request alone. A back end that gets its keys by heartbeat is not called, and once its last offer has run out no request is sent to it: the leader kept it as the owner for ever. Ruled out: the move of the keys itself (the leader gave them to i-1-1 and kept on doing so), and a lost lease (its gateway had one: 'not-told', not 'not-leased').

Change: a gateway counts the intervals of the back end's heartbeat (a setting now, before three constants of 1.3 to 1.5 s) in which nothing was heard. After two it tries a connection; a refused one proves the end. After four the report says that the back end is silent: the leader asks for its keys and gives it none. Intervals are counted, not times compared, so that a gateway that stood still itself calls nobody silent.

--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -93,6 +93,8 @@
 	Boot uint64
 	// Instance is nil where no back end is known.
 	Instance *Instance
+	// Silent says that nothing was heard of the instance for some time.
+	Silent bool
 	// Released promises, repeated until a lease no longer asks for them.
 	Released []Released
 	// Load by key since the last report.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,7 +20,7 @@
 	// holdStep is how often a held request looks again without news.
 	holdStep = 40 * time.Millisecond
 	// sameOwnerAgain is when the owner of a key that did not hold it is asked
-	// again without news: it waits for the key itself (keyWait), so that the answer
+	// again without news: it waits for the key itself (egress.awaitKey), so that the answer
 	// says that it has not come for long.
 	sameOwnerAgain = 200 * time.Millisecond
 	// maxTries bounds how many gateways one request is offered to, and
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -80,6 +80,9 @@
 	// DrainWithin is how long after its announcement a leaving back end may
 	// still get requests.
 	DrainWithin time.Duration
+	// HeartbeatInterval is the longest time between two heartbeats of a back end that
+	// is well.
+	HeartbeatInterval time.Duration
 	// LongestHold is the longest time for which keys are granted.
 	LongestHold time.Duration
 	// StopWithin bounds a planned stop.
@@ -91,14 +94,16 @@
 
 // Defaults of Config.
 const (
-	DefaultDrainWithin = 2 * time.Second
-	DefaultLongestHold = 10 * time.Second
-	DefaultStopWithin  = 5500 * time.Millisecond
-	DefaultWindow      = 10 * time.Second
+	DefaultDrainWithin       = 2 * time.Second
+	DefaultHeartbeatInterval = 1300 * time.Millisecond
+	DefaultLongestHold       = 10 * time.Second
+	DefaultStopWithin        = 5500 * time.Millisecond
+	DefaultWindow            = 10 * time.Second
 )
 
 func (c Config) withDefaults() Config {
 	c.DrainWithin = cmp.Or(c.DrainWithin, DefaultDrainWithin)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
 	c.LongestHold = cmp.Or(c.LongestHold, DefaultLongestHold)
 	c.StopWithin = cmp.Or(c.StopWithin, DefaultStopWithin)
 	c.Budget.Window = cmp.Or(c.Budget.Window, DefaultWindow)
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -22,10 +22,8 @@
 	// answerMargin is how much earlier than the caller the egress gives up, so
 	// that its word still arrives.
 	answerMargin = 15 * time.Millisecond
-	// keyWait bounds how long a request waits for its key where the back end is
-	// about to get it: the time between two heartbeats of back ends, 0.9 to 1.3 s.
-	// keyWaitShare is the part of the request's time that it may wait.
-	keyWait      = 1300 * time.Millisecond
+	// keyWaitShare is the part of a request's time that it may wait for its key,
+	// where the back end is about to get it; a heartbeat's interval at the most.
 	keyWaitShare = 0.5
 	// maxAnswer bounds the body of an answer.
 	maxAnswer = 64 << 20
@@ -102,7 +100,7 @@
 		return refusal
 	}
 	left := time.Until(request.Deadline)
-	ctx, cancel := context.WithTimeout(ctx, min(keyWait, time.Duration(keyWaitShare*float64(left))))
+	ctx, cancel := context.WithTimeout(ctx, min(e.gateway.config.HeartbeatInterval, time.Duration(keyWaitShare*float64(left))))
 	defer cancel()
 	e.gateway.keys.await(ctx, request.Instance, request.Key)
 	return e.refuses(request)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,7 @@
 	g.cancel = cancel
 	g.background(func() { g.session.run(ctx) })
 	g.background(func() { g.keys.run(ctx) })
+	g.background(func() { g.watchSilence(ctx) })
 	g.background(func() { g.summarize(ctx) })
 	g.background(func() { _ = g.callers.Serve() })
 	g.background(func() { _ = g.inbound.Serve() })
@@ -146,10 +147,17 @@
 	g.keys.signal()
 }
 
-// suspect looks closer at a back end that failed: where nothing listens at its
-// address, its process has ended.
+// suspect looks closer at a back end that failed by refusing a connection.
 func (g *Gateway) suspect(instance string, err error) {
-	if !refusedConnection(err) || !g.probing.CompareAndSwap(false, true) {
+	if refusedConnection(err) {
+		g.look(instance)
+	}
+}
+
+// look tries to reach a back end: where nothing listens at its address, its process
+// has ended.
+func (g *Gateway) look(instance string) {
+	if !g.probing.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -71,6 +71,7 @@
 		k.fences.unanswered(openGrant{keys: sent.Keys, owner: sent.Fence, sub: sent.sub, at: sent.sentAt})
 		return
 	}
+	k.gateway.registry.heard(instance)
 	k.fences.confirmed(sent.Keys, sent.Fence, sent.sub)
 	sent.until = later(sent.until, sent.sentAt.Add(hold))
 	sent.confirmed = sent.sentAt
--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -24,11 +24,10 @@
 	// the heartbeat's arrival on: it waits for one second, on a clock that may run
 	// slow.
 	answerVoid = time.Second + time.Duration(clockDrift*float64(time.Second)) + processorPause
-	// reportedTrust is for how long a range counts as held that a heartbeat named
-	// while this process has no lease to offer it under: longer than the time
-	// between two heartbeats, 0.9 to 1.3 s. The back end itself refuses what it
-	// does not hold.
-	reportedTrust = 1500 * time.Millisecond
+	// reportedSlack is for how much longer than a heartbeat's interval a range counts
+	// as held that a heartbeat named while this process has no lease to offer it
+	// under. The back end itself refuses what it does not hold.
+	reportedSlack = 200 * time.Millisecond
 )
 
 // HeldRange is a range that a back end says it holds.
@@ -138,7 +137,7 @@
 	k.noteReleases(held, now)
 	offer := k.offer(now)
 	if offer == nil {
-		k.reported.served = reportedRanges(held, k.reported.served, now)
+		k.reported.served = reportedRanges(held, k.reported.served, now, k.gateway.config.HeartbeatInterval+reportedSlack)
 		return nil
 	}
 	k.noteLeftOut(now)
@@ -310,11 +309,12 @@
 }
 
 // reportedRanges are what a back end may be asked for while nothing can be
-// offered to it: what it names, for as long as it was given.
-func reportedRanges(held []HeldRange, before []servedRange, now time.Time) []servedRange {
+// offered to it: what it names, for as long as it was given, and at least for a
+// time in which its next heartbeat comes.
+func reportedRanges(held []HeldRange, before []servedRange, now time.Time, trusted time.Duration) []servedRange {
 	var served []servedRange
 	for _, row := range held {
-		until := now.Add(reportedTrust)
+		until := now.Add(trusted)
 		for _, known := range before {
 			if known.keys.Contains(row.Keys) {
 				until = later(until, known.until)
--- a/internal/gateway/keyheartbeats_test.go
+++ b/internal/gateway/keyheartbeats_test.go
@@ -197,7 +197,7 @@
 		assert.Assert(t, rig.beat(t, "i-1", heldAs(0, 99, compose(7, 0))) == nil)
 		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
 		assert.Assert(t, !rig.g.keys.holds("i-1", 100, time.Now()))
-		time.Sleep(2 * reportedTrust)
+		time.Sleep(2 * (DefaultHeartbeatInterval + reportedSlack))
 		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
 	})
 }
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -71,6 +71,8 @@
 	rig.g.registry = newRegistry(func() {})
 	rig.g.session = newSessionClient(rig.g)
 	rig.g.keys = newKeyKeeper(rig.g)
+	rig.g.keyLoad = newKeyLoad()
+	rig.g.slots = newSlotGate()
 	rig.g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -32,6 +32,8 @@
 	refuseFrom time.Time
 	// ended has the lives that are over.
 	ended map[string]bool
+	// unheard counts the intervals since the last word of the present instance.
+	unheard int
 	// changed is called after each change, without the mutex.
 	changed func()
 }
@@ -79,6 +81,7 @@
 	} else if told.Sequence <= r.current.Sequence {
 		return false, false
 	}
+	r.unheard = 0
 	r.current.Sequence = told.Sequence
 	r.current.Slots = told.Slots
 	if r.left {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -240,6 +240,7 @@
 	report := &fleetwire.Report{SentAt: s.now(), Boot: s.boot, Version: g.views.load().version()}
 	if instance := g.registry.snapshot(); instance.ID != "" {
 		report.Instance = &instance
+		report.Silent = g.registry.silent()
 		report.Released = g.keys.promises()
 		report.Load = g.keyLoad.take()
 		report.Running, report.Waiting = g.slots.counts()
--- a/internal/keylease/instances.go
+++ b/internal/keylease/instances.go
@@ -18,6 +18,8 @@
 	load        loadTable
 	// boot is the gateway's process that was heard last.
 	boot uint64
+	// silent says that its gateway has not heard of it for some time.
+	silent bool
 }
 
 // Revision counts changes of what Instances returns.
@@ -122,7 +124,7 @@
 func (p *Planner) targets(service string, now time.Duration) []*instance {
 	var found []*instance
 	for _, known := range p.instances {
-		if known.Service == service && known.State == fleetwire.InstanceReady && now < known.heardAt+p.config.SilentAfter {
+		if known.Service == service && known.State == fleetwire.InstanceReady && !known.silent && now < known.heardAt+p.config.SilentAfter {
 			found = append(found, known)
 		}
 	}
--- a/internal/keylease/owners.go
+++ b/internal/keylease/owners.go
@@ -105,14 +105,14 @@
 	return nil
 }
 
-// ends says that an owner should lose its keys: it drains, it has ended, or its
-// lease ran out.
+// ends says that an owner should lose its keys: it drains, it has ended or fallen
+// silent, or its lease ran out.
 func (p *Planner) ends(owner string, now time.Duration) bool {
 	known, ok := p.instances[owner]
 	if !ok {
 		return now > p.settledAt
 	}
-	if known.State != fleetwire.InstanceReady {
+	if known.State != fleetwire.InstanceReady || known.silent {
 		return true
 	}
 	return now > known.leasedUntil
--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -119,6 +119,7 @@
 	}
 	told := p.learn(report.Instance, now)
 	told.boot = report.Boot
+	told.silent = report.Silent
 	told.load.add(report.Load, now)
 	p.takeReleased(told, report.Released)
 	lease.Instance = told.ID
--- a/internal/keylease/planner_test.go
+++ b/internal/keylease/planner_test.go
@@ -331,3 +331,37 @@
 	}
 	assert.Assert(t, moved > 8192, "%d keys", moved)
 }
+
+// A back end that stands still behind a gateway that is well keeps its lease; its
+// keys go to others once they are surely free, and it gets none until it is heard.
+func TestKeysOfASilentBackEndMoveAndNoneComeToIt(t *testing.T) {
+	l := newLeader()
+	for range 60 {
+		l.report(instance(0, 0))
+		l.report(instance(1, 0))
+		l.advance(100 * time.Millisecond)
+	}
+	silent := &fleetwire.Report{Boot: 1, Instance: instance(0, 0), Silent: true}
+	var before keyspace.Fence
+	for _, owned := range l.state.Owners(service).OwnedBy("i-0-0") {
+		before = owned.Fence
+	}
+	l.planner.Report(silent, l.now)
+	l.advance(100 * time.Millisecond)
+	lease := l.planner.Report(silent, l.now)
+	assert.Equal(t, len(lease.Held), 0)
+	assert.Assert(t, len(lease.Release) > 0, "its gateway is asked for them")
+	assert.Assert(t, l.state.Owners(service).OwnedBy("i-0-0") != nil, "not free yet")
+	silent.Released = promisesOf(lease.Release, "")
+	for range 100 {
+		l.planner.Report(silent, l.now)
+		l.report(instance(1, 0))
+		l.advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, l.state.Owners(service).OwnedBy("i-0-0") == nil)
+	for _, owned := range l.state.Owners(service).OwnedBy("i-1-0") {
+		if owned.First == 0 {
+			assert.Assert(t, owned.Fence > before)
+		}
+	}
+}
--- a/lab/platformstandin/standin_test.go
+++ b/lab/platformstandin/standin_test.go
@@ -260,3 +260,19 @@
 	r.waitServed(r.Sides[2])
 	r.checkPromises()
 }
+
+// An owner's process ends while nobody asks for its keys: nothing but its silence
+// tells of it.
+func TestAnOwnerEndsUnasked(t *testing.T) { byBoth(t, anOwnerEndsUnasked) }
+
+func anOwnerEndsUnasked(t *testing.T, r *rig) {
+	r.instances[1].Stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.instances[0].holdsAny(heldRange{first: 65535, last: 65535}) {
+			return poll.Success()
+		}
+		return poll.Continue("its keys were not given to the other back end")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(20*time.Millisecond))
+	r.waitServed(r.Sides[3])
+	r.checkPromises()
+}
