Let idle connections cost nothing

Cause: each pool of connections had a goroutine that woke each second and asked the kernel about each idle connection, and a gateway has a pool for each peer that it has ever weighed. At 280 gateways with about 1,300 idle connections each that is some 280 x 1,300 system calls a second in the fleet for nothing: it grows with the square of the gateways. Each idle connection also kept 16 KB of buffers. Ruled out: forwarding itself.

Change: a pool's maintenance runs when its oldest idle connection is due to be closed, never without connections; pools that keep connections open examine them each second as before. That a peer has closed one is found before it is used, as before. Idle connections give their buffers back.

--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -5,7 +5,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // BenchmarkRoundTrip compares one look-up sized exchange on a warm connection
@@ -47,3 +50,48 @@
 		_ = response.Body.Close()
 	}
 }
+
+// BenchmarkIdlePools is what pools whose connections carry nothing cost in a
+// second: 300 of them, as a gateway among as many has, with four connections each.
+func BenchmarkIdlePools(b *testing.B) {
+	const pools, connections = 300, 4
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	for range pools {
+		pool, err := New(Config{Address: server.Listener.Addr().String(), MinWarm: -1})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer pool.Close()
+		var busy []*conn
+		for range connections {
+			connection, err := pool.acquire(b.Context())
+			if err != nil {
+				b.Fatal(err)
+			}
+			busy = append(busy, connection)
+		}
+		for _, connection := range busy {
+			connection.wake()
+			pool.release(connection)
+		}
+	}
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	before := processorTime(b)
+	for b.Loop() {
+		time.Sleep(time.Second)
+	}
+	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "µs-processor/s")
+	b.ReportMetric(float64(memory.HeapInuse)/(pools*connections), "heap-B/connection")
+}
+
+// processorTime is what this process has used.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -16,9 +16,16 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// readers and writers are the buffers of connections in use.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
+)
+
 // conn is one connection. One request at a time uses it.
 type conn struct {
-	net       net.Conn
+	net net.Conn
+	// reader and writer are there from wake to rest.
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	source    limitedSource
@@ -40,12 +47,33 @@
 	connection := &conn{net: netConn}
 	connection.source = limitedSource{net: netConn, left: math.MaxInt64}
 	connection.sink = countingSink{net: netConn}
-	connection.reader = bufio.NewReaderSize(&connection.source, bufferSize)
-	connection.writer = bufio.NewWriterSize(&connection.sink, bufferSize)
 	connection.preparePeek()
 	return connection
 }
 
+// wake gives a connection its buffers, before a request.
+func (connection *conn) wake() {
+	if connection.reader != nil {
+		return
+	}
+	connection.reader = readers.Get().(*bufio.Reader)
+	connection.reader.Reset(&connection.source)
+	connection.writer = writers.Get().(*bufio.Writer)
+	connection.writer.Reset(&connection.sink)
+}
+
+// rest gives the buffers back, while nothing is in them and no request uses them.
+func (connection *conn) rest() {
+	if connection.reader == nil {
+		return
+	}
+	connection.reader.Reset(nil)
+	readers.Put(connection.reader)
+	connection.writer.Reset(nil)
+	writers.Put(connection.writer)
+	connection.reader, connection.writer = nil, nil
+}
+
 func (connection *conn) close() { _ = connection.net.Close() }
 
 // past is a deadline that ends reads and writes at once.
@@ -86,9 +114,6 @@
 // a request that meets such a close ends with ErrInterrupted, never with a
 // second write.
 func (connection *conn) quiet() bool {
-	if connection.reader.Buffered() > 0 {
-		return false
-	}
 	if connection.raw == nil {
 		return !connection.broken
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -41,6 +41,7 @@
 		ended()
 		return nil, fmt.Errorf("%w: %s: %w", ErrNotSent, pool.config.Address, err)
 	}
+	connection.wake()
 	running := &exchange{pool: pool, conn: connection, ctx: ctx, ended: ended}
 	running.stopWatch = context.AfterFunc(ctx, running.interrupt)
 	response, err := running.run(request)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,7 +29,8 @@
 	DefaultMinWarm        = 2
 	DefaultDialTimeout    = 500 * time.Millisecond
 	DefaultIdleTimeout    = 60 * time.Second
-	// maintenanceInterval is how often idle connections are examined.
+	// maintenanceInterval is how often connections are examined that are kept open,
+	// and at most how often unused ones are closed.
 	maintenanceInterval = time.Second
 )
 
@@ -100,16 +101,19 @@
 // goroutine.
 type Pool struct {
 	config Config
-	stop   context.CancelFunc
-	done   chan struct{}
-
-	mutex    sync.Mutex
-	closed   bool
-	idle     []*conn // the last one was used most recently
-	open     int
-	dialling int
-	waiters  []*waiter // first come, first served
-	stats    Stats
+
+	mutex  sync.Mutex
+	closed bool
+	idle   []*conn // the last one was used most recently
+	// maintenance runs when connections are to be examined; planned says that it
+	// will. Without connections it never runs: a process may have a pool for each of
+	// hundreds of peers.
+	maintenance *time.Timer
+	planned     bool
+	open        int
+	dialling    int
+	waiters     []*waiter // first come, first served
+	stats       Stats
 }
 
 // waiter is a request without a connection; result takes one value.
@@ -129,9 +133,11 @@
 	if config.MaxConnections < 0 {
 		return nil, fmt.Errorf("upstream: MaxConnections %d is negative", config.MaxConnections)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	pool := &Pool{config: config.withDefaults(), stop: stop, done: make(chan struct{})}
-	go pool.maintain(ctx)
+	pool := &Pool{config: config.withDefaults()}
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.topUp()
+	pool.planMaintenance()
 	return pool, nil
 }
 
@@ -146,6 +152,9 @@
 	idle, waiters := pool.idle, pool.waiters
 	pool.idle, pool.waiters = nil, nil
 	pool.open -= len(idle)
+	if pool.maintenance != nil {
+		pool.maintenance.Stop()
+	}
 	pool.mutex.Unlock()
 	for _, connection := range idle {
 		connection.close()
@@ -153,8 +162,6 @@
 	for _, waiting := range waiters {
 		waiting.result <- dialled{err: ErrClosed}
 	}
-	pool.stop()
-	<-pool.done
 }
 
 // CloseIdle closes the connections that carry no request now. Later requests
@@ -338,8 +345,10 @@
 		waiting.result <- dialled{conn: connection}
 		return
 	}
+	connection.rest()
 	connection.idleSince = time.Now()
 	pool.idle = append(pool.idle, connection)
+	pool.planMaintenance()
 }
 
 // discard closes a connection that can't carry another request.
@@ -351,27 +360,38 @@
 	pool.dialForWaiters()
 }
 
-// maintain keeps MinWarm connections open and closes idle ones beyond them.
-func (pool *Pool) maintain(ctx context.Context) {
-	defer close(pool.done)
-	ticker := time.NewTicker(maintenanceInterval)
-	defer ticker.Stop()
-	for {
-		pool.closeUnused(time.Now())
-		pool.topUp()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+// planMaintenance makes maintain run when there will be something to do, unless it
+// is planned already. The caller holds the mutex.
+func (pool *Pool) planMaintenance() {
+	if pool.planned || pool.closed || (pool.config.MinWarm == 0 && len(pool.idle) == 0) {
+		return
+	}
+	wait := maintenanceInterval
+	if pool.config.MinWarm == 0 {
+		// The first of the idle ones has been unused for longest.
+		wait = max(wait, time.Until(pool.idle[0].idleSince.Add(pool.config.IdleTimeout)))
+	}
+	pool.planned = true
+	if pool.maintenance == nil {
+		pool.maintenance = time.AfterFunc(wait, pool.maintain)
+		return
 	}
+	pool.maintenance.Reset(wait)
 }
 
-// closeUnused closes idle connections that the peer closed, and those beyond
-// MinWarm that were unused for IdleTimeout.
-func (pool *Pool) closeUnused(now time.Time) {
+// maintain keeps MinWarm connections open and closes idle ones beyond them.
+func (pool *Pool) maintain() {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	pool.planned = false
+	pool.closeUnused(time.Now())
+	pool.topUp()
+	pool.planMaintenance()
+}
+
+// closeUnused closes idle connections that the peer closed, and those beyond
+// MinWarm that were unused for IdleTimeout. The caller holds the mutex.
+func (pool *Pool) closeUnused(now time.Time) {
 	kept := pool.idle[:0]
 	for _, connection := range pool.idle {
 		unused := now.Sub(connection.idleSince) >= pool.config.IdleTimeout
@@ -391,9 +411,9 @@
 	pool.idle = kept
 }
 
+// topUp begins to make the connections that MinWarm lacks. The caller holds the
+// mutex.
 func (pool *Pool) topUp() {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
 	warm := min(pool.config.MinWarm, pool.config.MaxConnections)
 	for !pool.closed && pool.open+pool.dialling < warm {
 		pool.beginDial()
