Admit large answers for the link that is to send them

Ruled out: packing bodies between gateways. 41,255 bytes became 41,267 (same trial).

Change: a gateway keeps, of its link, the bytes of large answers that are being made. One is begun if it will be through in time; later than that only where a fifth of the link is left over, and before its caller leaves; all others are refused at once ('link-full'), to come back when what waits now is through. The link's queue travels in each answer as before, now with what is coming.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,7 +73,7 @@
 		if result.Sent {
 			sends++
 		}
-		if result.Reason == reasonNoRoom {
+		if result.Reason.full() {
 			refusals++
 		}
 		if refusals == maxRefusals || g.final(ctx, c, result, sends) {
@@ -226,6 +226,7 @@
 		Key:      key,
 		HasKey:   hasKey,
 		Priority: c.route.Priority,
+		Transfer: c.route.Repetition == routeconfig.RepeatableTransfer,
 		Target:   c.route.TargetLatency,
 		Due:      c.began.Add(c.route.TargetLatency),
 		Deadline: c.deadline,
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -69,6 +69,7 @@
 		e.logRefusal(request, result.Reason)
 	}
 	result.Load = e.gateway.slots.load()
+	result.Load.linkBacklog = e.gateway.pacer.backlog(time.Now())
 	return result
 }
 
@@ -81,6 +82,26 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
 	defer cancel()
+	if !request.Transfer {
+		return e.tryInSlot(ctx, request)
+	}
+	kept, ok := e.gateway.pacer.admit(e.transfer(request), time.Now())
+	if !ok {
+		return notRun(reasonLinkFull), 0
+	}
+	result, used := e.tryInSlot(ctx, request)
+	e.gateway.pacer.settle(kept, result.Outcome == outcomeAnswered, len(result.Body))
+	return result, used
+}
+
+// transfer is what a request for a large answer asks of the link.
+func (e *egress) transfer(request *forwardRequest) transfer {
+	load := e.gateway.slots.load()
+	return transfer{due: request.Due, deadline: request.Deadline, run: load.service(request.Target)}
+}
+
+// tryInSlot waits for a slot and uses it.
+func (e *egress) tryInSlot(ctx context.Context, request *forwardRequest) (*forwardResult, time.Duration) {
 	taken, err := e.gateway.slots.acquire(ctx, e.demand(request))
 	if err != nil {
 		return e.noSlot(request, err), 0
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -32,6 +32,8 @@
 	reasonNotOwner reason = "not-owner"
 	// reasonNoRoom: no slot in the time left.
 	reasonNoRoom reason = "no-room"
+	// reasonLinkFull: the machine's link could not send the answer in the time left.
+	reasonLinkFull reason = "link-full"
 	// reasonRefused: the back end itself did not run it.
 	reasonRefused reason = "refused-by-back-end"
 	// reasonUnreachable: no byte of it could be sent.
@@ -53,7 +55,10 @@
 
 // lasts says that another try at the same back end within the next moments would
 // end alike.
-func (r reason) lasts() bool { return r == reasonNoRoom || r == reasonStopping }
+func (r reason) lasts() bool { return r.full() || r == reasonStopping }
+
+// full says that what a request needs is all used.
+func (r reason) full() bool { return r == reasonNoRoom || r == reasonLinkFull }
 
 // forwardRequest is one try of a request at one back end.
 type forwardRequest struct {
@@ -70,6 +75,8 @@
 	Key      keyspace.Key
 	HasKey   bool
 	Priority int
+	// Transfer says that the answer is a large one.
+	Transfer bool
 	// Target is the time within which the answer is worth most, Due when that
 	// is over, Deadline when the caller stops waiting.
 	Target   time.Duration
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -18,10 +18,12 @@
 	fieldPriority = fieldPrefix + "Priority"
 	// fieldDue is in how many milliseconds the answer is due, fieldTarget the
 	// whole time that it should take.
-	fieldDue     = fieldPrefix + "Due-Ms"
-	fieldTarget  = fieldPrefix + "Target-Ms"
-	fieldOutcome = fieldPrefix + "Outcome"
-	fieldReason  = fieldPrefix + "Reason"
+	fieldDue    = fieldPrefix + "Due-Ms"
+	fieldTarget = fieldPrefix + "Target-Ms"
+	// fieldTransfer says that the answer is a large one.
+	fieldTransfer = fieldPrefix + "Transfer"
+	fieldOutcome  = fieldPrefix + "Outcome"
+	fieldReason   = fieldPrefix + "Reason"
 	// fieldSent says that the back end was sent the request.
 	fieldSent = fieldPrefix + "Sent"
 	fieldLoad = fieldPrefix + "Load"
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -164,6 +164,9 @@
 		base = retrySpread
 	case reasonNoRoom:
 		base = max(retryRoom, retryServices*result.Load.serviceTime)
+	case reasonLinkFull:
+		// What the link has to send now is through by then.
+		base = max(retryRoom, result.Load.linkBacklog)
 	}
 	return result.RetryAfter + base/2 + time.Duration(rand.Float64()*float64(base))
 }
--- a/internal/gateway/linkpacer.go
+++ b/internal/gateway/linkpacer.go
@@ -39,12 +39,13 @@
 	free time.Time
 	// waiting are the bytes of paced bodies that were not handed over yet.
 	waiting int
+	use     linkUse
 }
 
 // newLinkPacer returns the pacer of a link of a number of bytes a second; zero is
 // unknown.
 func newLinkPacer(bytesPerSecond float64) *linkPacer {
-	return &linkPacer{rate: bulkShare * bytesPerSecond, turns: make(chan struct{}, bulkTurns)}
+	return &linkPacer{rate: bulkShare * bytesPerSecond, turns: make(chan struct{}, bulkTurns), use: linkUse{at: time.Now()}}
 }
 
 // write hands a body over. It returns early, with only a part written, where the
@@ -91,22 +92,29 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.advance(now)
 	if p.free.Before(now) {
 		p.free = now
 	}
 	busy := p.free.Sub(now)
-	p.free = p.free.Add(time.Duration(float64(bytes) / p.rate * float64(time.Second)))
+	p.free = p.free.Add(p.timeFor(bytes))
 	return busy
 }
 
-// backlog is how long the link takes for what was handed over and what waits.
+// backlog is how long the link takes for what was handed over, what waits, and the
+// large answers that are being made.
 func (p *linkPacer) backlog(now time.Time) time.Duration {
 	if p.rate <= 0 {
 		return 0
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return max(p.free.Sub(now), 0) + time.Duration(float64(p.waiting)/p.rate*float64(time.Second))
+	return p.backlogLocked(now)
+}
+
+// backlogLocked is backlog for who has the mutex.
+func (p *linkPacer) backlogLocked(now time.Time) time.Duration {
+	return max(p.free.Sub(now), 0) + p.timeFor(p.waiting+p.use.coming)
 }
 
 // pauseFor waits, and reports whether the context still runs.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -234,6 +234,9 @@
 	header[fieldPriority] = []string{strconv.Itoa(request.Priority)}
 	header[fieldDue] = []string{milliseconds(max(time.Until(request.Due), 0))}
 	header[fieldTarget] = []string{milliseconds(request.Target)}
+	if request.Transfer {
+		header[fieldTransfer] = []string{"1"}
+	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""}
 	}
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -25,7 +25,6 @@
 		header[name] = values
 	}
 	header[fieldOutcome] = []string{string(result.Outcome)}
-	result.Load.linkBacklog = g.pacer.backlog(time.Now())
 	header[fieldLoad] = []string{formatLoad(result.Load)}
 	if result.Reason != reasonNone {
 		header[fieldReason] = []string{string(result.Reason)}
@@ -82,6 +81,7 @@
 		Service:  r.Header.Get(fieldService),
 		Instance: instance,
 		Priority: priority,
+		Transfer: r.Header.Get(fieldTransfer) != "",
 		Target:   target,
 		Due:      now.Add(due),
 		Deadline: now.Add(left),
--- a/internal/requesthistory/cause.go
+++ b/internal/requesthistory/cause.go
@@ -7,6 +7,7 @@
 	reasonNoConfiguration = "no-configuration"
 	reasonNoInstance      = "no-instance"
 	reasonNoRoom          = "no-room"
+	reasonLinkFull        = "link-full"
 	reasonNotOwner        = "not-owner"
 	reasonNotAdmitted     = "not-admitted"
 	reasonRefused         = "refused-by-back-end"
@@ -31,6 +32,8 @@
 		"no ready back end of the service, or no owner of the key, was known while the request could wait"},
 	reasonNoRoom: {[]string{messageRefused, messageNotServed},
 		"every back end that it was offered to was full for longer than its answer could wait"},
+	reasonLinkFull: {[]string{messageRefused, messageNotServed},
+		"its answer is a large one, and the links of the machines that it was offered to could not have sent it in time"},
 	reasonNotOwner: {[]string{messageMove, messageGrant, messageRelease, messageRefused},
 		"the key was on its way between owners: the gateway beside the one that was tried did not hold it"},
 	reasonNotAdmitted: {[]string{messageBackend, messageRefused},
