Tell late requests that wait once nothing is left over for them

Cause: whether slots are left over is measured over a second.

Change: a late request is looked at four times a second, and refused, with a time to come back, once it is not likely to get a slot any more.

Test that failed first (14 slots, 600 requests a second for 12 s): the longest wait of one that was refused in the end 7.7 s -> 1.75 s. Ruled out: that these are served after the hot moment.

--- a/internal/gateway/lateslots.go
+++ b/internal/gateway/lateslots.go
@@ -16,13 +16,19 @@
 // fewer requests were in time under overload (docs/MEASUREMENTS.md).
 const leastLeftOver = 0.2
 
+// lateLook is how often it is looked whether a late request that waits is still
+// likely to get a slot: what was left over when it came may be used by now. It is a
+// quarter of the time over which that is measured (busyHalfLife).
+const lateLook = busyHalfLife / 4
+
 // waiting is how many requests wait.
 func (u *slotUse) waiting() int { return len(u.queue) + len(u.late) }
 
 // waitLate lets a request wait as a late one, if it is likely to get a slot before
 // its caller leaves. The caller has the mutex.
 func (g *slotGate) waitLate(waiting *ticket, now time.Time) bool {
-	if g.estimateLate(waiting.short, waiting.priority) > waiting.latest-now.Sub(waiting.since) {
+	ahead := len(g.short.late) + len(g.long.late)
+	if g.estimateLate(waiting.short, waiting.priority, ahead) > waiting.timeLeft(now) {
 		return false
 	}
 	waiting.late = true
@@ -31,10 +37,40 @@
 	return true
 }
 
-// estimateLate is how long one more late request of a kind and priority would
-// wait: behind the late ones that are there, at the rate at which slots are left
-// over.
-func (g *slotGate) estimateLate(short bool, priority int) time.Duration {
+// timeLeft is how much longer a request may wait as a late one.
+func (t *ticket) timeLeft(now time.Time) time.Duration { return t.latest - now.Sub(t.since) }
+
+// untilLook is when to look at a request that waits: when it can't be answered in
+// time any more, and from then on each lateLook.
+func (t *ticket) untilLook(now time.Time) time.Duration {
+	if t.late {
+		return min(lateLook, t.timeLeft(now))
+	}
+	return t.patience - now.Sub(t.since)
+}
+
+// hopeful reports whether a late request that waits is still likely to get a slot.
+func (g *slotGate) hopeful(waiting *ticket, now time.Time) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !waiting.late || waiting.position < 0 {
+		return false
+	}
+	g.advance(now)
+	ahead := 0
+	for _, queue := range []ticketQueue{g.short.late, g.long.late} {
+		for _, other := range queue {
+			if other.before(&waiting.demand) {
+				ahead++
+			}
+		}
+	}
+	return g.estimateLate(waiting.short, waiting.priority, ahead) <= waiting.timeLeft(now)
+}
+
+// estimateLate is how long a late request of a kind and priority will wait behind a
+// number of other late ones, at the rate at which slots are left over.
+func (g *slotGate) estimateLate(short bool, priority, ahead int) time.Duration {
 	const never = time.Hour
 	slots := g.usable(short, priority)
 	leftOver := slots - (g.long.busy - g.lateBusy)
@@ -46,7 +82,7 @@
 	}
 	use := g.use(short)
 	inTime := float64(len(g.short.queue)+len(g.long.queue)) / slots
-	behind := float64(len(g.short.late)+len(g.long.late)+1) / leftOver
+	behind := float64(ahead+1) / leftOver
 	return time.Duration(float64(use.serviceTime) * (inTime + behind))
 }
 
--- a/internal/gateway/lateslots_test.go
+++ b/internal/gateway/lateslots_test.go
@@ -161,3 +161,34 @@
 		assert.Assert(t, float64(inTime) >= 0.97*float64(inTimeBefore))
 	}
 }
+
+// A key runs hot all at once: for a moment the slots look as if some were left
+// over. Who waits for those is told that there are none, long before its time is
+// over.
+func TestALateRequestIsSentAwayOnceNothingIsLeftOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, asked = 14, 7200
+		g := lateGate(slots)
+		var mutex sync.Mutex
+		var longest time.Duration
+		var all sync.WaitGroup
+		for range asked {
+			all.Go(func() {
+				began := time.Now()
+				taken, err := g.acquire(t.Context(), wish(time.Second, 8*time.Second))
+				if err == nil {
+					time.Sleep(lateService)
+					g.release(taken, lateService, false)
+					return
+				}
+				mutex.Lock()
+				longest = max(longest, time.Since(began))
+				mutex.Unlock()
+			})
+			time.Sleep(12 * time.Second / asked)
+		}
+		all.Wait()
+		t.Log(longest)
+		assert.Assert(t, longest <= 2*time.Second, "the last one that was refused had waited for %v", longest)
+	})
+}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -266,11 +266,7 @@
 
 // await returns once a request has a slot, or with why it gets none.
 func (g *slotGate) await(ctx context.Context, waiting *ticket) error {
-	limit := waiting.patience
-	if waiting.late {
-		limit = waiting.latest
-	}
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(waiting.untilLook(waiting.since))
 	defer timer.Stop()
 	for {
 		var cause error
@@ -278,6 +274,10 @@
 		case <-waiting.admitted:
 			return nil
 		case <-timer.C:
+			if g.hopeful(waiting, time.Now()) {
+				timer.Reset(waiting.untilLook(time.Now()))
+				continue
+			}
 			cause = errNoRoom
 		case <-ctx.Done():
 			cause = context.Cause(ctx)
@@ -285,7 +285,7 @@
 		if g.leave(waiting, ctx.Err() == nil) {
 			return cause
 		}
-		timer.Reset(waiting.latest - time.Since(waiting.since))
+		timer.Reset(waiting.untilLook(time.Now()))
 	}
 }
 
