Log sessions of gateways: which controller serves, after which silence, and why one ended

No log said when a gateway came to the new leader, or why it did not. Change: a line where a session begins to serve, with how long nothing was heard before, and one where it ends, with why. Tests of the package pass.

--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -135,11 +135,21 @@
 // hold runs one session to its end and returns where the controller sent the
 // gateway, if it did.
 func (s *sessionClient) hold(ctx context.Context, address string) *fleetwire.Redirect {
+	redirect, err := s.converse(ctx, address)
+	if s.served || err != nil && ctx.Err() == nil {
+		s.gateway.config.Log.Info("session ended", "controller", address, "served", s.served, "redirected", redirect != nil, "error", err)
+	}
+	return redirect
+}
+
+// converse runs one session. It returns where the controller sent the gateway, or
+// why it ended.
+func (s *sessionClient) converse(ctx context.Context, address string) (*fleetwire.Redirect, error) {
 	dialing, dialed := context.WithTimeout(ctx, sessionDial)
 	conn, err := transport.Dial(dialing, address, transport.Options{WriteTimeout: time.Second, IdleTimeout: sessionSilence})
 	dialed()
 	if err != nil {
-		return nil
+		return nil, err
 	}
 	defer conn.Close()
 	has := s.gateway.views.load()
@@ -147,8 +157,8 @@
 		Node: s.gateway.config.Name, Boot: s.boot,
 		Version: has.version(), OwnersIndex: has.ownersIndex, OwnersDigest: has.owners.Digest(),
 	}
-	if conn.Send(fleetwire.ToController{Hello: hello}) != nil {
-		return nil
+	if err := conn.Send(fleetwire.ToController{Hello: hello}); err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -157,16 +167,20 @@
 	go s.sendReports(ctx, conn)
 	for {
 		var message fleetwire.FromController
-		if conn.Receive(&message) != nil {
-			return nil
+		if err := conn.Receive(&message); err != nil {
+			return nil, err
 		}
 		if message.Redirect != nil {
-			return message.Redirect
+			return message.Redirect, nil
 		}
+		silence := s.silence(time.Now())
 		s.heardAt.Store(int64(s.now()))
+		servedBefore := s.served
 		if err := s.take(&message); err != nil {
-			s.gateway.config.Log.Error("session ended", "controller", address, "error", err)
-			return nil
+			return nil, err
+		}
+		if s.served && !servedBefore {
+			s.gateway.config.Log.Info("session serves", "controller", address, "silence_ms", silence.Milliseconds())
 		}
 	}
 }
