Ask the owners that a new leader does not know for their keys

Cause: 2.5 s after its begin a new leader tells gateways that it knows all instances, and they forget all others. A gateway that can't reach it (cut off from the core) still serves: its lease runs for up to 8 s.

Change: a view keeps an instance that the leader does not name as long as it owns keys and no other instance at its gateway is known; requests for those keys go there, no others.

TestAnOwnerThatANewLeaderDoesNotKnowIsAskedForItsKeys failed first.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +24,8 @@
 	owners      fleetview.Owners
 	// told are the instances as the leader has them.
 	told fleetview.Instances
-	// instances of the fleet by service, and by ID.
+	// instances of the fleet by service, and by ID. By ID there are also owners of
+	// keys that the leader does not know.
 	instances map[string][]fleetwire.Instance
 	byID      map[string]fleetwire.Instance
 	// next is closed when there is a newer view.
@@ -121,21 +123,44 @@
 	if digest := v.told.Digest(); digest != news.InstancesDigest {
 		return fmt.Errorf("instances: %w", errOtherView)
 	}
-	byID := make(map[string]fleetwire.Instance, len(v.told))
-	maps.Copy(byID, v.told)
+	others := v.others(v.told)
+	v.byID = make(map[string]fleetwire.Instance, len(v.told))
+	maps.Copy(v.byID, v.told)
 	if !news.Complete {
-		for _, instance := range v.others(v.told) {
-			byID[instance.ID] = instance
-		}
+		addInstances(v.byID, others)
 	}
-	v.byID = byID
 	v.instances = map[string][]fleetwire.Instance{}
-	for _, instance := range byID {
+	for _, instance := range v.byID {
 		v.instances[instance.Service] = append(v.instances[instance.Service], instance)
 	}
+	if news.Complete {
+		addInstances(v.byID, v.owning(others))
+	}
 	return nil
 }
 
+func addInstances(byID map[string]fleetwire.Instance, added []fleetwire.Instance) {
+	for _, instance := range added {
+		byID[instance.ID] = instance
+	}
+}
+
+// owning returns those of some instances that still own keys. A gateway that can't
+// reach a new leader serves on under its last lease; until the leader gives its
+// keys to others, it alone can.
+func (v *view) owning(instances []fleetwire.Instance) []fleetwire.Instance {
+	if len(instances) == 0 {
+		return nil
+	}
+	owners := map[string]bool{}
+	for _, keys := range v.owners {
+		for _, assignment := range keys.Assignments {
+			owners[assignment.Owner] = true
+		}
+	}
+	return slices.DeleteFunc(instances, func(instance fleetwire.Instance) bool { return !owners[instance.ID] })
+}
+
 // others returns the known instances beside gateways that are not named.
 func (v *view) others(told fleetview.Instances) []fleetwire.Instance {
 	named := make(map[string]bool, len(told))
--- a/internal/gateway/view_test.go
+++ b/internal/gateway/view_test.go
@@ -51,3 +51,29 @@
 	assert.Equal(t, v.load(), before)
 	assert.Equal(t, len(v.load().byID), 2)
 }
+
+// A new leader does not hear from a gateway that can't reach it, whose back end
+// owns keys under a lease that runs on.
+func TestAnOwnerThatANewLeaderDoesNotKnowIsAskedForItsKeys(t *testing.T) {
+	v := newViews()
+	cutOff := fleetwire.Instance{ID: "a", Service: "s", Node: "node-a"}
+	known := fleetwire.Instance{ID: "b", Service: "s", Node: "node-b"}
+	idle := fleetwire.Instance{ID: "c", Service: "s", Node: "node-c"}
+	advance(t, v, viewOfOwners(4, owned("a")))
+	advance(t, v, viewOf(true, cutOff, known, idle))
+	advance(t, v, viewOf(true, known))
+	owner, ok := v.load().owner("s", 7)
+	assert.Assert(t, ok)
+	assert.Equal(t, owner.ID, "a")
+	assert.Equal(t, len(v.load().instances["s"]), 1, "it gets nothing that others can serve")
+	assert.Equal(t, len(v.load().byID), 2, "who owns nothing is forgotten")
+	// Once its keys have moved, or its next life is known, it is forgotten as well.
+	advance(t, v, viewOfOwners(5, owned("b")))
+	advance(t, v, viewOf(true, known, idle))
+	_, ok = v.load().byID["a"]
+	assert.Assert(t, !ok)
+	advance(t, v, viewOfOwners(6, owned("b")))
+	advance(t, v, viewOf(true, fleetwire.Instance{ID: "b2", Service: "s", Node: "node-b"}))
+	_, ok = v.load().owner("s", 7)
+	assert.Assert(t, !ok)
+}
