Trace the known red test, and end the hollow fleet it belonged to

Cause of TestSmallFleetClimbsLadders failing once in some whole runs ('this controller does not lead' until the deadline): the tool reserved its ports on 127.0.0.1 by listening and closing. Before a controller listens there, an outgoing connection of any other test may get the port; that controller ends, and a group of three that lacks a founder is never founded. Shown on a copy (trial): with one port of the second controller taken for 40 s, the test fails with the same words after 30 s. Ruled out: elections under load.

--- a/cmd/quartzdock-lab/main.go
+++ b/cmd/quartzdock-lab/main.go
@@ -74,7 +74,6 @@
 			demoCommand(),
 			experimentCommand(),
 			faultsCommand(),
-			fleetCommand(),
 			simulate.Command(os.Stdout),
 			backendCommand(),
 			loadCommand(),
--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -19,10 +19,11 @@
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
-// freeAddress returns an address of loopback that nothing listens at.
+// freeAddress returns an address of loopback that nothing listens at. It is none
+// from which connections go out, one of which could get the port before it is used.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.77.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
 	return listener.Addr().String()
