Tell callers that are refused by the hundred to come back in their turn

Cause: a refused caller was told to come back after 0.5 to 1.5 times three service times, whatever the queue of those refused before it.

Change: refusals are counted as a queue that drains at the rate of the slots; a caller is told when those before it could have been served, no later than a third of the time it has left. Where few are refused nothing changes. Refused for a full link: the same bound.

Tests: five refusals a second of 47 served come back as before; at 600 a second the last one of a second is told 10 to 13 s, bounded at its gateway. Two of the three do not compile on the code before; the third reads the header.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -162,10 +162,13 @@
 	if !errors.Is(err, errNoRoom) {
 		return notRun(reasonTimeout)
 	}
+	load := e.gateway.slots.load()
 	if request.HasKey {
-		e.gateway.keyLoad.add(request.Key, e.gateway.slots.load().serviceTime)
+		e.gateway.keyLoad.add(request.Key, load.serviceTime)
 	}
-	return notRun(reasonNoRoom)
+	refusal := notRun(reasonNoRoom)
+	refusal.RetryAfter = e.gateway.slots.comeBackIn(request.Target <= load.shortUpTo, time.Now())
+	return refusal
 }
 
 // refuses returns a refusal where the back end must not get a request now.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -96,6 +96,6 @@
 	Body   []byte
 	Load   peerLoad
 	// RetryAfter is when the request may be served by the same gateway, where that
-	// is known: it is being stopped.
+	// is known: it is being stopped, or many were refused before.
 	RetryAfter time.Duration
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -130,7 +130,11 @@
 		g.writeAnswer(c.request.Context(), w, result.Status, result.Body)
 		return
 	case outcomeNotRun:
-		g.refuse(w, c.request, result.Reason, retryAfter(result), c.tries)
+		after := retryAfter(result)
+		if result.Reason.full() {
+			after = comeBackWithin(after, time.Until(c.deadline))
+		}
+		g.refuse(w, c.request, result.Reason, after, c.tries)
 	default:
 		status := http.StatusBadGateway
 		if result.Reason == reasonTimeout {
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -81,6 +81,7 @@
 	// of how many are.
 	serviceTime time.Duration
 	busy        float64
+	refused     refusals
 	// priority of the request that came last.
 	priority int
 }
