Close the idle connections to a peer where one of them has gone silent

A pool has up to some idle ones to each peer; each would have cost one request its whole time, one after the other. Change: where a request on a connection that had been idle gets no answer before its deadline, the other idle connections to that peer are closed. TestConnectionsThatHaveGoneSilentCostOneRequest failed first (two idle ones were left).

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -31,6 +31,8 @@
 	source    limitedSource
 	sink      countingSink
 	idleSince time.Time
+	// rested says that nothing had used it for a while when it was taken.
+	rested bool
 
 	// raw, peek and nothingToRead belong to quiet; broken: there is no raw.
 	raw           syscall.RawConn
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -169,6 +169,7 @@
 
 // fail ends an exchange that has no answer and classifies its error.
 func (running *exchange) fail(err error) error {
+	running.suspectIdle()
 	running.endBroken()
 	if cause := context.Cause(running.ctx); cause != nil {
 		err = errors.Join(cause, err)
@@ -183,6 +184,15 @@
 	return fmt.Errorf("%w: %s: %w", kind, running.pool.config.Address, err)
 }
 
+// suspectIdle closes the idle connections to a peer that has answered nothing in
+// time on a connection that had been idle: where that one has gone silent, so may
+// the others have. If the peer is merely slow, they are made anew when needed.
+func (running *exchange) suspectIdle() {
+	if running.conn.rested && running.written.Load() && errors.Is(running.ctx.Err(), context.DeadlineExceeded) {
+		running.pool.CloseIdle()
+	}
+}
+
 // nothingSent is true only for an inline write that handed over no byte. A
 // write beside the reading may still go on, so it proves nothing.
 func (running *exchange) nothingSent() bool {
--- a/internal/upstream/idle_test.go
+++ b/internal/upstream/idle_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,3 +57,74 @@
 		assert.Assert(t, !pool.planned)
 	})
 }
+
+// expiring is a context whose deadline passes when the test says so.
+type expiring struct {
+	context.Context
+	done chan struct{}
+}
+
+func (e *expiring) Done() <-chan struct{} { return e.done }
+
+func (e *expiring) Err() error {
+	select {
+	case <-e.done:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
+
+// awaitRequests returns when a peer has read a number of requests.
+func awaitRequests(scripted *peer, count int64) {
+	for scripted.requests.Load() < count {
+		runtime.Gosched()
+	}
+}
+
+// Open connections may go silent while new ones work; only time tells. One request
+// finds it out, not one for each idle connection.
+func TestConnectionsThatHaveGoneSilentCostOneRequest(t *testing.T) {
+	const kept = 3
+	var silent atomic.Bool
+	answer := make(chan struct{})
+	scripted := startPeer(t, func(_ int, conn net.Conn, next func() (*http.Request, error)) {
+		old := false
+		for {
+			if _, err := next(); err != nil {
+				return
+			}
+			if old && silent.Load() {
+				continue
+			}
+			<-answer
+			_, _ = io.WriteString(conn, okAnswer)
+			old = true
+		}
+	})
+	pool := newPool(t, Config{Address: scripted.listener.Addr().String(), MinWarm: -1})
+	var all sync.WaitGroup
+	for range kept {
+		all.Go(func() {
+			response, err := pool.Do(context.Background(), newRequest(t, http.MethodGet, ""))
+			assert.Check(t, err)
+			readAll(t, response)
+		})
+	}
+	awaitRequests(scripted, kept)
+	close(answer)
+	all.Wait()
+	assert.Equal(t, pool.Stats().Idle, kept)
+	silent.Store(true)
+	ctx := &expiring{t.Context(), make(chan struct{})}
+	go func() {
+		awaitRequests(scripted, kept+1)
+		close(ctx.done)
+	}()
+	_, err := pool.Do(ctx, newRequest(t, http.MethodGet, ""))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, pool.Stats().Idle, 0)
+	response, err := pool.Do(t.Context(), newRequest(t, http.MethodGet, ""))
+	assert.NilError(t, err)
+	assert.Equal(t, readAll(t, response), "ok")
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -222,6 +222,7 @@
 	}
 	if connection := pool.takeIdle(); connection != nil {
 		pool.stats.Reused++
+		connection.rested = true
 		pool.mutex.Unlock()
 		return connection, nil
 	}
@@ -341,6 +342,7 @@
 		connection.close()
 		return
 	}
+	connection.rested = false
 	if waiting := pool.nextWaiter(); waiting != nil {
 		waiting.result <- dialled{conn: connection}
 		return
