--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,20 @@
 	}()
 }
 
+// each calls a function at intervals until the context ends.
+func each(ctx context.Context, interval time.Duration, call func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			call()
+		}
+	}
+}
+
 func (g *Gateway) listen(address string, handler http.HandlerFunc) (*httpserver.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 )
@@ -21,16 +20,7 @@
 // Intervals are counted and not times compared: a gateway that stood still for
 // seconds itself has missed no more than one of its own.
 func (g *Gateway) watchSilence(ctx context.Context) {
-	ticker := time.NewTicker(g.config.HeartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.noteInterval()
-		}
-	}
+	each(ctx, g.config.HeartbeatInterval, g.noteInterval)
 }
 
 // noteInterval counts one interval, and acts where too many were silent.
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -37,16 +37,7 @@
 
 // summarize writes a line each interval in which there was work.
 func (g *Gateway) summarize(ctx context.Context) {
-	ticker := time.NewTicker(summaryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.writeSummary()
-		}
-	}
+	each(ctx, summaryInterval, g.writeSummary)
 }
 
 func (g *Gateway) writeSummary() {
