Work out once what back ends have and use, in each look of the planner

Cause: where back ends leave, the planner chose the next owner of each of their ranges by going over all ranges for each of all back ends, and over all moves for each of those. Ruled out: packing and sessions (the log has the leader silent as a whole, its end of office noted 5 s after another led).

Change: targets, owned ranges and used slots of a service are worked out once a look, when something is to be decided, and kept up to date with each move.

--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -68,44 +68,6 @@
 	return sum
 }
 
-// utilization of an instance: what its own and incoming keys use, over its
-// slots.
-func (p *Planner) utilization(service string, target *instance) float64 {
-	var slots float64
-	for _, owned := range p.state.Owners(service).OwnedBy(target.ID) {
-		slots += target.load.of(owned.Range)
-	}
-	for _, moving := range p.moves {
-		if moving.service != service {
-			continue
-		}
-		load := float64(moving.held.Keys.Size()) * keyWeight
-		if from, ok := p.instances[moving.from]; ok {
-			load = from.load.of(moving.held.Keys)
-		}
-		if moving.from == target.ID {
-			slots -= load
-		}
-		if moving.to == target.ID {
-			slots += load
-		}
-	}
-	return slots / float64(max(target.Slots, 1))
-}
-
-// byLoad orders targets by their utilization, the least first.
-func (p *Planner) byLoad(service string, targets []*instance) []*instance {
-	ordered := slices.Clone(targets)
-	utilization := make(map[string]float64, len(ordered))
-	for _, target := range ordered {
-		utilization[target.ID] = p.utilization(service, target)
-	}
-	slices.SortStableFunc(ordered, func(a, b *instance) int {
-		return cmp.Compare(utilization[a.ID], utilization[b.ID])
-	})
-	return ordered
-}
-
 // joinWarmUp is how long a back end without keys waits for its first ones where
 // nobody lacks room: the users' back ends are slow for some seconds after their
 // start, and such a one should serve within 6 s of it.
@@ -113,8 +75,8 @@
 
 // joins says that a back end has been there for long enough without keys that it
 // is to get some whatever the load: nobody asks it for anything before.
-func (p *Planner) joins(service string, target *instance, now time.Duration) bool {
-	return now >= target.firstSeen+joinWarmUp && len(p.state.Owners(service).OwnedBy(target.ID)) == 0
+func (u *usage) joins(target *instance, now time.Duration) bool {
+	return now >= target.firstSeen+joinWarmUp && len(u.ownedBy(target.ID)) == 0
 }
 
 // rebalance begins to move keys from the most to the least loaded back ends
@@ -124,22 +86,22 @@
 	if now < p.rebalanceAt || !p.Complete(now) {
 		return
 	}
-	ordered := p.byLoad(service, p.warm(p.targets(service, now), now))
+	used := p.usageOf(service, now)
+	ordered := used.byLoad(p.warm(used.targets, now))
 	ordered = slices.DeleteFunc(ordered, func(candidate *instance) bool { return p.moving(candidate.ID) })
-	owned := func(of *instance) int { return len(p.state.Owners(service).OwnedBy(of.ID)) }
 	for len(ordered) >= 2 {
 		least, most := ordered[0], ordered[len(ordered)-1]
 		ordered = ordered[1 : len(ordered)-1]
-		if owned(least) >= mostOwned {
+		if len(used.ownedBy(least.ID)) >= mostOwned {
 			continue
 		}
-		low, high := p.utilization(service, least), p.utilization(service, most)
-		if (high < busy || high-low < imbalance) && !p.joins(service, least, now) {
+		low, high := used.utilization(least), used.utilization(most)
+		if (high < busy || high-low < imbalance) && !used.joins(least, now) {
 			return
 		}
 		// What callers ask of a full back end may be many times its slots.
 		wanted := min((high-low)/2, mostMoved) * float64(most.Slots)
-		for _, chosen := range p.choose(service, most, wanted) {
+		for _, chosen := range p.choose(used.ownedBy(most.ID), most, wanted) {
 			p.begin(service, chosen.from, chosen.keys, least.ID, now)
 		}
 	}
@@ -151,7 +113,7 @@
 }
 
 func (p *Planner) warm(targets []*instance, now time.Duration) []*instance {
-	return slices.DeleteFunc(targets, func(target *instance) bool {
+	return slices.DeleteFunc(slices.Clone(targets), func(target *instance) bool {
 		return now < target.firstSeen+p.config.WarmUp
 	})
 }
@@ -176,10 +138,10 @@
 // choose picks the range of an owner with about the wanted load and the fewest
 // keys, so that little moves and owners' ranges stay few; or several ranges
 // where none has enough.
-func (p *Planner) choose(service string, owner *instance, wanted float64) []part {
+func (p *Planner) choose(assignments []keyspace.Assignment, owner *instance, wanted float64) []part {
 	var best part
 	var widest []part
-	for _, owned := range p.state.Owners(service).OwnedBy(owner.ID) {
+	for _, owned := range assignments {
 		if p.renewing(owned) {
 			continue
 		}
--- a/internal/keylease/moves.go
+++ b/internal/keylease/moves.go
@@ -46,7 +46,7 @@
 func (p *Planner) notMoving(service string, keys keyspace.Range) []keyspace.Range {
 	rest := []keyspace.Range{keys}
 	for _, moving := range p.moves {
-		if moving.service == service {
+		if moving.service == service && moving.held.Keys.Overlaps(keys) {
 			rest = subtract(rest, moving.held.Keys)
 		}
 	}
@@ -59,10 +59,10 @@
 // spread begins to move a range to several targets, the least loaded first. A
 // small range goes to one.
 func (p *Planner) spread(service string, from keyspace.Assignment, keys keyspace.Range, targets []*instance, now time.Duration) {
-	ordered := p.byLoad(service, targets)
-	parts := divide(keys, min(len(ordered), 1+keys.Size()/wholeRange))
+	parts := divide(keys, min(len(targets), 1+keys.Size()/wholeRange))
+	least := p.usageOf(service, now).leastLoaded(targets, len(parts))
 	for i, part := range parts {
-		p.begin(service, from, part, ordered[i].ID, now)
+		p.begin(service, from, part, least[i].ID, now)
 	}
 }
 
@@ -73,14 +73,16 @@
 		freeAt = owner.leasedUntil
 	}
 	p.concerned[from.Node] = true
-	p.moves = append(p.moves, &move{
+	begun := &move{
 		service: service,
 		held:    fleetwire.Held{Keys: keys, Fence: from.Fence},
 		from:    from.Owner,
 		began:   now,
 		to:      to,
 		freeAt:  freeAt,
-	})
+	}
+	p.usageOf(service, now).shift(begun)
+	p.moves = append(p.moves, begun)
 }
 
 // completeMoves gives the ranges whose owners can't serve them any more to
@@ -109,7 +111,8 @@
 // target returns the wanted target, or the least loaded one where that is
 // lost; nil is none.
 func (p *Planner) target(moving *move, now time.Duration) *instance {
-	targets := p.targets(moving.service, now)
+	used := p.usageOf(moving.service, now)
+	targets := used.targets
 	for _, candidate := range targets {
 		if candidate.ID == moving.to {
 			return candidate
@@ -118,5 +121,5 @@
 	if len(targets) == 0 {
 		return nil
 	}
-	return p.byLoad(moving.service, targets)[0]
+	return used.leastLoaded(targets, 1)[0]
 }
--- a/internal/keylease/owners.go
+++ b/internal/keylease/owners.go
@@ -67,7 +67,7 @@
 
 // takeFromEnded begins moves for the ranges of owners that end or are lost.
 func (p *Planner) takeFromEnded(service string, now time.Duration) {
-	targets := p.targets(service, now)
+	targets := p.usageOf(service, now).targets
 	if len(targets) == 0 {
 		return
 	}
@@ -76,7 +76,7 @@
 			continue
 		}
 		candidates := targets
-		if successor := p.successor(service, assignment, targets); successor != nil {
+		if successor := p.successor(p.usageOf(service, now), assignment); successor != nil {
 			candidates = []*instance{successor}
 		}
 		if p.renewing(assignment) {
@@ -96,9 +96,9 @@
 
 // successor is the next life of an ended owner, which gets all its keys: it has
 // no others.
-func (p *Planner) successor(service string, ended keyspace.Assignment, targets []*instance) *instance {
-	for _, target := range targets {
-		if target.Node == ended.Node && len(p.state.Owners(service).OwnedBy(target.ID)) == 0 {
+func (p *Planner) successor(used *usage, ended keyspace.Assignment) *instance {
+	for _, target := range used.targets {
+		if target.Node == ended.Node && len(used.ownedBy(target.ID)) == 0 {
 			return target
 		}
 	}
--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -81,6 +81,8 @@
 	// nodes has the instance beside each gateway.
 	nodes map[string]string
 	moves []*move
+	// usages are those of the present look, by service.
+	usages map[string]*usage
 	// changed are the ranges of the last batches.
 	changed []changedRange
 	// inFlight is set while a batch is on its way through the log.
@@ -176,6 +178,7 @@
 		return nil
 	}
 	p.forget(now)
+	p.usages = map[string]*usage{}
 	var batch fleetstate.ChangeOwnership
 	for i := range document.Services {
 		service := &document.Services[i]
