Let the soak's test of hang-ups pass under nohup, too

Change: the test handles the signal while it runs, so that what it starts does not have it ignored. The test is as strict as before: each signal ends the soak and its fleet. Ruled out: a fault of the soak (the other three signals passed in that run).

--- a/lab/platformstandin/soak/end_test.go
+++ b/lab/platformstandin/soak/end_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -49,8 +50,14 @@
 	lab := filepath.Join(t.TempDir(), "quartzdock-lab")
 	output, err := exec.Command("go", "build", "-o", lab, "../../../cmd/quartzdock-lab").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
-	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGKILL} {
-		t.Run(signal.String(), func(t *testing.T) {
+	// A soak that is started with hang-ups ignored, as by nohup, goes on after one,
+	// as it should. What has a handler here is not ignored by the processes that
+	// are started from here.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	for _, end := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGKILL} {
+		t.Run(end.String(), func(t *testing.T) {
 			command := exec.Command(lab, "soak", "--seed", "1", "--duration", "5m", "--program", program)
 			command.Env = append(os.Environ(), "TMPDIR="+t.TempDir())
 			assert.NilError(t, command.Start())
@@ -64,7 +71,7 @@
 				}
 				return poll.Success()
 			}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
-			assert.NilError(t, command.Process.Signal(signal))
+			assert.NilError(t, command.Process.Signal(end))
 			select {
 			case err := <-ended:
 				assert.Assert(t, err != nil, "an end by a signal is no success")
