Name probes, checks and ticks by their usual words

A reader of the diff met 'look' as a name for three things: trying whether a process still listens, checking a waiting request again, and one tick of the planner. Renamed; behaviour stays, the tests of both packages pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,13 +164,13 @@
 // suspect looks closer at a back end that failed by refusing a connection.
 func (g *Gateway) suspect(instance string, err error) {
 	if refusedConnection(err) {
-		g.look(instance)
+		g.probe(instance)
 	}
 }
 
-// look tries to reach a back end: where nothing listens at its address, its process
+// probe tries to reach a back end: where nothing listens at its address, its process
 // has ended.
-func (g *Gateway) look(instance string) {
+func (g *Gateway) probe(instance string) {
 	if !g.probing.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/gateway/lateslots.go
+++ b/internal/gateway/lateslots.go
@@ -16,10 +16,10 @@
 // fewer requests were in time under overload (docs/MEASUREMENTS.md).
 const leastLeftOver = 0.2
 
-// lateLook is how often it is looked whether a late request that waits is still
+// lateCheckInterval is how often it is checked whether a late request that waits is still
 // likely to get a slot: what was left over when it came may be used by now. It is a
 // quarter of the time over which that is measured (busyHalfLife).
-const lateLook = busyHalfLife / 4
+const lateCheckInterval = busyHalfLife / 4
 
 // waiting is how many requests wait.
 func (u *slotUse) waiting() int { return len(u.queue) + len(u.late) }
@@ -40,11 +40,11 @@
 // timeLeft is how much longer a request may wait as a late one.
 func (t *ticket) timeLeft(now time.Time) time.Duration { return t.latest - now.Sub(t.since) }
 
-// untilLook is when to look at a request that waits: when it can't be answered in
-// time any more, and from then on each lateLook.
-func (t *ticket) untilLook(now time.Time) time.Duration {
+// untilCheck is when to check a request that waits: when it can't be answered in
+// time any more, and from then on each lateCheckInterval.
+func (t *ticket) untilCheck(now time.Time) time.Duration {
 	if t.late {
-		return min(lateLook, t.timeLeft(now))
+		return min(lateCheckInterval, t.timeLeft(now))
 	}
 	return t.patience - now.Sub(t.since)
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// lookAfterBeats is after how many intervals without a heartbeat it is looked
+	// probeAfterBeats is after how many intervals without a heartbeat it is probed
 	// whether the back end's process is still there: one may be late.
-	lookAfterBeats = 2
+	probeAfterBeats = 2
 	// silentBeats is after how many the leader is told that the back end is
 	// silent. Keys were held for holdFor at most, about as long, so that a back end
 	// that comes back earlier has not lost its keys.
@@ -26,10 +26,10 @@
 // noteInterval counts one interval, and acts where too many were silent.
 func (g *Gateway) noteInterval() {
 	instance, unheard := g.registry.countInterval()
-	if instance == "" || unheard < lookAfterBeats {
+	if instance == "" || unheard < probeAfterBeats {
 		return
 	}
-	g.look(instance)
+	g.probe(instance)
 	if unheard == silentBeats {
 		g.config.Log.Warn("back end is silent", "instance", instance, "intervals", unheard, "interval_ms", g.config.HeartbeatInterval.Milliseconds())
 		g.session.report()
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -267,7 +267,7 @@
 
 // await returns once a request has a slot, or with why it gets none.
 func (g *slotGate) await(ctx context.Context, waiting *ticket) error {
-	timer := time.NewTimer(waiting.untilLook(waiting.since))
+	timer := time.NewTimer(waiting.untilCheck(waiting.since))
 	defer timer.Stop()
 	for {
 		var cause error
@@ -276,7 +276,7 @@
 			return nil
 		case <-timer.C:
 			if g.hopeful(waiting, time.Now()) {
-				timer.Reset(waiting.untilLook(time.Now()))
+				timer.Reset(waiting.untilCheck(time.Now()))
 				continue
 			}
 			cause = errNoRoom
@@ -286,7 +286,7 @@
 		if g.leave(waiting, ctx.Err() == nil) {
 			return cause
 		}
-		timer.Reset(waiting.untilLook(time.Now()))
+		timer.Reset(waiting.untilCheck(time.Now()))
 	}
 }
 
--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -81,7 +81,7 @@
 	// nodes has the instance beside each gateway.
 	nodes map[string]string
 	moves []*move
-	// usages are those of the present look, by service.
+	// usages are those of the present tick, by service.
 	usages map[string]*usage
 	// changed are the ranges of the last batches.
 	changed []changedRange
--- a/internal/keylease/usage.go
+++ b/internal/keylease/usage.go
@@ -9,7 +9,7 @@
 )
 
 // usage is what the back ends of a service have and use, worked out once for each
-// look of the planner. With thousands of ranges and hundreds of moves to decide, a
+// tick of the planner. With thousands of ranges and hundreds of moves to decide, a
 // leader that works it out anew for each of them stands still for seconds.
 type usage struct {
 	planner *Planner
@@ -17,13 +17,13 @@
 	// targets are the instances that may get keys, in the order of their IDs.
 	targets []*instance
 	// owned are the assignments of each owner, nil until they are asked for: most
-	// looks decide nothing.
+	// ticks decide nothing.
 	owned map[string][]keyspace.Assignment
 	// slots that each instance uses, incoming keys included and outgoing ones not.
 	slots map[string]float64
 }
 
-// usageOf returns the usage of a service in the present look.
+// usageOf returns the usage of a service in the present tick.
 func (p *Planner) usageOf(service string, now time.Duration) *usage {
 	known, ok := p.usages[service]
 	if !ok {
