--- a/internal/keylease/large_test.go
+++ b/internal/keylease/large_test.go
@@ -45,15 +45,23 @@
 
 // What a leader decides at once must not keep it from its heartbeats: a tenth of
 // its back ends leave together.
-func BenchmarkManyBackEndsLeave(b *testing.B) {
+func BenchmarkManyBackEndsLeave(b *testing.B) { benchmarkLeaving(b, largeLeader) }
+
+// aTenth are back ends that leave together.
+func aTenth() map[int]bool {
 	draining := map[int]bool{}
 	for node := range 14 {
 		draining[node*9] = true
 	}
+	return draining
+}
+
+func benchmarkLeaving(b *testing.B, newLeader func() *leader) {
+	draining := aTenth()
 	random := rand.New(rand.NewPCG(4, 4))
 	for b.Loop() {
 		b.StopTimer()
-		l := largeLeader()
+		l := newLeader()
 		l.reportLarge(random, draining)
 		b.StartTimer()
 		for range 10 {
@@ -86,10 +94,7 @@
 // All keys of back ends that leave find other owners, spread over many.
 func TestTheKeysOfManyThatLeaveAreSpread(t *testing.T) {
 	l := largeLeader()
-	draining := map[int]bool{}
-	for node := range 14 {
-		draining[node*9] = true
-	}
+	draining := aTenth()
 	for range 200 {
 		for node := range largeFleet {
 			told := instance(node, 0)
--- a/internal/keylease/ranges_test.go
+++ b/internal/keylease/ranges_test.go
@@ -40,32 +40,12 @@
 
 // BenchmarkManyBackEndsWithManyRangesLeave is what a leader decides where a tenth of
 // its back ends leave together, after keys have run hot.
-func BenchmarkManyBackEndsWithManyRangesLeave(b *testing.B) {
-	draining := map[int]bool{}
-	for node := range 14 {
-		draining[node*9] = true
-	}
-	random := rand.New(rand.NewPCG(4, 4))
-	for b.Loop() {
-		b.StopTimer()
-		l := scatteredLeader()
-		l.reportLarge(random, draining)
-		b.StartTimer()
-		for range 10 {
-			l.now += 25 * time.Millisecond
-			l.planner.Tick(l.now)
-			l.planner.BatchDone()
-		}
-	}
-}
+func BenchmarkManyBackEndsWithManyRangesLeave(b *testing.B) { benchmarkLeaving(b, scatteredLeader) }
 
 // A leader that decides for seconds sends no heartbeats meanwhile and loses its
 // office. What it allocates tells how often it goes over all ranges, on any machine.
 func TestWhatALeaderDecidesAtOnceGrowsWithItsRangesOnly(t *testing.T) {
-	draining := map[int]bool{}
-	for node := range 14 {
-		draining[node*9] = true
-	}
+	draining := aTenth()
 	l := scatteredLeader()
 	l.reportLarge(rand.New(rand.NewPCG(4, 4)), draining)
 	ranges := len(l.state.Owners(service).All())
