Serve cold back ends at the rate they bear, and evacuate zones

Back ends that start, or come back after standing empty, bear 13 requests a second; their gateways sent them as many as they have slots, keys came to them 0.3 s after they were seen, and an operator's order about a zone got 404.

Change: internal/warmup bounds what a cold back end gets, at the gateway beside it, exactly (rate of the configuration, 2 at once). A gateway that has just started, or whose zone was evacuated, takes its back end for cold and asks the health path. Others learn of it by the leader's view (Instance.Cold) and by told loads, and each sends its share of the rate. Keys go to warm back ends while there are any. Evacuation is replicated control state, told to gateways with the configuration; the zone's back ends are not chosen, lose their keys, and get nothing after half of the bound.

Ruled out: learning of coldness by refusals (each costs a try); a bound for each sender alone (67 of them).

Tests: warmup, slots and shares on virtual time, evacuation in state, planner, gateway, controllers (also after the stop of all) and operator's calls.

--- a/internal/fleetcontroller/config.go
+++ b/internal/fleetcontroller/config.go
@@ -50,6 +50,8 @@
 	Founding bool
 	// Seeds are the session addresses of some controllers.
 	Seeds []string
+	// Zones are those of the fleet; no other can be evacuated.
+	Zones []string
 
 	// HeartbeatInterval, ElectionTimeout and TickInterval of the group.
 	HeartbeatInterval time.Duration
--- a/internal/fleetcontroller/controller_test.go
+++ b/internal/fleetcontroller/controller_test.go
@@ -26,6 +26,8 @@
 	members = 3
 	// patience bounds each wait for a condition.
 	patience = 30 * time.Second
+	// shortWait is for what must not come.
+	shortWait = time.Second
 )
 
 // group is a group of controllers in this process.
@@ -62,6 +64,7 @@
 		g.configs = append(g.configs, fleetcontroller.Config{
 			Group: 1, Name: fmt.Sprint("c", i+1), DataDir: filepath.Join(t.TempDir(), "data"),
 			PeerListen: fleetcontroller.WithPort(seeds[i], ":"+peer), SessionListen: seeds[i], Founding: true, Seeds: seeds,
+			Zones: []string{"a", "b"},
 		})
 	}
 	for i := range members {
@@ -92,6 +95,17 @@
 // change sends a change to all until one takes it, and returns its result and
 // who gave it.
 func (g *group) change(sent *fleetstate.ChangeConfiguration) (result fleetstate.Result, leader int) {
+	g.t.Helper()
+	return g.order(func(ctx context.Context, c *fleetcontroller.Controller) (fleetstate.Result, error) {
+		return c.Change(ctx, sent)
+	})
+}
+
+// order sends an order to all until one takes it, and returns its result and who
+// gave it.
+func (g *group) order(
+	send func(context.Context, *fleetcontroller.Controller) (fleetstate.Result, error),
+) (result fleetstate.Result, leader int) {
 	g.t.Helper()
 	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
 		for i, controller := range g.controllers {
@@ -99,14 +113,14 @@
 				continue
 			}
 			ctx, cancel := context.WithTimeout(g.t.Context(), time.Second)
-			taken, err := controller.Change(ctx, sent)
+			taken, err := send(ctx, controller)
 			cancel()
 			if err == nil {
 				result, leader = taken, i
 				return poll.Success()
 			}
 		}
-		return poll.Continue("no leader takes the change")
+		return poll.Continue("no leader takes the order")
 	}, poll.WithTimeout(patience), poll.WithDelay(10*time.Millisecond))
 	return result, leader
 }
@@ -129,7 +143,13 @@
 // gateway does, following redirects.
 func (g *group) view(address string) *routeconfig.Document {
 	g.t.Helper()
-	var found *routeconfig.Document
+	return g.firstView(address).Document
+}
+
+// firstView is the first view with a document that a session brings.
+func (g *group) firstView(address string) *fleetwire.View {
+	g.t.Helper()
+	var found *fleetwire.View
 	asked := address
 	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
 		conn, err := transport.Dial(g.t.Context(), asked, transport.Options{WriteTimeout: time.Second, IdleTimeout: time.Second})
@@ -158,7 +178,7 @@
 			if err := message.View.Unpack(); err != nil {
 				return poll.Error(err)
 			}
-			found = message.View.Document
+			found = message.View
 			return poll.Success()
 		}
 	}, poll.WithTimeout(patience), poll.WithDelay(10*time.Millisecond))
--- a/internal/fleetcontroller/machine.go
+++ b/internal/fleetcontroller/machine.go
@@ -14,8 +14,11 @@
 
 // Apply implements replica.StateMachine.
 func (m machine) Apply(index topology.Revision, command []byte) any {
-	before := m.c.control.state.Version()
+	before, evacuationsBefore := m.c.control.state.Version(), m.c.control.state.EvacuationsIndex()
 	result := m.c.control.state.Apply(uint64(index), command)
+	if m.c.control.state.EvacuationsIndex() != evacuationsBefore {
+		m.c.config.Log.Info("evacuated zones", "zones", m.c.control.state.EvacuatedZones(), "index", uint64(index))
+	}
 	if after := m.c.control.state.Version(); after != before {
 		m.c.config.Log.Info("configuration applied", "version", uint64(after), "index", uint64(index))
 	}
--- a/internal/fleetcontroller/metrics.go
+++ b/internal/fleetcontroller/metrics.go
@@ -85,6 +85,9 @@
 			}
 			return 0
 		}),
+		gauge("evacuated_zones", "Zones whose back ends are to get nothing, as published last.", func() float64 {
+			return float64(len(c.view.Load().evacuated))
+		}),
 		gauge("configuration_version", "Version of the configuration that was published last.", func() float64 {
 			if document := c.view.Load().document; document != nil {
 				return float64(document.Value.Version)
--- a/internal/fleetcontroller/publish.go
+++ b/internal/fleetcontroller/publish.go
@@ -29,6 +29,9 @@
 	document  *fleetwire.Shared[*routeconfig.Document]
 	owners    *ownerSet
 	instances *instanceSet
+	// evacuated zones, and the log index of the last change of them.
+	evacuated        []string
+	evacuationsIndex uint64
 	// term of the leader, and whether its instances are complete.
 	term        uint64
 	complete    bool
@@ -106,6 +109,7 @@
 type published struct {
 	version           routeconfig.Version
 	ownersIndex       uint64
+	evacuationsIndex  uint64
 	term              uint64
 	instancesRevision uint64
 	complete          bool
@@ -114,7 +118,7 @@
 
 // urgent says that a view must not wait for others that come together with it.
 func (p published) urgent(before published) bool {
-	return p.version != before.version || p.term != before.term || p.complete != before.complete
+	return p.version != before.version || p.term != before.term || p.complete != before.complete || p.evacuationsIndex != before.evacuationsIndex
 }
 
 // publish makes a new view where anything has changed, and wakes the senders.
@@ -129,6 +133,7 @@
 	next := published{
 		version:           control.state.Version(),
 		ownersIndex:       control.state.OwnersIndex(),
+		evacuationsIndex:  control.state.EvacuationsIndex(),
 		term:              control.leadership.Term(),
 		instancesRevision: control.planner.Revision(),
 		complete:          control.planner.Complete(c.member.Now()),
@@ -160,6 +165,7 @@
 	next := &view{
 		document: before.document, owners: before.owners, instances: before.instances,
 		term: now.term, complete: now.complete, controllers: controllers,
+		evacuated: control.state.EvacuatedZones(), evacuationsIndex: now.evacuationsIndex,
 	}
 	if document := control.state.Document(); document != nil && (before.document == nil || before.document.Value != document) {
 		next.document = &fleetwire.Shared[*routeconfig.Document]{Value: document}
@@ -182,6 +188,7 @@
 	// owners and instances are the numbers of the sets; zero is none.
 	owners, instances uint64
 	hasOwners         bool
+	evacuationsIndex  uint64
 	term              uint64
 	complete          bool
 	// controllers is how many it knows.
@@ -214,6 +221,10 @@
 		news.HasInstances, news.InstancesDigest, news.Complete = true, now.instances.digest, now.complete
 		has.instances, has.term, has.complete, changed = now.instances.number, now.term, now.complete, true
 	}
+	if now.evacuationsIndex != has.evacuationsIndex {
+		news.EvacuationsIndex, news.Evacuated = now.evacuationsIndex, now.evacuated
+		has.evacuationsIndex, changed = now.evacuationsIndex, true
+	}
 	if len(now.controllers) != has.controllers {
 		news.Controllers, has.controllers, changed = now.controllers, len(now.controllers), true
 	}
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -61,6 +61,7 @@
 type Command struct {
 	Configuration *ChangeConfiguration
 	Ownership     *ChangeOwnership
+	Evacuation    *ChangeEvacuation
 }
 
 // Encode returns the log entry of a command.
@@ -109,11 +110,16 @@
 	owners   map[string]*keyspace.Map
 	// ownersIndex is the log index of the last change of an owner.
 	ownersIndex uint64
+	evacuations evacuations
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{accepted: map[Digest]routeconfig.Version{}, owners: map[string]*keyspace.Map{}}
+	return &State{
+		accepted:    map[Digest]routeconfig.Version{},
+		owners:      map[string]*keyspace.Map{},
+		evacuations: evacuations{Since: map[string]uint64{}},
+	}
 }
 
 // Document returns the current configuration; nil before the first.
@@ -158,6 +164,8 @@
 		return s.changeConfiguration(command.Configuration)
 	case command.Ownership != nil:
 		return s.changeOwnership(index, command.Ownership)
+	case command.Evacuation != nil:
+		return s.changeEvacuation(index, command.Evacuation)
 	}
 	return Result{Outcome: Accepted, Current: s.Version()}
 }
@@ -218,12 +226,13 @@
 	Accepted    map[Digest]routeconfig.Version
 	Owners      map[string]*keyspace.Map
 	OwnersIndex uint64
+	Evacuations evacuations
 }
 
 // Encode returns the whole state as bytes.
 func (s *State) Encode() ([]byte, error) {
 	var buffer bytes.Buffer
-	whole := image{s.document, s.accepted, s.owners, s.ownersIndex}
+	whole := image{s.document, s.accepted, s.owners, s.ownersIndex, s.evacuations}
 	if err := gob.NewEncoder(&buffer).Encode(whole); err != nil {
 		return nil, fmt.Errorf("encode fleet state: %w", err)
 	}
@@ -244,6 +253,9 @@
 	if whole.Owners != nil {
 		fresh.owners = whole.Owners
 	}
+	if whole.Evacuations.Since != nil {
+		fresh.evacuations = whole.Evacuations
+	}
 	*s = *fresh
 	return nil
 }
--- a/internal/fleetview/instances.go
+++ b/internal/fleetview/instances.go
@@ -84,6 +84,9 @@
 		if instance.Leaving {
 			one.number(1)
 		}
+		if instance.Cold {
+			one.number(2)
+		}
 		sum += one.sum()
 	}
 	return sum
--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -43,6 +43,9 @@
 	Released bool
 	// Leaving says that the gateway beside it is being stopped.
 	Leaving bool
+	// Cold says that it bears only the rate of its service's cold back ends, or that
+	// nobody knows whether it does.
+	Cold bool
 }
 
 // Hello opens a session. Exactly one is sent, first.
@@ -170,6 +173,10 @@
 	PackedInstances []byte
 	Instances       []*InstanceChanges
 	Complete        bool
+	// EvacuationsIndex orders sets of evacuated zones; where it is not zero, Evacuated
+	// is the whole set.
+	EvacuationsIndex uint64
+	Evacuated        []string
 	// Controllers are the session addresses of the group's members.
 	Controllers []string
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,7 +130,7 @@
 // end otherwise: the key has another owner, or a moment has passed. It reports
 // whether the request may be tried again.
 func (g *Gateway) awaitOwner(ctx context.Context, service string, key keyspace.Key, tried string, why reason, until time.Time) bool {
-	if why != reasonNotOwner && why != reasonNotAdmitted {
+	if why != reasonNotOwner && why != reasonNotAdmitted && why != reasonEvacuated {
 		return g.hold(ctx, until)
 	}
 	again := time.Now().Add(sameOwnerAgain)
@@ -160,7 +160,7 @@
 	var best fleetwire.Instance
 	bestCost := 0.0
 	for _, candidate := range v.instances[c.service.Name] {
-		if tried[candidate.ID] || candidate.State != fleetwire.InstanceReady {
+		if tried[candidate.ID] || candidate.State != fleetwire.InstanceReady || v.evacuated(candidate.Zone) {
 			continue
 		}
 		cost := g.cost(c, candidate, now)
@@ -168,13 +168,18 @@
 			best, bestCost = candidate, cost
 		}
 	}
+	if best.Cold {
+		g.takeShare(c.service, best, now)
+	}
 	return best, best.ID != ""
 }
 
 const (
-	// avoidedCost and leavingCost put an instance behind all others, in seconds.
+	// avoidedCost and leavingCost put an instance behind all others, in seconds, and
+	// coldCost a cold one that has got this gateway's share behind those that are well.
 	avoidedCost = 100
 	leavingCost = 50
+	coldCost    = 45
 )
 
 // cost estimates how long a request takes at an instance, in seconds.
@@ -201,6 +206,9 @@
 	if candidate.Leaving {
 		cost += leavingCost
 	}
+	if candidate.Cold && !g.hasShare(c.service, candidate, now) {
+		cost += coldCost
+	}
 	return cost
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -27,6 +27,9 @@
 	CallerService string
 	// Key is the key of a request to a keyed service.
 	Key string
+	// WarmupLeft, of an answer about health, is how much longer the back end is cold,
+	// in milliseconds, and InstanceID its instance.
+	WarmupLeft, InstanceID string
 }
 
 // GrantOrder gives keys to a back end.
@@ -80,6 +83,9 @@
 	// DrainWithin is how long after its announcement a leaving back end may
 	// still get requests.
 	DrainWithin time.Duration
+	// EvacuateWithin is how long after an order's acknowledgement the back ends of an
+	// evacuated zone may still get requests.
+	EvacuateWithin time.Duration
 	// HeartbeatInterval is the longest time between two heartbeats of a back end that
 	// is well.
 	HeartbeatInterval time.Duration
@@ -95,6 +101,7 @@
 // Defaults of Config.
 const (
 	DefaultDrainWithin       = 2 * time.Second
+	DefaultEvacuateWithin    = 5 * time.Second
 	DefaultHeartbeatInterval = 1300 * time.Millisecond
 	DefaultLongestHold       = 10 * time.Second
 	DefaultStopWithin        = 5500 * time.Millisecond
@@ -103,6 +110,7 @@
 
 func (c Config) withDefaults() Config {
 	c.DrainWithin = cmp.Or(c.DrainWithin, DefaultDrainWithin)
+	c.EvacuateWithin = cmp.Or(c.EvacuateWithin, DefaultEvacuateWithin)
 	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
 	c.LongestHold = cmp.Or(c.LongestHold, DefaultLongestHold)
 	c.StopWithin = cmp.Or(c.StopWithin, DefaultStopWithin)
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -180,6 +180,9 @@
 	if !e.gateway.registry.admits(request.Instance, now) {
 		return notRun(reasonNotAdmitted)
 	}
+	if e.gateway.evacuated(now) {
+		return notRun(reasonEvacuated)
+	}
 	if request.HasKey && !e.gateway.keys.holds(request.Instance, request.Key, now) {
 		return notRun(reasonNotOwner)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,6 +30,8 @@
 	reasonNotAdmitted reason = "not-admitted"
 	// reasonNotOwner: the back end does not hold the key now.
 	reasonNotOwner reason = "not-owner"
+	// reasonEvacuated: the back end's zone is evacuated.
+	reasonEvacuated reason = "zone-evacuated"
 	// reasonNoRoom: no slot in the time left.
 	reasonNoRoom reason = "no-room"
 	// reasonLinkFull: the machine's link could not send the answer in the time left.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,12 +57,14 @@
 	g := &Gateway{config: config.withDefaults()}
 	g.metrics = newGatewayMetrics(g.config.Registry)
 	g.views = newViews()
+	g.views.prepare = g.prepare
 	g.slots = newSlotGate()
 	g.keyLoad = newKeyLoad()
 	g.peers = newPeerSet()
 	g.budgets = newRetryBudgets(g.config.Budget)
 	g.pacer = newLinkPacer(g.config.LinkBytesPerSecond)
 	g.registry = newRegistry(g.instanceChanged)
+	g.registry.told = g.slots.tellWarmth
 	g.registry.current = fleetwire.Instance{Node: g.config.Name, Address: g.config.PeerListen, Zone: g.config.Zone}
 	g.keys = newKeyKeeper(g)
 	g.session = newSessionClient(g)
@@ -82,6 +84,7 @@
 	g.background(func() { g.session.run(ctx) })
 	g.background(func() { g.keys.run(ctx) })
 	g.background(func() { g.watchSilence(ctx) })
+	g.background(func() { g.watchWarmth(ctx) })
 	g.background(func() { g.summarize(ctx) })
 	g.background(func() { _ = g.callers.Serve() })
 	g.background(func() { _ = g.inbound.Serve() })
@@ -156,7 +159,7 @@
 	if instance.Slots > 0 {
 		g.egress.setSlots(instance.Slots)
 	}
-	g.config.Log.Info("back end", "instance", instance.ID, "service", instance.Service, "state", int(instance.State), "leaving", instance.Leaving)
+	g.config.Log.Info("back end", "instance", instance.ID, "service", instance.Service, "state", int(instance.State), "leaving", instance.Leaving, "cold", instance.Cold)
 	g.session.report()
 	g.keys.signal()
 }
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -78,6 +78,9 @@
 	return keyspace.Key(value), true
 }
 
+// bearsUnit makes whole numbers of the requests a second that a cold back end bears.
+const bearsUnit = 1000
+
 // formatLoad writes a load for the field between gateways.
 func formatLoad(load peerLoad) string {
 	buffer := make([]byte, 0, 48)
@@ -94,13 +97,15 @@
 	buffer = strconv.AppendInt(buffer, load.shortUpTo.Microseconds(), 10)
 	buffer = append(buffer, ',')
 	buffer = strconv.AppendInt(buffer, load.linkBacklog.Microseconds(), 10)
+	buffer = append(buffer, ',')
+	buffer = strconv.AppendInt(buffer, int64(load.bears*bearsUnit), 10)
 	return string(buffer)
 }
 
 // parseLoad reads what formatLoad wrote.
 func parseLoad(text string) (peerLoad, bool) {
 	parts := strings.Split(text, ",")
-	const fields = 7
+	const fields = 8
 	if len(parts) != fields {
 		return peerLoad{}, false
 	}
@@ -118,5 +123,6 @@
 		shortService: time.Duration(numbers[4]) * time.Microsecond,
 		shortUpTo:    time.Duration(numbers[5]) * time.Microsecond,
 		linkBacklog:  time.Duration(numbers[6]) * time.Microsecond,
+		bears:        float64(numbers[7]) / bearsUnit,
 	}, true
 }
--- a/internal/gateway/lateslots.go
+++ b/internal/gateway/lateslots.go
@@ -72,6 +72,9 @@
 // number of other late ones, at the rate at which slots are left over.
 func (g *slotGate) estimateLate(short bool, priority, ahead int) time.Duration {
 	const never = time.Hour
+	if now := time.Now(); g.warmth.Cold(now) {
+		return g.paced(len(g.short.queue)+len(g.long.queue)+ahead, now)
+	}
 	slots := g.usable(short, priority)
 	leftOver := slots - (g.long.busy - g.lateBusy)
 	if short {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/upstream"
+	"github.com/quartzdock/quartzdock/internal/warmup"
 )
 
 const (
@@ -37,6 +38,9 @@
 	shortUpTo time.Duration
 	// linkBacklog is how long the link of its machine takes for what waits there.
 	linkBacklog time.Duration
+	// bears is how many requests a second the back end bears while it is cold; zero
+	// is unbounded.
+	bears float64
 }
 
 // service returns the service time of requests with a target.
@@ -55,7 +59,11 @@
 		slots = unknownSlots
 	}
 	utilization := float64(busy+1) / float64(slots)
-	return l.service(target).Seconds() * (1 + crowding*max(0, utilization-crowdedFrom))
+	seconds := l.service(target).Seconds() * (1 + crowding*max(0, utilization-crowdedFrom))
+	if l.bears > 0 {
+		seconds += float64(l.waiting) / l.bears
+	}
+	return seconds
 }
 
 // peer is another gateway as this one sees it.
@@ -71,6 +79,8 @@
 	loadAt      time.Time
 	failures    int
 	avoidUntil  time.Time
+	// share is what this gateway sends it of what it bears while it is cold.
+	share warmup.Share
 }
 
 // peerSet holds the gateways that this one has sent requests to, by address.
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -14,6 +14,8 @@
 	Service string
 	Slots   int
 	State   fleetwire.InstanceState
+	// WarmupLeft is how much longer it is cold from its start.
+	WarmupLeft time.Duration
 	// Sequence grows with each heartbeat of a life, so that a late one is known.
 	Sequence uint64
 	// Held is what it holds or still works on, and Freed what it has let go since
@@ -36,10 +38,14 @@
 	unheard int
 	// changed is called after each change, without the mutex.
 	changed func()
+	// told is called, with the mutex, for each word on how much longer the present
+	// instance is cold, before requests are admitted by it; fresh says that it is the
+	// first of its life.
+	told func(left time.Duration, fresh bool)
 }
 
 func newRegistry(changed func()) *registry {
-	return &registry{ended: map[string]bool{}, changed: changed}
+	return &registry{ended: map[string]bool{}, changed: changed, told: func(time.Duration, bool) {}}
 }
 
 // snapshot returns the present instance; its ID is empty where none is known.
@@ -76,11 +82,13 @@
 	if r.ended[told.ID] {
 		return false, false
 	}
-	if told.ID != r.current.ID {
+	fresh := told.ID != r.current.ID
+	if fresh {
 		r.begin(told)
 	} else if told.Sequence <= r.current.Sequence {
 		return false, false
 	}
+	r.told(told.WarmupLeft, fresh)
 	r.unheard = 0
 	r.current.Sequence = told.Sequence
 	r.current.Slots = told.Slots
@@ -103,7 +111,18 @@
 	r.left = false
 	r.refuseFrom = time.Time{}
 	address, node, zone := r.current.Address, r.current.Node, r.current.Zone
-	r.current = fleetwire.Instance{ID: told.ID, Service: told.Service, Node: node, Address: address, Zone: zone, Slots: told.Slots}
+	r.current = fleetwire.Instance{
+		ID: told.ID, Service: told.Service, Node: node, Address: address, Zone: zone, Slots: told.Slots, Cold: told.WarmupLeft > 0,
+	}
+}
+
+// setCold follows whether the back end is taken for cold, and reports a change.
+func (r *registry) setCold(cold bool) (changed bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	changed = r.current.ID != "" && r.current.Cold != cold
+	r.current.Cold = cold
+	return changed
 }
 
 // deregister takes a back end's word that it leaves for good.
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -174,6 +174,9 @@
 			return message.Redirect, nil
 		}
 		silence := s.silence(time.Now())
+		if heard := s.heardAt.Load(); heard > 0 {
+			s.gateway.views.heardAt = s.started.Add(time.Duration(heard))
+		}
 		s.heardAt.Store(int64(s.now()))
 		servedBefore := s.served
 		if err := s.take(&message); err != nil {
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -6,6 +6,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/quartzdock/quartzdock/internal/warmup"
 )
 
 // errNoRoom: the request would wait too long for a slot.
@@ -105,6 +107,10 @@
 	target time.Duration
 	// limit is for long requests: those that call other services.
 	limit failureLimit
+	// warmth bounds what the back end gets while it is cold, and pace is the timer
+	// of the next request that waits for it.
+	warmth warmup.Limiter
+	pace   *time.Timer
 }
 
 const (
@@ -162,6 +168,7 @@
 		serviceTime:  g.long.serviceTime,
 		shortService: g.short.serviceTime,
 		shortUpTo:    g.shortUpTo(),
+		bears:        g.warmth.Bears(time.Now()),
 	}
 }
 
@@ -203,8 +210,8 @@
 }
 
 // fits says that a request of a kind and priority may take a slot now.
-func (g *slotGate) fits(short bool, priority int) bool {
-	if g.short.running+g.long.running >= g.capacity {
+func (g *slotGate) fits(short bool, priority int, now time.Time) bool {
+	if g.short.running+g.long.running >= g.capacity || g.warmth.Wait(now) > 0 {
 		return false
 	}
 	if short {
@@ -224,25 +231,27 @@
 // may wait, it refuses at once.
 func (g *slotGate) acquire(ctx context.Context, wanted demand) (slot, error) {
 	g.mutex.Lock()
-	g.advance(time.Now())
+	now := time.Now()
+	g.advance(now)
 	if g.target == 0 {
 		g.target = wanted.target
 	}
 	taken := slot{short: wanted.target <= g.shortUpTo(), target: wanted.target}
 	use := g.use(taken.short)
 	use.priority = wanted.priority
-	if g.fits(taken.short, wanted.priority) && len(use.queue) == 0 {
-		use.running++
+	if g.fits(taken.short, wanted.priority, now) && len(use.queue) == 0 {
+		g.start(use, now)
 		g.mutex.Unlock()
 		return taken, nil
 	}
-	waiting := &ticket{demand: wanted, short: taken.short, since: time.Now(), admitted: make(chan struct{})}
+	waiting := &ticket{demand: wanted, short: taken.short, since: now, admitted: make(chan struct{})}
 	if g.estimate(&wanted, taken.short) <= wanted.patience {
 		heap.Push(&use.queue, waiting)
 	} else if !g.waitLate(waiting, waiting.since) {
 		g.mutex.Unlock()
 		return slot{}, errNoRoom
 	}
+	g.awaitPace(now)
 	g.mutex.Unlock()
 	err := g.await(ctx, waiting)
 	taken.late = waiting.late
@@ -262,7 +271,11 @@
 			ahead++
 		}
 	}
-	return time.Duration(float64(use.serviceTime) * float64(ahead) / slots)
+	bySlots := time.Duration(float64(use.serviceTime) * float64(ahead) / slots)
+	if !short {
+		ahead += len(g.short.queue)
+	}
+	return max(bySlots, g.paced(ahead-1, time.Now()))
 }
 
 // await returns once a request has a slot, or with why it gets none.
@@ -336,19 +349,27 @@
 // admit lets waiting requests in while there is room: short ones first, unless a
 // long one is more urgent, and late ones after all that can be answered in time.
 func (g *slotGate) admit() {
-	g.admitFrom(func(use *slotUse) *ticketQueue { return &use.queue })
-	g.admitFrom(func(use *slotUse) *ticketQueue { return &use.late })
+	now := time.Now()
+	g.admitFrom(func(use *slotUse) *ticketQueue { return &use.queue }, now)
+	g.admitFrom(func(use *slotUse) *ticketQueue { return &use.late }, now)
+	g.awaitPace(now)
+}
+
+// start counts a request that gets a slot.
+func (g *slotGate) start(use *slotUse, now time.Time) {
+	use.running++
+	g.warmth.Sent(now)
 }
 
 // admitFrom lets requests of one queue of both kinds in while there is room.
-func (g *slotGate) admitFrom(queue func(*slotUse) *ticketQueue) {
+func (g *slotGate) admitFrom(queue func(*slotUse) *ticketQueue, now time.Time) {
 	for {
-		use := g.nextUse(*queue(&g.short), *queue(&g.long))
+		use := g.nextUse(*queue(&g.short), *queue(&g.long), now)
 		if use == nil {
 			return
 		}
 		next := heap.Pop(queue(use)).(*ticket)
-		use.running++
+		g.start(use, now)
 		if next.late {
 			g.lateRunning++
 		}
@@ -357,8 +378,8 @@
 }
 
 // nextUse is the kind of request that gets the next free slot, or nil.
-func (g *slotGate) nextUse(shortQueue, longQueue ticketQueue) *slotUse {
-	short, long := g.ready(true, shortQueue), g.ready(false, longQueue)
+func (g *slotGate) nextUse(shortQueue, longQueue ticketQueue, now time.Time) *slotUse {
+	short, long := g.ready(true, shortQueue, now), g.ready(false, longQueue, now)
 	switch {
 	case short && long && longQueue[0].priority < shortQueue[0].priority:
 		return &g.long
@@ -371,6 +392,6 @@
 }
 
 // ready says that a request of a kind waits in a queue and may take a slot now.
-func (g *slotGate) ready(short bool, queue ticketQueue) bool {
-	return len(queue) > 0 && g.fits(short, queue[0].priority)
+func (g *slotGate) ready(short bool, queue ticketQueue, now time.Time) bool {
+	return len(queue) > 0 && g.fits(short, queue[0].priority, now)
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -28,6 +28,10 @@
 	// keys that the leader does not know.
 	instances map[string][]fleetwire.Instance
 	byID      map[string]fleetwire.Instance
+	// evacuatedAt has since when a zone may have been evacuated, by zone, and
+	// evacuationsIndex orders the sets.
+	evacuatedAt      map[string]time.Time
+	evacuationsIndex uint64
 	// next is closed when there is a newer view.
 	next chan struct{}
 }
@@ -35,10 +39,15 @@
 // views holds the present view. One goroutine advances it.
 type views struct {
 	present atomic.Pointer[view]
+	// heardAt is when the leader was heard before the news that are being taken, zero
+	// where it was not. It belongs to the goroutine that advances the view.
+	heardAt time.Time
+	// prepare is called before a view comes into force.
+	prepare func(before, after *view)
 }
 
 func newViews() *views {
-	v := &views{}
+	v := &views{prepare: func(_, _ *view) {}}
 	v.present.Store(&view{next: make(chan struct{})})
 	return v
 }
@@ -69,6 +78,8 @@
 			return err
 		}
 	}
+	after.setEvacuated(news, v.heardAt)
+	v.prepare(before, &after)
 	v.present.Store(&after)
 	close(before.next)
 	return nil
@@ -89,6 +100,36 @@
 	return nil
 }
 
+// setEvacuated takes a view's evacuated zones. The leader did not know of new ones
+// when it was heard before.
+func (v *view) setEvacuated(news *fleetwire.View, heardBefore time.Time) {
+	if news.EvacuationsIndex <= v.evacuationsIndex {
+		return
+	}
+	evacuated := make(map[string]time.Time, len(news.Evacuated))
+	for _, zone := range news.Evacuated {
+		evacuated[zone] = heardBefore
+		if known, ok := v.evacuatedAt[zone]; ok {
+			evacuated[zone] = known
+		}
+	}
+	v.evacuatedAt, v.evacuationsIndex = evacuated, news.EvacuationsIndex
+}
+
+// evacuated reports whether the back ends of a zone are to get nothing new.
+func (v *view) evacuated(zone string) bool {
+	_, ok := v.evacuatedAt[zone]
+	return ok
+}
+
+// service returns the service of a name, nil where the configuration has none.
+func (v *view) service(name string) *routeconfig.Service {
+	if v.table == nil {
+		return nil
+	}
+	return v.table.Service(name)
+}
+
 func (v *view) version() routeconfig.Version {
 	if v.table == nil {
 		return 0
--- /dev/null
+++ b/internal/gateway/warmth_test.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	coldRate   = 13.0
+	coldLength = 3 * time.Second
+	// coldBound is what a cold back end may get in any second: the rate, half of it
+	// over, and 8 beside.
+	coldBound = 1.5*coldRate + 8
+)
+
+// coldGate is a gate before a back end with 18 slots that is cold for a time.
+func coldGate(left time.Duration) *slotGate {
+	g := newSlotGate()
+	g.setCapacity(18)
+	g.configureWarmth(coldRate, coldLength)
+	g.tellWarmth(left, true)
+	return g
+}
+
+// flood sends requests that use a slot for 20 ms each to a gate, one a millisecond,
+// and returns when each was admitted.
+func flood(t *testing.T, g *slotGate, length time.Duration) []time.Time {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	admitted := make(chan time.Time, 100_000)
+	for began := time.Now(); time.Since(began) < length; time.Sleep(time.Millisecond) {
+		go func() {
+			taken, err := g.acquire(ctx, wants(longTarget, 300*time.Millisecond))
+			if err != nil {
+				return
+			}
+			admitted <- time.Now()
+			time.Sleep(20 * time.Millisecond)
+			g.release(taken, 20*time.Millisecond, false)
+		}()
+	}
+	cancel()
+	time.Sleep(50 * time.Millisecond)
+	synctest.Wait()
+	times := make([]time.Time, len(admitted))
+	for i := range times {
+		times[i] = <-admitted
+	}
+	return times
+}
+
+// mostInASecond returns the most of some times, in their order, within any second.
+func mostInASecond(times []time.Time) int {
+	most, first := 0, 0
+	for last := range times {
+		for times[last].Sub(times[first]) > time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// A cold back end that gets what it does not bear fails, and starts cold again.
+func TestAColdBackEndGetsNoMoreThanItBears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		times := flood(t, coldGate(coldLength), coldLength)
+		most := mostInASecond(times)
+		assert.Assert(t, float64(most) <= coldBound, "%d in a second", most)
+		assert.Assert(t, float64(len(times)) >= 0.9*coldRate*coldLength.Seconds(), "%d in all", len(times))
+	})
+}
+
+// It gets all that its slots hold once it is warm.
+func TestAWarmBackEndIsNotBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := coldGate(coldLength)
+		time.Sleep(coldLength)
+		times := flood(t, g, time.Second)
+		assert.Assert(t, len(times) > 700, "%d", len(times))
+	})
+}
+
+// What would wait too long for a cold back end is refused at once.
+func TestARequestThatAColdBackEndCanNotTakeInTimeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := coldGate(time.Minute)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for range 10 {
+			go func() { _, _ = g.acquire(ctx, wants(longTarget, time.Second)) }()
+			synctest.Wait()
+		}
+		began := time.Now()
+		_, err := g.acquire(ctx, wants(longTarget, 500*time.Millisecond))
+		assert.ErrorIs(t, err, errNoRoom)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A gateway that has just started does not know whether the back end is cold, and
+// asks. Until then it sends what a cold one bears.
+func TestARestartedGatewayAsksWhetherTheBackEndIsCold(t *testing.T) {
+	answers := map[string]struct {
+		answer string
+		cold   bool
+	}{
+		"cold":             {"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nWarmup-Ms: 2500\r\nContent-Length: 0\r\n\r\n", true},
+		"warm":             {"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nWarmup-Ms: 0\r\nContent-Length: 0\r\n\r\n", false},
+		"says nothing":     {"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n", false},
+		"another instance": {"HTTP/1.1 200 OK\r\nInstance-Id: i-2\r\nWarmup-Ms: 0\r\nContent-Length: 0\r\n\r\n", true},
+		"not a time":       {"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nWarmup-Ms: soon\r\nContent-Length: 0\r\n\r\n", true},
+		"fails":            {"HTTP/1.1 503 X\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n", true},
+	}
+	for name, test := range answers {
+		t.Run(name, func(t *testing.T) {
+			backend := startRawBackend(t, func(*http.Request) string { return test.answer })
+			g := egressOver(t, backend)
+			g.config.Service = "s"
+			g.config.Headers.WarmupLeft, g.config.Headers.InstanceID = "Warmup-Ms", "Instance-Id"
+			g.views.prepare = g.prepare
+			advance(t, g.views, &fleetwire.View{Document: &routeconfig.Document{Version: 1, Services: []routeconfig.Service{
+				{Name: "s", HealthPath: "/health", WarmupRate: coldRate, Warmup: time.Hour},
+			}}})
+			cold, ask := g.slots.coldness(time.Now())
+			assert.Assert(t, cold && ask, "before it was asked")
+			g.checkWarmth(t.Context())
+			cold, _ = g.slots.coldness(time.Now())
+			assert.Equal(t, cold, test.cold)
+			assert.Equal(t, g.registry.snapshot().Cold, test.cold)
+		})
+	}
+}
+
+// The first heartbeat of a life is known before its first request is admitted, and
+// the next life of a back end is not warm because the last one was.
+func TestANewLifeIsColdFromItsFirstHeartbeat(t *testing.T) {
+	g := newSlotGate()
+	g.configureWarmth(coldRate, coldLength)
+	r := newRegistry(func() {})
+	r.told = g.tellWarmth
+	beat := func(id string, sequence uint64, left time.Duration) {
+		r.heartbeat(Registration{ID: id, State: fleetwire.InstanceReady, Sequence: sequence, WarmupLeft: left}, time.Second, time.Now())
+	}
+	beat("i-1", 1, 0)
+	cold, _ := g.coldness(time.Now())
+	assert.Assert(t, !cold)
+	beat("i-2", 1, coldLength)
+	cold, _ = g.coldness(time.Now())
+	assert.Assert(t, cold && r.snapshot().Cold)
+	beat("i-2", 2, 0)
+	cold, _ = g.coldness(time.Now())
+	assert.Assert(t, cold, "a word may be older than what made it cold")
+}
+
+// All gateways see a cold back end idle. Together they send it about what it bears.
+func TestGatewaysShareWhatAColdBackEndBears(t *testing.T) {
+	const seconds = 10
+	synctest.Test(t, func(t *testing.T) {
+		var gateways []*Gateway
+		for range 10 {
+			g := choosingGateway(t)
+			instances := []fleetwire.Instance{
+				{ID: "full", Service: "s", Node: "node-near", Zone: "a", Address: "127.0.0.1:1", State: fleetwire.InstanceReady},
+				{ID: "cold", Service: "s", Node: "node-cold", Zone: "a", Address: "127.0.0.1:3", State: fleetwire.InstanceReady, Cold: true},
+			}
+			for i := range 8 {
+				instances = append(instances, fleetwire.Instance{ID: string(rune('p' + i)), Service: "other", State: fleetwire.InstanceReady})
+			}
+			advance(t, g.views, viewOf(true, instances...))
+			gateways = append(gateways, g)
+		}
+		service := &routeconfig.Service{Name: "s", WarmupRate: coldRate}
+		route := &routeconfig.Route{TargetLatency: time.Second}
+		sent := 0
+		for range seconds * 100 {
+			for _, g := range gateways {
+				g.tell("127.0.0.1:1", 60, time.Second)
+				found, _ := g.choose(&call{service: service, route: route}, 0, false, nil)
+				if found.ID == "cold" {
+					sent++
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, float64(sent) <= 1.2*coldRate*seconds, "%d", sent)
+		assert.Assert(t, float64(sent) >= 0.8*coldRate*seconds, "%d", sent)
+	})
+}
--- a/internal/keylease/instances.go
+++ b/internal/keylease/instances.go
@@ -63,7 +63,7 @@
 		newer.State, newer.Sequence = known.State, known.Sequence
 	}
 	if newer != known.Instance {
-		visible := newer.State != known.State || newer.Address != known.Address || newer.Slots != known.Slots || newer.Leaving != known.Leaving
+		visible := newer.State != known.State || newer.Address != known.Address || newer.Slots != known.Slots || newer.Leaving != known.Leaving || newer.Cold != known.Cold
 		known.Instance = newer
 		if visible {
 			p.revision++
@@ -120,18 +120,25 @@
 }
 
 // targets returns the instances of a service that may get keys, in the order of
-// their IDs.
+// their IDs: those that bear their full load, or where all are cold, all of them.
+// Keys of a full back end would make a cold one fail.
 func (p *Planner) targets(service string, now time.Duration) []*instance {
 	var found []*instance
 	for _, known := range p.instances {
-		if known.Service == service && known.State == fleetwire.InstanceReady && !known.silent && now < known.heardAt+p.config.SilentAfter {
+		evacuated := p.state.Evacuated(known.Zone)
+		if known.Service == service && known.State == fleetwire.InstanceReady && !evacuated && !known.silent && now < known.heardAt+p.config.SilentAfter {
 			found = append(found, known)
 		}
 	}
+	if slices.ContainsFunc(found, isWarm) {
+		found = slices.DeleteFunc(found, func(target *instance) bool { return !isWarm(target) })
+	}
 	slices.SortFunc(found, func(a, b *instance) int { return cmp.Compare(a.ID, b.ID) })
 	return found
 }
 
+func isWarm(target *instance) bool { return !target.Cold }
+
 // settled says that no new back end has come for a while.
 func (p *Planner) settled(targets []*instance, now time.Duration) bool {
 	if len(targets) == 0 {
--- a/internal/keylease/owners.go
+++ b/internal/keylease/owners.go
@@ -106,13 +106,13 @@
 }
 
 // ends says that an owner should lose its keys: it drains, it has ended or fallen
-// silent, or its lease ran out.
+// silent, its zone is evacuated, or its lease ran out.
 func (p *Planner) ends(owner string, now time.Duration) bool {
 	known, ok := p.instances[owner]
 	if !ok {
 		return now > p.settledAt
 	}
-	if known.State != fleetwire.InstanceReady || known.silent {
+	if known.State != fleetwire.InstanceReady || known.silent || p.state.Evacuated(known.Zone) {
 		return true
 	}
 	return now > known.leasedUntil
--- a/internal/routeconfig/document.go
+++ b/internal/routeconfig/document.go
@@ -81,6 +81,10 @@
 	Grants GrantMode
 	// Warm is how long keys are slow that came without a handover.
 	Warm time.Duration
+	// WarmupRate is how many requests a second a cold back end bears; zero is any
+	// number. Warmup is how long one is cold after its start.
+	WarmupRate float64
+	Warmup     time.Duration
 	// Source is the operator's own text of the service, kept to be read back.
 	Source []byte
 }
--- a/internal/routeconfig/validate.go
+++ b/internal/routeconfig/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 )
@@ -49,6 +50,12 @@
 			findings.add(field, "%q stands twice", service.Name)
 		}
 		known[service.Name] = true
+		if service.WarmupRate < 0 || math.IsNaN(service.WarmupRate) || math.IsInf(service.WarmupRate, 0) {
+			findings.add(fmt.Sprintf("services[%d].warmupRate", i), "%v requests a second is no rate", service.WarmupRate)
+		}
+		if service.Warmup < 0 {
+			findings.add(fmt.Sprintf("services[%d].warmup", i), "%v is below zero", service.Warmup)
+		}
 	}
 	names := make(map[string]bool, len(d.Routes))
 	places := make(map[string]bool, len(d.Routes))
