Decide on overload apart from input and output, by callers' first tries

Change: internal/overload has the decisions, pure; gateway/slots.go and linkpacer.go lock and wait. Due times count from the first try, which is told by the time that a caller states. The limit on failing runs is gone. A late large answer is begun only where the link has little to send; the link learns how long answers take, and begins four before it knows their size. Refused callers are told when their turn is, also where that is after they have left.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,6 +58,9 @@
 	result := notRun(reasonNoInstance)
 	sends, refusals := 0, 0
 	for range maxTries {
+		if g.views.load().evacuatedWholly(c.service.Name) {
+			return notRun(reasonEvacuated)
+		}
 		target, ok := g.choose(c, key, hasKey, tried)
 		if !ok {
 			if !g.hold(ctx, holdUntil) {
@@ -236,7 +239,7 @@
 		Priority: c.route.Priority,
 		Transfer: c.route.Repetition == routeconfig.RepeatableTransfer,
 		Target:   c.route.TargetLatency,
-		Due:      c.began.Add(c.route.TargetLatency),
+		Due:      c.firstTry.Add(c.route.TargetLatency),
 		Deadline: c.deadline,
 	}
 	names := &g.config.Headers
--- a/internal/gateway/coldshare.go
+++ b/internal/gateway/coldshare.go
@@ -14,7 +14,7 @@
 // hasShare reports whether a cold instance may get a request of this gateway now.
 func (g *Gateway) hasShare(service *routeconfig.Service, candidate fleetwire.Instance, now time.Time) bool {
 	if candidate.Node == g.config.Name {
-		return g.slots.bearsNow(now)
+		return g.slots.bearsNow()
 	}
 	peer := g.peers.get(candidate.Address)
 	peer.mutex.Lock()
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/overload"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 )
 
@@ -69,7 +70,7 @@
 		e.logRefusal(request, result.Reason)
 	}
 	result.Load = e.gateway.slots.load()
-	result.Load.linkBacklog = e.gateway.pacer.backlog(time.Now())
+	result.Load.linkBacklog = e.gateway.pacer.backlog()
 	return result
 }
 
@@ -85,19 +86,23 @@
 	if !request.Transfer {
 		return e.tryInSlot(ctx, request)
 	}
-	kept, ok := e.gateway.pacer.admit(e.transfer(request), time.Now())
+	kept, ok := e.gateway.pacer.admit(e.transfer(request))
 	if !ok {
 		return notRun(reasonLinkFull), 0
 	}
 	result, used := e.tryInSlot(ctx, request)
-	e.gateway.pacer.settle(kept, result.Outcome == outcomeAnswered, len(result.Body))
+	answered := result.Outcome == outcomeAnswered
+	e.gateway.pacer.settle(kept, answered, len(result.Body))
+	if answered {
+		result.kept = kept
+	}
 	return result, used
 }
 
 // transfer is what a request for a large answer asks of the link.
-func (e *egress) transfer(request *forwardRequest) transfer {
+func (e *egress) transfer(request *forwardRequest) overload.Transfer {
 	load := e.gateway.slots.load()
-	return transfer{due: request.Due, deadline: request.Deadline, run: load.service(request.Target)}
+	return overload.Transfer{Due: request.Due, Deadline: request.Deadline, Target: request.Target, Run: load.service(request.Target)}
 }
 
 // tryInSlot waits for a slot and uses it.
@@ -109,7 +114,7 @@
 	began := time.Now()
 	result := e.useSlot(ctx, request)
 	used := time.Since(began)
-	e.release(request, taken, used, result.Outcome == outcomeAnswered && result.Status == http.StatusInternalServerError)
+	e.release(request, taken, used)
 	return result, used
 }
 
@@ -136,8 +141,12 @@
 }
 
 const (
-	// leastPatience is how long a request may always wait for a slot.
+	// leastPatience is how long a request may always wait for a slot, and turnsWaited
+	// for how many of the next slots that become free, where it can still be answered
+	// in time. A back end whose runs take nearly the whole target would otherwise
+	// serve none in time: each free slot would go to one that is late already.
 	leastPatience = 30 * time.Millisecond
+	turnsWaited   = 2
 	// serviceMargin is what is kept of the time to the due moment, in service
 	// times.
 	serviceMargin = 1.8
@@ -147,13 +156,19 @@
 // can still come in time, and where slots are left over, before its caller leaves.
 func (e *egress) demand(request *forwardRequest) demand {
 	load := e.gateway.slots.load()
-	kept := time.Duration(serviceMargin * float64(load.service(request.Target)))
+	service := load.service(request.Target)
+	kept := time.Duration(serviceMargin * float64(service))
+	left := time.Until(request.Due)
+	least := leastPatience
+	if left > service {
+		least = max(least, turnsWaited*service/time.Duration(max(load.slots, 1)))
+	}
 	return demand{
-		priority: request.Priority,
-		due:      request.Due,
-		target:   request.Target,
-		patience: max(leastPatience, time.Until(request.Due)-kept),
-		latest:   time.Until(request.Deadline) - answerMargin - kept,
+		Priority: request.Priority,
+		Due:      request.Due,
+		Target:   request.Target,
+		Patience: max(least, left-kept),
+		Latest:   time.Until(request.Deadline) - answerMargin - kept,
 	}
 }
 
@@ -167,7 +182,7 @@
 		e.gateway.keyLoad.add(request.Key, load.serviceTime)
 	}
 	refusal := notRun(reasonNoRoom)
-	refusal.RetryAfter = e.gateway.slots.comeBackIn(request.Target <= load.shortUpTo, time.Now())
+	refusal.RetryAfter = e.gateway.slots.comeBackIn(request.Target)
 	return refusal
 }
 
@@ -189,8 +204,8 @@
 	return nil
 }
 
-func (e *egress) release(request *forwardRequest, taken slot, used time.Duration, failed bool) {
-	e.gateway.slots.release(taken, used, failed)
+func (e *egress) release(request *forwardRequest, taken overload.Slot, used time.Duration) {
+	e.gateway.slots.release(taken, used)
 	if request.HasKey {
 		e.gateway.keyLoad.add(request.Key, used)
 	}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -48,7 +48,7 @@
 	v := g.views.load()
 	return []any{
 		"request", r.Header.Get(g.config.Headers.RequestID), "host", r.Host, "path", r.URL.Path,
-		"key", r.Header.Get(g.config.Headers.Key), "version", uint64(v.version()), "owners_index", v.ownersIndex,
+		"key", r.Header.Get(g.config.Headers.Key), "stated_ms", r.Header.Get(g.config.Headers.Deadline), "version", uint64(v.version()), "owners_index", v.ownersIndex,
 	}
 }
 
@@ -89,7 +89,7 @@
 		load := e.gateway.slots.load()
 		fields = append(fields, "running", load.running, "waiting", load.waiting, "slots", load.slots,
 			"service_ms", load.service(request.Target).Milliseconds(), "due_in_ms", request.Due.Sub(now).Milliseconds(),
-			"deadline_in_ms", request.Deadline.Sub(now).Milliseconds(), "patience_ms", e.demand(request).patience.Milliseconds())
+			"deadline_in_ms", request.Deadline.Sub(now).Milliseconds(), "patience_ms", e.demand(request).Patience.Milliseconds())
 	}
 	e.gateway.config.Log.Info("try refused", fields...)
 }
--- /dev/null
+++ b/internal/gateway/firsttries.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/overload"
+)
+
+// firstTries finds out, for each route, how long ago callers tried first. The zero
+// value is ready for use.
+type firstTries struct {
+	mutex  sync.Mutex
+	routes map[string]*overload.FirstTries
+}
+
+// age returns how long ago the caller of a request tried first.
+func (f *firstTries) age(route string, stated time.Duration) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	known, ok := f.routes[route]
+	if !ok {
+		if f.routes == nil {
+			f.routes = map[string]*overload.FirstTries{}
+		}
+		known = &overload.FirstTries{}
+		f.routes[route] = known
+	}
+	return known.Age(stated)
+}
+
+// follow forgets routes that a configuration does not have.
+func (f *firstTries) follow(v *view) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(f.routes) == 0 || v.table == nil {
+		return
+	}
+	kept := make(map[string]*overload.FirstTries, len(f.routes))
+	for _, route := range v.table.Document().Routes {
+		if known, ok := f.routes[route.Name]; ok {
+			kept[route.Name] = known
+		}
+	}
+	f.routes = kept
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/overload"
 )
 
 // outcome is what is known of a request after one try.
@@ -100,4 +101,7 @@
 	// RetryAfter is when the request may be served by the same gateway, where that
 	// is known: it is being stopped, or many were refused before.
 	RetryAfter time.Duration
+	// kept is what this machine's link keeps for the answer, where the back end beside
+	// it has made a large one.
+	kept overload.Kept
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,13 +23,15 @@
 	keys     *keyKeeper
 	keyLoad  *keyLoad
 	slots    *slotGate
-	peers    *peerSet
-	budgets  *retryBudgets
-	pacer    *linkPacer
-	egress   *egress
-	session  *sessionClient
-	tally    tally
-	metrics  *gatewayMetrics
+	// firstTries are those of this gateway's own callers.
+	firstTries firstTries
+	peers      *peerSet
+	budgets    *retryBudgets
+	pacer      *linkPacer
+	egress     *egress
+	session    *sessionClient
+	tally      tally
+	metrics    *gatewayMetrics
 
 	callers *httpserver.Server
 	inbound *httpserver.Server
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -24,12 +24,14 @@
 
 // call is one request of a caller.
 type call struct {
-	request  *http.Request
-	body     []byte
-	id       string
-	route    *routeconfig.Route
-	service  *routeconfig.Service
-	began    time.Time
+	request *http.Request
+	body    []byte
+	id      string
+	route   *routeconfig.Route
+	service *routeconfig.Service
+	began   time.Time
+	// firstTry is when its caller tried first, as far as that is known.
+	firstTry time.Time
 	deadline time.Time
 	// timesOut says that the deadline is the route's timeout.
 	timesOut bool
@@ -102,6 +104,10 @@
 	if !ok {
 		waits = defaultDeadline
 	}
+	c.firstTry = began
+	if ok {
+		c.firstTry = began.Add(-g.firstTries.age(route.Name, waits))
+	}
 	c.deadline = began.Add(waits - deadlineMargin)
 	if limit := began.Add(route.Timeout); limit.Before(c.deadline) {
 		c.deadline, c.timesOut = limit, true
@@ -127,14 +133,12 @@
 		for name, values := range result.Header {
 			header[name] = values
 		}
-		g.writeAnswer(c.request.Context(), w, result.Status, result.Body)
+		if g.writeAnswer(c.request.Context(), w, result.Status, result.Body) {
+			g.pacer.sent(result.kept)
+		}
 		return
 	case outcomeNotRun:
-		after := retryAfter(result)
-		if result.Reason.full() {
-			after = comeBackWithin(after, time.Until(c.deadline))
-		}
-		g.refuse(w, c.request, result.Reason, after, c.tries)
+		g.refuse(w, c.request, result.Reason, retryAfter(result), c.tries)
 	default:
 		status := http.StatusBadGateway
 		if result.Reason == reasonTimeout {
@@ -157,10 +161,15 @@
 	// retrySpread is around when callers come back whose gateway is known to serve
 	// again at a certain time.
 	retrySpread = 200 * time.Millisecond
+	// longestRetry bounds what a caller is told: nobody knows the load of half a minute
+	// later.
+	longestRetry = 30 * time.Second
 )
 
 // retryAfter says when a refused request should come back, at different times
-// for different callers.
+// for different callers. Where its turn is after the caller has left, it is told so, and
+// can go elsewhere. Told a third of the time that they had left instead, callers came
+// back together, and none of them found room.
 func retryAfter(result *forwardResult) time.Duration {
 	base := retryOutage
 	switch result.Reason {
@@ -172,7 +181,7 @@
 		// What the link has to send now is through by then.
 		base = max(retryRoom, result.Load.linkBacklog)
 	}
-	return result.RetryAfter + base/2 + time.Duration(rand.Float64()*float64(base))
+	return min(result.RetryAfter+base/2+time.Duration(rand.Float64()*float64(base)), longestRetry)
 }
 
 // refuse answers a request that has not run and will not.
--- a/internal/gateway/linkpacer.go
+++ b/internal/gateway/linkpacer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/quartzdock/quartzdock/internal/overload"
 )
 
 const (
@@ -30,92 +32,90 @@
 // them. Otherwise they would queue there, in the buffers of many connections, and
 // small answers, for which other requests are waiting, behind them.
 type linkPacer struct {
-	// rate of paced bodies in bytes a second; zero is no bound.
-	rate  float64
 	turns chan struct{}
 
 	mutex sync.Mutex
-	// free is when the link will have sent what was handed over.
-	free time.Time
-	// waiting are the bytes of paced bodies that were not handed over yet.
-	waiting int
-	use     linkUse
+	link  *overload.Link
 }
 
 // newLinkPacer returns the pacer of a link of a number of bytes a second; zero is
 // unknown.
 func newLinkPacer(bytesPerSecond float64) *linkPacer {
-	return &linkPacer{rate: bulkShare * bytesPerSecond, turns: make(chan struct{}, bulkTurns), use: linkUse{at: time.Now()}}
+	link := overload.NewLink(bulkShare * bytesPerSecond)
+	return &linkPacer{link: link, turns: make(chan struct{}, bulkTurns)}
+}
+
+// decide calls a function on the link at the present time.
+func (p *linkPacer) decide(call func(link *overload.Link, now time.Time)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	call(p.link, time.Now())
+}
+
+// admit keeps a part of the link for a large answer, to be given to settle once it
+// is there or will never be.
+func (p *linkPacer) admit(wanted overload.Transfer) (kept overload.Kept, ok bool) {
+	p.decide(func(link *overload.Link, now time.Time) { kept, ok = link.Admit(wanted, now) })
+	return kept, ok
+}
+
+// settle gives back what admit kept. Answered says that the answer has come, of a
+// number of bytes.
+func (p *linkPacer) settle(kept overload.Kept, answered bool, bytes int) {
+	p.decide(func(link *overload.Link, _ time.Time) { link.Settle(kept, answered, bytes) })
+}
+
+// sent learns from a large answer that has left this machine whole.
+func (p *linkPacer) sent(kept overload.Kept) {
+	p.decide(func(link *overload.Link, now time.Time) { link.Sent(kept, now) })
+}
+
+// backlog is how long a large answer would wait for the link.
+func (p *linkPacer) backlog() (busy time.Duration) {
+	p.decide(func(link *overload.Link, now time.Time) { busy = link.Backlog(now) })
+	return busy
+}
+
+// note counts bytes that go to the link, and returns for how long it is busy with
+// those before.
+func (p *linkPacer) note(bytes int) (busy time.Duration) {
+	p.decide(func(link *overload.Link, now time.Time) { busy = link.Note(bytes, now) })
+	return busy
+}
+
+// wait counts bytes that wait.
+func (p *linkPacer) wait(bytes int) {
+	p.decide(func(link *overload.Link, _ time.Time) { link.Wait(bytes) })
 }
 
-// write hands a body over. It returns early, with only a part written, where the
-// context ends or the reader is gone.
-func (p *linkPacer) write(ctx context.Context, w http.ResponseWriter, body []byte) {
-	if p.rate <= 0 || len(body) < bulkFrom {
-		p.note(len(body), time.Now())
-		_, _ = w.Write(body)
-		return
+// write hands a body over, and reports whether all of it was. It returns early where
+// the context ends or the reader is gone.
+func (p *linkPacer) write(ctx context.Context, w http.ResponseWriter, body []byte) (whole bool) {
+	if !p.link.Bounded() || len(body) < bulkFrom {
+		p.note(len(body))
+		_, err := w.Write(body)
+		return err == nil
 	}
 	p.wait(len(body))
 	defer func() { p.wait(-len(body)) }() // what is left of it
 	select {
 	case p.turns <- struct{}{}:
 	case <-ctx.Done():
-		return
+		return false
 	}
 	defer func() { <-p.turns }()
 	for len(body) > 0 {
 		chunk := body[:min(bulkChunk, len(body))]
-		if !pauseFor(ctx, p.note(len(chunk), time.Now())-bulkBurst) {
-			return
+		if !pauseFor(ctx, p.note(len(chunk))-bulkBurst) {
+			return false
 		}
 		if _, err := w.Write(chunk); err != nil {
-			return
+			return false
 		}
 		p.wait(-len(chunk))
 		body = body[len(chunk):]
 	}
-}
-
-// wait counts bytes that wait.
-func (p *linkPacer) wait(bytes int) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.advance(time.Now())
-	p.waiting += bytes
-}
-
-// note counts bytes that go to the link, and returns for how long it is busy with
-// those before.
-func (p *linkPacer) note(bytes int, now time.Time) time.Duration {
-	if p.rate <= 0 {
-		return 0
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.advance(now)
-	if p.free.Before(now) {
-		p.free = now
-	}
-	busy := p.free.Sub(now)
-	p.free = p.free.Add(p.timeFor(bytes))
-	return busy
-}
-
-// backlog is how long the link takes for what was handed over, what waits, and the
-// large answers that are being made.
-func (p *linkPacer) backlog(now time.Time) time.Duration {
-	if p.rate <= 0 {
-		return 0
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.backlogLocked(now)
-}
-
-// backlogLocked is backlog for who has the mutex.
-func (p *linkPacer) backlogLocked(now time.Time) time.Duration {
-	return max(p.free.Sub(now), 0) + p.timeFor(p.waiting+p.use.coming)
+	return true
 }
 
 // pauseFor waits, and reports whether the context still runs.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/overload"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 	"github.com/quartzdock/quartzdock/internal/warmup"
 )
@@ -152,7 +153,7 @@
 	defer p.mutex.Unlock()
 	load := p.load
 	if load.slots == 0 {
-		load.serviceTime, load.shortService = initialServiceTime, initialServiceTime
+		load.serviceTime, load.shortService = overload.InitialServiceTime, overload.InitialServiceTime
 	}
 	busy := p.pending
 	age := now.Sub(p.loadAt)
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -39,12 +39,14 @@
 	if status == 0 {
 		status = http.StatusServiceUnavailable
 	}
-	g.writeAnswer(r.Context(), w, status, result.Body)
+	if g.writeAnswer(r.Context(), w, status, result.Body) {
+		g.pacer.sent(result.kept)
+	}
 }
 
-// writeAnswer writes a whole answer with its length. The reader of a part sees by
-// the length that it is one.
-func (g *Gateway) writeAnswer(ctx context.Context, w http.ResponseWriter, status int, body []byte) {
+// writeAnswer writes a whole answer with its length, and reports whether all of it was
+// handed over. The reader of a part sees by the length that it is one.
+func (g *Gateway) writeAnswer(ctx context.Context, w http.ResponseWriter, status int, body []byte) (whole bool) {
 	header := w.Header()
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // no guessing
@@ -53,7 +55,7 @@
 		header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	}
 	w.WriteHeader(status)
-	g.pacer.write(ctx, w, body)
+	return g.pacer.write(ctx, w, body)
 }
 
 // decodeForward reads what encodeForward wrote.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -122,6 +122,14 @@
 	return ok
 }
 
+// evacuatedWholly reports whether all instances of a service are in evacuated zones.
+// Nobody can serve its requests until an evacuation ends, so that none is held.
+func (v *view) evacuatedWholly(service string) bool {
+	instances := v.instances[service]
+	outside := func(instance fleetwire.Instance) bool { return !v.evacuated(instance.Zone) }
+	return len(instances) > 0 && !slices.ContainsFunc(instances, outside)
+}
+
 // service returns the service of a name, nil where the configuration has none.
 func (v *view) service(name string) *routeconfig.Service {
 	if v.table == nil {
--- a/internal/gateway/warmth.go
+++ b/internal/gateway/warmth.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/overload"
 )
 
 // A back end that is cold bears a few requests a second and fails above that. The
@@ -29,72 +30,32 @@
 
 // configureWarmth follows the configuration of the back end's service.
 func (g *slotGate) configureWarmth(perSecond float64, length time.Duration) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.warmth.Configure(perSecond, length)
+	g.decide(func(queue *overload.SlotQueue, _ time.Time) { queue.ConfigureWarmth(perSecond, length) })
 }
 
 // suspectCold takes the back end for cold until it is told otherwise.
 func (g *slotGate) suspectCold() {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.warmth.Suspect(time.Now())
+	g.decide(func(queue *overload.SlotQueue, now time.Time) { queue.SuspectCold(now) })
 }
 
 // tellWarmth takes the back end's word on how much longer it is cold; fresh says
 // that it is the first of a life.
 func (g *slotGate) tellWarmth(left time.Duration, fresh bool) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if fresh {
-		g.warmth.Forget()
-	}
-	g.warmth.Tell(left, time.Now())
-	g.admit()
+	g.decide(func(queue *overload.SlotQueue, now time.Time) { queue.TellWarmth(left, fresh, now) })
 }
 
 // coldness reports whether the back end is taken for cold, and whether it should be
 // asked.
-func (g *slotGate) coldness(now time.Time) (cold, ask bool) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.warmth.Cold(now), g.warmth.Suspected()
+func (g *slotGate) coldness() (cold, ask bool) {
+	g.decide(func(queue *overload.SlotQueue, now time.Time) { cold, ask = queue.Coldness(now) })
+	return cold, ask
 }
 
 // bearsNow reports whether a request that came now would not wait for the back end
 // to become warmer.
-func (g *slotGate) bearsNow(now time.Time) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.warmth.Wait(now) == 0 && len(g.short.queue)+len(g.long.queue) == 0
-}
-
-// paced is how long a request waits behind a number of others at the rate that a
-// cold back end bears; zero where it is warm. The caller has the mutex.
-func (g *slotGate) paced(ahead int, now time.Time) time.Duration {
-	if !g.warmth.Cold(now) {
-		return 0
-	}
-	behind := float64(ahead) / g.warmth.Rate()
-	return g.warmth.Wait(now) + time.Duration(behind*float64(time.Second))
-}
-
-// awaitPace sets the timer for the next request that waits for the back end to bear
-// it. The caller has the mutex.
-func (g *slotGate) awaitPace(now time.Time) {
-	if g.pace != nil || g.short.waiting()+g.long.waiting() == 0 {
-		return
-	}
-	wait := g.warmth.Wait(now)
-	if wait == 0 {
-		return
-	}
-	g.pace = time.AfterFunc(wait, func() {
-		g.mutex.Lock()
-		defer g.mutex.Unlock()
-		g.pace = nil
-		g.admit()
-	})
+func (g *slotGate) bearsNow() (bears bool) {
+	g.decide(func(queue *overload.SlotQueue, now time.Time) { bears = queue.BearsNow(now) })
+	return bears
 }
 
 // watchWarmth follows how the back end warms up.
@@ -109,12 +70,12 @@
 	v := g.views.load()
 	if v.evacuated(g.config.Zone) {
 		g.slots.suspectCold()
-	} else if _, ask := g.slots.coldness(time.Now()); ask {
+	} else if _, ask := g.slots.coldness(); ask {
 		if err := g.askWarmth(ctx, v); err != nil {
 			g.config.Log.Info("back end did not say whether it is cold", "error", err)
 		}
 	}
-	cold, _ := g.slots.coldness(time.Now())
+	cold, _ := g.slots.coldness()
 	if g.registry.setCold(cold) {
 		g.instanceChanged()
 	}
@@ -164,6 +125,9 @@
 	if service := after.service(g.config.Service); service != nil {
 		g.slots.configureWarmth(service.WarmupRate, service.Warmup)
 	}
+	if before.version() != after.version() {
+		g.firstTries.follow(after)
+	}
 	if before.table == nil || before.evacuationsIndex != after.evacuationsIndex {
 		g.slots.suspectCold()
 	}
--- a/internal/overload/late.go
+++ b/internal/overload/late.go
@@ -1,4 +1,4 @@
-package gateway
+package overload
 
 import (
 	"container/heap"
@@ -25,77 +25,72 @@
 func (u *slotUse) waiting() int { return len(u.queue) + len(u.late) }
 
 // waitLate lets a request wait as a late one, if it is likely to get a slot before
-// its caller leaves. The caller has the mutex.
-func (g *slotGate) waitLate(waiting *ticket, now time.Time) bool {
-	ahead := len(g.short.late) + len(g.long.late)
-	if g.estimateLate(waiting.short, waiting.priority, ahead) > waiting.timeLeft(now) {
+// its caller leaves.
+func (q *SlotQueue) waitLate(waiting *Ticket, now time.Time) bool {
+	ahead := len(q.short.late) + len(q.long.late)
+	if q.estimateLate(waiting.short, waiting.Priority, ahead, now) > waiting.timeLeft(now) {
 		return false
 	}
 	waiting.late = true
-	use := g.use(waiting.short)
+	use := q.use(waiting.short)
 	heap.Push(&use.late, waiting)
 	return true
 }
 
 // timeLeft is how much longer a request may wait as a late one.
-func (t *ticket) timeLeft(now time.Time) time.Duration { return t.latest - now.Sub(t.since) }
+func (t *Ticket) timeLeft(now time.Time) time.Duration { return t.Latest - now.Sub(t.since) }
 
 // untilCheck is when to check a request that waits: when it can't be answered in
 // time any more, and from then on each lateCheckInterval.
-func (t *ticket) untilCheck(now time.Time) time.Duration {
+func (t *Ticket) untilCheck(now time.Time) time.Duration {
 	if t.late {
 		return min(lateCheckInterval, t.timeLeft(now))
 	}
-	return t.patience - now.Sub(t.since)
+	return t.Patience - now.Sub(t.since)
 }
 
 // hopeful reports whether a late request that waits is still likely to get a slot.
-func (g *slotGate) hopeful(waiting *ticket, now time.Time) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if !waiting.late || waiting.position < 0 {
-		return false
-	}
-	g.advance(now)
+func (q *SlotQueue) hopeful(waiting *Ticket, now time.Time) bool {
+	q.advance(now)
 	ahead := 0
-	for _, queue := range []ticketQueue{g.short.late, g.long.late} {
+	for _, queue := range []ticketQueue{q.short.late, q.long.late} {
 		for _, other := range queue {
-			if other.before(&waiting.demand) {
+			if other.before(&waiting.Demand) {
 				ahead++
 			}
 		}
 	}
-	return g.estimateLate(waiting.short, waiting.priority, ahead) <= waiting.timeLeft(now)
+	return q.estimateLate(waiting.short, waiting.Priority, ahead, now) <= waiting.timeLeft(now)
 }
 
 // estimateLate is how long a late request of a kind and priority will wait behind a
 // number of other late ones, at the rate at which slots are left over.
-func (g *slotGate) estimateLate(short bool, priority, ahead int) time.Duration {
+func (q *SlotQueue) estimateLate(short bool, priority, ahead int, now time.Time) time.Duration {
 	const never = time.Hour
-	if now := time.Now(); g.warmth.Cold(now) {
-		return g.paced(len(g.short.queue)+len(g.long.queue)+ahead, now)
+	if q.warmth.Cold(now) {
+		return q.paced(len(q.short.queue)+len(q.long.queue)+ahead, now)
 	}
-	slots := g.usable(short, priority)
-	leftOver := slots - (g.long.busy - g.lateBusy)
+	slots := q.usable(short, priority)
+	leftOver := slots - (q.long.busy - q.lateBusy)
 	if short {
-		leftOver -= g.short.busy
+		leftOver -= q.short.busy
 	}
 	if leftOver < leastLeftOver*slots {
 		return never
 	}
-	use := g.use(short)
-	inTime := float64(len(g.short.queue)+len(g.long.queue)) / slots
+	use := q.use(short)
+	inTime := float64(len(q.short.queue)+len(q.long.queue)) / slots
 	behind := float64(ahead+1) / leftOver
 	return time.Duration(float64(use.serviceTime) * (inTime + behind))
 }
 
 // usable is how many slots requests of a kind and priority may use: long ones those
 // that are not kept for short ones, nor used by more of these.
-func (g *slotGate) usable(short bool, priority int) float64 {
-	slots := float64(g.capacity)
+func (q *SlotQueue) usable(short bool, priority int) float64 {
+	slots := float64(q.capacity)
 	if short {
 		return slots
 	}
-	kept := max(float64(g.reserved(priority)), g.short.busy)
-	return max(1, min(float64(g.limit.of(g.capacity)), slots-kept))
+	kept := max(float64(q.reserved(priority)), q.short.busy)
+	return max(1, slots-kept)
 }
--- a/internal/overload/link.go
+++ b/internal/overload/link.go
@@ -1,4 +1,4 @@
-package gateway
+package overload
 
 import "time"
 
@@ -6,102 +6,159 @@
 // What is admitted beyond the link's rate makes all of them late, and in the end
 // callers leave while their answers wait: so the link is admitted for like slots
 // are. A large answer is begun if it will be through in time. One that will not,
-// but before its caller leaves, is begun where the link is not all used. All others
+// but before its caller leaves, is begun where the link has little to send. All others
 // are refused at once; another machine, or a later moment, may have room.
 
 const (
-	// linkMargin is by how much longer than estimated an answer may take: sizes
-	// differ by a fifth or so around their mean.
-	linkMargin = 1.15
+	// leastMargin and mostMargin bound by how much longer than worked out an answer is
+	// expected to take. Sizes differ by a fifth or so around their mean; beyond that it
+	// is learned: other answers use the link too, and a machine that is short of its
+	// processor or shares its link sends more slowly than the link does.
+	leastMargin = 1.15
+	mostMargin  = 3
+	// marginWeight of one more answer in what is learned.
+	marginWeight = 0.1
 	// linkHops is how often a large answer goes over such a link: from the machine
 	// of the back end, and whole from that of the caller.
 	linkHops = 2
-	// leastLinkLeft is the part of the link that must be left over for answers that
-	// come late. It is that of slots (leastLeftOver), for the same reason.
-	leastLinkLeft = leastLeftOver
-	// linkHalfLife weighs older use of the link: the length of some large answers.
-	linkHalfLife = 2 * time.Second
+	// lateShare is the part of the target for which the link may be busy and still take
+	// an answer that comes late: the next one that can be in time then has the rest.
+	// Where late ones were let in by how much the link was used on average, up to their
+	// callers' deadlines, queues of three seconds came and went, and in them all answers
+	// were late.
+	lateShare = 0.5
+	// unknownAtOnce is how many large answers are begun at once before the size of one
+	// is known. A process that has just started took all that came in its first half
+	// second otherwise, five seconds' worth for its link, and answers lay there beyond
+	// the end of their callers' gateways.
+	unknownAtOnce = 4
 	// answerWeight of a new large answer in the mean size.
 	answerWeight = 0.1
 )
 
-// linkUse is what large answers are admitted by.
-type linkUse struct {
-	// coming are the bytes of large answers that are being made.
-	coming int
+// Link is a machine's link, as large answers use it.
+type Link struct {
+	// rate of large answers in bytes a second; zero is no bound.
+	rate float64
+	// free is when the link will have sent what was handed over.
+	free time.Time
+	// waiting are the bytes of large answers that were not handed over yet, and coming
+	// those of the ones that are being made.
+	waiting, coming int
+	// begun is how many large answers are being made.
+	begun int
 	// size is the mean size of a large answer in bytes; zero before the first.
 	size float64
-	// busy is a moving average of the part of the time in which the link had
-	// something to send, up to at. A process that is short of its processor leaves
-	// the link idle while bodies wait; there is no room for more then.
-	busy float64
-	at   time.Time
+	// margin is by how much longer than worked out answers took.
+	margin float64
 }
 
-// transfer is what a large answer asks of the link.
-type transfer struct {
-	// due is when the answer is worth most, and deadline when its caller leaves.
-	due, deadline time.Time
-	// run is how long the back end takes to make it.
-	run time.Duration
+// NewLink returns a link of a number of bytes a second; zero is unknown and bounds
+// nothing.
+func NewLink(bytesPerSecond float64) *Link {
+	return &Link{rate: bytesPerSecond, margin: leastMargin}
 }
 
-// admit keeps a part of the link for a large answer, to be given to settle once it
+// Bounded says that the link's rate is known.
+func (l *Link) Bounded() bool { return l.rate > 0 }
+
+// Transfer is what a large answer asks of the link.
+type Transfer struct {
+	// Due is when the answer is worth most, and Deadline when its caller leaves.
+	Due, Deadline time.Time
+	// Target is the time within which an answer is worth most.
+	Target time.Duration
+	// Run is how long the back end takes to make it.
+	Run time.Duration
+}
+
+// Kept is what was kept of a link for a large answer.
+type Kept struct {
+	bytes int
+	// at is when, and sent in how long the answer should have left this machine as
+	// worked out.
+	at   time.Time
+	sent time.Duration
+}
+
+// Admit keeps a part of the link for a large answer, to be given to Settle once it
 // is there or will never be.
-func (p *linkPacer) admit(wanted transfer, now time.Time) (kept int, ok bool) {
-	if p.rate <= 0 {
-		return 0, true
+func (l *Link) Admit(wanted Transfer, now time.Time) (kept Kept, ok bool) {
+	if l.rate <= 0 {
+		return Kept{}, true
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.advance(now)
-	through := now.Add(p.throughIn(wanted.run, now))
-	late := through.After(wanted.due)
-	if late && (through.After(wanted.deadline) || p.use.busy > 1-leastLinkLeft) {
-		return 0, false
+	if l.size == 0 && l.begun >= unknownAtOnce {
+		return Kept{}, false
 	}
-	kept = int(p.use.size)
-	p.use.coming += kept
-	return kept, true
+	one := l.TimeFor(int(l.size))
+	queued := max(l.Backlog(now), wanted.Run)
+	through := now.Add(time.Duration(l.margin * float64(queued+linkHops*one)))
+	late := through.After(wanted.Due)
+	if late && (through.After(wanted.Deadline) || !l.takesLate(wanted.Target, now)) {
+		return Kept{}, false
+	}
+	l.coming += int(l.size)
+	l.begun++
+	return Kept{bytes: int(l.size), at: now, sent: queued + one}, true
+}
+
+// takesLate says that an answer that comes late leaves room for those in time.
+func (l *Link) takesLate(target time.Duration, now time.Time) bool {
+	return l.Backlog(now) <= time.Duration(lateShare*float64(target))
 }
 
-// throughIn is how long a large answer takes until its caller has it.
-func (p *linkPacer) throughIn(run time.Duration, now time.Time) time.Duration {
-	queued := max(p.backlogLocked(now), run)
-	return time.Duration(linkMargin * float64(queued+linkHops*p.timeFor(int(p.use.size))))
+// Sent learns from a large answer that has left this machine whole.
+func (l *Link) Sent(kept Kept, now time.Time) {
+	if kept.sent <= 0 {
+		return
+	}
+	took := now.Sub(kept.at).Seconds() / kept.sent.Seconds()
+	l.margin += marginWeight * (min(max(took, leastMargin), mostMargin) - l.margin)
 }
 
-// settle gives back what admit kept. Answered says that the answer has come, of a
+// Settle gives back what Admit kept. Answered says that the answer has come, of a
 // number of bytes.
-func (p *linkPacer) settle(kept int, answered bool, bytes int) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.use.coming -= kept
+func (l *Link) Settle(kept Kept, answered bool, bytes int) {
+	l.coming -= kept.bytes
+	l.begun--
 	switch {
 	case !answered:
-	case p.use.size == 0:
-		p.use.size = float64(bytes)
+	case l.size == 0:
+		l.size = float64(bytes)
 	default:
-		p.use.size += answerWeight * (float64(bytes) - p.use.size)
+		l.size += answerWeight * (float64(bytes) - l.size)
 	}
 }
 
-// advance brings the average use up to now. The caller has the mutex.
-func (p *linkPacer) advance(now time.Time) {
-	elapsed := now.Sub(p.use.at)
-	if elapsed <= 0 {
-		return
+// Wait counts bytes that wait to be handed over, or no longer do.
+func (l *Link) Wait(bytes int) {
+	l.waiting += bytes
+}
+
+// Note counts bytes that go to the link, and returns for how long it is busy with
+// those before.
+func (l *Link) Note(bytes int, now time.Time) time.Duration {
+	if l.rate <= 0 {
+		return 0
+	}
+	if l.free.Before(now) {
+		l.free = now
 	}
-	sending := min(max(p.free.Sub(p.use.at), 0), elapsed)
-	if p.waiting > 0 {
-		sending = elapsed
+	busy := l.free.Sub(now)
+	l.free = l.free.Add(l.TimeFor(bytes))
+	return busy
+}
+
+// Backlog is how long the link takes for what was handed over, what waits, and the
+// large answers that are being made.
+func (l *Link) Backlog(now time.Time) time.Duration {
+	if l.rate <= 0 {
+		return 0
 	}
-	keep := float64(linkHalfLife) / float64(linkHalfLife+elapsed)
-	p.use.busy = p.use.busy*keep + sending.Seconds()/elapsed.Seconds()*(1-keep)
-	p.use.at = now
+	return max(l.free.Sub(now), 0) + l.TimeFor(l.waiting+l.coming)
 }
 
-// timeFor is how long the link takes for a number of bytes.
-func (p *linkPacer) timeFor(bytes int) time.Duration {
-	return time.Duration(float64(bytes) / p.rate * float64(time.Second))
+// TimeFor is how long the link takes for a number of bytes.
+func (l *Link) TimeFor(bytes int) time.Duration {
+	return time.Duration(float64(bytes) / l.rate * float64(time.Second))
 }
