Give requests that are due already no place among those that can be in time

Cause: any request could wait 30 ms for a slot, also one whose due time is over. By that time it stood before all others, and at a back end with 18 slots the next one comes within 30 ms: callers that came back went first wherever runs take less than half a second.

Change: only a request that is not due yet may always wait. A due one waits behind the others, if slots are left over.

Test: TestARequestThatIsDueStandsBeforeNobody, which fails on the code before ("due" is first).

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -141,9 +141,10 @@
 }
 
 const (
-	// leastPatience is how long a request may always wait for a slot, and turnsWaited
-	// for how many of the next slots that become free, where it can still be answered
-	// in time. A back end whose runs take nearly the whole target would otherwise
+	// leastPatience is how long a request that is not due yet may always wait for a
+	// slot, and turnsWaited for how many of the next slots that become free, where it can
+	// still be answered in time. One that is due has no such place: it would stand before
+	// all that can be in time. A back end whose runs take nearly the whole target would otherwise
 	// serve none in time: each free slot would go to one that is late already.
 	leastPatience = 30 * time.Millisecond
 	turnsWaited   = 2
@@ -159,7 +160,10 @@
 	service := load.service(request.Target)
 	kept := time.Duration(serviceMargin * float64(service))
 	left := time.Until(request.Due)
-	least := leastPatience
+	var least time.Duration
+	if left > 0 {
+		least = leastPatience
+	}
 	if left > service {
 		least = max(least, turnsWaited*service/time.Duration(max(load.slots, 1)))
 	}
--- a/internal/gateway/firsttries_test.go
+++ b/internal/gateway/firsttries_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/overload"
 	"gotest.tools/v3/assert"
 )
 
@@ -82,3 +85,36 @@
 	assert.Assert(t, float64(after.inTime) > 1.3*float64(before.inTime))
 	assert.Assert(t, after.inTime+after.late > (before.inTime+before.late)*97/100, "no fewer are served")
 }
+
+// A request that is due already has no place among those that can be in time: by its due
+// time it would stand before all of them, and with many slots the next one comes within
+// the time that any request may wait.
+func TestARequestThatIsDueStandsBeforeNobody(t *testing.T) {
+	backend := startRawBackend(t, func(*http.Request) string { return "" })
+	g := egressOver(t, backend)
+	g.egress.setSlots(18)
+	g.slots.decide(func(queue *overload.SlotQueue, _ time.Time) { queue.SetServiceTime(400 * time.Millisecond) })
+	due := tryOf("due")
+	due.Due = time.Now()
+	for range 18 {
+		_, err := g.slots.acquire(t.Context(), g.egress.demand(tryOf("first")))
+		assert.NilError(t, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	order := make(chan string, 2)
+	for _, name := range []string{"first", "due"} {
+		wanted := g.egress.demand(tryOf(name))
+		if name == "due" {
+			wanted = g.egress.demand(due)
+		}
+		go func() {
+			if _, err := g.slots.acquire(ctx, wanted); err == nil {
+				order <- name
+			}
+		}()
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.slots.release(overload.Slot{Target: time.Second}, 400*time.Millisecond)
+	assert.Equal(t, <-order, "first")
+}
