End no suspicion of a cold back end by a heartbeat that says warm

Cause, reasoned: a back end that turns cold when an evacuation ends may have sent a heartbeat just before.

Change: only an answer to the question itself, or a word that it is cold, ends a suspicion. Test: TestAHeartbeatThatSaysWarmEndsNoSuspicion (would not compile before).

--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -64,7 +64,7 @@
 		{Name: "s", WarmupRate: coldRate, Warmup: coldLength},
 	}}})
 	advance(t, g.views, evacuating(7, "a"))
-	g.slots.tellWarmth(0, false)
+	g.slots.tellWarmth(0)
 	advance(t, g.views, evacuating(8))
 	cold, ask := g.slots.coldness()
 	assert.Assert(t, cold && ask)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,7 +66,7 @@
 	g.budgets = newRetryBudgets(g.config.Budget)
 	g.pacer = newLinkPacer(g.config.LinkBytesPerSecond)
 	g.registry = newRegistry(g.instanceChanged)
-	g.registry.told = g.slots.tellWarmth
+	g.registry.told = g.slots.hearWarmth
 	g.registry.current = fleetwire.Instance{Node: g.config.Name, Address: g.config.PeerListen, Zone: g.config.Zone}
 	g.keys = newKeyKeeper(g)
 	g.session = newSessionClient(g)
--- a/internal/gateway/warmth.go
+++ b/internal/gateway/warmth.go
@@ -38,10 +38,15 @@
 	g.decide(func(queue *overload.SlotQueue, now time.Time) { queue.SuspectCold(now) })
 }
 
-// tellWarmth takes the back end's word on how much longer it is cold; fresh says
-// that it is the first of a life.
-func (g *slotGate) tellWarmth(left time.Duration, fresh bool) {
-	g.decide(func(queue *overload.SlotQueue, now time.Time) { queue.TellWarmth(left, fresh, now) })
+// hearWarmth takes a heartbeat's word on how much longer the back end is cold; fresh
+// says that it is the first of a life.
+func (g *slotGate) hearWarmth(left time.Duration, fresh bool) {
+	g.decide(func(queue *overload.SlotQueue, now time.Time) { queue.HearWarmth(left, fresh, now) })
+}
+
+// tellWarmth takes the back end's answer to the question how much longer it is cold.
+func (g *slotGate) tellWarmth(left time.Duration) {
+	g.decide(func(queue *overload.SlotQueue, now time.Time) { queue.TellWarmth(left, now) })
 }
 
 // coldness reports whether the back end is taken for cold, and whether it should be
@@ -107,14 +112,14 @@
 	}
 	text := response.Header.Get(names.WarmupLeft)
 	if text == "" && response.StatusCode == http.StatusOK {
-		g.slots.tellWarmth(0, false)
+		g.slots.tellWarmth(0)
 		return nil
 	}
 	left, ok := parseMilliseconds(text)
 	if !ok {
 		return fmt.Errorf("%s: %q is no time in milliseconds", names.WarmupLeft, text)
 	}
-	g.slots.tellWarmth(left, false)
+	g.slots.tellWarmth(left)
 	return nil
 }
 
--- a/internal/gateway/warmth_test.go
+++ b/internal/gateway/warmth_test.go
@@ -25,7 +25,7 @@
 	g := newSlotGate()
 	g.setCapacity(18)
 	g.configureWarmth(coldRate, coldLength)
-	g.tellWarmth(left, true)
+	g.hearWarmth(left, true)
 	return g
 }
 
@@ -148,7 +148,7 @@
 	g := newSlotGate()
 	g.configureWarmth(coldRate, coldLength)
 	r := newRegistry(func() {})
-	r.told = g.tellWarmth
+	r.told = g.hearWarmth
 	beat := func(id string, sequence uint64, left time.Duration) {
 		r.heartbeat(Registration{ID: id, State: fleetwire.InstanceReady, Sequence: sequence, WarmupLeft: left}, time.Second, time.Now())
 	}
--- a/internal/overload/cold.go
+++ b/internal/overload/cold.go
@@ -13,12 +13,18 @@
 // SuspectCold takes the back end for cold until it is told otherwise.
 func (q *SlotQueue) SuspectCold(now time.Time) { q.warmth.Suspect(now) }
 
-// TellWarmth takes the back end's word on how much longer it is cold; fresh says
-// that it is the first of a life.
-func (q *SlotQueue) TellWarmth(left time.Duration, fresh bool, now time.Time) {
+// HearWarmth takes a heartbeat's word on how much longer the back end is cold; fresh
+// says that it is the first of a life.
+func (q *SlotQueue) HearWarmth(left time.Duration, fresh bool, now time.Time) {
 	if fresh {
 		q.warmth.Forget()
 	}
+	q.warmth.Hear(left, now)
+	q.admit(now)
+}
+
+// TellWarmth takes the back end's answer to the question how much longer it is cold.
+func (q *SlotQueue) TellWarmth(left time.Duration, now time.Time) {
 	q.warmth.Tell(left, now)
 	q.admit(now)
 }
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -66,10 +66,20 @@
 // Suspected reports whether the back end should be asked.
 func (l *Limiter) Suspected() bool { return l.unknown && l.rate > 0 }
 
-// Tell takes a back end's word on how much longer it is cold. Words can arrive late
-// and out of order, so that none makes the time shorter.
+// Tell takes a back end's answer on how much longer it is cold, asked after the last
+// suspicion.
 func (l *Limiter) Tell(left time.Duration, now time.Time) {
 	l.unknown = false
+	l.Hear(left, now)
+}
+
+// Hear takes any other word of a back end on how much longer it is cold. Words can
+// arrive late, behind what they don't know of: none makes the time shorter, and one
+// that says warm ends no suspicion.
+func (l *Limiter) Hear(left time.Duration, now time.Time) {
+	if left > 0 {
+		l.unknown = false
+	}
 	if until := now.Add(min(left, longestCold)); left > 0 && until.After(l.until) {
 		l.until = until
 	}
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -79,6 +79,17 @@
 	assert.Equal(t, l.Bears(start), 0.0)
 }
 
+// A heartbeat may have been sent before the back end turned cold.
+func TestAHeartbeatThatSaysWarmEndsNoSuspicion(t *testing.T) {
+	l := &warmup.Limiter{}
+	l.Configure(rate, length)
+	l.Suspect(start)
+	l.Hear(0, start)
+	assert.Assert(t, l.Cold(start) && l.Suspected())
+	l.Hear(time.Second, start)
+	assert.Assert(t, l.Cold(start) && !l.Suspected(), "it has said for how long")
+}
+
 // One that answers no question is not taken for cold for ever.
 func TestASuspicionEnds(t *testing.T) {
 	l := &warmup.Limiter{}
