--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 # How many packages are tested at once.
 PACKAGES_AT_ONCE ?= 4
 TESTFLAGS ?=
+# When a package's tests are taken for hung. The model's searches are long on a busy machine.
+TEST_TIMEOUT ?= 30m
 
 build:
 	go build -o bin/ ./cmd/...
@@ -21,7 +23,7 @@
 	@.ci/install-tools
 
 test: tools
-	@go test -json -p $(PACKAGES_AT_ONCE) $(TESTFLAGS) ./... | go run ./tools/testreport -known-red KNOWN-RED.txt
+	@go test -timeout $(TEST_TIMEOUT) -json -p $(PACKAGES_AT_ONCE) $(TESTFLAGS) ./... | go run ./tools/testreport -known-red KNOWN-RED.txt
 
 demo: build
 	bin/quartzdock-lab demo
