--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -17,8 +17,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// searchLimit bounds one search, as a guard against bounds set too wide. A search takes a
-// minute alone, and several times that where other work has the cores.
+// searchLimit bounds one search, as a guard against bounds set too wide. Searches take
+// minutes where other work has the cores.
 const searchLimit = 25 * time.Minute
 
 // searchesAtOnce bounds the searches that run side by side; each takes a core
