Do not take a late heartbeat of an earlier life for the next life

Cause: a gateway that has restarted remembers no earlier lives of its back end. A heartbeat of one that a cut or a crash had held up made that life the present one; the leader then took the true one for ended, and gave its keys away while it held them.

Change: while the present life was heard within 1.5 intervals, a heartbeat of another one is believed only if it is one of the first two that a life sends. The leader passes over what is told of a life that it knows to be succeeded.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	g.pacer = newLinkPacer(g.config.LinkBytesPerSecond)
 	g.registry = newRegistry(g.instanceChanged)
 	g.registry.told = g.slots.hearWarmth
+	g.registry.interval = g.config.HeartbeatInterval
 	g.registry.current = fleetwire.Instance{Node: g.config.Name, Address: g.config.PeerListen, Zone: g.config.Zone}
 	g.keys = newKeyKeeper(g)
 	g.session = newSessionClient(g)
--- /dev/null
+++ b/internal/gateway/latebeat_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"gotest.tools/v3/assert"
+)
+
+const beatInterval = 870 * time.Millisecond
+
+// beat sends a heartbeat of a life to a registry.
+func beat(r *registry, id string, sequence uint64, now time.Time) {
+	r.heartbeat(Registration{ID: id, Service: "s", State: fleetwire.InstanceReady, Sequence: sequence}, time.Second, now)
+}
+
+// A heartbeat that was held up by a cut may arrive after its sender has crashed, the
+// next life has registered, and the gateway has restarted, so that it remembers neither.
+func TestALateHeartbeatOfAnEarlierLifeIsNotTheNextLife(t *testing.T) {
+	r := newRegistry(func() {})
+	r.interval = beatInterval
+	now := time.Now()
+	beat(r, "live", 5, now)
+	beat(r, "dead", 40, now.Add(100*time.Millisecond))
+	assert.Equal(t, r.snapshot().ID, "live")
+	beat(r, "live", 6, now.Add(beatInterval))
+	assert.Equal(t, r.snapshot().Sequence, uint64(6), "the present life is heard on")
+}
+
+// A new life whose first heartbeats were lost is known after a moment.
+func TestANewLifeIsKnownThoughItsFirstHeartbeatsWereLost(t *testing.T) {
+	r := newRegistry(func() {})
+	r.interval = beatInterval
+	now := time.Now()
+	beat(r, "last", 40, now)
+	beat(r, "next", 7, now.Add(2*beatInterval))
+	assert.Equal(t, r.snapshot().ID, "next")
+	beat(r, "after", 1, now.Add(2*beatInterval))
+	assert.Equal(t, r.snapshot().ID, "after", "its first heartbeat is believed at once")
+}
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -34,6 +34,10 @@
 	refuseFrom time.Time
 	// ended has the lives that are over.
 	ended map[string]bool
+	// interval is the longest time between two heartbeats of a life, and heardAt when the
+	// present one was heard last.
+	interval time.Duration
+	heardAt  time.Time
 	// unheard counts the intervals since the last word of the present instance.
 	unheard int
 	// changed is called after each change, without the mutex.
@@ -83,11 +87,15 @@
 		return false, false
 	}
 	fresh := told.ID != r.current.ID
-	if fresh {
+	switch {
+	case fresh && r.doubts(told, now):
+		return false, false
+	case fresh:
 		r.begin(told)
-	} else if told.Sequence <= r.current.Sequence {
+	case told.Sequence <= r.current.Sequence:
 		return false, false
 	}
+	r.heardAt = now
 	r.told(told.WarmupLeft, fresh)
 	r.unheard = 0
 	r.current.Sequence = told.Sequence
@@ -103,6 +111,26 @@
 	return true, before != told.State
 }
 
+const (
+	// firstBeats are the heartbeats by which a new life is known at once.
+	firstBeats = 2
+	// beatsMissed is after how many intervals without a word of the present life any
+	// heartbeat of another one is believed.
+	beatsMissed = 1.5
+)
+
+// doubts says that a heartbeat of a life that is not the present one may be a late one of
+// an earlier life, which a gateway that has restarted does not remember: the present one
+// was heard a moment ago, and it is none of the first that a life sends. Taken for the
+// next life, it would make the leader give the present one's keys away while that holds
+// them.
+func (r *registry) doubts(told Registration, now time.Time) bool {
+	if r.current.ID == "" || r.current.State == fleetwire.InstanceGone || told.Sequence <= firstBeats {
+		return false
+	}
+	return now.Sub(r.heardAt) < time.Duration(beatsMissed*float64(r.interval))
+}
+
 // begin starts a new life of the back end.
 func (r *registry) begin(told Registration) {
 	if r.current.ID != "" {
--- a/internal/keylease/instances.go
+++ b/internal/keylease/instances.go
@@ -55,6 +55,9 @@
 		p.instances[told.ID] = known
 		p.revision++
 	}
+	if ok && p.succeeded(known) {
+		return known
+	}
 	p.succeed(told)
 	known.heardAt = now
 	newer := *told
@@ -97,6 +100,13 @@
 	}
 }
 
+// succeeded says that a later life of a back end was told of than one that is told of
+// again: a late word, which changes nothing.
+func (p *Planner) succeeded(known *instance) bool {
+	present := p.nodes[known.Node]
+	return known.State == fleetwire.InstanceGone && present != "" && present != known.ID
+}
+
 // end says that an instance's process has ended.
 func (p *Planner) end(known *instance) {
 	known.State = fleetwire.InstanceGone
