Grant nothing to a restored life before the back end has proved itself

A zone loses power; the gateway starts before its back end has sent a heartbeat, and takes the life that the leader knew. The leader renews that one's fence, the gateway grants it, and the next life, which is at the address, takes the keys. Its heartbeat ends the earlier life at the leader, whose keys go on at once.

Change: where a service has a warm-up rate, so that the health path is asked, a restored life gets no grant before the back end has said that it is that one, by its answer or a heartbeat.

Test: TestARestoredLifeGetsNoKeysBeforeItHasProvedItself (would not compile before).

--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -287,7 +287,7 @@
 	// The lease is for one life of the back end. What is at its address now may
 	// be the next one, also where no leader has heard of it.
 	present := k.gateway.registry.snapshot()
-	gone := present.State == fleetwire.InstanceGone || present.ID != k.instance
+	gone := present.State == fleetwire.InstanceGone || present.ID != k.instance || k.gateway.unproved()
 	k.endOver(now, gone)
 	switch {
 	case byHeartbeat:
--- a/internal/gateway/latebeat_test.go
+++ b/internal/gateway/latebeat_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
 	"gotest.tools/v3/assert"
 )
 
@@ -28,6 +29,27 @@
 	assert.Equal(t, r.snapshot().Sequence, uint64(6), "the present life is heard on")
 }
 
+// A gateway that has restarted knows the life that the leader knew. What is at the back
+// end's address may be the next one, which must not get that one's keys.
+func TestARestoredLifeGetsNoKeysBeforeItHasProvedItself(t *testing.T) {
+	g := choosingGateway(t)
+	g.config.Service = "s"
+	g.registry = newRegistry(func() {})
+	document := &routeconfig.Document{Version: 1, Services: []routeconfig.Service{{Name: "s", WarmupRate: coldRate}}}
+	advance(t, g.views, &fleetwire.View{Document: document})
+	known := fleetwire.Instance{ID: "i-1", Service: "s", State: fleetwire.InstanceReady, Sequence: 9}
+	g.registry.restore(known, time.Second, time.Now())
+	assert.Assert(t, g.unproved())
+	g.registry.prove("i-2")
+	assert.Assert(t, g.unproved(), "another one has answered")
+	beat(g.registry, "i-1", 10, time.Now())
+	assert.Assert(t, !g.unproved())
+	g.registry = newRegistry(func() {})
+	g.registry.restore(known, time.Second, time.Now())
+	g.registry.prove("i-1")
+	assert.Assert(t, !g.unproved())
+}
+
 // A new life whose first heartbeats were lost is known after a moment.
 func TestANewLifeIsKnownThoughItsFirstHeartbeatsWereLost(t *testing.T) {
 	r := newRegistry(func() {})
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -38,6 +38,9 @@
 	// present one was heard last.
 	interval time.Duration
 	heardAt  time.Time
+	// unproved says that the present instance is only the one that the leader knew when
+	// this process started.
+	unproved bool
 	// unheard counts the intervals since the last word of the present instance.
 	unheard int
 	// changed is called after each change, without the mutex.
@@ -95,7 +98,7 @@
 	case told.Sequence <= r.current.Sequence:
 		return false, false
 	}
-	r.heardAt = now
+	r.heardAt, r.unproved = now, false
 	r.told(told.WarmupLeft, fresh)
 	r.unheard = 0
 	r.current.Sequence = told.Sequence
@@ -194,6 +197,7 @@
 	if fresh && known.State != fleetwire.InstanceGone {
 		r.current.ID, r.current.Service = known.ID, known.Service
 		r.current.Slots, r.current.State, r.current.Sequence = known.Slots, known.State, known.Sequence
+		r.unproved = true
 		if known.State == fleetwire.InstanceDraining {
 			r.left = true
 			r.refuseFrom = now
@@ -205,6 +209,22 @@
 	}
 }
 
+// prove takes the back end's own word that it is an instance.
+func (r *registry) prove(instance string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if instance == r.current.ID {
+		r.unproved = false
+	}
+}
+
+// proved reports whether the back end itself has said that it is the present instance.
+func (r *registry) proved() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !r.unproved
+}
+
 // leaving marks that the gateway itself is being stopped.
 func (r *registry) leaving() {
 	r.mutex.Lock()
--- a/internal/gateway/warmth.go
+++ b/internal/gateway/warmth.go
@@ -107,9 +107,14 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswer)); err != nil {
 		return err
 	}
-	if answered := response.Header.Get(names.InstanceID); answered != "" && answered != instance.ID {
+	answered := response.Header.Get(names.InstanceID)
+	if answered != "" && answered != instance.ID {
 		return errOtherInstance
 	}
+	if answered != "" && !g.registry.proved() {
+		g.registry.prove(answered)
+		g.keys.signal()
+	}
 	text := response.Header.Get(names.WarmupLeft)
 	if text == "" && response.StatusCode == http.StatusOK {
 		g.slots.tellWarmth(0)
@@ -123,6 +128,15 @@
 	return nil
 }
 
+// unproved says that the back end may be another life than the one that the leader knew
+// when this process started. It is granted nothing then: the keys would go to a life that
+// the leader does not know to hold them. Its answer or
+// its first heartbeat tells.
+func (g *Gateway) unproved() bool {
+	service := g.views.load().service(g.config.Service)
+	return service != nil && service.WarmupRate > 0 && !g.registry.proved()
+}
+
 // prepare follows a view that is about to come into force: what a cold back end bears,
 // and whether it may have turned cold. A gateway that has just started does not know,
 // and a back end that stood empty is cold.
