--- a/internal/gateway/warmth.go
+++ b/internal/gateway/warmth.go
@@ -130,8 +130,7 @@
 
 // unproved says that the back end may be another life than the one that the leader knew
 // when this process started. It is granted nothing then: the keys would go to a life that
-// the leader does not know to hold them. Its answer or
-// its first heartbeat tells.
+// the leader does not know to hold them. Its answer or its first heartbeat tells.
 func (g *Gateway) unproved() bool {
 	service := g.views.load().service(g.config.Service)
 	return service != nil && service.WarmupRate > 0 && !g.registry.proved()
