--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -19,11 +19,16 @@
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
-// freeAddress returns an address of loopback that nothing listens at. It is none
-// from which connections go out, one of which could get the port before it is used.
+// handedOut numbers the addresses that freeAddress has returned.
+var handedOut atomic.Int32
+
+// freeAddress returns an address of loopback that nothing listens at. Each has a host
+// of its own: tests that run side by side are never given the port that another one has
+// just closed and not used yet.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.77.0.1:0")
+	number := handedOut.Add(1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", 1+number/250, 1+number%250))
 	assert.NilError(t, err)
 	defer listener.Close()
 	return listener.Addr().String()
