Try others before a controller that fell silent; tell no missing route by an old configuration

The leading controller stands still (2.50 s); at 4.07 s all gateways end their sessions for silence. 66 of 70 then open the next session with the same controller: the kernel of a process that stands still accepts connections, and followers still name it as the leader. They wait another 1.6 s, to 5.7 s; a configuration acknowledged by the next leader at 3.7 s is in force there at 5.7 to 5.95 s, 2 s allowed.

Change: one that fell silent is tried last and redirects to it are not followed (controllerList); an opening session must hear a first word within 0.4 s and 3 ms for each gateway; a gateway that has not heard the leader for 1.6 s answers 503, not 404, where it knows no route.

Ruled out: a slow election (the new leader acknowledges at 3.7 s), a busy processor (0.0155 of a core), the time to spread a version (0.1 s).

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -52,6 +52,9 @@
 	reasonNoInstance reason = "no-instance"
 	// reasonNoConfiguration: the gateway knows no configuration yet.
 	reasonNoConfiguration reason = "no-configuration"
+	// reasonOutdated: the gateway knows no such route, and has not heard the leader for
+	// so long that there may be a newer configuration.
+	reasonOutdated reason = "configuration-may-be-old"
 	// reasonNoRoute: no route has the request's host and path.
 	reasonNoRoute reason = "no-route"
 )
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -54,6 +54,12 @@
 		return
 	}
 	route := v.table.Find(r.Host, r.URL.Path)
+	if route == nil && g.session.silence(began) > outdatedAfter {
+		// "There is no such route" would be said by what may be an old configuration.
+		g.metrics.request("", outcomeNotRun, reasonOutdated)
+		g.refuse(w, r, reasonOutdated, retryAfter(notRun(reasonOutdated)), nil)
+		return
+	}
 	if route == nil {
 		g.metrics.request("", outcomeNotRun, reasonNoRoute)
 		g.config.Log.Info("no route", g.requestFields(r)...)
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
-	"slices"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +19,11 @@
 	keyedInterval  = 200 * time.Millisecond
 	// sessionSilence is when a session that hears nothing is given up.
 	sessionSilence = 1600 * time.Millisecond
-	sessionDial    = 500 * time.Millisecond
+	// outdatedAfter is the silence of the leader after which a newer configuration may be
+	// in force elsewhere: a new leader may have acknowledged one at the begin of it, and
+	// it is to be in force everywhere within 2 s.
+	outdatedAfter = sessionSilence
+	sessionDial   = 500 * time.Millisecond
 	// sessionRetry is the pause after all known controllers were tried.
 	sessionRetry = 100 * time.Millisecond
 	// spreadPerGateway is for each gateway of the fleet the time over which all open
@@ -27,6 +32,10 @@
 	// bounds it well within a lease (keylease.DefaultLeaseDuration).
 	spreadPerGateway = 3 * time.Millisecond
 	longestSpread    = 1500 * time.Millisecond
+	// greetingBase is how long a controller may take to answer the opening of a session,
+	// beside spreadPerGateway for each gateway that may come at the same time. It is
+	// several round trips between zones; one that stands still says nothing at all.
+	greetingBase = 400 * time.Millisecond
 	// maxRedirects bounds how often one search follows a redirect.
 	maxRedirects = 4
 )
@@ -36,10 +45,9 @@
 	gateway *Gateway
 	boot    uint64
 	started time.Time
-	// known are session addresses, the most promising first. One goroutine uses
-	// them.
-	known []string
-	wake  chan struct{}
+	// controllers belong to the goroutine that keeps the session.
+	controllers controllerList
+	wake        chan struct{}
 	// served says that the last session brought a view.
 	served bool
 	// heardAt is when the leader was last heard, in nanoseconds since started.
@@ -48,11 +56,11 @@
 
 func newSessionClient(g *Gateway) *sessionClient {
 	return &sessionClient{
-		gateway: g,
-		boot:    rand.Uint64(),
-		started: time.Now(),
-		known:   g.config.Controllers,
-		wake:    make(chan struct{}, 1),
+		gateway:     g,
+		boot:        rand.Uint64(),
+		started:     time.Now(),
+		controllers: newControllerList(g.config.Controllers),
+		wake:        make(chan struct{}, 1),
 	}
 }
 
@@ -75,7 +83,7 @@
 // run keeps a session until the context ends.
 func (s *sessionClient) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, address := range s.known {
+		for _, address := range s.controllers.order() {
 			s.follow(ctx, address)
 			if ctx.Err() != nil {
 				return
@@ -98,8 +106,8 @@
 		if redirect == nil {
 			return
 		}
-		s.learn(redirect.Controllers)
-		if redirect.Leader == "" || redirect.Leader == address {
+		s.controllers.learn(redirect.Controllers)
+		if redirect.Leader == address || !s.controllers.follows(redirect.Leader) {
 			return
 		}
 		address = redirect.Leader
@@ -118,24 +126,13 @@
 	return pauseFor(ctx, time.Duration(rand.Float64()*float64(longest)))
 }
 
-// learn keeps the addresses of controllers, the given seeds last.
-func (s *sessionClient) learn(controllers []string) {
-	if len(controllers) == 0 {
-		return
-	}
-	known := append([]string{}, controllers...)
-	for _, seed := range s.gateway.config.Controllers {
-		if !slices.Contains(known, seed) {
-			known = append(known, seed)
-		}
-	}
-	s.known = known
-}
-
 // hold runs one session to its end and returns where the controller sent the
 // gateway, if it did.
 func (s *sessionClient) hold(ctx context.Context, address string) *fleetwire.Redirect {
 	redirect, err := s.converse(ctx, address)
+	if failure := (net.Error)(nil); errors.As(err, &failure) && failure.Timeout() {
+		s.controllers.fellSilent(address)
+	}
 	if s.served || err != nil && ctx.Err() == nil {
 		s.gateway.config.Log.Info("session ended", "controller", address, "served", s.served, "redirected", redirect != nil, "error", err)
 	}
@@ -146,7 +143,7 @@
 // why it ended.
 func (s *sessionClient) converse(ctx context.Context, address string) (*fleetwire.Redirect, error) {
 	dialing, dialed := context.WithTimeout(ctx, sessionDial)
-	conn, err := transport.Dial(dialing, address, transport.Options{WriteTimeout: time.Second, IdleTimeout: sessionSilence})
+	conn, err := transport.Dial(dialing, address, transport.Options{WriteTimeout: time.Second, IdleTimeout: s.greetingLimit()})
 	dialed()
 	if err != nil {
 		return nil, err
@@ -170,6 +167,8 @@
 		if err := conn.Receive(&message); err != nil {
 			return nil, err
 		}
+		s.controllers.heard(address)
+		conn.SetIdleTimeout(sessionSilence)
 		if message.Redirect != nil {
 			return message.Redirect, nil
 		}
@@ -188,6 +187,17 @@
 	}
 }
 
+// greetingLimit is how long this gateway waits for a controller's first word.
+func (s *sessionClient) greetingLimit() time.Duration {
+	return greetingLimit(len(s.gateway.views.load().byID))
+}
+
+// greetingLimit is how long one of a number of gateways waits for a controller's first
+// word.
+func greetingLimit(gateways int) time.Duration {
+	return min(sessionSilence, greetingBase+time.Duration(gateways)*spreadPerGateway)
+}
+
 // take puts a controller's message in force.
 func (s *sessionClient) take(message *fleetwire.FromController) error {
 	g := s.gateway
@@ -218,7 +228,7 @@
 		return err
 	}
 	s.served = true
-	s.learn(news.Controllers)
+	s.controllers.learn(news.Controllers)
 	if after := g.views.load().version(); after != before {
 		g.config.Log.Info("configuration in force", "version", uint64(after))
 	}
