Run requests that callers send ahead side by side (HTTP pipelining)

Change: httpserver.NewPipelined, used by gateway and router. A splitter finds each request with http.ReadRequest and hands it to the same http.Server as a connection of its own; answers leave in order. What may not be repeated runs alone.

--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -29,6 +29,7 @@
 		DefaultTimeout:     config.DefaultTimeout,
 		HeaderTimeout:      config.HeaderTimeout,
 		StallTimeout:       config.StallTimeout,
+		PipelinedRequests:  config.PipelinedRequests,
 		MaximumHeaderBytes: config.MaximumHeaderBytes,
 		MaximumBodyBytes:   int64(config.MaximumBodyBytes),
 		MaximumConnections: config.MaximumConnections,
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 )
 
@@ -69,6 +70,9 @@
 	// gateways, "IP:port".
 	CallerListen string
 	PeerListen   string
+	// Pipelining bounds what callers may send ahead. Which requests may run side by side
+	// is said by their routes, whatever it says.
+	Pipelining httpserver.Pipelining
 	// BackendAddress is the back end beside the gateway, "IP:port".
 	BackendAddress string
 	// Controllers are session addresses of some controllers.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -55,6 +55,9 @@
 	// reasonOutdated: the gateway knows no such route, and has not heard the leader for
 	// so long that there may be a newer configuration.
 	reasonOutdated reason = "configuration-may-be-old"
+	// reasonRouteChanged: the route has become one whose requests run once, and the
+	// request runs beside others of its connection.
+	reasonRouteChanged reason = "route-changed"
 	// reasonNoRoute: no route has the request's host and path.
 	reasonNoRoute reason = "no-route"
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,10 +75,10 @@
 	if g.egress, err = newEgress(g); err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	if g.callers, err = g.listen(g.config.CallerListen, g.callerHandler); err != nil {
+	if g.callers, err = g.listenCallers(); err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	if g.inbound, err = g.listen(g.config.PeerListen, g.peerHandler); err != nil {
+	if g.inbound, err = g.listenPeers(); err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
 	g.config.Registry.MustRegister(g.gauges()...)
@@ -116,13 +116,28 @@
 	}
 }
 
-func (g *Gateway) listen(address string, handler http.HandlerFunc) (*httpserver.Server, error) {
-	listener, err := net.Listen("tcp", address)
+// listenCallers serves callers, which may send requests ahead.
+func (g *Gateway) listenCallers() (*httpserver.Server, error) {
+	listener, err := net.Listen("tcp", g.config.CallerListen)
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdle}
-	return httpserver.New(server, listener.(*net.TCPListener), 0), nil
+	settings := g.config.Pipelining
+	settings.Repeatable, settings.Observer = g.mayRepeat, pipelineObserver{g}
+	return httpserver.NewPipelined(newHTTPServer(g.callerHandler), listener.(*net.TCPListener), 0, settings), nil
+}
+
+// listenPeers serves other gateways, which send one request at a time on a connection.
+func (g *Gateway) listenPeers() (*httpserver.Server, error) {
+	listener, err := net.Listen("tcp", g.config.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	return httpserver.New(newHTTPServer(g.peerHandler), listener.(*net.TCPListener), 0), nil
+}
+
+func newHTTPServer(handler http.HandlerFunc) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdle}
 }
 
 // Ready reports whether the gateway can serve callers.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 	"github.com/quartzdock/quartzdock/internal/steady"
 )
@@ -45,7 +46,7 @@
 func (g *Gateway) callerHandler(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	g.closeWhileStopping(w)
+	g.closeWhileStopping(w, r)
 	began := time.Now()
 	g.lastCaller.Store(steady.At(began))
 	v := g.views.load()
@@ -66,6 +67,13 @@
 		http.Error(w, string(reasonNoRoute), http.StatusNotFound)
 		return
 	}
+	if !route.Repetition.MayRepeat() && httpserver.MayRunBeside(r) {
+		// The route has changed since the request was read. It may run again once the
+		// caller sends it again.
+		g.metrics.request("", outcomeNotRun, reasonRouteChanged)
+		g.refuse(w, r, reasonRouteChanged, retryAfter(notRun(reasonRouteChanged)), nil)
+		return
+	}
 	c, status := g.newCall(w, r, v, route, began)
 	if c == nil {
 		http.Error(w, "request body not read", status)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -44,6 +44,8 @@
 	run      prometheus.Histogram
 	grants   *prometheus.CounterVec
 	releases *prometheus.CounterVec
+	// pipelines counts what callers send ahead.
+	pipelines pipelineMetrics
 }
 
 func counters(name, help string, labels ...string) *prometheus.CounterVec {
@@ -66,6 +68,7 @@
 		grants:   counters("grants_total", "Grants and renewals of keys sent to the back end.", "result"),
 		releases: counters("releases_total", "Ranges of keys taken back from the back end.", "result"),
 	}
+	m.pipelines = newPipelineMetrics(registry)
 	registry.MustRegister(m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases)
 	return m
 }
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/quartzdock/quartzdock/internal/httpserver"
 )
 
 // peerHandler takes requests of other gateways for the back end beside this
@@ -13,7 +15,7 @@
 func (g *Gateway) peerHandler(w http.ResponseWriter, r *http.Request) {
 	g.peerActive.Add(1)
 	defer g.peerActive.Add(-1)
-	g.closeWhileStopping(w)
+	g.closeWhileStopping(w, r)
 	request, ok := g.decodeForward(r)
 	if !ok {
 		http.Error(w, "not from a gateway", http.StatusBadRequest)
@@ -55,6 +57,9 @@
 		header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	}
 	w.WriteHeader(status)
+	if len(body) >= bulkFrom {
+		httpserver.AwaitTurn(ctx) // not while others wait for the link behind it
+	}
 	return g.pacer.write(ctx, w, body)
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -108,9 +108,9 @@
 // closeWhileStopping makes callers and other gateways leave a connection with its
 // answer during a planned stop, so that no request is on its way when the
 // connection is closed.
-func (g *Gateway) closeWhileStopping(w http.ResponseWriter) {
+func (g *Gateway) closeWhileStopping(w http.ResponseWriter, r *http.Request) {
 	if g.admission.Stopping() {
-		w.Header().Set("Connection", "close")
+		httpserver.EndConnection(w, r)
 	}
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,4 +1,5 @@
-// Package httpserver stops an http.Server without losing a request.
+// Package httpserver stops an http.Server without losing a request, and lets callers send
+// requests before earlier ones are answered (Pipelining).
 //
 // http.Server.Shutdown alone loses some: it closes the listener while
 // connections wait in the kernel's backlog, which resets them, and it closes a
@@ -48,6 +49,8 @@
 	accepting chan struct{}
 	// states holds the http.ConnState of each open connection by net.Conn.
 	states sync.Map
+	// pipelines are the connections of a server that takes pipelined requests, else nil.
+	pipelines *pipelines
 }
 
 // Listener is what New needs of a listener; *net.TCPListener is one.
@@ -70,14 +73,37 @@
 	return s
 }
 
+// NewPipelined prepares a server whose callers may send requests ahead: those that may be
+// repeated run side by side, and all are answered in order. It takes over server.ConnContext
+// as well. Over TLS it is as New: callers have HTTP/2 there.
+func NewPipelined(server *http.Server, listener Listener, maximumConnections int, settings Pipelining) *Server {
+	s := New(server, listener, maximumConnections)
+	if server.TLSConfig != nil {
+		return s
+	}
+	s.pipelines = newPipelines(server, settings, listener.Addr())
+	server.ConnState = func(connection net.Conn, state http.ConnState) {
+		if e, ok := connection.(*exchange); ok {
+			e.noteState(state)
+		}
+	}
+	server.ConnContext = func(ctx context.Context, connection net.Conn) context.Context {
+		return context.WithValue(ctx, exchangeKey{}, connection)
+	}
+	return s
+}
+
 // Serve accepts connections, over TLS where the server has a TLSConfig. It
 // returns nil after Stop.
 func (s *Server) Serve() error {
 	defer close(s.accepting)
 	var err error
-	if s.http.TLSConfig != nil {
+	switch {
+	case s.pipelines != nil:
+		err = s.pipelines.serve(s.listener)
+	case s.http.TLSConfig != nil:
 		err = s.http.ServeTLS(s.listener, "", "")
-	} else {
+	default:
 		err = s.http.Serve(s.listener)
 	}
 	if errors.Is(err, http.ErrServerClosed) || s.listener.stopping() {
@@ -93,7 +119,7 @@
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.listener.stopping() {
-			w.Header().Set("Connection", "close")
+			EndConnection(w, r)
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -110,6 +136,10 @@
 	if !waitWhile(ctx, func() bool { return s.anyOpen() && time.Now().Before(grace) }) || !waitWhile(ctx, s.retireIdle) {
 		return s.cutOff()
 	}
+	if s.pipelines != nil {
+		s.pipelines.close()
+		return s.http.Close()
+	}
 	// No connection is idle any more, which this would close with its request.
 	s.http.SetKeepAlivesEnabled(false)
 	if !waitWhile(ctx, func() bool { return s.Open(http.StateActive) > 0 }) {
@@ -147,6 +177,9 @@
 // carry none, nothing was cut off.
 func (s *Server) cutOff() error {
 	left := s.Open(http.StateActive)
+	if s.pipelines != nil {
+		s.pipelines.close()
+	}
 	err := s.http.Close()
 	if left > 0 {
 		return &CutOffError{left}
@@ -163,6 +196,9 @@
 // retireIdle ends connections without a request and returns whether there are
 // any left. One whose header is still not whole is not waited for.
 func (s *Server) retireIdle() (left bool) {
+	if s.pipelines != nil {
+		return s.pipelines.retireIdle()
+	}
 	s.states.Range(func(connection, held any) bool {
 		if http.ConnState(held.(*atomic.Int32).Load()) != http.StateIdle {
 			return true
@@ -176,8 +212,12 @@
 	return left
 }
 
-// Open counts connections in a state.
+// Open counts connections in a state; those that are active count once for each request
+// in progress.
 func (s *Server) Open(state http.ConnState) int {
+	if s.pipelines != nil {
+		return s.pipelines.count(state)
+	}
 	count := 0
 	s.states.Range(func(_, held any) bool {
 		if http.ConnState(held.(*atomic.Int32).Load()) == state {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -17,13 +17,28 @@
 	"github.com/quartzdock/quartzdock/internal/httpserver"
 )
 
+// constructor makes a server as httpserver.New does.
+type constructor func(server *http.Server, listener httpserver.Listener, maximumConnections int) *httpserver.Server
+
+// forEachServer runs a test with connections that carry one request after the other, and
+// with those on which callers may send ahead.
+func forEachServer(t *testing.T, test func(*testing.T, constructor)) {
+	t.Run("sequential", func(t *testing.T) { test(t, httpserver.New) })
+	t.Run("pipelined", func(t *testing.T) {
+		test(t, func(server *http.Server, listener httpserver.Listener, maximumConnections int) *httpserver.Server {
+			always := func(*http.Request) bool { return true }
+			return httpserver.NewPipelined(server, listener, maximumConnections, httpserver.Pipelining{Repeatable: always})
+		})
+	})
+}
+
 // start serves a handler and returns the server, its address and what Serve
 // returns.
-func start(t *testing.T, handler http.HandlerFunc, maximumConnections int) (*httpserver.Server, string, chan error) {
+func start(t *testing.T, newServer constructor, handler http.HandlerFunc, maximumConnections int) (*httpserver.Server, string, chan error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := httpserver.New(&http.Server{Handler: handler}, listener.(*net.TCPListener), maximumConnections)
+	server := newServer(&http.Server{Handler: handler}, listener.(*net.TCPListener), maximumConnections)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	return server, listener.Addr().String(), served
@@ -31,10 +46,12 @@
 
 // One connection may be open and carries a slow request, so that ten others wait
 // in the backlog with theirs: closing a listener resets such connections.
-func TestStopServesTheBacklog(t *testing.T) {
+func TestStopServesTheBacklog(t *testing.T) { forEachServer(t, testStopServesTheBacklog) }
+
+func testStopServesTheBacklog(t *testing.T, newServer constructor) {
 	entered, thaw := make(chan struct{}, 1), make(chan struct{})
 	var handled atomic.Int64
-	server, address, served := start(t, func(_ http.ResponseWriter, r *http.Request) {
+	server, address, served := start(t, newServer, func(_ http.ResponseWriter, r *http.Request) {
 		handled.Add(1)
 		if r.URL.Path == "/slow" {
 			entered <- struct{}{}
@@ -83,7 +100,11 @@
 // The request's first bytes arrived before the stop and its last ones after:
 // net/http alone closes the connection without an answer.
 func TestRequestThatIsBeingReadIsAnswered(t *testing.T) {
-	server, address, served := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }, 0)
+	forEachServer(t, testRequestThatIsBeingReadIsAnswered)
+}
+
+func testRequestThatIsBeingReadIsAnswered(t *testing.T, newServer constructor) {
+	server, address, served := start(t, newServer, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }, 0)
 	connection, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	defer connection.Close()
@@ -101,9 +122,11 @@
 	assert.NilError(t, <-stopped)
 }
 
-func TestStopReportsWhatItCutsOff(t *testing.T) {
+func TestStopReportsWhatItCutsOff(t *testing.T) { forEachServer(t, testStopReportsWhatItCutsOff) }
+
+func testStopReportsWhatItCutsOff(t *testing.T, newServer constructor) {
 	entered := make(chan struct{})
-	server, address, _ := start(t, func(_ http.ResponseWriter, r *http.Request) {
+	server, address, _ := start(t, newServer, func(_ http.ResponseWriter, r *http.Request) {
 		close(entered)
 		<-r.Context().Done()
 	}, 0)
@@ -120,8 +143,10 @@
 }
 
 // All connections that may be open are open and idle; a stop is not held up.
-func TestStopAtTheLimitOfConnections(t *testing.T) {
-	server, address, served := start(t, func(http.ResponseWriter, *http.Request) {}, 1)
+func TestStopAtTheLimitOfConnections(t *testing.T) { forEachServer(t, testStopAtTheLimitOfConnections) }
+
+func testStopAtTheLimitOfConnections(t *testing.T, newServer constructor) {
+	server, address, served := start(t, newServer, func(http.ResponseWriter, *http.Request) {}, 1)
 	client := &http.Client{Transport: &http.Transport{}}
 	response, err := client.Get("http://" + address)
 	assert.NilError(t, err)
@@ -137,13 +162,15 @@
 // The first server has a request in progress until its time is over. One after
 // the other, the second would go on accepting connections until then, and would
 // have no time left for its own requests.
-func TestStopAllStopsEachAtOnce(t *testing.T) {
+func TestStopAllStopsEachAtOnce(t *testing.T) { forEachServer(t, testStopAllStopsEachAtOnce) }
+
+func testStopAllStopsEachAtOnce(t *testing.T, newServer constructor) {
 	entered, thaw := make(chan struct{}), make(chan struct{})
-	busy, address, _ := start(t, func(http.ResponseWriter, *http.Request) {
+	busy, address, _ := start(t, newServer, func(http.ResponseWriter, *http.Request) {
 		close(entered)
 		<-thaw
 	}, 0)
-	other, _, otherServed := start(t, func(http.ResponseWriter, *http.Request) {}, 0)
+	other, _, otherServed := start(t, newServer, func(http.ResponseWriter, *http.Request) {}, 0)
 	slow := make(chan error, 1)
 	go func() { slow <- get("http://" + address) }()
 	<-entered
@@ -158,7 +185,11 @@
 // A connection that never sent a byte carries no request. Where the time of a
 // stop ends while one is open, nothing was cut off, and the stop did not fail.
 func TestAStopThatCutsNothingOffIsNoFailure(t *testing.T) {
-	server, address, _ := start(t, func(http.ResponseWriter, *http.Request) {}, 0)
+	forEachServer(t, testAStopThatCutsNothingOffIsNoFailure)
+}
+
+func testAStopThatCutsNothingOffIsNoFailure(t *testing.T, newServer constructor) {
+	server, address, _ := start(t, newServer, func(http.ResponseWriter, *http.Request) {}, 0)
 	connection, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	defer connection.Close()
@@ -198,10 +229,14 @@
 // read before the stop. net/http counts the connection as idle until the whole
 // header was read, and closes it without an answer.
 func TestRequestThatIsBeingReadOnAKeptConnectionIsAnswered(t *testing.T) {
+	forEachServer(t, testRequestThatIsBeingReadOnAKeptConnectionIsAnswered)
+}
+
+func testRequestThatIsBeingReadOnAKeptConnectionIsAnswered(t *testing.T, newServer constructor) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	counting := countingListener{listener.(*net.TCPListener), make(chan struct{}, 100)}
-	server := httpserver.New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}, counting, 0)
+	server := newServer(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}, counting, 0)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	connection, err := net.Dial("tcp", listener.Addr().String())
@@ -233,9 +268,13 @@
 // The next request on a kept-open connection has arrived in the kernel when the
 // stop begins, and was not read yet: closing the connection as idle loses it.
 func TestRequestThatHasArrivedOnAKeptConnectionIsAnswered(t *testing.T) {
+	forEachServer(t, testRequestThatHasArrivedOnAKeptConnectionIsAnswered)
+}
+
+func testRequestThatHasArrivedOnAKeptConnectionIsAnswered(t *testing.T, newServer constructor) {
 	const rounds, connections = 10, 16
 	for range rounds {
-		server, address, served := start(t, func(http.ResponseWriter, *http.Request) {}, 0)
+		server, address, served := start(t, newServer, func(http.ResponseWriter, *http.Request) {}, 0)
 		var readers [connections]*bufio.Reader
 		var kept [connections]net.Conn
 		for i := range kept {
@@ -266,7 +305,11 @@
 // A caller that goes on sending on a connection that it keeps is told to leave
 // it, and has an answer to each request.
 func TestStopTellsCallersToLeaveKeptConnections(t *testing.T) {
-	server, address, served := start(t, func(http.ResponseWriter, *http.Request) {}, 0)
+	forEachServer(t, testStopTellsCallersToLeaveKeptConnections)
+}
+
+func testStopTellsCallersToLeaveKeptConnections(t *testing.T, newServer constructor) {
+	server, address, served := start(t, newServer, func(http.ResponseWriter, *http.Request) {}, 0)
 	connection, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	defer connection.Close()
@@ -294,6 +337,10 @@
 // arrived on a kept-open connection is answered, and the idle connection then
 // does not hold the stop up.
 func TestStopOverTLSAnswersOnKeptConnections(t *testing.T) {
+	forEachServer(t, testStopOverTLSAnswersOnKeptConnections)
+}
+
+func testStopOverTLSAnswersOnKeptConnections(t *testing.T, newServer constructor) {
 	for _, second := range []bool{false, true} {
 		certified := httptest.NewUnstartedServer(nil)
 		certified.EnableHTTP2 = second
@@ -302,7 +349,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
 		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-		server := httpserver.New(&http.Server{Handler: handler, TLSConfig: certified.TLS.Clone()}, listener.(*net.TCPListener), 0)
+		server := newServer(&http.Server{Handler: handler, TLSConfig: certified.TLS.Clone()}, listener.(*net.TCPListener), 0)
 		served := make(chan error, 1)
 		go func() { served <- server.Serve() }()
 		url := "https://" + listener.Addr().String()
--- a/internal/router/classify.go
+++ b/internal/router/classify.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/requestid"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -61,6 +62,9 @@
 	if found := classified.applyMark(); found != nil {
 		return nil, found
 	}
+	if classified.nonRepeatable && httpserver.MayRunBeside(incoming) {
+		return nil, notRun(wire.ReasonStale, "the service's rule changed while the request was read")
+	}
 	classified.resendable = !classified.nonRepeatable && (rule != nil || idempotent(incoming.Method))
 	if found := r.applyDeadline(classified, rule); found != nil {
 		return nil, found
@@ -68,6 +72,23 @@
 	return classified, nil
 }
 
+// mayRunBeside says whether a request may be in progress beside others of its
+// connection: nothing marks it as one that runs at most once. Its method is safe.
+func (r *Router) mayRunBeside(incoming *http.Request) bool {
+	v := r.view.Load()
+	if v == nil {
+		return true // nothing is routed yet
+	}
+	name, rest := splitServicePath(incoming.URL.Path)
+	if service, known := v.services[name]; known {
+		if rule := matchRule(service.service.Rules, incoming.Method, rest); rule != nil && rule.NonRepeatable {
+			return false
+		}
+	}
+	mark := incoming.Header.Get(wire.HeaderNonRepeatable)
+	return mark == "" || mark == "false"
+}
+
 // splitServicePath divides "/service/rest" into the service's name and
 // "/rest".
 func splitServicePath(path string) (name, rest string) {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -57,6 +57,9 @@
 	// StallTimeout cuts off a caller that neither sends nor takes a byte for
 	// so long. Default 30 s.
 	StallTimeout time.Duration
+	// PipelinedRequests is how many requests of one connection may be in
+	// progress. Default httpserver.DefaultPipelinedRequests.
+	PipelinedRequests int
 	// BufferedBodyTimeout is the longest time for the first
 	// BufferedBodyBytes of a request body, or all of a shorter one. Default 5 s.
 	BufferedBodyTimeout time.Duration
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -42,7 +42,9 @@
 	if err != nil {
 		return fmt.Errorf("router: %w", err)
 	}
-	server := httpserver.New(r.server(), listener, r.config.MaximumConnections)
+	server := httpserver.NewPipelined(r.server(), listener, r.config.MaximumConnections, httpserver.Pipelining{
+		Requests: r.config.PipelinedRequests, WriteStall: r.config.StallTimeout, Repeatable: r.mayRunBeside,
+	})
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve() }()
 	r.config.Log.Info("router serves callers", "address", listener.Addr().String())
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -20,6 +20,7 @@
 	MaximumInFlight       int
 	HeaderTimeout         time.Duration
 	StallTimeout          time.Duration
+	PipelinedRequests     int
 	DrainDelay            time.Duration
 	HoldTimeout           time.Duration
 	HoldRequests          int
@@ -67,6 +68,10 @@
 		Name: "callers.stall-timeout", Default: "30s",
 		Usage: "A caller that neither sends nor takes a byte for so long is cut off.",
 	}, 100*time.Millisecond, time.Hour)
+	set.count(&router.PipelinedRequests, Field{
+		Name: "callers.pipelined-requests", Default: "32", Unit: "requests",
+		Usage: "Most requests of one connection in progress, where a caller sends more before the first is answered. Only those that may be repeated run side by side; over TLS callers use HTTP/2 instead. 1 runs them one after the other.",
+	}, 1, 1024)
 	set.count(&router.MaximumInFlight, Field{
 		Name: "callers.maximum-in-flight", Default: "4096", Unit: "requests",
 		Usage: "Most requests in progress, of all services. Further ones are answered 503 shed at once. One service may take half of them; beyond that its requests are answered 429 over-limit. Keep it below callers.maximum-connections, or callers wait in the backlog without an answer.",
