Leave chunked bodies with an unusual end to http.Server, with all that follows

Found by FuzzPipelining: whether http.Server takes a bare line feed for the end of the trailers depends on the bytes behind it, which an exchange of its own does not show.

--- a/internal/httpserver/exchange.go
+++ b/internal/httpserver/exchange.go
@@ -154,13 +154,19 @@
 
 // noteState follows http.Server's view of the exchange.
 func (e *exchange) noteState(state http.ConnState) {
-	if state == http.StateIdle && e.framing == framed {
-		e.pipeline.finish(e, false)
+	if e.restsUnframed(state) || state != http.StateIdle {
 		return
 	}
+	e.pipeline.finish(e, false)
+}
+
+// restsUnframed notes whether an unframed exchange waits for a request, and reports whether
+// the exchange is one.
+func (e *exchange) restsUnframed(state http.ConnState) bool {
 	e.pipeline.mutex.Lock()
 	defer e.pipeline.mutex.Unlock()
-	e.idle = state == http.StateIdle
+	e.idle = state == http.StateIdle && e.framing == unframed
+	return e.framing == unframed
 }
 
 // Close implements net.Conn. http.Server closes a connection behind an answer that ends it,
--- a/internal/httpserver/pipelinereader.go
+++ b/internal/httpserver/pipelinereader.go
@@ -13,6 +13,9 @@
 // bodyPiece is how much of a request's body is passed on at once.
 const bodyPiece = 16 << 10
 
+// chunkedEnd ends a chunked body, with or without trailers.
+const chunkedEnd = "\r\n\r\n"
+
 // errLongHeader says that a header is longer than what is read ahead.
 var errLongHeader = errors.New("header longer than the read-ahead")
 
@@ -182,26 +185,46 @@
 func (r *requestReader) passBody(e *exchange) bool {
 	r.bound(r.server.http.ReadTimeout)
 	piece := make([]byte, bodyPiece)
+	var end []byte
 	for {
 		_, err := e.request.Body.Read(piece)
-		if !r.deliver(e, r.source.take(r.buffered.Buffered())) {
-			return false
-		}
+		taken := r.source.take(r.buffered.Buffered())
+		end = append(end, taken...)
+		end = end[max(0, len(end)-len(chunkedEnd)):]
 		switch {
-		case err == nil:
-		case err == io.EOF:
-			r.bound(0)
-			return true
-		case endedBefore(err):
+		case endedBefore(err) && err != io.EOF:
 			r.failure = err
 			return false
-		default: // malformed, or cut short
-			r.passRest(e)
+		case err != nil && err != io.EOF, err == io.EOF && !wholeBody(e.request, end):
+			r.unframe(e)
+			if r.deliver(e, taken) {
+				r.passRest(e)
+			}
 			return false
+		case !r.deliver(e, taken):
+			return false
+		case err == io.EOF:
+			r.bound(0)
+			return true
 		}
 	}
 }
 
+// wholeBody says, of a body that was read to its end, whether its last bytes are those of a
+// body that any reader takes for whole. Whether http.Server accepts another end of a
+// chunked one depends on what follows.
+func wholeBody(request *http.Request, end []byte) bool {
+	return len(request.TransferEncoding) == 0 || string(end) == chunkedEnd
+}
+
+// unframe makes all that follows on the connection part of an exchange.
+func (p *pipeline) unframe(e *exchange) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	e.framing = unframed
+	p.sealed = true
+}
+
 // passAll hands the connection, with all that follows, to http.Server: it answers what is
 // malformed, and ends the connection then.
 func (r *requestReader) passAll(request *http.Request) {
