--- a/internal/httpserver/pipelinereader.go
+++ b/internal/httpserver/pipelinereader.go
@@ -181,9 +181,9 @@
 }
 
 // passBody passes the body of a request on as it comes, and returns whether another
-// request may follow.
+// request may follow. How long it may take is for http.Server and the handler to say.
 func (r *requestReader) passBody(e *exchange) bool {
-	r.bound(r.server.http.ReadTimeout)
+	r.bound(0)
 	piece := make([]byte, bodyPiece)
 	var end []byte
 	for {
@@ -204,7 +204,6 @@
 		case !r.deliver(e, taken):
 			return false
 		case err == io.EOF:
-			r.bound(0)
 			return true
 		}
 	}
