--- a/internal/httpserver/pipelinereader.go
+++ b/internal/httpserver/pipelinereader.go
@@ -25,10 +25,15 @@
 	raw    []byte
 	// limit bounds raw; zero is no bound.
 	limit int
+	// beforeRead is called before more is read; nil is not.
+	beforeRead func()
 }
 
 // Read implements io.Reader.
 func (r *recorder) Read(buffer []byte) (int, error) {
+	if r.beforeRead != nil {
+		r.beforeRead()
+	}
 	if r.limit > 0 && len(r.raw) >= r.limit {
 		return 0, errLongHeader
 	}
@@ -180,33 +185,43 @@
 	}
 }
 
+// bodyPasser passes the body of one request on.
+type bodyPasser struct {
+	*requestReader
+	exchange *exchange
+	// end is the last that was passed on.
+	end []byte
+}
+
+// take returns what was read and not passed on.
+func (b *bodyPasser) take() []byte {
+	taken := b.source.take(b.buffered.Buffered())
+	b.end = append(b.end, taken...)
+	b.end = b.end[max(0, len(b.end)-len(chunkedEnd)):]
+	return taken
+}
+
 // passBody passes the body of a request on as it comes, and returns whether another
 // request may follow. How long it may take is for http.Server and the handler to say.
 func (r *requestReader) passBody(e *exchange) bool {
 	r.bound(0)
-	piece := make([]byte, bodyPiece)
-	var end []byte
-	for {
-		_, err := e.request.Body.Read(piece)
-		taken := r.source.take(r.buffered.Buffered())
-		end = append(end, taken...)
-		end = end[max(0, len(end)-len(chunkedEnd)):]
-		switch {
-		case endedBefore(err) && err != io.EOF:
-			r.failure = err
-			return false
-		case err != nil && err != io.EOF, err == io.EOF && !wholeBody(e.request, end):
-			r.unframe(e)
-			if r.deliver(e, taken) {
-				r.passRest(e)
-			}
-			return false
-		case !r.deliver(e, taken):
-			return false
-		case err == io.EOF:
-			return true
+	b := &bodyPasser{requestReader: r, exchange: e}
+	r.source.beforeRead = func() { r.deliver(e, b.take()) }
+	_, err := io.Copy(io.Discard, e.request.Body)
+	r.source.beforeRead = nil
+	rest := b.take()
+	switch {
+	case endedBefore(err):
+		r.failure = err
+		return false
+	case err != nil || !wholeBody(e.request, b.end):
+		r.unframe(e)
+		if r.deliver(e, rest) {
+			r.passRest(e)
 		}
+		return false
 	}
+	return r.deliver(e, rest)
 }
 
 // wholeBody says, of a body that was read to its end, whether its last bytes are those of a
