Place keys by what back ends can do; move a key that fills a slow one to the fastest

The planner knew neither how fast a back end is nor loads finer than 16 keys, and an owner gave to one other at a time.

Change: gateways report runs and their time; the planner's pace of a back end weighs every load that moves (keylease/pace.go). A full back end's hottest bucket goes to the fastest one with room, where that takes 0.7 of the time or less. Buckets of 4 keys; several targets at once; load goes along with keys that change owner.

Ruled out: a service short of slots (16 of 28 back ends used below half), late reports (refused requests were counted already).

--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -102,6 +102,10 @@
 	Released []Released
 	// Load by key since the last report.
 	Load []KeyLoad
+	// Runs is how many requests with keys were answered well since the last report, and
+	// RunMicros how long they used their slots.
+	Runs      uint64
+	RunMicros uint64
 	// Running and Waiting requests at the back end.
 	Running, Waiting int
 	// Version of the configuration in force.
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -114,7 +114,7 @@
 	began := time.Now()
 	result := e.useSlot(ctx, request)
 	used := time.Since(began)
-	e.release(request, taken, used)
+	e.release(request, result, taken, used)
 	return result, used
 }
 
@@ -208,10 +208,14 @@
 	return nil
 }
 
-func (e *egress) release(request *forwardRequest, taken overload.Slot, used time.Duration) {
+func (e *egress) release(request *forwardRequest, result *forwardResult, taken overload.Slot, used time.Duration) {
 	e.gateway.slots.release(taken, used)
-	if request.HasKey {
-		e.gateway.keyLoad.add(request.Key, used)
+	if !request.HasKey {
+		return
+	}
+	e.gateway.keyLoad.add(request.Key, used)
+	if result.Outcome == outcomeAnswered && result.Status < http.StatusInternalServerError {
+		e.gateway.keyLoad.ran(used)
 	}
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -269,7 +269,7 @@
 		report.Instance = &instance
 		report.Silent = g.registry.silent()
 		report.Released = g.keys.promises()
-		report.Load = g.keyLoad.take()
+		g.keyLoad.take(report)
 		report.Running, report.Waiting = g.slots.counts()
 	}
 	return report
--- a/internal/keylease/instances.go
+++ b/internal/keylease/instances.go
@@ -16,6 +16,8 @@
 	// leasedUntil is when the last lease given to it ends.
 	leasedUntil time.Duration
 	load        loadTable
+	// runs tells how long its runs take.
+	runs runTimes
 	// boot is the gateway's process that was heard last.
 	boot uint64
 	// silent says that its gateway has not heard of it for some time.
--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -9,8 +9,9 @@
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 )
 
-// KeysPerBucket is how many neighbouring keys share one measurement of load.
-const KeysPerBucket = 16
+// KeysPerBucket is how many neighbouring keys share one measurement of load: few, since a
+// single key may ask for more than a back end has.
+const KeysPerBucket = 4
 
 // BucketOf returns the bucket of a key.
 func BucketOf(key keyspace.Key) uint32 { return uint32(key) / KeysPerBucket }
@@ -81,17 +82,18 @@
 
 // rebalance begins to move keys from the most to the least loaded back ends
 // where they differ by much, or where the least loaded one has none. Each back
-// end takes part in one move at a time.
+// end gives or gets once at a time, but one that has far too much gives to several.
 func (p *Planner) rebalance(service string, now time.Duration) {
 	if now < p.rebalanceAt || !p.Complete(now) {
 		return
 	}
 	used := p.usageOf(service, now)
-	ordered := used.byLoad(p.warm(used.targets, now))
-	ordered = slices.DeleteFunc(ordered, func(candidate *instance) bool { return p.moving(candidate.ID) })
+	ready := slices.DeleteFunc(p.warm(used.targets, now), func(candidate *instance) bool { return p.moving(candidate.ID) })
+	ready = p.promote(used, ready, now)
+	ordered := used.byLoad(ready)
 	for len(ordered) >= 2 {
 		least, most := ordered[0], ordered[len(ordered)-1]
-		ordered = ordered[1 : len(ordered)-1]
+		ordered = ordered[1:]
 		if len(used.ownedBy(least.ID)) >= mostOwned {
 			continue
 		}
@@ -99,12 +101,40 @@
 		if (high < busy || high-low < imbalance) && !used.joins(least, now) {
 			return
 		}
-		// What callers ask of a full back end may be many times its slots.
-		wanted := min((high-low)/2, mostMoved) * float64(most.Slots)
-		for _, chosen := range p.choose(used.ownedBy(most.ID), most, wanted) {
-			p.begin(service, chosen.from, chosen.keys, least.ID, now)
+		if !p.level(used, most, least, now) {
+			ordered = ordered[:len(ordered)-1]
+			continue
+		}
+		ordered = used.byLoad(ordered)
+	}
+}
+
+// level begins to move as much from one back end to another as makes their utilizations
+// equal, and reports whether there was something to move.
+func (p *Planner) level(used *usage, most, least *instance, now time.Duration) bool {
+	difference := used.utilization(most) - used.utilization(least)
+	ratio := used.pace(least) / used.pace(most)
+	wanted := difference / (1/float64(max(most.Slots, 1)) + ratio/float64(max(least.Slots, 1)))
+	// What callers ask of a full back end may be many times its slots.
+	wanted = min(wanted, mostMoved*float64(most.Slots))
+	chosen := p.choose(p.resting(used, most), most, wanted)
+	for _, part := range chosen {
+		p.begin(used.service, part.from, part.keys, least.ID, now)
+	}
+	return len(chosen) > 0
+}
+
+// resting returns the parts of an owner's assignments that are in no move.
+func (p *Planner) resting(used *usage, owner *instance) []keyspace.Assignment {
+	var resting []keyspace.Assignment
+	for _, owned := range used.ownedBy(owner.ID) {
+		for _, keys := range p.notMoving(used.service, owned.Range) {
+			part := owned
+			part.Range = keys
+			resting = append(resting, part)
 		}
 	}
+	return resting
 }
 
 // moving says that an instance gives or gets keys.
--- a/internal/keylease/moves.go
+++ b/internal/keylease/moves.go
@@ -100,7 +100,7 @@
 		if to == nil {
 			continue
 		}
-		moving.proposed = true
+		moving.proposed, moving.to = true, to.ID
 		changes = append(changes, fleetstate.OwnershipChange{
 			Service: moving.service, Keys: moving.held.Keys, From: moving.from, To: to.ID, Node: to.Node, Boot: to.boot, Handover: moving.handover,
 		})
--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -123,6 +123,7 @@
 	told.boot = report.Boot
 	told.silent = report.Silent
 	told.load.add(report.Load, now)
+	told.runs.add(report.Runs, report.RunMicros, now)
 	p.takeReleased(told, report.Released)
 	lease.Instance = told.ID
 	if told.State == fleetwire.InstanceGone {
@@ -167,6 +168,7 @@
 // BatchDone says that the batch in flight was applied or never will be.
 func (p *Planner) BatchDone() {
 	p.inFlight = false
+	p.handLoadOver()
 	p.moves = slices.DeleteFunc(p.moves, func(moving *move) bool { return moving.proposed })
 }
 
--- a/internal/keylease/usage.go
+++ b/internal/keylease/usage.go
@@ -21,6 +21,8 @@
 	owned map[string][]keyspace.Assignment
 	// slots that each instance uses, incoming keys included and outgoing ones not.
 	slots map[string]float64
+	// meanRun is how long a run takes on average over the targets, in seconds.
+	meanRun float64
 }
 
 // usageOf returns the usage of a service in the present tick.
@@ -44,6 +46,7 @@
 	}
 	p, service := u.planner, u.service
 	u.owned, u.slots = map[string][]keyspace.Assignment{}, map[string]float64{}
+	u.meanRun = meanRun(u.targets)
 	owners := p.state.Owners(service)
 	for _, assignment := range owners.All() {
 		u.owned[assignment.Owner] = append(u.owned[assignment.Owner], assignment)
@@ -75,7 +78,7 @@
 		load = from.load.of(moving.held.Keys)
 	}
 	u.slots[moving.from] -= load
-	u.slots[moving.to] += load
+	u.slots[moving.to] += load * u.paceOf(moving.to) / u.paceOf(moving.from)
 }
 
 // utilization of an instance: what its own and incoming keys use, over its slots.
