--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -239,7 +239,7 @@
 		Priority: c.route.Priority,
 		Transfer: c.route.Repetition == routeconfig.RepeatableTransfer,
 		Target:   c.route.TargetLatency,
-		Due:      c.firstTry.Add(c.route.TargetLatency),
+		Due:      c.due(),
 		Deadline: c.deadline,
 	}
 	names := &g.config.Headers
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -42,6 +42,16 @@
 	tries []tryRecord
 }
 
+// due is until when the answer is worth most. A route may hold its requests for less than
+// their target: one that waited for a slot until the target would then be cut off as it runs.
+func (c *call) due() time.Time {
+	due := c.firstTry.Add(c.route.TargetLatency)
+	if c.deadline.Before(due) {
+		return c.deadline
+	}
+	return due
+}
+
 // callerHandler takes requests of callers.
 func (g *Gateway) callerHandler(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
