Pass large answers on as they come at the caller's gateway

Cause: each gateway on the way took an answer whole before it sent the first byte. An answer of 90 KB stands 60 ms on a link of 12 Mbit/s, twice; the link's admission counted both.

A link is admitted for one hop.

A race of linkadmission_test's random source is mended; its checks are as they were.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -103,6 +103,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Stream is the body where it is passed on as it comes; Body is nil then.
+	Stream *answerStream
 	Load   peerLoad
 	// RetryAfter is when the request may be served by the same gateway, where that
 	// is known: it is being stopped, or many were refused before.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -96,7 +96,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	g.answer(w, c, g.run(ctx, c))
+	result := g.run(ctx, c)
+	defer result.Stream.close()
+	g.answer(w, c, result)
 }
 
 // newCall reads a request, or returns the status of its refusal.
@@ -157,6 +159,10 @@
 		for name, values := range result.Header {
 			header[name] = values
 		}
+		if result.Stream != nil {
+			g.streamAnswer(w, c, result)
+			return
+		}
 		if g.writeAnswer(c.request.Context(), w, result.Status, result.Body) {
 			g.pacer.sent(result.kept)
 		}
--- a/internal/gateway/linkadmission_test.go
+++ b/internal/gateway/linkadmission_test.go
@@ -82,7 +82,10 @@
 	for time.Since(began) < l.lasting {
 		outcome.asked++
 		all.Go(ask)
-		time.Sleep(time.Duration(draw.ExpFloat64() / l.rate * float64(time.Second)))
+		mutex.Lock()
+		pause := time.Duration(draw.ExpFloat64() / l.rate * float64(time.Second))
+		mutex.Unlock()
+		time.Sleep(pause)
 	}
 	all.Wait()
 	return outcome
--- a/internal/gateway/linkpacer.go
+++ b/internal/gateway/linkpacer.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -96,26 +98,36 @@
 		_, err := w.Write(body)
 		return err == nil
 	}
-	p.wait(len(body))
-	defer func() { p.wait(-len(body)) }() // what is left of it
+	return p.copy(ctx, w, bytes.NewReader(body), len(body)) == nil
+}
+
+// copy hands a body of a known length over as it comes. It returns why it ended early: the
+// source, the reader or the context.
+func (p *linkPacer) copy(ctx context.Context, w http.ResponseWriter, source io.Reader, length int) error {
+	p.wait(length)
+	defer func() { p.wait(-length) }() // what is left of it
 	select {
 	case p.turns <- struct{}{}:
 	case <-ctx.Done():
-		return false
+		return ctx.Err()
 	}
 	defer func() { <-p.turns }()
-	for len(body) > 0 {
-		chunk := body[:min(bulkChunk, len(body))]
+	buffer := make([]byte, min(bulkChunk, length))
+	for length > 0 {
+		chunk := buffer[:min(len(buffer), length)]
+		if _, err := io.ReadFull(source, chunk); err != nil {
+			return err
+		}
 		if !pauseFor(ctx, p.note(len(chunk))-bulkBurst) {
-			return false
+			return context.Cause(ctx)
 		}
 		if _, err := w.Write(chunk); err != nil {
-			return false
+			return err
 		}
 		p.wait(-len(chunk))
-		body = body[len(chunk):]
+		length -= len(chunk)
 	}
-	return true
+	return nil
 }
 
 // pauseFor waits, and reports whether the context still runs.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -209,10 +209,18 @@
 	if err != nil {
 		return notRun(reasonBroken)
 	}
+	if request.Transfer {
+		return p.sendTransfer(ctx, outgoing)
+	}
 	response, err := p.pool.Do(ctx, outgoing)
 	if err != nil {
 		return peerFailed(err)
 	}
+	return readResult(response)
+}
+
+// readResult takes a peer's word and the whole answer.
+func readResult(response *http.Response) *forwardResult {
 	defer response.Body.Close()
 	body, err := readAnswer(response)
 	if err != nil {
--- a/internal/overload/link.go
+++ b/internal/overload/link.go
@@ -18,9 +18,9 @@
 	mostMargin  = 3
 	// marginWeight of one more answer in what is learned.
 	marginWeight = 0.1
-	// linkHops is how often a large answer goes over such a link: from the machine
-	// of the back end, and whole from that of the caller.
-	linkHops = 2
+	// linkHops is how often a large answer goes over such a link before all of it is
+	// there: once, as the machine of the caller passes it on as it comes.
+	linkHops = 1
 	// lateShare is the part of the target for which the link may be busy and still take
 	// an answer that comes late: the next one that can be in time then has the rest.
 	// Where late ones were let in by how much the link was used on average, up to their
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -188,7 +188,7 @@
 // time on a connection that had been idle: where that one has gone silent, so may
 // the others have. If the peer is merely slow, they are made anew when needed.
 func (running *exchange) suspectIdle() {
-	if running.conn.rested && running.written.Load() && errors.Is(running.ctx.Err(), context.DeadlineExceeded) {
+	if running.conn.rested && running.written.Load() && errors.Is(context.Cause(running.ctx), context.DeadlineExceeded) {
 		running.pool.CloseIdle()
 	}
 }
