--- a/internal/overload/slots.go
+++ b/internal/overload/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/warmup"
@@ -126,12 +127,8 @@
 	serviceTimeWeight = 0.1
 	// busyHalfLife weighs older counts of used slots.
 	busyHalfLife = time.Second
-	// KeptForShort slots are kept for short requests, where those use any.
-	// Beside them a short request gets the next slot that becomes free, so that
-	// no more need to be idle.
-	KeptForShort = 2
-	// keptForLessUrgent are kept before a long request that is more urgent: what
-	// calls need to end at all, and no more.
+	// keptForLessUrgent are kept for short requests before a long one that is more
+	// urgent: what calls need to end at all, and no more.
 	keptForLessUrgent = 1
 	leastBusy         = 0.05
 	// mostShort is the part of the slots that short requests may use while long
@@ -219,12 +216,14 @@
 }
 
 // reserved is how many slots only short requests may use, before a long one of a
-// priority.
+// priority: as many as they use, in whole slots. Beside them a short request gets the next
+// slot that becomes free, so that no more need to be idle. Two of seven slots kept whatever
+// is used were idle for a quarter of their time while callers were refused.
 func (q *SlotQueue) reserved(priority int) int {
 	if q.short.busy < leastBusy {
 		return 0
 	}
-	kept := KeptForShort
+	kept := int(math.Ceil(q.short.busy - leastBusy))
 	if priority < q.short.priority {
 		kept = keptForLessUrgent
 	}
