Bound what a gateway keeps for slow readers

Callers, back ends and other gateways may read slowly; nothing bounded the answers and bodies that a gateway kept for them.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -84,6 +84,9 @@
 	// LinkBytesPerSecond is what the machine's link sends; zero is unknown, and
 	// answers are not paced.
 	LinkBytesPerSecond float64
+	// HeldBytes bounds the bodies of requests and answers that are kept for slow readers
+	// and back ends; zero is no bound. Beyond it new requests are refused as not run.
+	HeldBytes int64
 	// DrainWithin is how long after its announcement a leaving back end may
 	// still get requests.
 	DrainWithin time.Duration
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -55,6 +55,8 @@
 	// reasonOutdated: the gateway knows no such route, and has not heard the leader for
 	// so long that there may be a newer configuration.
 	reasonOutdated reason = "configuration-may-be-old"
+	// reasonNoMemory: the gateway keeps as many bytes for slow readers as it may.
+	reasonNoMemory reason = "no-memory"
 	// reasonRouteChanged: the route has become one whose requests run once, and the
 	// request runs beside others of its connection.
 	reasonRouteChanged reason = "route-changed"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	peers      *peerSet
 	budgets    *retryBudgets
 	pacer      *linkPacer
+	held       heldBytes
 	egress     *egress
 	session    *sessionClient
 	tally      tally
@@ -65,6 +66,7 @@
 	g.peers = newPeerSet()
 	g.budgets = newRetryBudgets(g.config.Budget)
 	g.pacer = newLinkPacer(g.config.LinkBytesPerSecond)
+	g.held.limit = g.config.HeldBytes
 	g.registry = newRegistry(g.instanceChanged)
 	g.registry.told = g.slots.hearWarmth
 	g.registry.interval = g.config.HeartbeatInterval
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -60,6 +60,11 @@
 	began := time.Now()
 	g.lastCaller.Store(steady.At(began))
 	v := g.views.load()
+	if g.held.full() {
+		g.metrics.request("", outcomeNotRun, reasonNoMemory)
+		g.refuse(w, r, reasonNoMemory, retryAfter(notRun(reasonNoMemory)), nil)
+		return
+	}
 	if v.table == nil {
 		g.refuse(w, r, reasonNoConfiguration, retryAfter(notRun(reasonNoConfiguration)), nil)
 		return
@@ -96,8 +101,11 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	g.held.add(len(c.body))
 	result := g.run(ctx, c)
 	defer result.Stream.close()
+	g.held.add(result.size())
+	defer g.held.add(-len(c.body) - result.size())
 	g.answer(w, c, result)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -134,6 +134,7 @@
 		gauge("slots", "Slots of the back end beside the gateway.", func() float64 { return float64(g.slots.load().slots) }),
 		gauge("slots_used", "Slots in use.", func() float64 { return float64(g.slots.load().running) }),
 		gauge("queue_length", "Requests that wait for a slot.", func() float64 { return float64(g.slots.load().waiting) }),
+		gauge("held_bytes", "Bodies of requests and answers that are kept until they are sent.", func() float64 { return float64(g.held.held.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.views.load().version()) }),
 		gauge("configuration_age_seconds", "Time since the configuration in force was taken.", func() float64 { return g.views.load().age(time.Now()).Seconds() }),
 		gauge("instances_ready", "Ready back ends that the gateway knows.", func() float64 { return float64(g.views.load().count(fleetwire.InstanceReady)) }),
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -21,7 +21,10 @@
 		http.Error(w, "not from a gateway", http.StatusBadRequest)
 		return
 	}
-	result := g.egress.serve(r.Context(), request)
+	g.held.add(len(request.Body))
+	result := g.servePeer(r.Context(), request)
+	g.held.add(len(result.Body))
+	defer g.held.add(-len(request.Body) - len(result.Body))
 	header := w.Header()
 	for name, values := range result.Header {
 		header[name] = values
@@ -46,6 +49,14 @@
 	}
 }
 
+// servePeer tries a request of another gateway, if there is memory for its answer.
+func (g *Gateway) servePeer(ctx context.Context, request *forwardRequest) *forwardResult {
+	if g.held.full() {
+		return notRun(reasonNoMemory)
+	}
+	return g.egress.serve(ctx, request)
+}
+
 // writeAnswer writes a whole answer with its length, and reports whether all of it was
 // handed over. The reader of a part sees by the length that it is one.
 func (g *Gateway) writeAnswer(ctx context.Context, w http.ResponseWriter, status int, body []byte) (whole bool) {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -32,9 +32,7 @@
 	assert.NilError(t, err)
 	defer response.Body.Close()
 	assert.Equal(t, response.StatusCode, http.StatusOK)
-	for hops.far.peerActive.Load() > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	eventually(t, func() bool { return hops.far.peerActive.Load() == 0 })
 	assert.Equal(t, hops.near.active.Load(), int64(1), "the caller's answer is still on its way")
 	body, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
