Soak: callers that send ahead, some of which read slowly

Two callers at each gateway send lines of up to eight requests, one in five of which may not be repeated, and check that each answer stands in the place of its request.

--- a/lab/platformstandin/soak/run.go
+++ b/lab/platformstandin/soak/run.go
@@ -65,6 +65,8 @@
 	NotRun   int64 `json:"not_run"`
 	Unknown  int64 `json:"unknown"`
 	Lost     int64 `json:"connections_lost"`
+	// Lines are those of requests sent ahead of which at least one was answered.
+	Lines    int64 `json:"lines"`
 	Repeats  int   `json:"runs_repeated"`
 	Versions int   `json:"configurations_accepted"`
 	// Stops are planned stops, AtOnce how many of them were under way together at
@@ -147,6 +149,7 @@
 	defer end()
 	var work sync.WaitGroup
 	work.Go(func() { clients.run(running, config.Seed) })
+	work.Go(func() { clients.runLines(running, config.Seed) })
 	work.Go(func() { operators.run(running) })
 	for _, gateway := range f.gateways {
 		work.Go(func() { gateway.machine.WatchReadiness(running) })
@@ -202,7 +205,7 @@
 	return &Report{
 		Seed: config.Seed, Grants: config.Grants, DurationMS: config.Duration.Milliseconds(), Strikes: strikes,
 		Sent: clients.counts.sent.Load(), LookUps: clients.counts.lookUps.Load(), Answered: clients.counts.answered.Load(), NotRun: clients.counts.notRun.Load(),
-		Unknown: clients.counts.unknown.Load(), Lost: clients.counts.lost.Load(),
+		Unknown: clients.counts.unknown.Load(), Lost: clients.counts.lost.Load(), Lines: clients.counts.lines.Load(),
 		Repeats: repeats, Versions: operators.accepted, Stops: len(f.Timeline.Stops()), AtOnce: f.Timeline.StopsAtOnce(), LongestStopMS: f.Timeline.LongestStop().Milliseconds(),
 		Cuts: f.Ledger.Cuts(), Excused: excused, Violations: f.Ledger.Violations(),
 	}
@@ -214,8 +217,8 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(r)
 	}
-	_, err := fmt.Fprintf(out, "seed %d, keys by %s: %d strikes, %d requests and %d calls of back ends (%d answered, %d not run, %d unknown, %d without an answer), %d runs repeated, %d planned stops (%d at once, %d ms at most), %d runs cut, %d excused in planned stops, %d configurations, %d promises broken\n",
-		r.Seed, r.Grants, len(r.Strikes), r.Sent, r.LookUps, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Repeats, r.Stops, r.AtOnce, r.LongestStopMS, r.Cuts, r.Excused, r.Versions, len(r.Violations))
+	_, err := fmt.Fprintf(out, "seed %d, keys by %s: %d strikes, %d requests and %d calls of back ends (%d answered, %d not run, %d unknown, %d without an answer), %d lines of requests sent ahead, %d runs repeated, %d planned stops (%d at once, %d ms at most), %d runs cut, %d excused in planned stops, %d configurations, %d promises broken\n",
+		r.Seed, r.Grants, len(r.Strikes), r.Sent, r.LookUps, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Lines, r.Repeats, r.Stops, r.AtOnce, r.LongestStopMS, r.Cuts, r.Excused, r.Versions, len(r.Violations))
 	for _, violation := range r.Violations {
 		if err == nil {
 			_, err = fmt.Fprintln(out, "  broken:", violation)
--- a/lab/platformstandin/soak/soak_test.go
+++ b/lab/platformstandin/soak/soak_test.go
@@ -84,7 +84,7 @@
 			report, err := Soak(t.Context(), Config{Seed: seed, Duration: ciSoak, Program: program, Grants: grants})
 			assert.NilError(t, err)
 			assert.Equal(t, strings.Join(report.Violations, "\n"), "", "seed %d, keys by %s", seed, grants)
-			assert.Assert(t, report.Answered > 0 && report.Versions > 1, "%+v", report)
+			assert.Assert(t, report.Answered > 0 && report.Lines > 0 && report.Versions > 1, "%+v", report)
 		}
 	}
 }
--- a/lab/platformstandin/soak/traffic.go
+++ b/lab/platformstandin/soak/traffic.go
@@ -52,7 +52,7 @@
 
 // counts are what callers got.
 type counts struct {
-	sent, lookUps, answered, notRun, unknown, lost atomic.Int64
+	sent, lookUps, answered, notRun, unknown, lost, lines atomic.Int64
 }
 
 // next returns a new request id.
