--- a/internal/requesthistory/cause.go
+++ b/internal/requesthistory/cause.go
@@ -1,6 +1,10 @@
 package requesthistory
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
 
 // Reasons that gateways give.
 const (
@@ -16,6 +20,10 @@
 	reasonTimeout         = "timeout"
 	reasonNoRoute         = "no-route"
 	reasonStopping        = "gateway-stopping"
+	reasonEvacuated       = "zone-evacuated"
+	reasonOutdated        = "configuration-may-be-old"
+	reasonRouteChanged    = "route-changed"
+	reasonNoMemory        = "no-memory"
 )
 
 // explanation tells where the cause of a reason stands, the best place first,
@@ -48,6 +56,14 @@
 		"no answer came within the request's time: it may have run"},
 	reasonStopping: {[]string{messageRefused, messageNotServed},
 		"the gateway that was to take it was being stopped and would have ended before the request's time was over"},
+	reasonEvacuated: {[]string{messageNotServed},
+		"the zones of all back ends of its service were evacuated"},
+	reasonOutdated: {[]string{messageInForce, messageNotServed},
+		"the gateway knew no route for it and had not heard a leading controller for so long that there might be one"},
+	reasonRouteChanged: {[]string{messageInForce, messageNotServed},
+		"its route became one whose requests run once, while it was read beside others of its connection"},
+	reasonNoMemory: {[]string{messageNotServed},
+		"a gateway on its way kept as many bytes for slow readers as it may"},
 	reasonNoRoute: {[]string{messageInForce, "no route"},
 		"no route of the configuration in force has its host and path"},
 }
@@ -59,9 +75,22 @@
 // went unserved. Their ids are others, so that they are candidates, not proof.
 const calledMeaning = "the back end itself failed; while it ran, calls that began beside it, as its own do, were not served: see those"
 
+// waited returns the place of the line that says that the answer waited for its turn, or
+// below zero.
+func (h *History) waited() int {
+	return slices.IndexFunc(h.Entries, func(entry Entry) bool { return entry.Own && entry.Message == messageWaited })
+}
+
 // decide marks the decisive line and explains it.
 func (h *History) decide() {
 	final := h.final()
+	if place := h.waited(); place >= 0 && (final < 0 || h.Entries[final].Message == messageAnswered && h.Entries[final].Status < leastFailure) {
+		fields := h.Entries[place].Fields
+		h.Cause = fmt.Sprintf("its answer was ready, and waited %s ms for that of request %s, which was sent before it on the same connection",
+			fields["wait_ms"], strings.Trim(string(fields["behind"]), `"`))
+		h.mark(place)
+		return
+	}
 	if final < 0 {
 		h.Cause = "its end is in none of these logs: its caller left, or the process that took it was killed"
 		h.mark(len(h.Entries) - 1)
--- a/internal/requesthistory/history.go
+++ b/internal/requesthistory/history.go
@@ -28,6 +28,7 @@
 const (
 	messageNotServed = "request not served"
 	messageAnswered  = "request answered"
+	messageWaited    = "answer waited for its turn"
 	messageRefused   = "try refused"
 	messageBroken    = "exchange with back end broken off"
 	messageByBackend = "refused by back end"
--- a/internal/requesthistory/history_test.go
+++ b/internal/requesthistory/history_test.go
@@ -100,3 +100,13 @@
 		assert.Assert(t, explanations[why].meaning != "", why)
 	}
 }
+
+// An answer that stood behind another one's on its connection is explained by that.
+func TestAnAnswerThatWaitedForItsTurnIsExplainedByTheOneBeforeIt(t *testing.T) {
+	const log = `{"time":"2026-01-01T00:00:10.20Z","msg":"request answered","node":"side-1","request":"r3","status":200,"late":true,"took_ms":100,"tries":[]}
+{"time":"2026-01-01T00:00:10.45Z","msg":"answer waited for its turn","node":"side-1","request":"r3","behind":"r2","wait_ms":250}`
+	history, err := Find("r3", read(t, log))
+	assert.NilError(t, err)
+	assert.Equal(t, decisive(history).Message, "answer waited for its turn")
+	assert.Assert(t, strings.Contains(history.Cause, "waited 250 ms for that of request r2"), "%s", history.Cause)
+}
