Tell in one place why a caller's request is refused before it is read

No change of what is decided, but that requests without a configuration are counted as refused as well.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -60,20 +60,10 @@
 	began := time.Now()
 	g.lastCaller.Store(steady.At(began))
 	v := g.views.load()
-	if g.held.full() {
-		g.metrics.request("", outcomeNotRun, reasonNoMemory)
-		g.refuse(w, r, reasonNoMemory, retryAfter(notRun(reasonNoMemory)), nil)
-		return
-	}
-	if v.table == nil {
-		g.refuse(w, r, reasonNoConfiguration, retryAfter(notRun(reasonNoConfiguration)), nil)
-		return
-	}
-	route := v.table.Find(r.Host, r.URL.Path)
-	if route == nil && g.session.silence(began) > outdatedAfter {
-		// "There is no such route" would be said by what may be an old configuration.
-		g.metrics.request("", outcomeNotRun, reasonOutdated)
-		g.refuse(w, r, reasonOutdated, retryAfter(notRun(reasonOutdated)), nil)
+	route := v.find(r)
+	if why := g.refusesCaller(r, v, route, began); why != reasonNone {
+		g.metrics.request("", outcomeNotRun, why)
+		g.refuse(w, r, why, retryAfter(notRun(why)), nil)
 		return
 	}
 	if route == nil {
@@ -82,13 +72,6 @@
 		http.Error(w, string(reasonNoRoute), http.StatusNotFound)
 		return
 	}
-	if !route.Repetition.MayRepeat() && httpserver.MayRunBeside(r) {
-		// The route has changed since the request was read. It may run again once the
-		// caller sends it again.
-		g.metrics.request("", outcomeNotRun, reasonRouteChanged)
-		g.refuse(w, r, reasonRouteChanged, retryAfter(notRun(reasonRouteChanged)), nil)
-		return
-	}
 	c, status := g.newCall(w, r, v, route, began)
 	if c == nil {
 		http.Error(w, "request body not read", status)
@@ -109,6 +92,24 @@
 	g.answer(w, c, result)
 }
 
+// refusesCaller says why a caller's request is refused before it is read, reasonNone where
+// it is not. Route is nil where the view has none for it.
+func (g *Gateway) refusesCaller(r *http.Request, v *view, route *routeconfig.Route, now time.Time) reason {
+	switch {
+	case g.held.full():
+		return reasonNoMemory
+	case v.table == nil:
+		return reasonNoConfiguration
+	case route == nil && g.session.silence(now) > outdatedAfter:
+		// "There is no such route" would be said by what may be an old configuration.
+		return reasonOutdated
+	case route != nil && !route.Repetition.MayRepeat() && httpserver.MayRunBeside(r):
+		// The route has changed since the request was taken for one that may run twice.
+		return reasonRouteChanged
+	}
+	return reasonNone
+}
+
 // newCall reads a request, or returns the status of its refusal.
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, v *view, route *routeconfig.Route, began time.Time) (*call, int) {
 	limit := v.table.Document().Limits.MaxBodyBytes
--- a/internal/gateway/pipelining.go
+++ b/internal/gateway/pipelining.go
@@ -17,11 +17,7 @@
 // mayRepeat says whether a caller's request may run more than once. One that fits no route
 // runs nowhere.
 func (g *Gateway) mayRepeat(r *http.Request) bool {
-	v := g.views.load()
-	if v.table == nil {
-		return true
-	}
-	route := v.table.Find(r.Host, r.URL.Path)
+	route := g.views.load().find(r)
 	return route == nil || route.Repetition.MayRepeat()
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -130,6 +131,14 @@
 	return len(instances) > 0 && !slices.ContainsFunc(instances, outside)
 }
 
+// find returns the route of a request, nil where there is none.
+func (v *view) find(r *http.Request) *routeconfig.Route {
+	if v.table == nil {
+		return nil
+	}
+	return v.table.Find(r.Host, r.URL.Path)
+}
+
 // service returns the service of a name, nil where the configuration has none.
 func (v *view) service(name string) *routeconfig.Service {
 	if v.table == nil {
