Begin whole and streamed answers by one function; one decay and one test of a bucket's place

Nothing that is decided or sent changes; no test or bound is touched. Tests of gateway, keylease, overload, fleetcontroller and docs pass.

--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -60,18 +60,24 @@
 // writeAnswer writes a whole answer with its length, and reports whether all of it was
 // handed over. The reader of a part sees by the length that it is one.
 func (g *Gateway) writeAnswer(ctx context.Context, w http.ResponseWriter, status int, body []byte) (whole bool) {
+	beginAnswer(ctx, w, status, len(body))
+	return g.pacer.write(ctx, w, body)
+}
+
+// beginAnswer writes the header of an answer with a body of a length. Before a large body
+// it waits for the answer's turn on its connection.
+func beginAnswer(ctx context.Context, w http.ResponseWriter, status, length int) {
 	header := w.Header()
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // no guessing
 	}
 	if status != http.StatusNoContent && status != http.StatusNotModified {
-		header["Content-Length"] = []string{strconv.Itoa(len(body))}
+		header["Content-Length"] = []string{strconv.Itoa(length)}
 	}
 	w.WriteHeader(status)
-	if len(body) >= bulkFrom {
+	if length >= bulkFrom {
 		httpserver.AwaitTurn(ctx) // not while others wait for the link behind it
 	}
-	return g.pacer.write(ctx, w, body)
 }
 
 // decodeForward reads what encodeForward wrote.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,10 +4,7 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
-
-	"github.com/quartzdock/quartzdock/internal/httpserver"
 )
 
 // Large answers pass the caller's gateway as they come: taken whole first, an answer of
@@ -136,13 +133,7 @@
 	ctx, stream := c.request.Context(), result.Stream
 	stop := context.AfterFunc(ctx, func() { stream.cancel(context.Cause(ctx)) })
 	defer stop()
-	header := w.Header()
-	header["Content-Length"] = []string{strconv.Itoa(len(stream.content))}
-	if _, ok := header["Content-Type"]; !ok {
-		header["Content-Type"] = nil // no guessing
-	}
-	w.WriteHeader(result.Status)
-	httpserver.AwaitTurn(ctx) // not while others wait for the link behind it
+	beginAnswer(ctx, w, result.Status, len(stream.content))
 	if err := g.pacer.copy(ctx, w, stream, len(stream.content)); err != nil {
 		g.config.Log.Info("answer broken off on its way", append(g.requestFields(c.request), "bytes", len(stream.content), "error", err)...)
 		panic(http.ErrAbortHandler)
--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -28,6 +28,17 @@
 	keyWeight = 1.0 / 65536
 )
 
+// weightAfter is what older measurements count after a time, beside newer ones.
+func weightAfter(elapsed, halfLife time.Duration) float64 {
+	return float64(halfLife) / float64(halfLife+elapsed)
+}
+
+// beginsIn says that the first key of a bucket is in a range.
+func beginsIn(bucket uint32, keys keyspace.Range) bool {
+	first := keyspace.Key(bucket * KeysPerBucket)
+	return keys.First <= first && first <= keys.Last
+}
+
 // loadTable is the load of a back end by bucket, in busy slots.
 type loadTable struct {
 	busy  map[uint32]float64
@@ -44,7 +55,7 @@
 	if t.busy == nil {
 		t.busy = map[uint32]float64{}
 	}
-	keep := float64(loadHalfLife) / float64(loadHalfLife+elapsed)
+	keep := weightAfter(elapsed, loadHalfLife)
 	for bucket, slots := range t.busy {
 		if slots*keep < 1e-4 {
 			delete(t.busy, bucket)
@@ -62,7 +73,7 @@
 func (t *loadTable) of(keys keyspace.Range) float64 {
 	sum := float64(keys.Size()) * keyWeight
 	for bucket, slots := range t.busy {
-		if first := keyspace.Key(bucket * KeysPerBucket); keys.First <= first && first <= keys.Last {
+		if beginsIn(bucket, keys) {
 			sum += slots
 		}
 	}
--- a/internal/keylease/pace.go
+++ b/internal/keylease/pace.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/quartzdock/quartzdock/internal/keyspace"
 )
 
 // Back ends of one service differ in how long they take for the same work, and they change.
@@ -39,7 +37,7 @@
 func (t *runTimes) add(runs, micros uint64, now time.Duration) {
 	elapsed := max(now-t.since, 0)
 	t.since = now
-	keep := float64(runsHalfLife) / float64(runsHalfLife+elapsed)
+	keep := weightAfter(elapsed, runsHalfLife)
 	t.runs = t.runs*keep + float64(runs)
 	t.seconds = t.seconds*keep + (time.Duration(micros) * time.Microsecond).Seconds()
 }
@@ -136,8 +134,7 @@
 		}
 		ratio := used.pace(to) / used.pace(from)
 		for bucket, slots := range from.load.busy {
-			first := keyspace.Key(bucket * KeysPerBucket)
-			if moved.held.Keys.First <= first && first <= moved.held.Keys.Last {
+			if beginsIn(bucket, moved.held.Keys) {
 				delete(from.load.busy, bucket)
 				to.load.put(bucket, slots*ratio)
 			}
--- a/internal/overload/link.go
+++ b/internal/overload/link.go
@@ -18,9 +18,6 @@
 	mostMargin  = 3
 	// marginWeight of one more answer in what is learned.
 	marginWeight = 0.1
-	// linkHops is how often a large answer goes over such a link before all of it is
-	// there: once, as the machine of the caller passes it on as it comes.
-	linkHops = 1
 	// lateShare is the part of the target for which the link may be busy and still take
 	// an answer that comes late: the next one that can be in time then has the rest.
 	// Where late ones were let in by how much the link was used on average, up to their
@@ -90,16 +87,17 @@
 	if l.size == 0 && l.begun >= unknownAtOnce {
 		return Kept{}, false
 	}
-	one := l.TimeFor(int(l.size))
-	queued := max(l.Backlog(now), wanted.Run)
-	through := now.Add(time.Duration(l.margin * float64(queued+linkHops*one)))
+	// The machine of the caller passes the answer on as it comes: it is there when this
+	// link has sent it.
+	sent := max(l.Backlog(now), wanted.Run) + l.TimeFor(int(l.size))
+	through := now.Add(time.Duration(l.margin * float64(sent)))
 	late := through.After(wanted.Due)
 	if late && (through.After(wanted.Deadline) || !l.takesLate(wanted.Target, now)) {
 		return Kept{}, false
 	}
 	l.coming += int(l.size)
 	l.begun++
-	return Kept{bytes: int(l.size), at: now, sent: queued + one}, true
+	return Kept{bytes: int(l.size), at: now, sent: sent}, true
 }
 
 // takesLate says that an answer that comes late leaves room for those in time.
