Let a gateway serve by a configuration only while a leader's word vouches for it

Cause: nothing bounded for how long a gateway serves by what it last heard; that a configuration is in force 2 s after its acknowledgement rested on a sum of waits, which each further process that stands still exceeds. Ruled out: that a version is acknowledged before the senders have it; that it is slow on its way from a leader that is well (0.03 s in the logs). Change: answers to reports vouch for 2.75 s from the report's sending (internal/configlease); without it a gateway answers 503 and is not ready; the leader acknowledges once whoever may serve by an older version stops within 2 s. Evacuations count from the same word.

--- /dev/null
+++ b/internal/configlease/grantor_test.go
@@ -0,0 +1,154 @@
+package configlease_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/quartzdock/quartzdock/internal/configlease"
+	_ "github.com/quartzdock/quartzdock/internal/rapidseed"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+)
+
+const (
+	second = time.Second
+	// start is when the leases of earlier leaders have ended.
+	start = time.Minute
+)
+
+var (
+	terms = configlease.Terms{}.WithDefaults()
+	one   = configlease.Gateway{Node: "one", Boot: 1}
+	two   = configlease.Gateway{Node: "two", Boot: 1}
+)
+
+// settled is the grantor of a leader that has led for long.
+func settled() *configlease.Grantor { return configlease.NewGrantor(terms, 0) }
+
+func TestAConfigurationIsAcknowledgedOnceAllHaveConfirmedIt(t *testing.T) {
+	g := settled()
+	g.Grant(one, 1, 1, start)
+	g.Grant(two, 1, 1, start)
+	assert.Assert(t, !g.InForceInTime(2, start))
+	g.Grant(one, 2, 2, start+1)
+	assert.Assert(t, !g.InForceInTime(2, start+1))
+	assert.DeepEqual(t, g.Lagging(2, start+1), []string{"two"})
+	g.Grant(two, 2, 2, start+2)
+	assert.Assert(t, g.InForceInTime(2, start+2))
+}
+
+// One that is never heard again holds an acknowledgement up for a bounded time.
+func TestAGatewayThatIsNotHeardAgainHoldsUpForABoundedTime(t *testing.T) {
+	g := settled()
+	g.Grant(one, 1, 1, start)
+	assert.Assert(t, !g.InForceInTime(2, start+terms.AcknowledgeWithin-1))
+	assert.Assert(t, g.InForceInTime(2, start+terms.AcknowledgeWithin))
+}
+
+// One that goes on reporting without confirming gets the new version with each answer, so
+// that its reports hold nothing up for longer.
+func TestAGatewayThatConfirmsNothingHoldsUpForABoundedTime(t *testing.T) {
+	g := settled()
+	g.Grant(one, 1, 1, start)
+	for at := start; at < start+terms.AcknowledgeWithin; at += 50 * time.Millisecond {
+		assert.Assert(t, !g.InForceInTime(2, at))
+		g.Grant(one, 1, 2, at)
+	}
+	assert.Assert(t, g.InForceInTime(2, start+terms.AcknowledgeWithin))
+}
+
+// A new leader knows none of those that its predecessors answered.
+func TestANewLeaderCountsEveryGatewayAsVouchedFor(t *testing.T) {
+	g := configlease.NewGrantor(terms, start)
+	assert.Assert(t, !g.InForceInTime(2, start))
+	assert.Assert(t, !g.InForceInTime(2, start+terms.AcknowledgeWithin-1))
+	assert.Assert(t, g.InForceInTime(2, start+terms.AcknowledgeWithin))
+}
+
+// A gateway that starts anew holds nothing of its former life, and its word confirms
+// nothing for that: a process that was replaced may still run.
+func TestAnotherLifeConfirmsNothingForTheFormerOne(t *testing.T) {
+	g := settled()
+	g.Grant(one, 1, 1, start)
+	g.Grant(configlease.Gateway{Node: "one", Boot: 2}, 2, 2, start+1)
+	assert.Assert(t, !g.InForceInTime(2, start+1))
+	g.Forget(start + terms.Validity())
+	assert.Assert(t, g.InForceInTime(2, start+terms.Validity()))
+	assert.Equal(t, len(g.Lagging(2, start)), 0)
+}
+
+func TestAShortPromiseLeavesGatewaysAsLongAWord(t *testing.T) {
+	short := configlease.Terms{ApplyWithin: second / 2}.WithDefaults()
+	assert.Assert(t, short.Validity() >= terms.Validity()-second/2)
+	assert.ErrorContains(t, configlease.Terms{ApplyWithin: -1}.Check(), "apply within")
+	assert.ErrorContains(t, configlease.Terms{AcknowledgeWithin: -1}.Check(), "acknowledge within")
+	assert.NilError(t, terms.Check())
+}
+
+// gatewayClock is one gateway of the property below: what it has in force, and until when.
+type gatewayClock struct {
+	name    configlease.Gateway
+	version routeconfig.Version
+	until   time.Duration
+	// answers on their way, which may arrive in any later step, in their order.
+	answers []answer
+}
+
+type answer struct {
+	version routeconfig.Version
+	until   time.Duration
+}
+
+// Whatever is lost, late or stands still, no gateway is ever both vouched for and older
+// than a version whose acknowledgement is ApplyWithin ago.
+func TestNobodyServesByAnOlderConfigurationAfterThePromise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, present := start, routeconfig.Version(1)
+		g := settled()
+		gateways := []*gatewayClock{{name: one}, {name: two}}
+		acknowledged := map[routeconfig.Version]time.Duration{}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "milliseconds")) * time.Millisecond
+			gateway := gateways[rapid.IntRange(0, 1).Draw(t, "gateway")]
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				present++
+			case 1: // a report that took a while
+				sent := now - time.Duration(rapid.IntRange(0, 900).Draw(t, "way"))*time.Millisecond
+				validity := g.Grant(gateway.name, gateway.version, present, now)
+				gateway.answers = append(gateway.answers, answer{present, sent + validity})
+			case 2:
+				if len(gateway.answers) > 0 {
+					gateway.version, gateway.until = gateway.answers[0].version, max(gateway.until, gateway.answers[0].until)
+					gateway.answers = gateway.answers[1:]
+				}
+			case 3: // the session ends with what was on its way
+				gateway.answers = nil
+			case 4:
+				g.Forget(now)
+			}
+			if _, done := acknowledged[present]; !done && g.InForceInTime(present, now) {
+				acknowledged[present] = now
+			}
+			for version, at := range acknowledged {
+				for _, gateway := range gateways {
+					if now >= at+terms.ApplyWithin && now < gateway.until && gateway.version < version {
+						t.Fatalf("%v serves by %d at %v; %d was acknowledged at %v", gateway.name, gateway.version, now, version, at)
+					}
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkInForceInTime(b *testing.B) {
+	g := settled()
+	for i := range 1100 {
+		g.Grant(configlease.Gateway{Node: string(rune('a' + i)), Boot: uint64(i)}, 1, 2, start)
+	}
+	for b.Loop() {
+		g.InForceInTime(2, start)
+	}
+}
--- a/internal/fleetcontroller/config.go
+++ b/internal/fleetcontroller/config.go
@@ -28,6 +28,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/keylease"
 	"github.com/quartzdock/quartzdock/internal/replica"
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -61,7 +62,9 @@
 	DeadAfter time.Duration
 
 	Planner keylease.Config
-	Log     *slog.Logger
+	// Configuration says by when a configuration is in force everywhere.
+	Configuration configlease.Terms
+	Log           *slog.Logger
 	// Registry takes the metrics; nil shows them nowhere.
 	Registry prometheus.Registerer
 	// OnExpelled is called when the group has removed this member; its folder
@@ -85,6 +88,7 @@
 	c.ElectionTimeout = cmp.Or(c.ElectionTimeout, DefaultElectionTimeout)
 	c.TickInterval = cmp.Or(c.TickInterval, DefaultTickInterval)
 	c.DeadAfter = cmp.Or(c.DeadAfter, DefaultDeadAfter)
+	c.Configuration = c.Configuration.WithDefaults()
 	if c.Registry == nil {
 		c.Registry = prometheus.NewRegistry()
 	}
--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/consensus"
 	"github.com/quartzdock/quartzdock/internal/fleetstate"
 	"github.com/quartzdock/quartzdock/internal/keylease"
@@ -48,8 +49,10 @@
 type control struct {
 	state      *fleetstate.State
 	leadership leadership.Leadership
-	// planner is nil unless this controller leads.
+	// planner is nil unless this controller leads, and so is inForce.
 	planner   *keylease.Planner
+	inForce   *configlease.Grantor
+	awaited   []awaitedVersion
 	healAt    time.Duration
 	published published
 	// publishAt is when changes may travel again, and instanceSets numbers the sets
@@ -66,6 +69,9 @@
 		connections: map[*transport.Conn]struct{}{},
 		admitting:   make(chan struct{}, 1),
 	}
+	if err := c.config.Configuration.Check(); err != nil {
+		return nil, fmt.Errorf("controller: configuration: %w", err)
+	}
 	c.metrics = newControllerMetrics(c.config.Registry)
 	c.control.state = fleetstate.New()
 	c.view.Store(&view{})
@@ -176,10 +182,14 @@
 	}
 }
 
-// Change replicates a change of the configuration. ErrNotLeader says that
+// Change replicates a change of the configuration and returns once nobody will be
+// served by an older one after Config.Configuration.ApplyWithin. ErrNotLeader says that
 // nothing was done; any other error leaves the outcome unknown.
 func (c *Controller) Change(ctx context.Context, change *fleetstate.ChangeConfiguration) (fleetstate.Result, error) {
 	result, err := c.propose(ctx, change)
+	if err == nil && result.InState() {
+		err = c.awaitInForce(ctx, result.Current)
+	}
 	c.metrics.change(result, err)
 	c.logChange(change, result, err)
 	return result, err
--- /dev/null
+++ b/internal/fleetcontroller/inforce_test.go
@@ -0,0 +1,110 @@
+package fleetcontroller_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/quartzdock/quartzdock/internal/configlease"
+	"github.com/quartzdock/quartzdock/internal/fleetstate"
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/transport"
+)
+
+// gatewaySession is a gateway's session with the leader.
+type gatewaySession struct {
+	t    *testing.T
+	conn *transport.Conn
+	boot uint64
+}
+
+// openSession opens a session with the leader at an address.
+func openSession(t *testing.T, address string) *gatewaySession {
+	t.Helper()
+	conn, err := transport.Dial(t.Context(), address, transport.Options{WriteTimeout: patience, IdleTimeout: patience})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	const boot = 7
+	assert.NilError(t, conn.Send(fleetwire.ToController{Hello: &fleetwire.Hello{Node: "gateway", Boot: boot}}))
+	return &gatewaySession{t: t, conn: conn, boot: boot}
+}
+
+// report says that a version is in force, and returns the lease that answers.
+func (s *gatewaySession) report(version routeconfig.Version) *fleetwire.Lease {
+	s.t.Helper()
+	assert.NilError(s.t, s.conn.Send(fleetwire.ToController{Report: &fleetwire.Report{Boot: s.boot, Version: version}}))
+	for {
+		var message fleetwire.FromController
+		assert.NilError(s.t, s.conn.Receive(&message))
+		if message.Lease != nil {
+			return message.Lease
+		}
+	}
+}
+
+// A gateway that may serve by the old configuration holds an acknowledgement up until what
+// it was given ends so soon that the promise is kept.
+func TestAChangeIsNotAcknowledgedWhileAGatewayMayOutlastThePromise(t *testing.T) {
+	g := startGroup(t)
+	_, leader := g.change(changeTo(3, 0, 1))
+	gateway := openSession(t, g.configs[leader].SessionListen)
+	terms := configlease.Terms{}.WithDefaults()
+	asked := time.Now()
+	assert.Equal(t, gateway.report(3).ConfigurationFor, terms.Validity())
+	g.change(changeTo(4, 3, 2))
+	assert.Assert(t, time.Since(asked) >= terms.AcknowledgeWithin)
+}
+
+// One that confirms the new configuration holds nothing up: the change is acknowledged
+// while what it was given would last for long.
+func TestAChangeIsAcknowledgedOnceTheGatewaysConfirmIt(t *testing.T) {
+	g := startGroup(t)
+	_, leader := g.change(changeTo(3, 0, 1))
+	gateway := openSession(t, g.configs[leader].SessionListen)
+	gateway.report(3)
+	confirmed := make(chan struct{})
+	acknowledged := make(chan fleetstate.Outcome, 1)
+	go func() {
+		result, _ := g.change(changeTo(4, 3, 2))
+		acknowledged <- result.Outcome
+	}()
+	go func() {
+		defer close(confirmed)
+		for {
+			var message fleetwire.FromController
+			if gateway.conn.Receive(&message) != nil {
+				return
+			}
+			if message.View != nil && message.View.Unpack() == nil && message.View.Document != nil && message.View.Document.Version == 4 {
+				_ = gateway.conn.Send(fleetwire.ToController{Report: &fleetwire.Report{Boot: gateway.boot, Version: 4}})
+				return
+			}
+		}
+	}()
+	<-confirmed
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		select {
+		case outcome := <-acknowledged:
+			assert.Check(t, outcome == fleetstate.Accepted || outcome == fleetstate.Repeated)
+			return poll.Success()
+		default:
+			return poll.Continue("not acknowledged")
+		}
+	}, poll.WithTimeout(patience), poll.WithDelay(time.Millisecond))
+}
+
+// The next leader vouches for the gateways of the last one until their time is over: it
+// does not know them.
+func TestANextLeaderWaitsForGatewaysThatItDoesNotKnow(t *testing.T) {
+	g := startGroup(t)
+	_, leader := g.change(changeTo(3, 0, 1))
+	gateway := openSession(t, g.configs[leader].SessionListen)
+	asked := time.Now()
+	gateway.report(3)
+	g.stop(leader)
+	g.change(changeTo(4, 3, 2))
+	assert.Assert(t, time.Since(asked) >= configlease.Terms{}.WithDefaults().AcknowledgeWithin)
+}
--- a/internal/fleetcontroller/machine.go
+++ b/internal/fleetcontroller/machine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/consensus"
 	"github.com/quartzdock/quartzdock/internal/fleetstate"
 	"github.com/quartzdock/quartzdock/internal/keylease"
@@ -58,8 +59,10 @@
 	}
 	c.decide(now)
 	c.publish()
+	c.acknowledge(now)
 	if now >= control.healAt {
 		control.healAt = now + healInterval
+		control.inForce.Forget(now)
 		c.removeDead(status, now)
 	}
 }
@@ -69,6 +72,8 @@
 		c.config.Log.Info("leadership ended")
 	}
 	c.control.planner = nil
+	c.control.inForce = nil
+	c.releaseAwaited(ErrLeadershipLost)
 	c.control.published = published{}
 	c.closeSessions(false)
 }
@@ -94,6 +99,7 @@
 		c.metrics.leaderships.Inc()
 		c.config.Log.Info("leadership begins", "term", term, "version", uint64(c.control.state.Version()))
 		c.control.planner = keylease.New(c.config.Planner, c.control.state, status.EarlierLeasesEnd, now)
+		c.control.inForce = configlease.NewGrantor(c.config.Configuration, status.EarlierLeasesEnd)
 		c.publish()
 	})
 }
--- a/internal/fleetcontroller/metrics.go
+++ b/internal/fleetcontroller/metrics.go
@@ -24,6 +24,7 @@
 	changes     *prometheus.CounterVec
 	moves       *prometheus.CounterVec
 	reports     prometheus.Counter
+	inForceWait prometheus.Histogram
 }
 
 func newControllerMetrics(registry prometheus.Registerer) *controllerMetrics {
@@ -36,7 +37,12 @@
 		moves:       prometheus.NewCounterVec(options("ranges_moved_total", "Ranges of keys given to an owner, by whether its predecessor handed them over."), []string{"handover"}),
 		reports:     prometheus.NewCounter(options("reports_total", "Reports of gateways that this controller answered.")),
 	}
-	registry.MustRegister(m.leaderships, m.changes, m.moves, m.reports)
+	m.inForceWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: metrics.Namespace, Subsystem: subsystem, Name: "in_force_wait_seconds",
+		Help:    "How long acknowledgements of configurations waited for gateways, after the change was in the state.",
+		Buckets: []float64{0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6},
+	})
+	registry.MustRegister(m.leaderships, m.changes, m.moves, m.reports, m.inForceWait)
 	return m
 }
 
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
@@ -119,6 +120,9 @@
 	}
 	c.metrics.reports.Inc()
 	lease := c.control.planner.Report(report, now)
+	// The sender sends the present view with the lease, or has sent it before.
+	lease.ConfigurationFor = c.control.inForce.Grant(
+		configlease.Gateway{Node: s.node, Boot: report.Boot}, report.Version, c.control.state.Version(), now)
 	s.mutex.Lock()
 	s.lease = lease
 	s.mutex.Unlock()
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -101,6 +101,9 @@
 	Findings routeconfig.Findings
 }
 
+// InState says that the change is in the state, since now or before.
+func (r Result) InState() bool { return r.Outcome == Accepted || r.Outcome == Repeated }
+
 // State of a fleet. It is not safe for concurrent use. What its methods return
 // must not be changed and does not change later.
 type State struct {
--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -127,6 +127,9 @@
 	SentAt time.Duration
 	// Duration counts from SentAt. Until then the back end may hold Held.
 	Duration time.Duration
+	// ConfigurationFor counts from SentAt, too. Until then the gateway may serve by the
+	// configuration that it has got with this message or before it.
+	ConfigurationFor time.Duration
 	// Instance that the lease is for.
 	Instance string
 	Held     []Held
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -18,6 +18,8 @@
 		peers:  newPeerSet(),
 		slots:  newSlotGate(),
 	}
+	g.session = newSessionClient(g)
+	g.vouch(time.Hour)
 	advance(t, g.views, viewOf(true,
 		fleetwire.Instance{ID: "near", Service: "s", Node: "node-near", Zone: "a", Address: "127.0.0.1:1", State: fleetwire.InstanceReady},
 		fleetwire.Instance{ID: "far", Service: "s", Node: "node-far", Zone: "b", Address: "127.0.0.1:2", State: fleetwire.InstanceReady},
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -202,6 +202,9 @@
 	if e.gateway.evacuated(now) {
 		return notRun(reasonEvacuated)
 	}
+	if e.gateway.mayBeEvacuated(now) {
+		return notRun(reasonOutdated)
+	}
 	if request.HasKey && !e.gateway.keys.holds(request.Instance, request.Key, now) {
 		return notRun(reasonNotOwner)
 	}
--- a/internal/gateway/egress_test.go
+++ b/internal/gateway/egress_test.go
@@ -76,6 +76,7 @@
 	g.keyLoad = newKeyLoad()
 	g.registry = newRegistry(func() {})
 	g.session = newSessionClient(g)
+	g.vouch(time.Hour)
 	g.keys = newKeyKeeper(g)
 	var err error
 	g.egress, err = newEgress(g)
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -12,6 +12,17 @@
 // The rest covers the way of the order to the gateways.
 const evacuationGrace = 0.5
 
+// unheardGrace is the part of the bound for which a gateway that hears nothing goes on
+// believing that its zone is not evacuated. The rest covers the time from the check to the
+// arrival at the back end, and the drift of clocks.
+const unheardGrace = 0.9
+
+// mayBeEvacuated reports whether the back end must get nothing because its zone may be
+// evacuated: an order of which nothing was heard counts from the leader's last word.
+func (g *Gateway) mayBeEvacuated(now time.Time) bool {
+	return now.Sub(g.session.vouched.since()) >= time.Duration(unheardGrace*float64(g.config.EvacuateWithin))
+}
+
 // evacuated reports whether the back end must get nothing because its zone is
 // evacuated.
 func (g *Gateway) evacuated(now time.Time) bool {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -52,8 +52,8 @@
 	reasonNoInstance reason = "no-instance"
 	// reasonNoConfiguration: the gateway knows no configuration yet.
 	reasonNoConfiguration reason = "no-configuration"
-	// reasonOutdated: the gateway knows no such route, and has not heard the leader for
-	// so long that there may be a newer configuration.
+	// reasonOutdated: the gateway has not had the leader's word for so long that another
+	// configuration may have been in force for long, or its zone evacuated.
 	reasonOutdated reason = "configuration-may-be-old"
 	// reasonNoMemory: the gateway keeps as many bytes for slow readers as it may.
 	reasonNoMemory reason = "no-memory"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,7 +145,7 @@
 // Ready reports whether the gateway can serve callers.
 func (g *Gateway) Ready() bool {
 	v := g.views.load()
-	return !g.admission.Stopping() && v.table != nil && len(v.byID) > 0
+	return !g.admission.Stopping() && v.table != nil && len(v.byID) > 0 && g.session.vouched.holds(time.Now())
 }
 
 // Heartbeat takes the word of the back end beside the gateway. It is
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -100,6 +100,9 @@
 		return reasonNoMemory
 	case v.table == nil:
 		return reasonNoConfiguration
+	case !g.session.vouched.holds(now):
+		// Another configuration may have been in force for long.
+		return reasonOutdated
 	case route == nil && g.session.silence(now) > outdatedAfter:
 		// "There is no such route" would be said by what may be an old configuration.
 		return reasonOutdated
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -139,6 +139,7 @@
 		gauge("configuration_age_seconds", "Time since the configuration in force was taken.", func() float64 { return g.views.load().age(time.Now()).Seconds() }),
 		gauge("instances_ready", "Ready back ends that the gateway knows.", func() float64 { return float64(g.views.load().count(fleetwire.InstanceReady)) }),
 		gauge("session_silence_seconds", "Time since the leading controller was heard.", func() float64 { return g.session.silence(time.Now()).Seconds() }),
+		gauge("configuration_lease_seconds", "Time left for which the gateway may serve by its configuration; negative where it refuses.", func() float64 { return g.session.vouched.left(time.Now()).Seconds() }),
 		gauge("lease_seconds", "Time left of the lease on the back end's keys; negative where it has run out.", func() float64 { return g.keys.leaseLeft(time.Now()).Seconds() }),
 		gauge("ranges_held", "Ranges of keys that the back end may hold.", func() float64 { return float64(g.keys.rangesHeld()) }),
 	}
--- a/internal/gateway/outdated_test.go
+++ b/internal/gateway/outdated_test.go
@@ -19,6 +19,7 @@
 	g.metrics = newGatewayMetrics(prometheus.NewRegistry())
 	advance(t, g.views, &fleetwire.View{Document: documentOf(3)})
 	g.session = newSessionClient(g)
+	g.vouch(time.Hour)
 	asked := func() int {
 		answer := httptest.NewRecorder()
 		g.callerHandler(answer, httptest.NewRequest(http.MethodGet, "http://unknown.example/", nil))
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -52,6 +52,7 @@
 	served bool
 	// heardAt is when the leader was last heard, in nanoseconds since started.
 	heardAt atomic.Int64
+	vouched vouched
 }
 
 func newSessionClient(g *Gateway) *sessionClient {
@@ -173,9 +174,6 @@
 			return message.Redirect, nil
 		}
 		silence := s.silence(time.Now())
-		if heard := s.heardAt.Load(); heard > 0 {
-			s.gateway.views.heardAt = s.started.Add(time.Duration(heard))
-		}
 		s.heardAt.Store(int64(s.now()))
 		servedBefore := s.served
 		if err := s.take(&message); err != nil {
@@ -213,6 +211,8 @@
 		s.report()
 	}
 	if message.Lease != nil {
+		// Only now: the view above is what it vouches for.
+		s.vouched.take(message.Lease, s.started)
 		g.keys.take(message.Lease, s.started)
 	}
 	return nil
@@ -224,13 +224,14 @@
 		return err
 	}
 	before := g.views.load().version()
-	if err := g.views.advance(news); err != nil {
+	if err := g.views.advance(news, s.vouched.since()); err != nil {
 		return err
 	}
 	s.served = true
 	s.controllers.learn(news.Controllers)
 	if after := g.views.load().version(); after != before {
 		g.config.Log.Info("configuration in force", "version", uint64(after))
+		s.report() // an operator waits for it
 	}
 	if news.HasInstances {
 		g.peers.follow(g.views.load())
--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -81,6 +81,7 @@
 		g, err := Start(start.config)
 		assert.NilError(t, err)
 		advance(t, g.views, view)
+		g.vouch(time.Hour)
 		*start.into = g
 		t.Cleanup(func() {
 			if !g.admission.Stopping() {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -40,9 +40,6 @@
 // views holds the present view. One goroutine advances it.
 type views struct {
 	present atomic.Pointer[view]
-	// heardAt is when the leader was heard before the news that are being taken, zero
-	// where it was not. It belongs to the goroutine that advances the view.
-	heardAt time.Time
 	// prepare is called before a view comes into force.
 	prepare func(before, after *view)
 }
@@ -58,10 +55,10 @@
 // errOtherView: the changes of a session don't make what the leader has.
 var errOtherView = errors.New("view differs from the leader's")
 
-// advance takes what a controller sent. Configurations and owners never go
-// back; instances of an incomplete view are added to the known ones. After an
+// advance takes what a controller sent, which had told everything until vouchedAt before;
+// zero where it had not told anything. Configurations and owners never go back; instances of an incomplete view are added to the known ones. After an
 // error nothing has changed, and the session must begin anew.
-func (v *views) advance(news *fleetwire.View) error {
+func (v *views) advance(news *fleetwire.View, vouchedAt time.Time) error {
 	before := v.load()
 	after := *before
 	after.next = make(chan struct{})
@@ -79,7 +76,7 @@
 			return err
 		}
 	}
-	after.setEvacuated(news, v.heardAt)
+	after.setEvacuated(news, vouchedAt)
 	v.prepare(before, &after)
 	v.present.Store(&after)
 	close(before.next)
@@ -101,15 +98,15 @@
 	return nil
 }
 
-// setEvacuated takes a view's evacuated zones. The leader did not know of new ones
-// when it was heard before.
-func (v *view) setEvacuated(news *fleetwire.View, heardBefore time.Time) {
+// setEvacuated takes a view's evacuated zones. Orders of new ones were acknowledged after
+// the moment until which all had been told.
+func (v *view) setEvacuated(news *fleetwire.View, vouchedAt time.Time) {
 	if news.EvacuationsIndex <= v.evacuationsIndex {
 		return
 	}
 	evacuated := make(map[string]time.Time, len(news.Evacuated))
 	for _, zone := range news.Evacuated {
-		evacuated[zone] = heardBefore
+		evacuated[zone] = vouchedAt
 		if known, ok := v.evacuatedAt[zone]; ok {
 			evacuated[zone] = known
 		}
