Tell lives of a back end under one id apart; refuse heartbeats that cannot be read

Cause: nothing read a back end's start. One that starts again under its id counted as its former life: its heartbeats as late ones until it had counted past it, its keys as held. A state that is unknown counted as draining, an absent service as an empty one. Beside that: a gateway that had restarted promised the release of keys that its back end, not proved yet, might hold; a first heartbeat of an earlier life that came late ended the present one for ever; the next life could hold keys by renewals meant for the former one while the leader gave them to others. Change: an instance is id and start, one name everywhere (internal/incarnation); which life is present is decided by who is heard, not by the clock (gateway/registration.go); what was granted is taken back before the leader hears of a life that began unnoticed (gateway/keyyield.go); one strict decoder (platform/heartbeat.go, internal/strictjson), refusals counted by reason. Stand-in and soak: three lives for each id with clocks that jump back, and heartbeats of another writer.

--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -26,7 +26,7 @@
 
 // Instance is one life of a back end and the gateway beside it.
 type Instance struct {
-	// ID is new at each start of the back end.
+	// ID is the name of the life (incarnation.Name), new at each start of the back end.
 	ID      string
 	Service string
 	// Node is the name of the gateway beside it, Address where that takes
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/incarnation"
 	"github.com/quartzdock/quartzdock/internal/overload"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 )
@@ -251,7 +252,7 @@
 	}
 	names := &e.gateway.config.Headers
 	header := request.Header
-	header.Set(names.TargetInstance, request.Instance)
+	header.Set(names.TargetInstance, incarnation.IDOf(request.Instance))
 	left := max(time.Until(request.Deadline)-answerMargin, time.Millisecond)
 	header.Set(names.Deadline, milliseconds(left))
 	if _, ok := header["User-Agent"]; !ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 	g.registry.interval = g.config.HeartbeatInterval
 	g.registry.current = fleetwire.Instance{Node: g.config.Name, Address: g.config.PeerListen, Zone: g.config.Zone}
 	g.keys = newKeyKeeper(g)
+	g.registry.yields = g.keys.yield
 	g.session = newSessionClient(g)
 	var err error
 	if g.egress, err = newEgress(g); err != nil {
@@ -151,21 +152,24 @@
 
 // Heartbeat takes the word of the back end beside the gateway. It is
 // acknowledged by its return, with the keys that the back end is to hold from the
-// moment it sent the heartbeat; nil tells nothing of keys. A KeyReportError says
-// that nothing was taken.
+// moment it sent the heartbeat; nil tells nothing of keys. After an error nothing was
+// taken, and what was known before holds; the caller tells RefusedHeartbeat.
 func (g *Gateway) Heartbeat(told Registration) (*KeyOffer, error) {
 	if err := told.checkKeys(); err != nil {
-		g.config.Log.Warn("heartbeat refused", "instance", told.ID, "error", err)
 		return nil, err
 	}
+	if v := g.views.load(); v.table != nil && v.service(told.Service) == nil {
+		return nil, fmt.Errorf("%.64q: %w", told.Service, ErrUnknownService)
+	}
 	now := time.Now()
 	if !g.registry.heartbeat(told, g.drainWithin(), now) {
 		return nil, nil
 	}
+	g.keys.stay(told.ID)
 	return g.keys.heartbeat(told.ID, told.Held, told.Freed, now), nil
 }
 
-// Deregister takes a back end's word that it leaves.
+// Deregister takes the word of a back end, by the name of its life, that it leaves.
 func (g *Gateway) Deregister(id string) {
 	g.registry.deregister(id, g.drainWithin(), time.Now())
 }
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -109,6 +109,9 @@
 	taken      []taken
 	fences     fenceLedger
 	reported   keyReport
+	// yielding says that another life is about to take the instance's place: nothing more
+	// is granted, and all that may be held is taken back.
+	yielding bool
 	// changed is closed when more keys may be held than before.
 	changed chan struct{}
 }
@@ -184,6 +187,7 @@
 	k.instance = instance
 	k.wanted = nil
 	k.taken = nil
+	k.yielding = false
 	k.reported = keyReport{}
 	k.fences = newFenceLedger()
 	k.grants = map[heldKey]*grant{}
@@ -231,7 +235,7 @@
 	byHeartbeat := k.byHeartbeat()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if instance != k.instance {
+	if instance != k.instance || k.yielding {
 		return false
 	}
 	if byHeartbeat {
@@ -287,12 +291,14 @@
 	// The lease is for one life of the back end. What is at its address now may
 	// be the next one, also where no leader has heard of it.
 	present := k.gateway.registry.snapshot()
-	gone := present.State == fleetwire.InstanceGone || present.ID != k.instance || k.gateway.unproved()
+	gone := present.State == fleetwire.InstanceGone || present.ID != k.instance
 	k.endOver(now, gone)
 	switch {
 	case byHeartbeat:
 		k.endReleases(now)
-	case gone:
+	case gone, k.gateway.unproved():
+	case k.yielding:
+		k.startYields(ctx, now)
 	default:
 		k.startGrants(ctx, now)
 		k.startReleases(ctx, now)
--- /dev/null
+++ b/internal/gateway/lives_test.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/incarnation"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+)
+
+// Lives under one id. The clock of the back end has jumped back between them: no order
+// follows from the starts.
+var (
+	formerLife = incarnation.Incarnation{ID: "i-1", Born: 2000}.Name()
+	nextLife   = incarnation.Incarnation{ID: "i-1", Born: 1000}.Name()
+	thirdLife  = incarnation.Incarnation{ID: "i-1", Born: 3000}.Name()
+)
+
+// lifeEvent is one thing that a gateway hears, intervals after the one before.
+type lifeEvent struct {
+	after float64
+	// life and sequence of a heartbeat; other events have sequence zero.
+	life     string
+	sequence uint64
+	event    string
+}
+
+// Events without a heartbeat.
+const (
+	connectionRefused = "connection refused"
+	deregistered      = "deregistered"
+	gatewayRestarts   = "gateway restarts"
+	leaderTells       = "leader tells"
+)
+
+func (e lifeEvent) happen(r *registry, now time.Time) *registry {
+	switch e.event {
+	case connectionRefused:
+		r.dead(e.life)
+	case deregistered:
+		r.deregister(e.life, time.Second, now)
+	case gatewayRestarts:
+		r = newRegistry(func() {})
+		r.interval = beatInterval
+	case leaderTells:
+		r.restore(fleetwire.Instance{ID: e.life, Service: "s", State: fleetwire.InstanceReady, Sequence: e.sequence}, time.Second, now)
+	default:
+		beat(r, e.life, e.sequence, now)
+	}
+	return r
+}
+
+// A back end starts again under its id, and its counts start anew. Heartbeats of its lives
+// come late, twice and crossed; the present life is the one that goes on being heard.
+func TestThePresentLifeIsTheOneThatIsHeard(t *testing.T) {
+	for name, test := range map[string]struct {
+		events []lifeEvent
+		want   string
+		gone   bool
+	}{
+		"the next life after a refused connection": {want: nextLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {life: formerLife, event: connectionRefused}, {after: 0.1, life: nextLife, sequence: 1},
+		}},
+		"the next life after silence": {want: nextLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 2, life: nextLife, sequence: 1},
+		}},
+		"the next life after a start that nobody noticed": {want: nextLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 0.3, life: nextLife, sequence: 1}, {after: 1, life: nextLife, sequence: 2},
+		}},
+		"not before it is heard alone": {want: formerLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 0.3, life: nextLife, sequence: 1},
+		}},
+		"a late heartbeat of the former life": {want: nextLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 2, life: nextLife, sequence: 1}, {after: 0.5, life: formerLife, sequence: 41},
+			{after: 3, life: formerLife, sequence: 42},
+		}},
+		"a late heartbeat of the former life, to a gateway that restarted": {want: nextLife, events: []lifeEvent{
+			{life: nextLife, sequence: 5}, {event: gatewayRestarts}, {life: nextLife, sequence: 5, event: leaderTells},
+			{after: 0.2, life: formerLife, sequence: 40}, {after: 0.1, life: formerLife, sequence: 41},
+			{after: 0.2, life: nextLife, sequence: 6}, {after: 0.8, life: formerLife, sequence: 42}, {after: 0.2, life: nextLife, sequence: 7},
+		}},
+		"a first heartbeat of the former life, late": {want: nextLife, events: []lifeEvent{
+			{life: nextLife, sequence: 5}, {event: gatewayRestarts}, {life: nextLife, sequence: 5, event: leaderTells},
+			{after: 0.2, life: formerLife, sequence: 1}, {after: 0.2, life: nextLife, sequence: 6},
+		}},
+		"heartbeats of both, crossed": {want: nextLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 0.2, life: nextLife, sequence: 2}, {after: 0.1, life: formerLife, sequence: 41},
+			{after: 0.1, life: nextLife, sequence: 1}, {after: 0.9, life: nextLife, sequence: 3}, {after: 1, life: nextLife, sequence: 4},
+		}},
+		"a heartbeat twice": {want: formerLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 0.4, life: nextLife, sequence: 1}, {after: 1, life: nextLife, sequence: 1},
+		}},
+		"a restarted gateway beside the next life": {want: nextLife, events: []lifeEvent{
+			{event: gatewayRestarts}, {life: formerLife, sequence: 40, event: leaderTells},
+			{after: 0.5, life: nextLife, sequence: 7}, {after: 1, life: nextLife, sequence: 8},
+		}},
+		"a late word of the former life that was told first": {want: nextLife, events: []lifeEvent{
+			{event: gatewayRestarts}, {life: formerLife, sequence: 40}, {after: 0.3, life: nextLife, sequence: 7},
+			{after: 1, life: nextLife, sequence: 8},
+		}},
+		"a third life": {want: thirdLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 2, life: nextLife, sequence: 1}, {after: 2, life: thirdLife, sequence: 1},
+			{after: 0.1, life: formerLife, sequence: 50}, {after: 0.1, life: nextLife, sequence: 9},
+		}},
+		"a deregistration of the former life, late": {want: nextLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 2, life: nextLife, sequence: 1}, {life: formerLife, event: deregistered},
+		}},
+		"an end of the former life, late": {want: nextLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 2, life: nextLife, sequence: 1}, {life: formerLife, event: connectionRefused},
+		}},
+		"a deregistration without a start": {want: nextLife, gone: true, events: []lifeEvent{
+			{life: nextLife, sequence: 1}, {life: "i-1", event: deregistered},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistry(func() {})
+			r.interval = beatInterval
+			now := time.Now()
+			for _, each := range test.events {
+				now = now.Add(time.Duration(each.after * float64(beatInterval)))
+				r = each.happen(r, now)
+			}
+			present := r.snapshot()
+			assert.Equal(t, present.ID, test.want)
+			assert.Equal(t, present.State != fleetwire.InstanceReady, test.gone)
+		})
+	}
+}
+
+// The next life takes renewals that were meant for the former one. They are taken back
+// before the leader hears of it and gives the keys to others.
+func TestTheNextLifeIsToldOfOnceTheFormerOnesKeysAreTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.g.registry.interval = beatInterval
+		rig.g.registry.yields = rig.g.keys.yield
+		rig.lease(held(0, 9), nil)
+		assert.Assert(t, rig.g.keys.holds("i-1", 4, time.Now()))
+		next := Registration{ID: "i-1@5", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}
+		time.Sleep(2 * beatInterval)
+		rig.g.registry.heartbeat(next, time.Second, time.Now())
+		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1", "its predecessor's keys may be held")
+		assert.Assert(t, !rig.g.keys.holds("i-1", 4, time.Now()))
+		time.Sleep(2 * keysInterval)
+		synctest.Wait()
+		assert.DeepEqual(t, rig.holder.released(), []keyspace.Range{{First: 0, Last: 9}})
+		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1@5")
+	})
+}
+
+// A release that is not answered is asked for again, and the next life is believed once
+// what was granted is over at the latest.
+func TestTheNextLifeIsBelievedThoughReleasesAreNotAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.g.registry.interval = beatInterval
+		rig.g.registry.yields = rig.g.keys.yield
+		rig.lease(held(0, 9), nil)
+		rig.holder.setRefuse(errNoAnswer)
+		time.Sleep(2 * beatInterval)
+		next := Registration{ID: "i-1@5", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}
+		rig.g.registry.heartbeat(next, time.Second, time.Now())
+		time.Sleep(2 * holdFor)
+		synctest.Wait()
+		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1@5")
+	})
+}
+
+// A present life that is heard again gets its keys back.
+func TestAPresentLifeThatIsHeardAgainKeepsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.g.registry.interval = beatInterval
+		rig.g.registry.yields = rig.g.keys.yield
+		rig.lease(held(0, 9), nil)
+		rig.holder.setRefuse(errNoAnswer)
+		time.Sleep(2 * beatInterval)
+		late := Registration{ID: "i-1@5", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 70}
+		rig.g.registry.heartbeat(late, time.Second, time.Now())
+		rig.holder.setRefuse(nil)
+		_, err := rig.g.Heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 2})
+		assert.NilError(t, err)
+		time.Sleep(2 * keysInterval)
+		synctest.Wait()
+		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
+		assert.Assert(t, rig.g.keys.holds("i-1", 4, time.Now()))
+	})
+}
+
+// A life that the leader knew and that has not proved itself promises nothing: it may
+// live, and hold what an earlier process has granted.
+func TestALifeThatHasNotProvedItselfPromisesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.g.registry.unproved = true
+		rig.g.config.Service = "s"
+		advance(t, rig.g.views, &fleetwire.View{Document: &routeconfig.Document{Version: 1, Services: []routeconfig.Service{{Name: "s", WarmupRate: coldRate}}}})
+		assert.Assert(t, rig.g.unproved())
+		rig.lease(nil, held(0, 9))
+		assert.Equal(t, len(rig.g.keys.promises()), 0)
+	})
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -45,6 +45,7 @@
 	grants   *prometheus.CounterVec
 	releases *prometheus.CounterVec
 	words    *prometheus.CounterVec
+	refused  *prometheus.CounterVec
 	// pipelines counts what callers send ahead.
 	pipelines pipelineMetrics
 }
@@ -70,8 +71,9 @@
 		releases: counters("releases_total", "Ranges of keys taken back from the back end.", "result"),
 	}
 	m.words = counters("peer_words_total", "Other gateways that were asked for the leader's word, while it was not heard, by what became of it.", "result")
+	m.refused = counters("heartbeats_refused_total", "Heartbeats that told nothing, by what is wrong with them.", "reason")
 	m.pipelines = newPipelineMetrics(registry)
-	registry.MustRegister(m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words)
+	registry.MustRegister(m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused)
 	return m
 }
 
--- a/internal/gateway/peerword.go
+++ b/internal/gateway/peerword.go
@@ -28,7 +28,7 @@
 	// roundInterval is the pause between two rounds, and askedAtOnce how many are asked in
 	// one: some of them may be cut off, too.
 	roundInterval = 200 * time.Millisecond
-	askedAtOnce = 2
+	askedAtOnce   = 2
 	// askedWithin bounds a round: a few round trips between regions.
 	askedWithin = 300 * time.Millisecond
 )
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/incarnation"
 )
 
 // Registration is what a back end says of itself.
 type Registration struct {
-	// ID is new at each start of the back end.
+	// ID is the name of its life (incarnation.Name).
 	ID      string
 	Service string
 	Slots   int
@@ -41,6 +42,13 @@
 	// unproved says that the present instance is only the one that the leader knew when
 	// this process started.
 	unproved bool
+	// rival is a life that was heard beside the present one and is not believed yet.
+	rival rival
+	// yields is called, without the mutex, before another life takes the place of one
+	// whose process is not known to have ended. It reports whether nothing that was
+	// granted to that one may be held any more; where something may, it is taken back,
+	// and retry is called then.
+	yields func(former string) bool
 	// unheard counts the intervals since the last word of the present instance.
 	unheard int
 	// changed is called after each change, without the mutex.
@@ -52,7 +60,11 @@
 }
 
 func newRegistry(changed func()) *registry {
-	return &registry{ended: map[string]bool{}, changed: changed, told: func(time.Duration, bool) {}}
+	return &registry{
+		ended: map[string]bool{}, changed: changed,
+		told:   func(time.Duration, bool) {},
+		yields: func(string) bool { return true },
+	}
 }
 
 // snapshot returns the present instance; its ID is empty where none is known.
@@ -76,27 +88,60 @@
 // one may still get requests. It reports whether this is the newest word of the
 // life that is there.
 func (r *registry) heartbeat(told Registration, drainWithin time.Duration, now time.Time) (newest bool) {
-	newest, changed := r.take(told, drainWithin, now)
+	former, believed := r.believe(told, drainWithin, now)
+	if !believed || former != "" && !r.yields(former) {
+		return false
+	}
+	newest, changed := r.take(told, former, drainWithin, now)
 	if changed {
 		r.changed()
 	}
 	return newest
 }
 
-func (r *registry) take(told Registration, drainWithin time.Duration, now time.Time) (newest, changed bool) {
+// believe reports whether a heartbeat is taken as that of the present life, or of the
+// next one. Former is the life whose place it takes, where its end is not known.
+func (r *registry) believe(told Registration, drainWithin time.Duration, now time.Time) (former string, believed bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.ended[told.ID] {
-		return false, false
+	switch {
+	case r.ended[told.ID]:
+		return "", false
+	case told.ID == r.current.ID:
+		if told.Sequence <= r.current.Sequence {
+			return "", false
+		}
+		r.rival = rival{}
+		return "", true
+	case r.current.ID == "" || r.current.State == fleetwire.InstanceGone:
+		return "", true
+	case !r.follows(told, now):
+		return "", false
+	}
+	r.rival.believed, r.rival.told, r.rival.drainWithin = true, told, drainWithin
+	return r.current.ID, true
+}
+
+// retry takes the heartbeat of a life that was believed and had to wait for what its
+// predecessor was granted.
+func (r *registry) retry(now time.Time) {
+	r.mutex.Lock()
+	waiting := r.rival
+	r.mutex.Unlock()
+	if waiting.believed {
+		r.heartbeat(waiting.told, waiting.drainWithin, now)
 	}
+}
+
+func (r *registry) take(told Registration, former string, drainWithin time.Duration, now time.Time) (newest, changed bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	fresh := told.ID != r.current.ID
-	switch {
-	case fresh && r.doubts(told, now):
-		return false, false
-	case fresh:
+	if fresh && former != "" && former != r.current.ID || !fresh && told.Sequence <= r.current.Sequence {
+		return false, false // another word came between
+	}
+	if fresh {
 		r.begin(told)
-	case told.Sequence <= r.current.Sequence:
-		return false, false
 	}
 	r.heardAt, r.unproved = now, false
 	r.told(told.WarmupLeft, fresh)
@@ -120,18 +165,42 @@
 	// beatsMissed is after how many intervals without a word of the present life any
 	// heartbeat of another one is believed.
 	beatsMissed = 1.5
+	// beatsAlone is for how many intervals another life must be heard alone: the present
+	// one, if it lived, would have been heard.
+	beatsAlone = 0.9
 )
 
-// doubts says that a heartbeat of a life that is not the present one may be a late one of
-// an earlier life, which a gateway that has restarted does not remember: the present one
-// was heard a moment ago, and it is none of the first that a life sends. Taken for the
-// next life, it would make the leader give the present one's keys away while that holds
-// them.
-func (r *registry) doubts(told Registration, now time.Time) bool {
-	if r.current.ID == "" || r.current.State == fleetwire.InstanceGone || told.Sequence <= firstBeats {
+// rival is a life that was heard beside the present one.
+type rival struct {
+	id string
+	// sequence and at are of the first of its heartbeats since the present one was heard.
+	sequence uint64
+	at       time.Time
+	// believed says that it follows, and waits for what the present one was granted;
+	// told and drainWithin are its newest heartbeat.
+	believed    bool
+	told        Registration
+	drainWithin time.Duration
+}
+
+// follows says that a heartbeat of a life that is not the present one is that of the next
+// one, and none that an earlier life has sent, which comes late: a gateway that has
+// restarted does not remember the earlier ones. Taken for the next life, a late one would
+// make the leader give the present one's keys away while that holds them. It is the next
+// one's where the present one has fallen silent, where it is one of the first of a life
+// under another id, or where the life goes on being heard and the present one is not. No
+// clock of a back end is asked.
+func (r *registry) follows(told Registration, now time.Time) bool {
+	intervals := func(count float64) time.Duration { return time.Duration(count * float64(r.interval)) }
+	sameID := incarnation.IDOf(told.ID) == incarnation.IDOf(r.current.ID)
+	if now.Sub(r.heardAt) >= intervals(beatsMissed) || told.Sequence <= firstBeats && !sameID {
+		return true
+	}
+	if r.rival.id != told.ID || !r.heardAt.Before(r.rival.at) {
+		r.rival = rival{id: told.ID, sequence: told.Sequence, at: now}
 		return false
 	}
-	return now.Sub(r.heardAt) < time.Duration(beatsMissed*float64(r.interval))
+	return told.Sequence > r.rival.sequence && now.Sub(r.rival.at) >= intervals(beatsAlone)
 }
 
 // begin starts a new life of the back end.
@@ -139,7 +208,7 @@
 	if r.current.ID != "" {
 		r.ended[r.current.ID] = true
 	}
-	r.left = false
+	r.left, r.rival = false, rival{}
 	r.refuseFrom = time.Time{}
 	address, node, zone := r.current.Address, r.current.Node, r.current.Zone
 	r.current = fleetwire.Instance{
@@ -156,10 +225,11 @@
 	return changed
 }
 
-// deregister takes a back end's word that it leaves for good.
+// deregister takes a back end's word that it leaves for good. One that does not tell its
+// start means the present life under its id.
 func (r *registry) deregister(id string, drainWithin time.Duration, now time.Time) {
 	r.mutex.Lock()
-	known := id == r.current.ID && id != ""
+	known := id != "" && (id == r.current.ID || id == incarnation.IDOf(r.current.ID))
 	if !known {
 		r.ended[id] = true
 	}
@@ -197,7 +267,7 @@
 	if fresh && known.State != fleetwire.InstanceGone {
 		r.current.ID, r.current.Service = known.ID, known.Service
 		r.current.Slots, r.current.State, r.current.Sequence = known.Slots, known.State, known.Sequence
-		r.unproved = true
+		r.unproved, r.heardAt = true, now
 		if known.State == fleetwire.InstanceDraining {
 			r.left = true
 			r.refuseFrom = now
@@ -209,11 +279,13 @@
 	}
 }
 
-// prove takes the back end's own word that it is an instance.
-func (r *registry) prove(instance string) {
+// prove takes the back end's own word that it has an id. It may be another life under it,
+// which is granted what was meant for the present one until it is believed
+// (keyKeeper.yield).
+func (r *registry) prove(id string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if instance == r.current.ID {
+	if id == incarnation.IDOf(r.current.ID) {
 		r.unproved = false
 	}
 }
--- a/internal/gateway/warmth.go
+++ b/internal/gateway/warmth.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/incarnation"
 	"github.com/quartzdock/quartzdock/internal/overload"
 )
 
@@ -108,7 +109,7 @@
 		return err
 	}
 	answered := response.Header.Get(names.InstanceID)
-	if answered != "" && answered != instance.ID {
+	if answered != "" && answered != incarnation.IDOf(instance.ID) {
 		return errOtherInstance
 	}
 	if answered != "" && !g.registry.proved() {
--- a/lab/platformstandin/heartbeatkeys.go
+++ b/lab/platformstandin/heartbeatkeys.go
@@ -134,13 +134,17 @@
 func (i *Instance) beatByHeartbeat(ctx context.Context, address, state string, sequence uint64) bool {
 	sent := time.Now()
 	holds, freed := i.keyRows(sent)
-	body, err := json.Marshal(map[string]any{
+	said := map[string]any{
 		"address": address,
 		"info":    map[string]any{"service": i.Service, "version": "v1", "zone": "z", "slots": i.Slots},
 		"status":  map[string]any{"state": state, "sequence": sequence, "warmupLeft": "0ms"},
 		"holds":   holds,
 		"freed":   freed,
-	})
+	}
+	if i.Born != 0 {
+		said["born"] = i.Born
+	}
+	body, err := json.Marshal(said)
 	if err != nil {
 		return false
 	}
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -87,12 +87,22 @@
 	return f, nil
 }
 
+const (
+	// livesOfID is how many lives of a back end have one id.
+	livesOfID = 3
+	// clockStep is by how much a back end's clock has jumped back at each start: more than
+	// a life lasts.
+	clockStep = time.Minute
+)
+
 // startBackend starts the next life of a back end. The caller has the place.
 func (f *fleet) startBackend(backend *place) error {
 	backend.lives++
 	side := backend.machine
+	// The clock of each life is further behind.
+	born := time.Now().Add(-time.Duration(backend.lives) * clockStep)
 	backend.instance = &platformstandin.Instance{
-		ID: fmt.Sprintf("%s-%d", side.Name, backend.lives), Service: side.Service, Machine: side.Name, Keyed: side.Service == keyedService,
+		ID: fmt.Sprintf("%s-%d", side.Name, backend.lives/livesOfID), Born: born.UnixMilli(), Service: side.Service, Machine: side.Name, Keyed: side.Service == keyedService,
 		ByHeartbeat: f.grants == ByHeartbeat, Control: side.Control(), Slots: slotsOfBackend,
 		Calls: func(ctx context.Context, call platformstandin.LookUp) { f.callers.lookUp(ctx, side, call) },
 	}
