Model lives under one id; take back what an earlier process granted, free no key while a grant is on its way

Cause: found by the new model (spec/lives.pml). A gateway that had restarted took back only its own grants before it told the leader of a next life, which might hold what the process before it had granted. And a grant that was on its way as a life was found to have ended could reach the next one at the address, while the leader gave the key to others. Change: the lease's list counts as granted while an earlier process's grants may be in force; an ended life's keys are free once no grant is on its way. Measured: two new tests fail before and pass after; the model holds, four broken variants are caught.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	g.registry.current = fleetwire.Instance{Node: g.config.Name, Address: g.config.PeerListen, Zone: g.config.Zone}
 	g.keys = newKeyKeeper(g)
 	g.registry.yields = g.keys.yield
+	g.registry.onItsWay = g.keys.granted
 	g.session = newSessionClient(g)
 	var err error
 	if g.egress, err = newEgress(g); err != nil {
--- a/internal/gateway/keyreleases.go
+++ b/internal/gateway/keyreleases.go
@@ -78,7 +78,7 @@
 // possibleUntil is when the back end surely holds none of a range any more,
 // whatever this process or an earlier one has granted.
 func (k *keyKeeper) possibleUntil(held fleetwire.Held) time.Time {
-	until := k.started.Add(time.Duration(float64(holdFor)*(1+clockDrift)) + grantTimeout)
+	until := k.earlierUntil()
 	for key, sent := range k.grants {
 		if key.concerns(held) {
 			until = later(until, sent.possibleUntil)
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -293,6 +293,9 @@
 	present := k.gateway.registry.snapshot()
 	gone := present.State == fleetwire.InstanceGone || present.ID != k.instance
 	k.endOver(now, gone)
+	if gone && !k.anyOnItsWay() && k.gateway.registry.free(k.instance) {
+		k.gateway.session.report()
+	}
 	switch {
 	case byHeartbeat:
 		k.endReleases(now)
--- a/internal/gateway/keyyield.go
+++ b/internal/gateway/keyyield.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
 )
 
 // What is granted goes to whatever process is at the back end's address. One that has
@@ -13,9 +15,17 @@
 // yield reports whether nothing that was granted to an instance may be held at its address
 // any more. Where something may, it is taken back, and registry.retry is called then.
 func (k *keyKeeper) yield(former string) bool {
+	if k.byHeartbeat() {
+		return true // granted to the life that sends the heartbeat, and to no other
+	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if former != k.instance || !k.mayBeHeld(time.Now()) {
+	now := time.Now()
+	if former != k.instance {
+		return now.After(k.earlierUntil()) // no lease says yet what an earlier process granted
+	}
+	k.claimEarlier(now)
+	if !k.mayBeHeld(now) {
 		return true
 	}
 	if !k.yielding {
@@ -29,6 +39,54 @@
 	return false
 }
 
+// earlierUntil is when nothing is in force that an earlier process of this gateway has
+// granted.
+func (k *keyKeeper) earlierUntil() time.Time {
+	return k.started.Add(time.Duration(float64(holdFor)*(1+clockDrift)) + grantTimeout)
+}
+
+// claimEarlier counts what the lease lists as granted by an earlier process, while that
+// may be in force. The caller has the mutex.
+func (k *keyKeeper) claimEarlier(now time.Time) {
+	until := k.earlierUntil()
+	if k.yielding || now.After(until) {
+		return
+	}
+	claim := func(held fleetwire.Held) {
+		key := heldKey{held.Keys, held.Fence}
+		sent, ok := k.grants[key]
+		if !ok {
+			sent = &grant{Held: held}
+			k.grants[key] = sent
+		}
+		sent.possibleUntil = later(sent.possibleUntil, until)
+	}
+	for _, held := range k.wanted {
+		claim(held)
+	}
+	for _, running := range k.releases {
+		if !running.done {
+			claim(running.held)
+		}
+	}
+}
+
+// granted says that a grant to an instance is on its way.
+func (k *keyKeeper) granted(instance string) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return instance == k.instance && k.anyOnItsWay()
+}
+
+func (k *keyKeeper) anyOnItsWay() bool {
+	for _, sent := range k.grants {
+		if sent.inFlight {
+			return true
+		}
+	}
+	return false
+}
+
 // stay ends the yielding for an instance that was heard again: it lives.
 func (k *keyKeeper) stay(instance string) {
 	k.mutex.Lock()
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -205,3 +206,60 @@
 		assert.Equal(t, len(rig.g.keys.promises()), 0)
 	})
 }
+
+// The process of the gateway before this one may have granted, too: what the lease lists
+// is taken back though this one has granted nothing.
+func TestGrantsOfAnEarlierProcessAreTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.g.registry.interval = beatInterval
+		rig.g.registry.yields = rig.g.keys.yield
+		rig.holder.setRefuse(errNoAnswer)
+		rig.g.config.LongestHold = leastHold / 2 // this process grants nothing
+		rig.lease(held(0, 9), nil)
+		rig.holder.setRefuse(nil)
+		time.Sleep(2 * beatInterval)
+		next := Registration{ID: "i-1@5", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}
+		rig.g.registry.heartbeat(next, time.Second, time.Now())
+		time.Sleep(2 * keysInterval)
+		synctest.Wait()
+		assert.Equal(t, len(rig.holder.granted()), 0)
+		assert.DeepEqual(t, rig.holder.released(), []keyspace.Range{{First: 0, Last: 9}})
+		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1@5")
+	})
+}
+
+// slowHolder answers grants only when it is told to.
+type slowHolder struct {
+	fakeHolder
+	asked, answer chan struct{}
+}
+
+func (h *slowHolder) Grant(context.Context, GrantOrder) error {
+	h.asked <- struct{}{}
+	<-h.answer
+	return errNoAnswer
+}
+
+// A grant that is on its way as its life ends may reach the next one. The leader is told
+// that the keys are free once it can't any more.
+func TestKeysOfALifeThatHasEndedAreFreeOnceNoGrantIsOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		holder := &slowHolder{asked: make(chan struct{}, 1), answer: make(chan struct{})}
+		rig.g.config.Keys = holder
+		rig.lease(held(0, 9), nil)
+		<-holder.asked
+		rig.g.registry.onItsWay = rig.g.keys.granted
+		rig.g.registry.dead("i-1")
+		time.Sleep(2 * keysInterval)
+		synctest.Wait()
+		ended := rig.g.registry.snapshot()
+		assert.Equal(t, ended.State, fleetwire.InstanceGone, "it gets nothing from now on")
+		assert.Assert(t, !ended.Released)
+		close(holder.answer)
+		time.Sleep(2 * keysInterval)
+		synctest.Wait()
+		assert.Assert(t, rig.g.registry.snapshot().Released)
+	})
+}
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -49,6 +49,8 @@
 	// granted to that one may be held any more; where something may, it is taken back,
 	// and retry is called then.
 	yields func(former string) bool
+	// onItsWay reports, without the mutex, whether a grant to an instance is on its way.
+	onItsWay func(instance string) bool
 	// unheard counts the intervals since the last word of the present instance.
 	unheard int
 	// changed is called after each change, without the mutex.
@@ -62,8 +64,9 @@
 func newRegistry(changed func()) *registry {
 	return &registry{
 		ended: map[string]bool{}, changed: changed,
-		told:   func(time.Duration, bool) {},
-		yields: func(string) bool { return true },
+		told:     func(time.Duration, bool) {},
+		yields:   func(string) bool { return true },
+		onItsWay: func(string) bool { return false },
 	}
 }
 
@@ -252,12 +255,25 @@
 	known := instance != "" && instance == r.current.ID && r.current.State != fleetwire.InstanceGone
 	if known {
 		r.current.State = fleetwire.InstanceGone
-		r.current.Released = true
 	}
 	r.mutex.Unlock()
-	if known {
-		r.changed()
+	if !known {
+		return
 	}
+	if !r.onItsWay(instance) {
+		r.free(instance)
+	}
+	r.changed()
+}
+
+// free says that an instance that has ended holds no keys, and that no other life at its
+// address can get them by a grant that was meant for it. It reports a change.
+func (r *registry) free(instance string) (changed bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	changed = instance == r.current.ID && r.current.State == fleetwire.InstanceGone && !r.current.Released
+	r.current.Released = r.current.Released || changed
+	return changed
 }
 
 // restore takes what the leader last knew, at the start of the process.
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -141,6 +141,20 @@
 		short:   bounds(noMishaps, "LOSSES=0", "DRIFT=0", "REVISIONS=4"),
 		defects: []string{"RELEASED_OF_ANY_EPOCH"},
 	},
+	{
+		name:    "lives of a back end under one id",
+		model:   "lives.pml",
+		bounds:  []string{"LIVES=4", "RESTARTS=2"},
+		short:   []string{"LIVES=3", "RESTARTS=1"},
+		defects: []string{"NOTHING_TAKEN_BACK", "FORGETS_EARLIER_GRANTS", "ENDS_WITH_GRANT_ON_ITS_WAY"},
+	},
+	{
+		name:    "lives of a back end that gets its keys by heartbeat",
+		model:   "lives.pml",
+		bounds:  []string{"LIVES=4", "RESTARTS=2", "BY_HEARTBEAT=1"},
+		short:   []string{"LIVES=3", "RESTARTS=1", "BY_HEARTBEAT=1"},
+		defects: []string{"FIRST_BEAT_BELIEVED"},
+	},
 }
 
 func bounds(common []string, more ...string) []string {
