Let the gateway's tests use header names of their own

Cause: tests of the product named the fields of the users' platform, which the adapter alone is to know. Change: the names in the tests; the gateway takes them from its settings. Measured: the package's tests pass.

--- a/internal/gateway/egress_test.go
+++ b/internal/gateway/egress_test.go
@@ -61,8 +61,8 @@
 
 func testHeaders() HeaderNames {
 	return HeaderNames{
-		RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", TargetInstance: "Target-Instance",
-		NotExecuted: "Not-Executed", CallerService: "Caller-Service", Key: "Key",
+		RequestID: "Try-Name", Deadline: "Wait-Ms", Seal: "Seal", TargetInstance: "Only-For",
+		NotExecuted: "Never-Ran", CallerService: "From-Service", Key: "Key",
 	}
 }
 
@@ -89,13 +89,13 @@
 
 func tryOf(id string) *forwardRequest {
 	return &forwardRequest{
-		Method: http.MethodGet, URI: "/a/b%2Fc?q=1", Host: "h", Header: http.Header{"Request-Id": {id}}, ID: id,
+		Method: http.MethodGet, URI: "/a/b%2Fc?q=1", Host: "h", Header: http.Header{"Try-Name": {id}}, ID: id,
 		Instance: "i-1", Target: time.Second, Due: time.Now().Add(time.Second), Deadline: time.Now().Add(5 * time.Second),
 	}
 }
 
 func answerText(status, id, extra, body string) string {
-	return fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s", status, id, len(body), extra, body)
+	return fmt.Sprintf("HTTP/1.1 %s\r\nTry-Name: %s\r\nContent-Length: %d\r\n%s\r\n%s", status, id, len(body), extra, body)
 }
 
 const seal = "Seal: x\r\n"
@@ -113,13 +113,13 @@
 		"encoded": {func(r *http.Request) string {
 			return answerText("200 OK", "r1", seal+"Content-Encoding: gzip\r\n", "body")
 		}, outcomeUnknown, 0},
-		"proof that it did not run": {func(r *http.Request) string { return answerText("503 X", "r1", "Not-Executed: 1\r\n", "") }, outcomeNotRun, 0},
+		"proof that it did not run": {func(r *http.Request) string { return answerText("503 X", "r1", "Never-Ran: 1\r\n", "") }, outcomeNotRun, 0},
 		"another instance":          {func(r *http.Request) string { return answerText("421 X", "r1", "", "") }, outcomeNotRun, 0},
 		"503 without proof":         {func(r *http.Request) string { return answerText("503 X", "r1", "", "") }, outcomeAnswered, 503},
 		"closed without an answer":  {func(r *http.Request) string { return "" }, outcomeUnknown, 0},
 		"bytes that are no answer":  {func(r *http.Request) string { return "garbage\r\n\r\n" }, outcomeUnknown, 0},
 		"body broken off": {func(r *http.Request) string {
-			return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: x\r\nContent-Length: 9\r\nConnection: close\r\n\r\nab"
+			return "HTTP/1.1 200 OK\r\nTry-Name: r1\r\nSeal: x\r\nContent-Length: 9\r\nConnection: close\r\n\r\nab"
 		}, outcomeUnknown, 0},
 	}
 	for name, c := range cases {
@@ -136,7 +136,7 @@
 // A second answer comes behind the first, or later in the place of the next.
 func TestASurplusAnswerReachesNobody(t *testing.T) {
 	backend := startRawBackend(t, func(r *http.Request) string {
-		id := r.Header.Get("Request-Id")
+		id := r.Header.Get("Try-Name")
 		return answerText("200 OK", id, seal, "own") + answerText("200 OK", id, seal, "surplus")
 	})
 	g := egressOver(t, backend)
@@ -144,7 +144,7 @@
 		id := fmt.Sprintf("r%d", i)
 		result := g.egress.serve(t.Context(), tryOf(id))
 		assert.Equal(t, result.Outcome, outcomeAnswered)
-		assert.Equal(t, result.Header.Get("Request-Id"), id)
+		assert.Equal(t, result.Header.Get("Try-Name"), id)
 		assert.Equal(t, string(result.Body), "own")
 	}
 }
@@ -155,8 +155,8 @@
 	assert.Equal(t, g.egress.serve(t.Context(), tryOf("r1")).Outcome, outcomeAnswered)
 	got := <-backend.requests
 	assert.Equal(t, got.RequestURI, "/a/b%2Fc?q=1")
-	assert.Equal(t, got.Header.Get("Target-Instance"), "i-1")
-	left, ok := parseMilliseconds(got.Header.Get("Deadline-Ms"))
+	assert.Equal(t, got.Header.Get("Only-For"), "i-1")
+	left, ok := parseMilliseconds(got.Header.Get("Wait-Ms"))
 	assert.Assert(t, ok && left <= 5*time.Second)
 }
 
@@ -186,10 +186,10 @@
 // What a peer passes on keeps its meaning over the way between gateways.
 func TestATryOverAPeerKeepsItsOutcome(t *testing.T) {
 	backend := startRawBackend(t, func(r *http.Request) string {
-		if r.Header.Get("Request-Id") == "shed" {
-			return answerText("503 X", "shed", "Not-Executed: 1\r\n", "")
+		if r.Header.Get("Try-Name") == "shed" {
+			return answerText("503 X", "shed", "Never-Ran: 1\r\n", "")
 		}
-		return answerText("200 OK", r.Header.Get("Request-Id"), seal, "body")
+		return answerText("200 OK", r.Header.Get("Try-Name"), seal, "body")
 	})
 	g := egressOver(t, backend)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -201,7 +201,7 @@
 	target := peers.get(listener.Addr().String())
 	send := func(id string) *forwardResult {
 		request := tryOf(id)
-		request.Header.Set("Deadline-Ms", "4000")
+		request.Header.Set("Wait-Ms", "4000")
 		return target.send(t.Context(), request)
 	}
 	answered := send("r1")
--- a/internal/gateway/forward_bench_test.go
+++ b/internal/gateway/forward_bench_test.go
@@ -23,7 +23,7 @@
 	setup := twoHopsConfig{repetition: routeconfig.Repeatable, timeout: time.Second}
 	hops := startTwoHops(b, setup, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		header := w.Header()
-		header.Set("Request-Id", r.Header.Get("Request-Id"))
+		header.Set("Try-Name", r.Header.Get("Try-Name"))
 		header.Set("Seal", "x")
 		header.Set("Content-Length", strconv.Itoa(benchAnswer))
 		_, _ = w.Write(body)
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -20,8 +20,8 @@
 	full := map[string]http.HandlerFunc{
 		"without an instance": nil,
 		"without room": func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-			w.Header().Set("Not-Executed", "1")
+			w.Header().Set("Try-Name", r.Header.Get("Try-Name"))
+			w.Header().Set("Never-Ran", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		},
 	}
--- a/internal/gateway/silentleader_test.go
+++ b/internal/gateway/silentleader_test.go
@@ -200,8 +200,8 @@
 	request, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+s.caller+"/", nil)
 	assert.NilError(s.t, err)
 	request.Host = "h"
-	request.Header.Set("Request-Id", "r1")
-	request.Header.Set("Deadline-Ms", "5000")
+	request.Header.Set("Try-Name", "r1")
+	request.Header.Set("Wait-Ms", "5000")
 	response, err := http.DefaultClient.Do(request)
 	assert.NilError(s.t, err)
 	defer response.Body.Close()
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -116,9 +116,9 @@
 func TestOnlyEndToEndFieldsGoOn(t *testing.T) {
 	header := http.Header{
 		"Connection": {"keep-alive, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"5"}, "Transfer-Encoding": {"chunked"},
-		"Content-Length": {"3"}, "Request-Id": {"r"}, "Quartzdock-Instance": {"forged"},
+		"Content-Length": {"3"}, "Try-Name": {"r"}, "Quartzdock-Instance": {"forged"},
 	}
-	assert.DeepEqual(t, forwardable(header), http.Header{"Request-Id": {"r"}})
+	assert.DeepEqual(t, forwardable(header), http.Header{"Try-Name": {"r"}})
 }
 
 func TestLoadsSurviveTheWay(t *testing.T) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -116,8 +116,8 @@
 			return err.Error()
 		}
 		request.Host = "h"
-		request.Header.Set("Request-Id", "call")
-		request.Header.Set("Deadline-Ms", "500")
+		request.Header.Set("Try-Name", "call")
+		request.Header.Set("Wait-Ms", "500")
 		response, err := http.DefaultClient.Do(request)
 		if err != nil {
 			return err.Error()
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -19,7 +19,7 @@
 var largeAnswer = bytes.Repeat([]byte("0123456789abcdef"), 1<<20)
 
 func answerLarge(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Try-Name", r.Header.Get("Try-Name"))
 	w.Header().Set("Seal", "s")
 	_, _ = w.Write(largeAnswer)
 }
--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -104,14 +104,14 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.caller+"/a/b", strings.NewReader("body"))
 	assert.NilError(t, err)
 	request.Host = "h"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "20000")
+	request.Header.Set("Try-Name", id)
+	request.Header.Set("Wait-Ms", "20000")
 	return request
 }
 
 // answerWhole answers as a back end does.
 func answerWhole(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Try-Name", r.Header.Get("Try-Name"))
 	w.Header().Set("Seal", "x")
 	_, _ = io.WriteString(w, "whole")
 }
@@ -219,7 +219,7 @@
 	conn, err := net.Dial("tcp", hops.caller)
 	assert.NilError(t, err)
 	defer conn.Close()
-	_, err = io.WriteString(conn, "GET /a/b HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 20000\r\n\r\n")
+	_, err = io.WriteString(conn, "GET /a/b HTTP/1.1\r\nHost: h\r\nTry-Name: r1\r\nWait-Ms: 20000\r\n\r\n")
 	assert.NilError(t, err)
 	<-running
 	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
@@ -242,8 +242,8 @@
 			}
 			return
 		}
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Try-Name", r.Header.Get("Try-Name"))
+		w.Header().Set("Never-Ran", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	response, err := http.DefaultClient.Do(hops.request(t.Context(), t, "r1"))
--- a/internal/gateway/warmth_test.go
+++ b/internal/gateway/warmth_test.go
@@ -115,19 +115,19 @@
 		answer string
 		cold   bool
 	}{
-		"cold":             {"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nWarmup-Ms: 2500\r\nContent-Length: 0\r\n\r\n", true},
-		"warm":             {"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nWarmup-Ms: 0\r\nContent-Length: 0\r\n\r\n", false},
-		"says nothing":     {"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n", false},
-		"another instance": {"HTTP/1.1 200 OK\r\nInstance-Id: i-2\r\nWarmup-Ms: 0\r\nContent-Length: 0\r\n\r\n", true},
-		"not a time":       {"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nWarmup-Ms: soon\r\nContent-Length: 0\r\n\r\n", true},
-		"fails":            {"HTTP/1.1 503 X\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n", true},
+		"cold":             {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nCold-Ms: 2500\r\nContent-Length: 0\r\n\r\n", true},
+		"warm":             {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nCold-Ms: 0\r\nContent-Length: 0\r\n\r\n", false},
+		"says nothing":     {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nContent-Length: 0\r\n\r\n", false},
+		"another instance": {"HTTP/1.1 200 OK\r\nAnswered-By: i-2\r\nCold-Ms: 0\r\nContent-Length: 0\r\n\r\n", true},
+		"not a time":       {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nCold-Ms: soon\r\nContent-Length: 0\r\n\r\n", true},
+		"fails":            {"HTTP/1.1 503 X\r\nAnswered-By: i-1\r\nContent-Length: 0\r\n\r\n", true},
 	}
 	for name, test := range answers {
 		t.Run(name, func(t *testing.T) {
 			backend := startRawBackend(t, func(*http.Request) string { return test.answer })
 			g := egressOver(t, backend)
 			g.config.Service = "s"
-			g.config.Headers.WarmupLeft, g.config.Headers.InstanceID = "Warmup-Ms", "Instance-Id"
+			g.config.Headers.WarmupLeft, g.config.Headers.InstanceID = "Cold-Ms", "Answered-By"
 			g.views.prepare = g.prepare
 			advance(t, g.views, &fleetwire.View{Document: &routeconfig.Document{Version: 1, Services: []routeconfig.Service{
 				{Name: "s", HealthPath: "/health", WarmupRate: coldRate, Warmup: time.Hour},
