--- a/internal/gateway/keyyield.go
+++ b/internal/gateway/keyyield.go
@@ -80,6 +80,8 @@
 	return instance == k.instance && k.anyOnItsWay()
 }
 
+// anyOnItsWay says that a grant, or a release that takes one back, has no answer yet. The
+// caller has the mutex.
 func (k *keyKeeper) anyOnItsWay() bool {
 	for _, sent := range k.grants {
 		if sent.inFlight {
@@ -99,8 +101,7 @@
 	}
 }
 
-// mayBeHeld says that a grant of this process may still be in force or on its way. The
-// caller has the mutex.
+// mayBeHeld says that a grant may still be in force or on its way. The caller has the mutex.
 func (k *keyKeeper) mayBeHeld(now time.Time) bool {
 	for _, sent := range k.grants {
 		if sent.inFlight || now.Before(sent.possibleUntil) {
@@ -125,8 +126,7 @@
 	}
 }
 
-// yieldGrant takes one grant back. Who took it works on none of its keys longer than the
-// call's limit: no request went there that its own life was not to run.
+// yieldGrant takes one grant back. The answer comes once the work on its keys has ended.
 func (k *keyKeeper) yieldGrant(ctx context.Context, instance string, key heldKey, sent *grant) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -66,11 +66,11 @@
 
 func newRegistry(changed func()) *registry {
 	return &registry{
-		ended: map[string]bool{}, changed: changed,
-		told:     func(time.Duration, bool) {},
-		yields:   func(string) bool { return true },
-		onItsWay: func(string) bool { return false },
-
+		ended:          map[string]bool{},
+		changed:        changed,
+		told:           func(time.Duration, bool) {},
+		yields:         func(string) bool { return true },
+		onItsWay:       func(string) bool { return false },
 		leaderAnswered: func() bool { return true },
 	}
 }
@@ -107,45 +107,8 @@
 	return newest
 }
 
-// believe reports whether a heartbeat is taken as that of the present life, or of the
-// next one. Former is the life whose place it takes, where its end is not known.
-func (r *registry) believe(told Registration, drainWithin time.Duration, now time.Time) (former string, believed bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	switch {
-	case r.ended[told.ID]:
-		return "", false
-	case told.ID == r.current.ID:
-		if told.Sequence <= r.current.Sequence {
-			return "", false
-		}
-		r.rival = rival{}
-		return "", true
-	case r.current.ID == "" && told.Sequence > firstBeats && !r.leaderAnswered():
-		// It may be a late one, or another writer's: the leader would give the keys of the
-		// life that it knows away.
-		r.rival = rival{id: told.ID, believed: true, told: told, drainWithin: drainWithin}
-		return "", false
-	case r.current.ID == "" || r.current.State == fleetwire.InstanceGone:
-		return "", true
-	case !r.follows(told, now):
-		return "", false
-	}
-	r.rival.believed, r.rival.told, r.rival.drainWithin = true, told, drainWithin
-	return r.current.ID, true
-}
-
-// retry takes the heartbeat of a life that was believed and had to wait for what its
-// predecessor was granted.
-func (r *registry) retry(now time.Time) {
-	r.mutex.Lock()
-	waiting := r.rival
-	r.mutex.Unlock()
-	if waiting.believed {
-		r.heartbeat(waiting.told, waiting.drainWithin, now)
-	}
-}
-
+// take puts a heartbeat that is believed in force. Former is the life whose place it takes,
+// where its end is not known.
 func (r *registry) take(told Registration, former string, drainWithin time.Duration, now time.Time) (newest, changed bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -172,50 +135,6 @@
 	return true, before != told.State
 }
 
-const (
-	// firstBeats are the heartbeats by which a new life is known at once.
-	firstBeats = 2
-	// beatsMissed is after how many intervals without a word of the present life any
-	// heartbeat of another one is believed.
-	beatsMissed = 1.5
-	// beatsAlone is for how many intervals another life must be heard alone: the present
-	// one, if it lived, would have been heard.
-	beatsAlone = 0.9
-)
-
-// rival is a life that was heard beside the present one.
-type rival struct {
-	id string
-	// sequence and at are of the first of its heartbeats since the present one was heard.
-	sequence uint64
-	at       time.Time
-	// believed says that it follows, and waits for what the present one was granted;
-	// told and drainWithin are its newest heartbeat.
-	believed    bool
-	told        Registration
-	drainWithin time.Duration
-}
-
-// follows says that a heartbeat of a life that is not the present one is that of the next
-// one, and none that an earlier life has sent, which comes late: a gateway that has
-// restarted does not remember the earlier ones. Taken for the next life, a late one would
-// make the leader give the present one's keys away while that holds them. It is the next
-// one's where the present one has fallen silent, where it is one of the first of a life
-// under another id, or where the life goes on being heard and the present one is not. No
-// clock of a back end is asked.
-func (r *registry) follows(told Registration, now time.Time) bool {
-	intervals := func(count float64) time.Duration { return time.Duration(count * float64(r.interval)) }
-	sameID := incarnation.IDOf(told.ID) == incarnation.IDOf(r.current.ID)
-	if now.Sub(r.heardAt) >= intervals(beatsMissed) || told.Sequence <= firstBeats && !sameID {
-		return true
-	}
-	if r.rival.id != told.ID || !r.heardAt.Before(r.rival.at) {
-		r.rival = rival{id: told.ID, sequence: told.Sequence, at: now}
-		return false
-	}
-	return told.Sequence > r.rival.sequence && now.Sub(r.rival.at) >= intervals(beatsAlone)
-}
-
 // begin starts a new life of the back end.
 func (r *registry) begin(told Registration) {
 	if r.current.ID != "" {
