--- a/internal/replica/transfer_test.go
+++ b/internal/replica/transfer_test.go
@@ -63,6 +63,7 @@
 	g.start(id)
 	g.wait("a part is there", func() bool { return leader.BytesSent() > before+2_000_000 })
 	g.kill(id)
+	t.Logf("%d bytes sent until the disk was full and the replica ended", leader.BytesSent()-before)
 	disk.SetCapacity(0)
 	g.start(id)
 	g.waitCommands(id, 61)
