--- a/internal/subscription/subscription_test.go
+++ b/internal/subscription/subscription_test.go
@@ -282,11 +282,14 @@
 func TestControllersThatNameEachOtherAreBackedOffFrom(t *testing.T) {
 	var first, second *stubController
 	var ready sync.WaitGroup
+	// over says that the client is about to be stopped, which closes its connections.
+	var over atomic.Bool
 	ready.Add(1)
 	name := func(other **stubController) func(p peer) {
 		return func(p peer) {
 			ready.Wait()
-			p.send(t, wire.FromController{Redirect: &wire.Redirect{LeaderAddress: (*other).listener.Address()}})
+			err := p.Send(wire.FromController{Redirect: &wire.Redirect{LeaderAddress: (*other).listener.Address()}})
+			assert.Check(t, err == nil || over.Load(), "%v", err)
 		}
 	}
 	first = startStub(t, name(&second))
@@ -296,6 +299,7 @@
 	eventually(t, "failed attempts", func() bool { return c.Statistics().FailedAttempts >= 3 })
 	statistics := c.Statistics()
 	assert.Assert(t, statistics.Redirects <= maxRedirects*(statistics.FailedAttempts+1))
+	over.Store(true)
 }
 
 func TestForeignAckGrantsNoLease(t *testing.T) {
