--- a/internal/gateway/lives.go
+++ b/internal/gateway/lives.go
@@ -26,8 +26,8 @@
 	// sequence and at are of the first of its heartbeats since the present one was heard.
 	sequence uint64
 	at       time.Time
-	// believed says that it follows, and waits for what the present one was granted;
-	// told and drainWithin are its newest heartbeat.
+	// believed says that it is to be tried again (registry.retry); told and drainWithin are
+	// its newest heartbeat.
 	believed    bool
 	told        Registration
 	drainWithin time.Duration
@@ -81,8 +81,8 @@
 	return r.current.ID, true
 }
 
-// retry takes the heartbeat of a life that was believed and had to wait for what its
-// predecessor was granted.
+// retry takes a heartbeat that had to wait: for what its predecessor was granted, or for
+// the leader to tell the life that it knew.
 func (r *registry) retry(now time.Time) {
 	r.mutex.Lock()
 	waiting := r.rival
