--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 	g.keys = newKeyKeeper(g)
 	g.registry.yields = g.keys.yield
 	g.registry.onItsWay = g.keys.granted
+	g.registry.freed = func(instance string, rests proof) { g.keysFree(instance, allKeys, rests) }
 	g.session = newSessionClient(g)
 	g.registry.leaderAnswered = g.session.answered
 	var err error
--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -231,6 +231,7 @@
 		running.done = true
 		running.handover = k.handoverOf(running.held.Keys)
 		k.gateway.metrics.release(nil)
+		k.gateway.keysFree(k.instance, running.held.Keys, proofNamedNoMore)
 		k.gateway.session.report()
 	}
 }
--- a/internal/gateway/keyreleases.go
+++ b/internal/gateway/keyreleases.go
@@ -16,10 +16,16 @@
 			continue
 		}
 		over := now.After(k.possibleUntil(running.held)) && !k.fences.isOpen(running.held.Keys, running.held.Fence)
-		if gone || over {
-			running.done = true
-			k.gateway.session.report()
+		if !gone && !over {
+			continue
+		}
+		rests := proofTimeOver
+		if gone {
+			rests = proofConnectionRefused
 		}
+		running.done = true
+		k.gateway.keysFree(k.instance, running.held.Keys, rests)
+		k.gateway.session.report()
 	}
 }
 
@@ -36,7 +42,7 @@
 		}
 		running.inFlight = true
 		k.taken = append(k.taken, taken{heldKey{running.held.Keys, running.held.Fence}, now})
-		go k.takeBack(ctx, running, compose(running.held.Fence, k.fences.used[running.held.Fence]))
+		go k.takeBack(ctx, k.instance, running, compose(running.held.Fence, k.fences.used[running.held.Fence]))
 	}
 }
 
@@ -87,7 +93,7 @@
 	return until
 }
 
-func (k *keyKeeper) takeBack(ctx context.Context, running *release, fence keyspace.Fence) {
+func (k *keyKeeper) takeBack(ctx context.Context, instance string, running *release, fence keyspace.Fence) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	handover, err := k.gateway.config.Keys.Release(ctx, running.held.Keys, fence)
@@ -105,5 +111,6 @@
 		k.gateway.config.Log.Info("release not confirmed", "first", running.held.Keys.First, "last", running.held.Keys.Last, "error", err)
 		return
 	}
+	k.gateway.keysFree(instance, running.held.Keys, proofReleaseAnswered)
 	k.gateway.session.report()
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -46,6 +46,7 @@
 	releases *prometheus.CounterVec
 	words    *prometheus.CounterVec
 	refused  *prometheus.CounterVec
+	freed    *prometheus.CounterVec
 	// pipelines counts what callers send ahead.
 	pipelines pipelineMetrics
 }
@@ -72,8 +73,9 @@
 	}
 	m.words = counters("peer_words_total", "Other gateways that were asked for the leader's word, while it was not heard, by what became of it.", "result")
 	m.refused = counters("heartbeats_refused_total", "Heartbeats that told nothing, by what is wrong with them.", "reason")
+	m.freed = counters("keys_freed_total", "Times that the leader was told that keys may go to another owner, by what it rests on.", "proof")
 	m.pipelines = newPipelineMetrics(registry)
-	registry.MustRegister(m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused)
+	registry.MustRegister(m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed)
 	return m
 }
 
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -54,6 +54,9 @@
 	leaderAnswered func() bool
 	// onItsWay reports, without the mutex, whether a grant to an instance is on its way.
 	onItsWay func(instance string) bool
+	// freed is called, with the mutex, where the leader is told that an instance holds no
+	// keys, with what that rests on.
+	freed func(instance string, rests proof)
 	// unheard counts the intervals since the last word of the present instance.
 	unheard int
 	// changed is called after each change, without the mutex.
@@ -71,6 +74,7 @@
 		told:           func(time.Duration, bool) {},
 		yields:         func(string) bool { return true },
 		onItsWay:       func(string) bool { return false },
+		freed:          func(string, proof) {},
 		leaderAnswered: func() bool { return true },
 	}
 }
@@ -139,6 +143,7 @@
 func (r *registry) begin(told Registration) {
 	if r.current.ID != "" {
 		r.ended[r.current.ID] = true
+		r.freed(r.current.ID, proofNextLife)
 	}
 	r.left, r.rival = false, rival{}
 	r.refuseFrom = time.Time{}
@@ -201,7 +206,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	changed = instance == r.current.ID && r.current.State == fleetwire.InstanceGone && !r.current.Released
-	r.current.Released = r.current.Released || changed
+	if changed {
+		r.current.Released = true
+		r.freed(instance, proofConnectionRefused)
+	}
 	return changed
 }
 
