Tell when a lost owner's keys are free; hold 1 s; pass over reports of earlier processes

Callers of keys whose back end can't be reached were tried again each 0.2 s at that one. They are told when the keys are free, and wait only where that comes in their time. A renewal whose connection ended left an order that could lie unread: one crash in five cost 8 s (the lease) in place of 1 s.

A report of a gateway's former process, read after the present one's session was opened, is passed over: its word that nothing is held does not cover what the present one grants. Test fails without.

--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -47,7 +47,9 @@
 
 // control is owned by the replica's control goroutine.
 type control struct {
-	state      *fleetstate.State
+	state *fleetstate.State
+	// newest is the number of the last session of each gateway.
+	newest     map[string]uint64
 	leadership leadership.Leadership
 	// planner is nil unless this controller leads, and so is inForce.
 	planner   *keylease.Planner
@@ -73,7 +75,7 @@
 		return nil, fmt.Errorf("controller: configuration: %w", err)
 	}
 	c.metrics = newControllerMetrics(c.config.Registry)
-	c.control.state = fleetstate.New()
+	c.control.state, c.control.newest = fleetstate.New(), map[string]uint64{}
 	c.view.Store(&view{})
 	founders, err := loadFounders(&c.config)
 	if err != nil {
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -22,7 +22,9 @@
 type session struct {
 	conn *transport.Conn
 	node string
-	wake chan struct{}
+	// number counts accepted connections: a process that has restarted has the higher one.
+	number uint64
+	wake   chan struct{}
 
 	mutex sync.Mutex
 	lease *fleetwire.Lease
@@ -44,7 +46,7 @@
 // accept takes sessions until the listener is closed.
 func (c *Controller) accept() {
 	defer c.ended.Done()
-	for {
+	for number := uint64(1); ; number++ {
 		conn, err := c.listener.Accept()
 		if errors.Is(err, transport.ErrClosed) {
 			return
@@ -54,12 +56,12 @@
 			continue
 		}
 		c.ended.Add(1)
-		go c.serve(conn)
+		go c.serve(conn, number)
 	}
 }
 
 // serve reads one session from its Hello to its end.
-func (c *Controller) serve(conn *transport.Conn) {
+func (c *Controller) serve(conn *transport.Conn, number uint64) {
 	defer c.ended.Done()
 	defer conn.Close()
 	if !c.track(conn) {
@@ -78,7 +80,7 @@
 		_ = conn.Send(fleetwire.FromController{Admission: c.admit(c.running, join)})
 		return
 	}
-	s := &session{conn: conn, node: first.Hello.Node, wake: make(chan struct{}, 1)}
+	s := &session{conn: conn, node: first.Hello.Node, number: number, wake: make(chan struct{}, 1)}
 	if !c.register(s) {
 		return
 	}
@@ -86,6 +88,7 @@
 	c.ended.Add(1)
 	go c.send(s, sent{version: first.Hello.Version, hello: first.Hello})
 	c.member.Post(func() {
+		c.control.newest[s.node] = max(c.control.newest[s.node], s.number)
 		if c.control.planner != nil {
 			s.mutex.Lock()
 			s.known = c.control.planner.Known(s.node)
@@ -115,8 +118,12 @@
 }
 
 // takeReport answers a report on the control goroutine, if this controller
-// leads at this moment.
+// leads at this moment. What an earlier process of a gateway has sent may be read after the
+// words of the present one: it does not know what that has granted, and is passed over.
 func (c *Controller) takeReport(s *session, report *fleetwire.Report) {
+	if s.number < c.control.newest[s.node] {
+		return
+	}
 	status, now := c.member.Status(), c.member.Now()
 	if c.control.planner == nil || !c.control.leadership.Leads(&status, now) {
 		return
--- a/internal/fleetcontroller/stop_test.go
+++ b/internal/fleetcontroller/stop_test.go
@@ -63,7 +63,7 @@
 	near, far := net.Pipe()
 	t.Cleanup(func() { _ = far.Close() })
 	c.ended.Add(1)
-	go c.serve(transport.NewConn(near, sessionOptions))
+	go c.serve(transport.NewConn(near, sessionOptions), 1)
 	return far
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,6 +19,9 @@
 	holdShare = 0.5
 	// holdStep is how often a held request looks again without news.
 	holdStep = 40 * time.Millisecond
+	// handOverTime is what it takes until keys that are free have another owner: a report, an
+	// entry of the log, a view and a grant.
+	handOverTime = 150 * time.Millisecond
 	// sameOwnerAgain is when the owner of a key that did not hold it is asked
 	// again without news: it waits for the key itself (egress.awaitKey), so that the answer
 	// says that it has not come for long.
@@ -82,7 +85,7 @@
 		if refusals == maxRefusals || g.final(ctx, c, result, sends) {
 			return result
 		}
-		if hasKey && !g.awaitOwner(ctx, c.service.Name, key, target.ID, result.Reason, holdUntil) {
+		if hasKey && !g.awaitOwner(ctx, c.service.Name, key, target.ID, result, holdUntil) {
 			return result
 		}
 		tried[target.ID] = !hasKey
@@ -131,12 +134,20 @@
 
 // awaitOwner waits, after a try at the owner of a key failed, until another try may
 // end otherwise: the key has another owner, or a moment has passed. It reports
-// whether the request may be tried again.
-func (g *Gateway) awaitOwner(ctx context.Context, service string, key keyspace.Key, tried string, why reason, until time.Time) bool {
-	if why != reasonNotOwner && why != reasonNotAdmitted && why != reasonEvacuated {
+// whether the request may be tried again. One whose key has another owner only after that
+// time is refused at once, with the time to come back: it would wait in vain.
+func (g *Gateway) awaitOwner(ctx context.Context, service string, key keyspace.Key, tried string, failed *forwardResult, until time.Time) bool {
+	pause := sameOwnerAgain
+	switch failed.Reason {
+	case reasonNotOwner, reasonNotAdmitted, reasonEvacuated:
+	case reasonOwnerLost:
+		if pause = failed.RetryAfter; time.Now().Add(pause).After(until) {
+			return false
+		}
+	default:
 		return g.hold(ctx, until)
 	}
-	again := time.Now().Add(sameOwnerAgain)
+	again := time.Now().Add(pause)
 	if again.After(until) {
 		again = until
 	}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -53,8 +53,11 @@
 	Fence    keyspace.Fence
 }
 
-// Errors of a KeyHolder that leave nothing open.
+// Errors of a KeyHolder. After any other one an order may still lie unread before a back end
+// that stands still.
 var (
+	// ErrConnectionEnded: an order was sent, and its connection ended without an answer.
+	ErrConnectionEnded = errors.New("connection ended without an answer")
 	// ErrNotSent: an order never left, as nothing accepted a connection.
 	ErrNotSent = errors.New("order not sent")
 	// ErrNotTaken: the back end has refused an order.
@@ -66,7 +69,8 @@
 // KeyHolder is a back end that takes and gives up keys.
 type KeyHolder interface {
 	// Grant gives keys for a time, or renews them. ErrNotSent and ErrNotTaken say that
-	// the back end does not hold them by this order; any other error leaves it open.
+	// the back end does not hold them by this order; any other error leaves it open, and
+	// ErrConnectionEnded says that it began to hold them before now if it did.
 	Grant(ctx context.Context, order GrantOrder) error
 	// Release takes keys back and returns, once the work on them has ended, what
 	// is to be handed to the next owner.
@@ -136,7 +140,7 @@
 	DefaultDrainWithin       = 2 * time.Second
 	DefaultEvacuateWithin    = 5 * time.Second
 	DefaultHeartbeatInterval = 1300 * time.Millisecond
-	DefaultKeyHold           = 2 * time.Second
+	DefaultKeyHold           = time.Second
 	DefaultLongestHold       = 10 * time.Second
 	DefaultStopWithin        = 5500 * time.Millisecond
 	DefaultWindow            = 10 * time.Second
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -198,7 +198,7 @@
 		return e.gateway.refuseStopping()
 	}
 	if !e.gateway.registry.admits(request.Instance, now) {
-		return notRun(reasonNotAdmitted)
+		return e.gateway.refuseUnadmitted(request, now)
 	}
 	if e.gateway.evacuated(now) {
 		return notRun(reasonEvacuated)
--- a/internal/gateway/fences.go
+++ b/internal/gateway/fences.go
@@ -22,6 +22,9 @@
 	owner keyspace.Fence
 	sub   uint32
 	at    time.Time
+	// ended says that the connection ended without an answer: nothing of the order is left
+	// that a process which stands still could read later.
+	ended bool
 }
 
 // openKept is for how long a grant without an answer may still be taken.
@@ -77,11 +80,13 @@
 	}
 }
 
-// openUntil is when none of the grants without an answer can be carried out any more.
-func (l *fenceLedger) openUntil() time.Time {
+// unreadUntil is until when grants may lie unread before a back end that stands still.
+func (l *fenceLedger) unreadUntil() time.Time {
 	var until time.Time
 	for _, open := range l.open {
-		until = later(until, open.at.Add(openKept))
+		if !open.ended {
+			until = later(until, open.at.Add(openKept))
+		}
 	}
 	return until
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -29,6 +29,9 @@
 	reasonNone reason = ""
 	// reasonNotAdmitted: the back end is another one, or it leaves.
 	reasonNotAdmitted reason = "not-admitted"
+	// reasonOwnerLost: the back end that holds the key can't be reached; the refusal says when
+	// the key may have another owner.
+	reasonOwnerLost reason = "owner-lost"
 	// reasonNotOwner: the back end does not hold the key now.
 	reasonNotOwner reason = "not-owner"
 	// reasonEvacuated: the back end's zone is evacuated.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -212,7 +212,7 @@
 func retryAfter(result *forwardResult) time.Duration {
 	base := retryOutage
 	switch result.Reason {
-	case reasonStopping:
+	case reasonStopping, reasonOwnerLost:
 		base = retrySpread
 	case reasonNoRoom:
 		base = max(retryRoom, retryServices*result.Load.serviceTime)
--- a/internal/gateway/keyearlier.go
+++ b/internal/gateway/keyearlier.go
@@ -16,8 +16,9 @@
 // earlierLives are grants that were made to lives before the present one.
 type earlierLives struct {
 	grants []*grant
-	// openUntil is until when grants without an answer may be carried out.
-	openUntil time.Time
+	// unreadUntil is until when grants without an answer may lie unread before one that
+	// stands still.
+	unreadUntil time.Time
 }
 
 // add takes what a life may still hold.
@@ -27,7 +28,7 @@
 			e.grants = append(e.grants, sent)
 		}
 	}
-	e.openUntil = later(e.openUntil, fences.openUntil())
+	e.unreadUntil = later(e.unreadUntil, fences.unreadUntil())
 }
 
 // over reports whether none of them holds anything any more.
@@ -38,7 +39,7 @@
 		}
 	}
 	e.grants = nil
-	return !now.Before(e.openUntil)
+	return !now.Before(e.unreadUntil)
 }
 
 // earlierProcessOver reports whether nothing is in force any more that an earlier process of
@@ -97,12 +98,45 @@
 	return k.earlierProcessOver(now)
 }
 
+// freeIn returns in how long the keys of an instance that can't be reached may have another
+// owner; ok is false where that is not known.
+func (k *keyKeeper) freeIn(instance string, now time.Time) (left time.Duration, ok bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if instance != k.instance || now.Before(k.fences.unreadUntil()) {
+		return 0, false
+	}
+	until := now
+	for _, sent := range k.grants {
+		if sent.bound.Sending() {
+			return 0, false
+		}
+		until = later(until, sent.bound.Until())
+	}
+	return until.Sub(now), true
+}
+
+// refuseUnadmitted refuses a request for an instance that gets nothing new. Where that can't
+// be reached and holds the request's key, it says when the key may have another owner.
+func (g *Gateway) refuseUnadmitted(request *forwardRequest, now time.Time) *forwardResult {
+	if !request.HasKey || !g.registry.unreachable() {
+		return notRun(reasonNotAdmitted)
+	}
+	left, ok := g.keys.freeIn(request.Instance, now)
+	if !ok {
+		return notRun(reasonNotAdmitted)
+	}
+	refusal := notRun(reasonOwnerLost)
+	refusal.RetryAfter = left + handOverTime
+	return refusal
+}
+
 // freeUnreachable tells the leader that a back end that can't be reached holds nothing any
 // more. That it can't be reached proves no end: a process that stops as planned closes its
 // listener first. Leases that were asked for before give it nothing from then on, since the
 // leader may give the keys away. The caller has the mutex.
 func (k *keyKeeper) freeUnreachable(now time.Time) {
-	over := k.timeOver(now) && !now.Before(k.fences.openUntil())
+	over := k.timeOver(now) && !now.Before(k.fences.unreadUntil())
 	if !over || !k.gateway.registry.free(k.instance) {
 		return
 	}
--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -125,10 +125,13 @@
 		}
 	case present:
 		sent.bound.Answered(now)
-		k.fences.unanswered(openGrant{keys: sent.Keys, owner: sent.Fence, sub: sent.sub, at: now})
+		ended := errors.Is(err, ErrConnectionEnded)
+		k.fences.unanswered(openGrant{keys: sent.Keys, owner: sent.Fence, sub: sent.sub, at: now, ended: ended})
 	default:
 		sent.bound.Answered(now)
-		k.earlier.openUntil = later(k.earlier.openUntil, now.Add(openKept))
+		if !errors.Is(err, ErrConnectionEnded) {
+			k.earlier.unreadUntil = later(k.earlier.unreadUntil, now.Add(openKept))
+		}
 	}
 }
 
--- a/internal/gateway/keysfree_test.go
+++ b/internal/gateway/keysfree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -74,6 +75,12 @@
 			r.holder.setMute(true)
 			r.drains = true
 		}, false},
+		"it leaves, and another back end at its address answers in its place": {byCall, func(r *ownersRig) {
+			r.holder.set(func() { r.holder.next, r.holder.nextID = &heldProcess{}, "i-9" })
+			r.drains = true
+			r.sendBeat()
+			r.silent = true
+		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -105,9 +112,12 @@
 	// former is the process that is followed, and next one that has taken its place at the
 	// address; nil is none.
 	former, next *heldProcess
-	refused      bool
-	mute         bool
-	stall        time.Duration
+	// nextID is the id under which the next one refuses what is meant for others; empty
+	// has the former one's, and takes all.
+	nextID  string
+	refused bool
+	mute    bool
+	stall   time.Duration
 }
 
 func (h *addressHolder) set(change func()) {
@@ -123,10 +133,12 @@
 // answers returns the process at the address, and why there is no answer.
 func (h *addressHolder) answers() (*heldProcess, error) {
 	switch {
+	case h.next != nil && h.nextID != "":
+		return nil, ErrOtherInstance
 	case h.next != nil:
 		return h.next, nil
 	case h.refused:
-		return nil, syscall.ECONNREFUSED
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, syscall.ECONNREFUSED)
 	case h.mute:
 		return nil, errNoAnswer
 	}
--- a/internal/gateway/keywait_test.go
+++ b/internal/gateway/keywait_test.go
@@ -72,13 +72,13 @@
 			time.Sleep(30 * time.Millisecond)
 			owns(3, "i-2")
 		}()
-		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-1", reasonNotOwner, until))
+		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-1", notRun(reasonNotOwner), until))
 		assert.Equal(t, time.Since(began), 80*time.Millisecond)
 		// Without news it is asked again after a moment, and not beyond its time.
-		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-2", reasonNotOwner, until))
+		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-2", notRun(reasonNotOwner), until))
 		assert.Equal(t, time.Since(began), 80*time.Millisecond+sameOwnerAgain)
 		time.Sleep(time.Until(until))
-		assert.Assert(t, !rig.g.awaitOwner(t.Context(), "s", 5, "i-2", reasonNotOwner, until))
+		assert.Assert(t, !rig.g.awaitOwner(t.Context(), "s", 5, "i-2", notRun(reasonNotOwner), until))
 		synctest.Wait()
 	})
 }
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -136,9 +136,14 @@
 // followingLife is the next one of the rig's back end, "i-1".
 var followingLife = incarnation.Incarnation{ID: "i-1", Born: 5}.Name()
 
+// livesHold is for how long keys are granted in the rig: longer than a life is silent before
+// the next one is heard.
+const livesHold = 2 * time.Second
+
 // newLivesRig is a key keeper whose back end may start again.
 func newLivesRig(t *testing.T) *keyRig {
 	rig := newKeyRig(t)
+	rig.g.config.KeyHold = livesHold
 	rig.g.registry.interval = beatInterval
 	rig.g.registry.yields = rig.g.keys.yield
 	return rig
@@ -163,11 +168,11 @@
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1", "its predecessor's keys may be held")
 		assert.Assert(t, !rig.g.keys.holds("i-1", 4, time.Now()))
 		granted := rig.holder.granted()
-		time.Sleep(DefaultKeyHold - DefaultKeyHold/renewals)
+		time.Sleep(livesHold - livesHold/renewals)
 		synctest.Wait()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
 		assert.Equal(t, len(rig.holder.granted()), len(granted), "nothing more is granted")
-		time.Sleep(DefaultKeyHold/renewals + 2*keysInterval)
+		time.Sleep(livesHold/renewals + 2*keysInterval)
 		synctest.Wait()
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
 		assert.Assert(t, rig.g.session.build().EarlierOver)
@@ -182,7 +187,7 @@
 		rig.lease(held(0, 9), nil)
 		rig.holder.setRefuse(errNoAnswer)
 		rig.hearNext()
-		time.Sleep(2 * DefaultKeyHold)
+		time.Sleep(2 * livesHold)
 		synctest.Wait()
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
 		assert.Assert(t, !rig.g.session.build().EarlierOver)
@@ -230,7 +235,7 @@
 		rig.hearNext()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
 		assert.Assert(t, !rig.g.session.build().EarlierOver)
-		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(DefaultKeyHold) + grantTimeout + 2*keysInterval)))
+		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(livesHold) + grantTimeout + 2*keysInterval)))
 		synctest.Wait()
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
 		assert.Assert(t, rig.g.session.build().EarlierOver)
@@ -286,7 +291,7 @@
 		rig.lease(held(0, 9), nil)
 		rig.hearNext()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
-		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(DefaultKeyHold) + grantTimeout + 2*keysInterval)))
+		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(livesHold) + grantTimeout + 2*keysInterval)))
 		synctest.Wait()
 		assert.Equal(t, len(rig.holder.granted()), 0)
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
--- /dev/null
+++ b/internal/gateway/ownerlost_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+)
+
+// A caller is told when the key of a back end that can't be reached may have another owner:
+// asked again before, the same gateway could only refuse again.
+func TestARefusalTellsWhenALostOwnersKeysAreFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		time.Sleep(time.Second)
+		rig.lease(held(0, 9), nil)
+		rig.holder.setRefuse(ErrNotSent)
+		rig.g.registry.lost("i-1")
+		request := &forwardRequest{Instance: "i-1", HasKey: true, Key: 4}
+		refusal := rig.g.refuseUnadmitted(request, time.Now())
+		assert.Equal(t, refusal.Reason, reasonOwnerLost)
+		assert.Assert(t, refusal.RetryAfter > handOverTime)
+		time.Sleep(refusal.RetryAfter - handOverTime + keysInterval)
+		synctest.Wait()
+		assert.Assert(t, rig.g.registry.snapshot().Released)
+		request.HasKey = false
+		assert.Equal(t, rig.g.refuseUnadmitted(request, time.Now()).Reason, reasonNotAdmitted)
+	})
+}
+
+// A request waits for the next owner of its key where that comes in its time, and is refused
+// at once where it does not.
+func TestARequestForALostOwnersKeyWaitsOnlyWhereThatHelps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newHeartbeatRig(t)
+		owns := func(index uint64, owner string) {
+			advance(t, rig.g.views, viewOf(true, fleetwire.Instance{ID: "i-1", Service: "s"}, fleetwire.Instance{ID: "i-2", Service: "s"}))
+			advance(t, rig.g.views, viewOfOwners(index, owned(owner)))
+		}
+		owns(1, "i-1")
+		lost := notRun(reasonOwnerLost)
+		lost.RetryAfter = 800 * time.Millisecond
+		began := time.Now()
+		assert.Assert(t, !rig.g.awaitOwner(t.Context(), "s", 5, "i-1", lost, began.Add(700*time.Millisecond)))
+		assert.Equal(t, time.Since(began), time.Duration(0), "it would wait in vain")
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			owns(2, "i-2")
+		}()
+		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-1", lost, began.Add(time.Second)))
+		assert.Equal(t, time.Since(began), 500*time.Millisecond)
+		assert.Assert(t, retryAfter(lost) >= lost.RetryAfter)
+		synctest.Wait()
+	})
+}
