--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -146,6 +146,18 @@
 	DefaultWindow            = 10 * time.Second
 )
 
+// shortestKeyHold is the least KeyHold: renewals are sent each keysInterval at most, and one
+// may take grantTimeout.
+const shortestKeyHold = grantTimeout + renewals*keysInterval/2
+
+// check refuses settings that no gateway can keep.
+func (c *Config) check() error {
+	if c.KeyHold < shortestKeyHold {
+		return fmt.Errorf("KeyHold is %v, and %v at the least", c.KeyHold, shortestKeyHold)
+	}
+	return nil
+}
+
 func (c Config) withDefaults() Config {
 	c.DrainWithin = cmp.Or(c.DrainWithin, DefaultDrainWithin)
 	c.EvacuateWithin = cmp.Or(c.EvacuateWithin, DefaultEvacuateWithin)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,9 @@
 // Start listens and serves until Stop.
 func Start(config Config) (*Gateway, error) {
 	g := &Gateway{config: config.withDefaults()}
+	if err := g.config.check(); err != nil {
+		return nil, fmt.Errorf("gateway: configuration: %w", err)
+	}
 	g.metrics = newGatewayMetrics(g.config.Registry)
 	g.views = newViews()
 	g.views.prepare = g.prepare
