--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -7,12 +7,13 @@
 )
 
 // hold is for how long keys are granted at a time where the lease allows it. One that gets
-// its keys by heartbeat is told again with its next one, and may miss one.
+// its keys by heartbeat is told again with the next one, whose answer it may get answerVoid
+// later.
 func (k *keyKeeper) hold() time.Duration {
 	config := &k.gateway.config
 	hold := config.KeyHold
 	if k.byHeartbeat() {
-		hold = max(hold, 2*config.HeartbeatInterval+answerVoid)
+		hold = max(hold, config.HeartbeatInterval+answerVoid)
 	}
 	return min(hold, config.LongestHold)
 }
