--- a/internal/gateway/keyheartbeats_test.go
+++ b/internal/gateway/keyheartbeats_test.go
@@ -98,6 +98,7 @@
 func TestKeysAreGivenUpOnceTheBackEndNamesThemNoMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newHeartbeatRig(t)
+		rig.g.config.KeyHold = 5 * time.Second // their time is not over
 		rig.lease(held(0, 99), nil)
 		rig.beat(t, "i-1", nil)
 		time.Sleep(time.Second)
