Soak: closed listeners, next lives beside and restarts at once

Cause: no strike had a back end that lives and holds keys while its address refuses connections, or while another life answers there, so no soak could see keys given away on that proof.

The stand-in answers 421 to grants and releases that name another back end, can close and open its listener while it serves on, and can begin its heartbeats before it listens.

--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -5,20 +5,14 @@
 package platformstandin
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"iter"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // Instance is a stand-in of one life of a back end.
@@ -44,8 +38,14 @@
 	// none.
 	Calls func(context.Context, LookUp)
 
+	// ListenLate is how long after its first heartbeat it begins to listen.
+	ListenLate time.Duration
+
 	ledger *Ledger
 	server *http.Server
+	door   door
+	// said is closed once a heartbeat that says that it leaves has been sent.
+	said leave
 
 	mutex    sync.Mutex
 	state    string
@@ -67,168 +67,41 @@
 	until       time.Time
 }
 
-// Ledger keeps what all instances saw, and what broke a promise.
-type Ledger struct {
-	mutex sync.Mutex
-	// Ran counts the runs of each request id.
-	ran map[string]int
-	// runs are all runs of each request id.
-	runs       map[string][]*Run
-	violations []string
-	instances  []*Instance
-	// promised are the requests that callers were told are not run.
-	promised map[string]bool
-	// fences has the highest fence of each key of a service that was granted, with
-	// its holder.
-	fences map[serviceKey]fenceOf
-}
-
-// serviceKey is a key of one service; each has its own.
-type serviceKey struct {
-	service string
-	key     uint32
-}
-
-type fenceOf struct {
-	fence  uint64
-	holder string
-}
-
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
-	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[serviceKey]fenceOf{}}
-}
-
-// Violations returns every broken promise so far.
-func (l *Ledger) Violations() []string {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return append([]string{}, l.violations...)
-}
-
-// Runs returns how often a request ran.
-func (l *Ledger) Runs(id string) int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.ran[id]
-}
-
-func (l *Ledger) violate(format string, arguments ...any) {
-	l.violations = append(l.violations, fmt.Sprintf(format, arguments...))
-}
-
-// run notes a run. A request that must not repeat may run once.
-func (l *Ledger) run(instance *Instance, r *http.Request) *Run {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	id := r.Header.Get("Request-Id")
-	l.ran[id]++
-	if r.Method == http.MethodPost && l.ran[id] > 1 {
-		l.violate("request %s ran %d times", id, l.ran[id])
-	}
-	if r.Method == http.MethodPost && l.promised[id] {
-		l.violate("request %s ran after its caller was told that it never will", id)
-	}
-	if target := r.Header.Get("Target-Instance"); target != "" && target != instance.ID {
-		l.violate("request %s for %s ran at %s", id, target, instance.ID)
-	}
-	return l.begins(instance, r, time.Now())
-}
-
-// NotRun notes that a caller was told that a request has not run and never will.
-func (l *Ledger) NotRun(id string) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.promised[id] = true
-	if l.ran[id] > 0 {
-		l.violate("request %s ran, and its caller was told that it did not", id)
-	}
-}
-
-// Broken notes any other broken promise.
-func (l *Ledger) Broken(format string, arguments ...any) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.violate(format, arguments...)
-}
-
-// Totals returns how many requests ran, and how many runs there were beyond the
-// first of each.
-func (l *Ledger) Totals() (requests, repeats int) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for _, runs := range l.ran {
-		requests++
-		repeats += runs - 1
-	}
-	return requests, repeats
-}
-
-// keysPerCheck is the distance of the keys whose fences are compared.
-const keysPerCheck = 16
-
-// checkedKeys are the keys of a range whose fences are compared. Ranges that do
-// not overlap share none.
-func checkedKeys(keys heldRange) iter.Seq[uint32] {
-	return func(yield func(uint32) bool) {
-		first := (keys.first + keysPerCheck - 1) / keysPerCheck * keysPerCheck
-		for key := first; key <= keys.last; key += keysPerCheck {
-			if !yield(key) {
-				return
-			}
-		}
-	}
-}
-
-// granted checks that fences rise from holder to holder and that no other
-// instance holds the range.
-func (l *Ledger) granted(instance *Instance, given heldRange) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for key := range checkedKeys(given) {
-		of := serviceKey{instance.Service, key}
-		before := l.fences[of]
-		if before.holder != instance.ID && before.holder != "" && given.fence <= before.fence {
-			l.violate("key %d went to %s under fence %d, not above %d", key, instance.ID, given.fence, before.fence)
-		}
-		l.fences[of] = fenceOf{given.fence, instance.ID}
-	}
-	for _, other := range l.instances {
-		if other != instance && other.Service == instance.Service && other.holdsOrWorksOn(given) {
-			l.violate("%s and %s both hold keys of %d to %d", instance.ID, other.ID, given.first, given.last)
-		}
-	}
-}
-
 // StartInstance serves a back end at an address and begins its heartbeats, which
 // end with the context.
 func StartInstance(ctx context.Context, ledger *Ledger, address string, instance *Instance) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
+	instance.server, instance.door.address, instance.said.sent = &http.Server{Handler: instance.routes()}, address, make(chan struct{})
 	instance.ledger = ledger
 	instance.warm.until = time.Now().Add(instance.Cold)
 	instance.state = "ready"
 	ledger.mutex.Lock()
 	ledger.instances = append(ledger.instances, instance)
 	ledger.mutex.Unlock()
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /grant", instance.grant)
-	mux.HandleFunc("POST /release", instance.release)
-	mux.HandleFunc("GET /health", instance.health)
-	mux.HandleFunc("/", instance.work)
-	instance.server = &http.Server{Handler: mux}
-	go func() { _ = instance.server.Serve(listener) }()
+	if instance.ListenLate > 0 {
+		go instance.listenLate(ctx)
+	} else if err := instance.Listen(); err != nil {
+		instance.Stop()
+		return err
+	}
 	go instance.beat(ctx, address)
 	return nil
 }
 
+func (i *Instance) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /grant", i.grant)
+	mux.HandleFunc("POST /release", i.release)
+	mux.HandleFunc("GET /health", i.health)
+	mux.HandleFunc("/", i.work)
+	return mux
+}
+
 // Stop ends the instance as a crash does.
 func (i *Instance) Stop() {
 	i.mutex.Lock()
 	i.state, i.held, i.keys = "ended", nil, heartbeatKeys{running: i.keys.running}
 	i.mutex.Unlock()
+	i.closeDoor(true)
 	_ = i.server.Close()
 }
 
@@ -245,90 +118,6 @@
 	i.mutex.Unlock()
 }
 
-const heartbeatInterval = 200 * time.Millisecond
-
-func (i *Instance) beat(ctx context.Context, address string) {
-	for ctx.Err() == nil {
-		i.mutex.Lock()
-		i.sequence++
-		state, sequence := i.state, i.sequence
-		i.mutex.Unlock()
-		if state == "ended" {
-			return
-		}
-		interval := heartbeatInterval
-		if sequence%foreignEvery == 0 {
-			i.sendForeign(ctx, sequence/foreignEvery)
-		}
-		if i.ByHeartbeat {
-			if i.beatByHeartbeat(ctx, address, state, sequence) {
-				interval = hurriedInterval
-			}
-		} else {
-			i.sendBeat(ctx, address, state, sequence)
-		}
-		_ = pause.For(ctx, interval)
-	}
-}
-
-// sendBeat sends one heartbeat.
-func (i *Instance) sendBeat(ctx context.Context, address, state string, sequence uint64) {
-	body := fmt.Sprintf(`{"address":%q,%s"info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"sequence":%d,"warmupLeft":"%dms"}}`,
-		address, i.bornField(), i.Service, i.Slots, state, sequence, i.warmupLeft().Milliseconds())
-	_, _ = post(ctx, "http://"+i.Control+"/instances/"+i.ID+"/heartbeat", body)
-}
-
-// bornField is the start as heartbeats tell it.
-func (i *Instance) bornField() string {
-	if i.Born == 0 {
-		return ""
-	}
-	return fmt.Sprintf(`"born":%d,`, i.Born)
-}
-
-// foreignBeats are heartbeats that another kind of writer sends for an instance; the verb
-// takes the service.
-var foreignBeats = []string{
-	``, "\xff\x00", `[]`, `{"status":{"state":"gone","sequence":900000000}}`,
-	`{"address":"a:1","info":{"service":%q,"slots":4},"status":{"state":"resting","sequence":900000000}}`,
-	`{"address":"a:1","info":{"service":%q,"slots":"4"},"status":{"state":"draining","sequence":900000000}}`,
-	`{"address":7,"info":{"service":%q,"slots":4},"status":{"state":"draining","sequence":900000000}}`,
-	`{"address":"a:1","born":"now","info":{"service":%q,"slots":4},"status":{"state":"draining","sequence":900000000}}`,
-	`{"address":"a:1","info":{"service":"unheard-of","slots":4},"status":{"state":"draining","sequence":900000000}}`,
-}
-
-// foreignEvery is how many heartbeats of its own an instance sends for one of another
-// writer.
-const foreignEvery = 5
-
-// sendForeign sends a heartbeat of another writer, which must be refused.
-func (i *Instance) sendForeign(ctx context.Context, number uint64) {
-	body := foreignBeats[number%uint64(len(foreignBeats))]
-	if strings.Contains(body, "%") {
-		body = fmt.Sprintf(body, i.Service)
-	}
-	status, err := post(ctx, "http://"+i.Control+"/instances/"+i.ID+"/heartbeat", body)
-	if err == nil && status < http.StatusBadRequest {
-		i.ledger.Broken("a heartbeat of another writer for %s was taken: %.80q", i.ID, body)
-	}
-}
-
-// post sends a JSON body and returns the status.
-func post(ctx context.Context, url, body string) (int, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body))
-	if err != nil {
-		return 0, err
-	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, nil
-}
-
 // grantCall is the body of a grant or a release.
 type grantCall struct {
 	FromRev       uint32 `json:"fromRev"`
@@ -338,6 +127,9 @@
 }
 
 func (i *Instance) grant(w http.ResponseWriter, r *http.Request) {
+	if i.misdirected(w, r) {
+		return
+	}
 	var call grantCall
 	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -431,6 +223,9 @@
 }
 
 func (i *Instance) release(w http.ResponseWriter, r *http.Request) {
+	if i.misdirected(w, r) {
+		return
+	}
 	var call grantCall
 	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -454,13 +249,22 @@
 	return false
 }
 
+// misdirected answers a call that names another back end, and reports that it does.
+func (i *Instance) misdirected(w http.ResponseWriter, r *http.Request) bool {
+	target := r.Header.Get("Target-Instance")
+	if target == "" || target == i.ID {
+		return false
+	}
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	return true
+}
+
 // work runs a request.
 func (i *Instance) work(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if target := r.Header.Get("Target-Instance"); target != "" && target != i.ID {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+	if i.misdirected(w, r) {
 		return
 	}
 	if i.Keyed {
--- /dev/null
+++ b/lab/platformstandin/door.go
@@ -0,0 +1,78 @@
+package platformstandin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quartzdock/quartzdock/lab/pause"
+)
+
+// door is where an instance takes new connections. Those that it has are served on
+// while the door is closed.
+type door struct {
+	address  string
+	mutex    sync.Mutex
+	listener net.Listener
+	// forGood says that it does not open again.
+	forGood bool
+}
+
+// leave is a back end's word that it leaves.
+type leave struct {
+	once sync.Once
+	sent chan struct{}
+}
+
+// Listen makes the instance take new connections, unless it has ended.
+func (i *Instance) Listen() error {
+	i.door.mutex.Lock()
+	defer i.door.mutex.Unlock()
+	if i.door.forGood {
+		return nil
+	}
+	listener, err := net.Listen("tcp", i.door.address)
+	if err != nil {
+		return err
+	}
+	i.door.listener = listener
+	// The server returns when the door closes.
+	go func() { _ = i.server.Serve(listener) }()
+	return nil
+}
+
+// CloseListener makes the instance refuse new connections, and serve on over those
+// that it has.
+func (i *Instance) CloseListener() { i.closeDoor(false) }
+
+func (i *Instance) closeDoor(forGood bool) {
+	i.door.mutex.Lock()
+	defer i.door.mutex.Unlock()
+	i.door.forGood = i.door.forGood || forGood
+	if i.door.listener != nil {
+		_ = i.door.listener.Close()
+	}
+}
+
+// listenLate begins to listen after the first heartbeat, unless the instance has
+// ended by then.
+func (i *Instance) listenLate(ctx context.Context) {
+	if pause.For(ctx, i.ListenLate) != nil {
+		return
+	}
+	if err := i.Listen(); err != nil {
+		i.ledger.Broken("%s can't listen at %s: %v", i.ID, i.door.address, err)
+	}
+}
+
+// AwaitSaid waits until the gateway was told that the instance leaves, for a time at
+// the most.
+func (i *Instance) AwaitSaid(ctx context.Context, most time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	select {
+	case <-i.said.sent:
+	case <-ctx.Done():
+	}
+}
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -47,6 +47,8 @@
 	machine  *platformstandin.Machine
 	instance *platformstandin.Instance
 	lives    int
+	// id is the number in the id of the present life.
+	id int
 }
 
 // fleet is the fleet under soak.
@@ -96,14 +98,30 @@
 )
 
 // startBackend starts the next life of a back end. The caller has the place.
-func (f *fleet) startBackend(backend *place) error {
+func (f *fleet) startBackend(backend *place) error { return f.startNext(backend, 0) }
+
+// startNext starts the next life of a back end, where an id lasts for livesOfID of
+// them. The caller has the place.
+func (f *fleet) startNext(backend *place, listenLate time.Duration) error {
+	if (backend.lives+1)%livesOfID == 0 {
+		backend.id++
+	}
+	return f.startLife(backend, listenLate)
+}
+
+// startLife starts a life of a back end under the place's id, which begins to listen
+// some time after its first heartbeat. The caller has the place.
+func (f *fleet) startLife(backend *place, listenLate time.Duration) error {
+	if f.ctx.Err() != nil {
+		return nil
+	}
 	backend.lives++
 	side := backend.machine
 	// The clock of each life is further behind.
 	born := time.Now().Add(-time.Duration(backend.lives) * clockStep)
 	backend.instance = &platformstandin.Instance{
-		ID: fmt.Sprintf("%s-%d", side.Name, backend.lives/livesOfID), Born: born.UnixMilli(), Service: side.Service, Machine: side.Name, Keyed: side.Service == keyedService,
-		ByHeartbeat: f.grants == ByHeartbeat, Control: side.Control(), Slots: slotsOfBackend,
+		ID: fmt.Sprintf("%s-%d", side.Name, backend.id), Born: born.UnixMilli(), Service: side.Service, Machine: side.Name, Keyed: side.Service == keyedService,
+		ByHeartbeat: f.grants == ByHeartbeat, Control: side.Control(), Slots: slotsOfBackend, ListenLate: listenLate,
 		Calls: func(ctx context.Context, call platformstandin.LookUp) { f.callers.lookUp(ctx, side, call) },
 	}
 	return platformstandin.StartInstance(f.ctx, f.Ledger, side.App(), backend.instance)
@@ -206,6 +224,9 @@
 func (f *fleet) strikeBackend(struck *place, strike Strike) error {
 	struck.mutex.Lock()
 	defer struck.mutex.Unlock()
+	if isDoor(strike.Kind) {
+		return f.strikeDoor(struck, strike)
+	}
 	switch strike.Kind {
 	case LateGrants:
 		random := rand.New(rand.NewPCG(uint64(strike.At), uint64(strike.Target)))
--- a/lab/platformstandin/soak/plan.go
+++ b/lab/platformstandin/soak/plan.go
@@ -77,15 +77,23 @@
 // kinds to draw from; none is all.
 func Draw(seed uint64, duration time.Duration, only []Kind) []Strike {
 	if len(only) == 0 {
-		only = append(slices.Clone(kinds), RollingStops)
+		only = append(append(slices.Clone(kinds), RollingStops), doorKinds...)
 	}
-	single := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return kind == RollingStops })
-	if len(single) == 0 {
-		return drawSeries(seed, firstStrike, duration)
+	single := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return kind == RollingStops || isDoor(kind) })
+	doors := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return !isDoor(kind) })
+	var strikes []Strike
+	if len(single) > 0 {
+		strikes = drawSingle(seed, duration, single)
+	}
+	if len(doors) > 0 {
+		strikes = append(strikes, drawDoors(seed, duration, doors)...)
 	}
-	strikes := drawSingle(seed, duration, single)
-	if len(single) < len(only) {
-		strikes = append(strikes, drawSeries(seed, firstSeries, duration)...)
+	if slices.Contains(only, RollingStops) {
+		first := firstSeries
+		if len(strikes) == 0 {
+			first = firstStrike
+		}
+		strikes = append(strikes, drawSeries(seed, first, duration)...)
 	}
 	slices.SortStableFunc(strikes, func(a, b Strike) int { return cmp.Compare(a.At, b.At) })
 	return strikes
--- a/lab/platformstandin/soak/series_test.go
+++ b/lab/platformstandin/soak/series_test.go
@@ -23,7 +23,7 @@
 }
 
 // A seed's series are always the same, overlap within themselves, and leave its
-// other strikes as they are without series.
+// other strikes as they are without series. So do strikes of doors.
 func TestSeriesOfStops(t *testing.T) {
 	isSeries := func(strike Strike) bool { return strike.Kind == RollingStops }
 	twice := 0
@@ -32,8 +32,15 @@
 		assert.DeepEqual(t, all, Draw(seed, time.Minute, nil))
 		series := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return !isSeries(strike) })
 		assert.Assert(t, len(series) > 0, "seed %d", seed)
-		others := slices.DeleteFunc(slices.Clone(all), isSeries)
+		withoutDoors := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return isDoor(strike.Kind) })
+		assert.DeepEqual(t, withoutDoors, Draw(seed, time.Minute, append(slices.Clone(kinds), RollingStops)))
+		others := slices.DeleteFunc(slices.Clone(withoutDoors), isSeries)
 		assert.DeepEqual(t, others, Draw(seed, time.Minute, kinds))
+		doors := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return !isDoor(strike.Kind) })
+		assert.DeepEqual(t, doors, Draw(seed, time.Minute, doorKinds))
+		for _, kind := range doorKinds {
+			assert.Assert(t, slices.ContainsFunc(doors, func(strike Strike) bool { return strike.Kind == kind }) || len(doors) < len(doorKinds)*4, "seed %d has no %s in %d strikes", seed, kind, len(doors))
+		}
 		assert.Equal(t, len(servicesFor(all)), len(seriesServices))
 		assert.Equal(t, len(servicesFor(others)), len(services))
 		for i, each := range series {
--- a/lab/platformstandin/soak/soak_test.go
+++ b/lab/platformstandin/soak/soak_test.go
@@ -71,6 +71,14 @@
 	}
 }
 
+func namesOf(kinds []Kind) []string {
+	var names []string
+	for _, kind := range kinds {
+		names = append(names, string(kind))
+	}
+	return names
+}
+
 // ciSoak is a share of the soak that CI has time for.
 const ciSoak = 6 * time.Second
 
@@ -83,7 +91,7 @@
 	program := buildProgram(t)
 	for _, seed := range []uint64{5, 6, 702} {
 		for _, grants := range []Grants{ByCall, ByHeartbeat} {
-			report, err := Soak(t.Context(), Config{Seed: seed, Duration: ciSoak, Program: program, Grants: grants})
+			report, err := Soak(t.Context(), Config{Seed: seed, Duration: ciSoak, Program: program, Grants: grants, Kinds: namesOf(append(slices.Clone(kinds), RollingStops))})
 			assert.NilError(t, err)
 			assert.Equal(t, strings.Join(report.Violations, "\n"), "", "seed %d, keys by %s", seed, grants)
 			assert.Assert(t, report.Answered > 0 && report.Lines > 0 && report.Versions > 1, "%+v", report)
