Stand-in: releases wait for their work, and owners are checked from outside

Cause: a release was answered at once, so nothing could see keys that pass on while work runs on them; the only check was made at each grant, with fences of every sixteenth key.

A release is answered once the work on its keys has ended, and work that outlasts its lease ends with 500, as the protocol says. No request begins between the look at its key and the count of its work, and a life that ends while it takes a grant holds nothing. The 409 for a higher fence looks at all keys.

--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -6,7 +6,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -52,8 +52,10 @@
 	sequence uint64
 	held     []heldRange
 	keys     heartbeatKeys
-	// seen has the highest fence that each sampled key was granted under.
-	seen map[uint32]uint64
+	// seen has the highest fence that each key was granted under.
+	seen []heldRange
+	// life tells apart the lives of one id.
+	life int64
 	// late draws for how long a grant is held up before it is taken without an
 	// answer; nil, or zero drawn, is not.
 	late func() time.Duration
@@ -76,6 +78,7 @@
 	instance.state = "ready"
 	ledger.mutex.Lock()
 	ledger.instances = append(ledger.instances, instance)
+	instance.life = int64(len(ledger.instances))
 	ledger.mutex.Unlock()
 	if instance.ListenLate > 0 {
 		go instance.listenLate(ctx)
@@ -100,6 +103,7 @@
 func (i *Instance) Stop() {
 	i.mutex.Lock()
 	i.state, i.held, i.keys = "ended", nil, heartbeatKeys{running: i.keys.running}
+	i.tell(KeyEvent{Kind: LifeEnded})
 	i.mutex.Unlock()
 	i.closeDoor(true)
 	_ = i.server.Close()
@@ -118,137 +122,6 @@
 	i.mutex.Unlock()
 }
 
-// grantCall is the body of a grant or a release.
-type grantCall struct {
-	FromRev       uint32 `json:"fromRev"`
-	TargetVersion uint32 `json:"targetVersion"`
-	Fence         uint64 `json:"fence"`
-	HoldTime      string `json:"hold_time"`
-}
-
-func (i *Instance) grant(w http.ResponseWriter, r *http.Request) {
-	if i.misdirected(w, r) {
-		return
-	}
-	var call grantCall
-	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	hold, err := time.ParseDuration(call.HoldTime)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	held := i.heldUp()
-	if !i.accept(heldRange{call.FromRev, call.TargetVersion, call.Fence, time.Now().Add(hold)}) {
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	if held {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// SetLate makes the instance hold up grants, and take them without an answer,
-// for as long as a function draws; nil ends it.
-func (i *Instance) SetLate(late func() time.Duration) {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	i.late = late
-}
-
-// heldUp waits for the time by which a grant is late, and reports that it is.
-func (i *Instance) heldUp() bool {
-	i.mutex.Lock()
-	late := i.late
-	i.mutex.Unlock()
-	if late == nil {
-		return false
-	}
-	delay := late()
-	time.Sleep(delay)
-	return delay > 0
-}
-
-// accept takes a grant, unless a higher fence was seen on one of its keys or the
-// instance has ended.
-func (i *Instance) accept(given heldRange) bool {
-	i.mutex.Lock()
-	if i.state == "ended" {
-		i.mutex.Unlock()
-		return false
-	}
-	for key := range checkedKeys(given) {
-		if i.seen[key] > given.fence {
-			i.mutex.Unlock()
-			return false
-		}
-	}
-	if i.seen == nil {
-		i.seen = map[uint32]uint64{}
-	}
-	for key := range checkedKeys(given) {
-		i.seen[key] = given.fence
-	}
-	i.mutex.Unlock()
-	i.ledger.granted(i, given)
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	i.take(given)
-	i.held = append(i.held, given)
-	return true
-}
-
-// take removes a range from what is held.
-func (i *Instance) take(taken heldRange) {
-	var rest []heldRange
-	for _, held := range i.held {
-		if taken.last < held.first || held.last < taken.first {
-			rest = append(rest, held)
-			continue
-		}
-		if held.first < taken.first {
-			left := held
-			left.last = taken.first - 1
-			rest = append(rest, left)
-		}
-		if taken.last < held.last {
-			right := held
-			right.first = taken.last + 1
-			rest = append(rest, right)
-		}
-	}
-	i.held = rest
-}
-
-func (i *Instance) release(w http.ResponseWriter, r *http.Request) {
-	if i.misdirected(w, r) {
-		return
-	}
-	var call grantCall
-	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	i.mutex.Lock()
-	i.take(heldRange{first: call.FromRev, last: call.TargetVersion})
-	i.mutex.Unlock()
-	w.Header().Set("Handover", fmt.Sprintf("%016x", call.Fence))
-}
-
-func (i *Instance) holdsAny(wanted heldRange) bool {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	now := time.Now()
-	for _, held := range i.held {
-		if now.Before(held.until) && held.first <= wanted.last && wanted.first <= held.last {
-			return true
-		}
-	}
-	return false
-}
-
 // misdirected answers a call that names another back end, and reports that it does.
 func (i *Instance) misdirected(w http.ResponseWriter, r *http.Request) bool {
 	target := r.Header.Get("Target-Instance")
@@ -269,12 +142,11 @@
 	}
 	if i.Keyed {
 		key, err := strconv.ParseUint(r.Header.Get("Shard-Key"), 10, 32)
-		if err != nil || !i.holdsAny(heldRange{first: uint32(key), last: uint32(key)}) {
+		if err != nil || !i.startWork(uint32(key)) {
 			w.Header().Set("Not-Executed", "1")
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		i.startWork(uint32(key))
 		defer i.endWork(uint32(key))
 	}
 	i.arrives()
@@ -283,11 +155,18 @@
 		return
 	}
 	run := i.ledger.run(i, r)
-	whole := i.atWork(r.Context(), r)
-	i.ledger.ends(run, time.Now(), !whole, i.ended())
-	if !whole {
+	ctx, over := i.insideLease(r)
+	defer over()
+	whole := i.atWork(ctx, r)
+	outlasted := errors.Is(context.Cause(ctx), errLeaseOver)
+	i.ledger.ends(run, time.Now(), !whole && !outlasted, i.ended())
+	w.Header().Set("Response-Seal", "seal-"+id)
+	switch {
+	case outlasted:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case !whole:
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Response-Seal", "seal-"+id)
 	fmt.Fprintf(w, "%s %s %s %s %d", i.ID, i.Service, r.RequestURI, r.Header.Get("Caller-Service"), len(body))
 }
--- a/lab/platformstandin/heartbeatkeys.go
+++ b/lab/platformstandin/heartbeatkeys.go
@@ -28,6 +28,8 @@
 type heartbeatKeys struct {
 	// leaving ranges get no new work, and are named until their work has ended.
 	leaving []heldRange
+	// released ranges get no new work, and their releases wait until their work has ended.
+	released []heldRange
 	// freed ranges have not been told in an acknowledged heartbeat.
 	freed []heldRange
 	// running counts the requests at work, by key.
@@ -111,10 +113,11 @@
 	}
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	for _, leaving := range i.keys.leaving {
-		common := heldRange{first: max(leaving.first, wanted.first), last: min(leaving.last, wanted.last)}
-		if common.first <= common.last && time.Now().Before(leaving.until) && i.worksOn(common) {
-			return true
+	for _, ranges := range [][]heldRange{i.keys.leaving, i.keys.released} {
+		for _, leaving := range common(ranges, wanted) {
+			if time.Now().Before(leaving.until) && i.worksOn(leaving) {
+				return true
+			}
 		}
 	}
 	return false
@@ -203,36 +206,42 @@
 		given = append(given, heldRange{row.first, row.last, row.fence, until})
 	}
 	i.mutex.Lock()
-	held := i.held
+	leftOut := i.held
 	for _, keys := range given {
-		i.take(keys)
+		leftOut = without(leftOut, keys)
 	}
-	before := len(i.keys.leaving)
-	i.keys.leaving = append(i.keys.leaving, i.held...)
-	i.held = held
-	leftOut := i.keys.leaving[before:]
+	i.keys.leaving = append(i.keys.leaving, leftOut...)
 	for _, left := range leftOut {
-		i.take(left)
+		i.held = without(i.held, left)
+		i.tell(KeyEvent{Kind: LetKeysGo, First: left.first, Last: left.last})
 	}
 	i.mutex.Unlock()
 	for _, keys := range given {
-		i.accept(keys)
+		i.accept(keys, false)
 	}
 }
 
-// startWork and endWork count the requests at work on a key.
-func (i *Instance) startWork(key uint32) {
+// startWork and endWork count the requests at work on a key. None begins on a key that is
+// not held.
+func (i *Instance) startWork(key uint32) bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	now := time.Now()
+	if !slices.ContainsFunc(i.held, func(held heldRange) bool { return held.first <= key && key <= held.last && now.Before(held.until) }) {
+		return false
+	}
 	if i.keys.running == nil {
 		i.keys.running = map[uint32]int{}
 	}
 	i.keys.running[key]++
+	i.tell(KeyEvent{Kind: BeganRun, First: key, Last: key})
+	return true
 }
 
 func (i *Instance) endWork(key uint32) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	i.tell(KeyEvent{Kind: EndedRun, First: key, Last: key})
 	if i.keys.running[key]--; i.keys.running[key] == 0 {
 		delete(i.keys.running, key)
 	}
--- a/lab/platformstandin/ledger.go
+++ b/lab/platformstandin/ledger.go
@@ -22,6 +22,7 @@
 	// fences has the highest fence of each key of a service that was granted, with
 	// its holder.
 	fences map[serviceKey]fenceOf
+	owners *Owners
 }
 
 // serviceKey is a key of one service; each has its own.
@@ -37,14 +38,14 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[serviceKey]fenceOf{}}
+	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[serviceKey]fenceOf{}, owners: NewOwners()}
 }
 
 // Violations returns every broken promise so far.
 func (l *Ledger) Violations() []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return append([]string{}, l.violations...)
+	return append(append([]string{}, l.violations...), l.owners.Findings(time.Now())...)
 }
 
 // Runs returns how often a request ran.
--- a/lab/platformstandin/ledger_test.go
+++ b/lab/platformstandin/ledger_test.go
@@ -79,9 +79,9 @@
 func TestALateGrantUnderALowerFenceIsRefused(t *testing.T) {
 	instance := &Instance{ID: "a", Service: "keyed", ledger: NewLedger()}
 	until := time.Now().Add(time.Minute)
-	assert.Assert(t, instance.accept(heldRange{0, 99, 7, until}))
-	assert.Assert(t, !instance.accept(heldRange{32, 40, 6, until}))
-	assert.Assert(t, instance.accept(heldRange{32, 40, 7, until}))
+	assert.Assert(t, instance.accept(heldRange{0, 99, 7, until}, false))
+	assert.Assert(t, !instance.accept(heldRange{32, 40, 6, until}, false))
+	assert.Assert(t, instance.accept(heldRange{32, 40, 7, until}, false))
 	instance.state = "ended"
-	assert.Assert(t, !instance.accept(heldRange{0, 99, 8, until}), "an ended life takes nothing")
+	assert.Assert(t, !instance.accept(heldRange{0, 99, 8, until}, false), "an ended life takes nothing")
 }
--- a/lab/platformstandin/soak/doc.go
+++ b/lab/platformstandin/soak/doc.go
@@ -2,10 +2,12 @@
 // users' platform, as processes of one machine against the stand-in of that
 // platform, and strikes them with faults drawn from a seed: processes are killed,
 // stopped (also in series, many at once), paused and started anew, disks are lost,
-// back ends crash, drain and take grants late. Faults overlap and come twice.
+// back ends crash, drain, take grants late, close their listener while they live, and
+// have their next life at their address. Faults overlap and come twice.
 //
 // While it runs, callers and back ends check what the platform's pages promise:
-// one owner of a key and fences that rise, no run that a planned stop cuts off, at
+// one owner of a key and fences that rise (at each grant, and from outside by what all
+// back ends tell that they did), no run that a planned stop cuts off, at
 // most one run of what must not repeat, "not run" that is true, whole answers to
 // their own callers, and configurations that were acknowledged and stay.
 package soak
