--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -222,6 +222,22 @@
 	Leader string
 	// Controllers are the session addresses of the group's members.
 	Controllers []string
+	// Standing is nil where the controller can't tell it.
+	Standing *Standing
+}
+
+// Standing is what a controller that does not lead has of what operators decide, at the
+// moment of its answer: nothing newer is in its log, committed or not.
+type Standing struct {
+	// Member is the controller, and Voters are all that vote, by the newest membership in
+	// its log.
+	Member topology.ReplicaID
+	Voters []topology.ReplicaID
+	// Version of the configuration, and index of the evacuated zones.
+	Version          routeconfig.Version
+	EvacuationsIndex uint64
+	// For is Lease.PassedOnFor.
+	For time.Duration
 }
 
 // Admission answers a Join.
