--- /dev/null
+++ b/internal/configlease/standings_test.go
@@ -0,0 +1,100 @@
+package configlease_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/quartzdock/quartzdock/internal/configlease"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+func votersUpTo(count int) (voters []topology.ReplicaID) {
+	for i := range count {
+		voters = append(voters, topology.ReplicaID(i+1))
+	}
+	return voters
+}
+
+// The halves of a group of an even size are no majority, and the word of one that had not
+// answered for long counts from when it was asked.
+func TestAMajorityIsAsOldAsItsOldestAnswer(t *testing.T) {
+	var s configlease.Standings
+	voters := votersUpTo(4)
+	for i, asked := range []time.Duration{second, 3 * second} {
+		s.Take(configlease.Standing{Asked: asked, Member: voters[i], Voters: voters, Version: 1})
+	}
+	_, ok := s.NothingNewerSince(1, 1, 0)
+	assert.Assert(t, !ok, "two of four")
+	s.Take(configlease.Standing{Asked: 2 * second, Member: 3, Voters: voters, Version: 1})
+	since, ok := s.NothingNewerSince(1, 1, 0)
+	assert.Assert(t, ok && since == second)
+	s.Take(configlease.Standing{Asked: 4 * second, Member: 4, Voters: voters, Version: 1})
+	since, _ = s.NothingNewerSince(1, 1, 0)
+	assert.Equal(t, since, 2*second, "three of them have answered since")
+	s.Take(configlease.Standing{Asked: 5 * second, Member: 3, Voters: voters, Version: 1, EvacuationsIndex: 7})
+	since, _ = s.NothingNewerSince(1, 1, 0)
+	assert.Equal(t, since, second)
+}
+
+// Whatever leaders come and go, and whatever is lost or late, nobody serves by an older
+// version ApplyWithin after another one was accepted. Leaders are not modelled: any voter
+// may have any newer entry that a majority has not, and entries that only a minority has
+// may be lost again.
+func TestNobodyServesByAnOlderConfigurationByTheWordOfAMajority(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		voters := votersUpTo(rapid.IntRange(1, 8).Draw(t, "voters"))
+		logs := make([]routeconfig.Version, len(voters))
+		for i := range logs {
+			logs[i] = 1
+		}
+		committed, committedAt := routeconfig.Version(1), map[routeconfig.Version]time.Duration{}
+		var s configlease.Standings
+		var onTheWay []configlease.Standing
+		serving, until := routeconfig.Version(1), time.Duration(0)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "milliseconds")) * time.Millisecond
+			i := rapid.IntRange(0, len(voters)-1).Draw(t, "voter")
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0: // an entry of the newest leader reaches a voter
+				logs[i] = committed + 1
+				holding := 0
+				for _, log := range logs {
+					if log > committed {
+						holding++
+					}
+				}
+				if holding > len(voters)/2 {
+					committed++
+					committedAt[committed] = now
+				}
+			case 1: // an entry that a majority has not is lost
+				logs[i] = min(logs[i], committed)
+			case 2: // a voter answers, of what was asked a while before
+				asked := now - time.Duration(rapid.IntRange(0, 900).Draw(t, "way"))*time.Millisecond
+				onTheWay = append(onTheWay, configlease.Standing{Asked: asked, Member: voters[i], Voters: voters, Version: logs[i]})
+			case 3: // an answer arrives, in any order
+				if len(onTheWay) > 0 {
+					at := rapid.IntRange(0, len(onTheWay)-1).Draw(t, "answer")
+					s.Take(onTheWay[at])
+					if since, ok := s.NothingNewerSince(onTheWay[at].Member, serving, 0); ok {
+						until = max(until, since+terms.ApplyWithin)
+					}
+					onTheWay = slices.Delete(onTheWay, at, at+1)
+				}
+			case 4: // the gateway hears of the newest one elsewhere
+				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
+					serving = committed
+				}
+			}
+			if at, ok := committedAt[serving+1]; ok && now >= at+terms.ApplyWithin && now < until {
+				t.Fatalf("serves by %d at %v, until %v; %d was accepted at %v", serving, now, until, serving+1, at)
+			}
+		}
+	})
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"math"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus/tracker"
@@ -112,6 +113,19 @@
 // machine is then behind what Status says is applied.
 func (c *Core) Installing() bool { return c.installing != nil }
 
+// Unapplied returns the entries that are in the log and not applied, committed or not, and
+// false where the log is not all that this replica may have acknowledged. The entries must
+// not be changed.
+func (c *Core) Unapplied() ([]Entry, bool) {
+	if c.Installing() || !c.recovered() {
+		return nil, false
+	}
+	return c.log.from(c.log.applied+1, math.MaxInt), true
+}
+
+// LastTerm is that of the last entry of the log.
+func (c *Core) LastTerm() uint64 { return c.log.lastTerm() }
+
 // EntriesWithin counts the entries up to index, back from it, whose data fit a
 // number of bytes: what Compact may retain.
 func (c *Core) EntriesWithin(index uint64, bytes int) uint64 {
--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -59,6 +59,7 @@
 	// of instances that did.
 	publishAt    time.Duration
 	instanceSets uint64
+	undecided    undecided
 }
 
 // Start opens the data folder, joins or founds the group, and serves.
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -71,7 +71,9 @@
 		return
 	}
 	if !c.leads() {
-		_ = conn.Send(fleetwire.FromController{Redirect: c.redirect()})
+		redirect := c.redirect()
+		redirect.Standing = c.standing()
+		_ = conn.Send(fleetwire.FromController{Redirect: redirect})
 		return
 	}
 	if join := first.Hello.Join; join != nil {
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -73,6 +73,13 @@
 	return buffer.Bytes(), nil
 }
 
+// IsOperators reports whether a log entry holds what an operator ordered, or can't be read.
+func IsOperators(data []byte) bool {
+	var command Command
+	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&command)
+	return err != nil || command.Configuration != nil || command.Evacuation != nil
+}
+
 // Outcome of a change of the configuration.
 type Outcome uint8
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
@@ -51,6 +52,8 @@
 	// heardAt is when the leader was last heard, in nanoseconds since started.
 	heardAt atomic.Int64
 	vouched vouched
+	// standings belong to the goroutine that keeps the session.
+	standings configlease.Standings
 }
 
 func newSessionClient(g *Gateway) *sessionClient {
@@ -160,6 +163,7 @@
 		Node: s.gateway.config.Name, Boot: s.boot,
 		Version: has.version(), OwnersIndex: has.ownersIndex, OwnersDigest: has.owners.Digest(),
 	}
+	asked := s.now()
 	if err := conn.Send(fleetwire.ToController{Hello: hello}); err != nil {
 		return nil, err
 	}
@@ -176,6 +180,7 @@
 		s.controllers.heard(address)
 		conn.SetIdleTimeout(sessionSilence)
 		if message.Redirect != nil {
+			s.takeStanding(message.Redirect.Standing, asked)
 			return message.Redirect, nil
 		}
 		silence := s.silence(time.Now())
--- a/internal/gateway/vouched.go
+++ b/internal/gateway/vouched.go
@@ -21,17 +21,25 @@
 	since time.Time
 	// until is when it must no longer serve by its configuration.
 	until time.Time
-	// told is the moment until which the leader itself has told it everything, and
+	// told is the moment until which controllers themselves have told it everything, and
 	// passedOnFor for how long from then on another gateway may serve by that.
 	told        time.Time
 	passedOnFor time.Duration
+	// leader says that a leader has ever given its word.
+	leader bool
 }
 
 // take notes an answer of the leader to a report. Epoch is the zero of the clock that
 // reports carry. The caller has put in force all that came with the answer or before it.
 func (v *vouched) take(lease *fleetwire.Lease, epoch time.Time) {
 	told := epoch.Add(lease.SentAt)
-	v.extend(word{since: told, until: told.Add(shortened(lease.ConfigurationFor)), told: told, passedOnFor: lease.PassedOnFor})
+	v.extend(word{since: told, until: told.Add(shortened(lease.ConfigurationFor)), told: told, passedOnFor: lease.PassedOnFor, leader: true})
+}
+
+// takeMajority notes that a majority of the controllers had nothing newer than what is in
+// force here since a moment, for a duration of their clocks.
+func (v *vouched) takeMajority(since time.Time, duration time.Duration) {
+	v.extend(word{since: since, until: since.Add(shortened(duration)), told: since, passedOnFor: duration})
 }
 
 // takePeer notes the word of another gateway that was asked at a moment. The caller has
@@ -49,6 +57,7 @@
 	if known := v.present.Load(); known != nil {
 		next.since = later(known.since, added.since)
 		next.until = later(known.until, added.until)
+		next.leader = known.leader || added.leader
 		if !added.told.After(known.told) {
 			next.told, next.passedOnFor = known.told, known.passedOnFor
 		}
@@ -93,14 +102,14 @@
 // heardLeader reports whether the leader itself has given its word.
 func (v *vouched) heardLeader() bool {
 	known := v.present.Load()
-	return known != nil && !known.told.IsZero()
+	return known != nil && known.leader
 }
 
-// passOn is what another gateway may be told at now, nil where the leader itself has not
-// been heard for too long to be of use.
+// passOn is what another gateway may be told at now, nil where no controller has been
+// heard, or for too long to be of use.
 func (v *vouched) passOn(now time.Time) *fleetwire.PeerWord {
 	known := v.present.Load()
-	if !v.heardLeader() || now.Sub(known.told) >= shortened(known.passedOnFor) {
+	if known == nil || known.told.IsZero() || now.Sub(known.told) >= shortened(known.passedOnFor) {
 		return nil
 	}
 	return &fleetwire.PeerWord{Age: now.Sub(known.told), For: known.passedOnFor}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -113,6 +113,31 @@
 // called there as well.
 func (r *Replica) Post(event func()) { r.events.push(event) }
 
+// Log is what a replica has at one moment.
+type Log struct {
+	// LastIndex and LastTerm name its last entry, and with it all entries.
+	LastIndex, LastTerm uint64
+	// Unapplied are the entries after those that the state machine has.
+	Unapplied []consensus.Entry
+	// Membership is the newest one in the log, committed or not.
+	Membership consensus.Membership
+}
+
+// Log returns what is in the log, false where it may lack what this replica has
+// acknowledged or where it has no vote. It is called on the control goroutine, as by Post.
+func (r *Replica) Log() (Log, bool) {
+	core := r.control.core
+	if core == nil {
+		return Log{}, false
+	}
+	unapplied, whole := core.Unapplied()
+	status := core.Status()
+	if !whole || !status.Membership.Names(status.ID, status.Incarnation) || !status.Membership.IsVoter(status.ID) {
+		return Log{}, false
+	}
+	return Log{LastIndex: status.LastIndex, LastTerm: core.LastTerm(), Unapplied: unapplied, Membership: status.Membership}, true
+}
+
 // outcome is the end of a request.
 type outcome struct {
 	result any
