--- a/internal/gateway/majority.go
+++ b/internal/gateway/majority.go
@@ -21,7 +21,14 @@
 	s.standings.Take(configlease.Standing{
 		Asked: asked, Member: told.Member, Voters: told.Voters, Version: told.Version, EvacuationsIndex: told.EvacuationsIndex,
 	})
-	if since, ok := s.standings.NothingNewerSince(told.Member, v.version(), v.evacuationsIndex); ok {
-		s.vouched.takeMajority(s.started.Add(since), told.For)
+	since, ok := s.standings.NothingNewerSince(told.Member, v.version(), v.evacuationsIndex)
+	if !ok {
+		return
+	}
+	s.vouched.takeMajority(s.started.Add(since), told.For)
+	if !s.byMajority {
+		s.byMajority = true
+		s.gateway.config.Log.Info("nobody leads, and a majority of controllers has nothing newer", "version", uint64(v.version()),
+			"silence_ms", s.silence(time.Now()).Milliseconds())
 	}
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -52,8 +52,10 @@
 	// heardAt is when the leader was last heard, in nanoseconds since started.
 	heardAt atomic.Int64
 	vouched vouched
-	// standings belong to the goroutine that keeps the session.
-	standings configlease.Standings
+	// standings belong to the goroutine that keeps the session, and so does byMajority: a
+	// majority of them has vouched since a leader last served.
+	standings  configlease.Standings
+	byMajority bool
 }
 
 func newSessionClient(g *Gateway) *sessionClient {
@@ -241,7 +243,7 @@
 	if err := g.views.advance(news, s.vouched.since()); err != nil {
 		return err
 	}
-	s.served = true
+	s.served, s.byMajority = true, false
 	s.controllers.learn(news.Controllers)
 	if after := g.views.load().version(); after != before {
 		g.config.Log.Info("configuration in force", "version", uint64(after))
