--- a/lab/platformstandin/backend_test.go
+++ b/lab/platformstandin/backend_test.go
@@ -162,3 +162,19 @@
 	assert.NilError(t, instance.Listen())
 	assert.ErrorIs(t, health(newClient(t)), syscall.ECONNREFUSED)
 }
+
+// A listener that is closed before it was to open late stays closed until it is opened,
+// and may be opened twice.
+func TestAClosedListenerDoesNotOpenLate(t *testing.T) {
+	instance := &Instance{ID: "a", ListenLate: 50 * time.Millisecond}
+	address := startAlone(t, instance)
+	instance.CloseListener()
+	time.Sleep(4 * instance.ListenLate)
+	_, err := send(newClient(t), address, "/health", "", nil)
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	for range 2 {
+		assert.NilError(t, instance.Listen())
+	}
+	_, err = send(newClient(t), address, "/health", "", nil)
+	assert.NilError(t, err)
+}
--- a/lab/platformstandin/door.go
+++ b/lab/platformstandin/door.go
@@ -12,11 +12,12 @@
 // door is where an instance takes new connections. Those that it has are served on
 // while the door is closed.
 type door struct {
-	address  string
-	mutex    sync.Mutex
+	address string
+	mutex   sync.Mutex
+	// listener is nil while the door is closed.
 	listener net.Listener
-	// forGood says that it does not open again.
-	forGood bool
+	// closed says that it was closed, and not opened since; forGood says that it does not open again.
+	closed, forGood bool
 }
 
 // leave is a back end's word that it leaves.
@@ -25,11 +26,17 @@
 	sent chan struct{}
 }
 
-// Listen makes the instance take new connections, unless it has ended.
+// Listen makes the instance take new connections, unless it does or has ended.
 func (i *Instance) Listen() error {
 	i.door.mutex.Lock()
 	defer i.door.mutex.Unlock()
-	if i.door.forGood {
+	i.door.closed = false
+	return i.open()
+}
+
+// open begins to listen. The caller has the mutex.
+func (i *Instance) open() error {
+	if i.door.forGood || i.door.listener != nil {
 		return nil
 	}
 	listener, err := net.Listen("tcp", i.door.address)
@@ -49,19 +56,25 @@
 func (i *Instance) closeDoor(forGood bool) {
 	i.door.mutex.Lock()
 	defer i.door.mutex.Unlock()
-	i.door.forGood = i.door.forGood || forGood
+	i.door.closed, i.door.forGood = true, i.door.forGood || forGood
 	if i.door.listener != nil {
 		_ = i.door.listener.Close()
+		i.door.listener = nil
 	}
 }
 
-// listenLate begins to listen after the first heartbeat, unless the instance has
-// ended by then.
+// listenLate begins to listen after the first heartbeat, unless the listener was closed
+// meanwhile.
 func (i *Instance) listenLate(ctx context.Context) {
 	if pause.For(ctx, i.ListenLate) != nil {
 		return
 	}
-	if err := i.Listen(); err != nil {
+	i.door.mutex.Lock()
+	defer i.door.mutex.Unlock()
+	if i.door.closed {
+		return
+	}
+	if err := i.open(); err != nil {
 		i.ledger.Broken("%s can't listen at %s: %v", i.ID, i.door.address, err)
 	}
 }
