Model of a process that only looks dead; it finds four faults in the mend's design

spec/lookalike.pml: one key, two lives at one address that may live at once, the gateway, the leader, another back end, in ticks of time. Keys by call and by heartbeat; the gateway restarts, sessions end and the leader changes any number of times. It holds with the design's rules and four more, and 18 broken variants are caught (22 searches, four of the variants by both ways of granting).

Rules that the design lacked, each a variant that is caught: a lease that was asked for before a promise of a release was told gives nothing (PROMISE_OUTLIVES_LEASE); a confirmed order closes one without an answer only together with the longest time of that one (COVER_FORGETS_UNANSWERED); a restarted gateway waits for the longest grant and for how late an order may be carried out (RESTART_WAITS_FOR_HOLD_ONLY); the leader passes over earlier sessions of the same process, too (OWN_OLD_SESSION_BELIEVED). That the leader's lease ends what is held rests on a bound of how late an order may be (NO_MARGIN).

lives.pml is untouched: it is the rule before, in which a next life ends what was taken back. Its four variants have their like in lookalike.pml, where a guess is free: NOTHING_TAKEN_BACK is NEXT_LIFE_ENDS_HOLD, FORGETS_EARLIER_GRANTS is RESTART_FORGETS_GRANTS, ENDS_WITH_GRANT_ON_ITS_WAY is ENDS_WITH_ORDER_ON_ITS_WAY, and FIRST_BEAT_BELIEVED is no defect there: any heartbeat may be believed.

--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -155,6 +155,42 @@
 		short:   []string{"LIVES=3", "RESTARTS=1", "BY_HEARTBEAT=1"},
 		defects: []string{"FIRST_BEAT_BELIEVED"},
 	},
+	{
+		name:   "a process that only looks dead",
+		model:  "lookalike.pml",
+		bounds: []string{"RESTARTS=0", "ELECTIONS=0"},
+		short:  []string{"RESTARTS=0", "ELECTIONS=0"},
+		defects: []string{
+			"REFUSAL_ENDS_HOLD", "NEXT_LIFE_ENDS_HOLD", "ENDS_WITH_ORDER_ON_ITS_WAY",
+			"RELEASE_BY_ANYONE", "GRANT_TAKEN_BY_ANYONE", "HOLD_COUNTS_FROM_SENDING",
+			"UNANSWERED_OVER_BY_TIME", "COVER_FORGETS_UNANSWERED", "NO_MARGIN",
+			"REVIVED_KEEPS_LEASE", "COVER_AFTER_PROPOSAL", "PROMISE_OUTLIVES_LEASE", "OWN_OLD_SESSION_BELIEVED",
+		},
+	},
+	{
+		name:    "a process that only looks dead, beside restarts and changes of leader",
+		model:   "lookalike.pml",
+		bounds:  []string{"RESTARTS=1", "ELECTIONS=1"},
+		short:   []string{"RESTARTS=1", "ELECTIONS=1", "HOLD=1", "LEASE=2"},
+		defects: []string{"RESTART_FORGETS_GRANTS", "RESTART_WAITS_FOR_HOLD_ONLY"},
+	},
+	{
+		name:    "a process that only looks dead, beside restarts",
+		model:   "lookalike.pml",
+		bounds:  []string{"RESTARTS=1", "ELECTIONS=0", "HOLD=1", "LEASE=2"},
+		short:   []string{"RESTARTS=1", "ELECTIONS=0", "HOLD=1", "LEASE=2"},
+		defects: []string{"OLD_SESSION_BELIEVED"},
+	},
+	{
+		name:   "a process that only looks dead and gets its keys by heartbeat",
+		model:  "lookalike.pml",
+		bounds: []string{"BY_HEARTBEAT=1", "RESTARTS=1", "ELECTIONS=0"},
+		short:  []string{"BY_HEARTBEAT=1", "RESTARTS=0", "ELECTIONS=0"},
+		defects: []string{
+			"REFUSAL_ENDS_HOLD", "NEXT_LIFE_ENDS_HOLD", "REVIVED_KEEPS_LEASE", "RESTART_FORGETS_GRANTS",
+			"ANSWER_COUNTS_FROM_TAKING", "ANY_BEAT_WITHOUT_KEYS_BELIEVED",
+		},
+	},
 }
 
 func bounds(common []string, more ...string) []string {
