Count a grant without answer from its latest arrival; give nothing by a lease asked for before a promise

Found by the model: the next leader may list a range as held while a report with the promise of its release is on its way, and take that promise for a move of its own; a grant without an answer, and the last one of an earlier process, may arrive a second after it was sent.

--- a/internal/gateway/keyearlier.go
+++ b/internal/gateway/keyearlier.go
@@ -45,7 +45,11 @@
 // earlierProcessOver reports whether nothing is in force any more that an earlier process of
 // this gateway has granted.
 func (k *keyKeeper) earlierProcessOver(now time.Time) bool {
-	return !now.Before(k.started.Add(keyhold.Longest(k.hold())+grantTimeout)) || !k.mayBeKeyed()
+	held := keyhold.Longest(k.hold())
+	if !k.byHeartbeat() {
+		held += transit
+	}
+	return !now.Before(k.started.Add(held)) || !k.mayBeKeyed()
 }
 
 // mayBeKeyed reports whether the back end may hold keys at all.
--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -125,11 +125,11 @@
 			k.fences.skip(sent.Fence, sent.sub)
 		}
 	case present:
-		sent.bound.Answered(now)
+		sent.bound.Unanswered(now, sent.sentAt.Add(transit))
 		ended := errors.Is(err, ErrConnectionEnded)
 		k.fences.unanswered(openGrant{keys: sent.Keys, owner: sent.Fence, sub: sent.sub, at: now, ended: ended})
 	default:
-		sent.bound.Answered(now)
+		sent.bound.Unanswered(now, sent.sentAt.Add(transit))
 		if !errors.Is(err, ErrConnectionEnded) {
 			k.earlier.unreadUntil = later(k.earlier.unreadUntil, now.Add(openKept))
 		}
--- a/internal/gateway/keyheartbeats_test.go
+++ b/internal/gateway/keyheartbeats_test.go
@@ -112,14 +112,14 @@
 		offer := rig.beat(t, "i-1", heldAs(0, 39, fence))
 		assert.Equal(t, len(offer.Held), 1)
 		assert.Assert(t, !rig.g.keys.holds("i-1", 50, time.Now()))
-		assert.Equal(t, len(rig.g.keys.promises()), 0)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 		// It still works on some of them.
 		rig.beat(t, "i-1", append(heldAs(0, 39, fence), heldAs(90, 99, fence)...))
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		assert.Equal(t, len(rig.g.keys.promises()), 0)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 		rig.beat(t, "i-1", heldAs(0, 39, fence), FreedRange{keyspace.Range{First: 40, Last: 99}, "left"})
-		promises := rig.g.keys.promises()
+		promises := rig.g.keys.promises(0)
 		assert.Equal(t, len(promises), 1)
 		assert.Equal(t, promises[0].Handover, "left")
 	})
@@ -138,13 +138,13 @@
 		rig.beat(t, "i-1", nil)
 		time.Sleep(100 * time.Millisecond)
 		rig.beat(t, "i-1", heldAs(0, 39, compose(7, 0)))
-		assert.Equal(t, len(rig.g.keys.promises()), 0)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 		time.Sleep(answerVoid - time.Since(offered) - time.Millisecond)
 		synctest.Wait()
-		assert.Equal(t, len(rig.g.keys.promises()), 0)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 		time.Sleep(2 * keysInterval)
 		synctest.Wait()
-		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 1)
 	})
 }
 
@@ -158,13 +158,13 @@
 		until := time.Now().Add(time.Duration(float64(offer.Hold) * 1.02))
 		rig.lease(nil, asked(0, 99))
 		for time.Now().Before(until) {
-			assert.Equal(t, len(rig.g.keys.promises()), 0)
+			assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 			time.Sleep(keysInterval)
 			synctest.Wait()
 		}
 		time.Sleep(time.Second)
 		synctest.Wait()
-		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 1)
 	})
 }
 
@@ -210,10 +210,10 @@
 		rig.lease(nil, asked(0, 99))
 		rig.beat(t, "i-1", nil)
 		rig.beat(t, "i-1", nil)
-		assert.Equal(t, len(rig.g.keys.promises()), 0)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 		time.Sleep(answerVoid + keysInterval)
 		synctest.Wait()
-		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 1)
 	})
 }
 
@@ -249,7 +249,7 @@
 		rig.beat(t, "i-1", append(heldAs(0, 99, compose(7, 0)), heldAs(200, 300, 12345)...), FreedRange{keyspace.Range{First: 400, Last: 500}, "x"})
 		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
 		assert.Assert(t, !rig.g.keys.holds("i-1", 250, time.Now()), "not offered")
-		assert.Equal(t, len(rig.g.keys.promises()), 0)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 	})
 }
 
@@ -282,8 +282,8 @@
 		rig.beat(t, "i-1", heldAs(0, 39, compose(7, 0)))
 		time.Sleep(2 * answerVoid)
 		synctest.Wait()
-		assert.Equal(t, len(rig.g.keys.promises()), 1)
-		assert.Equal(t, rig.g.keys.promises()[0].Handover, "")
+		assert.Equal(t, len(rig.g.keys.promises(0)), 1)
+		assert.Equal(t, rig.g.keys.promises(0)[0].Handover, "")
 	})
 }
 
@@ -345,13 +345,13 @@
 		rig.beat(t, "i-1", nil)
 		rig.beat(t, "i-1", heldAs(0, 99, compose(7, 0)))
 		refenced(rig)
-		assert.Equal(t, len(rig.g.keys.promises()), 0, "the back end still holds it")
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0, "the back end still holds it")
 		rig.beat(t, "i-1", heldAs(0, 99, compose(7, 0)))
-		assert.Equal(t, len(rig.g.keys.promises()), 0)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 		rig.beat(t, "i-1", append(heldAs(0, 39, compose(9, 0)), heldAs(50, 199, compose(9, 0))...))
 		time.Sleep(2 * answerVoid)
 		synctest.Wait()
-		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 1)
 	})
 }
 
@@ -362,11 +362,11 @@
 		rig.lease(held(0, 99), nil)
 		rig.holder.setRefuse(errors.New("no answer"))
 		refenced(rig)
-		assert.Equal(t, len(rig.g.keys.promises()), 0, "the back end still holds it")
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0, "the back end still holds it")
 		rig.holder.setRefuse(nil)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 1)
 		assert.Equal(t, len(rig.holder.released()), 1)
 	})
 }
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -25,9 +26,10 @@
 	// still: the rest of the scheduler's period of 100 ms (Linux's default of
 	// cpu.cfs_period_us).
 	processorPause = 100 * time.Millisecond
-	// transit is by how much a grant ends before the lease that it rests on. The back end
-	// counts from its arrival, and this process may stand still on the way: with hundreds
-	// of processes on a machine, for all but a second.
+	// transit is by how much later than it was sent a grant may arrive, and by how much it
+	// ends before the lease that it rests on. The back end counts from its arrival, and this
+	// process may stand still on the way: with hundreds of processes on a machine, for all
+	// but a second.
 	transit      = time.Second
 	grantTimeout = 400 * time.Millisecond
 	// releaseTimeout bounds one call; the back end answers once its work on the
@@ -110,9 +112,11 @@
 	grants    map[heldKey]*grant
 	releases  map[heldKey]*release
 	taken     []taken
-	fences    fenceLedger
-	reported  keyReport
-	earlier   earlierLives
+	// told has when each promise was told last, on the clock that reports carry.
+	told     map[heldKey]time.Duration
+	fences   fenceLedger
+	reported keyReport
+	earlier  earlierLives
 	// yielding says that another life waits to take the instance's place: nothing more is
 	// granted.
 	yielding bool
@@ -127,6 +131,7 @@
 		started:  time.Now(),
 		grants:   map[heldKey]*grant{},
 		releases: map[heldKey]*release{},
+		told:     map[heldKey]time.Duration{},
 		fences:   newFenceLedger(),
 		changed:  make(chan struct{}),
 	}
@@ -183,7 +188,8 @@
 	}
 	duration := time.Duration(float64(lease.Duration) * (1 - clockDrift))
 	k.leaseUntil = epoch.Add(lease.SentAt + duration)
-	k.wanted = lease.Held
+	maps.DeleteFunc(k.told, func(_ heldKey, told time.Duration) bool { return told <= lease.SentAt })
+	k.wanted = slices.DeleteFunc(slices.Clone(lease.Held), func(held fleetwire.Held) bool { return k.toldSince(held, lease.SentAt) })
 	k.takeReleases(lease.Release)
 	k.announce()
 	k.signal()
@@ -201,6 +207,19 @@
 	k.fences = newFenceLedger()
 	k.grants = map[heldKey]*grant{}
 	k.releases = map[heldKey]*release{}
+	k.told = map[heldKey]time.Duration{}
+}
+
+// toldSince says that keys of a range were promised in a report that was sent after a time.
+// The leader may still read that, and give the keys away: a lease that was asked for before
+// gives nothing of them.
+func (k *keyKeeper) toldSince(held fleetwire.Held, askedAt time.Duration) bool {
+	for key, told := range k.told {
+		if told > askedAt && key.concerns(held) {
+			return true
+		}
+	}
+	return false
 }
 
 func (k *keyKeeper) takeReleases(asked []fleetwire.Held) {
@@ -221,13 +240,14 @@
 
 func (k *keyKeeper) signal() { wakeUp(k.wake) }
 
-// promises returns what has been taken back.
-func (k *keyKeeper) promises() []fleetwire.Released {
+// promises returns what has been taken back, for a report that is sent at a time.
+func (k *keyKeeper) promises(sentAt time.Duration) []fleetwire.Released {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	var promises []fleetwire.Released
-	for _, running := range k.releases {
+	for key, running := range k.releases {
 		if running.done {
+			k.told[key] = sentAt
 			promises = append(promises, fleetwire.Released{Keys: running.held.Keys, Fence: running.held.Fence, Handover: running.handover})
 		}
 	}
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -142,7 +142,7 @@
 		rig.lease(rest, asked(40, 49))
 		assert.Assert(t, !rig.g.keys.holds("i-1", 45, time.Now()))
 		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
-		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 1)
 		rig.holder.setRefuse(errors.New("no answer"))
 		before := len(rig.holder.granted())
 		rig.lease(held(0, 99), nil)
@@ -168,7 +168,7 @@
 		time.Sleep(time.Second)
 		synctest.Wait()
 		assert.Equal(t, len(rig.holder.released()), 1)
-		assert.Equal(t, len(rig.g.keys.promises()), 1)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 1)
 		covered := false
 		for _, order := range rig.holder.granted()[len(unanswered):] {
 			covered = covered || order.Keys.Contains(keyspace.Range{First: 40, Last: 99}) && order.Fence > late.Fence
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -223,7 +223,7 @@
 		advance(t, rig.g.views, &fleetwire.View{Document: &routeconfig.Document{Version: 1, Services: []routeconfig.Service{{Name: "s", Keyed: true, WarmupRate: coldRate}}}})
 		assert.Assert(t, rig.g.unproved())
 		rig.lease(nil, held(0, 9))
-		assert.Equal(t, len(rig.g.keys.promises()), 0)
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 	})
 }
 
@@ -235,7 +235,7 @@
 		rig.hearNext()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
 		assert.Assert(t, !rig.g.session.build().EarlierOver)
-		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(livesHold) + grantTimeout + 2*keysInterval)))
+		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(livesHold) + transit + 2*keysInterval)))
 		synctest.Wait()
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
 		assert.Assert(t, rig.g.session.build().EarlierOver)
@@ -291,7 +291,7 @@
 		rig.lease(held(0, 9), nil)
 		rig.hearNext()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
-		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(livesHold) + grantTimeout + 2*keysInterval)))
+		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(livesHold) + transit + 2*keysInterval)))
 		synctest.Wait()
 		assert.Equal(t, len(rig.holder.granted()), 0)
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -304,7 +304,7 @@
 	if instance := g.registry.snapshot(); instance.ID != "" {
 		report.Instance = &instance
 		report.Silent = g.registry.silent()
-		report.Released = g.keys.promises()
+		report.Released = g.keys.promises(report.SentAt)
 		report.EarlierOver = g.keys.earlierOver(instance.ID, time.Now())
 		g.keyLoad.take(report)
 		report.Running, report.Waiting = g.slots.counts()
--- a/internal/keyhold/bound.go
+++ b/internal/keyhold/bound.go
@@ -30,13 +30,22 @@
 // Sending reports whether an order is on its way.
 func (b *Bound) Sending() bool { return b.sending }
 
-// Answered notes that the order on its way has arrived before now, or is given up: one that
-// is carried out later is made harmless by its fence alone.
+// Answered notes that the order on its way has arrived before now.
 func (b *Bound) Answered(now time.Time) {
 	b.sending = false
 	b.Given(now, b.hold)
 }
 
+// Unanswered notes that the order on its way is given up. It may arrive until a time; one that
+// is carried out later is made harmless by its fence alone.
+func (b *Bound) Unanswered(now, arrives time.Time) {
+	if arrives.Before(now) {
+		arrives = now
+	}
+	b.sending = false
+	b.Given(arrives, b.hold)
+}
+
 // NotTaken notes that the order on its way was surely not carried out and never will be.
 func (b *Bound) NotTaken() { b.sending = false }
 
