Silence the back end once it has replaced earlier grants; log a release that waits for them

Cause: TestUnansweredGrantIsRevokedBeforeTheShardIsReleased waited for a valid lease and then silenced the back end, at times before it had answered the message that replaces an earlier process's grants. Nothing may be released then before these have ended, at most 62 s after the process's start (decision 015), so the fault was the test's. Change: it waits for the replacement; the order that failed is a test of its own on virtual time, with silence from the start and after the replacement, and asserts that shard and lease are released when all grants have ended, not before and at most two ticks after; the agent tells that a release waits for an earlier process's grants and for how long at most, which no line told.

--- a/internal/agent/release.go
+++ b/internal/agent/release.go
@@ -130,6 +130,10 @@
 	running.stage = stageTransferring
 	control.endAll(running)
 	running.grantEndsBy = control.grants.AllEndBy()
+	if !control.grants.Replaced() {
+		control.config.Log.Info("release waits until the back end has replaced an earlier process's grants or they have ended",
+			slog.String("shard", running.shard.String()), slog.Duration("at_most", running.grantEndsBy-control.now()))
+	}
 	control.syncGrants()
 	target, known := control.mine.table.Backend(running.target)
 	address := ""
--- a/internal/agent/restart_test.go
+++ b/internal/agent/restart_test.go
@@ -56,18 +56,18 @@
 }
 
 // TestUnansweredGrantIsRevokedBeforeTheShardIsReleased: the back end falls silent
-// with a grant on its way to it, which it may take later.
+// with a grant on its way to it, which it may take later. It has replaced an
+// earlier process's grants before; TestASilentBackEndsShardIsReleased has the
+// orders in which it has not.
 func TestUnansweredGrantIsRevokedBeforeTheShardIsReleased(t *testing.T) {
 	handler, address := startSilentBackend(t)
 	r := startAgent(t, self, address, t.TempDir(), nil)
+	replaced := func() bool { return r.controls(func(control *controlLoop) bool { return control.grants.Replaced() }) }
+	r.waitFor("earlier grants replaced", replaced)
 	handler.silent.Store(true)
 	r.give(1, topology.Shard{Phase: topology.ShardOwned, Owner: self, Epoch: 1})
 	offered := func() bool {
-		found := make(chan bool, 1)
-		r.agent.post(func(control *controlLoop) {
-			found <- control.grants.MayHold(shard)
-		})
-		return <-found
+		return r.controls(func(control *controlLoop) bool { return control.grants.MayHold(shard) })
 	}
 	r.waitFor("grant sent", offered)
 	r.give(2, topology.Shard{Phase: topology.ShardReleasing, Owner: self, Epoch: 1, Target: other})
@@ -75,3 +75,10 @@
 	assert.Assert(t, r.agent.now() >= time.Duration(r.agent.grantsPossibleUntil.Load()) || !offered(),
 		"released while the back end may take the grant")
 }
+
+// controls asks the control goroutine.
+func (r *rig) controls(question func(*controlLoop) bool) bool {
+	answer := make(chan bool, 1)
+	r.agent.post(func(control *controlLoop) { answer <- question(control) })
+	return <-answer
+}
--- a/internal/agent/silence_test.go
+++ b/internal/agent/silence_test.go
@@ -104,22 +104,39 @@
 }
 
 // TestASilentBackEndsShardIsReleased: the back end falls silent after so many
-// answers, and the shard is to be released more than half a lease later.
+// answers, and the shard is to be released half a lease later. What this process
+// granted ends with its lease. What an earlier process may have granted ends with
+// the longest lease that settings allow, unless a message has replaced it. Neither
+// the shard nor the lease is released before all that has ended, and both are then.
 func TestASilentBackEndsShardIsReleased(t *testing.T) {
-	for name, answers := range map[string]int32{
-		"silent from the start":              0,
-		"after a reading":                    1,
-		"after earlier grants were replaced": 2,
+	const earlierEnd = 62 * time.Second // a minute, with the bound of drift
+	for name, silence := range map[string]struct {
+		answers       int32
+		after, before time.Duration // all grants end
+	}{
+		"silent from the start":              {0, earlierEnd, earlierEnd},
+		"after a reading":                    {1, earlierEnd, earlierEnd},
+		"after earlier grants were replaced": {2, testLease / 2, testLease},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r, end := startSilenced(t, answers)
+				r, end := startSilenced(t, silence.answers)
 				defer end()
 				time.Sleep(testLease / 10)
 				r.give(1, topology.Shard{Phase: topology.ShardOwned, Owner: self, Epoch: 1})
 				time.Sleep(testLease / 2)
+				var ends time.Duration
+				r.controls(func(control *controlLoop) bool {
+					ends = control.grants.AllEndBy()
+					return true
+				})
+				assert.Assert(t, silence.after <= ends && ends <= silence.before, "all grants end after %v", ends)
 				r.give(2, topology.Shard{Phase: topology.ShardReleasing, Owner: self, Epoch: 1, Target: other})
-				t.Logf("released after %v", r.releasedAfter(10*time.Second))
+				released := r.releasedAfter(ends + 2*tickInterval)
+				assert.Assert(t, released >= ends, "released after %v, while grants may be in force until %v", released, ends)
+				assert.Assert(t, !r.leader.hasReleased() || r.agent.now() >= ends)
+				time.Sleep(2*tickInterval + 2*testRenewEach)
+				assert.Assert(t, r.leader.hasReleased(), "the lease is given up too")
 			})
 		})
 	}
--- a/internal/grants/state.go
+++ b/internal/grants/state.go
@@ -73,6 +73,10 @@
 	}
 }
 
+// Replaced says that a message of this process has replaced whatever an earlier
+// one granted.
+func (s *State) Replaced() bool { return s.replaced }
+
 // MayHold says that the back end may hold a grant of the shard. Until a message
 // of this process has replaced them, it may hold those of an earlier one.
 func (s *State) MayHold(shard topology.ShardID) bool {
