--- a/internal/replica/transfer_test.go
+++ b/internal/replica/transfer_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/storage/snap"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"gotest.tools/v3/assert"
 )
@@ -17,6 +18,11 @@
 // of about 3 MB that the others hold in snapshots only.
 func behind(t *testing.T) (g *testGroup, id topology.ReplicaID) {
 	g, _, _ = memoryGroup(t, 3)
+	return g, g.fallsBehind()
+}
+
+// fallsBehind ends a replica and has the others go on without it.
+func (g *testGroup) fallsBehind() (id topology.ReplicaID) {
 	for replica, config := range g.configs {
 		config.SnapshotEntries, config.RetainEntries = 10, 1
 		g.configs[replica] = config
@@ -32,7 +38,19 @@
 	for range 60 {
 		g.propose(strings.Repeat("x", 50_000))
 	}
-	return g, id
+	return id
+}
+
+// newest is a replica's newest snapshot.
+func newest(t *testing.T, replica *Replica) snap.Image {
+	t.Helper()
+	found := make(chan snap.Image, 1)
+	replica.Post(func() {
+		image, _, err := replica.files.snaps.Newest()
+		assert.Check(t, err)
+		found <- image
+	})
+	return <-found
 }
 
 func TestASnapshotIsFetchedInParts(t *testing.T) {
