--- /dev/null
+++ b/internal/gateway/review_test.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/keyhold"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+)
+
+// The way of granting changes from heartbeats to calls. An answer that offered the keys is
+// still on its way as the release is answered, and is taken after that.
+func TestReviewAReleaseByCallWaitsForAnswersThatOfferedTheKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newOwnersRig(t, routeconfig.GrantByHeartbeat)
+		rig.run(6 * time.Second)
+		rig.sequence++
+		sent := time.Now()
+		offer, err := rig.g.Heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: rig.sequence})
+		assert.NilError(t, err)
+		assert.Assert(t, offer != nil && len(offer.Held) > 0)
+		rig.setGrants(routeconfig.GrantByCall, 2)
+		rig.silent = true
+		rig.g.Deregister("i-1")
+		rig.run(700 * time.Millisecond)
+		// The answer arrives 0.7 s after the heartbeat was sent.
+		rig.holder.set(func() { rig.holder.former.hold(sent, offer.Hold) })
+		rig.run(4 * time.Second)
+	})
+}
+
+// Another life under the same id is heard, and answers the release.
+func TestReviewAReleaseThatIsAnsweredWhileAnotherLifeIsHeardProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newLivesRig(t)
+		rig.lease(held(0, 9), nil)
+		rig.hearNext()
+		assert.Assert(t, rig.g.keys.yielding)
+		over := rig.g.keys.timeOver(time.Now())
+		assert.Assert(t, !over)
+		rig.lease(nil, held(0, 9))
+		synctest.Wait()
+		assert.Assert(t, !rig.g.keys.timeOver(time.Now()))
+		assert.Equal(t, len(rig.g.keys.promises()), 0, "promised for the word of the other life")
+	})
+}
+
+// The gateway's process before this one sent a grant to a back end that stands still. This
+// one has granted nothing, for the back end has not proved itself.
+func TestReviewAGrantOfAnEarlierProcessMayLieUnread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newLivesRig(t)
+		rig.g.config.Service = "s"
+		advance(t, rig.g.views, &fleetwire.View{Document: &routeconfig.Document{Version: 1, Services: []routeconfig.Service{{Name: "s", Keyed: true, WarmupRate: coldRate}}}})
+		rig.g.registry.unproved = true
+		time.Sleep(5 * time.Second)
+		rig.lease(nil, asked(0, 9))
+		assert.Equal(t, len(rig.holder.granted()), 0)
+		assert.Equal(t, len(rig.g.keys.promises()), 0, "a grant of the earlier process may lie unread before it")
+	})
+}
+
+// The first report of a process that found no leader for a while is built before its first
+// view: it does not know yet that its back end gets keys by heartbeat, for longer.
+func TestReviewAnEarlierProcessMayHaveOfferedByHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		offered := keyhold.Longest(rig.g.config.HeartbeatInterval + answerVoid)
+		time.Sleep(offered - 500*time.Millisecond)
+		assert.Assert(t, !rig.g.session.build().EarlierOver, "before the first view: offers last %v", offered)
+		rig.setGrants(routeconfig.GrantByHeartbeat, 1)
+		assert.Assert(t, !rig.g.session.build().EarlierOver)
+	})
+}
+
+// The same, where the configuration has changed from heartbeats to calls meanwhile.
+func TestReviewAnEarlierProcessMayHaveOfferedBeforeAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.setGrants(routeconfig.GrantByCall, 2)
+		time.Sleep(keyhold.Longest(rig.g.config.HeartbeatInterval+answerVoid) - 500*time.Millisecond)
+		assert.Assert(t, !rig.g.session.build().EarlierOver)
+	})
+}
+
+// listens opens the back end's address; connections wait unaccepted, which is enough for
+// the gateway's probe.
+func (r *ownersRig) listens() {
+	listener, err := net.Listen("tcp", r.g.config.BackendAddress)
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = listener.Close() })
+	r.holder.set(func() { r.holder.refused = false })
+}
+
+// Nothing listened for a tenth of a second. The back end is well, and its next heartbeat
+// comes an interval later; until then nothing looks whether it listens again.
+func TestReviewAnOwnerThatRefusedForAMomentKeepsItsKeys(t *testing.T) {
+	for _, interval := range []int{40, 43, 65} { // steps of 20 ms: 0.8, 0.86 and 1.3 s
+		lost := 0
+		for phase := range interval {
+			moved := false
+			synctest.Test(t, func(t *testing.T) {
+				rig := newOwnersRig(t, routeconfig.GrantByCall)
+				rig.run(6 * time.Second)
+				rig.silent = true
+				beats := func(steps int) {
+					for range steps {
+						rig.step()
+						if rig.steps%interval == 0 {
+							rig.sendBeat()
+						}
+					}
+				}
+				beats(interval)
+				for rig.steps%interval != phase {
+					beats(1)
+				}
+				rig.moved = false
+				rig.refuses(true)
+				beats(5)
+				rig.listens()
+				beats(250)
+				moved = rig.moved
+			})
+			if moved {
+				lost++
+			}
+		}
+		if lost > 0 {
+			t.Errorf("heartbeats each %v: its keys went to another one at %d of %d moments", time.Duration(interval)*ownersStep, lost, interval)
+		}
+	}
+}
+
+// It is heard and reached again at each moment around that at which its keys are told free.
+func TestReviewAnOwnerIsReachedAgainAtAnyMoment(t *testing.T) {
+	for _, grants := range []routeconfig.GrantMode{routeconfig.GrantByCall, routeconfig.GrantByHeartbeat} {
+		for wait := range 80 {
+			synctest.Test(t, func(t *testing.T) {
+				rig := newOwnersRig(t, grants)
+				rig.run(6 * time.Second)
+				rig.refuses(true)
+				rig.silent = true
+				rig.run(time.Duration(wait) * 2 * ownersStep)
+				rig.listens()
+				rig.silent = false
+				rig.sendBeat()
+				rig.run(4 * time.Second)
+				assert.Equal(t, rig.g.registry.snapshot().State, fleetwire.InstanceReady)
+			})
+		}
+	}
+}
+
+// The rig's own word that the keys have another owner must not be set before they have the
+// first one: the table of the incident asks for it, and runUntilMoved waits for it.
+func TestReviewTheRigDoesNotTakeKeysForMovedFromTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newOwnersRig(t, routeconfig.GrantByCall)
+		rig.run(6 * time.Second)
+		assert.Assert(t, rig.ownedBy("i-1") > 0)
+		assert.Assert(t, !rig.moved)
+	})
+}
+
+// The way of granting changes from calls to heartbeats as a grant is on its way: the process
+// stands still before it sends it.
+func TestReviewAPromiseByHeartbeatWaitsForAGrantOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		holder := &addressHolder{former: &heldProcess{}}
+		holder.setStall(3 * time.Second)
+		defer time.Sleep(4 * time.Second) // what is on its way ends
+		rig.g.config.Keys = holder
+		rig.lease(held(0, 9), nil)
+		rig.setGrants(routeconfig.GrantByHeartbeat, 1)
+		rig.lease(nil, held(0, 9))
+		rig.beat(t, "i-1", nil)
+		time.Sleep(1300 * time.Millisecond)
+		rig.beat(t, "i-1", nil)
+		rig.lease(nil, held(0, 9))
+		assert.Assert(t, rig.g.keys.grants[heldKey{held(0, 9)[0].Keys, 7}].bound.Sending())
+		assert.Equal(t, len(rig.g.keys.promises()), 0, "a grant is on its way")
+	})
+}
+
+// Nothing listened at its address for a moment, and a heartbeat of an earlier life comes late.
+// The back end is well and heard each 1.3 s: it must be the present one again.
+func TestReviewALateHeartbeatWhileOneCannotBeReachedDoesNotEndIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.g.registry.interval = 1300 * time.Millisecond
+		rig.g.registry.yields = rig.g.keys.yield
+		rig.setGrants(routeconfig.GrantByCall, 1)
+		time.Sleep(2 * time.Second)
+		rig.beat(t, "i-1", nil)
+		rig.lease(held(0, 9), nil)
+		rig.g.registry.lost("i-1")
+		rig.g.registry.lookAgain = rig.g.registry.reached // it listens again
+		rig.beatWith(t, "i-0", 40, nil, nil)
+		time.Sleep(1200 * time.Millisecond)
+		for range 10 {
+			rig.beat(t, "i-1", nil)
+			time.Sleep(1300 * time.Millisecond)
+		}
+		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
+	})
+}
