--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -73,7 +73,9 @@
 		return
 	}
 	if !c.leads() {
-		_ = conn.Send(fleetwire.FromController{Redirect: c.redirect()})
+		redirect := c.redirect()
+		redirect.Standing = c.standing()
+		_ = conn.Send(fleetwire.FromController{Redirect: redirect})
 		return
 	}
 	if join := first.Hello.Join; join != nil {
