--- a/internal/gateway/review_test.go
+++ b/internal/gateway/review_test.go
@@ -211,3 +211,57 @@
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
 	})
 }
+
+// The keeper's process stands still for a moment after it read the clock. A lease that was
+// asked for since, and before the keys were told free, gives nothing.
+func TestReviewALeaseAskedForBeforeTheKeysWereToldFreeGivesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.setGrants(routeconfig.GrantByCall, 1)
+		time.Sleep(2 * time.Second)
+		rig.lease(held(0, 9), nil)
+		rig.holder.setRefuse(ErrNotSent)
+		time.Sleep(1300 * time.Millisecond)
+		time.Sleep(keysInterval / 10)
+		read := time.Now()
+		time.Sleep(time.Millisecond)
+		asked := time.Since(rig.epoch)
+		assert.Equal(t, rig.g.session.build().Instance.State, fleetwire.InstanceReady)
+		time.Sleep(time.Millisecond)
+		rig.g.registry.lost("i-1")
+		rig.g.keys.work(t.Context(), read)
+		assert.Assert(t, rig.g.registry.snapshot().Released)
+		rig.g.keys.take(&fleetwire.Lease{SentAt: asked, Duration: 8 * time.Second, Instance: "i-1", Held: held(0, 9)}, rig.epoch)
+		assert.Equal(t, rig.g.keys.rangesHeld(), 0)
+	})
+}
+
+// A range that is to be given up may be covered under the leases that allow it. Later leases
+// are longer and do not. A cover that its process began before their end and sends after it
+// must not leave: the leader has given the range away then.
+func TestReviewACoverThatWasBegunInTimeDoesNotLeaveTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newKeyRig(t)
+		rig.setGrants(routeconfig.GrantByCall, 1)
+		time.Sleep(2 * time.Second)
+		rig.lease(held(0, 9), nil)
+		rig.holder.setRefuse(errNoAnswer)
+		time.Sleep(time.Second)
+		rig.lease(nil, asked(0, 9))
+		key := heldKey{held(0, 9)[0].Keys, 7}
+		until := rig.g.keys.releases[key].coverUntil
+		for !time.Now().After(until.Add(time.Second)) {
+			rig.lease(nil, held(0, 9))
+			time.Sleep(keysInterval)
+		}
+		rig.g.keys.mutex.Lock()
+		sent := rig.g.keys.grants[key]
+		if sent == nil {
+			sent = &grant{Held: held(0, 9)[0]}
+		}
+		sent.bound.Send(leastHold) // as cover has done before the end
+		rig.g.keys.mutex.Unlock()
+		_, ok := rig.g.keys.prepare("i-1", sent, leastHold)
+		assert.Assert(t, !ok, "sent %v after the last lease that allows it", time.Since(until))
+	})
+}
