--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -43,6 +43,8 @@
 	Fence    keyspace.Fence
 	Hold     time.Duration
 	Handover string
+	// preparedAt is when it was worked out.
+	preparedAt time.Time
 }
 
 // ReleaseOrder takes keys back from a back end.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,8 @@
 	if g.inbound, err = g.listenPeers(); err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
+	// From now on no earlier process of this gateway can run: it had these addresses.
+	g.keys.started = time.Now()
 	g.config.Registry.MustRegister(g.gauges()...)
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
--- a/internal/gateway/keyearlier.go
+++ b/internal/gateway/keyearlier.go
@@ -42,14 +42,24 @@
 	return !now.Before(e.unreadUntil)
 }
 
-// earlierProcessOver reports whether nothing is in force any more that an earlier process of
-// this gateway has granted.
+// earlierProcessUntil is when nothing is in force any more that an earlier process of this
+// gateway has granted, in whichever way: the configuration of that time is not known.
+func (k *keyKeeper) earlierProcessUntil() time.Time {
+	config := &k.gateway.config
+	byCall, byHeartbeat := config.KeyHold+transit, config.HeartbeatInterval+answerVoid
+	return k.started.Add(keyhold.Longest(max(byCall, byHeartbeat)))
+}
+
+// earlierProcessOver reports whether that time has come.
 func (k *keyKeeper) earlierProcessOver(now time.Time) bool {
-	held := keyhold.Longest(k.hold())
-	if !k.byHeartbeat() {
-		held += transit
-	}
-	return !now.Before(k.started.Add(held)) || !k.mayBeKeyed()
+	return !now.Before(k.earlierProcessUntil())
+}
+
+// answeredHere reports whether the back end has confirmed a grant of all of a range to this
+// process, so that it refuses what earlier ones have sent and it has not read yet; or whether
+// that can't be read any more. The caller has the mutex.
+func (k *keyKeeper) answeredHere(held fleetwire.Held, now time.Time) bool {
+	return k.everConfirmed(held) || k.byHeartbeat() || !now.Before(k.started.Add(openKept))
 }
 
 // mayBeKeyed reports whether the back end may hold keys at all.
@@ -66,7 +76,12 @@
 	if k.instance != "" && k.instance != instance {
 		k.reset("", now)
 	}
-	return k.earlier.over(now) && k.earlierProcessOver(now)
+	over := k.earlier.over(now) && k.earlierProcessOver(now)
+	if over && !k.toldEarlierOver {
+		k.gateway.keysFree(instance, allKeys, proofEarlierOver)
+	}
+	k.toldEarlierOver = over
+	return over
 }
 
 // yield reports whether the time of all that a life was granted is over. From now on it is
@@ -78,7 +93,18 @@
 		k.gateway.config.Log.Info("another life of the back end is heard; nothing more is granted", "former", former, "grants", len(k.grants))
 		k.yielding = true
 	}
-	return k.timeOver(now)
+	return k.timeOver(now) || k.noneGranted(now) && !k.mayBeKeyed()
+}
+
+// noneGranted reports whether this process has granted nothing that may be held. The caller
+// has the mutex.
+func (k *keyKeeper) noneGranted(now time.Time) bool {
+	for _, sent := range k.grants {
+		if !sent.bound.Over(now) {
+			return false
+		}
+	}
+	return true
 }
 
 // stay ends the yielding for an instance that was heard again: it lives.
@@ -94,12 +120,7 @@
 // timeOver reports whether the time of all that was granted here is over, but for grants
 // without an answer. The caller has the mutex.
 func (k *keyKeeper) timeOver(now time.Time) bool {
-	for _, sent := range k.grants {
-		if !sent.bound.Over(now) {
-			return false
-		}
-	}
-	return k.earlierProcessOver(now)
+	return k.noneGranted(now) && k.earlierProcessOver(now)
 }
 
 // freeIn returns in how long the keys of an instance that can't be reached may have another
@@ -141,10 +162,14 @@
 // leader may give the keys away. The caller has the mutex.
 func (k *keyKeeper) freeUnreachable(now time.Time) {
 	over := k.timeOver(now) && !now.Before(k.fences.unreadUntil())
+	for _, held := range k.wanted {
+		over = over && k.answeredHere(held, now)
+	}
 	if !over || !k.gateway.registry.free(k.instance) {
 		return
 	}
-	k.wanted, k.leaseUntil, k.leaseFrom = nil, time.Time{}, now
+	// Not now: this goroutine may have stood still since it read that.
+	k.wanted, k.leaseUntil, k.leaseFrom = nil, time.Time{}, time.Now()
 	k.gateway.keysFree(k.instance, allKeys, proofTimeOver)
 	k.gateway.session.report()
 }
--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -34,22 +34,33 @@
 		if sent.bound.Sending() || sent.overruns || !due {
 			continue
 		}
-		k.start(ctx, sent, k.hold())
+		k.start(ctx, sent, grantTerms{longest: k.hold(), until: k.leaseUntil})
 	}
 }
 
 // longestHold is for how long keys may be granted at a time: surely not beyond
 // the lease.
 func (k *keyKeeper) longestHold(now time.Time) time.Duration {
-	left := time.Duration(float64(k.leaseUntil.Sub(now))*(1-clockDrift)) - transit
-	return min(k.hold(), left)
+	return min(k.hold(), holdUntil(k.leaseUntil, now))
 }
 
-// start sends one grant of a length at most.
-func (k *keyKeeper) start(ctx context.Context, sent *grant, longest time.Duration) {
-	sent.bound.Send(longest)
+// holdUntil is for how long a grant may be that surely ends before a time.
+func holdUntil(until, now time.Time) time.Duration {
+	return time.Duration(float64(until.Sub(now))*(1-clockDrift)) - transit
+}
+
+// grantTerms bound one grant: for how long it may be, and that it must end surely before a
+// time.
+type grantTerms struct {
+	longest time.Duration
+	until   time.Time
+}
+
+// start sends one grant.
+func (k *keyKeeper) start(ctx context.Context, sent *grant, terms grantTerms) {
+	sent.bound.Send(terms.longest)
 	sent.sub = k.fences.used[sent.Fence]
-	go k.send(ctx, k.instance, sent, longest)
+	go k.send(ctx, k.instance, sent, terms)
 }
 
 func later(a, b time.Time) time.Time {
@@ -61,27 +72,28 @@
 
 // prepare works out, at the last moment, for how long a grant may be: this process may have
 // stood still since it was begun. It reports whether it is still worth sending.
-func (k *keyKeeper) prepare(instance string, sent *grant, longest time.Duration) (order GrantOrder, ok bool) {
+func (k *keyKeeper) prepare(instance string, sent *grant, terms grantTerms) (order GrantOrder, ok bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	now := time.Now()
-	hold := min(longest, k.longestHold(now))
+	hold := min(terms.longest, k.longestHold(now), holdUntil(terms.until, now))
 	if instance != k.instance || k.yielding || hold < leastHold {
 		sent.bound.NotTaken()
 		return GrantOrder{}, false
 	}
 	sent.bound.Send(hold)
 	sent.sentAt = now
-	return GrantOrder{Instance: instance, Keys: sent.Keys, Fence: compose(sent.Fence, sent.sub), Hold: hold, Handover: sent.Handover}, true
+	return GrantOrder{Instance: instance, Keys: sent.Keys, Fence: compose(sent.Fence, sent.sub), Hold: hold, Handover: sent.Handover, preparedAt: now}, true
 }
 
 // send makes one grant and notes its answer.
-func (k *keyKeeper) send(ctx context.Context, instance string, sent *grant, longest time.Duration) {
-	order, ok := k.prepare(instance, sent, longest)
+func (k *keyKeeper) send(ctx context.Context, instance string, sent *grant, terms grantTerms) {
+	order, ok := k.prepare(instance, sent, terms)
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	// From when it was worked out: what stood still since must not leave.
+	ctx, cancel := context.WithDeadline(ctx, order.preparedAt.Add(grantTimeout))
 	defer cancel()
 	err := k.gateway.config.Keys.Grant(ctx, order)
 	k.gateway.metrics.grant(err)
@@ -165,14 +177,12 @@
 	k.gateway.metrics.release(err)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if err != nil {
+	if err != nil || instance != k.instance || k.yielding {
 		sent.bound.NotTaken()
 		sent.nextAt = time.Now().Add(releaseAgain)
 		return
 	}
 	sent.bound.TakenBack()
-	if instance == k.instance {
-		delete(k.grants, key)
-		k.signal()
-	}
+	delete(k.grants, key)
+	k.signal()
 }
--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -225,7 +225,7 @@
 // them can be taken any more.
 func (k *keyKeeper) endReleases(now time.Time) {
 	for _, running := range k.releases {
-		if running.done || !running.letGo || now.Before(k.answersVoid(running.held)) || k.fences.isOpen(running.held.Keys, running.held.Fence) {
+		if running.done || !running.letGo || k.granting(running.held) || now.Before(k.answersVoid(running.held)) || k.fences.isOpen(running.held.Keys, running.held.Fence) {
 			continue
 		}
 		running.done = true
@@ -242,7 +242,7 @@
 	void := k.started.Add(answerVoid)
 	for key, sent := range k.grants {
 		if key.keys.Overlaps(held.Keys) {
-			void = later(void, sent.sentAt.Add(answerVoid))
+			void = later(void, sent.offeredAt.Add(answerVoid))
 		}
 	}
 	return void
@@ -290,7 +290,7 @@
 	taken := !sent.confirmed.IsZero()
 	// What was let go before it is held again is no handover of the next time.
 	k.reported.freed = slices.DeleteFunc(k.reported.freed, func(row freedAt) bool { return row.Keys.Overlaps(held.Keys) })
-	sent.sentAt = now
+	sent.sentAt, sent.offeredAt = now, now
 	sent.sub = k.fences.used[held.Fence]
 	sent.until = now.Add(hold)
 	sent.bound.Given(now, hold)
--- a/internal/gateway/keyproof.go
+++ b/internal/gateway/keyproof.go
@@ -9,6 +9,9 @@
 const (
 	// proofTimeOver: the time of all that was granted has run out.
 	proofTimeOver proof = "time-over"
+	// proofEarlierOver: the same of what lives before the instance, or earlier processes of
+	// this gateway, were granted.
+	proofEarlierOver proof = "earlier-over"
 	// proofReleaseAnswered: the back end that held them has answered their release.
 	proofReleaseAnswered proof = "release-answered"
 	// proofNamedNoMore: its heartbeats name them no more, and no answer that offered them
--- a/internal/gateway/keyreleases.go
+++ b/internal/gateway/keyreleases.go
@@ -15,17 +15,20 @@
 		if running.done || running.inFlight || !k.over(running.held, now) || k.fences.isOpen(running.held.Keys, running.held.Fence) {
 			continue
 		}
+		if !k.answeredHere(running.held, now) {
+			continue
+		}
 		running.done = true
 		k.gateway.keysFree(k.instance, running.held.Keys, proofTimeOver)
 		k.gateway.session.report()
 	}
 }
 
-// startReleases takes back what was asked for. No grant of those keys may be on
-// its way meanwhile.
+// startReleases takes back what was asked for. No grant of those keys, and no answer to a
+// heartbeat that offered them, may be on its way meanwhile.
 func (k *keyKeeper) startReleases(ctx context.Context, now time.Time) {
 	for _, running := range k.releases {
-		if running.done || running.inFlight || now.Before(running.nextAt) || k.granting(running.held) {
+		if running.done || running.inFlight || now.Before(running.nextAt) || k.granting(running.held) || now.Before(k.answersVoid(running.held)) {
 			continue
 		}
 		if k.fences.isOpen(running.held.Keys, running.held.Fence) || !k.everConfirmed(running.held) {
@@ -60,7 +63,7 @@
 	}
 	const longest = leastHold + leastHold/10 + grantTimeout
 	if !now.Before(sent.nextAt) && now.Add(longest).Before(running.coverUntil) {
-		k.start(ctx, sent, leastHold)
+		k.start(ctx, sent, grantTerms{longest: leastHold, until: running.coverUntil})
 	}
 }
 
@@ -91,6 +94,10 @@
 	k.gateway.metrics.release(err)
 	k.mutex.Lock()
 	running.inFlight = false
+	if err == nil && (instance != k.instance || k.yielding) {
+		// Another life is heard at the address: it may be the one that has answered.
+		err = errOtherInstance
+	}
 	if err != nil {
 		running.nextAt = time.Now().Add(releaseAgain)
 	} else {
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -59,6 +59,8 @@
 	until  time.Time
 	bound  keyhold.Bound
 	sentAt time.Time
+	// offeredAt is when an answer to a heartbeat offered it last.
+	offeredAt time.Time
 	// confirmed is when the last confirmed message was sent.
 	confirmed time.Time
 	nextAt    time.Time
@@ -116,7 +118,9 @@
 	told     map[heldKey]time.Duration
 	fences   fenceLedger
 	reported keyReport
-	earlier  earlierLives
+	// toldEarlierOver says that the leader was told that earlier lives hold nothing.
+	toldEarlierOver bool
+	earlier         earlierLives
 	// yielding says that another life waits to take the instance's place: nothing more is
 	// granted.
 	yielding bool
@@ -320,15 +324,14 @@
 	switch {
 	case byHeartbeat:
 		k.endReleases(now)
-	case unreachable, k.yielding:
-		k.startReleases(ctx, now)
-	case k.gateway.unproved():
+	case unreachable, k.yielding, k.gateway.unproved():
 	default:
 		k.startGrants(ctx, now)
 		k.startReleases(ctx, now)
 		k.startRetractions(ctx, now)
 	}
 	if unreachable {
+		k.gateway.probe(k.instance)
 		k.freeUnreachable(now)
 	}
 	k.forget(now)
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -64,6 +64,8 @@
 }
 
 func newKeyRig(t *testing.T) *keyRig {
+	// What the keeper has begun ends after it: a look at an address, or a grant.
+	t.Cleanup(func() { time.Sleep(grantTimeout) })
 	rig := &keyRig{holder: &fakeHolder{}, epoch: time.Now(), sequence: 1}
 	rig.g = &Gateway{config: Config{Keys: rig.holder}.withDefaults()}
 	rig.g.metrics = newGatewayMetrics(rig.g.config.Registry)
@@ -137,6 +139,7 @@
 func TestARangeThatWasTakenBackIsGrantedAnewBeforeItIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
+		time.Sleep(2 * answerVoid) // an earlier process may have offered by heartbeat
 		rig.lease(held(0, 99), nil)
 		rest := append(held(0, 39), held(50, 99)...)
 		rig.lease(rest, asked(40, 49))
--- a/internal/gateway/keysfree_test.go
+++ b/internal/gateway/keysfree_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -29,58 +30,62 @@
 		grants routeconfig.GrantMode
 		// event happens once the back end holds keys; the rig then runs on for a while.
 		event func(*ownersRig)
-		// keeps says that the keys need not find another owner.
-		keeps bool
+		// within is the time in which its keys find another owner; zero is that they
+		// stay where they are.
+		within time.Duration
 	}{
-		"it refuses connections, keys by call": {byCall, func(r *ownersRig) { r.refuses(true) }, false},
+		"it refuses connections, keys by call": {byCall, func(r *ownersRig) {
+			r.refuses(true)
+			r.silent = true
+		}, DefaultKeyHold + 400*time.Millisecond},
 		"it refuses connections, keys by heartbeat": {byHeartbeat, func(r *ownersRig) {
 			r.refuses(true)
 			r.silent = true
-		}, false},
-		"it refuses connections and goes on saying that it is ready": {byHeartbeat, func(r *ownersRig) { r.refuses(true) }, true},
+		}, 3 * time.Second},
+		"it refuses connections and goes on saying that it is ready": {byHeartbeat, func(r *ownersRig) { r.refuses(true) }, 3 * time.Second},
 		"it refuses connections for a moment, keys by call": {byCall, func(r *ownersRig) {
 			r.refuses(true)
-			r.run(time.Second)
+			r.run(300 * time.Millisecond)
 			r.refuses(false)
-		}, true},
+		}, 0},
 		"it is heard again after all was taken for over, keys by call": {byCall, func(r *ownersRig) {
 			r.refuses(true)
 			r.silent = true
 			r.runUntilMoved()
 			r.refuses(false)
 			r.silent = false
-		}, false},
+		}, ownersStep},
 		"it is heard again after all was taken for over, keys by heartbeat": {byHeartbeat, func(r *ownersRig) {
 			r.refuses(true)
 			r.silent = true
 			r.runUntilMoved()
 			r.refuses(false)
 			r.silent = false
-		}, false},
-		"a next life is at its address, keys by call":      {byCall, func(r *ownersRig) { r.nextLife() }, false},
-		"a next life is at its address, keys by heartbeat": {byHeartbeat, func(r *ownersRig) { r.nextLife() }, false},
+		}, ownersStep},
+		"a next life is at its address, keys by call":      {byCall, func(r *ownersRig) { r.nextLife() }, 4 * time.Second},
+		"a next life is at its address, keys by heartbeat": {byHeartbeat, func(r *ownersRig) { r.nextLife() }, 4 * time.Second},
 		"a next life after its listener was closed": {byCall, func(r *ownersRig) {
 			r.refuses(true)
 			r.run(300 * time.Millisecond)
 			r.nextLife()
-		}, false},
+		}, 4 * time.Second},
 		"its gateway is cut off and stands still as it grants": {byCall, func(r *ownersRig) {
 			r.cutOff = true
 			r.holder.setStall(time.Second)
-		}, false},
+		}, 9 * time.Second},
 		"its gateway stood still as it granted, and it then leaves without answering": {byCall, func(r *ownersRig) {
 			r.holder.setStall(2 * time.Second)
 			r.run(3 * time.Second)
 			r.holder.setStall(0)
 			r.holder.setMute(true)
 			r.drains = true
-		}, false},
+		}, 12 * time.Second},
 		"it leaves, and another back end at its address answers in its place": {byCall, func(r *ownersRig) {
 			r.holder.set(func() { r.holder.next, r.holder.nextID = &heldProcess{}, "i-9" })
 			r.drains = true
 			r.sendBeat()
 			r.silent = true
-		}, false},
+		}, 9 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -89,8 +94,10 @@
 				assert.Assert(t, rig.ownedBy("i-1") > 0)
 				assert.Assert(t, rig.holder.former.holdsAt(time.Now()))
 				test.event(rig)
+				rig.run(test.within)
+				assert.Equal(t, rig.moved, test.within > 0, "whether its keys have another owner after %v", test.within)
 				rig.run(12 * time.Second)
-				assert.Assert(t, test.keeps || rig.moved, "its keys have no owner that serves")
+				assert.Assert(t, rig.moved == (test.within > 0))
 			})
 		})
 	}
@@ -174,19 +181,22 @@
 // whose back end is always well.
 type ownersRig struct {
 	*keyRig
-	t       *testing.T
-	holder  *addressHolder
-	state   *fleetstate.State
-	planner *keylease.Planner
-	index   uint64
-	steps   int
+	t      *testing.T
+	holder *addressHolder
+	// listener is that of the back end's address; closed where it refuses connections.
+	listener net.Listener
+	state    *fleetstate.State
+	planner  *keylease.Planner
+	index    uint64
+	steps    int
 	// silent back ends send no heartbeats; cutOff gateways reach no leader.
 	silent, cutOff, drains bool
 	// heartbeats of the next life are sent in place of the former one's.
 	life     string
 	sequence uint64
-	// moved says that another back end has become the owner of the keys.
-	moved bool
+	// owned says that the back end has had its keys, and moved that another one has become
+	// their owner since.
+	owned, moved bool
 }
 
 func newOwnersRig(t *testing.T, grants routeconfig.GrantMode) *ownersRig {
@@ -194,6 +204,7 @@
 	r.holder = &addressHolder{former: &heldProcess{}}
 	r.g.config.Keys = r.holder
 	r.g.config.BackendAddress = freeAddress(t)
+	r.listens()
 	r.g.registry.interval = beatInterval
 	r.g.registry.yields, r.g.registry.lookAgain = r.g.keys.yield, r.g.probe
 	r.g.registry.current.Node = "node-1"
@@ -256,8 +267,10 @@
 		r.apply(&fleetstate.Command{Ownership: batch})
 		r.planner.BatchDone()
 	}
-	r.moved = r.moved || r.ownedBy("i-1") == 0
-	if r.ownedBy("i-1") > 0 {
+	owned := r.ownedBy("i-1") > 0
+	r.owned = r.owned || owned
+	r.moved = r.moved || r.owned && !owned
+	if owned {
 		return
 	}
 	r.holder.mutex.Lock()
@@ -302,10 +315,23 @@
 // refuses says whether nothing accepts connections at the address, and lets a request find
 // it.
 func (r *ownersRig) refuses(refused bool) {
-	r.holder.set(func() { r.holder.refused = refused })
-	if refused {
-		r.g.suspect("i-1", syscall.ECONNREFUSED)
+	if !refused {
+		r.listens()
+		return
 	}
+	r.holder.set(func() { r.holder.refused = true })
+	_ = r.listener.Close()
+	r.g.suspect("i-1", syscall.ECONNREFUSED)
+}
+
+// listens opens the back end's address; connections wait unaccepted, which is enough for
+// the gateway's probe.
+func (r *ownersRig) listens() {
+	listener, err := net.Listen("tcp", r.g.config.BackendAddress)
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = listener.Close() })
+	r.listener = listener
+	r.holder.set(func() { r.holder.refused = false })
 }
 
 // nextLife lets another process listen at the address and send heartbeats, while the former
--- a/internal/gateway/lives.go
+++ b/internal/gateway/lives.go
@@ -75,7 +75,8 @@
 		return "", false
 	case r.current.ID == "":
 		return "", true
-	case r.current.State != fleetwire.InstanceGone && !r.follows(told, now):
+	case r.current.State == fleetwire.InstanceGone && told.Sequence <= firstBeats:
+	case !r.follows(told, now):
 		return "", false
 	}
 	r.rival.waits, r.rival.told, r.rival.drainWithin = true, told, drainWithin
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/incarnation"
-	"github.com/quartzdock/quartzdock/internal/keyhold"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
@@ -235,7 +234,7 @@
 		rig.hearNext()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
 		assert.Assert(t, !rig.g.session.build().EarlierOver)
-		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(livesHold) + transit + 2*keysInterval)))
+		time.Sleep(time.Until(rig.g.keys.earlierProcessUntil().Add(2 * keysInterval)))
 		synctest.Wait()
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
 		assert.Assert(t, rig.g.session.build().EarlierOver)
@@ -291,7 +290,7 @@
 		rig.lease(held(0, 9), nil)
 		rig.hearNext()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
-		time.Sleep(time.Until(rig.g.keys.started.Add(keyhold.Longest(livesHold) + transit + 2*keysInterval)))
+		time.Sleep(time.Until(rig.g.keys.earlierProcessUntil().Add(2 * keysInterval)))
 		synctest.Wait()
 		assert.Equal(t, len(rig.holder.granted()), 0)
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
--- a/internal/gateway/ownerlost_test.go
+++ b/internal/gateway/ownerlost_test.go
@@ -15,7 +15,7 @@
 func TestARefusalTellsWhenALostOwnersKeysAreFree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
-		time.Sleep(time.Second)
+		time.Sleep(3 * time.Second)
 		rig.lease(held(0, 9), nil)
 		rig.holder.setRefuse(ErrNotSent)
 		rig.g.registry.lost("i-1")
--- a/internal/gateway/review_test.go
+++ b/internal/gateway/ownershiporders_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +14,7 @@
 
 // The way of granting changes from heartbeats to calls. An answer that offered the keys is
 // still on its way as the release is answered, and is taken after that.
-func TestReviewAReleaseByCallWaitsForAnswersThatOfferedTheKeys(t *testing.T) {
+func TestAReleaseByCallWaitsForAnswersThatOfferedTheKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newOwnersRig(t, routeconfig.GrantByHeartbeat)
 		rig.run(6 * time.Second)
@@ -35,7 +34,7 @@
 }
 
 // Another life under the same id is heard, and answers the release.
-func TestReviewAReleaseThatIsAnsweredWhileAnotherLifeIsHeardProvesNothing(t *testing.T) {
+func TestAReleaseThatIsAnsweredWhileAnotherLifeIsHeardProvesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newLivesRig(t)
 		rig.lease(held(0, 9), nil)
@@ -46,13 +45,13 @@
 		rig.lease(nil, held(0, 9))
 		synctest.Wait()
 		assert.Assert(t, !rig.g.keys.timeOver(time.Now()))
-		assert.Equal(t, len(rig.g.keys.promises()), 0, "promised for the word of the other life")
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0, "promised for the word of the other life")
 	})
 }
 
 // The gateway's process before this one sent a grant to a back end that stands still. This
 // one has granted nothing, for the back end has not proved itself.
-func TestReviewAGrantOfAnEarlierProcessMayLieUnread(t *testing.T) {
+func TestAGrantOfAnEarlierProcessMayLieUnread(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newLivesRig(t)
 		rig.g.config.Service = "s"
@@ -61,13 +60,13 @@
 		time.Sleep(5 * time.Second)
 		rig.lease(nil, asked(0, 9))
 		assert.Equal(t, len(rig.holder.granted()), 0)
-		assert.Equal(t, len(rig.g.keys.promises()), 0, "a grant of the earlier process may lie unread before it")
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0, "a grant of the earlier process may lie unread before it")
 	})
 }
 
 // The first report of a process that found no leader for a while is built before its first
 // view: it does not know yet that its back end gets keys by heartbeat, for longer.
-func TestReviewAnEarlierProcessMayHaveOfferedByHeartbeat(t *testing.T) {
+func TestAnEarlierProcessMayHaveOfferedByHeartbeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
 		offered := keyhold.Longest(rig.g.config.HeartbeatInterval + answerVoid)
@@ -79,7 +78,7 @@
 }
 
 // The same, where the configuration has changed from heartbeats to calls meanwhile.
-func TestReviewAnEarlierProcessMayHaveOfferedBeforeAChange(t *testing.T) {
+func TestAnEarlierProcessMayHaveOfferedBeforeAChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
 		rig.setGrants(routeconfig.GrantByCall, 2)
@@ -88,18 +87,9 @@
 	})
 }
 
-// listens opens the back end's address; connections wait unaccepted, which is enough for
-// the gateway's probe.
-func (r *ownersRig) listens() {
-	listener, err := net.Listen("tcp", r.g.config.BackendAddress)
-	assert.NilError(r.t, err)
-	r.t.Cleanup(func() { _ = listener.Close() })
-	r.holder.set(func() { r.holder.refused = false })
-}
-
 // Nothing listened for a tenth of a second. The back end is well, and its next heartbeat
 // comes an interval later; until then nothing looks whether it listens again.
-func TestReviewAnOwnerThatRefusedForAMomentKeepsItsKeys(t *testing.T) {
+func TestAnOwnerThatRefusedForAMomentKeepsItsKeys(t *testing.T) {
 	for _, interval := range []int{40, 43, 65} { // steps of 20 ms: 0.8, 0.86 and 1.3 s
 		lost := 0
 		for phase := range interval {
@@ -138,7 +128,7 @@
 }
 
 // It is heard and reached again at each moment around that at which its keys are told free.
-func TestReviewAnOwnerIsReachedAgainAtAnyMoment(t *testing.T) {
+func TestAnOwnerIsReachedAgainAtAnyMoment(t *testing.T) {
 	for _, grants := range []routeconfig.GrantMode{routeconfig.GrantByCall, routeconfig.GrantByHeartbeat} {
 		for wait := range 80 {
 			synctest.Test(t, func(t *testing.T) {
@@ -159,7 +149,7 @@
 
 // The rig's own word that the keys have another owner must not be set before they have the
 // first one: the table of the incident asks for it, and runUntilMoved waits for it.
-func TestReviewTheRigDoesNotTakeKeysForMovedFromTheStart(t *testing.T) {
+func TestTheRigDoesNotTakeKeysForMovedFromTheStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newOwnersRig(t, routeconfig.GrantByCall)
 		rig.run(6 * time.Second)
@@ -170,7 +160,7 @@
 
 // The way of granting changes from calls to heartbeats as a grant is on its way: the process
 // stands still before it sends it.
-func TestReviewAPromiseByHeartbeatWaitsForAGrantOnItsWay(t *testing.T) {
+func TestAPromiseByHeartbeatWaitsForAGrantOnItsWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
 		holder := &addressHolder{former: &heldProcess{}}
@@ -185,13 +175,13 @@
 		rig.beat(t, "i-1", nil)
 		rig.lease(nil, held(0, 9))
 		assert.Assert(t, rig.g.keys.grants[heldKey{held(0, 9)[0].Keys, 7}].bound.Sending())
-		assert.Equal(t, len(rig.g.keys.promises()), 0, "a grant is on its way")
+		assert.Equal(t, len(rig.g.keys.promises(0)), 0, "a grant is on its way")
 	})
 }
 
 // Nothing listened at its address for a moment, and a heartbeat of an earlier life comes late.
 // The back end is well and heard each 1.3 s: it must be the present one again.
-func TestReviewALateHeartbeatWhileOneCannotBeReachedDoesNotEndIt(t *testing.T) {
+func TestALateHeartbeatWhileOneCannotBeReachedDoesNotEndIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
 		rig.g.registry.interval = 1300 * time.Millisecond
@@ -214,7 +204,7 @@
 
 // The keeper's process stands still for a moment after it read the clock. A lease that was
 // asked for since, and before the keys were told free, gives nothing.
-func TestReviewALeaseAskedForBeforeTheKeysWereToldFreeGivesNothing(t *testing.T) {
+func TestALeaseAskedForBeforeTheKeysWereToldFreeGivesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
 		rig.setGrants(routeconfig.GrantByCall, 1)
@@ -239,7 +229,7 @@
 // A range that is to be given up may be covered under the leases that allow it. Later leases
 // are longer and do not. A cover that its process began before their end and sends after it
 // must not leave: the leader has given the range away then.
-func TestReviewACoverThatWasBegunInTimeDoesNotLeaveTooLate(t *testing.T) {
+func TestACoverThatWasBegunInTimeDoesNotLeaveTooLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
 		rig.setGrants(routeconfig.GrantByCall, 1)
@@ -261,7 +251,7 @@
 		}
 		sent.bound.Send(leastHold) // as cover has done before the end
 		rig.g.keys.mutex.Unlock()
-		_, ok := rig.g.keys.prepare("i-1", sent, leastHold)
+		_, ok := rig.g.keys.prepare("i-1", sent, grantTerms{longest: leastHold, until: until})
 		assert.Assert(t, !ok, "sent %v after the last lease that allows it", time.Since(until))
 	})
 }
--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -21,6 +21,7 @@
 // promise has a range given up and told, and returns when it was told last.
 func (r *keyRig) promise(t *testing.T) (told time.Duration) {
 	t.Helper()
+	time.Sleep(2 * answerVoid)
 	r.lease(held(0, 99), nil)
 	r.lease(held(0, 39), asked(40, 99))
 	told = time.Since(r.epoch)
@@ -52,9 +53,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
 		time.Sleep(5 * time.Second)
-		rig.holder.setRefuse(ErrConnectionEnded)
 		rig.lease(held(0, 9), nil)
-		sent := time.Now().Add(-keysInterval)
+		rig.holder.setRefuse(ErrConnectionEnded)
+		time.Sleep(DefaultKeyHold / renewals)
+		synctest.Wait()
+		sent := rig.g.keys.grants[heldKey{held(0, 9)[0].Keys, 7}].sentAt
 		rig.holder.setRefuse(ErrNotSent)
 		rig.g.registry.lost("i-1")
 		time.Sleep(time.Until(sent.Add(transit + DefaultKeyHold)))
@@ -70,7 +73,9 @@
 func TestWhatAnEarlierProcessSentMayStillArrive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
-		time.Sleep(keyhold.Longest(DefaultKeyHold) + transit - time.Millisecond)
+		assert.Assert(t, !rig.g.keys.earlierProcessUntil().Before(rig.g.keys.started.Add(keyhold.Longest(DefaultKeyHold+transit))))
+		assert.Assert(t, !rig.g.keys.earlierProcessUntil().Before(rig.g.keys.started.Add(keyhold.Longest(DefaultHeartbeatInterval+answerVoid))))
+		time.Sleep(time.Until(rig.g.keys.earlierProcessUntil()) - time.Millisecond)
 		assert.Assert(t, !rig.g.session.build().EarlierOver)
 		time.Sleep(time.Millisecond)
 		assert.Assert(t, rig.g.session.build().EarlierOver)
