Take no life for there again by the next one's listener

A back end that ended and started within the time of its keys was granted them again for its former life by the look at its address, and the next one was believed 0.3 s later than it could be. Test fails without.

--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -330,7 +330,7 @@
 		k.startReleases(ctx, now)
 		k.startRetractions(ctx, now)
 	}
-	if unreachable {
+	if unreachable && !present.Released {
 		k.gateway.probe(k.instance)
 		k.freeUnreachable(now)
 	}
--- a/internal/gateway/ownershiporders_test.go
+++ b/internal/gateway/ownershiporders_test.go
@@ -255,3 +255,23 @@
 		assert.Assert(t, !ok, "sent %v after the last lease that allows it", time.Since(until))
 	})
 }
+
+// Nothing listened for a moment, and then another life does, which is heard. What accepts
+// connections is that one: the former one must not be taken for there again by it, and granted
+// keys for another while.
+func TestALifeIsNotReachedAgainByTheNextOnesListener(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newOwnersRig(t, routeconfig.GrantByCall)
+		rig.run(6 * time.Second)
+		rig.refuses(true)
+		rig.silent = true
+		rig.run(300 * time.Millisecond)
+		rig.holder.set(func() { rig.holder.next = &heldProcess{} })
+		rig.g.registry.heartbeat(Registration{ID: "i-5", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
+		rig.listens()
+		rig.run(300 * time.Millisecond)
+		assert.Equal(t, rig.g.registry.snapshot().State, fleetwire.InstanceGone)
+		rig.run(DefaultKeyHold)
+		assert.Equal(t, rig.g.registry.snapshot().ID, "i-5")
+	})
+}
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -201,10 +201,11 @@
 }
 
 // reached says that something listens at an instance's address. One that could not be
-// reached before is there again; what it held may have another owner.
+// reached before is taken for there again, unless another life is heard; what it held may have
+// another owner.
 func (r *registry) reached(instance string) {
 	r.mutex.Lock()
-	again := instance == r.current.ID && r.current.State == fleetwire.InstanceGone && r.saidState != 0
+	again := instance == r.current.ID && r.current.State == fleetwire.InstanceGone && r.saidState != 0 && !r.rival.waits
 	if again {
 		r.current.State, r.current.Released = r.saidState, false
 	}
