--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -5,8 +5,8 @@
 //
 // # Why no key has two owners
 //
-// A gateway grants its back end only what its last lease lists, and never
-// beyond that lease. A range goes to another owner, through the replicated log
+// A gateway grants its back end only what its last lease lists, and ends each
+// grant a second before that lease; one that left later than that is taken back. A range goes to another owner, through the replicated log
 // and so under a higher fence, only after one of these:
 //
 //   - The gateway promised (fleetwire.Released) that its back end will not
