--- a/internal/gateway/lives.go
+++ b/internal/gateway/lives.go
@@ -10,7 +10,8 @@
 // Which of the lives of a back end is the present one.
 
 const (
-	// firstBeats are the heartbeats by which a new life is known at once.
+	// firstBeats are the heartbeats by which a new life is known at once where the present
+	// one leaves or can't be reached.
 	firstBeats = 2
 	// beatsMissed is after how many intervals without a word of the present life any
 	// heartbeat of another one is believed.
@@ -36,14 +37,15 @@
 // follows says that a heartbeat of a life that is not the present one is that of the next
 // one, and none that an earlier life has sent, which comes late: a gateway that has
 // restarted does not remember the earlier ones. Taken for the next life, a late one would
-// make the leader give the present one's keys away while that holds them. It is the next
-// one's where the present one has fallen silent, where it is one of the first of a life
-// under another id, or where the life goes on being heard and the present one is not. No
-// clock of a back end is asked.
+// end the present one for good. It is the next one's where the present one has fallen
+// silent, where it is one of the first of a life and the present one leaves or can't be
+// reached, or where the life goes on being heard and the present one is not. No clock of a
+// back end is asked.
 func (r *registry) follows(told Registration, now time.Time) bool {
 	intervals := func(count float64) time.Duration { return time.Duration(count * float64(r.interval)) }
-	sameID := incarnation.IDOf(told.ID) == incarnation.IDOf(r.current.ID)
-	if now.Sub(r.heardAt) >= intervals(beatsMissed) || told.Sequence <= firstBeats && !sameID {
+	lost := r.current.State == fleetwire.InstanceGone
+	leaves := r.current.State == fleetwire.InstanceDraining && incarnation.IDOf(told.ID) != incarnation.IDOf(r.current.ID)
+	if now.Sub(r.heardAt) >= intervals(beatsMissed) || told.Sequence <= firstBeats && (lost || leaves) {
 		return true
 	}
 	if r.rival.id != told.ID || !r.heardAt.Before(r.rival.at) {
@@ -75,7 +77,6 @@
 		return "", false
 	case r.current.ID == "":
 		return "", true
-	case r.current.State == fleetwire.InstanceGone && told.Sequence <= firstBeats:
 	case !r.follows(told, now):
 		return "", false
 	}
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -18,6 +18,7 @@
 var (
 	formerLife = incarnation.Incarnation{ID: "i-1", Born: 2000}.Name()
 	nextLife   = incarnation.Incarnation{ID: "i-1", Born: 1000}.Name()
+	otherLife  = incarnation.Incarnation{ID: "i-2", Born: 4000}.Name()
 	thirdLife  = incarnation.Incarnation{ID: "i-1", Born: 3000}.Name()
 )
 
@@ -88,6 +89,20 @@
 			{life: nextLife, sequence: 5}, {event: gatewayRestarts}, {life: nextLife, sequence: 5, event: leaderTells},
 			{after: 0.2, life: formerLife, sequence: 1}, {after: 0.2, life: nextLife, sequence: 6},
 		}},
+		"a first heartbeat of an earlier life under another id, late, to a gateway that restarted": {want: nextLife, events: []lifeEvent{
+			{life: nextLife, sequence: 5}, {event: gatewayRestarts}, {life: nextLife, sequence: 5, event: leaderTells},
+			{after: 0.2, life: otherLife, sequence: 1}, {after: 0.7, life: nextLife, sequence: 6}, {after: 0.1, life: otherLife, sequence: 2},
+			{after: 0.8, life: nextLife, sequence: 7},
+		}},
+		"a first heartbeat under another id after one that leaves": {want: otherLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {life: formerLife, event: deregistered}, {after: 0.2, life: otherLife, sequence: 1},
+		}},
+		"a first heartbeat under another id after a refused connection": {want: otherLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {life: formerLife, event: connectionRefused}, {after: 0.1, life: otherLife, sequence: 1},
+		}},
+		"first heartbeats under another id alone": {want: otherLife, events: []lifeEvent{
+			{life: formerLife, sequence: 40}, {after: 0.1, life: otherLife, sequence: 1}, {after: 1, life: otherLife, sequence: 2},
+		}},
 		"heartbeats of both, crossed": {want: nextLife, events: []lifeEvent{
 			{life: formerLife, sequence: 40}, {after: 0.2, life: nextLife, sequence: 2}, {after: 0.1, life: formerLife, sequence: 41},
 			{after: 0.1, life: nextLife, sequence: 1}, {after: 0.9, life: nextLife, sequence: 3}, {after: 1, life: nextLife, sequence: 4},
