--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -210,6 +210,9 @@
 		}
 		next = change.Patch.Apply(base)
 	}
+	if next == nil {
+		return nil, Result{Outcome: Invalid, Current: s.Version(), Findings: routeconfig.Findings{{Field: "command", Reason: "neither a document nor a patch"}}}
+	}
 	if findings := next.Validate(s.Version()); len(findings) > 0 {
 		return nil, Result{Outcome: Invalid, Current: s.Version(), Findings: findings}
 	}
@@ -218,6 +221,9 @@
 
 func (s *State) changeOwnership(index uint64, batch *ChangeOwnership) Result {
 	for _, change := range batch.Changes {
+		if !change.Keys.Valid() {
+			continue
+		}
 		owners := &keyspace.Map{Assignments: s.Owners(change.Service).Assignments}
 		given := keyspace.Assignment{
 			Range: change.Keys, Owner: change.To, Node: change.Node, Boot: change.Boot, Fence: keyspace.Fence(index), Handover: change.Handover,
@@ -239,6 +245,21 @@
 	Evacuations evacuations
 }
 
+// check refuses what no log makes: owners with a gap, or of a later fence.
+func (i *image) check() error {
+	for service, owners := range i.Owners {
+		if !owners.Covers() {
+			return fmt.Errorf("owners of %.64q do not cover the keys once", service)
+		}
+		for _, assignment := range owners.All() {
+			if uint64(assignment.Fence) > i.OwnersIndex {
+				return fmt.Errorf("owners of %.64q: fence %d above index %d", service, assignment.Fence, i.OwnersIndex)
+			}
+		}
+	}
+	return nil
+}
+
 // Encode returns the whole state as bytes.
 func (s *State) Encode() ([]byte, error) {
 	var buffer bytes.Buffer
@@ -252,7 +273,14 @@
 // Decode replaces the state by an encoded one.
 func (s *State) Decode(data []byte) error {
 	var whole image
-	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&whole); err != nil {
+	source := bytes.NewReader(data)
+	if err := gob.NewDecoder(source).Decode(&whole); err != nil {
+		return fmt.Errorf("decode fleet state: %w", err)
+	}
+	if source.Len() > 0 {
+		return fmt.Errorf("decode fleet state: %d bytes behind it", source.Len())
+	}
+	if err := whole.check(); err != nil {
 		return fmt.Errorf("decode fleet state: %w", err)
 	}
 	fresh := New()
@@ -263,8 +291,9 @@
 	if whole.Owners != nil {
 		fresh.owners = whole.Owners
 	}
+	fresh.evacuations.Index = whole.Evacuations.Index
 	if whole.Evacuations.Since != nil {
-		fresh.evacuations = whole.Evacuations
+		fresh.evacuations.Since = whole.Evacuations.Since
 	}
 	*s = *fresh
 	return nil
--- a/internal/keyspace/map.go
+++ b/internal/keyspace/map.go
@@ -20,6 +20,9 @@
 // Size is how many keys the range has.
 func (r Range) Size() int { return int(r.Last-r.First) + 1 }
 
+// Valid says that the range has keys, and none that do not exist.
+func (r Range) Valid() bool { return r.First <= r.Last && r.Last <= LastKey }
+
 // Overlaps says that two ranges share a key.
 func (r Range) Overlaps(other Range) bool { return r.First <= other.Last && other.First <= r.Last }
 
@@ -83,6 +86,19 @@
 	return m.Assignments
 }
 
+// Covers says that each key is in exactly one assignment, in the order of the keys: what
+// another process has written may be otherwise.
+func (m *Map) Covers() bool {
+	next := Key(0)
+	for _, assignment := range m.All() {
+		if assignment.First != next || !assignment.Valid() {
+			return false
+		}
+		next = assignment.Last + 1
+	}
+	return next == LastKey+1
+}
+
 // Find returns the assignment of a key.
 func (m *Map) Find(key Key) Assignment {
 	all := m.All()
