Bound what is unpacked by what arrived, and refuse bytes behind it

A few kilobytes unpacked to up to 256 MB. Pack keeps to the bound, with Huffman codes alone where the value compresses better. A message with another behind it, or without its end, was taken.

--- a/internal/fleetwire/pack.go
+++ b/internal/fleetwire/pack.go
@@ -1,16 +1,27 @@
 package fleetwire
 
 import (
+	"bufio"
 	"bytes"
 	"compress/flate"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
 )
 
-// maxUnpacked bounds what is unpacked, in bytes.
-const maxUnpacked = 256 << 20
+const (
+	// maxUnpacked bounds what is unpacked, in bytes.
+	maxUnpacked = 256 << 20
+	// maxRatio bounds it by what arrived, and leastUnpacked is what even a few bytes may
+	// be unpacked to. Pack keeps to it: Huffman codes alone make an eighth at best.
+	maxRatio      = 128
+	leastUnpacked = 64 << 10
+)
+
+// errTail: bytes follow the value.
+var errTail = errors.New("bytes behind the value")
 
 // compressors are kept: a new one takes over half a megabyte, which a small change
 // is not worth.
@@ -22,28 +33,68 @@
 	return compressor
 }}
 
+// largestOf is how many bytes may come of packed ones.
+func largestOf(packed int) int64 { return min(maxUnpacked, maxRatio*int64(packed)+leastUnpacked) }
+
 // Pack encodes and compresses a value. A leader does so once for all gateways: a
 // large document that was encoded for each of them alone would be in force too
 // late.
 func Pack[T any](value T) ([]byte, error) {
-	var packed bytes.Buffer
 	compressor := compressors.Get().(*flate.Writer)
 	defer compressors.Put(compressor)
-	compressor.Reset(&packed)
-	if err := gob.NewEncoder(compressor).Encode(value); err != nil {
+	packed, size, err := packWith(compressor, value)
+	if err == nil && size > largestOf(len(packed)) {
+		var weaker *flate.Writer
+		if weaker, err = flate.NewWriter(nil, flate.HuffmanOnly); err == nil {
+			packed, _, err = packWith(weaker, value)
+		}
+	}
+	if err != nil {
 		return nil, fmt.Errorf("pack: %w", err)
 	}
+	return packed, nil
+}
+
+// packWith returns what a compressor makes of a value, and the bytes that it was given.
+func packWith(compressor *flate.Writer, value any) (packed []byte, size int64, err error) {
+	var buffer bytes.Buffer
+	compressor.Reset(&buffer)
+	counted := &countingWriter{to: compressor}
+	if err := gob.NewEncoder(counted).Encode(value); err != nil {
+		return nil, 0, err
+	}
 	if err := compressor.Close(); err != nil {
-		return nil, fmt.Errorf("pack: %w", err)
+		return nil, 0, err
 	}
-	return packed.Bytes(), nil
+	return buffer.Bytes(), counted.size, nil
+}
+
+// countingWriter counts the bytes that pass.
+type countingWriter struct {
+	to   io.Writer
+	size int64
 }
 
-// Unpack reads what Pack wrote.
+// Write implements io.Writer.
+func (w *countingWriter) Write(data []byte) (int, error) {
+	count, err := w.to.Write(data)
+	w.size += int64(count)
+	return count, err
+}
+
+// Unpack reads what Pack wrote, all of it. Its memory is bounded by what arrived.
 func Unpack[T any](packed []byte) (value T, err error) {
-	source := io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked)
+	arrived := bytes.NewReader(packed)
+	source := bufio.NewReader(io.LimitReader(flate.NewReader(arrived), largestOf(len(packed))))
+	var none T
 	if err := gob.NewDecoder(source).Decode(&value); err != nil {
-		return value, fmt.Errorf("unpack: %w", err)
+		return none, fmt.Errorf("unpack: %w", err)
+	}
+	switch _, err := source.ReadByte(); {
+	case err == nil || arrived.Len() > 0:
+		return none, fmt.Errorf("unpack: %w", errTail)
+	case !errors.Is(err, io.EOF):
+		return none, fmt.Errorf("unpack: %w", err)
 	}
 	return value, nil
 }
