Take no told load, reason, word or health answer that nobody writes

Loads with numbers below zero or of any size were believed, and stayed for 2 s; reasons of any text named series of metrics; a word with an age below zero vouched for a time to come; an answer of the health path was read up to 64 MB, logged whole, and of two fields the first one counted. They tell nothing now, and are counted by what they were to tell.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -67,6 +67,31 @@
 	reasonNoRoute reason = "no-route"
 )
 
+// reasons are the known ones.
+var reasons = map[reason]bool{
+	reasonNone:            true,
+	reasonNotAdmitted:     true,
+	reasonOwnerLost:       true,
+	reasonNotOwner:        true,
+	reasonEvacuated:       true,
+	reasonNoRoom:          true,
+	reasonLinkFull:        true,
+	reasonRefused:         true,
+	reasonUnreachable:     true,
+	reasonBroken:          true,
+	reasonTimeout:         true,
+	reasonStopping:        true,
+	reasonNoInstance:      true,
+	reasonNoConfiguration: true,
+	reasonOutdated:        true,
+	reasonNoMemory:        true,
+	reasonRouteChanged:    true,
+	reasonNoRoute:         true,
+}
+
+// known says that a peer's reason is one of these. Others would name series of metrics.
+func (r reason) known() bool { return reasons[r] }
+
 // lasts says that another try at the same back end within the next moments would
 // end alike.
 func (r reason) lasts() bool { return r.full() || r == reasonStopping }
@@ -111,6 +136,8 @@
 	// Stream is the body where it is passed on as it comes; Body is nil then.
 	Stream *answerStream
 	Load   peerLoad
+	// loadRead says that a peer told the load in words that can be read.
+	loadRead bool
 	// RetryAfter is when the request may be served by the same gateway, where that
 	// is known: it is being stopped, or many were refused before.
 	RetryAfter time.Duration
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -100,27 +101,43 @@
 	buffer = append(buffer, ',')
 	buffer = strconv.AppendInt(buffer, load.linkBacklog.Microseconds(), 10)
 	buffer = append(buffer, ',')
-	buffer = strconv.AppendInt(buffer, int64(load.bears*bearsUnit), 10)
+	buffer = strconv.AppendInt(buffer, int64(math.Round(load.bears*bearsUnit)), 10)
 	return string(buffer)
 }
 
-// parseLoad reads what formatLoad wrote.
+const (
+	// mostRequests and mostSlots bound what is believed of a told load: more than any
+	// machine's connections.
+	mostRequests = 1 << 20
+	mostSlots    = 1 << 16
+	// mostMicros bounds its times, and mostBears what a cold back end bears, in
+	// thousandths of a request a second.
+	mostMicros = int64(24 * time.Hour / time.Microsecond)
+	mostBears  = 1_000_000 * bearsUnit
+)
+
+// loadBounds are the highest values of a load's fields, in their order.
+var loadBounds = [...]int64{mostRequests, mostRequests, mostSlots, mostMicros, mostMicros, mostMicros, mostMicros, mostBears}
+
+// parseLoad reads what formatLoad wrote. Text that it does not write is refused.
 func parseLoad(text string) (peerLoad, bool) {
-	parts := strings.Split(text, ",")
-	const fields = 8
-	if len(parts) != fields {
+	const longest = 160
+	if len(text) > longest || strings.Count(text, ",") != len(loadBounds)-1 {
 		return peerLoad{}, false
 	}
-	var numbers [fields]int
-	for i, part := range parts {
-		number, err := strconv.Atoi(part)
-		if err != nil {
+	var numbers [len(loadBounds)]int64
+	rest := text
+	for i, most := range loadBounds {
+		var part string
+		part, rest, _ = strings.Cut(rest, ",")
+		number, err := strconv.ParseInt(part, 10, 64)
+		if err != nil || number < 0 || number > most || strconv.FormatInt(number, 10) != part {
 			return peerLoad{}, false
 		}
 		numbers[i] = number
 	}
 	return peerLoad{
-		running: numbers[0], waiting: numbers[1], slots: numbers[2],
+		running: int(numbers[0]), waiting: int(numbers[1]), slots: int(numbers[2]),
 		serviceTime:  time.Duration(numbers[3]) * time.Microsecond,
 		shortService: time.Duration(numbers[4]) * time.Microsecond,
 		shortUpTo:    time.Duration(numbers[5]) * time.Microsecond,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,7 @@
 	words    *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	freed    *prometheus.CounterVec
+	told     *prometheus.CounterVec
 	// pipelines counts what callers send ahead.
 	pipelines pipelineMetrics
 }
@@ -73,9 +74,10 @@
 	}
 	m.words = counters("peer_words_total", "Other gateways that were asked for the leader's word, while it was not heard, by what became of it.", "result")
 	m.refused = counters("heartbeats_refused_total", "Heartbeats that told nothing, by what is wrong with them.", "reason")
+	m.told = counters("told_unread_total", "Words of other processes that told nothing, as they could not be read or had not come, by what they were to tell.", "of")
 	m.freed = counters("keys_freed_total", "Times that the leader was told that keys may go to another owner, by what it rests on.", "proof")
 	m.pipelines = newPipelineMetrics(registry)
-	registry.MustRegister(m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed)
+	registry.MustRegister(m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed, m.told)
 	return m
 }
 
@@ -94,7 +96,19 @@
 
 func (m *gatewayMetrics) callerLeft(service string) { m.left.WithLabelValues(service).Inc() }
 
+// What words of other processes are to tell.
+const (
+	toldLoad   = "load"
+	toldWarmth = "warmth"
+)
+
+// unread counts a word of another process that told nothing.
+func (m *gatewayMetrics) unread(of string) { m.told.WithLabelValues(of).Inc() }
+
 func (m *gatewayMetrics) peerTry(result *forwardResult) {
+	if result.Outcome == outcomeAnswered && !result.loadRead {
+		m.unread(toldLoad)
+	}
 	m.tries.WithLabelValues(hopPeer, string(result.Outcome), string(result.Reason)).Inc()
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -162,7 +162,7 @@
 	}
 	seconds = load.expected(busy, target)
 	if age > loadFresh/2 {
-		seconds *= float64(loadFresh) / float64(loadFresh+age)
+		seconds *= float64(loadFresh) / (float64(loadFresh) + float64(age)) // of one that was never heard, age is the longest there is
 	}
 	return seconds, now.Before(p.avoidUntil)
 }
@@ -274,13 +274,18 @@
 		Reason:  reason(header.Get(fieldReason)),
 		Sent:    header.Get(fieldSent) != "",
 	}
-	result.Load, _ = parseLoad(header.Get(fieldLoad))
+	if !result.Reason.known() {
+		result.Reason = reasonBroken
+	}
+	if told := header.Values(fieldLoad); len(told) == 1 {
+		result.Load, result.loadRead = parseLoad(told[0])
+	}
 	result.RetryAfter, _ = parseMilliseconds(header.Get(fieldRetryAfter))
 	switch result.Outcome {
 	case outcomeAnswered:
 		result.Status, result.Body, result.Header = response.StatusCode, body, forwardable(header)
 	case outcomeNotRun, outcomeUnknown:
-	default:
+	default: // no gateway's answer
 		return &forwardResult{Outcome: outcomeUnknown, Reason: reasonBroken, Sent: true}
 	}
 	return result
--- a/internal/gateway/peerword.go
+++ b/internal/gateway/peerword.go
@@ -31,6 +31,9 @@
 	askedAtOnce   = 2
 	// askedWithin bounds a round: a few round trips between regions.
 	askedWithin = 300 * time.Millisecond
+	// longestWord bounds what is believed of a word's age and of how long it holds: far
+	// above what any terms allow.
+	longestWord = time.Hour
 )
 
 // errNoWord: the other gateway has not heard the leader either.
@@ -110,6 +113,9 @@
 
 // takePeerWord puts another gateway's word in force.
 func (g *Gateway) takePeerWord(passed *fleetwire.PeerWord, asked time.Time, address string) error {
+	if passed.Age < 0 || passed.Age > longestWord || passed.For < 0 || passed.For > longestWord {
+		return fmt.Errorf("word of %s: age %v for %v: %w", address, passed.Age, passed.For, errNoWord)
+	}
 	news := &fleetwire.View{
 		PackedDocument: passed.PackedDocument, EvacuationsIndex: passed.EvacuationsIndex, Evacuated: passed.Evacuated,
 	}
--- a/internal/gateway/warmth.go
+++ b/internal/gateway/warmth.go
@@ -24,8 +24,13 @@
 	warmthInterval = 100 * time.Millisecond
 	// askTimeout bounds one question. The back ends' health path answers at once.
 	askTimeout = 300 * time.Millisecond
+	// maxHealthAnswer bounds what is read of an answer's body, which tells nothing.
+	maxHealthAnswer = 64 << 10
 )
 
+// errTwice: a field of the answer stands twice.
+var errTwice = errors.New("a field stands twice")
+
 // errOtherInstance: another life of the back end has answered.
 var errOtherInstance = errors.New("another instance answered")
 
@@ -78,6 +83,7 @@
 		g.slots.suspectCold()
 	} else if _, ask := g.slots.coldness(); ask {
 		if err := g.askWarmth(ctx, v); err != nil {
+			g.metrics.unread(toldWarmth)
 			g.config.Log.Info("back end did not say whether it is cold", "error", err)
 		}
 	}
@@ -105,9 +111,12 @@
 		return err
 	}
 	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswer)); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthAnswer)); err != nil {
 		return err
 	}
+	if len(response.Header.Values(names.InstanceID)) > 1 || len(response.Header.Values(names.WarmupLeft)) > 1 {
+		return errTwice
+	}
 	answered := response.Header.Get(names.InstanceID)
 	if answered != "" && answered != incarnation.IDOf(instance.ID) {
 		return errOtherInstance
@@ -123,7 +132,7 @@
 	}
 	left, ok := parseMilliseconds(text)
 	if !ok {
-		return fmt.Errorf("%s: %q is no time in milliseconds", names.WarmupLeft, text)
+		return fmt.Errorf("%s: %.64q is no time in milliseconds", names.WarmupLeft, text)
 	}
 	g.slots.tellWarmth(left)
 	return nil
--- a/internal/gateway/warmth_test.go
+++ b/internal/gateway/warmth_test.go
@@ -120,6 +120,10 @@
 		"says nothing":     {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nContent-Length: 0\r\n\r\n", false},
 		"another instance": {"HTTP/1.1 200 OK\r\nAnswered-By: i-2\r\nCold-Ms: 0\r\nContent-Length: 0\r\n\r\n", true},
 		"not a time":       {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nCold-Ms: soon\r\nContent-Length: 0\r\n\r\n", true},
+		"two times":        {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nCold-Ms: 0\r\nCold-Ms: 2500\r\nContent-Length: 0\r\n\r\n", true},
+		"two instances":    {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nAnswered-By: i-2\r\nCold-Ms: 0\r\nContent-Length: 0\r\n\r\n", true},
+		"beyond its range": {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nCold-Ms: 99999999999999999999\r\nContent-Length: 0\r\n\r\n", true},
+		"below zero":       {"HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nCold-Ms: -1\r\nContent-Length: 0\r\n\r\n", true},
 		"fails":            {"HTTP/1.1 503 X\r\nAnswered-By: i-1\r\nContent-Length: 0\r\n\r\n", true},
 	}
 	for name, test := range answers {
