Refuse founders that cannot be read, and log what sessions and the log cannot tell

An empty or foreign founders.json was taken for a member that founds nothing. Damaged frames of sessions and log entries that change nothing are logged with node and index.

--- a/internal/fleetcontroller/founders.go
+++ b/internal/fleetcontroller/founders.go
@@ -7,9 +7,11 @@
 	iofs "io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/quartzdock/quartzdock/internal/replica"
 	"github.com/quartzdock/quartzdock/internal/storage/vfs"
+	"github.com/quartzdock/quartzdock/internal/strictjson"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
@@ -30,9 +32,13 @@
 	content, err := os.ReadFile(path)
 	if err == nil {
 		var stored founderList
-		if err := json.Unmarshal(content, &stored); err != nil {
+		if err := strictjson.Unmarshal(content, &stored); err != nil {
 			return founderList{}, fmt.Errorf("%s: %w", path, err)
 		}
+		isSelf := func(peer replica.Peer) bool { return peer.ID == stored.Self }
+		if stored.Self == 0 || !slices.ContainsFunc(stored.Peers, isSelf) {
+			return founderList{}, fmt.Errorf("%s: replica %d is not among the founders", path, stored.Self)
+		}
 		return stored, nil
 	}
 	if !errors.Is(err, iofs.ErrNotExist) {
--- a/internal/fleetcontroller/machine.go
+++ b/internal/fleetcontroller/machine.go
@@ -1,6 +1,7 @@
 package fleetcontroller
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/configlease"
@@ -17,6 +18,9 @@
 func (m machine) Apply(index topology.Revision, command []byte) any {
 	before, evacuationsBefore := m.c.control.state.Version(), m.c.control.state.EvacuationsIndex()
 	result := m.c.control.state.Apply(uint64(index), command)
+	if result.Outcome == fleetstate.Invalid {
+		m.c.config.Log.Warn("log entry changes nothing", "index", uint64(index), "bytes", len(command), "findings", len(result.Findings), "first", fmt.Sprintf("%.256s", result.Findings.Error()))
+	}
 	if m.c.control.state.EvacuationsIndex() != evacuationsBefore {
 		m.c.config.Log.Info("evacuated zones", "zones", m.c.control.state.EvacuatedZones(), "index", uint64(index))
 	}
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -69,7 +70,8 @@
 	}
 	defer c.untrack(conn)
 	var first fleetwire.ToController
-	if conn.Receive(&first) != nil || first.Hello == nil {
+	if err := conn.Receive(&first); err != nil || first.Hello == nil {
+		c.logUnread("", err)
 		return
 	}
 	if !c.leads() {
@@ -100,7 +102,8 @@
 	})
 	for {
 		var message fleetwire.ToController
-		if conn.Receive(&message) != nil {
+		if err := conn.Receive(&message); err != nil {
+			c.logUnread(s.node, err)
 			return
 		}
 		if message.Report != nil {
@@ -112,6 +115,14 @@
 	}
 }
 
+// logUnread logs the end of a session that sent what can't be read: what was known
+// before holds.
+func (c *Controller) logUnread(node string, err error) {
+	if errors.Is(err, transport.ErrDamaged) || errors.Is(err, transport.ErrFrameTooLarge) {
+		c.config.Log.Warn("session sent what cannot be read", "node", fmt.Sprintf("%.64s", node), "error", err)
+	}
+}
+
 // leads reports whether this controller may act as the leader now.
 func (c *Controller) leads() bool { return c.member.IsLeader() }
 
