Check the lengths of gob messages before memory is taken for them

79 bytes took 6.7 MB, as gob takes up to 10 MB for a message that says that it is long: found by FuzzUnpack after 16 s, kept in its corpus, which failed before. The fuzz tests' bound is 2 MB beside the input's share, 4 MB before.

--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -25,6 +25,7 @@
 	"encoding/gob"
 	"fmt"
 
+	"github.com/quartzdock/quartzdock/internal/gobcheck"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
@@ -273,6 +274,9 @@
 // Decode replaces the state by an encoded one.
 func (s *State) Decode(data []byte) error {
 	var whole image
+	if err := gobcheck.Whole(data); err != nil {
+		return fmt.Errorf("decode fleet state: %w", err)
+	}
 	source := bytes.NewReader(data)
 	if err := gob.NewDecoder(source).Decode(&whole); err != nil {
 		return fmt.Errorf("decode fleet state: %w", err)
--- a/internal/fleetwire/fuzz_test.go
+++ b/internal/fleetwire/fuzz_test.go
@@ -88,7 +88,7 @@
 		f.Add(packed)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		const each, base = 16 * 128, 4 << 20 // bytes for each that arrived, and beside them
+		const each, base = 16 * 128, 2 << 20 // bytes for each that arrived, and beside them
 		used := allocated(func() { _, _ = fleetwire.Unpack[*routeconfig.Document](data) })
 		if used > base+each*uint64(len(data)) {
 			t.Fatalf("%d bytes for %d", used, len(data))
--- a/internal/fleetwire/pack.go
+++ b/internal/fleetwire/pack.go
@@ -1,7 +1,6 @@
 package fleetwire
 
 import (
-	"bufio"
 	"bytes"
 	"compress/flate"
 	"encoding/gob"
@@ -9,6 +8,8 @@
 	"fmt"
 	"io"
 	"sync"
+
+	"github.com/quartzdock/quartzdock/internal/gobcheck"
 )
 
 const (
@@ -85,16 +86,20 @@
 // Unpack reads what Pack wrote, all of it. Its memory is bounded by what arrived.
 func Unpack[T any](packed []byte) (value T, err error) {
 	arrived := bytes.NewReader(packed)
-	source := bufio.NewReader(io.LimitReader(flate.NewReader(arrived), largestOf(len(packed))))
+	whole, err := io.ReadAll(io.LimitReader(flate.NewReader(arrived), largestOf(len(packed))))
+	if err == nil {
+		err = gobcheck.Whole(whole)
+	}
+	if err != nil {
+		return value, fmt.Errorf("unpack: %w", err)
+	}
 	var none T
+	source := bytes.NewReader(whole)
 	if err := gob.NewDecoder(source).Decode(&value); err != nil {
 		return none, fmt.Errorf("unpack: %w", err)
 	}
-	switch _, err := source.ReadByte(); {
-	case err == nil || arrived.Len() > 0:
+	if source.Len() > 0 || arrived.Len() > 0 {
 		return none, fmt.Errorf("unpack: %w", errTail)
-	case !errors.Is(err, io.EOF):
-		return none, fmt.Errorf("unpack: %w", err)
 	}
 	return value, nil
 }
--- a/internal/fleetwire/receive_test.go
+++ b/internal/fleetwire/receive_test.go
@@ -57,7 +57,7 @@
 		for _, into := range []func() any{
 			func() any { return &fleetwire.ToController{} }, func() any { return &fleetwire.FromController{} },
 		} {
-			const each, base = 512, 4 << 20 // bytes for each that arrived, and beside them
+			const each, base = 512, 2 << 20 // bytes for each that arrived, and beside them
 			used := allocated(func() {
 				conn := transport.NewConn(&arrived{from: bytes.NewReader(data)}, transport.Options{})
 				for conn.Receive(into()) == nil {
--- a/internal/gateway/peerword.go
+++ b/internal/gateway/peerword.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/gobcheck"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
@@ -104,6 +105,9 @@
 	if response.StatusCode != http.StatusOK {
 		return errNoWord
 	}
+	if err := gobcheck.Whole(body); err != nil {
+		return fmt.Errorf("word of %s: %w", address, err)
+	}
 	var passed fleetwire.PeerWord
 	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&passed); err != nil {
 		return fmt.Errorf("word of %s: %w", address, err)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/quartzdock/quartzdock/internal/gobcheck"
 )
 
 // Defaults of Options.
@@ -192,6 +194,9 @@
 		return err
 	}
 	c.received.add(uint64(headerSize) + uint64(header.length))
+	if err := gobcheck.Whole(c.inBuf.Bytes()); err != nil {
+		return fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
 	if err := c.decoder.Decode(message); err != nil {
 		return fmt.Errorf("%w: %v", ErrDamaged, err)
 	}
