Tell no keys free by time of a back end that never answered this process

A restarted gateway told the keys of a back end free 2.5 s after its start although it had never confirmed a grant to this process: one of the earlier process may lie unread.

--- a/internal/gateway/keyearlier.go
+++ b/internal/gateway/keyearlier.go
@@ -59,7 +59,13 @@
 // process, so that it refuses what earlier ones have sent and it has not read yet; or whether
 // that can't be read any more. The caller has the mutex.
 func (k *keyKeeper) answeredHere(held fleetwire.Held, now time.Time) bool {
-	return k.everConfirmed(held) || k.byHeartbeat() || !now.Before(k.started.Add(openKept))
+	return k.everConfirmed(held) || k.nothingUnread(now)
+}
+
+// nothingUnread reports whether no order of an earlier process can lie unread before the back
+// end any more. One that gets its keys by heartbeat is sent none.
+func (k *keyKeeper) nothingUnread(now time.Time) bool {
+	return k.byHeartbeat() || !now.Before(k.started.Add(openKept))
 }
 
 // mayBeKeyed reports whether the back end may hold keys at all.
--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -115,7 +115,7 @@
 	k.gateway.registry.heard(instance)
 	k.fences.confirmed(sent.Keys, sent.Fence, sent.sub)
 	sent.until = later(sent.until, sent.sentAt.Add(order.Hold))
-	sent.confirmed = sent.sentAt
+	sent.confirmed, k.answered = sent.sentAt, true
 	sent.nextAt = sent.sentAt.Add(k.hold() / renewals)
 	k.retractOverrun(sent)
 	k.announce()
--- a/internal/gateway/keylost.go
+++ b/internal/gateway/keylost.go
@@ -43,6 +43,7 @@
 // leader may give the keys away. The caller has the mutex.
 func (k *keyKeeper) freeUnreachable(now time.Time) {
 	over := k.timeOver(now) && !now.Before(k.fences.unreadUntil())
+	over = over && (k.answered || k.nothingUnread(now))
 	for _, held := range k.wanted {
 		over = over && k.answeredHere(held, now)
 	}
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -105,8 +105,10 @@
 	wake    chan struct{}
 	started time.Time
 
-	mutex      sync.Mutex
-	instance   string
+	mutex    sync.Mutex
+	instance string
+	// answered says that the instance has confirmed a grant of this process.
+	answered   bool
 	leaseUntil time.Time
 	// leaseFrom is from when on a lease must have been asked for.
 	leaseFrom time.Time
@@ -203,7 +205,7 @@
 // may hold is kept apart.
 func (k *keyKeeper) reset(instance string, now time.Time) {
 	k.earlier.add(k.grants, &k.fences, now)
-	k.instance = instance
+	k.instance, k.answered = instance, false
 	k.wanted = nil
 	k.taken = nil
 	k.yielding = false
--- a/internal/gateway/ownershiporders_test.go
+++ b/internal/gateway/ownershiporders_test.go
@@ -275,3 +275,20 @@
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-5")
 	})
 }
+
+// A gateway has restarted beside a back end that can't be reached and stands still. A grant of
+// its earlier process may lie unread before it, also where no lease has listed a range to this
+// one.
+func TestOneThatNeverAnsweredThisProcessIsNotToldFreeByTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newLivesRig(t)
+		rig.g.registry.lost("i-1")
+		rig.lease(nil, nil)
+		time.Sleep(openKept - 2*keysInterval)
+		synctest.Wait()
+		assert.Assert(t, !rig.g.registry.snapshot().Released)
+		time.Sleep(4 * keysInterval)
+		synctest.Wait()
+		assert.Assert(t, rig.g.registry.snapshot().Released)
+	})
+}
