--- a/cmd/quartzdock-lab/soak.go
+++ b/cmd/quartzdock-lab/soak.go
@@ -21,6 +21,11 @@
 	flags.StringVar(&config.Program, 0, "program", "", "binary of the users' platform; empty builds it")
 	flags.StringListVar(&config.Kinds, 0, "kind", "kind of strike, all if none is given; may be repeated")
 	flags.StringVar((*string)(&config.Grants), 0, "grants", string(soak.ByCall), "how keyed back ends get their keys: call or heartbeat")
+	flags.IntVar(&config.Size.Gateways, 0, "gateways", 0, "gateways, each with a back end beside it; 0 is as many as the strikes need")
+	flags.IntVar(&config.Size.Keyed, 0, "keyed", 0, "how many of the gateways' back ends hold keys; with --gateways")
+	flags.IntVar(&config.Size.Controllers, 0, "controllers", 0, "controllers; 0 is the usual number")
+	flags.IntVar(&config.Size.Callers, 0, "callers", 0, "callers at the most, over all gateways; 0 is the usual number")
+	flags.DurationVar(&config.MeanPause, 0, "mean-pause", 0, "mean pause between two strikes; 0 is the usual one")
 	flags.StringVar(&config.KeepIn, 0, "keep-logs", "", "folder for the logs of a failing seed")
 	flags.BoolVar(&config.JSON, 0, "json", "write the report as JSON")
 	return &ff.Command{
--- a/lab/platformstandin/backend_test.go
+++ b/lab/platformstandin/backend_test.go
@@ -20,9 +20,9 @@
 	t.Helper()
 	ports, err := freePorts()
 	assert.NilError(t, err)
-	address := fmt.Sprintf("%s.%d:%d", subnet(), firstSide, ports.App)
+	address := fmt.Sprintf("%s:%d", hostIP(firstSide), ports.App)
 	instance.Service, instance.Keyed, instance.Slots = "keyed", true, 8
-	instance.Control = fmt.Sprintf("%s.%d:%d", subnet(), firstSide, ports.Control)
+	instance.Control = fmt.Sprintf("%s:%d", hostIP(firstSide), ports.Control)
 	ctx, cancel := context.WithCancel(t.Context())
 	assert.NilError(t, StartInstance(ctx, NewLedger(), address, instance))
 	t.Cleanup(func() { cancel(); instance.Stop() })
--- a/lab/platformstandin/fleet.go
+++ b/lab/platformstandin/fleet.go
@@ -51,26 +51,13 @@
 	Ledger  *Ledger
 	// Timeline is what was done to the machines.
 	Timeline *Timeline
+
+	usage *usage
 }
 
 // portCount is how many ports a machine needs.
 const portCount = 8
 
-// subnet returns the first two numbers after 127 of this process's machines. Each
-// process has loopback addresses of its own, so that fleets of several processes
-// never ask for the same address and port.
-func subnet() string {
-	const second, secondCount, third = 64, 128, 256
-	id := os.Getpid()
-	return fmt.Sprintf("127.%d.%d", second+id/third%secondCount, id%third)
-}
-
-// Last numbers of the addresses of machines.
-const (
-	firstCore = 1
-	firstSide = 101
-)
-
 // freePorts returns ports that are free at this process's addresses now.
 func freePorts() (Ports, error) {
 	const first, last, step = 21000, 29000, 16
@@ -87,7 +74,7 @@
 func free(base int) bool {
 	for _, host := range []int{firstCore, firstSide} {
 		for port := base; port < base+portCount; port++ {
-			listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", subnet(), host, port))
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", hostIP(host), port))
 			if err != nil {
 				return false
 			}
@@ -99,19 +86,22 @@
 
 // NewFleet lays out machines: cores, and a gateway for each service named.
 func NewFleet(program, folder string, cores int, services []string) (*Fleet, error) {
+	if cores > mostCores || len(services) > mostSides {
+		return nil, fmt.Errorf("there are addresses for %d controllers and %d gateways, not for %d and %d", mostCores, mostSides, cores, len(services))
+	}
 	ports, err := freePorts()
 	if err != nil {
 		return nil, err
 	}
-	fleet := &Fleet{Program: program, Folder: folder, Ports: ports, Ledger: NewLedger(), Timeline: NewTimeline()}
+	fleet := &Fleet{Program: program, Folder: folder, Ports: ports, Ledger: NewLedger(), Timeline: NewTimeline(), usage: newUsage()}
 	for i := range cores {
 		fleet.Cores = append(fleet.Cores, &Machine{
-			Name: fmt.Sprintf("core-%d", i+1), IP: fmt.Sprintf("%s.%d", subnet(), firstCore+i), Role: "controller", fleet: fleet,
+			Name: fmt.Sprintf("core-%d", i+1), IP: hostIP(firstCore + i), Role: "controller", fleet: fleet,
 		})
 	}
 	for i, service := range services {
 		fleet.Sides = append(fleet.Sides, &Machine{
-			Name: fmt.Sprintf("side-%d", i+1), IP: fmt.Sprintf("%s.%d", subnet(), firstSide+i), Role: "gateway", Service: service, fleet: fleet,
+			Name: fmt.Sprintf("side-%d", i+1), IP: hostIP(firstSide + i), Role: "gateway", Service: service, fleet: fleet,
 		})
 		fleet.Sides[i].openToCallers()
 	}
@@ -172,9 +162,11 @@
 	}
 	ended := make(chan struct{})
 	m.command, m.ended = command, ended
+	m.fleet.usage.begins(m.Name, command.Process.Pid)
 	m.fleet.Timeline.faultsEnd(m.Name, time.Now())
 	go func() {
 		_ = command.Wait()
+		m.fleet.usage.ends(command)
 		_ = log.Close()
 		close(ended)
 	}()
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -56,18 +56,19 @@
 	*platformstandin.Fleet
 	ctx         context.Context
 	grants      Grants
+	size        Size
 	callers     *callers
 	controllers []*place
 	gateways    []*place
 	backends    []*place
 }
 
-func startFleet(ctx context.Context, program, folder string, grants Grants, services []string) (*fleet, error) {
-	laid, err := platformstandin.NewFleet(program, folder, controllers, services)
+func startFleet(ctx context.Context, config Config, folder string, services []string) (*fleet, error) {
+	laid, err := platformstandin.NewFleet(config.Program, folder, config.Size.Controllers, services)
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{Fleet: laid, ctx: ctx, grants: grants}
+	f := &fleet{Fleet: laid, ctx: ctx, grants: config.Grants, size: config.Size}
 	f.callers = &callers{fleet: f}
 	for _, machine := range laid.Cores {
 		f.controllers = append(f.controllers, &place{machine: machine})
--- a/lab/platformstandin/soak/lines.go
+++ b/lab/platformstandin/soak/lines.go
@@ -28,15 +28,14 @@
 // runLines sends lines of requests until the context ends.
 func (c *callers) runLines(ctx context.Context, seed uint64) {
 	var all sync.WaitGroup
-	for i, gateway := range c.fleet.gateways {
-		for j := range linesEach {
-			random := rand.New(rand.NewPCG(seed, uint64(1_000_000+i*linesEach+j)))
-			all.Go(func() {
-				for pause.For(ctx, linePause) == nil {
-					c.line(ctx, gateway.machine, random)
-				}
-			})
-		}
+	for _, at := range spread(len(c.fleet.gateways), linesEach, c.fleet.size.Callers*linesEach/callersEach) {
+		random := rand.New(rand.NewPCG(seed, uint64(1_000_000+at.gateway*linesEach+at.number)))
+		gateway := c.fleet.gateways[at.gateway]
+		all.Go(func() {
+			for pause.For(ctx, linePause) == nil {
+				c.line(ctx, gateway.machine, random)
+			}
+		})
 	}
 	all.Wait()
 }
--- a/lab/platformstandin/soak/plan.go
+++ b/lab/platformstandin/soak/plan.go
@@ -43,7 +43,7 @@
 	// shortest and longest bound how long a strike lasts.
 	shortest = 300 * time.Millisecond
 	longest  = 4 * time.Second
-	// meanPause between two strikes.
+	// meanPause between two strikes, where nothing else is said.
 	meanPause = 1200 * time.Millisecond
 	// wipePause is the least time between two lost disks: the fleet bears one at
 	// a time, and a replacement counts as whole after some seconds.
@@ -76,6 +76,11 @@
 // Draw returns the strikes of a seed, in the order of their times. Only is the
 // kinds to draw from; none is all.
 func Draw(seed uint64, duration time.Duration, only []Kind) []Strike {
+	return draw(seed, duration, meanPause, only)
+}
+
+// draw is Draw with a mean pause between two strikes.
+func draw(seed uint64, duration, mean time.Duration, only []Kind) []Strike {
 	if len(only) == 0 {
 		only = append(append(slices.Clone(kinds), RollingStops), doorKinds...)
 	}
@@ -83,10 +88,10 @@
 	doors := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return !isDoor(kind) })
 	var strikes []Strike
 	if len(single) > 0 {
-		strikes = drawSingle(seed, duration, single)
+		strikes = drawSingle(seed, duration, mean, single)
 	}
 	if len(doors) > 0 {
-		strikes = append(strikes, drawDoors(seed, duration, doors)...)
+		strikes = append(strikes, drawDoors(seed, duration, mean, doors)...)
 	}
 	if slices.Contains(only, RollingStops) {
 		first := firstSeries
@@ -100,11 +105,11 @@
 }
 
 // drawSingle returns the strikes of a seed that are no series.
-func drawSingle(seed uint64, duration time.Duration, only []Kind) []Strike {
+func drawSingle(seed uint64, duration, mean time.Duration, only []Kind) []Strike {
 	random := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
 	var strikes []Strike
 	wipeAfter := time.Duration(0)
-	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(meanPause)) {
+	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(mean)) {
 		strike := Strike{
 			Kind: only[random.IntN(len(only))], At: at, Target: random.IntN(1 << 16),
 			For: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
--- a/lab/platformstandin/soak/run.go
+++ b/lab/platformstandin/soak/run.go
@@ -27,6 +27,9 @@
 	// Grants is how keyed back ends get their keys, in the platform's words; empty
 	// is ByCall.
 	Grants Grants
+	// Size of the fleet, and MeanPause between two strikes; zeros are the usual ones.
+	Size      Size
+	MeanPause time.Duration
 	// JSON writes the report as JSON.
 	JSON bool
 	// KeepIn is the folder in which the logs of a failing seed are kept.
@@ -79,6 +82,15 @@
 	// rules let go without an answer of their back end.
 	Cuts    int `json:"runs_cut"`
 	Excused int `json:"stops_excused"`
+	// Gateways and Controllers are the fleet's processes; PeakMemoryBytes is the sum of
+	// the machines' peaks of resident memory, ProcessorMS the processor time of all.
+	Gateways        int   `json:"gateways"`
+	Controllers     int   `json:"controllers"`
+	PeakMemoryBytes int64 `json:"peak_memory_bytes"`
+	ProcessorMS     int64 `json:"processor_ms"`
+	// Stalls are when the soak itself stood still, which excuses nothing.
+	Stalls         []Stall `json:"stalls_of_the_soak"`
+	LongestStallMS int64   `json:"longest_stall_ms"`
 	// Violations are the broken promises.
 	Violations []string `json:"violations"`
 	// Logs is where the processes' logs are, for a failing seed.
@@ -109,6 +121,13 @@
 	if err := config.Grants.check(); err != nil {
 		return nil, err
 	}
+	if err := config.Size.check(); err != nil {
+		return nil, err
+	}
+	config.Size, config.MeanPause = config.Size.orDefault(), cmp.Or(config.MeanPause, meanPause)
+	if config.MeanPause < 0 {
+		return nil, fmt.Errorf("a pause of %v between two strikes", config.MeanPause)
+	}
 	folder, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, err
@@ -129,14 +148,19 @@
 }
 
 func soak(ctx context.Context, config Config, folder string) (*Report, error) {
-	strikes := Draw(config.Seed, config.Duration, kindsOf(config.Kinds))
-	f, err := startFleet(ctx, config.Program, folder, config.Grants, servicesFor(strikes))
+	still := newStalls(time.Now())
+	watching, watched := context.WithCancel(ctx)
+	defer watched()
+	go still.watch(watching)
+	strikes := draw(config.Seed, config.Duration, config.MeanPause, kindsOf(config.Kinds))
+	f, err := startFleet(ctx, config, folder, config.Size.services(strikes))
 	if f != nil {
 		defer f.stop()
 	}
 	if err != nil {
 		return nil, err
 	}
+	go f.WatchUsage(watching)
 	operators := &operator{fleet: f}
 	if err := operators.first(ctx); err != nil {
 		return nil, err
@@ -164,7 +188,11 @@
 		f.Ledger.Broken("after the strikes: %v", err)
 	}
 	operators.verify(ctx)
-	return f.report(config, strikes, clients, operators), ctx.Err()
+	report := f.report(config, strikes, clients, operators)
+	var longest time.Duration
+	report.Stalls, longest = still.told()
+	report.LongestStallMS = longest.Milliseconds()
+	return report, ctx.Err()
 }
 
 // strikeAllOf does each strike at its time, and returns when all have ended.
@@ -202,12 +230,15 @@
 func (f *fleet) report(config Config, strikes []Strike, clients *callers, operators *operator) *Report {
 	_, repeats := f.Ledger.Totals()
 	excused := clients.checkStops()
+	used := f.Usage()
 	return &Report{
 		Seed: config.Seed, Grants: config.Grants, DurationMS: config.Duration.Milliseconds(), Strikes: strikes,
 		Sent: clients.counts.sent.Load(), LookUps: clients.counts.lookUps.Load(), Answered: clients.counts.answered.Load(), NotRun: clients.counts.notRun.Load(),
 		Unknown: clients.counts.unknown.Load(), Lost: clients.counts.lost.Load(), Lines: clients.counts.lines.Load(),
 		Repeats: repeats, Versions: operators.accepted, Stops: len(f.Timeline.Stops()), AtOnce: f.Timeline.StopsAtOnce(), LongestStopMS: f.Timeline.LongestStop().Milliseconds(),
-		Cuts: f.Ledger.Cuts(), Excused: excused, Violations: f.Ledger.Violations(),
+		Cuts: f.Ledger.Cuts(), Excused: excused,
+		Gateways: len(f.gateways), Controllers: len(f.controllers), PeakMemoryBytes: used.PeakMemory, ProcessorMS: used.Processor.Milliseconds(),
+		Violations: f.Ledger.Violations(),
 	}
 }
 
@@ -217,8 +248,14 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(r)
 	}
-	_, err := fmt.Fprintf(out, "seed %d, keys by %s: %d strikes, %d requests and %d calls of back ends (%d answered, %d not run, %d unknown, %d without an answer), %d lines of requests sent ahead, %d runs repeated, %d planned stops (%d at once, %d ms at most), %d runs cut, %d excused in planned stops, %d configurations, %d promises broken\n",
-		r.Seed, r.Grants, len(r.Strikes), r.Sent, r.LookUps, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Lines, r.Repeats, r.Stops, r.AtOnce, r.LongestStopMS, r.Cuts, r.Excused, r.Versions, len(r.Violations))
+	_, err := fmt.Fprintf(out, "seed %d, keys by %s: %d strikes, %d requests and %d calls of back ends (%d answered, %d not run, %d unknown, %d without an answer), %d lines of requests sent ahead, %d runs repeated, %d planned stops (%d at once, %d ms at most), %d runs cut, %d excused in planned stops, %d configurations, %d gateways and %d controllers (%d MB at peak, %.1f processor seconds), the soak itself stood still %d times (%d ms at most), %d promises broken\n",
+		r.Seed, r.Grants, len(r.Strikes), r.Sent, r.LookUps, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Lines, r.Repeats, r.Stops, r.AtOnce, r.LongestStopMS, r.Cuts, r.Excused, r.Versions,
+		r.Gateways, r.Controllers, r.PeakMemoryBytes>>20, (time.Duration(r.ProcessorMS) * time.Millisecond).Seconds(), len(r.Stalls), r.LongestStallMS, len(r.Violations))
+	for _, stall := range r.Stalls {
+		if err == nil {
+			_, err = fmt.Fprintf(out, "  stood still: from %v for %v\n", stall.From.Round(time.Millisecond), stall.For.Round(time.Millisecond))
+		}
+	}
 	for _, violation := range r.Violations {
 		if err == nil {
 			_, err = fmt.Fprintln(out, "  broken:", violation)
--- a/lab/platformstandin/soak/traffic.go
+++ b/lab/platformstandin/soak/traffic.go
@@ -22,8 +22,8 @@
 	plainPath = "/p/x"
 	// oncePath is that of keyed requests that must not be repeated.
 	oncePath = "/o/x"
-	// callersEach are at work at each gateway, with callPause between two
-	// requests of one.
+	// callersEach are at work at each gateway, as long as there are no more than the
+	// fleet is to have, with callPause between two requests of one.
 	callersEach = 8
 	callPause   = 25 * time.Millisecond
 	lastKey     = 65535
@@ -61,15 +61,14 @@
 // run sends requests until the context ends.
 func (c *callers) run(ctx context.Context, seed uint64) {
 	var all sync.WaitGroup
-	for i, gateway := range c.fleet.gateways {
-		for j := range callersEach {
-			random := rand.New(rand.NewPCG(seed, uint64(i*callersEach+j)))
-			all.Go(func() {
-				for pause.For(ctx, callPause) == nil {
-					c.call(ctx, gateway.machine, random)
-				}
-			})
-		}
+	for _, at := range spread(len(c.fleet.gateways), callersEach, c.fleet.size.Callers) {
+		random := rand.New(rand.NewPCG(seed, uint64(at.gateway*callersEach+at.number)))
+		gateway := c.fleet.gateways[at.gateway]
+		all.Go(func() {
+			for pause.For(ctx, callPause) == nil {
+				c.call(ctx, gateway.machine, random)
+			}
+		})
 	}
 	all.Wait()
 }
