Take another back end's listener for no sign of the present one

A grant that another back end at the address refused, and the look that found its listener, alternated: 28 changes of state in 3 s, each told to every gateway. Test fails without.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -201,7 +201,7 @@
 func (g *Gateway) suspect(instance string, err error) {
 	switch {
 	case errors.Is(err, ErrOtherInstance):
-		g.registry.lost(instance)
+		g.registry.displaced(instance)
 	case refusedConnection(err):
 		g.probe(instance)
 	}
--- a/internal/gateway/ownershiporders_test.go
+++ b/internal/gateway/ownershiporders_test.go
@@ -292,3 +292,20 @@
 		assert.Assert(t, rig.g.registry.snapshot().Released)
 	})
 }
+
+// Another back end answers at the address and refuses what is meant for the present one. Its
+// listener is no sign of that: taken for one, the two words alternated ten times a second, and
+// each went to every gateway of the fleet.
+func TestOneWhoseAddressAnotherHasIsNotReachedThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newOwnersRig(t, routeconfig.GrantByCall)
+		rig.run(6 * time.Second)
+		rig.silent = true
+		rig.holder.set(func() { rig.holder.next, rig.holder.nextID = &heldProcess{}, "i-9" })
+		changes := 0
+		rig.g.registry.changed = func() { changes++ }
+		rig.run(3 * time.Second)
+		assert.Equal(t, changes, 1, "it can't be reached")
+		assert.Assert(t, rig.moved)
+	})
+}
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -53,6 +53,9 @@
 	leaderAnswered func() bool
 	// saidState is what the present instance has said of itself last.
 	saidState fleetwire.InstanceState
+	// otherThere says that another back end has answered at the address since the present
+	// instance was heard.
+	otherThere bool
 	// lookAgain is called, without the mutex, where an instance is heard that could not be
 	// reached.
 	lookAgain func(instance string)
@@ -124,7 +127,7 @@
 	if fresh {
 		r.begin(told)
 	}
-	r.heardAt, r.unproved = now, false
+	r.heardAt, r.unproved, r.otherThere = now, false, false
 	r.told(told.WarmupLeft, fresh)
 	r.unheard = 0
 	r.current.Sequence = told.Sequence
@@ -187,6 +190,14 @@
 	r.changed()
 }
 
+// displaced says that another back end is at an instance's address.
+func (r *registry) displaced(instance string) {
+	r.mutex.Lock()
+	r.otherThere = r.otherThere || instance == r.current.ID
+	r.mutex.Unlock()
+	r.lost(instance)
+}
+
 // lost says that an instance can't be reached. It gets nothing new until it is reached.
 func (r *registry) lost(instance string) {
 	r.mutex.Lock()
@@ -201,11 +212,11 @@
 }
 
 // reached says that something listens at an instance's address. One that could not be
-// reached before is taken for there again, unless another life is heard; what it held may have
-// another owner.
+// reached before is taken for there again, unless another life is heard or has answered there;
+// what it held may have another owner.
 func (r *registry) reached(instance string) {
 	r.mutex.Lock()
-	again := instance == r.current.ID && r.current.State == fleetwire.InstanceGone && r.saidState != 0 && !r.rival.waits
+	again := instance == r.current.ID && r.current.State == fleetwire.InstanceGone && r.saidState != 0 && !r.rival.waits && !r.otherThere
 	if again {
 		r.current.State, r.current.Released = r.saidState, false
 	}
