--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -142,7 +142,7 @@
 	DefaultDrainWithin       = 2 * time.Second
 	DefaultEvacuateWithin    = 5 * time.Second
 	DefaultHeartbeatInterval = 1300 * time.Millisecond
-	DefaultKeyHold           = time.Second
+	DefaultKeyHold           = 1500 * time.Millisecond
 	DefaultLongestHold       = 10 * time.Second
 	DefaultStopWithin        = 5500 * time.Millisecond
 	DefaultWindow            = 10 * time.Second
--- a/internal/gateway/ownershiporders_test.go
+++ b/internal/gateway/ownershiporders_test.go
@@ -211,7 +211,7 @@
 		time.Sleep(2 * time.Second)
 		rig.lease(held(0, 9), nil)
 		rig.holder.setRefuse(ErrNotSent)
-		time.Sleep(1300 * time.Millisecond)
+		time.Sleep(DefaultKeyHold + 300*time.Millisecond)
 		time.Sleep(keysInterval / 10)
 		read := time.Now()
 		time.Sleep(time.Millisecond)
