--- a/internal/gateway/keywait_test.go
+++ b/internal/gateway/keywait_test.go
@@ -54,23 +54,25 @@
 	})
 }
 
+// owns tells the rig's gateway of two back ends, and which owns the keys.
+func (r *keyRig) owns(t *testing.T, index uint64, owner string) {
+	advance(t, r.g.views, viewOf(true, fleetwire.Instance{ID: "i-1", Service: "s"}, fleetwire.Instance{ID: "i-2", Service: "s"}))
+	advance(t, r.g.views, viewOfOwners(index, owned(owner)))
+}
+
 // While an owner gives a key up, who asked for it there waits for news of its
 // next owner.
 func TestARequestWaitsForTheNextOwnerOfItsKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newHeartbeatRig(t)
-		owns := func(index uint64, owner string) {
-			advance(t, rig.g.views, viewOf(true, fleetwire.Instance{ID: "i-1", Service: "s"}, fleetwire.Instance{ID: "i-2", Service: "s"}))
-			advance(t, rig.g.views, viewOfOwners(index, owned(owner)))
-		}
-		owns(1, "i-1")
+		rig.owns(t, 1, "i-1")
 		began := time.Now()
 		until := began.Add(time.Second)
 		go func() {
 			time.Sleep(50 * time.Millisecond)
-			owns(2, "i-1") // news of other keys
+			rig.owns(t, 2, "i-1") // news of other keys
 			time.Sleep(30 * time.Millisecond)
-			owns(3, "i-2")
+			rig.owns(t, 3, "i-2")
 		}()
 		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-1", notRun(reasonNotOwner), until))
 		assert.Equal(t, time.Since(began), 80*time.Millisecond)
--- a/internal/gateway/leaderless_test.go
+++ b/internal/gateway/leaderless_test.go
@@ -96,7 +96,7 @@
 // The controllers of eight were cut into halves for 6 s, so that nobody led and nothing
 // could be accepted. Every gateway reached all eight, and refused all requests from 2.6 s
 // after the last word of a leader until the next leader's, "configuration-may-be-old": 16,390
-// of them in 4.9 s (docs/incidents/2026-12-03-hard-day-504.md).
+// of them in 4.9 s.
 func TestAGatewayServesWhileAMajorityOfControllersHasNothingNewer(t *testing.T) {
 	t.Parallel()
 	l := startLeaderless(t, 3)
--- a/internal/gateway/ownerlost_test.go
+++ b/internal/gateway/ownerlost_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/quartzdock/quartzdock/internal/fleetwire"
 )
 
 // A caller is told when the key of a back end that can't be reached may have another owner:
@@ -36,11 +34,7 @@
 func TestARequestForALostOwnersKeyWaitsOnlyWhereThatHelps(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newHeartbeatRig(t)
-		owns := func(index uint64, owner string) {
-			advance(t, rig.g.views, viewOf(true, fleetwire.Instance{ID: "i-1", Service: "s"}, fleetwire.Instance{ID: "i-2", Service: "s"}))
-			advance(t, rig.g.views, viewOfOwners(index, owned(owner)))
-		}
-		owns(1, "i-1")
+		rig.owns(t, 1, "i-1")
 		lost := notRun(reasonOwnerLost)
 		lost.RetryAfter = 800 * time.Millisecond
 		began := time.Now()
@@ -48,7 +42,7 @@
 		assert.Equal(t, time.Since(began), time.Duration(0), "it would wait in vain")
 		go func() {
 			time.Sleep(500 * time.Millisecond)
-			owns(2, "i-2")
+			rig.owns(t, 2, "i-2")
 		}()
 		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-1", lost, began.Add(time.Second)))
 		assert.Equal(t, time.Since(began), 500*time.Millisecond)
--- a/lab/platformstandin/soak/series.go
+++ b/lab/platformstandin/soak/series.go
@@ -15,8 +15,8 @@
 	// time from one series to the next; a series takes the grace and its gaps.
 	firstSeries       = 8 * time.Second
 	meanBetweenSeries = 14 * time.Second
-	// leastGap and mostGap bound the time between two stops of a series. One each
-	// 0.25 s with 6 s of grace is what issue 18 saw.
+	// leastGap and mostGap bound the time between two stops of a series. With a
+	// stop each 0.25 s and 6 s of grace, up to 24 would be under way together.
 	leastGap = 150 * time.Millisecond
 	mostGap  = 900 * time.Millisecond
 	// onceMore is one in how many series that come twice in succession.
--- a/lab/platformstandin/soak/series_test.go
+++ b/lab/platformstandin/soak/series_test.go
@@ -60,7 +60,7 @@
 // Planned stops in series, of which many are under way at once, cut off no
 // request that a back end is at work at. Seed 3 broke this: gateways that were
 // stopping admitted requests of others that outlast the stop, and cut them 5 s
-// after the SIGTERM (issue 18).
+// after the SIGTERM.
 func TestOverlappingPlannedStopsCutNothing(t *testing.T) {
 	report, err := Soak(t.Context(), Config{Seed: 3, Duration: ciStops, Program: buildProgram(t), Kinds: []string{string(RollingStops)}})
 	assert.NilError(t, err)
