Elect at once where all members of a group have started anew

A proof ends the wait sooner: a lease ends with its leader's process, so that none lasts once every member has said that it has started anew and has neither led nor heard a leader (internal/consensus/unled.go has the argument). Change: pre-votes are numbered, and answers tell how long a process that knows of no leader has run; a candidate that has heard so of all members within one round, from processes that began before it, asks for votes in spite of earlier promises. Votes count from the processes that were heard. Learners, or a change of members not known to be committed, keep the wait, and so does one member that is missing. The earliest end of former leases is then the election itself. Ruled out: a majority that has started anew (its leader may live among the rest); the address of a lost disk's successor as a sign that the former process has ended (a guess). One test waited for the first pre-vote, which now comes earlier and without the own vote: it waits for one after the promise, its claims are the same.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -43,6 +43,11 @@
 	votes            map[topology.ReplicaID]bool
 	// transferVote marks the election as asked for by the leader.
 	transferVote bool
+	// leaderSeen says that this process has led or heard a leader; unledVote marks an
+	// election that rests on no member having done so (unled.go).
+	leaderSeen bool
+	unledVote  bool
+	unledRound unledRound
 	// ackUpTo is the index to acknowledge to the leader once it is stable.
 	ackUpTo uint64
 	// matched is the index up to which the log is known to match the leader's
@@ -135,6 +140,9 @@
 		c.beginRecovery()
 	}
 	c.membershipChanged()
+	if c.role == Follower {
+		c.electionDeadline = c.unledDeadline(0)
+	}
 	return c, nil
 }
 
@@ -207,12 +215,12 @@
 		c.answerPreVote(m)
 		return false
 	case MessagePreVoteAnswer:
-		if !m.Refused {
+		if !m.Refused || m.UpFor > 0 {
 			c.countPreVote(m)
 			return false
 		}
 	case MessageVote:
-		if !m.Transfer && c.promisedToLeader() {
+		if !m.Transfer && c.promisedToLeader() && !c.votesUnled(m) {
 			return false
 		}
 	}
@@ -248,7 +256,9 @@
 	case MessageVote:
 		c.answerVote(m)
 	case MessageVoteAnswer:
-		c.countVote(m.From, m.FromIncarnation, !m.Refused, m.SinceLeader)
+		if c.fromUnledRun(m) {
+			c.countVote(m.From, m.FromIncarnation, !m.Refused, m.SinceLeader)
+		}
 	case MessageAppend, MessageHeartbeat, MessageSnapshot:
 		return c.stepFromLeader(m)
 	case MessageAppendAnswer:
@@ -273,8 +283,11 @@
 // follow is the action of becoming, or staying, a follower or non-voter.
 func (c *Core) follow() {
 	c.votes = nil
-	c.transferVote = false
+	c.transferVote, c.unledVote = false, false
 	c.resetElectionDeadline()
+	if c.startsUnled() {
+		c.electionDeadline = c.unledDeadline(c.config.HeartbeatInterval)
+	}
 }
 
 func (c *Core) resetElectionDeadline() {
--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -43,7 +43,8 @@
 // ElectionTimeout. A leader whose heartbeat, sent at s, was answered by a
 // quorum may therefore act alone until s + ElectionTimeout*(1-MaxClockDrift).
 // A replica that was just started refuses votes for one ElectionTimeout, since
-// it may have heard the leader right before. A leader that has heard no quorum
+// it may have heard the leader right before, unless all members have started
+// anew and none has heard a leader since (unled.go). A leader that has heard no quorum
 // for an ElectionTimeout steps down, also when it finds so on waking from a
 // pause.
 package consensus
--- a/internal/consensus/durable_test.go
+++ b/internal/consensus/durable_test.go
@@ -102,7 +102,8 @@
 
 func TestACandidateCountsItsOwnVoteOnceItIsDurable(t *testing.T) {
 	s := newScript(t, Config{})
-	for s.core.Role() != PreCandidate {
+	// Before, its own vote is held back by what an earlier process may have promised.
+	for s.core.Role() != PreCandidate || s.now < DefaultElectionTimeout+2*DefaultHeartbeatInterval {
 		s.now += DefaultHeartbeatInterval
 		s.core.Tick(s.now)
 	}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -20,7 +20,11 @@
 // entering a new term (Ongaro, section 9.6).
 func (c *Core) startPreVote() {
 	c.leader = 0
-	c.votes = map[topology.ReplicaID]bool{c.config.ID: true}
+	c.votes = map[topology.ReplicaID]bool{}
+	if !c.promisedToLeader() {
+		c.votes[c.config.ID] = true
+	}
+	c.beginUnledRound()
 	c.setRetryDeadline()
 	c.askVotes(MessagePreVote, c.hard.Term+1)
 	c.decidePreVote()
@@ -43,6 +47,10 @@
 // the group has no leader for that long, so it is sooner than the wait of a
 // follower, but leaves time for a round trip and a sync.
 func (c *Core) setRetryDeadline() {
+	if c.startsUnled() {
+		c.electionDeadline = c.unledDeadline(c.config.HeartbeatInterval)
+		return
+	}
 	least := c.config.ElectionTimeout / 3
 	c.electionDeadline = c.now + least + time.Duration(c.random.Int64N(int64(least)))
 }
@@ -59,33 +67,45 @@
 			LogIndex: c.log.lastIndex(),
 			LogTerm:  c.log.lastTerm(),
 			Transfer: c.transferVote,
+			Round:    c.unledRound.number,
+			Unled:    c.unledVote,
 		})
 	}
 }
 
 func (c *Core) answerPreVote(m Message) {
-	granted := m.Term > c.hard.Term && !c.promisedToLeader() && c.mayVoteFor(m) && c.log.upToDate(m.LogIndex, m.LogTerm)
-	answer := Message{Kind: MessagePreVoteAnswer, To: m.From, ToIncarnation: m.FromIncarnation, Refused: !granted}
-	if granted {
+	fit := m.Term > c.hard.Term && c.mayVoteFor(m) && c.log.upToDate(m.LogIndex, m.LogTerm)
+	granted := fit && !c.promisedToLeader()
+	answer := Message{Kind: MessagePreVoteAnswer, To: m.From, ToIncarnation: m.FromIncarnation, Refused: !granted, Round: m.Round}
+	if fit && c.unled() && m.Round > 0 {
+		answer.UpFor = c.upFor()
+		c.yieldTo(m.From)
+	}
+	if granted || answer.UpFor > 0 {
 		answer.Term = m.Term
 	}
 	c.send(answer)
 }
 
 func (c *Core) countPreVote(m Message) {
-	if c.role != PreCandidate || (!m.Refused && m.Term != c.hard.Term+1) {
+	wouldVote := !m.Refused || m.UpFor > 0
+	if c.role != PreCandidate || (wouldVote && m.Term != c.hard.Term+1) {
 		return
 	}
-	if !c.noteVote(m.From, m.FromIncarnation, !m.Refused) {
-		return
+	c.noteUnled(m)
+	// One that refuses for what an earlier process may have promised may still vote.
+	if wouldVote && m.Refused || c.noteVote(m.From, m.FromIncarnation, !m.Refused) {
+		c.decidePreVote()
 	}
-	c.decidePreVote()
 }
 
 func (c *Core) decidePreVote() {
 	switch granted, refused := c.tally(); {
 	case granted >= c.Membership().Quorum():
 		c.fire(eventPreVoteWon)
+	case c.groupUnled():
+		c.unledVote = true
+		c.fire(eventPreVoteWon)
 	case refused >= c.Membership().Quorum():
 		c.fire(eventVoteLost)
 	}
@@ -96,7 +116,7 @@
 func (c *Core) answerVote(m Message) {
 	free := c.hard.Vote == 0 && c.leader == 0
 	granted := (free || c.hard.Vote == m.From) &&
-		(m.Transfer || !c.promisedToLeader()) && c.mayVoteFor(m) &&
+		(m.Transfer || !c.promisedToLeader() || c.votesUnled(m)) && c.mayVoteFor(m) &&
 		c.log.upToDate(m.LogIndex, m.LogTerm)
 	if granted {
 		c.hard.Vote = m.From
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -9,7 +9,7 @@
 	}
 	c.leader = m.From
 	c.leaderIncarnation = m.FromIncarnation
-	c.leaderHeardAt = c.now
+	c.leaderHeardAt, c.leaderSeen = c.now, true
 	c.fire(eventLeaderHeard)
 	switch m.Kind {
 	case MessageAppend:
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -13,9 +13,9 @@
 // appended, since only by committing one the earlier entries are known to be
 // committed (Ongaro, section 3.6.2).
 func (c *Core) beginLeading() {
-	c.leader = c.config.ID
+	c.leader, c.leaderSeen = c.config.ID, true
 	c.votes = nil
-	c.transferVote = false
+	c.transferVote, c.unledVote = false, false
 	c.leading = leadership{
 		peers:         map[topology.ReplicaID]*tracker.Progress{},
 		firstIndex:    c.log.lastIndex() + 1,
--- a/internal/consensus/predecessor.go
+++ b/internal/consensus/predecessor.go
@@ -7,7 +7,8 @@
 // ago it last heard a leader, or led itself. A lease of an earlier term was
 // confirmed by a quorum, which shares a replica with the voters; that replica
 // answered no heartbeat of an earlier term after its vote, so the lease ended
-// within an ElectionTimeout of when that replica last heard.
+// within an ElectionTimeout of when that replica last heard. Where all members have started
+// anew, none of their leases lasts (unled.go).
 
 // sinceLeader returns how long ago this replica last heard a leader of an
 // earlier term, or led itself.
@@ -17,6 +18,10 @@
 
 // noteSinceLeader takes what a voter told of its earlier leaders.
 func (c *Core) noteSinceLeader(since time.Duration) {
+	if c.unledVote {
+		c.earlierLeasesEnd = c.now
+		return
+	}
 	certain := 1 - c.config.MaxClockDrift
 	heardAt := c.now - time.Duration(float64(since)*certain)
 	end := heardAt + time.Duration(float64(c.config.ElectionTimeout)/certain)
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -97,8 +97,8 @@
 	// Refused is set on answers. Rejected is then the LogIndex refused.
 	Refused  bool
 	Rejected uint64
-	// Round numbers a leader's heartbeats within its term; answers return it. A
-	// RecoveryAnswer returns the Run of what it answers.
+	// Round numbers a leader's heartbeats within its term, and the pre-votes of one
+	// process; answers return it. A RecoveryAnswer returns the Run of what it answers.
 	Round uint64
 	// Match is, on a Heartbeat, what the receiver has acknowledged in this term;
 	// on its answer, up to where the log is durable and known to match the
@@ -107,8 +107,14 @@
 	// SinceLeader is, on a VoteAnswer, how long ago the voter last heard a leader
 	// or led itself.
 	SinceLeader time.Duration
-	// Transfer marks a vote that the present leader asked for.
+	// Transfer marks a vote that the present leader asked for, Unled one that rests on
+	// no member's process having led or heard a leader.
 	Transfer bool
+	Unled    bool
+	// UpFor is, on a PreVoteAnswer, for how long the sender's process has run, if it has
+	// neither led nor heard a leader, and would vote for the candidate but for what an
+	// earlier process may have promised; else zero.
+	UpFor time.Duration
 	// Snapshot is set on MessageSnapshot. The core leaves Data empty; the
 	// driver fills it when it sends.
 	Snapshot *Snapshot
@@ -208,7 +214,8 @@
 	// what they hold; see recovery.go.
 	Unproven bool
 	// Now is the monotonic time at start. Until Now+ElectionTimeout the
-	// replica refuses votes, because it may have promised a leader so.
+	// replica refuses votes, because it may have promised a leader so, unless all members
+	// have started anew (unled.go).
 	Now time.Duration
 	// HeartbeatInterval between a leader's heartbeats.
 	HeartbeatInterval time.Duration
