--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -121,26 +121,51 @@
 	return service != nil && service.Grants == routeconfig.GrantByHeartbeat
 }
 
-// heartbeat takes what a back end holds and has let go, by its newest heartbeat,
-// and returns what it is to hold; nil renews nothing.
-func (k *keyKeeper) heartbeat(instance string, held []HeldRange, freed []FreedRange, now time.Time) *KeyOffer {
+// heartbeat takes what a back end holds and has let go, by a heartbeat that has just arrived
+// and is its newest, and returns what it is to hold, once there is something to tell or its
+// answer has to leave; nil renews nothing.
+func (k *keyKeeper) heartbeat(instance string, held []HeldRange, freed []FreedRange, arrived time.Time) *KeyOffer {
 	if !k.byHeartbeat() {
 		return nil
 	}
+	beat, ok := k.takeHeartbeat(instance, held, freed, arrived)
+	if !ok {
+		return nil
+	}
+	k.awaitNews(beat, held, arrived)
+	return k.answerHeartbeat(instance, beat, held, arrived)
+}
+
+// takeHeartbeat notes what a heartbeat says and numbers it; ok is false where it says nothing
+// of the keys that are granted here.
+func (k *keyKeeper) takeHeartbeat(instance string, held []HeldRange, freed []FreedRange, arrived time.Time) (beat uint64, ok bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if instance != k.instance || k.yielding || k.gateway.registry.unreachable() {
-		return nil
+		return 0, false
 	}
-	k.noteFreed(freed, now)
+	k.heartbeats++
+	k.noteFreed(freed, arrived)
 	k.noteTaken(held)
-	k.noteReleases(held, now)
-	offer := k.offer(now)
+	k.noteReleases(held, arrived)
+	k.announce()
+	return k.heartbeats, true
+}
+
+// answerHeartbeat returns what a back end is to hold from the arrival of a heartbeat on; nil
+// where a later one has come or there is nothing to renew.
+func (k *keyKeeper) answerHeartbeat(instance string, beat uint64, held []HeldRange, arrived time.Time) *KeyOffer {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if instance != k.instance || k.yielding || beat != k.heartbeats || k.gateway.registry.unreachable() {
+		return nil
+	}
+	offer := k.offer(arrived)
 	if offer == nil {
-		k.reported.served = reportedRanges(held, k.reported.served, now, k.gateway.config.HeartbeatInterval+reportedSlack)
+		k.reported.served = reportedRanges(held, k.reported.served, arrived, k.gateway.config.HeartbeatInterval+reportedSlack)
 		return nil
 	}
-	k.noteLeftOut(now)
+	k.noteLeftOut(arrived)
 	k.announce()
 	return offer
 }
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -120,6 +120,8 @@
 	told     map[heldKey]time.Duration
 	fences   fenceLedger
 	reported keyReport
+	// heartbeats counts those that were taken, of any life.
+	heartbeats uint64
 	// toldEarlierOver says that the leader was told that earlier lives hold nothing.
 	toldEarlierOver bool
 	earlier         earlierLives
