Held answers to heartbeats: a checked setting, a metric, and none for a back end that leaves

Cause: the first form held the answer to any heartbeat back, also that of a back end that drains, whose word must be acknowledged whatever stalls here. Tests: the heartbeat of one that leaves, settings that are refused.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -128,6 +128,10 @@
 	// often. Callers wait for it, less a renewal, until keys of a back end that has ended
 	// without a word find another owner.
 	KeyHold time.Duration
+	// AnswerHold is for how long the answer to a heartbeat is held back where there is
+	// nothing new to tell of the back end's keys, and half of HeartbeatInterval at most. What
+	// changes meanwhile is told at once. A back end waits for a second.
+	AnswerHold time.Duration
 	// LongestHold is the longest time for which the back end takes keys.
 	LongestHold time.Duration
 	// StopWithin bounds a planned stop.
@@ -143,6 +147,7 @@
 	DefaultEvacuateWithin    = 5 * time.Second
 	DefaultHeartbeatInterval = 1300 * time.Millisecond
 	DefaultKeyHold           = 1500 * time.Millisecond
+	DefaultAnswerHold        = 400 * time.Millisecond
 	DefaultLongestHold       = 10 * time.Second
 	DefaultStopWithin        = 5500 * time.Millisecond
 	DefaultWindow            = 10 * time.Second
@@ -152,11 +157,18 @@
 // may take grantTimeout.
 const shortestKeyHold = grantTimeout + renewals*keysInterval/2
 
+// longestAnswerHold is the most AnswerHold: half of the time for which a back end waits for
+// an answer.
+const longestAnswerHold = 500 * time.Millisecond
+
 // check refuses settings that no gateway can keep.
 func (c *Config) check() error {
 	if c.KeyHold < shortestKeyHold {
 		return fmt.Errorf("KeyHold is %v, and %v at the least", c.KeyHold, shortestKeyHold)
 	}
+	if c.AnswerHold < 0 || c.AnswerHold > longestAnswerHold {
+		return fmt.Errorf("AnswerHold is %v, and must lie between 0 and %v", c.AnswerHold, longestAnswerHold)
+	}
 	return nil
 }
 
@@ -165,6 +177,7 @@
 	c.EvacuateWithin = cmp.Or(c.EvacuateWithin, DefaultEvacuateWithin)
 	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
 	c.KeyHold = cmp.Or(c.KeyHold, DefaultKeyHold)
+	c.AnswerHold = cmp.Or(c.AnswerHold, DefaultAnswerHold)
 	c.LongestHold = cmp.Or(c.LongestHold, DefaultLongestHold)
 	c.StopWithin = cmp.Or(c.StopWithin, DefaultStopWithin)
 	c.Budget.Window = cmp.Or(c.Budget.Window, DefaultWindow)
--- a/internal/gateway/config_test.go
+++ b/internal/gateway/config_test.go
@@ -20,3 +20,11 @@
 	config := Config{}.withDefaults()
 	assert.NilError(t, config.check())
 }
+
+// A back end gives up on an answer that is held back for too long, and asks elsewhere.
+func TestAnswersAreHeldBackForAShortTimeAlone(t *testing.T) {
+	for name, hold := range map[string]time.Duration{"negative": -time.Millisecond, "as long as a back end waits": time.Second} {
+		_, err := Start(Config{AnswerHold: hold})
+		assert.ErrorContains(t, err, "AnswerHold", name)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,7 +174,7 @@
 		return nil, nil
 	}
 	g.keys.stay(told.ID)
-	return g.keys.heartbeat(told.ID, told.Held, told.Freed, now), nil
+	return g.keys.heartbeat(told, now), nil
 }
 
 // Deregister takes the word of a back end, by the name of its life, that it leaves.
--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -124,16 +124,21 @@
 // heartbeat takes what a back end holds and has let go, by a heartbeat that has just arrived
 // and is its newest, and returns what it is to hold, once there is something to tell or its
 // answer has to leave; nil renews nothing.
-func (k *keyKeeper) heartbeat(instance string, held []HeldRange, freed []FreedRange, arrived time.Time) *KeyOffer {
+func (k *keyKeeper) heartbeat(told Registration, arrived time.Time) *KeyOffer {
 	if !k.byHeartbeat() {
 		return nil
 	}
-	beat, ok := k.takeHeartbeat(instance, held, freed, arrived)
+	beat, ok := k.takeHeartbeat(told.ID, told.Held, told.Freed, arrived)
 	if !ok {
 		return nil
 	}
-	k.awaitNews(beat, held, arrived)
-	return k.answerHeartbeat(instance, beat, held, arrived)
+	waited := answeredAtOnce
+	// One that leaves must have its word acknowledged, whatever stalls here.
+	if told.State == fleetwire.InstanceReady {
+		waited = k.awaitNews(beat, told.Held, arrived)
+	}
+	k.gateway.metrics.heartbeats.WithLabelValues(waited).Inc()
+	return k.answerHeartbeat(told.ID, beat, told.Held, arrived)
 }
 
 // takeHeartbeat notes what a heartbeat says and numbers it; ok is false where it says nothing
--- a/internal/gateway/keynews.go
+++ b/internal/gateway/keynews.go
@@ -13,10 +13,14 @@
 // that gets them would otherwise be told half an interval late each, in which the keys'
 // requests wait.
 
+// How an answer to a heartbeat came to leave.
+const (
+	answeredAtOnce    = "at-once"
+	answeredWithNews  = "news"
+	answeredAfterHold = "held"
+)
+
 const (
-	// longestAnswerHold bounds for how long an answer is held back: less than half of the
-	// time for which a back end waits for it.
-	longestAnswerHold = 400 * time.Millisecond
 	// renewalReserve is what has to be left of the keys' time as the answer leaves.
 	renewalReserve = 600 * time.Millisecond
 )
@@ -24,7 +28,7 @@
 // answerHold is for how long the answer to a heartbeat may be held back. The caller has the
 // mutex.
 func (k *keyKeeper) answerHold(now time.Time) time.Duration {
-	hold := min(longestAnswerHold, k.gateway.config.HeartbeatInterval/2)
+	hold := min(k.gateway.config.AnswerHold, k.gateway.config.HeartbeatInterval/2)
 	for _, wanted := range k.wanted {
 		if sent, ok := k.grants[heldKey{wanted.Keys, wanted.Fence}]; ok {
 			hold = min(hold, sent.until.Sub(now)-renewalReserve)
@@ -34,24 +38,25 @@
 }
 
 // awaitNews returns once there is something to tell the back end by the answer to a
-// heartbeat, or when the answer has to leave, or a later heartbeat has come.
-func (k *keyKeeper) awaitNews(beat uint64, held []HeldRange, arrived time.Time) {
+// heartbeat, or when the answer has to leave, or a later heartbeat has come; and which of
+// these it was.
+func (k *keyKeeper) awaitNews(beat uint64, held []HeldRange, arrived time.Time) (waited string) {
 	k.mutex.Lock()
 	timer := time.NewTimer(k.answerHold(arrived))
 	k.mutex.Unlock()
 	defer timer.Stop()
-	for {
+	for waited = answeredAtOnce; ; waited = answeredWithNews {
 		k.mutex.Lock()
 		changed := k.changed
 		nothing := beat == k.heartbeats && k.longestHold(arrived) >= leastHold && k.agrees(held)
 		k.mutex.Unlock()
 		if !nothing {
-			return
+			return waited
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return
+			return answeredAfterHold
 		}
 	}
 }
--- a/internal/gateway/keynews_test.go
+++ b/internal/gateway/keynews_test.go
@@ -87,7 +87,7 @@
 		rig := settledRig(t)
 		arrived := time.Now()
 		told := <-rig.beatAside(t, heldAs(0, 99, compose(7, 0)))
-		assert.Equal(t, told.after, longestAnswerHold)
+		assert.Equal(t, told.after, DefaultAnswerHold)
 		rig.g.keys.mutex.Lock()
 		sent := rig.g.keys.grants[heldKey{keyspace.Range{First: 0, Last: 99}, 7}]
 		assert.Equal(t, sent.until, arrived.Add(told.offer.Hold))
@@ -102,7 +102,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		rig := settledRig(t)
 		told := <-rig.beatAside(t, heldAs(0, 99, compose(7, 0)))
-		time.Sleep(told.offer.Hold - longestAnswerHold - renewalReserve)
+		time.Sleep(told.offer.Hold - DefaultAnswerHold - renewalReserve)
 		rig.g.keys.take(&fleetwire.Lease{SentAt: time.Since(rig.epoch), Duration: 8 * time.Second, Instance: "i-1", Held: held(0, 99)}, rig.epoch)
 		late := <-rig.beatAside(t, heldAs(0, 99, compose(7, 0)))
 		assert.Assert(t, late.offer != nil)
@@ -110,6 +110,19 @@
 	})
 }
 
+// A back end that leaves has its word acknowledged whatever happens here meanwhile.
+func TestTheHeartbeatOfOneThatLeavesIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := settledRig(t)
+		began := time.Now()
+		_, err := rig.g.Heartbeat(Registration{
+			ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceDraining, Sequence: 100, Held: heldAs(0, 99, compose(7, 0)),
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
 // Of two heartbeats that are answered at the same time, the earlier one renews nothing.
 func TestAnAnswerIsGivenUpForALaterHeartbeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,7 +47,9 @@
 	words    *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	freed    *prometheus.CounterVec
-	told     *prometheus.CounterVec
+	// heartbeats by how their answers came to leave.
+	heartbeats *prometheus.CounterVec
+	told       *prometheus.CounterVec
 	// pipelines counts what callers send ahead.
 	pipelines pipelineMetrics
 }
@@ -77,7 +79,8 @@
 	m.told = counters("told_unread_total", "Words of other processes that told nothing, as they could not be read or had not come, by what they were to tell.", "of")
 	m.freed = counters("keys_freed_total", "Times that the leader was told that keys may go to another owner, by what it rests on.", "proof")
 	m.pipelines = newPipelineMetrics(registry)
-	registry.MustRegister(m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed, m.told)
+	m.heartbeats = counters("heartbeat_answers_total", "Answers to heartbeats of back ends that get their keys by them: at once, held back until there was news, or held back in vain.", "left")
+	registry.MustRegister(m.heartbeats, m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed, m.told)
 	return m
 }
 
