--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -174,6 +174,7 @@
 		Target:   request.Target,
 		Patience: max(least, left-kept),
 		Latest:   time.Until(request.Deadline) - answerMargin - kept,
+		OnlyHere: request.HasKey,
 	}
 }
 
--- a/internal/gateway/lateslots_test.go
+++ b/internal/gateway/lateslots_test.go
@@ -115,6 +115,7 @@
 // served counts how many of a stream of callers are answered in time, late, and
 // not at all, with or without a place for late ones.
 func served(t *testing.T, load float64, places bool) (inTime, late, refused int) {
+	var vain time.Duration
 	const slots, callers, target, leaves = 6, 1500, 600 * time.Millisecond, 1500 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(7, 7))
@@ -127,6 +128,7 @@
 			all.Go(func() {
 				began := time.Now()
 				wanted := wish(target, leaves)
+				wanted.OnlyHere = places
 				if !places {
 					wanted.Latest = 0
 				}
@@ -140,6 +142,7 @@
 				switch took := time.Since(began); {
 				case err != nil:
 					refused++
+					vain += took
 				case took <= target:
 					inTime++
 				default:
@@ -149,13 +152,14 @@
 		}
 		all.Wait()
 	})
+	t.Log(vain)
 	return inTime, late, refused
 }
 
 // A gain for callers: fewer are sent away, and hardly one that was answered in time
 // is answered late instead.
 func TestMoreCallersAreServed(t *testing.T) {
-	for _, load := range []float64{0.7, 0.9, 1.3} {
+	for _, load := range []float64{0.7, 0.8, 0.9, 1.0, 1.1, 1.3} {
 		inTimeBefore, lateBefore, refusedBefore := served(t, load, false)
 		inTime, late, refused := served(t, load, true)
 		t.Logf("load %.1f: in time %d -> %d, late %d -> %d, refused %d -> %d", load, inTimeBefore, inTime, lateBefore, late, refusedBefore, refused)
--- a/internal/overload/late.go
+++ b/internal/overload/late.go
@@ -16,6 +16,9 @@
 // fewer requests were in time under overload (docs/MEASUREMENTS.md).
 const leastLeftOver = 0.2
 
+// leastLasting is the same for the long run, where the error is smaller.
+const leastLasting = 0.06
+
 // lateCheckInterval is how often it is checked whether a late request that waits is still
 // likely to get a slot: what was left over when it came may be used by now. It is a
 // quarter of the time over which that is measured (busyHalfLife).
@@ -28,7 +31,7 @@
 // its caller leaves.
 func (q *SlotQueue) waitLate(waiting *Ticket, now time.Time) bool {
 	ahead := len(q.short.late) + len(q.long.late)
-	if q.estimateLate(waiting.short, waiting.Priority, ahead, now) > waiting.timeLeft(now) {
+	if q.estimateLate(waiting, ahead, now) > waiting.timeLeft(now) {
 		return false
 	}
 	waiting.late = true
@@ -60,30 +63,47 @@
 			}
 		}
 	}
-	return q.estimateLate(waiting.short, waiting.Priority, ahead, now) <= waiting.timeLeft(now)
+	return q.estimateLate(waiting, ahead, now) <= waiting.timeLeft(now)
 }
 
-// estimateLate is how long a late request of a kind and priority will wait behind a
-// number of other late ones, at the rate at which slots are left over.
-func (q *SlotQueue) estimateLate(short bool, priority, ahead int, now time.Time) time.Duration {
+// estimateLate is how long a late request will wait behind a number of other late ones, at
+// the rate at which slots are left over.
+func (q *SlotQueue) estimateLate(waiting *Ticket, ahead int, now time.Time) time.Duration {
 	const never = time.Hour
 	if q.warmth.Cold(now) {
 		return q.paced(len(q.short.queue)+len(q.long.queue)+ahead, now)
 	}
-	slots := q.usable(short, priority)
-	leftOver := slots - (q.long.busy - q.lateBusy)
-	if short {
-		leftOver -= q.short.busy
-	}
-	if leftOver < leastLeftOver*slots {
+	slots := q.usable(waiting.short, waiting.Priority)
+	leftOver := q.leftOver(waiting, slots)
+	if leftOver <= 0 {
 		return never
 	}
-	use := q.use(short)
+	use := q.use(waiting.short)
 	inTime := float64(len(q.short.queue)+len(q.long.queue)) / slots
 	behind := float64(ahead+1) / leftOver
 	return time.Duration(float64(use.serviceTime) * (inTime + behind))
 }
 
+// leftOver is how many of the slots that a late request may use are left over on average;
+// zero where those are too few to wait for. One that can be served nowhere else waits for a
+// few as well, by what is left over in the long run: sent away for a burst that passes, it
+// would come back to the same back end.
+func (q *SlotQueue) leftOver(waiting *Ticket, slots float64) float64 {
+	short, passing, lasting := 0.0, slots-(q.long.busy-q.lateBusy), slots-(q.long.lasting-q.lateLasting)
+	if waiting.short {
+		short = 1
+	}
+	passing -= short * q.short.busy
+	lasting -= short * q.short.lasting
+	switch {
+	case passing >= leastLeftOver*slots:
+		return passing
+	case waiting.OnlyHere && lasting >= leastLasting*slots:
+		return lasting
+	}
+	return 0
+}
+
 // usable is how many slots requests of a kind and priority may use: long ones those
 // that are not kept for short ones, nor used by more of these.
 func (q *SlotQueue) usable(short bool, priority int) float64 {
--- a/internal/overload/slots.go
+++ b/internal/overload/slots.go
@@ -21,6 +21,8 @@
 	// how long it may wait at all, if there is room for late ones.
 	Patience time.Duration
 	Latest   time.Duration
+	// OnlyHere says that no other back end can serve it, as that owns its key.
+	OnlyHere bool
 }
 
 // Slot is one that was given to a request.
@@ -93,8 +95,10 @@
 	late  ticketQueue
 	// serviceTime is a moving average of how long a slot is used, and busy one
 	// of how many are.
+	// lasting is the same as busy over a longer time.
 	serviceTime time.Duration
 	busy        float64
+	lasting     float64
 	refused     Refusals
 	// priority of the request that came last.
 	priority int
@@ -114,6 +118,7 @@
 	// average of it.
 	lateRunning int
 	lateBusy    float64
+	lateLasting float64
 	// target is the mean target of requests, weighed by the slot time they use.
 	target time.Duration
 	// warmth bounds what the back end gets while it is cold.
@@ -127,6 +132,8 @@
 	serviceTimeWeight = 0.1
 	// busyHalfLife weighs older counts of used slots.
 	busyHalfLife = time.Second
+	// lastingHalfLife is the same for what tells a passing burst from overload.
+	lastingHalfLife = 4 * time.Second
 	// keptForLessUrgent are kept for short requests before a long one that is more
 	// urgent: what calls need to end at all, and no more.
 	keptForLessUrgent = 1
@@ -208,11 +215,18 @@
 func (q *SlotQueue) advance(now time.Time) {
 	elapsed := now.Sub(q.usedAt)
 	q.usedAt = now
-	keep := float64(busyHalfLife) / float64(busyHalfLife+max(elapsed, 0))
 	for _, use := range []*slotUse{&q.short, &q.long} {
-		use.busy = use.busy*keep + float64(use.running)*(1-keep)
+		use.busy = average(use.busy, use.running, elapsed, busyHalfLife)
+		use.lasting = average(use.lasting, use.running, elapsed, lastingHalfLife)
 	}
-	q.lateBusy = q.lateBusy*keep + float64(q.lateRunning)*(1-keep)
+	q.lateBusy = average(q.lateBusy, q.lateRunning, elapsed, busyHalfLife)
+	q.lateLasting = average(q.lateLasting, q.lateRunning, elapsed, lastingHalfLife)
+}
+
+// average moves an average on by a count that held for a time.
+func average(before float64, running int, elapsed, halfLife time.Duration) float64 {
+	keep := float64(halfLife) / float64(halfLife+max(elapsed, 0))
+	return before*keep + float64(running)*(1-keep)
 }
 
 // reserved is how many slots only short requests may use, before a long one of a
