--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -80,6 +80,7 @@
 	// firstIndex is that of the entry that began the term.
 	firstIndex       uint64
 	electedAt        time.Duration
+	startedAnew      bool
 	uncommittedBytes int
 	// appendWanted and roundWanted gather work until the next Ready.
 	appendWanted bool
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -15,8 +15,10 @@
 func (c *Core) beginLeading() {
 	c.leader, c.leaderSeen = c.config.ID, true
 	c.votes = nil
+	startedAnew := c.unledVote
 	c.transferVote, c.unledVote = false, false
 	c.leading = leadership{
+		startedAnew:   startedAnew,
 		peers:         map[topology.ReplicaID]*tracker.Progress{},
 		firstIndex:    c.log.lastIndex() + 1,
 		electedAt:     c.now,
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -28,6 +28,8 @@
 	// zero at a replica without one. Whoever acts as the leader compares it
 	// with the time at the moment of acting.
 	LeaseUntil time.Duration
+	// StartedAnew says, at a leader, that it was elected since all members had started anew.
+	StartedAnew bool
 	// EarlierLeasesEnd is, at a leader, by when every leader lease of an earlier
 	// term has ended, on the same clock; it may be before its election or after.
 	EarlierLeasesEnd time.Duration
@@ -82,6 +84,7 @@
 		LeaseUntil:    c.leaseUntil(),
 		LeaderHeardAt: c.leaderHeardAt,
 
+		StartedAnew:      c.leading.startedAnew,
 		EarlierLeasesEnd: c.earlierLeasesEnd,
 		Membership:       c.Membership(),
 	}
--- a/internal/consensus/unled_test.go
+++ b/internal/consensus/unled_test.go
@@ -33,7 +33,9 @@
 		began := c.now
 		c.waitLeader()
 		assert.Assert(t, c.now-began < DefaultElectionTimeout*2/3, "%v after the start", c.now-began)
-		assert.Assert(t, c.leader().core.Status().EarlierLeasesEnd <= c.now, "no lease of an earlier leader lasts")
+		status := c.leader().core.Status()
+		assert.Assert(t, status.StartedAnew)
+		assert.Assert(t, status.EarlierLeasesEnd <= c.now, "no lease of an earlier leader lasts")
 		c.commit("b")
 	}
 }
@@ -49,6 +51,7 @@
 		began := c.now
 		c.waitLeader()
 		assert.Assert(t, c.now-began >= DefaultElectionTimeout, "%v after the start", c.now-began)
+		assert.Assert(t, !c.leader().core.Status().StartedAnew)
 	}
 }
 
--- a/internal/fleetcontroller/machine.go
+++ b/internal/fleetcontroller/machine.go
@@ -101,7 +101,7 @@
 		}
 		now := c.member.Now()
 		c.metrics.leaderships.Inc()
-		c.config.Log.Info("leadership begins", "term", term, "version", uint64(c.control.state.Version()))
+		c.config.Log.Info("leadership begins", "term", term, "version", uint64(c.control.state.Version()), "all_started_anew", status.StartedAnew)
 		c.control.planner = keylease.New(c.config.Planner, c.control.state, status.EarlierLeasesEnd, now)
 		c.control.inForce = configlease.NewGrantor(c.config.Configuration, status.EarlierLeasesEnd)
 		c.publish()
