--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -167,6 +167,15 @@
 			"REVIVED_KEEPS_LEASE", "COVER_AFTER_PROPOSAL", "PROMISE_OUTLIVES_LEASE", "OWN_OLD_SESSION_BELIEVED",
 		},
 	},
+	{
+		name:   "elections where all have started anew",
+		model:  "unled.pml",
+		bounds: []string{"ASKERS=2", "ROUNDS=2"},
+		short:  []string{"ASKERS=1", "ROUNDS=2"},
+		defects: []string{
+			"MAJORITY_IS_ENOUGH", "EARLIER_ROUNDS_COUNT", "ANY_PROCESS_ANSWERS", "ANY_PROCESS_VOTES", "VOTER_HAS_HEARD_A_LEADER",
+		},
+	},
 	{
 		name:    "a process that only looks dead, beside restarts and changes of leader",
 		model:   "lookalike.pml",
