Let a replica that has asked for votes keep them; tickets of slots in a file of their own

Cause: a candidate that rests on all having started anew cleared what it was told of when another one's pre-vote came, and counted no vote after that: found by reading the change again. Test: fails on the code before.

--- a/internal/consensus/unled.go
+++ b/internal/consensus/unled.go
@@ -75,8 +75,9 @@
 
 // yieldTo lets another replica that looks for those that have started anew go first. Of two
 // that do at the same time, the one with the higher ID yields, so that votes are not split.
+// One that has asked for votes already goes on.
 func (c *Core) yieldTo(other topology.ReplicaID) {
-	if c.role == PreCandidate && c.config.ID < other {
+	if c.role != Follower && (c.role != PreCandidate || c.config.ID < other) {
 		return
 	}
 	c.unledRound = unledRound{number: c.unledRound.number + 1}
--- a/internal/consensus/unled_test.go
+++ b/internal/consensus/unled_test.go
@@ -211,6 +211,37 @@
 	assert.Equal(t, s.sent[0].UpFor, time.Duration(0))
 }
 
+// Another one that looks for those that have started anew as well is let go first, unless
+// votes have been asked for.
+func TestWhoGoesFirst(t *testing.T) {
+	ask := func(from topology.ReplicaID, term uint64) func(*Message) {
+		return func(m *Message) {
+			*m = Message{Kind: MessagePreVote, Group: m.Group, Term: term, Round: 5, From: from, FromIncarnation: testMember(from).Incarnation, To: m.To, ToIncarnation: m.ToIncarnation}
+		}
+	}
+	s, answer := unledScript(t)
+	answer(2, ask(2, 1))
+	answer(2, nil)
+	answer(3, nil)
+	assert.Equal(t, s.core.Role(), Candidate, "replica 1 goes before 2")
+	answer(2, ask(2, 2))
+	s.core.Advance(s.core.Ready())
+	answer(3, func(m *Message) {
+		*m = Message{Kind: MessageVoteAnswer, Group: m.Group, Term: 1, Run: 73, From: 3, FromIncarnation: m.FromIncarnation, To: m.To, ToIncarnation: m.ToIncarnation}
+	})
+	assert.Equal(t, s.core.Role(), Leader, "and once it has asked for votes, all that come count")
+
+	yields := newCluster(t, 1, 3).nodes[3]
+	for yields.core.Role() != PreCandidate {
+		yields.core.Tick(yields.core.now + testTick)
+	}
+	assert.NilError(t, yields.core.Step(yields.core.now, Message{
+		Kind: MessagePreVote, Group: testGroup, Term: 1, Round: 1, From: 1, FromIncarnation: testMember(1).Incarnation, To: 3, ToIncarnation: testMember(3).Incarnation,
+	}))
+	assert.Equal(t, len(yields.core.unledRound.runs), 0)
+	assert.Assert(t, yields.core.unledRound.number > 1, "answers to its own round count no more")
+}
+
 // A process that has started since it was heard has forgotten whom it has heard.
 func TestAVoteCountsFromTheProcessThatWasHeard(t *testing.T) {
 	s, answer := unledScript(t)
--- a/internal/gateway/keynews.go
+++ b/internal/gateway/keynews.go
@@ -20,10 +20,8 @@
 	answeredAfterHold = "held"
 )
 
-const (
-	// renewalReserve is what has to be left of the keys' time as the answer leaves.
-	renewalReserve = 600 * time.Millisecond
-)
+// renewalReserve is what has to be left of the keys' time as an answer leaves.
+const renewalReserve = 600 * time.Millisecond
 
 // answerHold is for how long the answer to a heartbeat may be held back. The caller has the
 // mutex.
--- /dev/null
+++ b/internal/overload/tickets.go
@@ -0,0 +1,83 @@
+package overload
+
+import (
+	"time"
+)
+
+// Demand is what a request asks of the slots.
+type Demand struct {
+	// Priority ranks requests; 0 goes first. Among equals, who is due first.
+	Priority int
+	Due      time.Time
+	// Target is the time within which the answer is worth most. Requests with a
+	// short one may use the slots that are kept for them: others that hold
+	// slots, here or elsewhere, may be waiting for their answers.
+	Target time.Duration
+	// Patience is how long it may wait and still be answered in time, and Latest
+	// how long it may wait at all, if there is room for late ones.
+	Patience time.Duration
+	Latest   time.Duration
+	// OnlyHere says that no other back end can serve it, as that owns its key.
+	OnlyHere bool
+}
+
+// Slot is one that was given to a request.
+type Slot struct {
+	Short bool
+	// Late says that the request can't be answered in time any more.
+	Late   bool
+	Target time.Duration
+}
+
+// Ticket is a request that has a slot or waits for one.
+type Ticket struct {
+	Demand
+	// Admitted is called once the request has a slot; nil is not.
+	Admitted func()
+
+	short bool
+	late  bool
+	since time.Time
+	// position in the queue, below zero where it has left that.
+	position int
+	admitted bool
+}
+
+// Slot returns what the request has or waits for.
+func (t *Ticket) Slot() Slot { return Slot{Short: t.short, Late: t.late, Target: t.Target} }
+
+// HasSlot reports whether the request has got its slot.
+func (t *Ticket) HasSlot() bool { return t.admitted }
+
+// ticketQueue orders tickets by priority, then by when they are due.
+type ticketQueue []*Ticket
+
+func (q ticketQueue) Len() int           { return len(q) }
+func (q ticketQueue) Less(i, j int) bool { return q[i].before(&q[j].Demand) }
+func (q ticketQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].position, q[j].position = i, j
+}
+
+// Push implements heap.Interface.
+func (q *ticketQueue) Push(x any) {
+	t := x.(*Ticket)
+	t.position = len(*q)
+	*q = append(*q, t)
+}
+
+// Pop implements heap.Interface.
+func (q *ticketQueue) Pop() any {
+	old := *q
+	t := old[len(old)-1]
+	*q = old[:len(old)-1]
+	t.position = -1
+	return t
+}
+
+func (d *Demand) before(other *Demand) bool {
+	if d.Priority != other.Priority {
+		return d.Priority < other.Priority
+	}
+	return d.Due.Before(other.Due)
+}
