--- a/internal/keylease/pace.go
+++ b/internal/keylease/pace.go
@@ -8,8 +8,7 @@
 
 // Back ends of one service differ in how long they take for the same work, and they change.
 // A key that asks for more than one back end has can't be divided: where it is decides how
-// much of it is served. On one that takes 340 ms for a run, 40 of the requests for such a key
-// were answered in a second, while others that take 100 ms used 1 to 3 of their 12 slots.
+// much of it is served.
 
 const (
 	// runsHalfLife weighs older runs. Run times spread by more than their mean, so that an
--- a/internal/overload/late.go
+++ b/internal/overload/late.go
@@ -12,8 +12,7 @@
 
 // leastLeftOver is the part of the slots that must be left over for late requests
 // to wait at all: the rate is measured over a second, and with less its error is as
-// large as itself. With 0.1 of all slots, some of them kept for short requests,
-// fewer requests were in time under overload (docs/MEASUREMENTS.md).
+// large as itself, and late requests would take slots from those in time.
 const leastLeftOver = 0.2
 
 // leastLasting is the same for the long run, where the error is smaller.
--- a/internal/overload/slots.go
+++ b/internal/overload/slots.go
@@ -153,8 +153,7 @@
 
 // reserved is how many slots only short requests may use, before a long one of a
 // priority: as many as they use, in whole slots. Beside them a short request gets the next
-// slot that becomes free, so that no more need to be idle. Against two of seven slots kept
-// whatever is used, a fifth fewer long requests were refused (2,196 and 2,779 of 16,972).
+// slot that becomes free, so that no more need to be idle.
 func (q *SlotQueue) reserved(priority int) int {
 	if q.short.busy < leastBusy {
 		return 0
