--- a/tools/testreport/knownred.go
+++ b/tools/testreport/knownred.go
@@ -12,13 +12,19 @@
 // knownRed is a test that is known to fail for a real fault.
 type knownRed struct {
 	// Test is "package.TestName", the package without the module's path.
-	Test  string
-	Cause string
+	Test string
+	// Command, with its seed, shows the failure.
+	Command string
+	// Seen is what was seen.
+	Seen  string
 	Issue string
 }
 
-// parseKnownRed reads lines "package.TestName | cause | issue". Empty lines
-// and lines that start with '#' are passed over.
+// entryForm is how a line names its fields.
+const entryForm = "package.TestName | command and seed | what was seen | issue"
+
+// parseKnownRed reads lines of entryForm. Empty lines and lines that start with '#' are
+// passed over.
 func parseKnownRed(text string) ([]knownRed, error) {
 	var listed []knownRed
 	var problems []error
@@ -43,14 +49,14 @@
 // parseEntry reads one line.
 func parseEntry(line string) (knownRed, error) {
 	parts := strings.Split(line, "|")
-	if len(parts) != 3 {
-		return knownRed{}, errors.New("expected: package.TestName | cause | issue")
+	if len(parts) != 4 {
+		return knownRed{}, errors.New("expected: " + entryForm)
 	}
 	for i := range parts {
 		parts[i] = strings.TrimSpace(parts[i])
 		if parts[i] == "" {
-			return knownRed{}, errors.New("test, cause and issue must all be given")
+			return knownRed{}, errors.New("test, command and seed, what was seen and issue must all be given")
 		}
 	}
-	return knownRed{Test: parts[0], Cause: parts[1], Issue: parts[2]}, nil
+	return knownRed{Test: parts[0], Command: parts[1], Seen: parts[2], Issue: parts[3]}, nil
 }
--- a/tools/testreport/run.go
+++ b/tools/testreport/run.go
@@ -172,7 +172,7 @@
 		case r.hasPassed(entry.Test):
 			state = "passed; take it off the list if it does so again"
 		}
-		fmt.Fprintf(out, "known to fail: %s: %s (%s, %s)\n", entry.Test, state, entry.Cause, entry.Issue)
+		fmt.Fprintf(out, "known to fail: %s: %s (%s; %s; %s)\n", entry.Test, state, entry.Seen, entry.Command, entry.Issue)
 	}
 }
 
--- a/tools/testreport/run_test.go
+++ b/tools/testreport/run_test.go
@@ -23,7 +23,7 @@
 )
 
 func TestVerdict(t *testing.T) {
-	listed := []knownRed{{Test: "internal/a.TestOne", Cause: "counts wrong", Issue: "issue 4"}}
+	listed := []knownRed{{Test: "internal/a.TestOne", Command: "go test ./internal/a -seed 7", Seen: "counts wrong", Issue: "issue 4"}}
 	cases := []struct {
 		name, input string
 		known       []knownRed
@@ -32,7 +32,7 @@
 	}{
 		{"all pass", startA + passOne + passA, nil, true, "1 passed, 0 failed"},
 		{"one fails", startA + failOne + failA, nil, false, "one is not two"},
-		{"a listed test fails", startA + failOne + failA, listed, true, "known to fail: internal/a.TestOne: failed (counts wrong, issue 4)"},
+		{"a listed test fails", startA + failOne + failA, listed, true, "known to fail: internal/a.TestOne: failed (counts wrong; go test ./internal/a -seed 7; issue 4)"},
 		{"an unlisted test fails beside it", startA + failOne + failTwo + failA, listed, false, "--- FAILED internal/a.TestTwo"},
 		{"a listed test panics", startA + panicA + failOne + failA, listed, false, "--- FAILED internal/a"},
 		{"a listed test passes", startA + passOne + passA, listed, true, "passed; take it off the list"},
@@ -56,12 +56,12 @@
 }
 
 func TestKnownRedListIsChecked(t *testing.T) {
-	listed, err := parseKnownRed("# none\n\ninternal/a.TestOne | counts wrong | issue 4\n")
+	listed, err := parseKnownRed("# none\n\ninternal/a.TestOne | go test ./internal/a -seed 7 | counts wrong | issue 4\n")
 	assert.NilError(t, err)
-	assert.DeepEqual(t, listed, []knownRed{{Test: "internal/a.TestOne", Cause: "counts wrong", Issue: "issue 4"}})
-	_, err = parseKnownRed("internal/a.TestOne\nx | | y\n")
+	assert.DeepEqual(t, listed, []knownRed{{Test: "internal/a.TestOne", Command: "go test ./internal/a -seed 7", Seen: "counts wrong", Issue: "issue 4"}})
+	_, err = parseKnownRed("internal/a.TestOne | counts wrong | issue 4\nx | c | | y\n")
 	assert.ErrorContains(t, err, "line 1")
 	assert.ErrorContains(t, err, "line 2")
-	_, err = parseKnownRed(strings.Repeat("a.T | b | c\n", 4))
+	_, err = parseKnownRed(strings.Repeat("a.T | b | c | d\n", 4))
 	assert.ErrorContains(t, err, "4 tests are listed; 3 at most")
 }
