Tell which requests a back end was at work on when it ended

Callers whose back end ended got 502 broken-off, the word for any connection that breaks. Neither logs nor metrics of the incident tell which requests were at work on each back end that ended, so that its hypotheses can't be told apart.

The gateway beside the back end now looks, where an exchange's connection ends before its answer, whether anything still listens, and takes the heartbeat of a next life for the same. It writes one line with the ids and digests of all that was at work (two copies of a request share a digest, whatever gateway took them), counts ends and requests, and tells the caller's gateway the reason back-end-ended. What is sent again, and where, has not changed: this is sight alone.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -230,9 +230,11 @@
 	if err != nil {
 		return notRun(reasonBroken)
 	}
+	e.gateway.atWork.begin(request)
+	defer e.gateway.atWork.end(request)
 	response, err := e.pool.Do(ctx, outgoing)
 	if err != nil {
-		return e.failed(request, err)
+		return e.failed(ctx, request, err)
 	}
 	defer response.Body.Close()
 	if response.Header.Get(e.gateway.config.Headers.RequestID) != request.ID {
@@ -240,7 +242,7 @@
 	}
 	body, err := readAnswer(response)
 	if err != nil {
-		return e.broken(request, err)
+		return e.cutOff(ctx, request, err)
 	}
 	return e.judge(request, response, body)
 }
@@ -285,7 +287,7 @@
 }
 
 // failed classifies an exchange without an answer.
-func (e *egress) failed(request *forwardRequest, err error) *forwardResult {
+func (e *egress) failed(ctx context.Context, request *forwardRequest, err error) *forwardResult {
 	e.gateway.suspect(request.Instance, err)
 	if errors.Is(err, upstream.ErrNotSent) {
 		return notRun(reasonUnreachable)
@@ -293,7 +295,16 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return &forwardResult{Outcome: outcomeUnknown, Reason: reasonTimeout, Sent: true}
 	}
-	return e.broken(request, err)
+	return e.cutOff(ctx, request, err)
+}
+
+// cutOff classifies an exchange whose connection ended before the whole answer was there.
+func (e *egress) cutOff(ctx context.Context, request *forwardRequest, err error) *forwardResult {
+	result := e.broken(request, err)
+	if connectionEnded(ctx) && !errors.Is(err, errNoAnswer) && e.gateway.endedUnder(request) {
+		result.Reason = reasonEnded
+	}
+	return result
 }
 
 func (e *egress) broken(request *forwardRequest, err error) *forwardResult {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/overload"
+	"github.com/quartzdock/quartzdock/internal/quarantine"
 )
 
 // outcome is what is known of a request after one try.
@@ -46,6 +48,8 @@
 	reasonUnreachable reason = "unreachable"
 	// reasonBroken: the exchange broke off, or the answer was no answer to it.
 	reasonBroken reason = "broken-off"
+	// reasonEnded: the back end ended while it was at work on the request.
+	reasonEnded reason = "back-end-ended"
 	// reasonTimeout: no answer in the time.
 	reasonTimeout reason = "timeout"
 	// reasonStopping: the gateway is being stopped, and the request's time ends
@@ -79,6 +83,7 @@
 	reasonRefused:         true,
 	reasonUnreachable:     true,
 	reasonBroken:          true,
+	reasonEnded:           true,
 	reasonTimeout:         true,
 	reasonStopping:        true,
 	reasonNoInstance:      true,
@@ -121,6 +126,18 @@
 	Target   time.Duration
 	Due      time.Time
 	Deadline time.Time
+
+	digestOnce sync.Once
+	digested   quarantine.Digest
+}
+
+// digest names the request among others.
+func (r *forwardRequest) digest() quarantine.Digest {
+	r.digestOnce.Do(func() {
+		same := quarantine.Request{Service: r.Service, Method: r.Method, Host: r.Host, Target: r.URI, Body: r.Body}
+		r.digested = same.Digest()
+	})
+	return r.digested
 }
 
 // forwardResult is what became of one try.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	pacer      *linkPacer
 	held       heldBytes
 	egress     *egress
+	atWork     atWork
 	session    *sessionClient
 	tally      tally
 	metrics    *gatewayMetrics
@@ -78,6 +79,7 @@
 	g.keys = newKeyKeeper(g)
 	g.registry.lookAgain = g.probe
 	g.registry.yields = g.keys.yield
+	g.registry.replaced = g.noteEnd
 	g.session = newSessionClient(g)
 	g.registry.leaderAnswered = g.session.answered
 	var err error
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,9 @@
 	words    *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	freed    *prometheus.CounterVec
+	// backendEnds are ends of the back end with requests at work, and cut those requests.
+	backendEnds prometheus.Counter
+	cut         prometheus.Counter
 	// heartbeats by how their answers came to leave.
 	heartbeats *prometheus.CounterVec
 	told       *prometheus.CounterVec
@@ -80,10 +83,18 @@
 	m.freed = counters("keys_freed_total", "Times that the leader was told that keys may go to another owner, by what it rests on.", "proof")
 	m.pipelines = newPipelineMetrics(registry)
 	m.heartbeats = counters("heartbeat_answers_total", "Answers to heartbeats of back ends that get their keys by them: at once, held back until there was news, or held back in vain.", "left")
-	registry.MustRegister(m.heartbeats, m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed, m.told)
+	m.backendEnds = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "back_end_ends_total", Help: "Ends of the back end while it was at work."})
+	m.cut = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "requests_cut_by_ends_total", Help: "Requests that the back end was at work on when it ended."})
+	registry.MustRegister(m.backendEnds, m.cut, m.heartbeats, m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed, m.told)
 	return m
 }
 
+// backendEnded counts an end of the back end with requests at work.
+func (m *gatewayMetrics) backendEnded(atWork int) {
+	m.backendEnds.Inc()
+	m.cut.Add(float64(atWork))
+}
+
 // request counts the end of a caller's request.
 func (m *gatewayMetrics) request(service string, told outcome, why reason) {
 	m.requests.WithLabelValues(service, string(told), string(why)).Inc()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -193,7 +193,7 @@
 	switch {
 	case result.Outcome == outcomeAnswered && result.Status < http.StatusInternalServerError:
 		p.failures = 0
-	case result.Reason == reasonUnreachable || result.Reason == reasonBroken || result.Reason == reasonTimeout:
+	case result.Reason == reasonUnreachable || result.Reason == reasonBroken || result.Reason == reasonEnded || result.Reason == reasonTimeout:
 		penalty := min(firstPenalty<<min(p.failures, 8), longestPenalty)
 		p.failures++
 		p.avoidUntil = now.Add(penalty)
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -48,6 +48,9 @@
 	// one. It reports whether the time of all that was granted to that one is over; where it
 	// is not, nothing more is granted, and retry is called once it is.
 	yields func(former string, now time.Time) bool
+	// replaced is called, without the mutex, where another life took the place of one that had
+	// not said that it leaves.
+	replaced func(former string)
 	// leaderAnswered reports whether the leader has answered this process, which then
 	// knows the life that the leader knew; retry is called once it has.
 	leaderAnswered func() bool
@@ -76,6 +79,7 @@
 		told:           func(time.Duration, bool) {},
 		lookAgain:      func(string) {},
 		yields:         func(string, time.Time) bool { return true },
+		replaced:       func(string) {},
 		leaderAnswered: func() bool { return true },
 	}
 }
@@ -97,6 +101,13 @@
 	return r.refuseFrom.IsZero() || now.Before(r.refuseFrom)
 }
 
+// serves reports whether an instance is the present one and has not said that it leaves.
+func (r *registry) serves(instance string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.current.ID != "" && r.current.ID == instance && !r.left && r.saidState != fleetwire.InstanceDraining
+}
+
 // heartbeat takes a back end's word, drainWithin being for how long a leaving
 // one may still get requests. It reports whether this is the newest word of the
 // life that is there.
@@ -105,7 +116,11 @@
 	if !believed || former != "" && !r.yields(former, now) {
 		return false
 	}
+	left := former != "" && !r.serves(former)
 	newest, changed := r.take(told, former, drainWithin, now)
+	if newest && former != "" && !left {
+		r.replaced(former)
+	}
 	if changed {
 		r.changed()
 	}
--- a/internal/requesthistory/cause.go
+++ b/internal/requesthistory/cause.go
@@ -17,6 +17,7 @@
 	reasonRefused         = "refused-by-back-end"
 	reasonUnreachable     = "unreachable"
 	reasonBroken          = "broken-off"
+	reasonEnded           = "back-end-ended"
 	reasonTimeout         = "timeout"
 	reasonNoRoute         = "no-route"
 	reasonStopping        = "gateway-stopping"
@@ -52,6 +53,8 @@
 		"no byte of it could be sent to the back end or the gateway beside it"},
 	reasonBroken: {[]string{messageBroken, messageBackend, messageNotServed},
 		"the exchange broke off after it was sent: it may have run"},
+	reasonEnded: {[]string{messageEnded, messageNotServed},
+		"the back end ended while it was at work on it: it may have run"},
 	reasonTimeout: {[]string{messageSummary, messageNotServed},
 		"no answer came within the request's time: it may have run"},
 	reasonStopping: {[]string{messageRefused, messageNotServed},
--- a/internal/requesthistory/history.go
+++ b/internal/requesthistory/history.go
@@ -31,6 +31,7 @@
 	messageWaited    = "answer waited for its turn"
 	messageRefused   = "try refused"
 	messageBroken    = "exchange with back end broken off"
+	messageEnded     = "back end ended while at work"
 	messageByBackend = "refused by back end"
 	messageBackend   = "back end"
 	messageSummary   = "back end in the last second"
