Failing test: a request that ends each back end that begins it is sent on and on

Real processes on the stand-in of the users' platform: a request that ends each back end that begins it comes again at each gateway in turn, each time with a new id; the back ends are back after 0.7 s. At most three sends are allowed once three back ends have ended and three seconds have passed.

--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -38,6 +38,10 @@
 	// none.
 	Calls func(context.Context, LookUp)
 
+	// Ends reports whether a request ends the back end that begins it, and notes that it
+	// did; nil is none.
+	Ends func(*http.Request) bool
+
 	// ListenLate is how long after its first heartbeat it begins to listen.
 	ListenLate time.Duration
 
@@ -109,6 +113,17 @@
 	_ = i.server.Close()
 }
 
+// timeToEnd is how long a request that ends its back end is at work until then.
+const timeToEnd = 30 * time.Millisecond
+
+// endUnder ends the instance under a run, as a crash does.
+func (i *Instance) endUnder(run *Run) {
+	time.Sleep(timeToEnd)
+	i.ledger.ends(run, time.Now(), false, true)
+	go i.Stop()
+	panic(http.ErrAbortHandler)
+}
+
 func (i *Instance) ended() bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
@@ -155,6 +170,9 @@
 		return
 	}
 	run := i.ledger.run(i, r)
+	if i.Ends != nil && i.Ends(r) {
+		i.endUnder(run)
+	}
 	ctx, over := i.insideLease(r)
 	defer over()
 	whole := i.atWork(ctx, r)
