Hold back requests that end each back end that begins them

Cause: nothing was remembered of a request between its visits. Each gateway judged each visit by itself, the gateway beside the back end could not tell its end from a broken connection, and a visit went on to the next back end. Class: a bound on all gateways together that each kept for itself.

internal/quarantine (pure) keeps the facts in the replicated log: which requests were at work when a life of a back end ended. The gateway that sees an end tells the leader until its view has it, and all other gateways at once, so that it holds where nobody leads. A visit ends with the back end where the request was alone, on trial or has a key.

--- a/internal/fleetcontroller/config.go
+++ b/internal/fleetcontroller/config.go
@@ -30,6 +30,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/keylease"
+	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/replica"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -64,7 +65,9 @@
 	Planner keylease.Config
 	// Configuration says by when a configuration is in force everywhere.
 	Configuration configlease.Terms
-	Log           *slog.Logger
+	// Quarantine says for how long requests under which back ends have ended wait.
+	Quarantine quarantine.Terms
+	Log        *slog.Logger
 	// Registry takes the metrics; nil shows them nowhere.
 	Registry prometheus.Registerer
 	// OnExpelled is called when the group has removed this member; its folder
@@ -89,6 +92,7 @@
 	c.TickInterval = cmp.Or(c.TickInterval, DefaultTickInterval)
 	c.DeadAfter = cmp.Or(c.DeadAfter, DefaultDeadAfter)
 	c.Configuration = c.Configuration.WithDefaults()
+	c.Quarantine = c.Quarantine.WithDefaults()
 	if c.Registry == nil {
 		c.Registry = prometheus.NewRegistry()
 	}
--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -62,6 +62,7 @@
 	publishAt    time.Duration
 	instanceSets uint64
 	undecided    undecided
+	quarantine   quarantineDesk
 }
 
 // Start opens the data folder, joins or founds the group, and serves.
@@ -75,6 +76,9 @@
 	if err := c.config.Configuration.Check(); err != nil {
 		return nil, fmt.Errorf("controller: configuration: %w", err)
 	}
+	if err := c.config.Quarantine.Check(); err != nil {
+		return nil, fmt.Errorf("controller: quarantine: %w", err)
+	}
 	c.metrics = newControllerMetrics(c.config.Registry)
 	c.control.state, c.control.newest = fleetstate.New(), map[string]uint64{}
 	c.view.Store(&view{})
--- a/internal/fleetcontroller/machine.go
+++ b/internal/fleetcontroller/machine.go
@@ -17,6 +17,7 @@
 // Apply implements replica.StateMachine.
 func (m machine) Apply(index topology.Revision, command []byte) any {
 	before, evacuationsBefore := m.c.control.state.Version(), m.c.control.state.EvacuationsIndex()
+	quarantineBefore := *m.c.control.state.Quarantine()
 	result := m.c.control.state.Apply(uint64(index), command)
 	if result.Outcome == fleetstate.Invalid {
 		m.c.config.Log.Warn("log entry changes nothing", "index", uint64(index), "bytes", len(command), "findings", len(result.Findings), "first", fmt.Sprintf("%.256s", result.Findings.Error()))
@@ -24,6 +25,9 @@
 	if m.c.control.state.EvacuationsIndex() != evacuationsBefore {
 		m.c.config.Log.Info("evacuated zones", "zones", m.c.control.state.EvacuatedZones(), "index", uint64(index))
 	}
+	if after := m.c.control.state.Quarantine(); after.Index != quarantineBefore.Index {
+		m.c.logQuarantine(&quarantineBefore, after)
+	}
 	if after := m.c.control.state.Version(); after != before {
 		m.c.config.Log.Info("configuration applied", "version", uint64(after), "index", uint64(index))
 	}
@@ -62,6 +66,7 @@
 		return
 	}
 	c.decide(now)
+	c.reviewQuarantine(now)
 	c.publish()
 	c.acknowledge(now)
 	if now >= control.healAt {
@@ -76,6 +81,7 @@
 		c.config.Log.Info("leadership ended")
 	}
 	c.control.planner = nil
+	c.control.quarantine = quarantineDesk{}
 	c.control.inForce = nil
 	c.releaseAwaited(ErrLeadershipLost)
 	c.control.published = published{}
--- a/internal/fleetcontroller/metrics.go
+++ b/internal/fleetcontroller/metrics.go
@@ -24,6 +24,8 @@
 	changes     *prometheus.CounterVec
 	moves       *prometheus.CounterVec
 	reports     prometheus.Counter
+	held        prometheus.Counter
+	cleared     prometheus.Counter
 	inForceWait prometheus.Histogram
 }
 
@@ -37,12 +39,14 @@
 		moves:       prometheus.NewCounterVec(options("ranges_moved_total", "Ranges of keys given to an owner, by whether its predecessor handed them over."), []string{"handover"}),
 		reports:     prometheus.NewCounter(options("reports_total", "Reports of gateways that this controller answered.")),
 	}
+	m.held = prometheus.NewCounter(options("requests_held_back_total", "Requests that came to be held back, since back ends end under them."))
+	m.cleared = prometheus.NewCounter(options("suspects_cleared_total", "Requests that are no longer suspected, mostly as they were answered."))
 	m.inForceWait = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: metrics.Namespace, Subsystem: subsystem, Name: "in_force_wait_seconds",
 		Help:    "How long acknowledgements of configurations waited for gateways, after the change was in the state.",
 		Buckets: []float64{0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6},
 	})
-	registry.MustRegister(m.leaderships, m.changes, m.moves, m.reports, m.inForceWait)
+	registry.MustRegister(m.leaderships, m.changes, m.moves, m.reports, m.held, m.cleared, m.inForceWait)
 	return m
 }
 
@@ -94,6 +98,9 @@
 		gauge("evacuated_zones", "Zones whose back ends are to get nothing, as published last.", func() float64 {
 			return float64(len(c.view.Load().evacuated))
 		}),
+		gauge("suspects", "Requests under which back ends have ended and which were not answered since, as published last.", func() float64 {
+			return float64(len(c.view.Load().suspects))
+		}),
 		gauge("configuration_version", "Version of the configuration that was published last.", func() float64 {
 			if document := c.view.Load().document; document != nil {
 				return float64(document.Value.Version)
--- a/internal/fleetcontroller/publish.go
+++ b/internal/fleetcontroller/publish.go
@@ -7,6 +7,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetview"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
@@ -32,6 +33,10 @@
 	// evacuated zones, and the log index of the last change of them.
 	evacuated        []string
 	evacuationsIndex uint64
+	// suspects are requests under which back ends have ended, and quarantineIndex is that
+	// of their set.
+	suspects        []quarantine.Suspect
+	quarantineIndex uint64
 	// term of the leader, and whether its instances are complete.
 	term        uint64
 	complete    bool
@@ -110,6 +115,7 @@
 	version           routeconfig.Version
 	ownersIndex       uint64
 	evacuationsIndex  uint64
+	quarantineIndex   uint64
 	term              uint64
 	instancesRevision uint64
 	complete          bool
@@ -134,6 +140,7 @@
 		version:           control.state.Version(),
 		ownersIndex:       control.state.OwnersIndex(),
 		evacuationsIndex:  control.state.EvacuationsIndex(),
+		quarantineIndex:   control.state.Quarantine().Index,
 		term:              control.leadership.Term(),
 		instancesRevision: control.planner.Revision(),
 		complete:          control.planner.Complete(c.member.Now()),
@@ -166,6 +173,7 @@
 		document: before.document, owners: before.owners, instances: before.instances,
 		term: now.term, complete: now.complete, controllers: controllers,
 		evacuated: control.state.EvacuatedZones(), evacuationsIndex: now.evacuationsIndex,
+		suspects: control.state.Quarantine().Suspects, quarantineIndex: now.quarantineIndex,
 	}
 	if document := control.state.Document(); document != nil && (before.document == nil || before.document.Value != document) {
 		next.document = &fleetwire.Shared[*routeconfig.Document]{Value: document}
@@ -189,6 +197,7 @@
 	owners, instances uint64
 	hasOwners         bool
 	evacuationsIndex  uint64
+	quarantineIndex   uint64
 	term              uint64
 	complete          bool
 	// controllers is how many it knows.
@@ -225,6 +234,10 @@
 		news.EvacuationsIndex, news.Evacuated = now.evacuationsIndex, now.evacuated
 		has.evacuationsIndex, changed = now.evacuationsIndex, true
 	}
+	if now.quarantineIndex != has.quarantineIndex {
+		news.QuarantineIndex, news.Suspects = now.quarantineIndex, now.suspects
+		has.quarantineIndex, changed = now.quarantineIndex, true
+	}
 	if len(now.controllers) != has.controllers {
 		news.Controllers, has.controllers, changed = now.controllers, len(now.controllers), true
 	}
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -27,6 +27,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/gobcheck"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
@@ -63,6 +64,7 @@
 	Configuration *ChangeConfiguration
 	Ownership     *ChangeOwnership
 	Evacuation    *ChangeEvacuation
+	Quarantine    *quarantine.Change
 }
 
 // Encode returns the log entry of a command.
@@ -122,6 +124,7 @@
 	// ownersIndex is the log index of the last change of an owner.
 	ownersIndex uint64
 	evacuations evacuations
+	quarantine  quarantine.Set
 }
 
 // New returns an empty state.
@@ -177,6 +180,8 @@
 		return s.changeOwnership(index, command.Ownership)
 	case command.Evacuation != nil:
 		return s.changeEvacuation(index, command.Evacuation)
+	case command.Quarantine != nil:
+		return s.changeQuarantine(index, command.Quarantine)
 	}
 	return Result{Outcome: Accepted, Current: s.Version()}
 }
@@ -244,6 +249,7 @@
 	Owners      map[string]*keyspace.Map
 	OwnersIndex uint64
 	Evacuations evacuations
+	Quarantine  quarantine.Set
 }
 
 // check refuses what no log makes: owners with a gap, or of a later fence.
@@ -258,13 +264,13 @@
 			}
 		}
 	}
-	return nil
+	return i.Quarantine.Check()
 }
 
 // Encode returns the whole state as bytes.
 func (s *State) Encode() ([]byte, error) {
 	var buffer bytes.Buffer
-	whole := image{s.document, s.accepted, s.owners, s.ownersIndex, s.evacuations}
+	whole := image{s.document, s.accepted, s.owners, s.ownersIndex, s.evacuations, s.quarantine}
 	if err := gob.NewEncoder(&buffer).Encode(whole); err != nil {
 		return nil, fmt.Errorf("encode fleet state: %w", err)
 	}
@@ -299,6 +305,7 @@
 	if whole.Evacuations.Since != nil {
 		fresh.evacuations.Since = whole.Evacuations.Since
 	}
+	fresh.quarantine = whole.Quarantine
 	*s = *fresh
 	return nil
 }
--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -114,6 +115,9 @@
 	Running, Waiting int
 	// Version of the configuration in force.
 	Version routeconfig.Version
+	// Quarantine is what the gateway has seen of requests under which back ends have ended;
+	// nil is nothing. It is told again until an answer has it.
+	Quarantine *quarantine.Change
 }
 
 // Held is a range that a back end may hold, with its fence.
@@ -142,6 +146,9 @@
 	Held     []Held
 	// Release lists what the gateway must take back and report as Released.
 	Release []Held
+	// EndsKnown are the lives that the report told the end of and that the view has counted
+	// which came with this answer or before it.
+	EndsKnown []string
 }
 
 // ServiceOwners are the owners of one service's keys.
@@ -191,6 +198,10 @@
 	// is the whole set.
 	EvacuationsIndex uint64
 	Evacuated        []string
+	// QuarantineIndex orders sets of suspects; where it is not zero, Suspects is the whole
+	// set.
+	QuarantineIndex uint64
+	Suspects        []quarantine.Suspect
 	// Controllers are the session addresses of the group's members.
 	Controllers []string
 }
@@ -286,7 +297,9 @@
 	For time.Duration
 	// PackedDocument is the configuration, left out where the other one has it.
 	PackedDocument []byte
-	// EvacuationsIndex and Evacuated are those of View.
+	// EvacuationsIndex and Evacuated are those of View, QuarantineIndex and Suspects too.
 	EvacuationsIndex uint64
 	Evacuated        []string
+	QuarantineIndex  uint64
+	Suspects         []quarantine.Suspect
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,15 +64,21 @@
 		if g.views.load().evacuatedWholly(c.service.Name) {
 			return notRun(reasonEvacuated)
 		}
+		trial, refusal := g.admitSuspect(ctx, c)
+		if refusal != nil {
+			return refusal
+		}
 		target, ok := g.choose(c, key, hasKey, tried)
 		if !ok {
+			g.trialEnds(c, trial, result)
 			if !g.hold(ctx, holdUntil) {
 				return result
 			}
 			clear(tried)
 			continue
 		}
-		result = g.try(ctx, c, target, key, hasKey)
+		result = g.try(ctx, c, target, key, hasKey, trial)
+		g.trialEnds(c, trial, result)
 		if result.Outcome != outcomeNotRun {
 			c.mayHaveRun = result
 		}
@@ -82,6 +88,9 @@
 		if result.Reason.full() {
 			refusals++
 		}
+		if endedUnder(c, result, trial) {
+			return result
+		}
 		if refusals == maxRefusals || g.final(ctx, c, result, sends) {
 			return result
 		}
@@ -93,6 +102,13 @@
 	return result
 }
 
+// endedUnder reports whether a request's visit is over because its back end has ended: the
+// request is likelier the cause than not where it was alone, or on trial. Where it has a key,
+// that has no owner for longer than the visit should wait.
+func endedUnder(c *call, result *forwardResult, trial uint64) bool {
+	return result.Reason == reasonEnded && (result.AtWork <= 1 || trial != 0 || c.service.Keyed)
+}
+
 // final reports whether a result is the request's end.
 func (g *Gateway) final(ctx context.Context, c *call, result *forwardResult, sends int) bool {
 	if ctx.Err() != nil {
@@ -235,7 +251,7 @@
 }
 
 // try offers a request to one instance.
-func (g *Gateway) try(ctx context.Context, c *call, target fleetwire.Instance, key keyspace.Key, hasKey bool) *forwardResult {
+func (g *Gateway) try(ctx context.Context, c *call, target fleetwire.Instance, key keyspace.Key, hasKey bool, trial uint64) *forwardResult {
 	request := &forwardRequest{
 		Method:   c.request.Method,
 		URI:      c.request.RequestURI,
@@ -249,6 +265,7 @@
 		HasKey:   hasKey,
 		Priority: c.route.Priority,
 		Transfer: c.route.Repetition == routeconfig.RepeatableTransfer,
+		Trial:    trial,
 		Target:   c.route.TargetLatency,
 		Due:      c.due(),
 		Deadline: c.deadline,
--- a/internal/gateway/atwork.go
+++ b/internal/gateway/atwork.go
@@ -42,13 +42,19 @@
 	at   steady.Instant
 }
 
+// endedLife is a life that has ended, and on how many requests it was at work.
+type endedLife struct {
+	life   string
+	atWork int
+}
+
 // atWork knows what the back end beside the gateway works on. The zero value is ready.
 type atWork struct {
 	mutex  sync.Mutex
 	runs   map[*forwardRequest]struct{}
 	broken []brokenRun
 	// ended are the lives that have ended, the latest last.
-	ended []string
+	ended []endedLife
 	// checking is held while it is tried whether something listens; listenedAt is when it
 	// last did.
 	checking   sync.Mutex
@@ -79,11 +85,17 @@
 	w.broken = w.broken[max(0, len(w.broken)-mostBroken):]
 }
 
-// hasEnded reports whether a life is known to have ended.
-func (w *atWork) hasEnded(life string) bool {
+// hasEnded reports whether a life is known to have ended, and on how many requests it was at
+// work.
+func (w *atWork) hasEnded(life string) (atWork int, ended bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return slices.Contains(w.ended, life)
+	for _, each := range w.ended {
+		if each.life == life {
+			return each.atWork, true
+		}
+	}
+	return 0, false
 }
 
 // ends notes the end of a life and returns the runs that were in progress; first is false
@@ -91,10 +103,9 @@
 func (w *atWork) ends(life string, now steady.Instant) (cut []cutRun, first bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if slices.Contains(w.ended, life) {
+	if slices.ContainsFunc(w.ended, func(each endedLife) bool { return each.life == life }) {
 		return nil, false
 	}
-	w.ended = append(w.ended[max(0, len(w.ended)+1-endsRemembered):], life)
 	for _, run := range w.broken {
 		if run.life == life && now.Sub(run.at) <= brokenWithin {
 			cut = append(cut, run.cutRun)
@@ -105,33 +116,35 @@
 			cut = append(cut, cutRun{request.ID, request.digest()})
 		}
 	}
+	w.ended = append(w.ended[max(0, len(w.ended)+1-endsRemembered):], endedLife{life, len(cut)})
 	return cut, true
 }
 
-// endedUnder reports whether the back end has ended under a run whose connection ended. It
-// returns once something listens at the back end's address or nothing does.
-func (g *Gateway) endedUnder(request *forwardRequest) bool {
+// endedUnder reports whether the back end has ended under a run whose connection ended, and on
+// how many requests it was at work. It returns once something listens at the back end's
+// address or nothing does.
+func (g *Gateway) endedUnder(request *forwardRequest) (atWork int, ended bool) {
 	broke := steady.Now()
 	g.atWork.breaks(request, broke)
 	g.atWork.checking.Lock()
 	defer g.atWork.checking.Unlock()
-	if g.atWork.hasEnded(request.Instance) {
-		return true
+	if atWork, ended = g.atWork.hasEnded(request.Instance); ended {
+		return atWork, true
 	}
 	if listened, ok := g.atWork.listenedAt.Load(); ok && broke.Before(listened) {
-		return false
+		return 0, false
 	}
 	conn, err := net.DialTimeout("tcp", g.config.BackendAddress, checkWithin)
 	if err == nil {
 		_ = conn.Close()
 		g.atWork.listenedAt.Store(steady.Now())
-		return false
+		return 0, false
 	}
 	if !refusedConnection(err) || !g.registry.serves(request.Instance) {
-		return false
+		return 0, false
 	}
 	g.noteEnd(request.Instance)
-	return true
+	return g.atWork.hasEnded(request.Instance)
 }
 
 // noteEnd tells which requests were at work when a life of the back end ended.
@@ -140,6 +153,7 @@
 	if !first || len(cut) == 0 {
 		return
 	}
+	g.tellEnd(life, cut)
 	g.metrics.backendEnded(len(cut))
 	named := cut[:min(len(cut), mostEndsLogged)]
 	ids, digests := make([]string, len(named)), make([]string, len(named))
--- a/internal/gateway/atwork_test.go
+++ b/internal/gateway/atwork_test.go
@@ -82,7 +82,9 @@
 		assert.Equal(t, result.Outcome, outcomeUnknown)
 		assert.Equal(t, result.Reason, reasonEnded)
 	}
-	assert.Assert(t, e.gateway.atWork.hasEnded("i"))
+	atWork, ended := e.gateway.atWork.hasEnded("i")
+	assert.Assert(t, ended)
+	assert.Equal(t, atWork, 2)
 }
 
 // A connection that ends, a caller that leaves and a deadline are no end of the back end.
@@ -98,7 +100,8 @@
 	<-backend.began
 	leave()
 	assert.Assert(t, (<-results).Reason != reasonEnded)
-	assert.Assert(t, !e.gateway.atWork.hasEnded("i"))
+	_, ended := e.gateway.atWork.hasEnded("i")
+	assert.Assert(t, !ended)
 }
 
 // One that was leaving ends as it was to.
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -67,6 +67,9 @@
 	waited := time.Since(began) - used
 	e.gateway.tally.count(result, waited, used)
 	e.gateway.metrics.backendTry(result, waited, used)
+	if result.Outcome == outcomeAnswered {
+		e.gateway.noteAnswered(request)
+	}
 	if result.Outcome == outcomeNotRun && !result.Sent {
 		e.logRefusal(request, result.Reason)
 	}
@@ -210,6 +213,9 @@
 	if request.HasKey && !e.gateway.keys.holds(request.Instance, request.Key, now) {
 		return notRun(reasonNotOwner)
 	}
+	if e.gateway.refusesSuspect(request) {
+		return notRun(reasonAwaitsTrial)
+	}
 	return nil
 }
 
@@ -301,8 +307,11 @@
 // cutOff classifies an exchange whose connection ended before the whole answer was there.
 func (e *egress) cutOff(ctx context.Context, request *forwardRequest, err error) *forwardResult {
 	result := e.broken(request, err)
-	if connectionEnded(ctx) && !errors.Is(err, errNoAnswer) && e.gateway.endedUnder(request) {
-		result.Reason = reasonEnded
+	if !connectionEnded(ctx) || errors.Is(err, errNoAnswer) {
+		return result
+	}
+	if atWork, ended := e.gateway.endedUnder(request); ended {
+		result.Reason, result.AtWork = reasonEnded, atWork
 	}
 	return result
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -67,6 +67,11 @@
 	// reasonRouteChanged: the route has become one whose requests run once, and the
 	// request runs beside others of its connection.
 	reasonRouteChanged reason = "route-changed"
+	// reasonAwaitsTrial: back ends have ended under the request, and it was granted no trial
+	// in its time.
+	reasonAwaitsTrial reason = "awaits-trial"
+	// reasonHeldBack: so many back ends have ended under the request that it is not sent.
+	reasonHeldBack reason = "held-back"
 	// reasonNoRoute: no route has the request's host and path.
 	reasonNoRoute reason = "no-route"
 )
@@ -92,6 +97,8 @@
 	reasonNoMemory:        true,
 	reasonRouteChanged:    true,
 	reasonNoRoute:         true,
+	reasonAwaitsTrial:     true,
+	reasonHeldBack:        true,
 }
 
 // known says that a peer's reason is one of these. Others would name series of metrics.
@@ -121,6 +128,8 @@
 	Priority int
 	// Transfer says that the answer is a large one.
 	Transfer bool
+	// Trial is the number of the trial by which it runs where it is suspected; zero is none.
+	Trial uint64
 	// Target is the time within which the answer is worth most, Due when that
 	// is over, Deadline when the caller stops waiting.
 	Target   time.Duration
@@ -134,8 +143,7 @@
 // digest names the request among others.
 func (r *forwardRequest) digest() quarantine.Digest {
 	r.digestOnce.Do(func() {
-		same := quarantine.Request{Service: r.Service, Method: r.Method, Host: r.Host, Target: r.URI, Body: r.Body}
-		r.digested = same.Digest()
+		r.digested = (&quarantine.Request{Service: r.Service, Method: r.Method, Host: r.Host, Target: r.URI, Body: r.Body}).Digest()
 	})
 	return r.digested
 }
@@ -153,6 +161,8 @@
 	// Stream is the body where it is passed on as it comes; Body is nil then.
 	Stream *answerStream
 	Load   peerLoad
+	// AtWork is on how many requests the back end was at work when it ended.
+	AtWork int
 	// loadRead says that a peer told the load in words that can be read.
 	loadRead bool
 	// RetryAfter is when the request may be served by the same gateway, where that
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,8 @@
 	held       heldBytes
 	egress     *egress
 	atWork     atWork
+	quarantine quarantineKeeper
+	endNews    *endNews
 	session    *sessionClient
 	tally      tally
 	metrics    *gatewayMetrics
@@ -67,6 +69,7 @@
 	g.views = newViews()
 	g.views.prepare = g.prepare
 	g.slots = newSlotGate()
+	g.endNews = newEndNews()
 	g.keyLoad = newKeyLoad()
 	g.peers = newPeerSet()
 	g.budgets = newRetryBudgets(g.config.Budget)
@@ -102,6 +105,7 @@
 	g.background(func() { g.watchSilence(ctx) })
 	g.background(func() { g.watchWarmth(ctx) })
 	g.background(func() { g.watchWord(ctx) })
+	g.background(func() { g.tellEnds(ctx) })
 	g.background(func() { g.summarize(ctx) })
 	g.background(func() { _ = g.callers.Serve() })
 	g.background(func() { _ = g.inbound.Serve() })
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -23,6 +23,12 @@
 	fieldTarget = fieldPrefix + "Target-Ms"
 	// fieldTransfer says that the answer is a large one.
 	fieldTransfer = fieldPrefix + "Transfer"
+	// fieldTrial is the number of the trial by which a suspected request runs.
+	fieldTrial = fieldPrefix + "Trial"
+	// fieldAtWork is on how many requests the back end was at work when it ended.
+	fieldAtWork = fieldPrefix + "At-Work"
+	// fieldTellsEnds tells of ends of back ends.
+	fieldTellsEnds = fieldPrefix + "Tells-Ends"
 	// fieldAsksWord asks for a fleetwire.PeerWord, and names the version that is known.
 	fieldAsksWord = fieldPrefix + "Asks-Word"
 	fieldOutcome  = fieldPrefix + "Outcome"
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -7,9 +7,11 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/httpserver"
+	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 	"github.com/quartzdock/quartzdock/internal/steady"
 )
@@ -40,6 +42,18 @@
 	mayHaveRun *forwardResult
 	// tries that were made, for the log.
 	tries []tryRecord
+
+	digestOnce sync.Once
+	digested   quarantine.Digest
+}
+
+// digest names the request among others. It is the one that gateways beside back ends find.
+func (c *call) digest() quarantine.Digest {
+	c.digestOnce.Do(func() {
+		same := quarantine.Request{Service: c.service.Name, Method: c.request.Method, Host: c.request.Host, Target: c.request.RequestURI, Body: c.body}
+		c.digested = same.Digest()
+	})
+	return c.digested
 }
 
 // due is until when the answer is worth most. A route may hold its requests for less than
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,6 +50,8 @@
 	// backendEnds are ends of the back end with requests at work, and cut those requests.
 	backendEnds prometheus.Counter
 	cut         prometheus.Counter
+	// endsTold are ends that other gateways were told.
+	endsTold *prometheus.CounterVec
 	// heartbeats by how their answers came to leave.
 	heartbeats *prometheus.CounterVec
 	told       *prometheus.CounterVec
@@ -85,7 +87,8 @@
 	m.heartbeats = counters("heartbeat_answers_total", "Answers to heartbeats of back ends that get their keys by them: at once, held back until there was news, or held back in vain.", "left")
 	m.backendEnds = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "back_end_ends_total", Help: "Ends of the back end while it was at work."})
 	m.cut = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "requests_cut_by_ends_total", Help: "Requests that the back end was at work on when it ended."})
-	registry.MustRegister(m.backendEnds, m.cut, m.heartbeats, m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed, m.told)
+	m.endsTold = counters("ends_told_total", "Other gateways that were told of ends of back ends, by what became of it.", "result")
+	registry.MustRegister(m.backendEnds, m.cut, m.endsTold, m.heartbeats, m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed, m.told)
 	return m
 }
 
@@ -95,6 +98,8 @@
 	m.cut.Add(float64(atWork))
 }
 
+func (m *gatewayMetrics) endTold(err error) { m.endsTold.WithLabelValues(resultOf(err)).Inc() }
+
 // request counts the end of a caller's request.
 func (m *gatewayMetrics) request(service string, told outcome, why reason) {
 	m.requests.WithLabelValues(service, string(told), string(why)).Inc()
@@ -114,6 +119,7 @@
 const (
 	toldLoad   = "load"
 	toldWarmth = "warmth"
+	toldEnds   = "ends"
 )
 
 // unread counts a word of another process that told nothing.
@@ -178,6 +184,7 @@
 		gauge("session_silence_seconds", "Time since the leading controller was heard.", func() float64 { return g.session.silence(time.Now()).Seconds() }),
 		gauge("configuration_lease_seconds", "Time left for which the gateway may serve by its configuration; negative where it refuses.", func() float64 { return g.session.vouched.left(time.Now()).Seconds() }),
 		gauge("lease_seconds", "Time left of the lease on the back end's keys; negative where it has run out.", func() float64 { return g.keys.leaseLeft(time.Now()).Seconds() }),
+		gauge("suspects", "Requests under which back ends have ended and which run only on trial.", func() float64 { return float64(len(g.views.load().suspects)) }),
 		gauge("ranges_held", "Ranges of keys that the back end may hold.", func() float64 { return float64(g.keys.rangesHeld()) }),
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -256,6 +256,9 @@
 	if request.Transfer {
 		header[fieldTransfer] = []string{"1"}
 	}
+	if request.Trial != 0 {
+		header[fieldTrial] = []string{strconv.FormatUint(request.Trial, 10)}
+	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""}
 	}
@@ -281,6 +284,9 @@
 		result.Load, result.loadRead = parseLoad(told[0])
 	}
 	result.RetryAfter, _ = parseMilliseconds(header.Get(fieldRetryAfter))
+	if atWork, err := strconv.Atoi(header.Get(fieldAtWork)); err == nil {
+		result.AtWork = atWork
+	}
 	switch result.Outcome {
 	case outcomeAnswered:
 		result.Status, result.Body, result.Header = response.StatusCode, body, forwardable(header)
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -20,6 +20,10 @@
 		g.tellWord(w, r)
 		return
 	}
+	if r.Header.Get(fieldTellsEnds) != "" {
+		g.takeEnds(w, r)
+		return
+	}
 	request, ok := g.decodeForward(r)
 	if !ok {
 		http.Error(w, "not from a gateway", http.StatusBadRequest)
@@ -41,6 +45,9 @@
 	if result.Sent {
 		header[fieldSent] = []string{"1"}
 	}
+	if result.AtWork > 0 {
+		header[fieldAtWork] = []string{strconv.Itoa(result.AtWork)}
+	}
 	if result.RetryAfter > 0 {
 		header[fieldRetryAfter] = []string{milliseconds(result.RetryAfter)}
 	}
@@ -114,6 +121,11 @@
 		Due:      now.Add(due),
 		Deadline: now.Add(left),
 	}
+	if text := r.Header.Get(fieldTrial); text != "" {
+		if request.Trial, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return nil, false
+		}
+	}
 	request.Header = forwardable(r.Header)
 	if v := g.views.load(); v.table != nil {
 		if service := v.table.Service(request.Service); service != nil && service.Keyed {
--- a/internal/gateway/peerword.go
+++ b/internal/gateway/peerword.go
@@ -6,9 +6,11 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -71,6 +73,13 @@
 
 // peersToAsk are addresses of other gateways, drawn at random.
 func (g *Gateway) peersToAsk() []string {
+	addresses := g.otherGateways()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(askedAtOnce, len(addresses))]
+}
+
+// otherGateways are the addresses of all other gateways that are not being stopped.
+func (g *Gateway) otherGateways() []string {
 	var addresses []string
 	seen := map[string]bool{g.config.PeerListen: true, "": true}
 	for _, instance := range g.views.load().byID {
@@ -79,8 +88,7 @@
 			addresses = append(addresses, instance.Address)
 		}
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(askedAtOnce, len(addresses))]
+	return addresses
 }
 
 // askPeer asks one gateway and puts what it tells in force.
@@ -122,6 +130,7 @@
 	}
 	news := &fleetwire.View{
 		PackedDocument: passed.PackedDocument, EvacuationsIndex: passed.EvacuationsIndex, Evacuated: passed.Evacuated,
+		QuarantineIndex: passed.QuarantineIndex, Suspects: passed.Suspects,
 	}
 	if err := news.Unpack(); err != nil {
 		return fmt.Errorf("word of %s: %w", address, err)
@@ -148,6 +157,7 @@
 	}
 	v := g.views.load()
 	passed.EvacuationsIndex, passed.Evacuated = v.evacuationsIndex, v.evacuatedZones()
+	passed.QuarantineIndex, passed.Suspects = v.quarantineIndex, slices.Collect(maps.Values(v.suspects))
 	if v.table != nil && v.version() != routeconfig.Version(known) {
 		if passed.PackedDocument, err = fleetwire.Pack(v.table.Document()); err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -227,6 +227,7 @@
 		// Only now: the view above is what it vouches for.
 		s.vouched.take(message.Lease, s.started)
 		g.keys.take(message.Lease, s.started)
+		g.quarantine.confirm(message.Lease.EndsKnown)
 		if first {
 			g.registry.retry(time.Now())
 		}
@@ -300,7 +301,9 @@
 
 func (s *sessionClient) build() *fleetwire.Report {
 	g := s.gateway
-	report := &fleetwire.Report{SentAt: s.now(), Boot: s.boot, Version: g.views.load().version()}
+	v := g.views.load()
+	report := &fleetwire.Report{SentAt: s.now(), Boot: s.boot, Version: v.version()}
+	report.Quarantine = g.quarantine.report(v, g.config.Name, s.boot)
 	if instance := g.registry.snapshot(); instance.ID != "" {
 		report.Instance = &instance
 		report.Silent = g.registry.silent()
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -13,6 +13,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetview"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 )
 
@@ -34,6 +35,10 @@
 	// evacuationsIndex orders the sets.
 	evacuatedAt      map[string]time.Time
 	evacuationsIndex uint64
+	// suspects are requests under which back ends have ended, and quarantineIndex orders
+	// their sets.
+	suspects        map[quarantine.Digest]quarantine.Suspect
+	quarantineIndex uint64
 	// next is closed when there is a newer view.
 	next chan struct{}
 }
@@ -82,6 +87,7 @@
 		}
 	}
 	after.setEvacuated(news, vouchedAt)
+	after.setSuspects(news)
 	v.prepare(before, &after)
 	v.present.Store(&after)
 	close(before.next)
@@ -119,6 +125,18 @@
 	v.evacuatedAt, v.evacuationsIndex = evacuated, news.EvacuationsIndex
 }
 
+// setSuspects takes a view's requests under which back ends have ended.
+func (v *view) setSuspects(news *fleetwire.View) {
+	if news.QuarantineIndex <= v.quarantineIndex {
+		return
+	}
+	v.suspects = make(map[quarantine.Digest]quarantine.Suspect, len(news.Suspects))
+	for _, suspect := range news.Suspects {
+		v.suspects[suspect.Request] = suspect
+	}
+	v.quarantineIndex = news.QuarantineIndex
+}
+
 // evacuated reports whether the back ends of a zone are to get nothing new.
 func (v *view) evacuated(zone string) bool {
 	_, ok := v.evacuatedAt[zone]
--- a/internal/requesthistory/cause.go
+++ b/internal/requesthistory/cause.go
@@ -18,6 +18,8 @@
 	reasonUnreachable     = "unreachable"
 	reasonBroken          = "broken-off"
 	reasonEnded           = "back-end-ended"
+	reasonAwaitsTrial     = "awaits-trial"
+	reasonHeldBack        = "held-back"
 	reasonTimeout         = "timeout"
 	reasonNoRoute         = "no-route"
 	reasonStopping        = "gateway-stopping"
@@ -55,6 +57,10 @@
 		"the exchange broke off after it was sent: it may have run"},
 	reasonEnded: {[]string{messageEnded, messageNotServed},
 		"the back end ended while it was at work on it: it may have run"},
+	reasonAwaitsTrial: {[]string{messageEnded, messageNotServed},
+		"a back end had ended while it was at work on a request like it, and no trial was granted in its time"},
+	reasonHeldBack: {[]string{messageHeldBack, messageEnded, messageNotServed},
+		"so many back ends had ended while they were at work on requests like it that it is not sent any more"},
 	reasonTimeout: {[]string{messageSummary, messageNotServed},
 		"no answer came within the request's time: it may have run"},
 	reasonStopping: {[]string{messageRefused, messageNotServed},
--- a/internal/requesthistory/history.go
+++ b/internal/requesthistory/history.go
@@ -32,6 +32,7 @@
 	messageRefused   = "try refused"
 	messageBroken    = "exchange with back end broken off"
 	messageEnded     = "back end ended while at work"
+	messageHeldBack  = "request held back"
 	messageByBackend = "refused by back end"
 	messageBackend   = "back end"
 	messageSummary   = "back end in the last second"
--- a/lab/platformstandin/endsbackends_test.go
+++ b/lab/platformstandin/endsbackends_test.go
@@ -124,6 +124,8 @@
 		time.Sleep(each)
 	}
 	assert.Check(t, ended.sendsAfterKnown() <= sendsAllowed, "%d back ends ended under one request, %d of them %v and more after the third", ended.count(), ended.sendsAfterKnown(), knownWithin)
+	// One at a time is at work, so that none has begun before the end of another was known.
+	assert.Check(t, ended.count() <= endsAllowed, "%d back ends ended", ended.count())
 	assert.Check(t, refused > 0)
 	for _, side := range r.Sides {
 		r.waitServed(side)
