--- a/internal/steady/steady.go
+++ b/internal/steady/steady.go
@@ -1,6 +1,6 @@
-// Package steady has readings of the process's steady clock, as a type that can
-// hold nothing else. The time of day may jump, forward or back; what decides by
-// elapsed time keeps Instants.
+// Package steady has readings of the process's steady clock. The time of day may jump, forward
+// or back; what decides by elapsed time keeps Instants, a type that can hold nothing else, or
+// Readings. Both count the time for which the machine was suspended, which time.Now does not.
 package steady
 
 import (
@@ -15,11 +15,20 @@
 // fixed one. It means nothing to other processes.
 type Instant int64
 
+// Reading returns the present time. Readings are compared with each other alone: timers,
+// contexts and connections go by time.Now, and are given durations.
+func Reading() time.Time { return time.Now().Add(Suspended()) }
+
+// Elapsed returns how long ago a Reading was.
+func Elapsed(reading time.Time) time.Duration { return Reading().Sub(reading) }
+
+// Until returns how long it is until a Reading.
+func Until(reading time.Time) time.Duration { return reading.Sub(Reading()) }
+
 // Now returns the present moment.
-func Now() Instant { return At(time.Now()) }
+func Now() Instant { return At(Reading()) }
 
-// At returns the moment of a time that time.Now has returned: its monotonic
-// reading.
+// At returns the moment of a Reading.
 func At(now time.Time) Instant { return Instant(now.Sub(origin)) }
 
 // Add returns the moment that is later by a duration.
--- a/internal/steady/steady_test.go
+++ b/internal/steady/steady_test.go
@@ -30,3 +30,24 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, loaded, now)
 }
+
+// Both forms of the clock count the time of a suspension, by which time.Now falls behind.
+func TestSuspendedTimeCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		instant, reading, plain := steady.Now(), steady.Reading(), time.Now()
+		steady.RehearseSuspension(5 * time.Second)
+		time.Sleep(time.Second)
+		assert.Equal(t, steady.Since(instant), 6*time.Second)
+		assert.Equal(t, steady.Elapsed(reading), 6*time.Second)
+		assert.Equal(t, steady.Until(reading.Add(7*time.Second)), time.Second)
+		assert.Equal(t, time.Since(plain), time.Second)
+	})
+}
+
+// Readings of the two clocks some time apart are no suspension.
+func TestAMachineThatRunsIsNotSuspended(t *testing.T) {
+	before := steady.Suspended()
+	for range 10_000 {
+		assert.Equal(t, steady.Suspended(), before)
+	}
+}
