--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/quartzdock/quartzdock/internal/plannedstop"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/routing"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/subscription"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/upstream"
@@ -111,7 +112,7 @@
 	}
 	agent := &Agent{
 		config:  config.withDefaults(),
-		start:   time.Now(),
+		start:   steady.Reading(),
 		events:  make(chan func(*controlLoop), eventBacklog),
 		stopped: make(chan struct{}),
 	}
@@ -210,7 +211,7 @@
 }
 
 // now is the process's monotonic clock.
-func (agent *Agent) now() time.Duration { return time.Since(agent.start) }
+func (agent *Agent) now() time.Duration { return steady.Elapsed(agent.start) }
 
 // post gives the control goroutine an event; after it ended events are lost.
 func (agent *Agent) post(event func(*controlLoop)) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,6 +17,7 @@
 	"github.com/quartzdock/quartzdock/internal/distribution"
 	"github.com/quartzdock/quartzdock/internal/leadership"
 	"github.com/quartzdock/quartzdock/internal/plannedstop"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
 
@@ -108,7 +109,7 @@
 
 func newController(config Config) *Controller {
 	c := &Controller{
-		started:   time.Now(),
+		started:   steady.Reading(),
 		config:    config,
 		log:       config.Log,
 		state:     controlstate.New(config.Group),
@@ -126,7 +127,7 @@
 }
 
 // now reads the controller's own monotonic clock.
-func (c *Controller) now() time.Duration { return time.Since(c.started) }
+func (c *Controller) now() time.Duration { return steady.Elapsed(c.started) }
 
 func (c *Controller) listen() error {
 	sessions, err := transport.Listen(c.config.SessionListen, transport.Options{TLS: c.config.LinkTLS})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,7 +129,7 @@
 	if !result.Sent {
 		return c.service.Keyed && result.Reason.lasts()
 	}
-	if sends >= c.route.Attempts || time.Until(c.deadline) < leastPatience {
+	if sends >= c.route.Attempts || steady.Until(c.deadline) < leastPatience {
 		return true
 	}
 	allowed := g.budgets.repeat(c.service.Name, len(g.views.load().byID), steady.Now())
@@ -140,7 +140,7 @@
 // hold waits a moment for news and reports whether the request may be tried
 // again.
 func (g *Gateway) hold(ctx context.Context, until time.Time) bool {
-	left := time.Until(until)
+	left := steady.Until(until)
 	if left <= 0 || ctx.Err() != nil {
 		return false
 	}
@@ -157,24 +157,24 @@
 	switch failed.Reason {
 	case reasonNotOwner, reasonNotAdmitted, reasonEvacuated:
 	case reasonOwnerLost:
-		if pause = failed.RetryAfter; time.Now().Add(pause).After(until) {
+		if pause = failed.RetryAfter; steady.Reading().Add(pause).After(until) {
 			return false
 		}
 	default:
 		return g.hold(ctx, until)
 	}
-	again := time.Now().Add(pause)
+	again := steady.Reading().Add(pause)
 	if again.After(until) {
 		again = until
 	}
-	if time.Until(until) <= 0 || ctx.Err() != nil {
+	if steady.Until(until) <= 0 || ctx.Err() != nil {
 		return false
 	}
-	for v := g.views.load(); time.Now().Before(again) && ctx.Err() == nil; v = g.views.load() {
+	for v := g.views.load(); steady.Reading().Before(again) && ctx.Err() == nil; v = g.views.load() {
 		if owner, ok := v.owner(service, key); ok && owner.ID != tried {
 			break
 		}
-		v.await(ctx.Done(), time.Until(again))
+		v.await(ctx.Done(), steady.Until(again))
 	}
 	return ctx.Err() == nil
 }
@@ -186,7 +186,7 @@
 	if hasKey {
 		return v.owner(c.service.Name, key)
 	}
-	now := time.Now()
+	now := steady.Reading()
 	var best fleetwire.Instance
 	bestCost := 0.0
 	for _, candidate := range v.instances[c.service.Name] {
@@ -273,17 +273,17 @@
 	names := &g.config.Headers
 	request.Header.Set(names.CallerService, g.config.Service)
 	request.Header.Del(names.TargetInstance)
-	began := time.Now()
+	began := steady.Reading()
 	if target.Node == g.config.Name {
 		result := g.egress.serve(ctx, request)
-		c.record(target.ID, target.Node, result, time.Since(began))
+		c.record(target.ID, target.Node, result, steady.Elapsed(began))
 		return result
 	}
-	request.Header.Set(names.Deadline, milliseconds(max(time.Until(c.deadline), time.Millisecond)))
+	request.Header.Set(names.Deadline, milliseconds(max(steady.Until(c.deadline), time.Millisecond)))
 	peer := g.peers.get(target.Address)
 	peer.begin()
 	result := peer.send(ctx, request)
-	now := time.Now()
+	now := steady.Reading()
 	peer.end(result, now)
 	c.record(target.ID, target.Node, result, now.Sub(began))
 	g.metrics.peerTry(result)
--- a/internal/gateway/atwork_test.go
+++ b/internal/gateway/atwork_test.go
@@ -61,7 +61,7 @@
 	for _, target := range targets {
 		request := &forwardRequest{
 			Method: http.MethodGet, URI: target, Host: "h", Header: http.Header{}, ID: "id" + target, Service: "s", Instance: "i",
-			Target: time.Second, Due: time.Now().Add(time.Second), Deadline: time.Now().Add(20 * time.Second),
+			Target: time.Second, Due: steady.Reading().Add(time.Second), Deadline: steady.Reading().Add(20 * time.Second),
 		}
 		go func() { results <- e.serve(ctx, request) }()
 	}
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -34,7 +35,7 @@
 	known := g.peers.get(address)
 	known.mutex.Lock()
 	defer known.mutex.Unlock()
-	known.load, known.loadAt = load, time.Now()
+	known.load, known.loadAt = load, steady.Reading()
 }
 
 func chosen(g *Gateway, repetition routeconfig.Repetition) string {
--- a/internal/gateway/comeback_test.go
+++ b/internal/gateway/comeback_test.go
@@ -11,12 +11,13 @@
 
 	"github.com/quartzdock/quartzdock/internal/overload"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // refuseFor refuses a number of requests a second for a time and returns when the
 // last one is told to come back.
 func refuseFor(g *slotGate, rate float64, duration time.Duration) (last time.Duration) {
-	for began := time.Now(); time.Since(began) < duration; {
+	for began := steady.Reading(); steady.Elapsed(began) < duration; {
 		last = g.comeBackIn(time.Second)
 		time.Sleep(time.Duration(float64(time.Second) / rate))
 	}
@@ -52,7 +53,7 @@
 	full.setCapacity(64)
 	full.decide(func(queue *overload.SlotQueue, _ time.Time) { queue.SetServiceTime(1000 * time.Second) })
 	for range 64 {
-		_, err := full.acquire(t.Context(), demand{Target: time.Second, Due: time.Now().Add(time.Second)})
+		_, err := full.acquire(t.Context(), demand{Target: time.Second, Due: steady.Reading().Add(time.Second)})
 		assert.NilError(t, err)
 	}
 	for range 10 {
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -12,6 +12,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/incarnation"
 	"github.com/quartzdock/quartzdock/internal/overload"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 )
 
@@ -62,9 +63,9 @@
 
 // serve tries a request at the back end.
 func (e *egress) serve(ctx context.Context, request *forwardRequest) *forwardResult {
-	began := time.Now()
+	began := steady.Reading()
 	result, used := e.try(ctx, request)
-	waited := time.Since(began) - used
+	waited := steady.Elapsed(began) - used
 	e.gateway.tally.count(result, waited, used)
 	e.gateway.metrics.backendTry(result, waited, used)
 	if result.Outcome == outcomeAnswered {
@@ -85,7 +86,7 @@
 	if refusal := e.awaitKey(ctx, request); refusal != nil {
 		return refusal, 0
 	}
-	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
+	ctx, cancel := context.WithTimeout(ctx, steady.Until(request.Deadline.Add(-answerMargin)))
 	defer cancel()
 	if !request.Transfer {
 		return e.tryInSlot(ctx, request)
@@ -115,9 +116,9 @@
 	if err != nil {
 		return e.noSlot(request, err), 0
 	}
-	began := time.Now()
+	began := steady.Reading()
 	result := e.useSlot(ctx, request)
-	used := time.Since(began)
+	used := steady.Elapsed(began)
 	e.release(request, result, taken, used)
 	return result, used
 }
@@ -129,7 +130,7 @@
 	if refusal == nil || refusal.Reason != reasonNotOwner {
 		return refusal
 	}
-	left := time.Until(request.Deadline)
+	left := steady.Until(request.Deadline)
 	ctx, cancel := context.WithTimeout(ctx, min(e.gateway.config.HeartbeatInterval, time.Duration(keyWaitShare*float64(left))))
 	defer cancel()
 	e.gateway.keys.await(ctx, request.Instance, request.Key)
@@ -163,7 +164,7 @@
 	load := e.gateway.slots.load()
 	service := load.service(request.Target)
 	kept := time.Duration(serviceMargin * float64(service))
-	left := time.Until(request.Due)
+	left := steady.Until(request.Due)
 	var least time.Duration
 	if left > 0 {
 		least = leastPatience
@@ -176,7 +177,7 @@
 		Due:      request.Due,
 		Target:   request.Target,
 		Patience: max(least, left-kept),
-		Latest:   time.Until(request.Deadline) - answerMargin - kept,
+		Latest:   steady.Until(request.Deadline) - answerMargin - kept,
 		OnlyHere: request.HasKey,
 	}
 }
@@ -197,7 +198,7 @@
 
 // refuses returns a refusal where the back end must not get a request now.
 func (e *egress) refuses(request *forwardRequest) *forwardResult {
-	now := time.Now()
+	now := steady.Reading()
 	if !e.gateway.admission.Admits(request.Deadline.Add(callersReserve)) {
 		return e.gateway.refuseStopping()
 	}
@@ -262,7 +263,7 @@
 	names := &e.gateway.config.Headers
 	header := request.Header
 	header.Set(names.TargetInstance, incarnation.IDOf(request.Instance))
-	left := max(time.Until(request.Deadline)-answerMargin, time.Millisecond)
+	left := max(steady.Until(request.Deadline)-answerMargin, time.Millisecond)
 	header.Set(names.Deadline, milliseconds(left))
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""}
@@ -318,7 +319,7 @@
 
 func (e *egress) broken(request *forwardRequest, err error) *forwardResult {
 	e.gateway.config.Log.Info("exchange with back end broken off", "request", request.ID, "instance", request.Instance,
-		"gateway_stopping", e.gateway.admission.Stopping(), "deadline_in_ms", time.Until(request.Deadline).Milliseconds(), "error", err)
+		"gateway_stopping", e.gateway.admission.Stopping(), "deadline_in_ms", steady.Until(request.Deadline).Milliseconds(), "error", err)
 	return &forwardResult{Outcome: outcomeUnknown, Reason: reasonBroken, Sent: true}
 }
 
--- a/internal/gateway/egress_test.go
+++ b/internal/gateway/egress_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -82,7 +83,7 @@
 	g.egress, err = newEgress(g)
 	assert.NilError(t, err)
 	t.Cleanup(g.egress.pool.Close)
-	g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
+	g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, steady.Reading())
 	g.egress.setSlots(4)
 	return g
 }
@@ -90,7 +91,7 @@
 func tryOf(id string) *forwardRequest {
 	return &forwardRequest{
 		Method: http.MethodGet, URI: "/a/b%2Fc?q=1", Host: "h", Header: http.Header{"Try-Name": {id}}, ID: id,
-		Instance: "i-1", Target: time.Second, Due: time.Now().Add(time.Second), Deadline: time.Now().Add(5 * time.Second),
+		Instance: "i-1", Target: time.Second, Due: steady.Reading().Add(time.Second), Deadline: steady.Reading().Add(5 * time.Second),
 	}
 }
 
@@ -178,7 +179,7 @@
 	keyed := tryOf("r2")
 	keyed.HasKey, keyed.Key = true, 5
 	assert.Equal(t, g.egress.serve(t.Context(), keyed).Reason, reasonNotOwner)
-	g.registry.deregister("i-1", 0, time.Now())
+	g.registry.deregister("i-1", 0, steady.Reading())
 	assert.Equal(t, g.egress.serve(t.Context(), tryOf("r3")).Reason, reasonNotAdmitted)
 	assert.Equal(t, len(backend.requests), 0)
 }
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // deafHolder is a back end that answers no order until the test is over, also
@@ -48,15 +49,15 @@
 		g.registry = newRegistry(func() {})
 		g.session = newSessionClient(g)
 		g.keys = newKeyKeeper(g)
-		g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
+		g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, steady.Reading())
 		ctx, cancel := context.WithCancel(t.Context())
 		g.background(func() { g.keys.run(ctx) })
 		held := fleetwire.Held{Keys: keyspace.Range{First: 0, Last: 9}, Fence: 1}
-		g.keys.take(&fleetwire.Lease{Instance: "i-1", Duration: time.Minute, Held: []fleetwire.Held{held}}, time.Now())
+		g.keys.take(&fleetwire.Lease{Instance: "i-1", Duration: time.Minute, Held: []fleetwire.Held{held}}, steady.Reading())
 		<-holder.called
-		began := time.Now()
+		began := steady.Reading()
 		cancel()
 		g.ended.Wait()
-		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, steady.Elapsed(began), time.Duration(0))
 	})
 }
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -40,10 +41,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := choosingGateway(t)
 		g.config.EvacuateWithin = 5 * time.Second
-		assert.NilError(t, g.views.advance(evacuating(7, "a"), time.Now()))
-		assert.Assert(t, !g.evacuated(time.Now()), "what is on its way still gets there")
+		assert.NilError(t, g.views.advance(evacuating(7, "a"), steady.Reading()))
+		assert.Assert(t, !g.evacuated(steady.Reading()), "what is on its way still gets there")
 		time.Sleep(2500 * time.Millisecond)
-		assert.Assert(t, g.evacuated(time.Now()))
+		assert.Assert(t, g.evacuated(steady.Reading()))
 	})
 }
 
@@ -51,7 +52,7 @@
 func TestARestartedGatewayInAnEvacuatedZoneAdmitsNothing(t *testing.T) {
 	g := choosingGateway(t)
 	advance(t, g.views, evacuating(7, "a"))
-	assert.Assert(t, g.evacuated(time.Now()))
+	assert.Assert(t, g.evacuated(steady.Reading()))
 }
 
 // The back ends of a zone may have turned cold while they stood empty.
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // tryRecord is one try of a request, as the log tells it.
@@ -77,7 +78,7 @@
 
 // logRefusal tells why the gateway beside a back end did not send it a request.
 func (e *egress) logRefusal(request *forwardRequest, why reason) {
-	now := time.Now()
+	now := steady.Reading()
 	fields := []any{"request", request.ID, "reason", string(why), "service", request.Service, "instance", request.Instance}
 	switch why {
 	case reasonNotOwner:
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // A gateway that refuses a try says which request it was, why, and what it knew.
@@ -35,16 +36,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
 		keys := rig.g.keys
-		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotLeased)
+		assert.Equal(t, keys.whyNot(5, steady.Reading()), keyNotLeased)
 		rig.holder.setRefuse(context.DeadlineExceeded)
 		rig.lease(held(0, 9), nil)
-		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotGranted)
+		assert.Equal(t, keys.whyNot(5, steady.Reading()), keyNotGranted)
 		rig.holder.setRefuse(nil)
 		time.Sleep(time.Second)
-		assert.Assert(t, keys.holds("i-1", 5, time.Now()))
-		assert.Equal(t, keys.whyNot(5, time.Now().Add(time.Minute)), keyExpired)
+		assert.Assert(t, keys.holds("i-1", 5, steady.Reading()))
+		assert.Equal(t, keys.whyNot(5, steady.Reading().Add(time.Minute)), keyExpired)
 		rig.lease([]fleetwire.Held{}, asked(0, 9))
-		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotLeased)
+		assert.Equal(t, keys.whyNot(5, steady.Reading()), keyNotLeased)
 	})
 }
 
@@ -52,14 +53,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		rig := newHeartbeatRig(t)
 		keys := rig.g.keys
-		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotLeased)
+		assert.Equal(t, keys.whyNot(5, steady.Reading()), keyNotLeased)
 		rig.lease(held(0, 9), nil)
-		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotTold)
+		assert.Equal(t, keys.whyNot(5, steady.Reading()), keyNotTold)
 		rig.beat(t, "i-1", nil)
-		assert.Assert(t, keys.holds("i-1", 5, time.Now()))
-		assert.Equal(t, keys.whyNot(5, time.Now().Add(time.Minute)), keyExpired)
+		assert.Assert(t, keys.holds("i-1", 5, steady.Reading()))
+		assert.Equal(t, keys.whyNot(5, steady.Reading().Add(time.Minute)), keyExpired)
 		rig.beat(t, "i-1", nil)
-		assert.Equal(t, keys.whyNot(5, time.Now()), keyNotTaken)
+		assert.Equal(t, keys.whyNot(5, steady.Reading()), keyNotTaken)
 	})
 }
 
--- a/internal/gateway/fences_test.go
+++ b/internal/gateway/fences_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -41,7 +42,7 @@
 	const grants = 1<<16 + 1000
 	ledger := newFenceLedger()
 	keys := keyspace.Range{First: 0, Last: 99}
-	now := time.Now()
+	now := steady.Reading()
 	before := keyspace.Fence(0)
 	for range grants {
 		sub := ledger.used[7]
@@ -67,7 +68,7 @@
 	time.Sleep(h.pause)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.holdsUntil = later(h.holdsUntil, time.Now().Add(time.Duration(float64(order.Hold)*(1+clockDrift))))
+	h.holdsUntil = later(h.holdsUntil, steady.Reading().Add(time.Duration(float64(order.Hold)*(1+clockDrift))))
 	return nil
 }
 
@@ -86,7 +87,7 @@
 		// The lease's end is tried at many places between two renewals.
 		for step := range 25 {
 			duration := 2*time.Second + time.Duration(step)*50*time.Millisecond
-			rig.g.keys.take(&fleetwire.Lease{SentAt: time.Since(rig.epoch), Duration: duration, Instance: "i-1", Held: held(0, 99)}, rig.epoch)
+			rig.g.keys.take(&fleetwire.Lease{SentAt: steady.Elapsed(rig.epoch), Duration: duration, Instance: "i-1", Held: held(0, 99)}, rig.epoch)
 			rig.g.keys.mutex.Lock()
 			ends := rig.g.keys.leaseUntil
 			rig.g.keys.mutex.Unlock()
--- a/internal/gateway/firsttries_test.go
+++ b/internal/gateway/firsttries_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/overload"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -34,11 +35,11 @@
 		var mutex sync.Mutex
 		var all sync.WaitGroup
 		ask := func(first time.Time, work time.Duration) bool {
-			age := seen.age("route", (waits - time.Since(first)).Truncate(time.Millisecond))
+			age := seen.age("route", (waits - steady.Elapsed(first)).Truncate(time.Millisecond))
 			if !c.byFirstTry {
 				age = 0
 			}
-			taken, err := g.acquire(t.Context(), wish(target-age, waits-time.Since(first)))
+			taken, err := g.acquire(t.Context(), wish(target-age, waits-steady.Elapsed(first)))
 			if err != nil {
 				return false
 			}
@@ -51,7 +52,7 @@
 			work := time.Duration((0.5 + random.Float64()) * float64(lateService))
 			pauses := []time.Duration{0, time.Duration((0.4 + random.Float64()) * float64(time.Second)), time.Duration((0.4 + random.Float64()) * float64(time.Second))}
 			all.Go(func() {
-				first := time.Now()
+				first := steady.Reading()
 				for try := range tries {
 					time.Sleep(pauses[try])
 					if !ask(first, work) {
@@ -59,7 +60,7 @@
 					}
 					mutex.Lock()
 					defer mutex.Unlock()
-					if time.Since(first) <= target {
+					if steady.Elapsed(first) <= target {
 						c.inTime++
 					} else {
 						c.late++
@@ -95,7 +96,7 @@
 	g.egress.setSlots(18)
 	g.slots.decide(func(queue *overload.SlotQueue, _ time.Time) { queue.SetServiceTime(400 * time.Millisecond) })
 	due := tryOf("due")
-	due.Due = time.Now()
+	due.Due = steady.Reading()
 	for range 18 {
 		_, err := g.slots.acquire(t.Context(), g.egress.demand(tryOf("first")))
 		assert.NilError(t, err)
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // Whatever a told load's bytes are, it tells nothing, or what formatLoad writes again.
@@ -25,8 +27,8 @@
 		}
 		assert.Equal(t, formatLoad(result.Load), text)
 		p := &peer{}
-		p.end(result, time.Now())
-		seconds, _ := p.expected(time.Second, time.Now())
+		p.end(result, steady.Reading())
+		seconds, _ := p.expected(time.Second, steady.Reading())
 		if !(seconds >= 0) || math.IsInf(seconds, 0) {
 			t.Fatalf("%v s by %q", seconds, text)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,7 @@
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
 	// From now on no earlier process of this gateway can run: it had these addresses.
-	g.keys.started = time.Now()
+	g.keys.started = steady.Reading()
 	g.config.Registry.MustRegister(g.gauges()...)
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
@@ -106,6 +106,7 @@
 	g.background(func() { g.watchWarmth(ctx) })
 	g.background(func() { g.watchWord(ctx) })
 	g.background(func() { g.tellEnds(ctx) })
+	g.background(func() { g.watchSuspensions(ctx) })
 	g.background(func() { g.summarize(ctx) })
 	g.background(func() { _ = g.callers.Serve() })
 	g.background(func() { _ = g.inbound.Serve() })
@@ -161,7 +162,7 @@
 // Ready reports whether the gateway can serve callers.
 func (g *Gateway) Ready() bool {
 	v := g.views.load()
-	return !g.admission.Stopping() && v.table != nil && len(v.byID) > 0 && g.session.vouched.holds(time.Now())
+	return !g.admission.Stopping() && v.table != nil && len(v.byID) > 0 && g.session.vouched.holds(steady.Reading())
 }
 
 // Heartbeat takes the word of the back end beside the gateway. It is
@@ -175,7 +176,7 @@
 	if own := g.config.Service; own != "" && told.Service != own {
 		return nil, fmt.Errorf("%.64q, not %q: %w", told.Service, own, ErrOtherService)
 	}
-	now := time.Now()
+	now := steady.Reading()
 	if !g.registry.heartbeat(told, g.drainWithin(), now) {
 		return nil, nil
 	}
@@ -185,7 +186,7 @@
 
 // Deregister takes the word of a back end, by the name of its life, that it leaves.
 func (g *Gateway) Deregister(id string) {
-	g.registry.deregister(id, g.drainWithin(), time.Now())
+	g.registry.deregister(id, g.drainWithin(), steady.Reading())
 }
 
 // drainWithin is how long a leaving back end gets requests here: a part of the
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -71,7 +71,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	g.closeWhileStopping(w, r)
-	began := time.Now()
+	began := steady.Reading()
 	g.lastCaller.Store(steady.At(began))
 	v := g.views.load()
 	route := v.find(r)
@@ -96,7 +96,7 @@
 		g.refuse(w, r, reasonStopping, retryAfter(g.refuseStopping()), nil)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), steady.Until(c.deadline))
 	defer cancel()
 	g.held.add(len(c.body))
 	result := g.run(ctx, c)
@@ -167,7 +167,7 @@
 
 // answer writes the final answer of a request.
 func (g *Gateway) answer(w http.ResponseWriter, c *call, result *forwardResult) {
-	took := time.Since(c.began)
+	took := steady.Elapsed(c.began)
 	if c.request.Context().Err() != nil {
 		g.metrics.callerLeft(c.service.Name)
 		// A return would end in an empty success, which a caller that closed only
--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // hold is for how long keys are granted at a time where the lease allows it. One that gets
@@ -75,7 +77,7 @@
 func (k *keyKeeper) prepare(instance string, sent *grant, terms grantTerms) (order GrantOrder, ok bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	now := time.Now()
+	now := steady.Reading()
 	hold := min(terms.longest, k.longestHold(now), holdUntil(terms.until, now))
 	if instance != k.instance || k.yielding || hold < leastHold {
 		sent.bound.NotTaken()
@@ -93,7 +95,7 @@
 		return
 	}
 	// From when it was worked out: what stood still since must not leave.
-	ctx, cancel := context.WithDeadline(ctx, order.preparedAt.Add(grantTimeout))
+	ctx, cancel := context.WithTimeout(ctx, steady.Until(order.preparedAt.Add(grantTimeout)))
 	defer cancel()
 	err := k.gateway.config.Keys.Grant(ctx, order)
 	k.gateway.metrics.grant(err)
@@ -103,7 +105,7 @@
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	now := time.Now()
+	now := steady.Reading()
 	k.noteAnswer(instance, sent, err, now)
 	if instance != k.instance {
 		return
@@ -179,7 +181,7 @@
 	defer k.mutex.Unlock()
 	if err != nil || instance != k.instance || k.yielding {
 		sent.bound.NotTaken()
-		sent.nextAt = time.Now().Add(releaseAgain)
+		sent.nextAt = steady.Reading().Add(releaseAgain)
 		return
 	}
 	sent.bound.TakenBack()
--- a/internal/gateway/keyheartbeats_test.go
+++ b/internal/gateway/keyheartbeats_test.go
@@ -10,6 +10,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -50,17 +51,17 @@
 		rig := newHeartbeatRig(t)
 		assert.Assert(t, rig.beat(t, "i-1", nil) == nil, "no lease yet: nothing is renewed")
 		rig.lease(held(0, 99), nil)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()), "not told yet")
+		assert.Assert(t, !rig.g.keys.holds("i-1", 5, steady.Reading()), "not told yet")
 		offer := rig.beat(t, "i-1", nil)
 		assert.DeepEqual(t, offer.Held, []OfferedRange{{Keys: keyspace.Range{First: 0, Last: 99}, Fence: compose(7, 0)}})
 		assert.Assert(t, offer.Hold <= rig.g.keys.hold())
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
-		assert.Assert(t, !rig.g.keys.holds("i-1", 100, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 100, steady.Reading()))
 		assert.Equal(t, len(rig.holder.granted()), 0, "the back end is not called")
 		// No report is answered any more: the lease ends, and nothing is renewed.
 		time.Sleep(8 * time.Second)
 		assert.Assert(t, rig.beat(t, "i-1", nil) == nil)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 5, steady.Reading()))
 	})
 }
 
@@ -72,9 +73,9 @@
 		draw := rand.New(rand.NewPCG(1, 2))
 		rig.lease(held(0, 99), nil)
 		leaseEnds := rig.g.keys.leaseUntil
-		for time.Now().Before(leaseEnds) {
+		for steady.Reading().Before(leaseEnds) {
 			if offer := rig.beat(t, "i-1", nil); offer != nil {
-				slow := time.Now().Add(time.Duration(float64(offer.Hold) * 1.02))
+				slow := steady.Reading().Add(time.Duration(float64(offer.Hold) * 1.02))
 				assert.Assert(t, !slow.After(leaseEnds), "held for %v beyond the lease", slow.Sub(leaseEnds))
 			}
 			time.Sleep(time.Duration(draw.IntN(1000)) * time.Millisecond)
@@ -91,7 +92,7 @@
 		for _, late := range []uint64{10, 9, 3} {
 			assert.Assert(t, rig.beatWith(t, "i-1", late, nil, nil) == nil, "sequence %d", late)
 		}
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()), "what a late heartbeat lacks is not lost")
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()), "what a late heartbeat lacks is not lost")
 	})
 }
 
@@ -106,12 +107,12 @@
 		rig.beat(t, "i-1", heldAs(0, 99, fence))
 		time.Sleep(time.Second)
 		rig.lease(held(0, 39), asked(40, 99))
-		assert.Assert(t, rig.g.keys.holds("i-1", 50, time.Now()), "served until the back end is told")
+		assert.Assert(t, rig.g.keys.holds("i-1", 50, steady.Reading()), "served until the back end is told")
 		// A heartbeat that was under way does not name them: it has not seen the
 		// answer that takes them.
 		offer := rig.beat(t, "i-1", heldAs(0, 39, fence))
 		assert.Equal(t, len(offer.Held), 1)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 50, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 50, steady.Reading()))
 		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 		// It still works on some of them.
 		rig.beat(t, "i-1", append(heldAs(0, 39, fence), heldAs(90, 99, fence)...))
@@ -133,13 +134,13 @@
 		time.Sleep(2 * answerVoid)
 		rig.lease(held(0, 99), nil)
 		rig.beat(t, "i-1", nil)
-		offered := time.Now()
+		offered := steady.Reading()
 		rig.lease(held(0, 39), asked(40, 99))
 		rig.beat(t, "i-1", nil)
 		time.Sleep(100 * time.Millisecond)
 		rig.beat(t, "i-1", heldAs(0, 39, compose(7, 0)))
 		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
-		time.Sleep(answerVoid - time.Since(offered) - time.Millisecond)
+		time.Sleep(answerVoid - steady.Elapsed(offered) - time.Millisecond)
 		synctest.Wait()
 		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 		time.Sleep(2 * keysInterval)
@@ -155,9 +156,9 @@
 		time.Sleep(10 * time.Second)
 		rig.lease(held(0, 99), nil)
 		offer := rig.beat(t, "i-1", nil)
-		until := time.Now().Add(time.Duration(float64(offer.Hold) * 1.02))
+		until := steady.Reading().Add(time.Duration(float64(offer.Hold) * 1.02))
 		rig.lease(nil, asked(0, 99))
-		for time.Now().Before(until) {
+		for steady.Reading().Before(until) {
 			assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 			time.Sleep(keysInterval)
 			synctest.Wait()
@@ -181,12 +182,12 @@
 			offer := rig.beat(t, "i-1", nil)
 			assert.Assert(t, offer.Held[0].Fence > before, "%d after %d", offer.Held[0].Fence, before)
 			before = offer.Held[0].Fence
-			assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
+			assert.Assert(t, !rig.g.keys.holds("i-1", 5, steady.Reading()))
 		}
 		rig.lease(held(0, 99), nil)
 		offer := rig.beat(t, "i-1", heldAs(0, 99, before))
 		assert.Equal(t, offer.Held[0].Fence, before, "taken: renewed under the same fence")
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
 	})
 }
 
@@ -196,10 +197,10 @@
 		rig := newHeartbeatRig(t)
 		rig.g.keys.take(&fleetwire.Lease{Instance: "i-1"}, rig.epoch)
 		assert.Assert(t, rig.beat(t, "i-1", heldAs(0, 99, compose(7, 0))) == nil)
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
-		assert.Assert(t, !rig.g.keys.holds("i-1", 100, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 100, steady.Reading()))
 		time.Sleep(2 * (DefaultHeartbeatInterval + reportedSlack))
-		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 5, steady.Reading()))
 	})
 }
 
@@ -223,7 +224,7 @@
 		rig.lease(held(0, 99), nil)
 		rig.beat(t, "i-1", nil)
 		assert.Assert(t, rig.beat(t, "i-2", nil) == nil)
-		assert.Assert(t, !rig.g.keys.holds("i-2", 5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-2", 5, steady.Reading()))
 		assert.Assert(t, rig.beat(t, "i-1", heldAs(0, 99, compose(7, 0))) == nil, "a word of the last life")
 	})
 }
@@ -247,8 +248,8 @@
 		}
 		// What was never held or given is passed over.
 		rig.beat(t, "i-1", append(heldAs(0, 99, compose(7, 0)), heldAs(200, 300, 12345)...), FreedRange{keyspace.Range{First: 400, Last: 500}, "x"})
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
-		assert.Assert(t, !rig.g.keys.holds("i-1", 250, time.Now()), "not offered")
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 250, steady.Reading()), "not offered")
 		assert.Equal(t, len(rig.g.keys.promises(0)), 0)
 	})
 }
@@ -262,7 +263,7 @@
 		rig.beat(t, "i-1", nil)
 		offer := rig.beat(t, "i-1", append(heldAs(0, 99, compose(7, 0)), heldAs(50, 99, compose(6, 0))...))
 		assert.Equal(t, len(offer.Held), 1)
-		assert.Assert(t, rig.g.keys.holds("i-1", 60, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 60, steady.Reading()))
 	})
 }
 
@@ -293,18 +294,18 @@
 		rig := newKeyRig(t)
 		rig.setGrants(routeconfig.GrantByCall, 1)
 		rig.lease(held(0, 99), nil)
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
 		called := rig.holder.granted()
 		rig.setGrants(routeconfig.GrantByHeartbeat, 2)
 		offer := rig.beat(t, "i-1", heldAs(0, 99, called[len(called)-1].Fence))
 		assert.Assert(t, offer.Held[0].Fence >= called[len(called)-1].Fence)
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, len(rig.holder.granted()), len(called), "called no more")
 		rig.setGrants(routeconfig.GrantByCall, 3)
 		rig.lease(held(0, 99), nil)
 		assert.Assert(t, len(rig.holder.granted()) > len(called))
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
 	})
 }
 
@@ -319,7 +320,7 @@
 		rig.lease(many, nil)
 		offer := rig.beat(t, "i-1", nil)
 		assert.Equal(t, len(offer.Held), MaxOfferedRanges)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 399, time.Now()), "what is not offered is not asked for")
+		assert.Assert(t, !rig.g.keys.holds("i-1", 399, steady.Reading()), "what is not offered is not asked for")
 	})
 }
 
--- a/internal/gateway/keylost.go
+++ b/internal/gateway/keylost.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
+)
 
 // A back end that can't be reached gets nothing new, and may live: a process that stops as
 // planned closes its listener first. Its keys are free once their time is over.
@@ -51,7 +55,7 @@
 		return
 	}
 	// Not now: this goroutine may have stood still since it read that.
-	k.wanted, k.leaseUntil, k.leaseFrom = nil, time.Time{}, time.Now()
+	k.wanted, k.leaseUntil, k.leaseFrom = nil, time.Time{}, steady.Reading()
 	k.gateway.keysFree(k.instance, allKeys, proofTimeOver)
 	k.gateway.session.report()
 }
--- a/internal/gateway/keynews_test.go
+++ b/internal/gateway/keynews_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // answered is the answer to a heartbeat and how long it took.
@@ -20,8 +21,8 @@
 // beatAside sends a heartbeat whose answer is waited for aside.
 func (r *keyRig) beatAside(t *testing.T, held []HeldRange) <-chan answered {
 	r.sequence++
-	sequence, began, done := r.sequence, time.Now(), make(chan answered, 1)
-	go func() { done <- answered{r.beatWith(t, "i-1", sequence, held, nil), time.Since(began)} }()
+	sequence, began, done := r.sequence, steady.Reading(), make(chan answered, 1)
+	go func() { done <- answered{r.beatWith(t, "i-1", sequence, held, nil), steady.Elapsed(began)} }()
 	synctest.Wait()
 	return done
 }
@@ -46,7 +47,7 @@
 		told := <-done
 		assert.Assert(t, told.after <= soon, "%v", told.after)
 		assert.DeepEqual(t, told.offer.Held, []OfferedRange{{Keys: keyspace.Range{First: 0, Last: 39}, Fence: compose(7, 0)}})
-		assert.Assert(t, !rig.g.keys.holds("i-1", 50, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 50, steady.Reading()))
 	})
 }
 
@@ -59,7 +60,7 @@
 		told := <-done
 		assert.Assert(t, told.after <= soon, "%v", told.after)
 		assert.Equal(t, len(told.offer.Held), 2)
-		assert.Assert(t, rig.g.keys.holds("i-1", 250, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 250, steady.Reading()))
 	})
 }
 
@@ -85,7 +86,7 @@
 func TestAnAnswerWithoutNewsLeavesInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := settledRig(t)
-		arrived := time.Now()
+		arrived := steady.Reading()
 		told := <-rig.beatAside(t, heldAs(0, 99, compose(7, 0)))
 		assert.Equal(t, told.after, DefaultAnswerHold)
 		rig.g.keys.mutex.Lock()
@@ -103,7 +104,7 @@
 		rig := settledRig(t)
 		told := <-rig.beatAside(t, heldAs(0, 99, compose(7, 0)))
 		time.Sleep(told.offer.Hold - DefaultAnswerHold - renewalReserve)
-		rig.g.keys.take(&fleetwire.Lease{SentAt: time.Since(rig.epoch), Duration: 8 * time.Second, Instance: "i-1", Held: held(0, 99)}, rig.epoch)
+		rig.g.keys.take(&fleetwire.Lease{SentAt: steady.Elapsed(rig.epoch), Duration: 8 * time.Second, Instance: "i-1", Held: held(0, 99)}, rig.epoch)
 		late := <-rig.beatAside(t, heldAs(0, 99, compose(7, 0)))
 		assert.Assert(t, late.offer != nil)
 		assert.Equal(t, late.after, time.Duration(0))
@@ -114,12 +115,12 @@
 func TestTheHeartbeatOfOneThatLeavesIsAnsweredAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := settledRig(t)
-		began := time.Now()
+		began := steady.Reading()
 		_, err := rig.g.Heartbeat(Registration{
 			ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceDraining, Sequence: 100, Held: heldAs(0, 99, compose(7, 0)),
 		})
 		assert.NilError(t, err)
-		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, steady.Elapsed(began), time.Duration(0))
 	})
 }
 
--- a/internal/gateway/keyreleases.go
+++ b/internal/gateway/keyreleases.go
@@ -6,6 +6,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // endOver promises the ranges that the back end surely holds no more, because their
@@ -99,7 +100,7 @@
 		err = errOtherInstance
 	}
 	if err != nil {
-		running.nextAt = time.Now().Add(releaseAgain)
+		running.nextAt = steady.Reading().Add(releaseAgain)
 	} else {
 		running.done = true
 		running.handover = handover
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -10,6 +10,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyhold"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 const (
@@ -136,7 +137,7 @@
 	return &keyKeeper{
 		gateway:  g,
 		wake:     make(chan struct{}, 1),
-		started:  time.Now(),
+		started:  steady.Reading(),
 		grants:   map[heldKey]*grant{},
 		releases: map[heldKey]*release{},
 		told:     map[heldKey]time.Duration{},
@@ -170,7 +171,7 @@
 		k.mutex.Lock()
 		changed := k.changed
 		k.mutex.Unlock()
-		if k.holds(instance, key, time.Now()) || !k.expects(instance, key) {
+		if k.holds(instance, key, steady.Reading()) || !k.expects(instance, key) {
 			return
 		}
 		select {
@@ -192,7 +193,7 @@
 		return
 	}
 	if lease.Instance != k.instance {
-		k.reset(lease.Instance, time.Now())
+		k.reset(lease.Instance, steady.Reading())
 	}
 	duration := time.Duration(float64(lease.Duration) * (1 - clockDrift))
 	k.leaseUntil = epoch.Add(lease.SentAt + duration)
@@ -309,7 +310,7 @@
 		case <-ticker.C:
 		case <-k.wake:
 		}
-		k.work(ctx, time.Now())
+		k.work(ctx, steady.Reading())
 	}
 }
 
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -66,7 +67,7 @@
 func newKeyRig(t *testing.T) *keyRig {
 	// What the keeper has begun ends after it: a look at an address, or a grant.
 	t.Cleanup(func() { time.Sleep(grantTimeout) })
-	rig := &keyRig{holder: &fakeHolder{}, epoch: time.Now(), sequence: 1}
+	rig := &keyRig{holder: &fakeHolder{}, epoch: steady.Reading(), sequence: 1}
 	rig.g = &Gateway{config: Config{Keys: rig.holder}.withDefaults()}
 	rig.g.metrics = newGatewayMetrics(rig.g.config.Registry)
 	rig.g.views = newViews()
@@ -75,7 +76,7 @@
 	rig.g.keys = newKeyKeeper(rig.g)
 	rig.g.keyLoad = newKeyLoad()
 	rig.g.slots = newSlotGate()
-	rig.g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
+	rig.g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, steady.Reading())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -92,7 +93,7 @@
 // lease gives the rig a lease of ranges that was asked for just now.
 func (r *keyRig) lease(held, release []fleetwire.Held) {
 	r.g.keys.take(&fleetwire.Lease{
-		SentAt: time.Since(r.epoch), Duration: 8 * time.Second, Instance: "i-1", Held: held, Release: release,
+		SentAt: steady.Elapsed(r.epoch), Duration: 8 * time.Second, Instance: "i-1", Held: held, Release: release,
 	}, r.epoch)
 	time.Sleep(keysInterval)
 	synctest.Wait()
@@ -112,13 +113,13 @@
 func TestKeysAreServedOnlyWhileGrantedAndLeased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 5, steady.Reading()))
 		rig.lease(held(0, 99), nil)
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
-		assert.Assert(t, !rig.g.keys.holds("i-1", 100, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 100, steady.Reading()))
 		// No report is answered any more: the lease and every grant end within it.
 		time.Sleep(8 * time.Second)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 5, steady.Reading()))
 		for _, order := range rig.holder.granted() {
 			assert.Assert(t, order.Hold <= DefaultKeyHold)
 		}
@@ -130,7 +131,7 @@
 		rig := newKeyRig(t)
 		rig.holder.refuse = errors.New("no answer")
 		rig.lease(held(0, 99), nil)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 5, steady.Reading()))
 	})
 }
 
@@ -143,13 +144,13 @@
 		rig.lease(held(0, 99), nil)
 		rest := append(held(0, 39), held(50, 99)...)
 		rig.lease(rest, asked(40, 49))
-		assert.Assert(t, !rig.g.keys.holds("i-1", 45, time.Now()))
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 45, steady.Reading()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
 		assert.Equal(t, len(rig.g.keys.promises(0)), 1)
 		rig.holder.setRefuse(errors.New("no answer"))
 		before := len(rig.holder.granted())
 		rig.lease(held(0, 99), nil)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 45, time.Now()), "the old grant does not cover what was taken back")
+		assert.Assert(t, !rig.g.keys.holds("i-1", 45, steady.Reading()), "the old grant does not cover what was taken back")
 		assert.Assert(t, len(rig.holder.granted()) > before, "it is granted anew at once")
 	})
 }
@@ -187,13 +188,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		rig := newKeyRig(t)
 		rig.lease(held(0, 99), nil)
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
 		before := len(rig.holder.granted())
 		rig.g.registry.lost("i-1")
-		rig.g.registry.heartbeat(Registration{ID: "i-2", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
+		rig.g.registry.heartbeat(Registration{ID: "i-2", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, steady.Reading())
 		rig.g.keys.signal()
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, len(rig.holder.granted()), before, "granted to another life")
-		assert.Assert(t, !rig.g.keys.holds("i-2", 5, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-2", 5, steady.Reading()))
 	})
 }
--- a/internal/gateway/keysfree_test.go
+++ b/internal/gateway/keysfree_test.go
@@ -13,6 +13,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keylease"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -92,7 +93,7 @@
 				rig := newOwnersRig(t, test.grants)
 				rig.run(6 * time.Second)
 				assert.Assert(t, rig.ownedBy("i-1") > 0)
-				assert.Assert(t, rig.holder.former.holdsAt(time.Now()))
+				assert.Assert(t, rig.holder.former.holdsAt(steady.Reading()))
 				test.event(rig)
 				rig.run(test.within)
 				assert.Equal(t, rig.moved, test.within > 0, "whether its keys have another owner after %v", test.within)
@@ -162,7 +163,7 @@
 	defer h.mutex.Unlock()
 	process, err := h.answers()
 	if err == nil {
-		process.hold(time.Now(), order.Hold)
+		process.hold(steady.Reading(), order.Hold)
 	}
 	return err
 }
@@ -223,7 +224,7 @@
 }
 
 // now is the leader's clock.
-func (r *ownersRig) now() time.Duration { return time.Since(r.epoch) + time.Second }
+func (r *ownersRig) now() time.Duration { return steady.Elapsed(r.epoch) + time.Second }
 
 func (r *ownersRig) ownedBy(id string) int { return len(r.state.Owners("s").OwnedBy(id)) }
 
@@ -237,7 +238,7 @@
 // run lets time pass, and checks at each step that the former process holds nothing once
 // another back end owns its keys.
 func (r *ownersRig) run(duration time.Duration) {
-	for end := time.Now().Add(duration); time.Now().Before(end); {
+	for end := steady.Reading().Add(duration); steady.Reading().Before(end); {
 		r.step()
 	}
 }
@@ -275,7 +276,7 @@
 	}
 	r.holder.mutex.Lock()
 	defer r.holder.mutex.Unlock()
-	now := time.Now()
+	now := steady.Reading()
 	assert.Assert(r.t, !r.holder.former.holdsAt(now), "another back end owns the keys, and the former one holds them for another %v", r.holder.former.until.Sub(now))
 }
 
@@ -286,7 +287,7 @@
 	if r.drains {
 		state = fleetwire.InstanceDraining
 	}
-	sent := time.Now()
+	sent := steady.Reading()
 	offer, err := r.g.Heartbeat(Registration{ID: r.life, Service: "s", Slots: 4, State: state, Sequence: r.sequence})
 	assert.NilError(r.t, err)
 	if offer == nil || r.life != "i-1" {
@@ -308,7 +309,7 @@
 		return
 	}
 	report := r.g.session.build()
-	report.SentAt = time.Since(r.epoch)
+	report.SentAt = steady.Elapsed(r.epoch)
 	r.g.keys.take(r.planner.Report(report, r.now()), r.epoch)
 }
 
--- a/internal/gateway/keywait_test.go
+++ b/internal/gateway/keywait_test.go
@@ -8,16 +8,17 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
 // awaited returns how long a request waits for a key of i-1, at most a limit.
 func (r *keyRig) awaited(key keyspace.Key, limit time.Duration) time.Duration {
-	began := time.Now()
+	began := steady.Reading()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	r.g.keys.await(ctx, "i-1", key)
-	return time.Since(began)
+	return steady.Elapsed(began)
 }
 
 // A back end learns of a key with its next heartbeat; who asks for the key before
@@ -31,7 +32,7 @@
 			rig.beat(t, "i-1", nil)
 		}()
 		assert.Equal(t, rig.awaited(5, time.Second), 300*time.Millisecond)
-		assert.Assert(t, rig.g.keys.holds("i-1", 5, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 5, steady.Reading()))
 		synctest.Wait()
 	})
 }
@@ -66,7 +67,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		rig := newHeartbeatRig(t)
 		rig.owns(t, 1, "i-1")
-		began := time.Now()
+		began := steady.Reading()
 		until := began.Add(time.Second)
 		go func() {
 			time.Sleep(50 * time.Millisecond)
@@ -75,11 +76,11 @@
 			rig.owns(t, 3, "i-2")
 		}()
 		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-1", notRun(reasonNotOwner), until))
-		assert.Equal(t, time.Since(began), 80*time.Millisecond)
+		assert.Equal(t, steady.Elapsed(began), 80*time.Millisecond)
 		// Without news it is asked again after a moment, and not beyond its time.
 		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-2", notRun(reasonNotOwner), until))
-		assert.Equal(t, time.Since(began), 80*time.Millisecond+sameOwnerAgain)
-		time.Sleep(time.Until(until))
+		assert.Equal(t, steady.Elapsed(began), 80*time.Millisecond+sameOwnerAgain)
+		time.Sleep(steady.Until(until))
 		assert.Assert(t, !rig.g.awaitOwner(t.Context(), "s", 5, "i-2", notRun(reasonNotOwner), until))
 		synctest.Wait()
 	})
--- a/internal/gateway/latebeat_test.go
+++ b/internal/gateway/latebeat_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -21,7 +22,7 @@
 func TestALateHeartbeatOfAnEarlierLifeIsNotTheNextLife(t *testing.T) {
 	r := newRegistry(func() {})
 	r.interval = beatInterval
-	now := time.Now()
+	now := steady.Reading()
 	beat(r, "live", 5, now)
 	beat(r, "dead", 40, now.Add(100*time.Millisecond))
 	assert.Equal(t, r.snapshot().ID, "live")
@@ -38,14 +39,14 @@
 	document := &routeconfig.Document{Version: 1, Services: []routeconfig.Service{{Name: "s", WarmupRate: coldRate}}}
 	advance(t, g.views, &fleetwire.View{Document: document})
 	known := fleetwire.Instance{ID: "i-1", Service: "s", State: fleetwire.InstanceReady, Sequence: 9}
-	g.registry.restore(known, time.Second, time.Now())
+	g.registry.restore(known, time.Second, steady.Reading())
 	assert.Assert(t, g.unproved())
 	g.registry.prove("i-2")
 	assert.Assert(t, g.unproved(), "another one has answered")
-	beat(g.registry, "i-1", 10, time.Now())
+	beat(g.registry, "i-1", 10, steady.Reading())
 	assert.Assert(t, !g.unproved())
 	g.registry = newRegistry(func() {})
-	g.registry.restore(known, time.Second, time.Now())
+	g.registry.restore(known, time.Second, steady.Reading())
 	g.registry.prove("i-1")
 	assert.Assert(t, !g.unproved())
 }
@@ -54,7 +55,7 @@
 func TestANewLifeIsKnownThoughItsFirstHeartbeatsWereLost(t *testing.T) {
 	r := newRegistry(func() {})
 	r.interval = beatInterval
-	now := time.Now()
+	now := steady.Reading()
 	beat(r, "last", 40, now)
 	beat(r, "next", 7, now.Add(2*beatInterval))
 	assert.Equal(t, r.snapshot().ID, "next")
--- a/internal/gateway/lateslots_test.go
+++ b/internal/gateway/lateslots_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 const lateService = 300 * time.Millisecond
@@ -23,7 +25,7 @@
 
 // wish is a request that is due after one time and is given up after another.
 func wish(due, gone time.Duration) demand {
-	return demand{Due: time.Now().Add(due), Target: time.Second, Patience: max(leastPatience, due-lateService), Latest: gone - lateService}
+	return demand{Due: steady.Reading().Add(due), Target: time.Second, Patience: max(leastPatience, due-lateService), Latest: gone - lateService}
 }
 
 // occupy takes all slots and gives them back after a time.
@@ -40,11 +42,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := lateGate(2)
 		occupy(t, g, 2, lateService)
-		began := time.Now()
+		began := steady.Reading()
 		taken, err := g.acquire(t.Context(), wish(100*time.Millisecond, 2*time.Second))
 		assert.NilError(t, err)
 		assert.Assert(t, taken.Late)
-		assert.Equal(t, time.Since(began), lateService)
+		assert.Equal(t, steady.Elapsed(began), lateService)
 		g.release(taken, lateService)
 		synctest.Wait()
 		_, long, late := g.queue.Running()
@@ -86,10 +88,10 @@
 			time.Sleep(lateService)
 		}
 		occupy(t, g, slots, lateService)
-		began := time.Now()
+		began := steady.Reading()
 		_, err := g.acquire(t.Context(), wish(0, 3*time.Second))
 		assert.ErrorIs(t, err, errNoRoom)
-		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, steady.Elapsed(began), time.Duration(0))
 		time.Sleep(time.Second)
 	})
 }
@@ -102,10 +104,10 @@
 		time.AfterFunc(100*time.Millisecond, leave)
 		_, err := g.acquire(ctx, wish(0, 3*time.Second))
 		assert.ErrorIs(t, err, context.Canceled)
-		began := time.Now()
+		began := steady.Reading()
 		_, err = g.acquire(t.Context(), wish(0, time.Second))
 		assert.ErrorIs(t, err, errNoRoom)
-		assert.Assert(t, time.Since(began) <= time.Second-lateService)
+		assert.Assert(t, steady.Elapsed(began) <= time.Second-lateService)
 		_, waiting := g.counts()
 		assert.Equal(t, waiting, 0)
 		time.Sleep(5 * time.Second)
@@ -135,7 +137,7 @@
 			time.Sleep(time.Duration(random.ExpFloat64() * float64(lateService) / slots / load))
 			work := time.Duration(random.ExpFloat64() * float64(lateService))
 			all.Go(func() {
-				began := time.Now()
+				began := steady.Reading()
 				wanted := wish(target, leaves)
 
 				wanted.OnlyHere = places == onlyHere
@@ -149,7 +151,7 @@
 				}
 				mutex.Lock()
 				defer mutex.Unlock()
-				switch took := time.Since(began); {
+				switch took := steady.Elapsed(began); {
 				case err != nil:
 					refused++
 					inVain += took
@@ -203,7 +205,7 @@
 		var all sync.WaitGroup
 		for range asked {
 			all.Go(func() {
-				began := time.Now()
+				began := steady.Reading()
 				taken, err := g.acquire(t.Context(), wish(time.Second, 8*time.Second))
 				if err == nil {
 					time.Sleep(lateService)
@@ -211,7 +213,7 @@
 					return
 				}
 				mutex.Lock()
-				longest = max(longest, time.Since(began))
+				longest = max(longest, steady.Elapsed(began))
 				mutex.Unlock()
 			})
 			time.Sleep(12 * time.Second / asked)
--- a/internal/gateway/leaderless_test.go
+++ b/internal/gateway/leaderless_test.go
@@ -13,6 +13,7 @@
 	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
@@ -102,7 +103,7 @@
 	l := startLeaderless(t, 3)
 	l.silent[2].Store(true)
 	s := startLeaderlessGateway(t, l.addresses)
-	for began := time.Now(); time.Since(began) < 2*(configlease.Terms{}).WithDefaults().Validity(); {
+	for began := steady.Reading(); steady.Elapsed(began) < 2*(configlease.Terms{}).WithDefaults().Validity(); {
 		assert.Equal(t, s.status(), http.StatusOK)
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/internal/gateway/linkadmission_test.go
+++ b/internal/gateway/linkadmission_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/overload"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -39,12 +40,12 @@
 	pacer := newLinkPacer(narrowRate)
 	link := &narrowLink{rate: narrowRate}
 	draw := rand.New(rand.NewPCG(1, 2))
-	began := time.Now()
+	began := steady.Reading()
 	var outcome linkOutcome
 	var mutex sync.Mutex
 	var all sync.WaitGroup
 	ask := func() {
-		asked := time.Now()
+		asked := steady.Reading()
 		count := func(which *int) {
 			mutex.Lock()
 			*which++
@@ -70,7 +71,7 @@
 		pacer.settle(kept, true, transferSize)
 		pacer.write(t.Context(), &linkWriter{httptest.NewRecorder(), link}, make([]byte, transferSize))
 		time.Sleep(pacer.link.TimeFor(transferSize))
-		switch took := time.Since(asked); {
+		switch took := steady.Elapsed(asked); {
 		case took <= transferTarget:
 			count(&outcome.inTime)
 		case took <= transferLeaves:
@@ -79,7 +80,7 @@
 			count(&outcome.gone)
 		}
 	}
-	for time.Since(began) < l.lasting {
+	for steady.Elapsed(began) < l.lasting {
 		outcome.asked++
 		all.Go(ask)
 		mutex.Lock()
@@ -140,7 +141,7 @@
 // A process that has just started does not know how large the answers are.
 func TestFewAnswersAreBegunBeforeTheirSizeIsKnown(t *testing.T) {
 	pacer := newLinkPacer(narrowRate)
-	wanted := overload.Transfer{Due: time.Now().Add(transferTarget), Deadline: time.Now().Add(transferLeaves), Target: transferTarget, Run: transferRun}
+	wanted := overload.Transfer{Due: steady.Reading().Add(transferTarget), Deadline: steady.Reading().Add(transferLeaves), Target: transferTarget, Run: transferRun}
 	begun := 0
 	var first overload.Kept
 	for range 60 {
@@ -169,7 +170,7 @@
 		pacer := newLinkPacer(narrowRate)
 		pacer.settle(overload.Kept{}, true, transferSize)
 		pacer.wait(20 * transferSize) // nothing of it is handed over
-		now := time.Now()
+		now := steady.Reading()
 		wanted := overload.Transfer{Due: now.Add(transferTarget), Deadline: now.Add(transferLeaves), Target: transferTarget, Run: transferRun}
 		_, ok := pacer.admit(wanted)
 		assert.Assert(t, !ok)
--- a/internal/gateway/linkpacer.go
+++ b/internal/gateway/linkpacer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/overload"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 const (
@@ -51,7 +52,7 @@
 func (p *linkPacer) decide(call func(link *overload.Link, now time.Time)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	call(p.link, time.Now())
+	call(p.link, steady.Reading())
 }
 
 // admit keeps a part of the link for a large answer, to be given to settle once it
--- a/internal/gateway/linkpacer_test.go
+++ b/internal/gateway/linkpacer_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // narrowLink sends what is written to it at a rate, one after the other, and notes
@@ -24,7 +26,7 @@
 func (l *narrowLink) send(bytes int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	now := time.Now()
+	now := steady.Reading()
 	if l.free.Before(now) {
 		l.free = now
 	}
@@ -53,7 +55,7 @@
 		const answers, size = 40, 90_000
 		link := &narrowLink{rate: narrowRate}
 		pacer := newLinkPacer(narrowRate)
-		began := time.Now()
+		began := steady.Reading()
 		var all sync.WaitGroup
 		for range answers {
 			all.Go(func() {
@@ -65,7 +67,7 @@
 		synctest.Wait()
 		assert.Assert(t, pacer.backlog() > 3*time.Second, "%v", pacer.backlog())
 		all.Wait()
-		took := time.Since(began).Seconds()
+		took := steady.Elapsed(began).Seconds()
 		assert.Assert(t, link.deepest < 100*time.Millisecond, "a small answer would wait %v", link.deepest)
 		assert.Assert(t, took < answers*size/narrowRate*1.1, "%.1f s", took)
 		assert.Assert(t, pacer.backlog() < 100*time.Millisecond)
@@ -79,7 +81,7 @@
 		link := &narrowLink{rate: narrowRate}
 		pacer := newLinkPacer(narrowRate)
 		ended := make(chan struct{}, answers)
-		began := time.Now()
+		began := steady.Reading()
 		for range answers {
 			go func() {
 				pacer.write(t.Context(), &linkWriter{httptest.NewRecorder(), link}, make([]byte, size))
@@ -89,7 +91,7 @@
 		for range answers / 2 {
 			<-ended
 		}
-		assert.Assert(t, time.Since(began).Seconds() < 0.6*answers*size/narrowRate*1.1)
+		assert.Assert(t, steady.Elapsed(began).Seconds() < 0.6*answers*size/narrowRate*1.1)
 		synctest.Wait()
 		for range answers / 2 {
 			<-ended
@@ -118,10 +120,10 @@
 func TestAnUnknownLinkIsNotPaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		pacer := newLinkPacer(0)
-		began := time.Now()
+		began := steady.Reading()
 		w := httptest.NewRecorder()
 		pacer.write(t.Context(), w, make([]byte, 10<<20))
 		assert.Equal(t, w.Body.Len(), 10<<20)
-		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, steady.Elapsed(began), time.Duration(0))
 	})
 }
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -11,6 +11,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/incarnation"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // Lives under one id. The clock of the back end has jumped back between them: no order
@@ -135,7 +136,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRegistry(func() {})
 			r.interval = beatInterval
-			now := time.Now()
+			now := steady.Reading()
 			for _, each := range test.events {
 				now = now.Add(time.Duration(each.after * float64(beatInterval)))
 				r = each.happen(r, now)
@@ -167,7 +168,7 @@
 func (r *keyRig) hearNext() {
 	time.Sleep(2 * beatInterval)
 	next := Registration{ID: followingLife, Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}
-	r.g.registry.heartbeat(next, time.Second, time.Now())
+	r.g.registry.heartbeat(next, time.Second, steady.Reading())
 }
 
 // Another life at the address proves no end of the one before, which may have closed its
@@ -177,10 +178,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		rig := newLivesRig(t)
 		rig.lease(held(0, 9), nil)
-		assert.Assert(t, rig.g.keys.holds("i-1", 4, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 4, steady.Reading()))
 		rig.hearNext()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1", "its predecessor's keys may be held")
-		assert.Assert(t, !rig.g.keys.holds("i-1", 4, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 4, steady.Reading()))
 		granted := rig.holder.granted()
 		time.Sleep(livesHold - livesHold/renewals)
 		synctest.Wait()
@@ -223,7 +224,7 @@
 		time.Sleep(2 * keysInterval)
 		synctest.Wait()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
-		assert.Assert(t, rig.g.keys.holds("i-1", 4, time.Now()))
+		assert.Assert(t, rig.g.keys.holds("i-1", 4, steady.Reading()))
 	})
 }
 
@@ -249,7 +250,7 @@
 		rig.hearNext()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
 		assert.Assert(t, !rig.g.session.build().EarlierOver)
-		time.Sleep(time.Until(rig.g.keys.earlierProcessUntil().Add(2 * keysInterval)))
+		time.Sleep(steady.Until(rig.g.keys.earlierProcessUntil().Add(2 * keysInterval)))
 		synctest.Wait()
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
 		assert.Assert(t, rig.g.session.build().EarlierOver)
@@ -305,7 +306,7 @@
 		rig.lease(held(0, 9), nil)
 		rig.hearNext()
 		assert.Equal(t, rig.g.registry.snapshot().ID, "i-1")
-		time.Sleep(time.Until(rig.g.keys.earlierProcessUntil().Add(2 * keysInterval)))
+		time.Sleep(steady.Until(rig.g.keys.earlierProcessUntil().Add(2 * keysInterval)))
 		synctest.Wait()
 		assert.Equal(t, len(rig.holder.granted()), 0)
 		assert.Equal(t, rig.g.registry.snapshot().ID, followingLife)
@@ -340,7 +341,7 @@
 			r := newRegistry(func() {})
 			r.interval = beatInterval
 			r.leaderAnswered = func() bool { return answered }
-			now := time.Now()
+			now := steady.Reading()
 			beat(r, formerLife, 40, now)
 			assert.Equal(t, r.snapshot().ID, "")
 			if test.known != "" {
@@ -353,7 +354,7 @@
 	}
 	r := newRegistry(func() {})
 	r.leaderAnswered = func() bool { return false }
-	beat(r, nextLife, 1, time.Now())
+	beat(r, nextLife, 1, steady.Reading())
 	assert.Equal(t, r.snapshot().ID, nextLife, "a life that has just begun")
 }
 
--- a/internal/gateway/majority.go
+++ b/internal/gateway/majority.go
@@ -5,6 +5,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // A gateway that has no leader asks one controller after the other where it is. Where none
@@ -29,6 +30,6 @@
 	if !s.byMajority {
 		s.byMajority = true
 		s.gateway.config.Log.Info("nobody leads, and a majority of controllers has nothing newer", "version", uint64(v.version()),
-			"silence_ms", s.silence(time.Now()).Milliseconds())
+			"silence_ms", s.silence(steady.Reading()).Milliseconds())
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/metrics"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 const subsystem = "gateway"
@@ -50,6 +51,8 @@
 	// backendEnds are ends of the back end with requests at work, and cut those requests.
 	backendEnds prometheus.Counter
 	cut         prometheus.Counter
+	// suspendedSeconds is for how long the machine was suspended.
+	suspendedSeconds prometheus.Counter
 	// endsTold are ends that other gateways were told.
 	endsTold *prometheus.CounterVec
 	// heartbeats by how their answers came to leave.
@@ -87,8 +90,9 @@
 	m.heartbeats = counters("heartbeat_answers_total", "Answers to heartbeats of back ends that get their keys by them: at once, held back until there was news, or held back in vain.", "left")
 	m.backendEnds = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "back_end_ends_total", Help: "Ends of the back end while it was at work."})
 	m.cut = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "requests_cut_by_ends_total", Help: "Requests that the back end was at work on when it ended."})
+	m.suspendedSeconds = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "suspended_seconds_total", Help: "Time for which the machine was suspended since the process started."})
 	m.endsTold = counters("ends_told_total", "Other gateways that were told of ends of back ends, by what became of it.", "result")
-	registry.MustRegister(m.backendEnds, m.cut, m.endsTold, m.heartbeats, m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed, m.told)
+	registry.MustRegister(m.backendEnds, m.cut, m.suspendedSeconds, m.endsTold, m.heartbeats, m.requests, m.latency, m.tries, m.repeats, m.left, m.queue, m.run, m.grants, m.releases, m.words, m.refused, m.freed, m.told)
 	return m
 }
 
@@ -98,6 +102,8 @@
 	m.cut.Add(float64(atWork))
 }
 
+func (m *gatewayMetrics) suspended(lasted time.Duration) { m.suspendedSeconds.Add(lasted.Seconds()) }
+
 func (m *gatewayMetrics) endTold(err error) { m.endsTold.WithLabelValues(resultOf(err)).Inc() }
 
 // request counts the end of a caller's request.
@@ -179,11 +185,11 @@
 		gauge("queue_length", "Requests that wait for a slot.", func() float64 { return float64(g.slots.load().waiting) }),
 		gauge("held_bytes", "Bodies of requests and answers that are kept until they are sent.", func() float64 { return float64(g.held.held.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.views.load().version()) }),
-		gauge("configuration_age_seconds", "Time since the configuration in force was taken.", func() float64 { return g.views.load().age(time.Now()).Seconds() }),
+		gauge("configuration_age_seconds", "Time since the configuration in force was taken.", func() float64 { return g.views.load().age(steady.Reading()).Seconds() }),
 		gauge("instances_ready", "Ready back ends that the gateway knows.", func() float64 { return float64(g.views.load().count(fleetwire.InstanceReady)) }),
-		gauge("session_silence_seconds", "Time since the leading controller was heard.", func() float64 { return g.session.silence(time.Now()).Seconds() }),
-		gauge("configuration_lease_seconds", "Time left for which the gateway may serve by its configuration; negative where it refuses.", func() float64 { return g.session.vouched.left(time.Now()).Seconds() }),
-		gauge("lease_seconds", "Time left of the lease on the back end's keys; negative where it has run out.", func() float64 { return g.keys.leaseLeft(time.Now()).Seconds() }),
+		gauge("session_silence_seconds", "Time since the leading controller was heard.", func() float64 { return g.session.silence(steady.Reading()).Seconds() }),
+		gauge("configuration_lease_seconds", "Time left for which the gateway may serve by its configuration; negative where it refuses.", func() float64 { return g.session.vouched.left(steady.Reading()).Seconds() }),
+		gauge("lease_seconds", "Time left of the lease on the back end's keys; negative where it has run out.", func() float64 { return g.keys.leaseLeft(steady.Reading()).Seconds() }),
 		gauge("suspects", "Requests under which back ends have ended and which run only on trial.", func() float64 { return float64(len(g.views.load().suspects)) }),
 		gauge("ranges_held", "Ranges of keys that the back end may hold.", func() float64 { return float64(g.keys.rangesHeld()) }),
 	}
--- a/internal/gateway/outdated_test.go
+++ b/internal/gateway/outdated_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // A gateway that nobody vouches for any more does not tell callers that a route does not
@@ -27,7 +28,7 @@
 	assert.Equal(t, asked(), http.StatusServiceUnavailable, "nobody has vouched yet")
 	g.vouch(time.Hour)
 	assert.Equal(t, asked(), http.StatusNotFound)
-	g.session.vouched.present.Store(&word{since: time.Now().Add(-time.Second), until: time.Now()})
+	g.session.vouched.present.Store(&word{since: steady.Reading().Add(-time.Second), until: steady.Reading()})
 	assert.Equal(t, asked(), http.StatusServiceUnavailable)
 	g.vouch(time.Hour)
 	assert.Equal(t, asked(), http.StatusNotFound)
--- a/internal/gateway/ownerlost_test.go
+++ b/internal/gateway/ownerlost_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // A caller is told when the key of a back end that can't be reached may have another owner:
@@ -18,14 +20,14 @@
 		rig.holder.setRefuse(ErrNotSent)
 		rig.g.registry.lost("i-1")
 		request := &forwardRequest{Instance: "i-1", HasKey: true, Key: 4}
-		refusal := rig.g.refuseUnadmitted(request, time.Now())
+		refusal := rig.g.refuseUnadmitted(request, steady.Reading())
 		assert.Equal(t, refusal.Reason, reasonOwnerLost)
 		assert.Assert(t, refusal.RetryAfter > handOverTime)
 		time.Sleep(refusal.RetryAfter - handOverTime + keysInterval)
 		synctest.Wait()
 		assert.Assert(t, rig.g.registry.snapshot().Released)
 		request.HasKey = false
-		assert.Equal(t, rig.g.refuseUnadmitted(request, time.Now()).Reason, reasonNotAdmitted)
+		assert.Equal(t, rig.g.refuseUnadmitted(request, steady.Reading()).Reason, reasonNotAdmitted)
 	})
 }
 
@@ -37,15 +39,15 @@
 		rig.owns(t, 1, "i-1")
 		lost := notRun(reasonOwnerLost)
 		lost.RetryAfter = 800 * time.Millisecond
-		began := time.Now()
+		began := steady.Reading()
 		assert.Assert(t, !rig.g.awaitOwner(t.Context(), "s", 5, "i-1", lost, began.Add(700*time.Millisecond)))
-		assert.Equal(t, time.Since(began), time.Duration(0), "it would wait in vain")
+		assert.Equal(t, steady.Elapsed(began), time.Duration(0), "it would wait in vain")
 		go func() {
 			time.Sleep(500 * time.Millisecond)
 			rig.owns(t, 2, "i-2")
 		}()
 		assert.Assert(t, rig.g.awaitOwner(t.Context(), "s", 5, "i-1", lost, began.Add(time.Second)))
-		assert.Equal(t, time.Since(began), 500*time.Millisecond)
+		assert.Equal(t, steady.Elapsed(began), 500*time.Millisecond)
 		assert.Assert(t, retryAfter(lost) >= lost.RetryAfter)
 		synctest.Wait()
 	})
--- a/internal/gateway/ownershiporders_test.go
+++ b/internal/gateway/ownershiporders_test.go
@@ -10,6 +10,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyhold"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // The way of granting changes from heartbeats to calls. An answer that offered the keys is
@@ -19,7 +20,7 @@
 		rig := newOwnersRig(t, routeconfig.GrantByHeartbeat)
 		rig.run(6 * time.Second)
 		rig.sequence++
-		sent := time.Now()
+		sent := steady.Reading()
 		offer, err := rig.g.Heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: rig.sequence})
 		assert.NilError(t, err)
 		assert.Assert(t, offer != nil && len(offer.Held) > 0)
@@ -40,11 +41,11 @@
 		rig.lease(held(0, 9), nil)
 		rig.hearNext()
 		assert.Assert(t, rig.g.keys.yielding)
-		over := rig.g.keys.timeOver(time.Now())
+		over := rig.g.keys.timeOver(steady.Reading())
 		assert.Assert(t, !over)
 		rig.lease(nil, held(0, 9))
 		synctest.Wait()
-		assert.Assert(t, !rig.g.keys.timeOver(time.Now()))
+		assert.Assert(t, !rig.g.keys.timeOver(steady.Reading()))
 		assert.Equal(t, len(rig.g.keys.promises(0)), 0, "promised for the word of the other life")
 	})
 }
@@ -213,9 +214,9 @@
 		rig.holder.setRefuse(ErrNotSent)
 		time.Sleep(DefaultKeyHold + 300*time.Millisecond)
 		time.Sleep(keysInterval / 10)
-		read := time.Now()
+		read := steady.Reading()
 		time.Sleep(time.Millisecond)
-		asked := time.Since(rig.epoch)
+		asked := steady.Elapsed(rig.epoch)
 		assert.Equal(t, rig.g.session.build().Instance.State, fleetwire.InstanceReady)
 		time.Sleep(time.Millisecond)
 		rig.g.registry.lost("i-1")
@@ -240,7 +241,7 @@
 		rig.lease(nil, asked(0, 9))
 		key := heldKey{held(0, 9)[0].Keys, 7}
 		until := rig.g.keys.releases[key].coverUntil
-		for !time.Now().After(until.Add(time.Second)) {
+		for !steady.Reading().After(until.Add(time.Second)) {
 			rig.lease(nil, held(0, 9))
 			time.Sleep(keysInterval)
 		}
@@ -252,7 +253,7 @@
 		sent.bound.Send(leastHold) // as cover has done before the end
 		rig.g.keys.mutex.Unlock()
 		_, ok := rig.g.keys.prepare("i-1", sent, grantTerms{longest: leastHold, until: until})
-		assert.Assert(t, !ok, "sent %v after the last lease that allows it", time.Since(until))
+		assert.Assert(t, !ok, "sent %v after the last lease that allows it", steady.Elapsed(until))
 	})
 }
 
@@ -267,7 +268,7 @@
 		rig.silent = true
 		rig.run(300 * time.Millisecond)
 		rig.holder.set(func() { rig.holder.next = &heldProcess{} })
-		rig.g.registry.heartbeat(Registration{ID: "i-5", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, time.Now())
+		rig.g.registry.heartbeat(Registration{ID: "i-5", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, steady.Reading())
 		rig.listens()
 		rig.run(300 * time.Millisecond)
 		assert.Equal(t, rig.g.registry.snapshot().State, fleetwire.InstanceGone)
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // What the drawn part of a route can't take is refused, with proof, and no try of
@@ -45,7 +46,7 @@
 			assert.Equal(t, route.Pick(drawn), "full")
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
-			began := time.Now()
+			began := steady.Reading()
 			result := hops.near.run(ctx, &call{
 				request: hops.request(ctx, t, "r1"), id: "r1", route: route, service: v.table.Service(route.Pick(drawn)),
 				began: began, deadline: began.Add(200 * time.Millisecond),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/overload"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 	"github.com/quartzdock/quartzdock/internal/warmup"
 )
@@ -251,7 +252,7 @@
 	header[fieldService] = []string{request.Service}
 	header[fieldInstance] = []string{request.Instance}
 	header[fieldPriority] = []string{strconv.Itoa(request.Priority)}
-	header[fieldDue] = []string{milliseconds(max(time.Until(request.Due), 0))}
+	header[fieldDue] = []string{milliseconds(max(steady.Until(request.Due), 0))}
 	header[fieldTarget] = []string{milliseconds(request.Target)}
 	if request.Transfer {
 		header[fieldTransfer] = []string{"1"}
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -5,9 +5,9 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/quartzdock/quartzdock/internal/httpserver"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // peerHandler takes requests of other gateways for the back end beside this
@@ -102,7 +102,7 @@
 	if !ok || !okDue || !okTarget || err != nil || instance == "" {
 		return nil, false
 	}
-	now := time.Now()
+	now := steady.Reading()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, false
--- a/internal/gateway/peerword.go
+++ b/internal/gateway/peerword.go
@@ -17,6 +17,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/gobcheck"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // A gateway that does not hear the leader asks other gateways for the leader's word, so
@@ -45,7 +46,7 @@
 // watchWord asks other gateways while the leader is not heard.
 func (g *Gateway) watchWord(ctx context.Context) {
 	each(ctx, roundInterval, func() {
-		if since := g.session.vouched.since(); since.IsZero() || time.Since(since) < askAfter {
+		if since := g.session.vouched.since(); since.IsZero() || steady.Elapsed(since) < askAfter {
 			return
 		}
 		asking, done := context.WithTimeout(ctx, askedWithin)
@@ -97,7 +98,7 @@
 	if pool == nil {
 		return errNoWord
 	}
-	asked, known := time.Now(), g.views.load().version()
+	asked, known := steady.Reading(), g.views.load().version()
 	response, err := pool.Do(ctx, &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: address,
 		Header: http.Header{fieldAsksWord: {strconv.FormatUint(uint64(known), 10)}, "User-Agent": {""}},
@@ -149,7 +150,7 @@
 // tellWord answers another gateway that asks for the leader's word.
 func (g *Gateway) tellWord(w http.ResponseWriter, r *http.Request) {
 	// The word first: the view then has all that it vouches for.
-	passed := g.session.vouched.passOn(time.Now())
+	passed := g.session.vouched.passOn(steady.Reading())
 	known, err := strconv.ParseUint(r.Header.Get(fieldAsksWord), 10, 64)
 	if passed == nil || err != nil {
 		http.Error(w, errNoWord.Error(), http.StatusServiceUnavailable)
--- a/internal/gateway/peerword_test.go
+++ b/internal/gateway/peerword_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // wordOf is a word of the leader that was told some time before.
@@ -24,7 +25,7 @@
 func TestAWordOfAnotherGatewayBringsWhatItVouchesFor(t *testing.T) {
 	g := choosingGateway(t)
 	g.session = newSessionClient(g)
-	asked := time.Now()
+	asked := steady.Reading()
 	assert.NilError(t, g.takePeerWord(wordOf(t, time.Second), asked, "peer"))
 	assert.Equal(t, uint64(g.views.load().version()), uint64(7))
 	assert.Assert(t, g.views.load().evacuated("b"))
@@ -36,8 +37,8 @@
 func TestAWordOfAnotherGatewayIsNotPassedOn(t *testing.T) {
 	g := choosingGateway(t)
 	g.session = newSessionClient(g)
-	assert.NilError(t, g.takePeerWord(wordOf(t, 0), time.Now(), "peer"))
-	assert.Assert(t, g.session.vouched.passOn(time.Now()) == nil)
+	assert.NilError(t, g.takePeerWord(wordOf(t, 0), steady.Reading(), "peer"))
+	assert.Assert(t, g.session.vouched.passOn(steady.Reading()) == nil)
 	asks := httptest.NewRequest(http.MethodGet, "/", nil)
 	asks.Header.Set(fieldAsksWord, "7")
 	answer := httptest.NewRecorder()
@@ -49,7 +50,7 @@
 // operators allows.
 func TestTheLeadersWordIsPassedOnWithItsAge(t *testing.T) {
 	g := choosingGateway(t)
-	told := time.Now()
+	told := steady.Reading()
 	g.session = newSessionClient(g)
 	g.session.vouched.take(&fleetwire.Lease{ConfigurationFor: 3 * time.Second, PassedOnFor: 2 * time.Second}, told)
 	passed := g.session.vouched.passOn(told.Add(time.Second))
@@ -66,7 +67,7 @@
 	garbled := wordOf(t, 0)
 	garbled.PackedDocument[len(garbled.PackedDocument)/2] ^= 0xff
 	garbled.PackedDocument = garbled.PackedDocument[:len(garbled.PackedDocument)-3]
-	assert.Assert(t, g.takePeerWord(garbled, time.Now(), "peer") != nil)
+	assert.Assert(t, g.takePeerWord(garbled, steady.Reading(), "peer") != nil)
 	assert.Equal(t, g.views.load(), before)
-	assert.Assert(t, !g.session.vouched.holds(time.Now()))
+	assert.Assert(t, !g.session.vouched.holds(steady.Reading()))
 }
--- a/internal/gateway/priority_test.go
+++ b/internal/gateway/priority_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // requestKind is one kind of request of an overloaded back end.
@@ -28,12 +30,12 @@
 	var all sync.WaitGroup
 	for i, kind := range kinds {
 		all.Go(func() {
-			for began := time.Now(); time.Since(began) < period; time.Sleep(kind.interval) {
+			for began := steady.Reading(); steady.Elapsed(began) < period; time.Sleep(kind.interval) {
 				mutex.Lock()
 				offered[i]++
 				mutex.Unlock()
 				all.Go(func() {
-					wanted := demand{Priority: kind.priority, Due: time.Now().Add(kind.target), Target: kind.target,
+					wanted := demand{Priority: kind.priority, Due: steady.Reading().Add(kind.target), Target: kind.target,
 						Patience: kind.target - time.Duration(serviceMargin*float64(kind.runs))}
 					taken, err := g.acquire(t.Context(), wanted)
 					if err != nil {
--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyhold"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // leaseAskedAt gives the rig a lease that answers the report of a moment.
@@ -24,7 +25,7 @@
 	time.Sleep(2 * answerVoid)
 	r.lease(held(0, 99), nil)
 	r.lease(held(0, 39), asked(40, 99))
-	told = time.Since(r.epoch)
+	told = steady.Elapsed(r.epoch)
 	assert.Equal(t, len(r.g.keys.promises(told)), 1)
 	return told
 }
@@ -38,12 +39,12 @@
 		told := rig.promise(t)
 		granted := len(rig.holder.granted())
 		rig.leaseAskedAt(told-time.Millisecond, held(0, 99), nil)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 45, time.Now()))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 45, steady.Reading()))
 		for _, order := range rig.holder.granted()[granted:] {
 			assert.Assert(t, order.Keys.Last < 40, "%v is granted", order.Keys)
 		}
 		rig.leaseAskedAt(told+time.Millisecond, held(0, 99), nil)
-		assert.Assert(t, rig.g.keys.holds("i-1", 45, time.Now()), "the leader has taken the promise, and still gives it")
+		assert.Assert(t, rig.g.keys.holds("i-1", 45, steady.Reading()), "the leader has taken the promise, and still gives it")
 	})
 }
 
@@ -60,10 +61,10 @@
 		sent := rig.g.keys.grants[heldKey{held(0, 9)[0].Keys, 7}].sentAt
 		rig.holder.setRefuse(ErrNotSent)
 		rig.g.registry.lost("i-1")
-		time.Sleep(time.Until(sent.Add(transit + DefaultKeyHold)))
+		time.Sleep(steady.Until(sent.Add(transit + DefaultKeyHold)))
 		synctest.Wait()
 		assert.Assert(t, !rig.g.registry.snapshot().Released)
-		time.Sleep(time.Until(sent.Add(transit + keyhold.Longest(DefaultKeyHold) + 3*keysInterval)))
+		time.Sleep(steady.Until(sent.Add(transit + keyhold.Longest(DefaultKeyHold) + 3*keysInterval)))
 		synctest.Wait()
 		assert.Assert(t, rig.g.registry.snapshot().Released)
 	})
@@ -75,7 +76,7 @@
 		rig := newKeyRig(t)
 		assert.Assert(t, !rig.g.keys.earlierProcessUntil().Before(rig.g.keys.started.Add(keyhold.Longest(DefaultKeyHold+transit))))
 		assert.Assert(t, !rig.g.keys.earlierProcessUntil().Before(rig.g.keys.started.Add(keyhold.Longest(DefaultHeartbeatInterval+answerVoid))))
-		time.Sleep(time.Until(rig.g.keys.earlierProcessUntil()) - time.Millisecond)
+		time.Sleep(steady.Until(rig.g.keys.earlierProcessUntil()) - time.Millisecond)
 		assert.Assert(t, !rig.g.session.build().EarlierOver)
 		time.Sleep(time.Millisecond)
 		assert.Assert(t, rig.g.session.build().EarlierOver)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -244,7 +244,7 @@
 	if g.quarantine.of(request, v) == unsuspected {
 		return 0, nil
 	}
-	until := time.Now().Add(min(longestTrialWait, time.Duration(trialWaitShare*float64(time.Until(c.deadline)))))
+	until := steady.Reading().Add(min(longestTrialWait, time.Duration(trialWaitShare*float64(steady.Until(c.deadline)))))
 	leave := g.quarantine.await(request)
 	defer leave()
 	for {
@@ -260,7 +260,7 @@
 		if number, ok := g.quarantine.take(request, v, g.config.Name, g.session.boot); ok {
 			return number, nil
 		}
-		left := time.Until(until)
+		left := steady.Until(until)
 		if left <= 0 || ctx.Err() != nil {
 			return 0, notRun(reasonAwaitsTrial)
 		}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -15,6 +15,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // digestOfHops is the name of the request that twoHops.request makes.
@@ -76,11 +77,11 @@
 func TestAHeldRequestIsRefusedAtOnce(t *testing.T) {
 	hops, runs := startCountedHops(t)
 	advance(t, hops.near.views, suspectView(7, quarantine.Suspect{Request: digestOfHops(), Ends: quarantine.ManyEnds, FailedTrials: 2}))
-	began := time.Now()
+	began := steady.Reading()
 	status, body := hops.visit(t, "r1")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, body, string(reasonHeldBack))
-	assert.Assert(t, time.Since(began) < longestTrialWait)
+	assert.Assert(t, steady.Elapsed(began) < longestTrialWait)
 	assert.Equal(t, runs.Load(), int32(0))
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
 
@@ -62,7 +63,7 @@
 	return &sessionClient{
 		gateway:     g,
 		boot:        rand.Uint64(),
-		started:     time.Now(),
+		started:     steady.Reading(),
 		controllers: newControllerList(g.config.Controllers),
 		wake:        make(chan struct{}, 1),
 		confirm:     make(chan struct{}, 1),
@@ -73,7 +74,7 @@
 func (s *sessionClient) answered() bool { return s.vouched.heardLeader() }
 
 // now is the clock that reports carry.
-func (s *sessionClient) now() time.Duration { return time.Since(s.started) }
+func (s *sessionClient) now() time.Duration { return steady.Elapsed(s.started) }
 
 // silence is how long the leader has not been heard.
 func (s *sessionClient) silence(now time.Time) time.Duration {
@@ -185,7 +186,7 @@
 			s.takeStanding(message.Redirect.Standing, asked)
 			return message.Redirect, nil
 		}
-		silence := s.silence(time.Now())
+		silence := s.silence(steady.Reading())
 		s.heardAt.Store(int64(s.now()))
 		servedBefore := s.served
 		if err := s.take(&message); err != nil {
@@ -212,7 +213,7 @@
 func (s *sessionClient) take(message *fleetwire.FromController) error {
 	g := s.gateway
 	if message.Known != nil {
-		g.registry.restore(*message.Known, g.config.DrainWithin, time.Now())
+		g.registry.restore(*message.Known, g.config.DrainWithin, steady.Reading())
 	}
 	if message.View != nil {
 		if err := s.takeView(message.View); err != nil {
@@ -229,7 +230,7 @@
 		g.keys.take(message.Lease, s.started)
 		g.quarantine.confirm(message.Lease.EndsKnown)
 		if first {
-			g.registry.retry(time.Now())
+			g.registry.retry(steady.Reading())
 		}
 	}
 	return nil
@@ -308,7 +309,7 @@
 		report.Instance = &instance
 		report.Silent = g.registry.silent()
 		report.Released = g.keys.promises(report.SentAt)
-		report.EarlierOver = g.keys.earlierOver(instance.ID, time.Now())
+		report.EarlierOver = g.keys.earlierOver(instance.ID, steady.Reading())
 		g.keyLoad.take(report)
 		report.Running, report.Waiting = g.slots.counts()
 	}
--- a/internal/gateway/silentleader_test.go
+++ b/internal/gateway/silentleader_test.go
@@ -19,6 +19,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetstate"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
 
@@ -267,7 +268,7 @@
 	s.awaitPeers()
 	s.way.stand()
 	terms := configlease.Terms{}.WithDefaults()
-	for began := time.Now(); time.Since(began) < 2*terms.Validity(); {
+	for began := steady.Reading(); steady.Elapsed(began) < 2*terms.Validity(); {
 		assert.Equal(t, s.status(), http.StatusOK)
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/overload"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // errNoRoom: the request would wait too long for a slot.
@@ -24,14 +25,14 @@
 	pace *time.Timer
 }
 
-func newSlotGate() *slotGate { return &slotGate{queue: overload.NewSlotQueue(time.Now())} }
+func newSlotGate() *slotGate { return &slotGate{queue: overload.NewSlotQueue(steady.Reading())} }
 
 // decide calls a function on the queue at the present time, and sets the timer for
 // who then waits for a cold back end.
 func (g *slotGate) decide(call func(queue *overload.SlotQueue, now time.Time)) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	now := time.Now()
+	now := steady.Reading()
 	call(g.queue, now)
 	if g.pace != nil {
 		return
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/overload"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -18,7 +19,7 @@
 )
 
 func wants(target, patience time.Duration) demand {
-	return demand{Priority: 1, Due: time.Now().Add(target), Target: target, Patience: patience}
+	return demand{Priority: 1, Due: steady.Reading().Add(target), Target: target, Patience: patience}
 }
 
 // gateWithShort is a gate that has seen long requests and a short one, which
@@ -132,10 +133,10 @@
 		g.setCapacity(1)
 		_, err := g.acquire(t.Context(), wants(longTarget, time.Second))
 		assert.NilError(t, err)
-		began := time.Now()
+		began := steady.Reading()
 		_, err = g.acquire(t.Context(), wants(longTarget, 10*time.Millisecond))
 		assert.ErrorIs(t, err, errNoRoom)
-		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, steady.Elapsed(began), time.Duration(0))
 	})
 }
 
--- a/internal/gateway/spread_test.go
+++ b/internal/gateway/spread_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // When a leader ends, the gateways of a large fleet come to the next one over a
@@ -25,12 +26,12 @@
 			g := &Gateway{views: newViews()}
 			advance(t, g.views, viewOf(true, fleet...))
 			s := &sessionClient{gateway: g}
-			began := time.Now()
+			began := steady.Reading()
 			assert.Assert(t, s.spread(t.Context()))
-			assert.Equal(t, time.Since(began), time.Duration(0))
+			assert.Equal(t, steady.Elapsed(began), time.Duration(0))
 			s.served = true
 			assert.Assert(t, s.spread(t.Context()))
-			waited = append(waited, time.Since(began))
+			waited = append(waited, steady.Elapsed(began))
 		}
 		const parts = 4
 		var counts [parts]int
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -49,7 +49,7 @@
 }
 
 func TestALateHeartbeatChangesNothing(t *testing.T) {
-	now := time.Now()
+	now := steady.Reading()
 	r := newRegistry(func() {})
 	r.heartbeat(registration("a", 1, fleetwire.InstanceReady), time.Second, now)
 	r.heartbeat(registration("a", 3, fleetwire.InstanceDraining), time.Second, now)
@@ -64,7 +64,7 @@
 }
 
 func TestADeregisteredBackEndIsNotTakenBack(t *testing.T) {
-	now := time.Now()
+	now := steady.Reading()
 	r := newRegistry(func() {})
 	r.heartbeat(registration("a", 1, fleetwire.InstanceReady), time.Second, now)
 	r.deregister("a", time.Second, now)
@@ -75,7 +75,7 @@
 
 // A gateway that was restarted may have acknowledged a drain before.
 func TestARestartedGatewayKeepsTheDrainThatTheLeaderKnows(t *testing.T) {
-	now := time.Now()
+	now := steady.Reading()
 	r := newRegistry(func() {})
 	r.restore(fleetwire.Instance{ID: "a", Service: "s", Slots: 4, State: fleetwire.InstanceDraining, Sequence: 4}, time.Second, now)
 	assert.Assert(t, !r.admits("a", now.Add(time.Millisecond)))
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -35,13 +35,13 @@
 // The listener of other gateways is stopped first, and that of callers once the
 // back end runs nothing: until then it makes calls of its own there.
 func (g *Gateway) Stop() error {
-	began := time.Now()
+	began := steady.Reading()
 	end := began.Add(g.config.StopWithin)
 	g.admission.Begin(end)
 	g.registry.leaving()
 	g.logStop("planned stop begins", began, "ends_within_ms", g.config.StopWithin.Milliseconds())
 	g.awaitQuietCallers(began)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithTimeout(context.Background(), steady.Until(end))
 	defer cancel()
 	var peersError error
 	drained := make(chan struct{})
@@ -62,10 +62,10 @@
 // awaitQuietCallers returns once callers have gone elsewhere, or when only the
 // time for what is running is left.
 func (g *Gateway) awaitQuietCallers(began time.Time) {
-	for time.Since(began) < g.config.StopWithin-drainReserve {
+	for steady.Elapsed(began) < g.config.StopWithin-drainReserve {
 		last, came := g.lastCaller.Load()
 		quiet := (!came || steady.Since(last) > quietBeforeStop) && g.active.Load() == 0
-		if quiet && time.Since(began) > leastStop {
+		if quiet && steady.Elapsed(began) > leastStop {
 			return
 		}
 		time.Sleep(stopStep)
@@ -77,9 +77,9 @@
 func (g *Gateway) awaitIdleBackend(drained <-chan struct{}, latest time.Time) {
 	select {
 	case <-drained:
-	case <-time.After(time.Until(latest)):
+	case <-time.After(steady.Until(latest)):
 	}
-	for load := g.slots.load(); load.running+load.waiting > 0 && time.Now().Before(latest); load = g.slots.load() {
+	for load := g.slots.load(); load.running+load.waiting > 0 && steady.Reading().Before(latest); load = g.slots.load() {
 		time.Sleep(stopStep)
 	}
 }
@@ -88,7 +88,7 @@
 // when the gateway has started again.
 func (g *Gateway) refuseStopping() *forwardResult {
 	result := notRun(reasonStopping)
-	result.RetryAfter = g.admission.Left(time.Now()) + restartTime
+	result.RetryAfter = g.admission.Left(steady.Reading()) + restartTime
 	return result
 }
 
@@ -116,7 +116,7 @@
 
 // logStop tells how far a planned stop has come and what is in progress.
 func (g *Gateway) logStop(message string, began time.Time, fields ...any) {
-	fields = append(fields, "after_ms", time.Since(began).Milliseconds(),
+	fields = append(fields, "after_ms", steady.Elapsed(began).Milliseconds(),
 		"callers_in_flight", g.active.Load(), "peers_in_flight", g.peerActive.Load(), "slots_used", g.slots.load().running)
 	g.config.Log.Info(message, fields...)
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // beginStop begins a planned stop and returns once the gateway knows of it. The
@@ -196,12 +197,12 @@
 	t.Parallel()
 	setup := twoHopsConfig{timeout: 20 * time.Second, stop: 5 * time.Second}
 	hops := startTwoHops(t, setup, http.HandlerFunc(answerWhole))
-	latestBegin := time.Now()
+	latestBegin := steady.Reading()
 	stopped := beginStop(hops.near)
 	response, err := http.DefaultClient.Do(hops.request(t.Context(), t, "r1"))
 	assert.NilError(t, err)
 	defer response.Body.Close()
-	left := setup.stop - time.Since(latestBegin) // at most what is left of the stop
+	left := setup.stop - steady.Elapsed(latestBegin) // at most what is left of the stop
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	assert.NilError(t, err)
--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // handedOut numbers the addresses that freeAddress has returned.
@@ -183,7 +184,7 @@
 		answerWhole(w, r)
 	}))
 	hops.far.Heartbeat(hops.word(fleetwire.InstanceDraining, 2))
-	for hops.far.registry.admits("i", time.Now()) {
+	for hops.far.registry.admits("i", steady.Reading()) {
 		time.Sleep(time.Millisecond)
 	}
 	response, err := http.DefaultClient.Do(hops.request(t.Context(), t, "r1"))
--- a/internal/gateway/unreadable_test.go
+++ b/internal/gateway/unreadable_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // answerOf is a peer's answer with a told load.
@@ -30,7 +31,7 @@
 		p := &peer{load: known}
 		result := decodeResult(answerOf(told), nil)
 		assert.Equal(t, result.Outcome, outcomeAnswered)
-		p.end(result, time.Now())
+		p.end(result, steady.Reading())
 		assert.Equal(t, p.load, known, told)
 	}
 	for _, twice := range []string{"1,0,18,1,1,1,1,1", "2,0,18,1,1,1,1,1"} {
@@ -58,8 +59,8 @@
 		g := choosingGateway(t)
 		g.session = newSessionClient(g)
 		before := g.views.load()
-		assert.Assert(t, g.takePeerWord(&passed, time.Now(), "peer") != nil)
+		assert.Assert(t, g.takePeerWord(&passed, steady.Reading(), "peer") != nil)
 		assert.Equal(t, g.views.load(), before)
-		assert.Assert(t, !g.session.vouched.holds(time.Now()))
+		assert.Assert(t, !g.session.vouched.holds(steady.Reading()))
 	}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -15,6 +15,7 @@
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // view is what requests are routed by. It is immutable.
@@ -74,7 +75,7 @@
 	after.next = make(chan struct{})
 	if news.Document != nil && news.Document.Version > before.version() {
 		after.table = routeconfig.NewTable(news.Document)
-		after.tableAt = time.Now()
+		after.tableAt = steady.Reading()
 	}
 	if len(news.Owners) > 0 {
 		if err := after.setOwners(news); err != nil {
--- a/internal/gateway/vouched_test.go
+++ b/internal/gateway/vouched_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // vouch lets the gateway take its configuration for the present one for a time, as a
@@ -18,7 +19,7 @@
 // The word counts from when the gateway asked for it, by its own clock, which may run
 // slower than the leader's. One that comes late or once more renews nothing.
 func TestALeadersWordCountsFromTheQuestion(t *testing.T) {
-	epoch := time.Now()
+	epoch := steady.Reading()
 	answer := func(sentAt time.Duration) *fleetwire.Lease {
 		return &fleetwire.Lease{SentAt: sentAt, ConfigurationFor: 10 * time.Second}
 	}
@@ -40,8 +41,8 @@
 	g := choosingGateway(t)
 	g.config.EvacuateWithin = 5 * time.Second
 	g.session.vouched.present.Store(nil)
-	assert.Assert(t, g.mayBeEvacuated(time.Now()))
+	assert.Assert(t, g.mayBeEvacuated(steady.Reading()))
 	g.vouch(time.Hour)
-	assert.Assert(t, !g.mayBeEvacuated(time.Now()))
-	assert.Assert(t, g.mayBeEvacuated(time.Now().Add(g.config.EvacuateWithin-1)))
+	assert.Assert(t, !g.mayBeEvacuated(steady.Reading()))
+	assert.Assert(t, g.mayBeEvacuated(steady.Reading().Add(g.config.EvacuateWithin-1)))
 }
--- a/internal/gateway/warmth_test.go
+++ b/internal/gateway/warmth_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
 )
 
@@ -36,13 +37,13 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	admitted := make(chan time.Time, 100_000)
-	for began := time.Now(); time.Since(began) < length; time.Sleep(time.Millisecond) {
+	for began := steady.Reading(); steady.Elapsed(began) < length; time.Sleep(time.Millisecond) {
 		go func() {
 			taken, err := g.acquire(ctx, wants(longTarget, 300*time.Millisecond))
 			if err != nil {
 				return
 			}
-			admitted <- time.Now()
+			admitted <- steady.Reading()
 			time.Sleep(20 * time.Millisecond)
 			g.release(taken, 20*time.Millisecond)
 		}()
@@ -99,10 +100,10 @@
 			go func() { _, _ = g.acquire(ctx, wants(longTarget, time.Second)) }()
 			synctest.Wait()
 		}
-		began := time.Now()
+		began := steady.Reading()
 		_, err := g.acquire(ctx, wants(longTarget, 500*time.Millisecond))
 		assert.ErrorIs(t, err, errNoRoom)
-		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, steady.Elapsed(began), time.Duration(0))
 		cancel()
 		synctest.Wait()
 	})
@@ -154,7 +155,7 @@
 	r := newRegistry(func() {})
 	r.told = g.hearWarmth
 	beat := func(id string, sequence uint64, left time.Duration) {
-		r.heartbeat(Registration{ID: id, State: fleetwire.InstanceReady, Sequence: sequence, WarmupLeft: left}, time.Second, time.Now())
+		r.heartbeat(Registration{ID: id, State: fleetwire.InstanceReady, Sequence: sequence, WarmupLeft: left}, time.Second, steady.Reading())
 	}
 	beat("i-1", 1, 0)
 	cold, _ := g.coldness()
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -48,10 +48,9 @@
 // stop makes Accept return what is in the backlog and then close the listener.
 // It may be called once.
 func (l *stoppableListener) stop() {
-	now := time.Now()
-	l.stopAt.Store(steady.At(now).Add(backlogLimit))
+	l.stopAt.Store(steady.Now().Add(backlogLimit))
 	close(l.stopped)
-	_ = l.SetDeadline(now)
+	_ = l.SetDeadline(time.Now())
 }
 
 func (l *stoppableListener) stopping() bool {
@@ -85,9 +84,8 @@
 		}
 		l.pause(err)
 	}
-	now := time.Now()
-	if stopAt, _ := l.stopAt.Load(); steady.At(now).Before(stopAt) {
-		_ = l.SetDeadline(now.Add(backlogPause))
+	if stopAt, _ := l.stopAt.Load(); steady.Now().Before(stopAt) {
+		_ = l.SetDeadline(time.Now().Add(backlogPause))
 		if connection, err := l.Listener.Accept(); err == nil {
 			return connection, nil
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
@@ -58,7 +59,7 @@
 	}
 	r := &Replica{
 		config:      config,
-		started:     time.Now(),
+		started:     steady.Reading(),
 		incarnation: files.folder.Identity().Incarnation,
 		files:       files,
 		inbox:       make(chan envelope, inboxSize),
@@ -88,7 +89,7 @@
 }
 
 // Now is the replica's monotonic clock, that of OnTick and Status.
-func (r *Replica) Now() time.Duration { return time.Since(r.started) }
+func (r *Replica) Now() time.Duration { return steady.Elapsed(r.started) }
 
 // Status returns the state as last published; at most a tick old, unless the
 // process was paused. Before the group is founded its Membership is empty.
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/routing"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/wire"
 )
@@ -166,8 +167,8 @@
 		c.Registry = prometheus.NewRegistry()
 	}
 	if c.Clock == nil {
-		start := time.Now()
-		c.Clock = func() time.Duration { return time.Since(start) }
+		start := steady.Reading()
+		c.Clock = func() time.Duration { return steady.Elapsed(start) }
 	}
 	return c
 }
--- a/internal/subscription/config.go
+++ b/internal/subscription/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/routing"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/transport"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -127,8 +128,8 @@
 		config.Seed = rand.Uint64()
 	}
 	if config.Now == nil {
-		start := time.Now()
-		config.Now = func() time.Duration { return time.Since(start) }
+		start := steady.Reading()
+		config.Now = func() time.Duration { return steady.Elapsed(start) }
 	}
 	if config.Tables == nil {
 		config.Tables = ownTables{}
