--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,8 +54,7 @@
 
 // runTries returns the result of the last try.
 func (g *Gateway) runTries(ctx context.Context, c *call) *forwardResult {
-	key, hasKey := parseKey(c.request.Header.Get(g.config.Headers.Key))
-	hasKey = hasKey && c.service.Keyed
+	key, hasKey := c.key, c.hasKey
 	holdUntil := c.began.Add(min(holdLimit, time.Duration(holdShare*float64(c.deadline.Sub(c.began)))))
 	tried := map[string]bool{}
 	result := notRun(reasonNoInstance)
@@ -79,6 +78,9 @@
 		}
 		result = g.try(ctx, c, target, key, hasKey, trial)
 		g.trialEnds(c, trial, result)
+		if result.Outcome == outcomeAnswered {
+			g.noteAnswered(c.digest)
+		}
 		if result.Outcome != outcomeNotRun {
 			c.mayHaveRun = result
 		}
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -69,7 +69,7 @@
 	e.gateway.tally.count(result, waited, used)
 	e.gateway.metrics.backendTry(result, waited, used)
 	if result.Outcome == outcomeAnswered {
-		e.gateway.noteAnswered(request)
+		e.gateway.noteAnswered(request.digest)
 	}
 	if result.Outcome == outcomeNotRun && !result.Sent {
 		e.logRefusal(request, result.Reason)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -143,7 +144,11 @@
 // digest names the request among others.
 func (r *forwardRequest) digest() quarantine.Digest {
 	r.digestOnce.Do(func() {
-		r.digested = (&quarantine.Request{Service: r.Service, Method: r.Method, Host: r.Host, Target: r.URI, Body: r.Body}).Digest()
+		same := quarantine.Request{Service: r.Service, Method: r.Method, Host: r.Host, Target: r.URI, Body: r.Body}
+		if r.HasKey {
+			same.Key = strconv.FormatUint(uint64(r.Key), 10)
+		}
+		r.digested = same.Digest()
 	})
 	return r.digested
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/httpserver"
+	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 	"github.com/quartzdock/quartzdock/internal/steady"
@@ -30,6 +31,9 @@
 	request *http.Request
 	body    []byte
 	id      string
+	// key is the request's, where its service has keys and it tells one.
+	key     keyspace.Key
+	hasKey  bool
 	route   *routeconfig.Route
 	service *routeconfig.Service
 	began   time.Time
@@ -51,6 +55,9 @@
 func (c *call) digest() quarantine.Digest {
 	c.digestOnce.Do(func() {
 		same := quarantine.Request{Service: c.service.Name, Method: c.request.Method, Host: c.request.Host, Target: c.request.RequestURI, Body: c.body}
+		if c.hasKey {
+			same.Key = strconv.FormatUint(uint64(c.key), 10)
+		}
 		c.digested = same.Digest()
 	})
 	return c.digested
@@ -149,6 +156,8 @@
 		service: v.table.Service(route.Pick(rand.Float64())),
 		began:   began,
 	}
+	c.key, c.hasKey = parseKey(r.Header.Get(g.config.Headers.Key))
+	c.hasKey = c.hasKey && c.service.Keyed
 	waits, ok := parseMilliseconds(r.Header.Get(g.config.Headers.Deadline))
 	if !ok {
 		waits = defaultDeadline
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -52,9 +52,11 @@
 	waiting map[quarantine.Digest]int
 	// used are the granted trials that were used or given back.
 	used map[trial]bool
-	// over and answered are told the leader until its view has them.
+	// over and answered are told the leader until its view has them. What was answered is
+	// cleared here at once, unless further lives have ended under it than the number that is
+	// kept.
 	over     map[trial]quarantine.Over
-	answered map[quarantine.Digest]bool
+	answered map[quarantine.Digest]int
 }
 
 // suspects reports whether anything is suspected here at all.
@@ -69,18 +71,17 @@
 
 // of returns what is known of a request.
 func (k *quarantineKeeper) of(request quarantine.Digest, v *view) suspicion {
-	if suspect, ok := v.suspects[request]; ok {
-		if suspect.Held() {
-			return heldBack
-		}
-		return onTrial
-	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	for _, ended := range k.unconfirmed {
-		if slices.Contains(ended.Requests, request) {
-			return onTrial
-		}
+	suspect, told := v.suspects[request]
+	if ends, cleared := k.answered[request]; cleared && suspect.Ends <= ends {
+		return unsuspected
+	}
+	switch {
+	case told && suspect.Held():
+		return heldBack
+	case told || k.unconfirmedHas(request):
+		return onTrial
 	}
 	return unsuspected
 }
@@ -91,8 +92,12 @@
 	defer k.mutex.Unlock()
 	for i := range ended {
 		known := slices.ContainsFunc(k.unconfirmed, func(each quarantine.Ended) bool { return each.Life == ended[i].Life })
-		if !known && ended[i].Check() == nil {
-			k.unconfirmed = append(k.unconfirmed, ended[i])
+		if known || ended[i].Check() != nil {
+			continue
+		}
+		k.unconfirmed = append(k.unconfirmed, ended[i])
+		for _, request := range ended[i].Requests {
+			delete(k.answered, request)
 		}
 	}
 	k.unconfirmed = k.unconfirmed[max(0, len(k.unconfirmed)-mostUnconfirmed):]
@@ -149,14 +154,10 @@
 	k.used[of] = true
 }
 
-// ends notes what became of a trial.
+// ends notes what became of a trial without an answer.
 func (k *quarantineKeeper) ends(of trial, result *forwardResult) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if result.Outcome == outcomeAnswered {
-		k.clear(of.request)
-		return
-	}
 	k.tellOver(quarantine.Over{Request: of.request, Number: of.number, Sent: result.Sent, Failed: result.Reason == reasonEnded})
 }
 
@@ -168,17 +169,13 @@
 }
 
 // answers notes a whole answer to a suspect.
-func (k *quarantineKeeper) answers(request quarantine.Digest) {
+func (k *quarantineKeeper) answers(request quarantine.Digest, v *view) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.clear(request)
-}
-
-func (k *quarantineKeeper) clear(request quarantine.Digest) {
 	if k.answered == nil {
-		k.answered = map[quarantine.Digest]bool{}
+		k.answered = map[quarantine.Digest]int{}
 	}
-	k.answered[request] = true
+	k.answered[request] = v.suspects[request].Ends
 }
 
 // report returns what the leader is to be told, nil where that is nothing.
@@ -191,7 +188,7 @@
 	change.Answered = slices.Collect(maps.Keys(k.answered))
 	change.Over = slices.Collect(maps.Values(k.over))
 	for request := range k.waiting {
-		if !k.answered[request] {
+		if _, cleared := k.answered[request]; !cleared {
 			change.Asked = append(change.Asked, quarantine.Asked{Request: request, Node: node, Boot: boot})
 		}
 	}
@@ -223,7 +220,7 @@
 	}
 	maps.DeleteFunc(k.over, func(of trial, _ quarantine.Over) bool { return !present(of) })
 	maps.DeleteFunc(k.used, func(of trial, _ bool) bool { return !present(of) })
-	maps.DeleteFunc(k.answered, func(request quarantine.Digest, _ bool) bool {
+	maps.DeleteFunc(k.answered, func(request quarantine.Digest, _ int) bool {
 		_, suspected := v.suspects[request]
 		return !suspected && !k.unconfirmedHas(request)
 	})
@@ -272,7 +269,7 @@
 
 // trialEnds tells the leader what became of a trial; number zero is none.
 func (g *Gateway) trialEnds(c *call, number uint64, result *forwardResult) {
-	if number == 0 {
+	if number == 0 || result.Outcome == outcomeAnswered {
 		return
 	}
 	g.quarantine.ends(trial{c.digest(), number}, result)
@@ -289,13 +286,14 @@
 	return g.quarantine.suspects(v) && g.quarantine.of(request.digest(), v) != unsuspected
 }
 
-// noteAnswered clears a suspect that got a whole answer.
-func (g *Gateway) noteAnswered(request *forwardRequest) {
+// noteAnswered clears a suspect that got a whole answer. The digest is worked out only where
+// anything is suspected.
+func (g *Gateway) noteAnswered(digest func() quarantine.Digest) {
 	v := g.views.load()
-	if !g.quarantine.suspects(v) || g.quarantine.of(request.digest(), v) == unsuspected {
+	if !g.quarantine.suspects(v) || g.quarantine.of(digest(), v) == unsuspected {
 		return
 	}
-	g.quarantine.answers(request.digest())
+	g.quarantine.answers(digest(), v)
 	g.session.report()
 }
 
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -14,12 +14,13 @@
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
 // Request is what makes two requests the same. Its id, its deadline and the gateway that took
-// it are not part of it: they differ each time it comes. Nor is its key, which says where it
-// runs.
+// it are not part of it: they differ each time it comes.
 type Request struct {
 	Service string
-	Method  string
-	Host    string
+	// Key is as the caller sent it, empty where the service has none.
+	Key    string
+	Method string
+	Host   string
 	// Target is the path with the query, as the caller sent it.
 	Target string
 	Body   []byte
@@ -29,7 +30,7 @@
 func (r *Request) Digest() Digest {
 	hash := sha256.New()
 	var length [8]byte
-	for _, part := range [][]byte{[]byte(r.Service), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
+	for _, part := range [][]byte{[]byte(r.Service), []byte(r.Key), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
 		hash.Write(length[:])
 		hash.Write(part)
--- a/internal/quarantine/digest_test.go
+++ b/internal/quarantine/digest_test.go
@@ -16,6 +16,7 @@
 	assert.Equal(t, base.Digest(), same.Digest())
 	for name, change := range map[string]func(*quarantine.Request){
 		"service":         func(r *quarantine.Request) { r.Service = "t" },
+		"key":             func(r *quarantine.Request) { r.Key = "7" },
 		"method":          func(r *quarantine.Request) { r.Method = "PUT" },
 		"host":            func(r *quarantine.Request) { r.Host = "i" },
 		"query":           func(r *quarantine.Request) { r.Target = "/a?b=2" },
