--- a/cmd/quartzdock-lab/soak.go
+++ b/cmd/quartzdock-lab/soak.go
@@ -26,6 +26,7 @@
 	flags.IntVar(&config.Size.Controllers, 0, "controllers", 0, "controllers; 0 is the usual number")
 	flags.IntVar(&config.Size.Callers, 0, "callers", 0, "callers at the most, over all gateways; 0 is the usual number")
 	flags.DurationVar(&config.MeanPause, 0, "mean-pause", 0, "mean pause between two strikes; 0 is the usual one")
+	flags.IntVar(&config.Ending, 0, "poison", 0, "distinct requests that end each back end that begins them, and are sent again and again")
 	flags.StringVar(&config.KeepIn, 0, "keep-logs", "", "folder for the logs of a failing seed")
 	flags.BoolVar(&config.JSON, 0, "json", "write the report as JSON")
 	return &ff.Command{
--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -124,6 +124,9 @@
 	panic(http.ErrAbortHandler)
 }
 
+// Ended reports whether the instance's life is over.
+func (i *Instance) Ended() bool { return i.ended() }
+
 func (i *Instance) ended() bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -58,6 +58,7 @@
 	grants      Grants
 	size        Size
 	callers     *callers
+	ending      *ending
 	controllers []*place
 	gateways    []*place
 	backends    []*place
@@ -69,7 +70,7 @@
 		return nil, err
 	}
 	f := &fleet{Fleet: laid, ctx: ctx, grants: config.Grants, size: config.Size}
-	f.callers = &callers{fleet: f}
+	f.callers, f.ending = &callers{fleet: f}, newEnding(f, config.Ending)
 	for _, machine := range laid.Cores {
 		f.controllers = append(f.controllers, &place{machine: machine})
 	}
@@ -122,7 +123,7 @@
 	born := time.Now().Add(-time.Duration(backend.lives) * clockStep)
 	backend.instance = &platformstandin.Instance{
 		ID: fmt.Sprintf("%s-%d", side.Name, backend.id), Born: born.UnixMilli(), Service: side.Service, Machine: side.Name, Keyed: side.Service == keyedService,
-		ByHeartbeat: f.grants == ByHeartbeat, Control: side.Control(), Slots: slotsOfBackend, ListenLate: listenLate,
+		ByHeartbeat: f.grants == ByHeartbeat, Control: side.Control(), Slots: slotsOfBackend, ListenLate: listenLate, Ends: f.ending.endsBackEnd,
 		Calls: func(ctx context.Context, call platformstandin.LookUp) { f.callers.lookUp(ctx, side, call) },
 	}
 	return platformstandin.StartInstance(f.ctx, f.Ledger, side.App(), backend.instance)
--- a/lab/platformstandin/soak/run.go
+++ b/lab/platformstandin/soak/run.go
@@ -30,6 +30,8 @@
 	// Size of the fleet, and MeanPause between two strikes; zeros are the usual ones.
 	Size      Size
 	MeanPause time.Duration
+	// Ending is how many distinct requests end each back end that begins them.
+	Ending int
 	// JSON writes the report as JSON.
 	JSON bool
 	// KeepIn is the folder in which the logs of a failing seed are kept.
@@ -82,6 +84,10 @@
 	// rules let go without an answer of their back end.
 	Cuts    int `json:"runs_cut"`
 	Excused int `json:"stops_excused"`
+	// EndedUnder are the ends of back ends under requests that end each that begins them,
+	// and MostEndedUnder those under one of them at most.
+	EndedUnder     int `json:"ended_under_requests"`
+	MostEndedUnder int `json:"ended_under_one_request_at_most"`
 	// Gateways and Controllers are the fleet's processes; PeakMemoryBytes is the sum of
 	// the machines' peaks of resident memory, ProcessorMS the processor time of all.
 	Gateways        int   `json:"gateways"`
@@ -175,6 +181,7 @@
 	work.Go(func() { clients.run(running, config.Seed) })
 	work.Go(func() { clients.runLines(running, config.Seed) })
 	work.Go(func() { operators.run(running) })
+	work.Go(func() { f.ending.run(running, config.Seed) })
 	for _, gateway := range f.gateways {
 		work.Go(func() { gateway.machine.WatchReadiness(running) })
 	}
@@ -231,7 +238,9 @@
 	_, repeats := f.Ledger.Totals()
 	excused := clients.checkStops()
 	used := f.Usage()
+	endedUnder, mostEndedUnder := f.ending.check()
 	return &Report{
+		EndedUnder: endedUnder, MostEndedUnder: mostEndedUnder,
 		Seed: config.Seed, Grants: config.Grants, DurationMS: config.Duration.Milliseconds(), Strikes: strikes,
 		Sent: clients.counts.sent.Load(), LookUps: clients.counts.lookUps.Load(), Answered: clients.counts.answered.Load(), NotRun: clients.counts.notRun.Load(),
 		Unknown: clients.counts.unknown.Load(), Lost: clients.counts.lost.Load(), Lines: clients.counts.lines.Load(),
@@ -248,8 +257,8 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(r)
 	}
-	_, err := fmt.Fprintf(out, "seed %d, keys by %s: %d strikes, %d requests and %d calls of back ends (%d answered, %d not run, %d unknown, %d without an answer), %d lines of requests sent ahead, %d runs repeated, %d planned stops (%d at once, %d ms at most), %d runs cut, %d excused in planned stops, %d configurations, %d gateways and %d controllers (%d MB at peak, %.1f processor seconds), the soak itself stood still %d times (%d ms at most), %d promises broken\n",
-		r.Seed, r.Grants, len(r.Strikes), r.Sent, r.LookUps, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Lines, r.Repeats, r.Stops, r.AtOnce, r.LongestStopMS, r.Cuts, r.Excused, r.Versions,
+	_, err := fmt.Fprintf(out, "seed %d, keys by %s: %d strikes, %d requests and %d calls of back ends (%d answered, %d not run, %d unknown, %d without an answer), %d lines of requests sent ahead, %d runs repeated, %d planned stops (%d at once, %d ms at most), %d runs cut, %d excused in planned stops, %d ended under requests (%d under one at most), %d configurations, %d gateways and %d controllers (%d MB at peak, %.1f processor seconds), the soak itself stood still %d times (%d ms at most), %d promises broken\n",
+		r.Seed, r.Grants, len(r.Strikes), r.Sent, r.LookUps, r.Answered, r.NotRun, r.Unknown, r.Lost, r.Lines, r.Repeats, r.Stops, r.AtOnce, r.LongestStopMS, r.Cuts, r.Excused, r.EndedUnder, r.MostEndedUnder, r.Versions,
 		r.Gateways, r.Controllers, r.PeakMemoryBytes>>20, (time.Duration(r.ProcessorMS) * time.Millisecond).Seconds(), len(r.Stalls), r.LongestStallMS, len(r.Violations))
 	for _, stall := range r.Stalls {
 		if err == nil {
