Let no grant leave after a suspension that came behind its preparation

A grant's time is worked out and then sent; where the machine was suspended in between, it left after waking and counted at the back end from then, beyond the lease that covered it. The deadline that bounds it is a timer, which stands still.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -12,6 +12,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // HeaderNames are the names of the fields between callers, gateways and back
@@ -43,8 +44,14 @@
 	Fence    keyspace.Fence
 	Hold     time.Duration
 	Handover string
-	// preparedAt is when it was worked out.
-	preparedAt time.Time
+	// PreparedAt is the steady.Reading at which it was worked out; zero is never late.
+	PreparedAt time.Time
+}
+
+// Late reports whether an order must not leave any more: its time was worked out so long ago
+// that it may outlast the lease that covers it.
+func (o *GrantOrder) Late() bool {
+	return !o.PreparedAt.IsZero() && steady.Elapsed(o.PreparedAt) > grantTimeout
 }
 
 // ReleaseOrder takes keys back from a back end.
--- a/internal/gateway/keygrants.go
+++ b/internal/gateway/keygrants.go
@@ -85,7 +85,7 @@
 	}
 	sent.bound.Send(hold)
 	sent.sentAt = now
-	return GrantOrder{Instance: instance, Keys: sent.Keys, Fence: compose(sent.Fence, sent.sub), Hold: hold, Handover: sent.Handover, preparedAt: now}, true
+	return GrantOrder{Instance: instance, Keys: sent.Keys, Fence: compose(sent.Fence, sent.sub), Hold: hold, Handover: sent.Handover, PreparedAt: now}, true
 }
 
 // send makes one grant and notes its answer.
@@ -95,7 +95,7 @@
 		return
 	}
 	// From when it was worked out: what stood still since must not leave.
-	ctx, cancel := context.WithTimeout(ctx, steady.Until(order.preparedAt.Add(grantTimeout)))
+	ctx, cancel := context.WithTimeout(ctx, steady.Until(order.PreparedAt.Add(grantTimeout)))
 	defer cancel()
 	err := k.gateway.config.Keys.Grant(ctx, order)
 	k.gateway.metrics.grant(err)
