Suspect a request from the moment its caller's gateway learns of the end under it

A visit with others at work goes on after its back end ended. Its gateway hears of the end by the try's result some milliseconds before it is told by the gateway beside the back end, and could have sent the request on without a trial in between: a second back end in one visit. Found by reading. The result now suspects the request for 0.5 s, until the word is there.

TestARequestIsSuspectedBeforeTheWordOfItsEnd covers it, and could not be written against the code before, which has no place for it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -90,6 +90,9 @@
 		if result.Reason.full() {
 			refusals++
 		}
+		if result.Reason == reasonEnded {
+			g.quarantine.expect(c.digest(), steady.Now())
+		}
 		if endedUnder(c, result, trial) {
 			return result
 		}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -22,6 +22,9 @@
 	longestTrialWait = time.Second
 	// retryHeld is when to come back with a request that is held back.
 	retryHeld = 20 * time.Second
+	// endExpected is for how long a request counts as suspected whose caller's gateway has
+	// learnt first that a back end ended under it: the word of the end is on its way.
+	endExpected = 500 * time.Millisecond
 	// mostUnconfirmed bounds the ends that the leader has not confirmed; the oldest go first.
 	mostUnconfirmed = 256
 )
@@ -48,6 +51,8 @@
 	mutex sync.Mutex
 	// unconfirmed are ends that the leader's set may lack, the oldest first.
 	unconfirmed []quarantine.Ended
+	// expected are requests of which the word of an end is on its way, with its latest time.
+	expected map[quarantine.Digest]steady.Instant
 	// waiting is how many requests wait for a trial.
 	waiting map[quarantine.Digest]int
 	// used are the granted trials that were used or given back.
@@ -66,7 +71,7 @@
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return len(k.unconfirmed) > 0
+	return len(k.unconfirmed)+len(k.expected) > 0
 }
 
 // of returns what is known of a request.
@@ -83,9 +88,24 @@
 	case told || k.unconfirmedHas(request):
 		return onTrial
 	}
+	if until, ok := k.expected[request]; ok && steady.Now().Before(until) {
+		return onTrial
+	}
 	return unsuspected
 }
 
+// expect notes that a back end has ended under a request of a caller here.
+func (k *quarantineKeeper) expect(request quarantine.Digest, now steady.Instant) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.expected == nil {
+		k.expected = map[quarantine.Digest]steady.Instant{}
+	}
+	maps.DeleteFunc(k.expected, func(_ quarantine.Digest, until steady.Instant) bool { return !now.Before(until) })
+	k.expected[request] = now.Add(endExpected)
+	delete(k.answered, request)
+}
+
 // hear takes ends of back ends that were seen here or that another gateway tells.
 func (k *quarantineKeeper) hear(ended []quarantine.Ended) {
 	k.mutex.Lock()
@@ -220,6 +240,8 @@
 	}
 	maps.DeleteFunc(k.over, func(of trial, _ quarantine.Over) bool { return !present(of) })
 	maps.DeleteFunc(k.used, func(of trial, _ bool) bool { return !present(of) })
+	now := steady.Now()
+	maps.DeleteFunc(k.expected, func(_ quarantine.Digest, until steady.Instant) bool { return !now.Before(until) })
 	maps.DeleteFunc(k.answered, func(request quarantine.Digest, _ int) bool {
 		_, suspected := v.suspects[request]
 		return !suspected && !k.unconfirmedHas(request)
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -221,3 +222,24 @@
 		assert.Equal(t, hops.far.quarantine.of(request, hops.far.views.load()), unsuspected, name)
 	}
 }
+
+// The gateway of the caller learns from the try's result that the back end has ended, before
+// it is told so: the request is suspected from then on, and by what it is told later on.
+func TestARequestIsSuspectedBeforeTheWordOfItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		request := digestOfHops()
+		v := newViews()
+		var k quarantineKeeper
+		k.expect(request, steady.Now())
+		assert.Assert(t, k.suspects(v.load()))
+		assert.Equal(t, k.of(request, v.load()), onTrial)
+		time.Sleep(endExpected)
+		assert.Equal(t, k.of(request, v.load()), unsuspected)
+		k.expect(request, steady.Now())
+		k.hear([]quarantine.Ended{endOf("i", request)})
+		time.Sleep(endExpected)
+		assert.Equal(t, k.of(request, v.load()), onTrial)
+		k.report(v.load(), "n", 1)
+		assert.Equal(t, len(k.expected), 0)
+	})
+}
