Read the quarantine of the gateway as a newcomer

A function that only asked its context for an error is gone, a loop that stood twice has a name, and comments say who has the mutex. No behaviour changes; the packages' tests pass as before.

--- a/internal/gateway/atwork.go
+++ b/internal/gateway/atwork.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"slices"
 	"sync"
@@ -162,7 +161,3 @@
 	}
 	g.config.Log.Warn("back end ended while at work", "instance", life, "at_work", len(cut), "requests", ids, "digests", digests)
 }
-
-// connectionEnded reports whether an exchange failed because the back end's side of the
-// connection ended, and not for want of time or because the caller left.
-func connectionEnded(ctx context.Context) bool { return ctx.Err() == nil }
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -308,7 +308,8 @@
 // cutOff classifies an exchange whose connection ended before the whole answer was there.
 func (e *egress) cutOff(ctx context.Context, request *forwardRequest, err error) *forwardResult {
 	result := e.broken(request, err)
-	if !connectionEnded(ctx) || errors.Is(err, errNoAnswer) {
+	if ctx.Err() != nil || errors.Is(err, errNoAnswer) {
+		// The time was over, the caller has left, or the back end answered wrongly.
 		return result
 	}
 	if atWork, ended := e.gateway.endedUnder(request); ended {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -101,7 +101,7 @@
 	if k.expected == nil {
 		k.expected = map[quarantine.Digest]steady.Instant{}
 	}
-	maps.DeleteFunc(k.expected, func(_ quarantine.Digest, until steady.Instant) bool { return !now.Before(until) })
+	k.forgetExpected(now)
 	k.expected[request] = now.Add(endExpected)
 	delete(k.answered, request)
 }
@@ -133,7 +133,7 @@
 	k.unconfirmed = slices.DeleteFunc(k.unconfirmed, func(ended quarantine.Ended) bool { return slices.Contains(lives, ended.Life) })
 }
 
-// await counts a request that waits for a trial; leave ends that.
+// await counts a request that waits for a trial. The caller calls leave once it waits no more.
 func (k *quarantineKeeper) await(request quarantine.Digest) (leave func()) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -181,6 +181,7 @@
 	k.tellOver(quarantine.Over{Request: of.request, Number: of.number, Sent: result.Sent, Failed: result.Reason == reasonEnded})
 }
 
+// tellOver tells the leader of the end of a trial. The caller has the mutex.
 func (k *quarantineKeeper) tellOver(over quarantine.Over) {
 	if k.over == nil {
 		k.over = map[trial]quarantine.Over{}
@@ -240,14 +241,20 @@
 	}
 	maps.DeleteFunc(k.over, func(of trial, _ quarantine.Over) bool { return !present(of) })
 	maps.DeleteFunc(k.used, func(of trial, _ bool) bool { return !present(of) })
-	now := steady.Now()
-	maps.DeleteFunc(k.expected, func(_ quarantine.Digest, until steady.Instant) bool { return !now.Before(until) })
+	k.forgetExpected(steady.Now())
 	maps.DeleteFunc(k.answered, func(request quarantine.Digest, _ int) bool {
 		_, suspected := v.suspects[request]
 		return !suspected && !k.unconfirmedHas(request)
 	})
 }
 
+// forgetExpected drops the requests whose word has had its time. The caller has the mutex.
+func (k *quarantineKeeper) forgetExpected(now steady.Instant) {
+	maps.DeleteFunc(k.expected, func(_ quarantine.Digest, until steady.Instant) bool { return !now.Before(until) })
+}
+
+// unconfirmedHas reports whether an end that the leader's set may lack concerns a request. The
+// caller has the mutex.
 func (k *quarantineKeeper) unconfirmedHas(request quarantine.Digest) bool {
 	return slices.ContainsFunc(k.unconfirmed, func(ended quarantine.Ended) bool { return slices.Contains(ended.Requests, request) })
 }
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -22,7 +22,7 @@
 	mostLives = 512
 	// mostName bounds names of services, lives and gateways, in bytes.
 	mostName = 256
-	// MostEnded bounds the requests that were at work on one life.
+	// MostEnded bounds the requests that are told to have been at work when a life ended.
 	MostEnded = 256
 )
 
