Remove state and arguments that nothing reads

Read once more: endNews kept a moment that nothing read, takeQuarantine took a time that it did not use, and a try was handed the key that its call has.

--- a/internal/fleetcontroller/quarantine.go
+++ b/internal/fleetcontroller/quarantine.go
@@ -25,7 +25,7 @@
 
 // takeQuarantine takes what a gateway's report tells, and returns the lives that it told the
 // end of and that the present view has counted.
-func (c *Controller) takeQuarantine(told *quarantine.Change, now time.Duration) (known []string) {
+func (c *Controller) takeQuarantine(told *quarantine.Change) (known []string) {
 	if told == nil {
 		return nil
 	}
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -147,7 +147,7 @@
 	lease.PassedOnFor = c.config.Configuration.ApplyWithin
 	lease.ConfigurationFor = c.control.inForce.Grant(
 		configlease.Gateway{Node: s.node, Boot: report.Boot}, report.Version, c.control.state.Version(), now)
-	lease.EndsKnown = c.takeQuarantine(report.Quarantine, now)
+	lease.EndsKnown = c.takeQuarantine(report.Quarantine)
 	s.mutex.Lock()
 	s.lease = lease
 	s.mutex.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,7 +76,7 @@
 			clear(tried)
 			continue
 		}
-		result = g.try(ctx, c, target, key, hasKey, trial)
+		result = g.try(ctx, c, target, trial)
 		g.trialEnds(c, trial, result)
 		if result.Outcome == outcomeAnswered {
 			g.noteAnswered(c.digest)
@@ -256,7 +256,7 @@
 }
 
 // try offers a request to one instance.
-func (g *Gateway) try(ctx context.Context, c *call, target fleetwire.Instance, key keyspace.Key, hasKey bool, trial uint64) *forwardResult {
+func (g *Gateway) try(ctx context.Context, c *call, target fleetwire.Instance, trial uint64) *forwardResult {
 	request := &forwardRequest{
 		Method:   c.request.Method,
 		URI:      c.request.RequestURI,
@@ -266,8 +266,8 @@
 		ID:       c.id,
 		Service:  c.service.Name,
 		Instance: target.ID,
-		Key:      key,
-		HasKey:   hasKey,
+		Key:      c.key,
+		HasKey:   c.hasKey,
 		Priority: c.route.Priority,
 		Transfer: c.route.Repetition == routeconfig.RepeatableTransfer,
 		Trial:    trial,
--- a/internal/gateway/endnews.go
+++ b/internal/gateway/endnews.go
@@ -13,7 +13,6 @@
 
 	"github.com/quartzdock/quartzdock/internal/gobcheck"
 	"github.com/quartzdock/quartzdock/internal/quarantine"
-	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // Gateways tell each other at once under which requests a back end has ended: the leader's
@@ -39,17 +38,12 @@
 	mutex  sync.Mutex
 	wake   chan struct{}
 	queued []quarantine.Ended
-	// at is when the oldest of them was seen.
-	at steady.Instant
 }
 
 func newEndNews() *endNews { return &endNews{wake: make(chan struct{}, 1)} }
 
-func (n *endNews) add(ended quarantine.Ended, now steady.Instant) {
+func (n *endNews) add(ended quarantine.Ended) {
 	n.mutex.Lock()
-	if len(n.queued) == 0 {
-		n.at = now
-	}
 	n.queued = append(n.queued, ended)
 	n.queued = n.queued[max(0, len(n.queued)-mostNewsEnds):]
 	n.mutex.Unlock()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -335,5 +335,5 @@
 	}
 	g.quarantine.hear([]quarantine.Ended{ended})
 	g.session.report()
-	g.endNews.add(ended, steady.Now())
+	g.endNews.add(ended)
 }
