Serve tenants: API keys, quotas, priorities and regions

Callers of a deployment with tenants were not told apart: their keys went to the back ends, no Tenant-Id was set, requests with keys that never existed ran, withdrawn keys went on working and quotas were not kept. Nothing in the product knew a tenant.

A request is authenticated by the digest of its key before its body is read; the key and what the caller says of its tenant are dropped, the tenant's name is set. A request takes one token of its tenant's quota, from the shares that the leader leases in its responses to reports. The tenant's priority comes before the route's. Regions of route and tenant hold on each try. Invalid tenants are refused with the field, never with a key.

Tests: no planted key in what a back end gets or in log lines, 401, 429 and 503, tokens put back, regions, decoding and reading back.

--- a/internal/fleetcontroller/config.go
+++ b/internal/fleetcontroller/config.go
@@ -30,6 +30,7 @@
 	"github.com/quartzdock/quartzdock/internal/configlease"
 	"github.com/quartzdock/quartzdock/internal/keylease"
 	"github.com/quartzdock/quartzdock/internal/quarantine"
+	"github.com/quartzdock/quartzdock/internal/quota"
 	"github.com/quartzdock/quartzdock/internal/replica"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -64,7 +65,9 @@
 	Configuration configlease.Terms
 	// Quarantine sets how long requests during which back ends have crashed have to wait.
 	Quarantine quarantine.Terms
-	Log        *slog.Logger
+	// Quota says how exactly the quotas of tenants hold.
+	Quota quota.Terms
+	Log   *slog.Logger
 	// Registry is where the metrics are registered; nil discards them.
 	Registry prometheus.Registerer
 	// OnRemoved is called after the group has removed this member and its data folder has been
@@ -90,6 +93,7 @@
 	c.DeadAfter = cmp.Or(c.DeadAfter, DefaultDeadAfter)
 	c.Configuration = c.Configuration.WithDefaults()
 	c.Quarantine = c.Quarantine.WithDefaults()
+	c.Quota = c.Quota.WithDefaults()
 	if c.Registry == nil {
 		c.Registry = prometheus.NewRegistry()
 	}
--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -52,9 +52,10 @@
 	// newestSessions holds the number of the last session of each gateway.
 	newestSessions map[string]uint64
 	leadership     leadership.Leadership
-	// planner and inForce are nil unless this controller leads.
+	// planner, inForce and quotas are nil unless this controller leads.
 	planner         *keylease.Planner
 	inForce         *configlease.Grantor
+	quotas          *quotaState
 	pendingAcks     []pendingAck
 	nextMemberCheck time.Duration
 	published       publishedState
@@ -80,6 +81,9 @@
 	if err := c.config.Quarantine.Check(); err != nil {
 		return nil, fmt.Errorf("controller: quarantine: %w", err)
 	}
+	if err := c.config.Quota.Check(); err != nil {
+		return nil, fmt.Errorf("controller: quota: %w", err)
+	}
 	c.metrics = newControllerMetrics(c.config.Registry)
 	c.control.state, c.control.newestSessions = fleetstate.New(), map[string]uint64{}
 	c.view.Store(&view{})
--- a/internal/fleetcontroller/sessions.go
+++ b/internal/fleetcontroller/sessions.go
@@ -149,6 +149,7 @@
 	lease.PassedOnFor = c.config.Configuration.ApplyWithin
 	lease.ConfigurationFor = c.control.inForce.Grant(
 		configlease.Gateway{Node: s.node, Boot: report.Boot}, report.Version, c.control.state.Version(), now)
+	lease.Quota = c.grantQuota(s.node, report, now)
 	lease.EndsKnown = c.handleQuarantine(report.Quarantine)
 	s.mutex.Lock()
 	s.lease = lease
--- a/internal/fleetcontroller/statemachine.go
+++ b/internal/fleetcontroller/statemachine.go
@@ -72,6 +72,7 @@
 	if now >= control.nextMemberCheck {
 		control.nextMemberCheck = now + memberCheckInterval
 		control.inForce.Expire(now)
+		c.expireQuotaShares(now)
 		c.removeDeadMember(status, now)
 	}
 }
@@ -83,6 +84,7 @@
 	c.control.planner = nil
 	c.control.quarantine = quarantineState{}
 	c.control.inForce = nil
+	c.control.quotas = nil
 	c.failPendingAcks(ErrLeadershipLost)
 	c.control.published = publishedState{}
 	c.closeSessions(false)
@@ -110,6 +112,7 @@
 		c.config.Log.Info("leadership begins", "term", term, "version", uint64(c.control.state.Version()), "all_started_anew", status.StartedAnew)
 		c.control.planner = keylease.New(c.config.Planner, c.control.state, status.EarlierLeasesEnd, now)
 		c.control.inForce = configlease.NewGrantor(c.config.Configuration, status.EarlierLeasesEnd)
+		c.control.quotas = newQuotaState(c.config.Quota, status.EarlierLeasesEnd)
 		c.publish()
 	})
 }
--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -8,6 +8,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/quarantine"
+	"github.com/quartzdock/quartzdock/internal/quota"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -119,6 +120,8 @@
 	// Quarantine holds the events that the gateway has observed about requests during which
 	// back ends crashed; nil if there are none. It is repeated until a response confirms it.
 	Quarantine *quarantine.Change
+	// Quota is the use of the tenants' quotas; nil if there is nothing to report.
+	Quota *quota.Report
 }
 
 // Held is a range of keys that a back end may hold, with its fence.
@@ -150,6 +153,8 @@
 	// EndsKnown lists the incarnations whose crash was in the report and is counted in the view
 	// that was sent with this response or before it.
 	EndsKnown []string
+	// Quota is the response to Report.Quota; nil if the gateway has no part in any quota.
+	Quota *quota.Grant
 }
 
 // ServiceOwners are the owners of one service's keys.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,6 +66,9 @@
 		if g.views.load().fullyEvacuated(c.service.Name) {
 			return notRun(reasonEvacuated)
 		}
+		if g.outsideRegions(c) {
+			return notRun(reasonOutsideRegions)
+		}
 		trial, refusal := g.admitSuspect(ctx, c)
 		if refusal != nil {
 			return refusal
@@ -199,7 +202,7 @@
 	var best fleetwire.Instance
 	bestCost := 0.0
 	for _, candidate := range v.instances[c.service.Name] {
-		if attempted[candidate.ID] || candidate.State != fleetwire.InstanceReady || v.evacuated(candidate.Zone) {
+		if attempted[candidate.ID] || candidate.State != fleetwire.InstanceReady || v.evacuated(candidate.Zone) || !g.regionAllowed(c, candidate.Zone) {
 			continue
 		}
 		cost := g.cost(c, candidate, now)
@@ -274,7 +277,7 @@
 		Instance: target.ID,
 		Key:      c.key,
 		HasKey:   c.hasKey,
-		Priority: c.route.Priority,
+		Priority: routeconfig.RequestPriority(c.route, c.tenant),
 		Transfer: c.route.Repetition == routeconfig.RepeatableTransfer,
 		Trial:    trial,
 		Target:   c.route.TargetLatency,
@@ -284,6 +287,7 @@
 	names := &g.config.Headers
 	request.Header.Set(names.CallerService, g.config.Service)
 	request.Header.Del(names.TargetInstance)
+	g.setTenant(request.Header, c.tenant)
 	began := steady.Reading()
 	if target.Node == g.config.Name {
 		result := g.egress.serve(ctx, request)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -12,6 +12,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/quota"
 	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
@@ -31,6 +32,8 @@
 	CallerService string
 	// Key is the key of a request to a keyed service.
 	Key string
+	// APIKey authenticates a caller's tenant, and Tenant gives a back end the tenant's name.
+	APIKey, Tenant string
 	// WarmUpLeft is on responses to health checks: the time that the back end remains cold, in
 	// milliseconds. InstanceID is the instance that responds.
 	WarmUpLeft, InstanceID string
@@ -104,6 +107,8 @@
 	// Name is the name of the process, and Zone the zone where it runs.
 	Name string
 	Zone string
+	// Regions maps the fleet's zones to their regions.
+	Regions map[string]string
 	// Service is the service of the local back end.
 	Service string
 	// CallerListen is the address for callers and PeerListen the address for other gateways,
@@ -121,6 +126,9 @@
 	// Keys sends grants and releases of keys to the back end.
 	Keys   KeyHolder
 	Budget RetryBudget
+	// Quota says how exactly the quotas of tenants hold. It must be the same at all gateways and
+	// controllers.
+	Quota quota.Terms
 	// LinkBytesPerSecond is the bandwidth of the machine's link. Zero means unknown, and
 	// responses are not paced.
 	LinkBytesPerSecond float64
@@ -181,6 +189,9 @@
 	if c.ResponseDelay < 0 || c.ResponseDelay > maxResponseDelay {
 		return fmt.Errorf("ResponseDelay is %v, but must be between 0 and %v", c.ResponseDelay, maxResponseDelay)
 	}
+	if err := c.Quota.Check(); err != nil {
+		return fmt.Errorf("quota: %w", err)
+	}
 	return nil
 }
 
@@ -192,6 +203,7 @@
 	c.ResponseDelay = cmp.Or(c.ResponseDelay, DefaultResponseDelay)
 	c.MaxKeyHold = cmp.Or(c.MaxKeyHold, DefaultMaxKeyHold)
 	c.StopWithin = cmp.Or(c.StopWithin, DefaultStopWithin)
+	c.Quota = c.Quota.WithDefaults()
 	c.Budget.Window = cmp.Or(c.Budget.Window, DefaultWindow)
 	if c.Registry == nil {
 		c.Registry = prometheus.NewRegistry()
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -50,7 +50,7 @@
 	v := g.views.load()
 	return []any{
 		"request", r.Header.Get(g.config.Headers.RequestID), "host", r.Host, "path", r.URL.Path,
-		"key", r.Header.Get(g.config.Headers.Key), "stated_ms", r.Header.Get(g.config.Headers.Deadline), "version", uint64(v.version()), "owners_index", v.ownersIndex,
+		"tenant", v.tenantName(r.Header.Get(g.config.Headers.APIKey)), "key", r.Header.Get(g.config.Headers.Key), "stated_ms", r.Header.Get(g.config.Headers.Deadline), "version", uint64(v.version()), "owners_index", v.ownersIndex,
 	}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -75,6 +75,14 @@
 	// reasonQuarantined: so many back ends have crashed while running the request that it is
 	// not sent any more.
 	reasonQuarantined reason = "held-back"
+	// reasonOutsideRegions: the request must not run in the regions where it could.
+	reasonOutsideRegions reason = "outside-allowed-regions"
+	// reasonUnknownKey: the request has no API key that the configuration knows.
+	reasonUnknownKey reason = "unknown-api-key"
+	// reasonOverQuota: the tenant's quota is used up.
+	reasonOverQuota reason = "over-quota"
+	// reasonNoQuotaShare: the gateway has no share of the tenant's quota yet.
+	reasonNoQuotaShare reason = "no-quota-share"
 	// reasonNoRoute: no route matches the request's host and path.
 	reasonNoRoute reason = "no-route"
 )
@@ -102,6 +110,10 @@
 	reasonNoRoute:            true,
 	reasonAwaitsTrial:        true,
 	reasonQuarantined:        true,
+	reasonOutsideRegions:     true,
+	reasonUnknownKey:         true,
+	reasonOverQuota:          true,
+	reasonNoQuotaShare:       true,
 }
 
 // known reports whether a reason sent by a peer is one of reasons. Unknown ones would create
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	firstAttempts   firstAttempts
 	peers           *peerSet
 	budgets         *retryBudgets
+	quotas          *quotaKeeper
 	pacer           *linkPacer
 	held            bufferedBytes
 	egress          *egress
@@ -84,6 +85,7 @@
 	g.registry.stopGrants = g.keys.stopGrants
 	g.registry.onReplaced = g.handleCrash
 	g.session = newSessionClient(g)
+	g.quotas = newQuotaKeeper(g)
 	g.registry.leaderResponded = g.session.receivedResponse
 	var err error
 	if g.egress, err = newEgress(g); err != nil {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -38,7 +38,9 @@
 	hasKey  bool
 	route   *routeconfig.Route
 	service *routeconfig.Service
-	began   time.Time
+	// tenant is nil for anonymous requests.
+	tenant *routeconfig.Tenant
+	began  time.Time
 	// firstAttempt is when the caller first sent the request, as far as that is known.
 	firstAttempt time.Time
 	deadline     time.Time
@@ -97,11 +99,16 @@
 		http.Error(w, string(reasonNoRoute), http.StatusNotFound)
 		return
 	}
+	tenant, ok := g.authenticate(w, r, v, route)
+	if !ok {
+		return
+	}
 	c, status := g.newCall(w, r, v, route, began)
 	if c == nil {
 		http.Error(w, "request body not read", status)
 		return
 	}
+	c.tenant = tenant
 	if !g.admission.Admits(c.deadline) {
 		g.metrics.request(c.service.Name, outcomeNotRun, reasonStopping)
 		g.writeRefusal(w, r, reasonStopping, retryAfter(g.refuseStopping()), nil)
@@ -109,8 +116,15 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), steady.Until(c.deadline))
 	defer cancel()
+	if refusal := g.quotas.admit(ctx, tenant, route.TargetLatency); refusal != nil {
+		g.refuseOverQuota(w, c, refusal)
+		return
+	}
 	g.held.add(len(c.body))
 	result := g.serveWithRetries(ctx, c)
+	if result.Outcome == outcomeNotRun {
+		g.quotas.putBack(tenant)
+	}
 	defer result.Stream.close()
 	g.held.add(result.bodySize())
 	defer g.held.add(-len(c.body) - result.bodySize())
@@ -251,7 +265,5 @@
 
 // writeRefusal responds to a request that has not run and will not run.
 func (g *Gateway) writeRefusal(w http.ResponseWriter, r *http.Request, why reason, after time.Duration, attempts []attemptRecord) {
-	g.logFailure(r, http.StatusServiceUnavailable, why, after, attempts)
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	http.Error(w, string(why), http.StatusServiceUnavailable)
+	g.writeRefusalStatus(w, r, http.StatusServiceUnavailable, why, after, attempts)
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -170,6 +170,7 @@
 		Node: s.gateway.config.Name, Boot: s.boot,
 		Version: known.version(), OwnersIndex: known.ownersIndex, OwnersDigest: known.owners.Digest(),
 	}
+	s.gateway.quotas.beginSession()
 	requestedAt := s.now()
 	if err := conn.Send(fleetwire.ToController{Hello: hello}); err != nil {
 		return nil, err
@@ -233,6 +234,7 @@
 		// The lease must be extended last, since it covers the view that was applied above.
 		s.configurationLease.take(message.Lease, s.started)
 		g.keys.applyLease(message.Lease, s.started)
+		g.quotas.apply(message.Lease.Quota, message.Lease.SentAt)
 		g.quarantine.confirm(message.Lease.EndsKnown)
 		if firstLease {
 			g.registry.retryCandidate(steady.Reading())
@@ -310,6 +312,7 @@
 	g := s.gateway
 	v := g.views.load()
 	report := &fleetwire.Report{SentAt: s.now(), Boot: s.boot, Version: v.version()}
+	report.Quota = g.quotas.report(report.SentAt)
 	report.Quarantine = g.quarantine.report(v, g.config.Name, s.boot)
 	if instance := g.registry.snapshot(); instance.ID != "" {
 		report.Instance = &instance
--- a/internal/gateway/twohops_test.go
+++ b/internal/gateway/twohops_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -50,6 +51,9 @@
 	drain      time.Duration
 	// stop bounds a planned stop; zero stops at once.
 	stop time.Duration
+	log  *slog.Logger
+	// regions maps zones to regions.
+	regions map[string]string
 }
 
 func startTwoHops(t testing.TB, setup twoHopsConfig, backend http.Handler) *twoHops {
@@ -60,7 +64,7 @@
 		return Config{
 			Name: name, Zone: "a", Service: "s", CallerListen: freeAddress(t), PeerListen: freeAddress(t),
 			BackendAddress: server.Listener.Addr().String(), Headers: testHeaders(),
-			DrainWithin: setup.drain, StopWithin: max(setup.stop, time.Millisecond), Budget: RetryBudget{Ratio: 0.2, Slack: 58},
+			DrainWithin: setup.drain, StopWithin: max(setup.stop, time.Millisecond), Budget: RetryBudget{Ratio: 0.2, Slack: 58}, Log: setup.log, Regions: setup.regions,
 		}
 	}
 	far, near := config("far"), config("near")
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -165,6 +165,18 @@
 	return v.table.Find(r.Host, r.URL.Path)
 }
 
+// tenantName returns the name of the tenant with an API key; empty if there is none.
+func (v *view) tenantName(key string) string {
+	if v.table == nil {
+		return ""
+	}
+	tenant := v.table.TenantOf(key)
+	if tenant == nil {
+		return ""
+	}
+	return tenant.Name
+}
+
 // service looks up a service by name; nil if the configuration does not have it.
 func (v *view) service(name string) *routeconfig.Service {
 	if v.table == nil {
--- a/internal/routeconfig/document.go
+++ b/internal/routeconfig/document.go
@@ -56,6 +56,11 @@
 	// Attempts is the largest number of back ends that one request is sent to.
 	Attempts     int
 	Destinations []Destination
+	// AuthExempt routes accept requests without an API key.
+	AuthExempt bool
+	// AllowedRegions are the regions whose back ends may run the route's requests; empty means
+	// all.
+	AllowedRegions []string
 	// Source is the operator's original text of the route, kept so that it can be
 	// read back.
 	Source []byte
@@ -117,6 +122,9 @@
 	Limits   Limits
 	Routes   []Route
 	Services []Service
+	// Tenants are the callers. If there are any, each request on a route that isn't exempt must
+	// carry an API key of one of them.
+	Tenants []Tenant
 }
 
 // Service returns the service with a name.
--- a/internal/routeconfig/patch.go
+++ b/internal/routeconfig/patch.go
@@ -5,13 +5,15 @@
 	Version Version
 	// Limits replaces the limits of the document, unless it is nil.
 	Limits *Limits
-	// UpsertRoutes and UpsertServices are added, or replace items with the same
-	// name.
+	// UpsertRoutes, UpsertServices and UpsertTenants are added, or replace items with
+	// the same name.
 	UpsertRoutes   []Route
 	UpsertServices []Service
-	// RemoveRoutes and RemoveServices are the names of items to remove.
+	UpsertTenants  []Tenant
+	// RemoveRoutes, RemoveServices and RemoveTenants are the names of items to remove.
 	RemoveRoutes   []string
 	RemoveServices []string
+	RemoveTenants  []string
 }
 
 // Apply returns a copy of the document with the changes of the patch. Names to
@@ -23,8 +25,10 @@
 	}
 	routeName := func(route *Route) string { return route.Name }
 	serviceName := func(service *Service) string { return service.Name }
+	tenantName := func(tenant *Tenant) string { return tenant.Name }
 	next.Routes = merge(base.Routes, p.UpsertRoutes, p.RemoveRoutes, routeName)
 	next.Services = merge(base.Services, p.UpsertServices, p.RemoveServices, serviceName)
+	next.Tenants = merge(base.Tenants, p.UpsertTenants, p.RemoveTenants, tenantName)
 	return next
 }
 
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -11,6 +11,9 @@
 	// hosts holds the routes of each host, longest prefix first.
 	hosts    map[string][]*Route
 	services map[string]*Service
+	// tenants holds the tenants by the digests of their keys.
+	tenants       map[KeyDigest]*Tenant
+	tenantsByName map[string]*Tenant
 }
 
 // NewTable returns the table of a document, which must not be modified afterwards.
@@ -30,6 +33,7 @@
 	for i := range document.Services {
 		table.services[document.Services[i].Name] = &document.Services[i]
 	}
+	table.indexTenants()
 	return table
 }
 
--- a/internal/routeconfig/validate.go
+++ b/internal/routeconfig/validate.go
@@ -51,7 +51,7 @@
 			findings.add(field, "%q stands twice", service.Name)
 		}
 		services[service.Name] = true
-		if service.WarmupRate < 0 || math.IsNaN(service.WarmupRate) || math.IsInf(service.WarmupRate, 0) {
+		if !isRate(service.WarmupRate) {
 			findings.add(fmt.Sprintf("services[%d].warmupRate", i), "%v requests a second is no rate", service.WarmupRate)
 		}
 		if service.Warmup < 0 {
@@ -73,9 +73,46 @@
 		}
 		matches[match] = true
 	}
+	d.validateTenants(&findings)
 	return findings
 }
 
+// validateTenants adds the errors of the tenants. Findings name keys by their position, never
+// by their text.
+func (d *Document) validateTenants(findings *Findings) {
+	names := make(map[string]bool, len(d.Tenants))
+	owners := map[KeyDigest]int{}
+	for i := range d.Tenants {
+		tenant := &d.Tenants[i]
+		field := fmt.Sprintf("tenants[%d]", i)
+		if tenant.Name == "" {
+			findings.add(field+".name", "not given")
+		}
+		if names[tenant.Name] {
+			findings.add(field+".name", "%q stands twice", tenant.Name)
+		}
+		names[tenant.Name] = true
+		if tenant.Priority < 0 {
+			findings.add(field+".priority", "%d is below zero", tenant.Priority)
+		}
+		if !isRate(tenant.Quota.RatePerSecond) {
+			findings.add(field+".rate", "%v requests a second is no rate", tenant.Quota.RatePerSecond)
+		}
+		if !isRate(tenant.Quota.Burst) {
+			findings.add(field+".burst", "%v requests is no burst", tenant.Quota.Burst)
+		}
+		for at, key := range tenant.Keys {
+			if owner, ok := owners[key]; ok && owner != i {
+				findings.add(fmt.Sprintf("%s.keys[%d]", field, at), "tenant %q has the same key", d.Tenants[owner].Name)
+			}
+			owners[key] = i
+		}
+	}
+}
+
+// isRate reports whether a number is finite and not below zero.
+func isRate(value float64) bool { return value >= 0 && !math.IsInf(value, 1) }
+
 func (r *Route) validate(field string, services map[string]bool, findings *Findings) {
 	if r.Name == "" {
 		findings.add(field+".name", "not given")
