Keep the shares of a quota at a few gateways, found by a ring

Now the gateways that follow a tenant's name on a ring of each zone hold its shares, one a zone for small quotas and more where the bucket has tokens for more. The others ask one of them for a token for each request, in their own zone, and give it back if the request has not run. A holder that doesn't respond is passed over.

--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -21,6 +21,7 @@
 		slots:  newSlotLimiter(),
 	}
 	g.session = newSessionClient(g)
+	g.quotas = newQuotaKeeper(g)
 	g.extendLease(time.Hour)
 	advance(t, g.views, viewOf(true,
 		fleetwire.Instance{ID: "near", Service: "s", Node: "node-near", Zone: "a", Address: "127.0.0.1:1", State: fleetwire.InstanceReady},
--- a/internal/gateway/egress_test.go
+++ b/internal/gateway/egress_test.go
@@ -78,6 +78,7 @@
 	g.keyLoad = newKeyLoad()
 	g.registry = newRegistry(func() {})
 	g.session = newSessionClient(g)
+	g.quotas = newQuotaKeeper(g)
 	g.extendLease(time.Hour)
 	g.keys = newGrantManager(g)
 	var err error
--- a/internal/gateway/expiredlease_test.go
+++ b/internal/gateway/expiredlease_test.go
@@ -20,6 +20,7 @@
 	g.metrics = newGatewayMetrics(prometheus.NewRegistry())
 	advance(t, g.views, &fleetwire.View{Document: documentOf(3)})
 	g.session = newSessionClient(g)
+	g.quotas = newQuotaKeeper(g)
 	status := func() int {
 		response := httptest.NewRecorder()
 		g.callerHandler(response, httptest.NewRequest(http.MethodGet, "http://unknown.example/", nil))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	peers           *peerSet
 	budgets         *retryBudgets
 	quotas          *quotaKeeper
+	quotaRing       quotaRing
 	pacer           *linkPacer
 	held            bufferedBytes
 	egress          *egress
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -32,6 +32,10 @@
 	// fieldKnownVersion requests a fleetwire.RelayedState and names the version that the sender
 	// has.
 	fieldKnownVersion = fieldPrefix + "Asks-Word"
+	// fieldTakesToken requests a token of a tenant's quota, and fieldReturnsToken gives one back;
+	// each names the tenant.
+	fieldTakesToken   = fieldPrefix + "Takes-Token"
+	fieldReturnsToken = fieldPrefix + "Returns-Token"
 	fieldOutcome      = fieldPrefix + "Outcome"
 	fieldReason       = fieldPrefix + "Reason"
 	// fieldSent is set if the request was sent to the back end.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -116,14 +116,15 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), steady.Until(c.deadline))
 	defer cancel()
-	if refusal := g.quotas.admit(ctx, tenant, route.TargetLatency); refusal != nil {
+	token, refusal := g.takeToken(ctx, tenant, route.TargetLatency)
+	if refusal != nil {
 		g.refuseOverQuota(w, c, refusal)
 		return
 	}
 	g.held.add(len(c.body))
 	result := g.serveWithRetries(ctx, c)
 	if result.Outcome == outcomeNotRun {
-		g.quotas.putBack(tenant)
+		g.returnToken(token)
 	}
 	defer result.Stream.close()
 	g.held.add(result.bodySize())
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -73,6 +73,7 @@
 	rig.g.views = newViewStore()
 	rig.g.registry = newRegistry(func() {})
 	rig.g.session = newSessionClient(rig.g)
+	rig.g.quotas = newQuotaKeeper(rig.g)
 	rig.g.keys = newGrantManager(rig.g)
 	rig.g.keyLoad = newKeyLoad()
 	rig.g.slots = newSlotLimiter()
--- a/internal/gateway/malformedpeers_test.go
+++ b/internal/gateway/malformedpeers_test.go
@@ -59,6 +59,7 @@
 	} {
 		g := gatewayWithTwoZones(t)
 		g.session = newSessionClient(g)
+		g.quotas = newQuotaKeeper(g)
 		before := g.views.load()
 		assert.Assert(t, g.applyRelayedState(&passed, steady.Reading(), "peer") != nil)
 		assert.Equal(t, g.views.load(), before)
--- a/internal/gateway/peerrefresh_test.go
+++ b/internal/gateway/peerrefresh_test.go
@@ -25,6 +25,7 @@
 func TestRelayedStateUpdatesViewAndLease(t *testing.T) {
 	g := gatewayWithTwoZones(t)
 	g.session = newSessionClient(g)
+	g.quotas = newQuotaKeeper(g)
 	requestedAt := steady.Reading()
 	assert.NilError(t, g.applyRelayedState(relayedState(t, time.Second), requestedAt, "peer"))
 	assert.Equal(t, uint64(g.views.load().version()), uint64(7))
@@ -37,6 +38,7 @@
 func TestRelayedStateIsNotRelayedAgain(t *testing.T) {
 	g := gatewayWithTwoZones(t)
 	g.session = newSessionClient(g)
+	g.quotas = newQuotaKeeper(g)
 	assert.NilError(t, g.applyRelayedState(relayedState(t, 0), steady.Reading(), "peer"))
 	assert.Assert(t, g.session.configurationLease.relay(steady.Reading()) == nil)
 	request := httptest.NewRequest(http.MethodGet, "/", nil)
@@ -52,6 +54,7 @@
 	g := gatewayWithTwoZones(t)
 	grantedAt := steady.Reading()
 	g.session = newSessionClient(g)
+	g.quotas = newQuotaKeeper(g)
 	g.session.configurationLease.take(&fleetwire.Lease{ConfigurationFor: 3 * time.Second, PassedOnFor: 2 * time.Second}, grantedAt)
 	relayed := g.session.configurationLease.relay(grantedAt.Add(time.Second))
 	assert.Equal(t, relayed.Age, time.Second)
@@ -63,6 +66,7 @@
 func TestMalformedRelayedStateChangesNothing(t *testing.T) {
 	g := gatewayWithTwoZones(t)
 	g.session = newSessionClient(g)
+	g.quotas = newQuotaKeeper(g)
 	before := g.views.load()
 	corrupted := relayedState(t, 0)
 	corrupted.PackedDocument[len(corrupted.PackedDocument)/2] ^= 0xff
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -23,6 +23,10 @@
 		g.receiveCrashes(w, r)
 		return
 	}
+	if r.Header.Get(fieldTakesToken) != "" || r.Header.Get(fieldReturnsToken) != "" {
+		g.serveToken(w, r)
+		return
+	}
 	request, ok := g.decodeForward(r)
 	if !ok {
 		http.Error(w, "not from a gateway", http.StatusBadRequest)
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -68,6 +68,11 @@
 	retryAfter time.Duration
 }
 
+// quotaPatience returns how long a request with a target latency may wait for a token.
+func quotaPatience(target time.Duration) time.Duration {
+	return min(max(time.Duration(quotaWaitFraction*float64(target)), minQuotaWait), maxQuotaWait)
+}
+
 // admit takes a token for a request of a tenant, or returns a refusal. A request may wait
 // briefly while the gateway's share may still grow; it doesn't if the tenant asks for more than
 // its quota at all gateways together.
@@ -76,8 +81,7 @@
 		return nil
 	}
 	limit := k.terms.Limit(tenant.Quota)
-	patience := min(max(time.Duration(quotaWaitFraction*float64(target)), minQuotaWait), maxQuotaWait)
-	began := k.clock()
+	began, patience := k.clock(), quotaPatience(target)
 	for first := true; ; first = false {
 		wait, granted, refusal := k.tryTake(tenant.Name, limit, first, began+patience)
 		if granted == nil || refusal != nil {
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/quota"
@@ -134,3 +135,32 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, strings.TrimSpace(body), string(reasonOutsideRegions), "not held until no instance was found")
 }
+
+// A gateway that is no holder of the tenant's quota asks one that is for a token, and gives it back
+// if the request has not run. A holder that is gone is passed over.
+func TestTokensAreTakenFromHolder(t *testing.T) {
+	t.Parallel()
+	hops := startTwoHops(t, twoHopsConfig{timeout: time.Second}, http.HandlerFunc(serveComplete))
+	sold := keyed(routeconfig.Quota{RatePerSecond: 0.001, Burst: 2})
+	// near knows only far as a gateway, so that far is the holder.
+	for _, g := range []*Gateway{hops.near, hops.far} {
+		advance(t, g.views, withTenant(g, sold))
+	}
+	assert.Equal(t, tenantRequest(t, hops, plantedKey), http.StatusServiceUnavailable, "the holder has no share")
+	grantShare(hops.far, quota.Change{Share: 1_000_000, Tokens: 2, Limited: true})
+	assert.Equal(t, tenantRequest(t, hops, plantedKey), http.StatusOK)
+	tenant := hops.near.views.load().table.Tenant("tenant")
+	token, refusal := hops.near.takeToken(t.Context(), tenant, time.Second)
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, token.holder.Node, "far")
+	_, refusal = hops.near.takeToken(t.Context(), tenant, time.Second)
+	assert.Equal(t, refusal.reason, reasonOverQuota)
+	assert.Assert(t, refusal.retryAfter > 0)
+	hops.near.returnToken(token)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if tenantRequest(t, hops, plantedKey) != http.StatusOK {
+			return poll.Continue("the token is not back yet")
+		}
+		return poll.Success()
+	})
+}
--- a/internal/gateway/unresponsive_test.go
+++ b/internal/gateway/unresponsive_test.go
@@ -49,6 +49,7 @@
 		g.views = newViewStore()
 		g.registry = newRegistry(func() {})
 		g.session = newSessionClient(g)
+		g.quotas = newQuotaKeeper(g)
 		g.keys = newGrantManager(g)
 		g.registry.heartbeat(Registration{ID: "i-1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1}, time.Second, steady.Reading())
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -32,6 +32,8 @@
 	// contains owners of keys that the leader does not list.
 	instances map[string][]fleetwire.Instance
 	byID      map[string]fleetwire.Instance
+	// instancesRevision counts the changes of instances.
+	instancesRevision uint64
 	// evacuatedAt maps each evacuated zone to the earliest time at which its evacuation may
 	// have been ordered. evacuationsIndex orders the versions of this set.
 	evacuatedAt      map[string]time.Time
@@ -232,6 +234,7 @@
 	if update.Complete {
 		addInstances(v.byID, v.keyOwners(unlisted))
 	}
+	v.instancesRevision++
 	return nil
 }
 
