Let reruns use a quarter of the retries

A retry after an attempt that has or may have run is a rerun, and takes a quarter of the retries at most. The bound holds as long as runs of other services make six calls for each request of the called one. TestRerunsLeaveBudgetForTheirCalls fails without it (801 reruns with two calls each and 801 resends of 2,000 allowed).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -143,7 +143,11 @@
 	if sends >= c.route.Attempts || steady.Until(c.deadline) < minSlotWait {
 		return true
 	}
-	allowed := g.budgets.allowRetry(c.service.Name, len(g.views.load().byID), steady.Now())
+	kind := resend
+	if c.possiblyRun != nil {
+		kind = rerun
+	}
+	allowed := g.budgets.allowRetry(c.service.Name, kind, len(g.views.load().byID), steady.Now())
 	g.metrics.retry(c.service.Name, allowed)
 	return !allowed
 }
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -19,10 +19,27 @@
 	// retried requests make.
 	maxGatewaySlack    = 1.5
 	fleetSlackFraction = 0.6
+	// rerunFraction is the fraction of a gateway's retries that may be reruns. Each call that a
+	// rerun makes again counts as a retry at the called service. If gatewayRatioFraction
+	// of that service's ratio is used by its own retries, the rest covers calls of reruns as long
+	// as the runs of other services make up to (1-gatewayRatioFraction)/(gatewayRatioFraction x
+	// rerunFraction) = 6 calls for each request of the called service.
+	rerunFraction = 0.25
 )
 
-// bucketCounts are the counts of one bucket of the window.
-type bucketCounts struct{ requests, retries float64 }
+// retryKind says whether an earlier attempt of the request may have run.
+type retryKind uint8
+
+const (
+	// resend follows attempts that have not run.
+	resend retryKind = iota
+	// rerun follows an attempt that has run or may have run, so that its calls to other
+	// services are made again.
+	rerun
+)
+
+// bucketCounts are the counts of one bucket of the window. Reruns are among the retries.
+type bucketCounts struct{ requests, retries, reruns float64 }
 
 // serviceBudget counts one service's requests and retries in a sliding window.
 type serviceBudget struct {
@@ -53,7 +70,7 @@
 
 // allowRetry reports whether a request may be retried, and counts the retry if so. The slack is
 // shared among all gateways, whose number is given.
-func (b *retryBudgets) allowRetry(service string, gateways int, now steady.Instant) bool {
+func (b *retryBudgets) allowRetry(service string, kind retryKind, gateways int, now steady.Instant) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	bucket := b.currentBucket(service, now)
@@ -61,11 +78,19 @@
 	for _, counts := range b.byService[service].buckets {
 		sum.requests += counts.requests
 		sum.retries += counts.retries
+		sum.reruns += counts.reruns
 	}
 	slack := min(maxGatewaySlack, b.config.Slack*fleetSlackFraction/float64(max(gateways, 1)))
-	if sum.retries+1 > sum.requests*b.config.Ratio*gatewayRatioFraction+slack {
+	allowed := sum.requests*b.config.Ratio*gatewayRatioFraction + slack
+	if sum.retries+1 > allowed {
 		return false
 	}
+	if kind == rerun {
+		if sum.reruns+1 > max(allowed*rerunFraction, slack) {
+			return false
+		}
+		bucket.reruns++
+	}
 	bucket.retries++
 	return true
 }
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -90,13 +90,34 @@
 		b.countRequest("s", now)
 	}
 	allowed := 0
-	for b.allowRetry("s", 12, now) {
+	for b.allowRetry("s", resend, 12, now) {
 		allowed++
 	}
 	assert.Assert(t, allowed > 0 && float64(allowed) <= 0.2*1000*gatewayRatioFraction+maxGatewaySlack, "%d", allowed)
-	assert.Assert(t, !b.allowRetry("s", 12, now.Add(9*time.Second)))
-	assert.Assert(t, b.allowRetry("s", 12, now.Add(11*time.Second)), "the slack of a new window")
-	assert.Assert(t, !b.allowRetry("s", 12, now.Add(12*time.Second)), "no further retries without requests")
+	assert.Assert(t, !b.allowRetry("s", resend, 12, now.Add(9*time.Second)))
+	assert.Assert(t, b.allowRetry("s", resend, 12, now.Add(11*time.Second)), "the slack of a new window")
+	assert.Assert(t, !b.allowRetry("s", resend, 12, now.Add(12*time.Second)), "no further retries without requests")
+}
+
+// The calls that reruns make again are retries at the services that they call, so that a called
+// service whose own retries use up this gateway's part stays within its ratio.
+func TestRerunsLeaveBudgetForTheirCalls(t *testing.T) {
+	const requests, callsPerRun = 10_000.0, 2.0
+	b := newRetryBudgets(RetryBudget{Ratio: 0.2, Slack: 200, Window: 10 * time.Second})
+	now := steady.Now()
+	for range int(requests) {
+		b.countRequest("calling", now)
+		b.countRequest("called", now)
+	}
+	reruns, resends := 0.0, 0.0
+	for b.allowRetry("calling", rerun, 1, now) {
+		reruns++
+	}
+	for b.allowRetry("called", resend, 1, now) {
+		resends++
+	}
+	assert.Assert(t, reruns > 0 && reruns*callsPerRun+resends <= 0.2*requests, "%v reruns with %v calls each, %v resends", reruns, callsPerRun, resends)
+	assert.Assert(t, b.allowRetry("calling", resend, 1, now), "resends are not bounded by the reruns")
 }
 
 // The budget applies to the whole fleet: the slacks of all gateways together must stay within
@@ -106,7 +127,7 @@
 	for _, gateways := range []int{1, 12, 280, 1100} {
 		b := newRetryBudgets(RetryBudget{Ratio: 0.2, Slack: slack, Window: 10 * time.Second})
 		perGateway := 0
-		for b.allowRetry("s", gateways, steady.Now()) {
+		for b.allowRetry("s", resend, gateways, steady.Now()) {
 			perGateway++
 		}
 		assert.Assert(t, perGateway*gateways <= slack, "%d gateways with %d retries each", gateways, perGateway)
