Consider a bounded number of back ends for a request without a key

A gateway chose among all instances of a service by what it had seen of each, forgot that within 2 s, and took an instance of which it knew nothing for one that answers at once. What it cost grew too: 0.2 ms and a lock for each instance at 1,000.

Now a gateway considers 16 back ends of its zone and 8 others, by rendezvous hashing, and all if none of these can be used. It relies on what it has seen for as long as it takes to visit the subset four times, takes an unknown back end for average, and spreads requests more where loads are unknown. Services of up to 24 back ends are considered whole, as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
+	"github.com/quartzdock/quartzdock/internal/overload"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/selection"
 	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
@@ -41,7 +44,10 @@
 	crossZoneTargetFraction = 0.25
 	crossZoneTransferCost   = 1.0
 	// costJitter spreads requests over instances of equal cost, as a fraction of the cost.
-	costJitter = 0.1
+	// staleCostJitter applies to instances whose present load is unknown: many gateways may
+	// have seen the same few as the best.
+	costJitter      = 0.1
+	staleCostJitter = 0.6
 )
 
 // serveWithRetries sends a request until it has a response or is given up. If an earlier
@@ -196,28 +202,81 @@
 }
 
 // choose picks the instance for a request: the owner of its key, or the instance with the
-// lowest expected response time among those not attempted yet.
+// lowest expected response time among those not attempted yet. It looks at all instances only if
+// none of those that this gateway considers is usable.
 func (g *Gateway) choose(c *call, key keyspace.Key, hasKey bool, attempted map[string]bool) (fleetwire.Instance, bool) {
 	v := g.views.load()
 	if hasKey {
 		return v.owner(c.service.Name, key)
 	}
 	now := steady.Reading()
-	var best fleetwire.Instance
-	bestCost := 0.0
-	for _, candidate := range v.instances[c.service.Name] {
+	considered, reliance := g.candidates.forRequest(g, v, c.service.Name, now)
+	best, cost := g.cheapest(c, v, considered, attempted, reliance, now)
+	if all := v.instances[c.service.Name]; cost >= coldCost && len(all) > len(considered) {
+		best, _ = g.cheapest(c, v, all, attempted, reliance, now)
+	}
+	if best.Cold {
+		g.countWarmUpShare(c.service, best, now)
+	}
+	return best, best.ID != ""
+}
+
+// cheapest returns the usable instance with the lowest cost and that cost, which is infinite if
+// there is none.
+func (g *Gateway) cheapest(c *call, v *view, candidates []fleetwire.Instance, attempted map[string]bool, reliance time.Duration, now time.Time) (best fleetwire.Instance, bestCost float64) {
+	bestCost = math.Inf(1)
+	expectations := make([]expectation, 0, selection.NearSize+selection.FarSize)
+	known, sum := 0, 0.0
+	for _, candidate := range candidates {
+		expected := g.expect(c, candidate, reliance, now)
+		if expected.measured {
+			known++
+			sum += expected.serviceSeconds
+		}
+		expectations = append(expectations, expected)
+	}
+	average := overload.InitialServiceTime.Seconds()
+	if known > 0 {
+		average = sum / float64(known)
+	}
+	for i, candidate := range candidates {
 		if attempted[candidate.ID] || candidate.State != fleetwire.InstanceReady || v.evacuated(candidate.Zone) || !g.regionAllowed(c, candidate.Zone) {
 			continue
 		}
-		cost := g.cost(c, candidate, now)
-		if best.ID == "" || cost < bestCost {
+		if cost := g.cost(c, candidate, &expectations[i], average, now); cost < bestCost {
 			best, bestCost = candidate, cost
 		}
 	}
-	if best.Cold {
-		g.countWarmUpShare(c.service, best, now)
+	return best, bestCost
+}
+
+// expectation is what is known of the time that a request takes at an instance.
+type expectation struct {
+	// seconds is the expected duration, and serviceSeconds the part of it for which the request
+	// would use a slot. They are relative to an unknown service time of 1 unless measured is set.
+	seconds, serviceSeconds float64
+	measured                bool
+	// recent is set if the load that the instance reported is still valid.
+	recent bool
+	// avoided is set if the instance failed recently.
+	avoided bool
+	// linkBacklog is how long a large response waits for the link.
+	linkBacklog time.Duration
+}
+
+// expect returns what is known of the time that a request takes at an instance.
+func (g *Gateway) expect(c *call, candidate fleetwire.Instance, reliance time.Duration, now time.Time) expectation {
+	target := c.route.TargetLatency
+	if candidate.Node != g.config.Name {
+		return g.peers.get(candidate.Address).expect(target, reliance, now)
+	}
+	load := g.slots.load()
+	return expectation{
+		seconds:        load.expectedSeconds(load.running+load.waiting, target),
+		serviceSeconds: load.serviceTimeFor(target).Seconds(),
+		measured:       true,
+		recent:         true,
 	}
-	return best, best.ID != ""
 }
 
 const (
@@ -230,24 +289,23 @@
 )
 
 // cost estimates how long a request takes at an instance, in seconds, with penalties for
-// instances that should be avoided.
-func (g *Gateway) cost(c *call, candidate fleetwire.Instance, now time.Time) float64 {
-	var cost float64
-	if candidate.Node == g.config.Name {
-		load := g.slots.load()
-		cost = load.expectedSeconds(load.running+load.waiting, c.route.TargetLatency)
-	} else {
-		peer := g.peers.get(candidate.Address)
-		expected, avoided := peer.expectedSeconds(c.route.TargetLatency, now)
-		cost = expected
-		if c.route.Repetition == routeconfig.RepeatableTransfer {
-			cost += peer.linkBacklog(now).Seconds()
-		}
-		if avoided {
-			cost += avoidedCost
-		}
+// instances that should be avoided. An instance of which nothing is known is taken for average.
+func (g *Gateway) cost(c *call, candidate fleetwire.Instance, expected *expectation, average float64, now time.Time) float64 {
+	cost := expected.seconds
+	if !expected.measured {
+		cost *= average
+	}
+	if c.route.Repetition == routeconfig.RepeatableTransfer {
+		cost += expected.linkBacklog.Seconds()
+	}
+	if expected.avoided {
+		cost += avoidedCost
+	}
+	jitter := costJitter
+	if !expected.recent {
+		jitter = staleCostJitter
 	}
-	cost *= 1 + costJitter*(rand.Float64()-0.5)
+	cost *= 1 + jitter*(rand.Float64()-0.5)
 	if candidate.Zone != g.config.Zone {
 		cost += crossZoneCost(c.route)
 	}
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -15,10 +15,11 @@
 func gatewayWithTwoZones(t *testing.T) *Gateway {
 	t.Helper()
 	g := &Gateway{
-		config: Config{Name: "chooser", Zone: "a"}.withDefaults(),
-		views:  newViewStore(),
-		peers:  newPeerSet(),
-		slots:  newSlotLimiter(),
+		config:     Config{Name: "chooser", Zone: "a"}.withDefaults(),
+		views:      newViewStore(),
+		peers:      newPeerSet(),
+		candidates: newCandidateSets(),
+		slots:      newSlotLimiter(),
 	}
 	g.session = newSessionClient(g)
 	g.quotas = newQuotaKeeper(g)
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -28,7 +28,7 @@
 		assert.Equal(t, formatLoad(result.Load), text)
 		p := &peer{}
 		p.endAttempt(result, steady.Reading())
-		seconds, _ := p.expectedSeconds(time.Second, steady.Reading())
+		seconds := p.expect(time.Second, loadMaxAge, steady.Reading()).seconds
 		if !(seconds >= 0) || math.IsInf(seconds, 0) {
 			t.Fatalf("estimated duration %v s for load report %q", seconds, text)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	// firstAttempts estimates when this gateway's own callers made their first attempts.
 	firstAttempts   firstAttempts
 	peers           *peerSet
+	candidates      *candidateSets
 	budgets         *retryBudgets
 	quotas          *quotaKeeper
 	quotaRing       quotaRing
@@ -74,6 +75,7 @@
 	g.crashNotices = newCrashNoticeQueue()
 	g.keyLoad = newKeyLoad()
 	g.peers = newPeerSet()
+	g.candidates = newCandidateSets()
 	g.budgets = newRetryBudgets(g.config.Budget)
 	g.pacer = newLinkPacer(g.config.LinkBytesPerSecond)
 	g.held.limit = g.config.HeldBytes
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/quartzdock/quartzdock/internal/overload"
 	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 	"github.com/quartzdock/quartzdock/internal/warmup"
@@ -139,34 +138,35 @@
 	}
 }
 
-// linkBacklog returns how long a large response of the peer waits for the link, by its last
-// report.
-func (p *peer) linkBacklog(now time.Time) time.Duration {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return max(p.load.linkBacklog-now.Sub(p.loadReportedAt), 0)
-}
-
-// expectedSeconds estimates the duration of a request at the peer, in seconds. avoided is set
-// if the peer failed recently. The estimate decreases with the age of the last report, so that
-// a back end that was slow gets requests again.
-func (p *peer) expectedSeconds(target time.Duration, now time.Time) (seconds float64, avoided bool) {
+// expect returns what is known of the time that a request takes at the peer. The estimate decreases
+// once the last report is older than half of reliance, so that a back end that was slow gets
+// requests again.
+func (p *peer) expect(target, reliance time.Duration, now time.Time) expectation {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	load := p.load
 	if load.slots == 0 {
-		load.serviceTime, load.shortServiceTime = overload.InitialServiceTime, overload.InitialServiceTime
+		load.serviceTime, load.shortServiceTime = time.Second, time.Second
 	}
 	busy := p.pending
 	age := now.Sub(p.loadReportedAt)
-	if age < loadMaxAge {
+	recent := age < loadMaxAge
+	if recent {
 		busy = max(load.running+load.waiting+p.pending-p.pendingAtReport, p.pending)
 	}
-	seconds = load.expectedSeconds(busy, target)
-	if age > loadMaxAge/2 {
-		seconds *= float64(loadMaxAge) / (float64(loadMaxAge) + float64(age)) // the age is at its maximum if nothing was ever reported
+	seconds := load.expectedSeconds(busy, target)
+	measured := load.slots > 0
+	if measured && age > reliance/2 {
+		seconds *= float64(reliance) / float64(reliance+age)
+	}
+	return expectation{
+		seconds:        seconds,
+		serviceSeconds: load.serviceTimeFor(target).Seconds(),
+		measured:       measured,
+		recent:         recent,
+		avoided:        now.Before(p.avoidUntil),
+		linkBacklog:    max(load.linkBacklog-age, 0),
 	}
-	return seconds, now.Before(p.avoidUntil)
 }
 
 const (
