Keep large bodies in their region

Uploads went to any region: choosing a back end had a cost for another zone and none for another region, and none for the size of the request's body.

A body of 16 KiB or more costs as much as a large response where it leaves its region, and the cost of another zone is doubled for another region (internal/gateway/distance.go). TestLargeBodyStaysInRegion is red before.

Deployments with one region are as before by construction.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,14 +35,6 @@
 	// refusals for lack of capacity the request is refused.
 	maxAttempts = 8
 	maxRefusals = 2
-	// minCrossZoneCost is the minimum cost of sending a request to another zone, in seconds,
-	// and crossZoneTargetFraction the cost as a fraction of the route's target latency:
-	// traffic between zones is expensive, and a somewhat later response is as good as long
-	// as it is well within the target. crossZoneTransferCost applies to large responses,
-	// which leave the zone only if it has no suitable instance.
-	minCrossZoneCost        = 0.02
-	crossZoneTargetFraction = 0.25
-	crossZoneTransferCost   = 1.0
 	// costJitter spreads requests over instances of equal cost, as a fraction of the cost.
 	// staleCostJitter applies to instances whose present load is unknown: many gateways may
 	// have seen the same few as the best.
@@ -306,9 +298,7 @@
 		jitter = staleCostJitter
 	}
 	cost *= 1 + jitter*(rand.Float64()-0.5)
-	if candidate.Zone != g.config.Zone {
-		cost += crossZoneCost(c.route)
-	}
+	cost += g.distanceCost(c, candidate.Zone)
 	if candidate.Leaving {
 		cost += leavingCost
 	}
@@ -318,14 +308,6 @@
 	return cost
 }
 
-// crossZoneCost is the cost of sending a request to another zone, in seconds.
-func crossZoneCost(route *routeconfig.Route) float64 {
-	if route.Repetition == routeconfig.RepeatableTransfer {
-		return crossZoneTransferCost
-	}
-	return max(minCrossZoneCost, crossZoneTargetFraction*route.TargetLatency.Seconds())
-}
-
 // attempt offers a request to one instance.
 func (g *Gateway) attempt(ctx context.Context, c *call, target fleetwire.Instance, trial uint64) *forwardResult {
 	request := &forwardRequest{
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -44,8 +44,13 @@
 // chosenInstance returns the ID of the instance that the gateway chooses for a request of a route
 // with the given repetition.
 func chosenInstance(g *Gateway, repetition routeconfig.Repetition) string {
+	return chosenForBody(g, repetition, nil)
+}
+
+// chosenForBody is chosenInstance for a request with a body.
+func chosenForBody(g *Gateway, repetition routeconfig.Repetition, body []byte) string {
 	route := &routeconfig.Route{Repetition: repetition, TargetLatency: 500 * time.Millisecond}
-	found, _ := g.choose(&call{service: &routeconfig.Service{Name: "s"}, route: route}, 0, false, nil)
+	found, _ := g.choose(&call{service: &routeconfig.Service{Name: "s"}, route: route, body: body}, 0, false, nil)
 	return found.ID
 }
 
@@ -70,3 +75,16 @@
 		assert.Equal(t, chosenInstance(g, routeconfig.NonRepeatable), "far")
 	}
 }
+
+// A large body stays in its region as long as an instance there can be used, also one that is
+// slower, while small requests leave an overloaded region. Without regions nothing changes.
+func TestLargeBodyStaysInRegion(t *testing.T) {
+	g := gatewayWithTwoZones(t)
+	g.setPeerLoad("127.0.0.1:1", 10, 250*time.Millisecond)
+	g.setPeerLoad("127.0.0.1:2", 2, 100*time.Millisecond)
+	upload := make([]byte, 60_000)
+	assert.Equal(t, chosenForBody(g, routeconfig.NonRepeatable, upload), "far", "the same region")
+	g.config.Regions = map[string]string{"a": "north", "b": "south"}
+	assert.Equal(t, chosenForBody(g, routeconfig.NonRepeatable, upload), "near")
+	assert.Equal(t, chosenForBody(g, routeconfig.NonRepeatable, nil), "far")
+}
