Count a back end's end where its listener closes last

A gateway dialed a back end's address once when a connection broke: a process that closes its connections before its listener still accepted, counted as alive, and its end under the request was never counted.

TestCrashIsRecordedWhereListenerClosesLast provokes the order and fails without the change.

--- a/internal/gateway/runtracker.go
+++ b/internal/gateway/runtracker.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"errors"
 	"net"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/quarantine"
@@ -23,9 +26,13 @@
 	maxBrokenRuns = 256
 	// maxCrashes bounds the crashes that are remembered; the oldest are dropped.
 	maxCrashes = 16
-	// crashProbeTimeout bounds how long a run with a broken connection waits to learn whether
-	// the back end has crashed.
+	// crashProbeTimeout bounds how long a run with a broken connection waits for a connection
+	// to the back end, to learn whether it has crashed.
 	crashProbeTimeout = 200 * time.Millisecond
+	// crashSettleTime is how long that run waits for the new connection to break as well. A
+	// process that ends may close its connections before its listener, so that one more
+	// connection is accepted and then breaks.
+	crashSettleTime = 50 * time.Millisecond
 	// maxRequestsLogged bounds the requests listed in one log line.
 	maxRequestsLogged = 32
 )
@@ -62,6 +69,8 @@
 	// lastListening is when such a check last succeeded.
 	probing       sync.Mutex
 	lastListening steady.Atomic
+	// watching is set while a connection is watched for a crash.
+	watching atomic.Bool
 }
 
 func (w *runTracker) begin(request *forwardRequest) {
@@ -138,19 +147,66 @@
 	if lastListening, ok := g.runs.lastListening.Load(); ok && brokeAt.Before(lastListening) {
 		return 0, false
 	}
-	conn, err := net.DialTimeout("tcp", g.config.BackendAddress, crashProbeTimeout)
-	if err == nil {
-		_ = conn.Close()
-		g.runs.lastListening.Store(steady.Now())
-		return 0, false
-	}
-	if !isConnectionRefused(err) || !g.registry.serves(request.Instance) {
+	if !g.refusesAfterBreak(request.Instance) || !g.registry.serves(request.Instance) {
 		return 0, false
 	}
 	g.handleCrash(request.Instance)
 	return g.runs.crashed(request.Instance)
 }
 
+// refusesAfterBreak reports whether the back end refuses connections after one of its
+// connections has broken. If it accepts one that stays open, that connection is watched further.
+func (g *Gateway) refusesAfterBreak(incarnation string) bool {
+	const dials = 2
+	for range dials {
+		conn, err := net.DialTimeout("tcp", g.config.BackendAddress, crashProbeTimeout)
+		if err != nil {
+			return isConnectionRefused(err)
+		}
+		if staysOpen(conn, crashSettleTime) {
+			g.runs.lastListening.Store(steady.Now())
+			g.watchForCrash(conn, incarnation)
+			return false
+		}
+		_ = conn.Close()
+	}
+	return false
+}
+
+// staysOpen reports whether nothing is received on a connection, not even its end, for some time.
+func staysOpen(conn net.Conn, length time.Duration) bool {
+	if conn.SetReadDeadline(time.Now().Add(length)) != nil {
+		return false
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// watchForCrash records a crash of the back end if a connection to it breaks and others are then
+// refused, as long as runs whose connections broke before still count. One connection is watched
+// at a time.
+func (g *Gateway) watchForCrash(conn net.Conn, incarnation string) {
+	if !g.runs.watching.CompareAndSwap(false, true) {
+		_ = conn.Close()
+		return
+	}
+	go func() {
+		defer g.runs.watching.Store(false)
+		defer conn.Close()
+		if staysOpen(conn, brokenRunWindow-crashSettleTime) {
+			return
+		}
+		next, err := net.DialTimeout("tcp", g.config.BackendAddress, crashProbeTimeout)
+		if err == nil {
+			_ = next.Close()
+			return
+		}
+		if isConnectionRefused(err) && g.registry.serves(incarnation) {
+			g.handleCrash(incarnation)
+		}
+	}()
+}
+
 // handleCrash records and reports the requests that were in progress when an incarnation of
 // the back end crashed.
 func (g *Gateway) handleCrash(incarnation string) {
--- a/internal/gateway/runtracker_test.go
+++ b/internal/gateway/runtracker_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/steady"
@@ -88,6 +89,24 @@
 	assert.Equal(t, inProgress, 2)
 }
 
+// A process that ends may close its connections before its listener. The crash is recorded all
+// the same, with the run whose connection broke first.
+func TestCrashIsRecordedWhereListenerClosesLast(t *testing.T) {
+	backend := startCrashableBackend(t)
+	e := startEgress(t, backend.Listener.Addr().String())
+	results := serveAll(t.Context(), e, "/a")
+	<-backend.started
+	backend.CloseClientConnections()
+	assert.Equal(t, (<-results).Reason, reasonInterrupted, "the listener is still open")
+	backend.crash()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if inProgress, crashed := e.gateway.runs.crashed("i"); !crashed || inProgress != 1 {
+			return poll.Continue("crashed: %v, in progress: %d", crashed, inProgress)
+		}
+		return poll.Success()
+	})
+}
+
 // A closed connection, a caller that leaves and an expired deadline do not count as a crash.
 func TestBrokenConnectionIsNotACrash(t *testing.T) {
 	backend := startCrashableBackend(t)
