Bound the gateways that a crash notice goes to while the leader tells the others

A gateway that saw a back end end under a request told every other gateway at once, each up to six times: ends x machines messages and connections in one moment, when many ends come together (a crash of 4 % of the back ends on the whole fleet: up to 40 x 1,092).

Now 64 gateways are told at once, and the rest only if the leader has not confirmed within 300 ms that its view has the crash; that view goes to all of them anyway. Fleets of up to 64 gateways are as before.

--- a/internal/gateway/crashnotices.go
+++ b/internal/gateway/crashnotices.go
@@ -6,6 +6,7 @@
 	"encoding/gob"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"sync"
@@ -16,7 +17,9 @@
 )
 
 // Gateways notify each other immediately of the requests that were in progress when a back end
-// crashed. The leader's view arrives later, and not at all while there is no leader.
+// crashed. The leader's view arrives later, and not at all while there is no leader. In a large
+// fleet only some gateways are notified as long as the leader tells the others, so that the
+// messages do not grow with the crashes times the gateways.
 
 const (
 	// noticeBatchDelay is how long crashes are collected into one notice.
@@ -26,6 +29,10 @@
 	noticeRetryDelay = 400 * time.Millisecond
 	noticeAttempts   = 6
 	noticeTimeout    = 500 * time.Millisecond
+	// noticeFanout bounds the gateways that are notified before the leader had noticeLeaderTime
+	// to confirm the crash: a report and its response.
+	noticeFanout     = 64
+	noticeLeaderTime = 300 * time.Millisecond
 	// noticeConcurrency bounds the gateways that are notified concurrently.
 	noticeConcurrency = 16
 	// maxNoticeBytes bounds the size of a notice, and maxNoticeCrashes the number of crashes
@@ -76,7 +83,8 @@
 	}
 }
 
-// broadcastCrashes notifies every other gateway and retries those that failed.
+// broadcastCrashes notifies noticeFanout other gateways and, unless the leader confirms that its
+// view has the crashes, then all others. It retries those that failed.
 func (g *Gateway) broadcastCrashes(ctx context.Context, crashes []quarantine.Ended) {
 	var body bytes.Buffer
 	if err := gob.NewEncoder(&body).Encode(crashes); err != nil {
@@ -84,6 +92,17 @@
 		return
 	}
 	remaining := g.peerAddresses()
+	if len(remaining) > noticeFanout {
+		rand.Shuffle(len(remaining), func(i, j int) { remaining[i], remaining[j] = remaining[j], remaining[i] })
+		later := remaining[noticeFanout:]
+		remaining = g.sendCrashesToPeers(ctx, remaining[:noticeFanout], body.Bytes())
+		if !sleep(ctx, noticeLeaderTime) {
+			return
+		}
+		if !g.quarantine.confirmed(crashes) {
+			remaining = append(remaining, later...)
+		}
+	}
 	for range noticeAttempts {
 		remaining = g.sendCrashesToPeers(ctx, remaining, body.Bytes())
 		if len(remaining) == 0 || !sleep(ctx, noticeRetryDelay) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -138,6 +138,15 @@
 	k.unconfirmedCrashes = slices.DeleteFunc(k.unconfirmedCrashes, func(crash quarantine.Ended) bool { return slices.Contains(incarnations, crash.Life) })
 }
 
+// confirmed reports whether the leader has confirmed all of some crashes.
+func (k *quarantineTracker) confirmed(crashes []quarantine.Ended) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return !slices.ContainsFunc(k.unconfirmedCrashes, func(unconfirmed quarantine.Ended) bool {
+		return slices.ContainsFunc(crashes, func(crash quarantine.Ended) bool { return crash.Life == unconfirmed.Life })
+	})
+}
+
 // await registers a caller that waits for a trial. The caller must call done when it stops
 // waiting.
 func (k *quarantineTracker) await(digest quarantine.Digest) (done func()) {
