Let some gateways try a back end that has joined at once

In a small fleet whose known back ends are idle a new one then got nothing at first (TestJoiningBackendIsChosen, which failed on it).

Now 8 of the gateways that consider it try it at once, found by a hash, and the others take it for average. TestExplorersOfBackEndAreBounded counts them at 5 to 1,600 gateways.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -227,15 +227,16 @@
 		}
 		expectations = append(expectations, expected)
 	}
-	average := overload.InitialServiceTime.Seconds()
+	others := comparison{averageSeconds: overload.InitialServiceTime.Seconds()}
 	if known > 0 {
-		average = sum / float64(known)
+		others.averageSeconds = sum / float64(known)
 	}
+	others.considering = g.gatewayCount() * len(candidates) / max(len(v.instances[c.service.Name]), 1)
 	for i, candidate := range candidates {
 		if attempted[candidate.ID] || candidate.State != fleetwire.InstanceReady || v.evacuated(candidate.Zone) || !g.regionAllowed(c, candidate.Zone) {
 			continue
 		}
-		if cost := g.cost(c, candidate, &expectations[i], average, now); cost < bestCost {
+		if cost := g.cost(c, candidate, &expectations[i], &others, now); cost < bestCost {
 			best, bestCost = candidate, cost
 		}
 	}
@@ -256,6 +257,14 @@
 	linkBacklog time.Duration
 }
 
+// comparison is what an instance of which nothing is known is compared with.
+type comparison struct {
+	// averageSeconds is the average service time of the instances that are known.
+	averageSeconds float64
+	// considering is about how many gateways consider each instance.
+	considering int
+}
+
 // expect returns what is known of the time that a request takes at an instance.
 func (g *Gateway) expect(c *call, candidate fleetwire.Instance, reliance time.Duration, now time.Time) expectation {
 	target := c.route.TargetLatency
@@ -278,14 +287,22 @@
 	avoidedCost = 100
 	leavingCost = 50
 	coldCost    = 45
+	// unexploredSeconds is the service time that a gateway assumes of a back end that it is to
+	// explore: less than any real one.
+	unexploredSeconds = 1e-4
 )
 
 // cost estimates how long a request takes at an instance, in seconds, with penalties for
-// instances that should be avoided. An instance of which nothing is known is taken for average.
-func (g *Gateway) cost(c *call, candidate fleetwire.Instance, expected *expectation, average float64, now time.Time) float64 {
+// instances that should be avoided. An instance of which nothing is known is tried at once by the
+// gateways that explore it, and taken for average by the others.
+func (g *Gateway) cost(c *call, candidate fleetwire.Instance, expected *expectation, others *comparison, now time.Time) float64 {
 	cost := expected.seconds
-	if !expected.measured {
-		cost *= average
+	switch {
+	case expected.measured:
+	case selection.Explores(g.config.Name, candidate.ID, others.considering):
+		cost *= unexploredSeconds
+	default:
+		cost *= others.averageSeconds
 	}
 	if c.route.Repetition == routeconfig.RepeatableTransfer {
 		cost += expected.linkBacklog.Seconds()
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -59,6 +60,19 @@
 	return append(nearest, highest(far, NearSize+FarSize-len(nearest))...)
 }
 
+// explorers is how many gateways try a back end of which they know nothing at once, so that one
+// that has joined gets requests. More of them would overload a back end that has just started.
+const explorers = 8
+
+// Explores reports whether a gateway is one of those that try a back end at once, if so many
+// gateways consider it.
+func Explores(gateway, backend string, gateways int) bool {
+	if gateways <= explorers {
+		return true
+	}
+	return float64(namehash.Of(backend, gateway)) < math.MaxUint64*float64(explorers)/float64(gateways)
+}
+
 // scored is the position of a candidate with its hash.
 type scored struct {
 	index int
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -76,6 +76,23 @@
 	assert.Assert(t, kept >= selection.NearSize+selection.FarSize-2, "%d kept", kept)
 }
 
+// A back end that joins is tried at once by about as many gateways at every size of the fleet, and
+// by all of a small one.
+func TestExplorersOfBackEndAreBounded(t *testing.T) {
+	for _, gateways := range []int{5, 100, 400, 1600} {
+		sum := 0
+		for backend := range 50 {
+			for gateway := range gateways {
+				if selection.Explores(fmt.Sprint("gateway-", gateway), fmt.Sprint("i-", backend), gateways) {
+					sum++
+				}
+			}
+		}
+		mean := float64(sum) / 50
+		assert.Check(t, mean > 0.8*min(float64(gateways), 8) && mean <= 10, "%v of %d gateways", mean, gateways)
+	}
+}
+
 func TestRelianceFollowsPace(t *testing.T) {
 	const shortest = 2 * time.Second
 	var pace selection.Pace
