--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -285,7 +285,13 @@
 }
 
 func readResponseBody(response *http.Response) ([]byte, error) {
-	if response.ContentLength > maxResponseBody {
+	return readBodyWithin(response, maxResponseBody)
+}
+
+// readBodyWithin reads the whole body of a response. It fails if the body has more bytes than the
+// limit.
+func readBodyWithin(response *http.Response, limit int64) ([]byte, error) {
+	if response.ContentLength > limit {
 		return nil, errInvalidResponse
 	}
 	if response.ContentLength > 0 {
@@ -299,7 +305,11 @@
 		}
 		return body, nil
 	}
-	return io.ReadAll(io.LimitReader(response.Body, maxResponseBody))
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errInvalidResponse
+	}
+	return body, err
 }
 
 // classifyError returns the result of an exchange that got no response.
