--- a/internal/gateway/quotaholders.go
+++ b/internal/gateway/quotaholders.go
@@ -133,12 +133,13 @@
 	case token.holder.Address == "":
 		g.quotas.putBack(token.tenant)
 	default:
-		g.background(func() {
+		// A token that can't be given back is lost, which the quota allows for. The request that
+		// it was for doesn't wait, and the gateway may stop meanwhile.
+		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), tokenTimeout)
 			defer cancel()
-			// A token that can't be given back is lost, which the quota allows for.
 			_, _ = g.exchangeToken(ctx, token.holder, http.Header{fieldReturnsToken: {token.tenant.Name}})
-		})
+		}()
 	}
 }
 
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -87,16 +87,26 @@
 		if granted == nil || refusal != nil {
 			return refusal
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-granted:
+		if !awaitGrant(ctx, granted, wait) {
+			return &quotaRefusal{reason: reasonNoQuotaShare, retryAfter: retryAfter(notRun(reasonNoQuotaShare))}
 		}
-		timer.Stop()
 	}
 }
 
+// awaitGrant blocks until the shares change or the limit has passed. It returns false if the
+// context ended first.
+func awaitGrant(ctx context.Context, granted <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-granted:
+	}
+	return true
+}
+
 // tryTake takes a token. If there is none, it returns a refusal, or how long to wait at most and
 // a channel that is closed when the shares change.
 func (k *quotaKeeper) tryTake(name string, limit quota.Limit, first bool, giveUpAt time.Duration) (time.Duration, <-chan struct{}, *quotaRefusal) {
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -33,7 +33,7 @@
 	return routeconfig.Tenant{Name: "tenant", Keys: []routeconfig.KeyDigest{routeconfig.DigestKey(plantedKey)}, Quota: quota}
 }
 
-// tenantRequest sends a request with an API key and a forged tenant, and returns the status and
+// tenantResponse sends a request with an API key and a forged tenant, and returns the status and
 // body of the response.
 func tenantResponse(t *testing.T, hops *twoHops, key string) (int, string) {
 	request := hops.request(t.Context(), t, "r1")
