--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -232,7 +232,11 @@
 		others.averageSeconds = sum / float64(known)
 	}
 	others.considering = g.gatewayCount() * len(candidates) / max(len(v.instances[c.service.Name]), 1)
+	bound := g.boundToOwnRegion(c, v)
 	for i, candidate := range candidates {
+		if bound && g.otherRegion(candidate.Zone) {
+			continue
+		}
 		if attempted[candidate.ID] || candidate.State != fleetwire.InstanceReady || v.evacuated(candidate.Zone) || !g.regionAllowed(c, candidate.Zone) {
 			continue
 		}
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -88,3 +88,21 @@
 	assert.Equal(t, chosenForBody(g, routeconfig.NonRepeatable, upload), "near")
 	assert.Equal(t, chosenForBody(g, routeconfig.NonRepeatable, nil), "far")
 }
+
+// A large body is not sent on to another region after an instance of its own has refused it, nor
+// when that one is avoided; it is if the region has no usable instance.
+func TestRefusedLargeBodyStaysInRegion(t *testing.T) {
+	g := gatewayWithTwoZones(t)
+	g.config.Regions = map[string]string{"a": "north", "b": "south"}
+	upload := make([]byte, 60_000)
+	c := &call{service: &routeconfig.Service{Name: "s"}, route: &routeconfig.Route{TargetLatency: 500 * time.Millisecond}, body: upload}
+	_, found := g.choose(c, 0, false, map[string]bool{"near": true})
+	assert.Assert(t, !found)
+	near := g.peers.get("127.0.0.1:1")
+	near.beginAttempt()
+	near.endAttempt(&forwardResult{Outcome: outcomeUnknown, Reason: reasonTimeout}, steady.Reading())
+	assert.Equal(t, chosenForBody(g, routeconfig.NonRepeatable, upload), "near")
+	assert.Equal(t, chosenForBody(g, routeconfig.NonRepeatable, nil), "far")
+	advance(t, g.views, evacuationView(1, "a"))
+	assert.Equal(t, chosenForBody(g, routeconfig.NonRepeatable, upload), "far")
+}
--- a/internal/gateway/distance.go
+++ b/internal/gateway/distance.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "github.com/quartzdock/quartzdock/internal/routeconfig"
+import (
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/routeconfig"
+)
 
 const (
 	// minCrossZoneCost is the minimum cost of sending a request to another zone, in seconds,
@@ -23,7 +26,7 @@
 	if zone == g.config.Zone {
 		return 0
 	}
-	otherRegion := g.config.Regions[zone] != g.config.Regions[g.config.Zone]
+	otherRegion := g.otherRegion(zone)
 	largeResponse := c.route.Repetition == routeconfig.RepeatableTransfer
 	if otherRegion && (largeResponse || len(c.body) >= minPacedBody) {
 		return crossRegionTransferCost
@@ -37,3 +40,23 @@
 	}
 	return cost
 }
+
+// otherRegion reports whether a zone is in another region than this gateway.
+func (g *Gateway) otherRegion(zone string) bool {
+	return g.config.Regions[zone] != g.config.Regions[g.config.Zone]
+}
+
+// boundToOwnRegion reports whether a request must not leave this gateway's region: it has a large
+// body, and its service has a usable instance in the region. Sent to one region after another, the
+// large bodies of refused requests fill the links that the others need.
+func (g *Gateway) boundToOwnRegion(c *call, v *view) bool {
+	if len(c.body) < minPacedBody || len(g.config.Regions) == 0 {
+		return false
+	}
+	for _, instance := range v.instances[c.service.Name] {
+		if instance.State == fleetwire.InstanceReady && !g.otherRegion(instance.Zone) && !v.evacuated(instance.Zone) {
+			return true
+		}
+	}
+	return false
+}
