--- a/internal/gateway/runtracker.go
+++ b/internal/gateway/runtracker.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"errors"
 	"net"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -163,9 +161,10 @@
 		if err != nil {
 			return isConnectionRefused(err)
 		}
-		if staysOpen(conn, crashSettleTime) {
+		ended := endOf(conn)
+		if staysOpen(ended, crashSettleTime) {
 			g.runs.lastListening.Store(steady.Now())
-			g.watchForCrash(conn, incarnation)
+			g.watchForCrash(conn, ended, incarnation)
 			return false
 		}
 		_ = conn.Close()
@@ -173,19 +172,32 @@
 	return false
 }
 
-// staysOpen reports whether nothing is received on a connection, not even its end, for some time.
-func staysOpen(conn net.Conn, length time.Duration) bool {
-	if conn.SetReadDeadline(time.Now().Add(length)) != nil {
+// endOf returns a channel that is closed when something is received on a connection, or its end.
+func endOf(conn net.Conn) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = conn.Read(make([]byte, 1))
+	}()
+	return ended
+}
+
+// staysOpen reports whether a connection does not end for some time.
+func staysOpen(ended <-chan struct{}, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ended:
 		return false
+	case <-timer.C:
+		return true
 	}
-	_, err := conn.Read(make([]byte, 1))
-	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // watchForCrash records a crash of the back end if a connection to it breaks and others are then
 // refused, as long as runs whose connections broke before still count. One connection is watched
 // at a time.
-func (g *Gateway) watchForCrash(conn net.Conn, incarnation string) {
+func (g *Gateway) watchForCrash(conn net.Conn, ended <-chan struct{}, incarnation string) {
 	if !g.runs.watching.CompareAndSwap(false, true) {
 		_ = conn.Close()
 		return
@@ -193,7 +205,7 @@
 	go func() {
 		defer g.runs.watching.Store(false)
 		defer conn.Close()
-		if staysOpen(conn, brokenRunWindow-crashSettleTime) {
+		if staysOpen(ended, brokenRunWindow-crashSettleTime) {
 			return
 		}
 		next, err := net.DialTimeout("tcp", g.config.BackendAddress, crashProbeTimeout)
