Post to peers in one way, and drop code that only tests used

A message about a token was posted to another gateway by a third copy of the code that posts crash notices, and read the response without a bound: postToPeer serves both now, with the bound. Which holders of a quota come before the reserve was worked out in two places; quota.Serving says it. Instances.Apply had no caller in the product since Advance: tests of the product go through Advance, and the property test keeps its reference of its own. BenchmarkChanges measures Advance.

--- a/internal/fleetcontroller/publish_test.go
+++ b/internal/fleetcontroller/publish_test.go
@@ -50,7 +50,7 @@
 // apply returns the sets that result from applying an update to others.
 func apply(instances fleetview.Instances, owners fleetview.Owners, update *fleetwire.View) (fleetview.Instances, fleetview.Owners) {
 	for _, changes := range update.Instances {
-		instances = instances.Apply(changes)
+		instances, _ = instances.Advance(instances.Digest(), []*fleetwire.InstanceChanges{changes})
 	}
 	for _, changes := range update.Owners {
 		owners = owners.Apply(changes)
--- a/internal/fleetview/fleetview_test.go
+++ b/internal/fleetview/fleetview_test.go
@@ -36,9 +36,9 @@
 		}
 		after := fleetview.NewInstances(list)
 		if round%50 == 0 {
-			gateway = gateway.Apply(after.Snapshot())
+			gateway, _ = gateway.Advance(gateway.Digest(), []*fleetwire.InstanceChanges{after.Snapshot()})
 		} else {
-			gateway = gateway.Apply(after.ChangesFrom(before))
+			gateway, _ = gateway.Advance(gateway.Digest(), []*fleetwire.InstanceChanges{after.ChangesFrom(before)})
 		}
 		assert.DeepEqual(t, gateway, after)
 		assert.Equal(t, gateway.Digest(), after.Digest())
@@ -128,7 +128,7 @@
 func BenchmarkChanges(b *testing.B) {
 	before, after, earlier, next := largeFleet()
 	for b.Loop() {
-		_ = before.Apply(after.ChangesFrom(before)).Digest()
+		_, _ = before.Advance(0, []*fleetwire.InstanceChanges{after.ChangesFrom(before)})
 		_ = earlier.Apply(next.ChangesFrom(earlier)).Digest()
 	}
 }
@@ -150,7 +150,7 @@
 					changes.Gone = append(changes.Gone, fmt.Sprint("i-", rapid.IntRange(0, 9).Draw(t, "gone")))
 				}
 				all = append(all, changes)
-				want = want.Apply(changes)
+				want = applied(want, changes)
 			}
 			earlier := maps.Clone(set)
 			next, nextDigest := set.Advance(digest, all)
@@ -162,3 +162,19 @@
 		}
 	})
 }
+
+// applied returns the set that results from applying changes to a set, worked out without its
+// digest.
+func applied(set fleetview.Instances, changes *fleetwire.InstanceChanges) fleetview.Instances {
+	after := make(fleetview.Instances, len(set)+len(changes.Changed))
+	if !changes.Snapshot {
+		maps.Copy(after, set)
+	}
+	for _, id := range changes.Gone {
+		delete(after, id)
+	}
+	for _, instance := range changes.Changed {
+		after[instance.ID] = instance
+	}
+	return after
+}
--- a/internal/fleetview/instances.go
+++ b/internal/fleetview/instances.go
@@ -57,21 +57,6 @@
 
 func byID(a, b fleetwire.Instance) int { return cmp.Compare(a.ID, b.ID) }
 
-// Apply returns the set that results from applying changes to this one.
-func (i Instances) Apply(changes *fleetwire.InstanceChanges) Instances {
-	after := make(Instances, len(i)+len(changes.Changed))
-	if !changes.Snapshot {
-		maps.Copy(after, i)
-	}
-	for _, id := range changes.Gone {
-		delete(after, id)
-	}
-	for _, instance := range changes.Changed {
-		after[instance.ID] = instance
-	}
-	return after
-}
-
 // Advance applies changes in their order to a set with the given digest. It returns the set that
 // results and its digest, computed from what has changed.
 func (i Instances) Advance(digest uint64, all []*fleetwire.InstanceChanges) (Instances, uint64) {
--- a/internal/gateway/crashnotices.go
+++ b/internal/gateway/crashnotices.go
@@ -4,11 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/gob"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
@@ -136,27 +134,10 @@
 
 // sendCrashesToPeer notifies one gateway.
 func (g *Gateway) sendCrashesToPeer(ctx context.Context, address string, body []byte) error {
-	pool := g.peers.get(address).pool
-	if pool == nil {
-		return fmt.Errorf("no connection pool for %s", address)
-	}
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
-	response, err := pool.Do(ctx, &http.Request{
-		Method: http.MethodPost, URL: &url.URL{Path: "/"}, Host: address, ContentLength: int64(len(body)),
-		Body: io.NopCloser(bytes.NewReader(body)), Header: http.Header{fieldReportsCrashes: {"1"}, "User-Agent": {""}},
-	})
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if _, err := readResponseBody(response); err != nil {
-		return err
-	}
-	if response.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("%s responded with status %d", address, response.StatusCode)
-	}
-	return nil
+	_, err := g.postToPeer(ctx, address, http.Header{fieldReportsCrashes: {"1"}}, body)
+	return err
 }
 
 // receiveCrashes handles a notice of another gateway.
--- a/internal/gateway/quotaholders.go
+++ b/internal/gateway/quotaholders.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -118,12 +117,7 @@
 
 // isServingHolder reports whether a gateway is one of the holders before the reserve.
 func isServingHolder(holders []quota.Member, node string) bool {
-	for _, holder := range holders[:max(len(holders)-1, 1)] {
-		if holder.Node == node {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(quota.Serving(holders), func(holder quota.Member) bool { return holder.Node == node })
 }
 
 // returnToken gives the token of a request back that has not run and never will.
@@ -138,7 +132,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), tokenTimeout)
 			defer cancel()
-			_, _ = g.exchangeToken(ctx, token.holder, http.Header{fieldReturnsToken: {token.tenant.Name}})
+			_, _ = g.postToPeer(ctx, token.holder.Address, http.Header{fieldReturnsToken: {token.tenant.Name}}, nil)
 		}()
 	}
 }
@@ -148,7 +142,7 @@
 func (g *Gateway) requestToken(ctx context.Context, holder quota.Member, tenant string, target time.Duration) (*quotaRefusal, error) {
 	ctx, cancel := context.WithTimeout(ctx, quotaPatience(target)+tokenTimeout)
 	defer cancel()
-	header, err := g.exchangeToken(ctx, holder, http.Header{fieldTakesToken: {tenant}, fieldTarget: {milliseconds(target)}})
+	header, err := g.postToPeer(ctx, holder.Address, http.Header{fieldTakesToken: {tenant}, fieldTarget: {milliseconds(target)}}, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -162,25 +156,6 @@
 	return nil, errNoToken
 }
 
-// exchangeToken sends a message about a token and returns the header of the response.
-func (g *Gateway) exchangeToken(ctx context.Context, holder quota.Member, header http.Header) (http.Header, error) {
-	peer := g.peers.get(holder.Address)
-	if peer.pool == nil {
-		return nil, errNoToken
-	}
-	header["User-Agent"] = []string{""}
-	response, err := peer.pool.Do(ctx, &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/"}, Host: holder.Address, Header: header})
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, response.Body)
-	if response.StatusCode != http.StatusNoContent {
-		return nil, errNoToken
-	}
-	return response.Header, nil
-}
-
 // serveToken responds to another gateway's message about a token.
 func (g *Gateway) serveToken(w http.ResponseWriter, r *http.Request) {
 	name := r.Header.Get(fieldTakesToken)
--- a/internal/gateway/view_bench_test.go
+++ b/internal/gateway/view_bench_test.go
@@ -19,7 +19,8 @@
 				changed.Slots = 1 + i%2
 				changes := &fleetwire.InstanceChanges{Changed: []fleetwire.Instance{changed}}
 				b.StopTimer()
-				digest := g.views.load().leaderInstances.Apply(changes).Digest()
+				before := g.views.load()
+				_, digest := before.leaderInstances.Advance(before.instancesDigest, []*fleetwire.InstanceChanges{changes})
 				b.StartTimer()
 				update := &fleetwire.View{HasInstances: true, Complete: true, InstancesDigest: digest, Instances: []*fleetwire.InstanceChanges{changes}}
 				if err := g.views.apply(update, time.Time{}); err != nil {
--- a/internal/quota/ring.go
+++ b/internal/quota/ring.go
@@ -63,10 +63,13 @@
 	return holders
 }
 
+// Serving returns the holders without the reserve.
+func Serving(holders []Member) []Member { return holders[:min(max(len(holders)-1, 1), len(holders))] }
+
 // Spread orders the holders for one gateway: it keeps the last as the reserve and begins at one
 // that depends on the gateway, so that the gateways use all holders.
 func Spread(holders []Member, node string) []Member {
-	serving := max(len(holders)-1, 1)
+	serving := len(Serving(holders))
 	first := int(namehash.Of(node) % uint64(serving))
 	ordered := make([]Member, 0, len(holders))
 	for i := range serving {
