Read the rate limit that a back end states, and expose it

The incident's logs and metrics could not tell its hypotheses apart: no line and no metric had the limit of a back end. The gateway beside a back end now follows the statement (package ratelimit, pure) and shows it as a gauge, in its line of each second and in a line for each change. A malformed statement is counted and logged, and the one before stays in force. Nothing is limited yet.

A response may be older than the statement in force: a limit is raised or lifted only by a response to a request that was sent after that statement had been received.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -37,6 +37,9 @@
 	// WarmUpLeft is on responses to health checks: the time that the back end remains cold, in
 	// milliseconds. InstanceID is the instance that responds.
 	WarmUpLeft, InstanceID string
+	// RateLimit is on responses of a back end that limits the requests that it gets, from all
+	// gateways together: their number per second.
+	RateLimit string
 }
 
 // GrantOrder grants keys to a back end.
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -248,6 +248,7 @@
 	}
 	e.gateway.runs.begin(request)
 	defer e.gateway.runs.end(request)
+	sentAt := steady.Reading()
 	response, err := e.pool.Do(ctx, outgoing)
 	if err != nil {
 		return e.classifyError(ctx, request, err)
@@ -256,6 +257,7 @@
 	if response.Header.Get(e.gateway.config.Headers.RequestID) != request.ID {
 		return e.brokenExchange(request, errInvalidResponse)
 	}
+	e.gateway.observeBackend(request, response, sentAt)
 	body, err := readResponseBody(response)
 	if err != nil {
 		return e.classifyIncomplete(ctx, request, err)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -127,6 +127,7 @@
 	unreadableLoad    = "load"
 	unreadableWarmUp  = "warmth"
 	unreadableCrashes = "ends"
+	unreadableLimit   = "limit"
 )
 
 // countUnreadable counts a message of another process that was missing or malformed.
@@ -184,6 +185,7 @@
 		gauge("slots", "Slots of the back end beside the gateway.", func() float64 { return float64(g.slots.load().slots) }),
 		gauge("slots_used", "Slots in use.", func() float64 { return float64(g.slots.load().running) }),
 		gauge("queue_length", "Requests that wait for a slot.", func() float64 { return float64(g.slots.load().waiting) }),
+		gauge("rate_limit", "Requests per second that the back end takes, by its own statement; -1 where it states none.", g.rateLimitGauge),
 		gauge("held_bytes", "Bodies of requests and answers that are kept until they are sent.", func() float64 { return float64(g.held.count.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.views.load().version()) }),
 		gauge("configuration_age_seconds", "Time since the configuration in force was taken.", func() float64 { return g.views.load().age(steady.Reading()).Seconds() }),
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -55,5 +55,5 @@
 		"unknown", unknown, "refused_here", refusedByGateway, "refused_there", refusedByBackend,
 		"wait_ms", waited/max(ran+refusedByGateway+refusedByBackend, 1)/microsPerMilli, "run_ms", used/max(ran, 1)/microsPerMilli,
 		"running", load.running, "waiting", load.waiting, "slots", load.slots,
-		"long_ms", load.serviceTime.Milliseconds(), "short_ms", load.shortServiceTime.Milliseconds())
+		"rate_limit", g.rateLimitGauge(), "long_ms", load.serviceTime.Milliseconds(), "short_ms", load.shortServiceTime.Milliseconds())
 }
--- a/internal/overload/slots.go
+++ b/internal/overload/slots.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/ratelimit"
 	"github.com/quartzdock/quartzdock/internal/warmup"
 )
 
@@ -44,6 +45,8 @@
 	target time.Duration
 	// warmUp limits the request rate of the back end while it is cold.
 	warmUp warmup.Limiter
+	// limit is the rate limit that the back end states.
+	limit ratelimit.Tracker
 }
 
 const (
