Reproduce back ends that get more than the limit that they state

The stand-in of the platform lets back ends state limits and counts what they get from gateways that have passed a limit on.

--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -64,6 +64,8 @@
 	// answer; nil, or zero drawn, is not.
 	late func() time.Duration
 	warm warmth
+	// limit is the text of the limit that its answers state; empty states none.
+	limit string
 }
 
 // heldRange is a range that an instance holds until a time.
@@ -155,12 +157,14 @@
 func (i *Instance) work(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	i.ledger.limits.arrives(i.ID, id, time.Now())
 	if i.misdirected(w, r) {
 		return
 	}
 	if i.Keyed {
 		key, err := strconv.ParseUint(r.Header.Get("Shard-Key"), 10, 32)
 		if err != nil || !i.startWork(uint32(key)) {
+			i.writeStatements(w.Header())
 			w.Header().Set("Not-Executed", "1")
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -182,6 +186,7 @@
 	outlasted := errors.Is(context.Cause(ctx), errLeaseOver)
 	i.ledger.ends(run, time.Now(), !whole && !outlasted, i.ended())
 	w.Header().Set("Response-Seal", "seal-"+id)
+	i.writeStatements(w.Header())
 	switch {
 	case outlasted:
 		w.WriteHeader(http.StatusInternalServerError)
--- a/lab/platformstandin/caller.go
+++ b/lab/platformstandin/caller.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	return ask(http.DefaultClient, request)
+	return m.ask(http.DefaultClient, request)
 }
 
 // CallReady sends one attempt of a caller that leaves machines that are not
@@ -39,7 +39,7 @@
 		request.Header.Set(lookUpField, lookUp.header())
 	}
 	request.GetBody = nil // the client has nothing to repeat
-	return ask(m.client, request)
+	return m.ask(m.client, request)
 }
 
 // CallBeside sends the call of the back end beside the machine.
@@ -51,7 +51,7 @@
 	request.Header.Set(workField, strconv.FormatInt(call.Work.Milliseconds(), 10))
 	// Without a body the client would send it again where a connection breaks.
 	request.Body, request.GetBody, request.ContentLength = io.NopCloser(strings.NewReader("look")), nil, int64(len("look"))
-	return ask(m.beside, request)
+	return m.ask(m.beside, request)
 }
 
 // CallerDeadline is how long callers wait.
@@ -62,6 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
+	m.fleet.Ledger.limits.begins(id, m.Name)
 	request.Host = host
 	request.Header.Set("Request-Id", id)
 	request.Header.Set(deadlineField, strconv.FormatInt(CallerDeadline.Milliseconds(), 10))
@@ -72,6 +73,15 @@
 	return request, nil
 }
 
+// ask sends a request to the machine, and notes what its answer states of the back end.
+func (m *Machine) ask(client *http.Client, request *http.Request) (Answer, error) {
+	answer, err := ask(client, request)
+	if instance, _, _ := strings.Cut(answer.Body, " "); answer.Header.Get(limitField) != "" {
+		m.fleet.Ledger.limits.passedOn(m.Name, instance, time.Now())
+	}
+	return answer, err
+}
+
 func ask(client *http.Client, request *http.Request) (Answer, error) {
 	response, err := client.Do(request)
 	if err != nil {
--- a/lab/platformstandin/ledger.go
+++ b/lab/platformstandin/ledger.go
@@ -23,6 +23,7 @@
 	// its holder.
 	fences map[serviceKey]fenceOf
 	owners *Owners
+	limits *limits
 }
 
 // serviceKey is a key of one service; each has its own.
@@ -38,14 +39,15 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[serviceKey]fenceOf{}, owners: NewOwners()}
+	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[serviceKey]fenceOf{}, owners: NewOwners(), limits: newLimits()}
 }
 
 // Violations returns every broken promise so far.
 func (l *Ledger) Violations() []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return append(append([]string{}, l.violations...), l.owners.Findings(time.Now())...)
+	found := append(append([]string{}, l.violations...), l.owners.Findings(time.Now())...)
+	return append(found, l.limits.findings()...)
 }
 
 // Runs returns how often a request ran.
--- /dev/null
+++ b/lab/platformstandin/limits.go
@@ -0,0 +1,175 @@
+package platformstandin
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// limitField is the platform's: how many requests a second a back end takes from all machines
+// together.
+const limitField = "Server-Limit"
+
+// Bounds of what an instance that states a limit may get in any limitWindow, once it has stated one
+// for limitKnownWithin: limitOver times what the limit allows, and limitSlack beside. Requests count
+// that began at a machine which had passed on the statement toldBefore or earlier.
+const (
+	limitWindow      = 4 * time.Second
+	limitKnownWithin = 3 * time.Second
+	limitOver        = 1.5
+	limitSlack       = 5
+	toldBefore       = 500 * time.Millisecond
+)
+
+// limits checks that instances get no more than the limits that they state.
+type limits struct {
+	mutex sync.Mutex
+	// begun are the machines at which requests began.
+	begun map[string]string
+	// told are the moments at which a machine first passed on a limit of an instance.
+	told map[toldLimit]time.Time
+	// stated are the limits of each instance in the order of their times, and arrivals the
+	// requests that count.
+	stated   map[string][]statedLimit
+	arrivals map[string][]time.Time
+}
+
+// toldLimit names an instance, and a machine that has passed on its limit.
+type toldLimit struct{ machine, instance string }
+
+// statedLimit is what an instance states from a time on; NaN is nothing.
+type statedLimit struct {
+	perSecond float64
+	from      time.Time
+}
+
+func newLimits() *limits {
+	return &limits{begun: map[string]string{}, told: map[toldLimit]time.Time{}, stated: map[string][]statedLimit{}, arrivals: map[string][]time.Time{}}
+}
+
+// begins notes the machine at which a request begins.
+func (l *limits) begins(id, machine string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.begun[id] = machine
+}
+
+// passedOn notes that a machine has passed on an answer of an instance with a limit.
+func (l *limits) passedOn(machine, instance string, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	of := toldLimit{machine, instance}
+	if _, ok := l.told[of]; !ok {
+		l.told[of] = now
+	}
+}
+
+// forget excuses a machine that has been restarted, frozen or cut off.
+func (l *limits) forget(machine string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for of := range l.told {
+		if of.machine == machine {
+			delete(l.told, of)
+		}
+	}
+}
+
+// states notes what an instance states from now on; NaN is nothing.
+func (l *limits) states(instance string, perSecond float64, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.stated[instance] = append(l.stated[instance], statedLimit{perSecond, now})
+}
+
+// arrives notes a request that reaches an instance.
+func (l *limits) arrives(instance, id string, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	told, ok := l.told[toldLimit{l.begun[id], instance}]
+	if ok && now.Sub(told) >= toldBefore {
+		l.arrivals[instance] = append(l.arrivals[instance], now)
+	}
+}
+
+// findings tells of each instance that got more than it had stated, at its worst.
+func (l *limits) findings() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var found []string
+	for instance, arrivals := range l.arrivals {
+		sort.Slice(arrivals, func(a, b int) bool { return arrivals[a].Before(arrivals[b]) })
+		worst, told := 0.0, ""
+		for first, from := range arrivals {
+			highest, applies := l.highestLimit(instance, from, from.Add(limitWindow))
+			if !applies {
+				continue
+			}
+			got := sort.Search(len(arrivals)-first, func(i int) bool { return arrivals[first+i].Sub(from) > limitWindow })
+			allowed := limitOver*highest*limitWindow.Seconds() + limitSlack
+			if over := float64(got) - allowed; over > worst {
+				worst, told = over, fmt.Sprintf("limit: %s states at most %g a second and got %d requests in %v, %.0f allowed", instance, highest, got, limitWindow, allowed)
+			}
+		}
+		if told != "" {
+			found = append(found, told)
+		}
+	}
+	sort.Strings(found)
+	return found
+}
+
+// highestLimit returns the highest limit that an instance stated in a window. It does not apply if
+// the instance stated none at some time in the window, or first did so shortly before it.
+func (l *limits) highestLimit(instance string, from, until time.Time) (highest float64, applies bool) {
+	var since time.Time
+	for i, stated := range l.stated[instance] {
+		end := until
+		if i+1 < len(l.stated[instance]) {
+			end = l.stated[instance][i+1].from
+		}
+		limited := !math.IsNaN(stated.perSecond)
+		if limited && since.IsZero() {
+			since = stated.from
+		}
+		if stated.from.Before(until) && end.After(from) {
+			if !limited {
+				return 0, false
+			}
+			highest = max(highest, stated.perSecond)
+		}
+		if !limited {
+			since = time.Time{}
+		}
+	}
+	return highest, !since.IsZero() && !from.Before(since.Add(limitKnownWithin))
+}
+
+// StateLimit makes the instance state a limit in its answers from now on; an empty text states
+// none. What is no number is a malformed statement, after which the one before it holds.
+func (i *Instance) StateLimit(text string) {
+	i.mutex.Lock()
+	i.limit = text
+	i.mutex.Unlock()
+	perSecond, err := strconv.ParseFloat(text, 64)
+	switch {
+	case text == "":
+		perSecond = math.NaN()
+	case err != nil || perSecond < 0:
+		return
+	}
+	i.ledger.limits.states(i.ID, perSecond, time.Now())
+}
+
+// writeStatements adds what the instance states to an answer.
+func (i *Instance) writeStatements(header http.Header) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.limit != "" {
+		header.Set(limitField, i.limit)
+	}
+}
