Keep to the rate limit that a back end states

Cause: the statement was forwarded to callers like any header field, and only slots bounded what a back end gets. A bound on what all gateways send together had no place where it could hold.

The gateway beside a back end is the only way to it. It now admits requests at the stated rate, besides its slots, so that the sum holds whatever others know and whoever leads. A gateway that is restarted there has forgotten the limit; the gateways that have passed a statement on send it along with their requests, so that exactly those requests that have to keep to a limit bring it. Requests without a key go to back ends with room, and what can't be served in time is refused at once with the time at which there is room.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,6 +59,7 @@
 	holdUntil := c.began.Add(min(maxHoldTime, time.Duration(maxHoldFraction*float64(c.deadline.Sub(c.began)))))
 	attempted := map[string]bool{}
 	result := notRun(reasonNoInstance)
+	var limits limitRefusals
 	sends, refusals := 0, 0
 	for range maxAttempts {
 		if g.views.load().fullyEvacuated(c.service.Name) {
@@ -71,7 +72,11 @@
 		if refusal != nil {
 			return refusal
 		}
-		target, ok := g.choose(c, key, hasKey, attempted)
+		target, limitWait, ok := g.choose(c, key, hasKey, attempted)
+		if limits.final(result, limitWait, ok) {
+			g.reportTrialEnd(c, trial, result)
+			return result
+		}
 		if !ok {
 			g.reportTrialEnd(c, trial, result)
 			if !g.awaitNewView(ctx, holdUntil) {
@@ -94,6 +99,7 @@
 		if result.Reason.isCapacity() {
 			refusals++
 		}
+		limits.add(result)
 		if result.Reason == reasonBackendCrashed {
 			g.quarantine.expectCrash(c.digest(), steady.Now())
 		}
@@ -195,27 +201,29 @@
 
 // choose picks the instance for a request: the owner of its key, or the instance with the
 // lowest expected response time among those not attempted yet. It looks at all instances only if
-// none of those that this gateway considers is usable.
-func (g *Gateway) choose(c *call, key keyspace.Key, hasKey bool, attempted map[string]bool) (fleetwire.Instance, bool) {
+// none of those that this gateway considers is usable. limitWait is how long the chosen instance's
+// rate limit allows no request, as far as that is known; it isn't for the owner of a key.
+func (g *Gateway) choose(c *call, key keyspace.Key, hasKey bool, attempted map[string]bool) (chosen fleetwire.Instance, limitWait time.Duration, ok bool) {
 	v := g.views.load()
 	if hasKey {
-		return v.owner(c.service.Name, key)
+		owner, ok := v.owner(c.service.Name, key)
+		return owner, 0, ok
 	}
 	now := steady.Reading()
 	considered, reliance := g.candidates.forRequest(g, v, c.service.Name, now)
-	best, cost := g.cheapest(c, v, considered, attempted, reliance, now)
+	best, cost, limitWait := g.cheapest(c, v, considered, attempted, reliance, now)
 	if all := v.instances[c.service.Name]; cost >= coldCost && len(all) > len(considered) {
-		best, _ = g.cheapest(c, v, all, attempted, reliance, now)
+		best, _, limitWait = g.cheapest(c, v, all, attempted, reliance, now)
 	}
 	if best.Cold {
 		g.countWarmUpShare(c.service, best, now)
 	}
-	return best, best.ID != ""
+	return best, limitWait, best.ID != ""
 }
 
 // cheapest returns the usable instance with the lowest cost and that cost, which is infinite if
-// there is none.
-func (g *Gateway) cheapest(c *call, v *view, candidates []fleetwire.Instance, attempted map[string]bool, reliance time.Duration, now time.Time) (best fleetwire.Instance, bestCost float64) {
+// there is none, and how long its rate limit allows no request.
+func (g *Gateway) cheapest(c *call, v *view, candidates []fleetwire.Instance, attempted map[string]bool, reliance time.Duration, now time.Time) (best fleetwire.Instance, bestCost float64, limitWait time.Duration) {
 	bestCost = math.Inf(1)
 	expectations := make([]expectation, 0, selection.NearSize+selection.FarSize)
 	known, sum := 0, 0.0
@@ -241,10 +249,10 @@
 			continue
 		}
 		if cost := g.cost(c, candidate, &expectations[i], &others, now); cost < bestCost {
-			best, bestCost = candidate, cost
+			best, bestCost, limitWait = candidate, cost, expectations[i].limitWait
 		}
 	}
-	return best, bestCost
+	return best, bestCost, limitWait
 }
 
 // expectation is what is known of the time that a request takes at an instance.
@@ -259,6 +267,8 @@
 	avoided bool
 	// linkBacklog is how long a large response waits for the link.
 	linkBacklog time.Duration
+	// limitWait is how long the instance's rate limit allows no further request.
+	limitWait time.Duration
 }
 
 // comparison is what an instance of which nothing is known is compared with.
@@ -281,16 +291,18 @@
 		serviceSeconds: load.serviceTimeFor(target).Seconds(),
 		measured:       true,
 		recent:         true,
+		limitWait:      load.admitsAfter,
 	}
 }
 
 const (
 	// avoidedCost and leavingCost rank an instance behind all others, in seconds. coldCost
 	// ranks a cold instance that has received this gateway's share of requests behind the
-	// healthy ones.
+	// healthy ones, and limitedCost one whose rate limit allows no request now.
 	avoidedCost = 100
 	leavingCost = 50
 	coldCost    = 45
+	limitedCost = 45
 	// unexploredSeconds is the service time that a gateway assumes of a back end that it is to
 	// explore: less than any real one.
 	unexploredSeconds = 1e-4
@@ -320,6 +332,9 @@
 	}
 	cost *= 1 + jitter*(rand.Float64()-0.5)
 	cost += g.distanceCost(c, candidate.Zone)
+	if expected.limitWait > 0 {
+		cost += limitedCost + expected.limitWait.Seconds()
+	}
 	if candidate.Leaving {
 		cost += leavingCost
 	}
@@ -345,6 +360,7 @@
 		Priority: routeconfig.RequestPriority(c.route, c.tenant),
 		Transfer: c.route.Repetition == routeconfig.RepeatableTransfer,
 		Trial:    trial,
+		Limit:    g.statements.limit(target.ID),
 		Target:   c.route.TargetLatency,
 		Due:      c.due(),
 		Deadline: c.deadline,
@@ -356,6 +372,7 @@
 	began := steady.Reading()
 	if target.Node == g.config.Name {
 		result := g.egress.serve(ctx, request)
+		g.statements.observe(target.ID, result, began)
 		c.recordAttempt(target.ID, target.Node, result, steady.Elapsed(began))
 		return result
 	}
@@ -365,6 +382,7 @@
 	result := peer.send(ctx, request)
 	now := steady.Reading()
 	peer.endAttempt(result, now)
+	g.statements.observe(target.ID, result, began)
 	c.recordAttempt(target.ID, target.Node, result, now.Sub(began))
 	g.metrics.peerAttempt(result)
 	return result
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -50,7 +50,7 @@
 // chosenForBody is chosenInstance for a request with a body.
 func chosenForBody(g *Gateway, repetition routeconfig.Repetition, body []byte) string {
 	route := &routeconfig.Route{Repetition: repetition, TargetLatency: 500 * time.Millisecond}
-	found, _ := g.choose(&call{service: &routeconfig.Service{Name: "s"}, route: route, body: body}, 0, false, nil)
+	found, _, _ := g.choose(&call{service: &routeconfig.Service{Name: "s"}, route: route, body: body}, 0, false, nil)
 	return found.ID
 }
 
@@ -96,7 +96,7 @@
 	g.config.Regions = map[string]string{"a": "north", "b": "south"}
 	upload := make([]byte, 60_000)
 	c := &call{service: &routeconfig.Service{Name: "s"}, route: &routeconfig.Route{TargetLatency: 500 * time.Millisecond}, body: upload}
-	_, found := g.choose(c, 0, false, map[string]bool{"near": true})
+	_, _, found := g.choose(c, 0, false, map[string]bool{"near": true})
 	assert.Assert(t, !found)
 	near := g.peers.get("127.0.0.1:1")
 	near.beginAttempt()
@@ -106,3 +106,21 @@
 	advance(t, g.views, evacuationView(1, "a"))
 	assert.Equal(t, chosenForBody(g, routeconfig.NonRepeatable, upload), "far")
 }
+
+// A back end whose rate limit is used up gets no request while another one has room, and gets one
+// again as soon as it has room itself.
+func TestInstanceWithUsedUpRateLimitIsAvoided(t *testing.T) {
+	g := gatewayWithTwoZones(t)
+	g.setPeerLoad("127.0.0.1:1", 0, 50*time.Millisecond)
+	g.setPeerLoad("127.0.0.1:2", 9, 200*time.Millisecond)
+	assert.Equal(t, chosenInstance(g, routeconfig.NonRepeatable), "near")
+	near := g.peers.get("127.0.0.1:1")
+	near.mutex.Lock()
+	near.load.admitsAfter = time.Minute
+	near.mutex.Unlock()
+	assert.Equal(t, chosenInstance(g, routeconfig.NonRepeatable), "far")
+	near.mutex.Lock()
+	near.loadReportedAt = near.loadReportedAt.Add(-time.Minute)
+	near.mutex.Unlock()
+	assert.Equal(t, chosenInstance(g, routeconfig.NonRepeatable), "near")
+}
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -89,6 +89,7 @@
 	if refusal := e.awaitKey(ctx, request); refusal != nil {
 		return refusal, 0
 	}
+	e.gateway.relayRateLimit(request)
 	ctx, cancel := context.WithTimeout(ctx, steady.Until(request.Deadline.Add(-responseMargin)))
 	defer cancel()
 	if !request.Transfer {
@@ -191,13 +192,19 @@
 // refuseWithoutSlot refuses a request that got no slot. It still counts toward the load of
 // its key.
 func (e *egress) refuseWithoutSlot(request *forwardRequest, err error) *forwardResult {
-	if !errors.Is(err, errNoSlot) {
+	limited := (*rateLimitedError)(nil)
+	if !errors.As(err, &limited) && !errors.Is(err, errNoSlot) {
 		return notRun(reasonTimeout)
 	}
 	load := e.gateway.slots.load()
 	if request.HasKey {
 		e.gateway.keyLoad.add(request.Key, load.serviceTime)
 	}
+	if limited != nil {
+		refusal := notRun(reasonRateLimited)
+		refusal.RetryAfter = limited.retryAfter
+		return refusal
+	}
 	refusal := notRun(reasonNoSlot)
 	refusal.RetryAfter = e.gateway.slots.retryAfter(request.Target)
 	return refusal
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -9,6 +9,7 @@
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/overload"
 	"github.com/quartzdock/quartzdock/internal/quarantine"
+	"github.com/quartzdock/quartzdock/internal/ratelimit"
 )
 
 // outcome is what is known about a request after one attempt.
@@ -41,6 +42,8 @@
 	reasonEvacuated reason = "zone-evacuated"
 	// reasonNoSlot: no slot became free in time.
 	reasonNoSlot reason = "no-room"
+	// reasonRateLimited: the back end has got as many requests as the limit allows that it states.
+	reasonRateLimited reason = "rate-limit"
 	// reasonLinkFull: the machine's network link could not send the response in time.
 	reasonLinkFull reason = "link-full"
 	// reasonRefused: the back end itself refused to run the request.
@@ -96,6 +99,7 @@
 	reasonEvacuated:          true,
 	reasonNoSlot:             true,
 	reasonLinkFull:           true,
+	reasonRateLimited:        true,
 	reasonRefused:            true,
 	reasonUnreachable:        true,
 	reasonInterrupted:        true,
@@ -122,7 +126,9 @@
 
 // persists reports whether another attempt at the same back end shortly afterwards would end
 // the same way.
-func (r reason) persists() bool { return r.isCapacity() || r == reasonStopping }
+func (r reason) persists() bool {
+	return r.isCapacity() || r == reasonRateLimited || r == reasonStopping
+}
 
 // isCapacity reports whether a request was refused because a resource that it needs is
 // exhausted.
@@ -147,6 +153,8 @@
 	Transfer bool
 	// Trial is the number of the trial under which a suspected request runs; zero is none.
 	Trial uint64
+	// Limit is what the instance stated about its rate limit, as the caller's gateway knows.
+	Limit ratelimit.Statement
 	// Target is the route's target latency. Due is the time until which a response meets it,
 	// and Deadline when the caller stops waiting.
 	Target   time.Duration
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,9 @@
 	keys     *grantManager
 	keyLoad  *keyLoad
 	slots    *slotLimiter
+	// statements has what back ends stated about themselves in responses that this gateway
+	// passed on to callers.
+	statements *statements
 	// firstAttempts estimates when this gateway's own callers made their first attempts.
 	firstAttempts   firstAttempts
 	peers           *peerSet
@@ -72,6 +75,7 @@
 	g.views = newViewStore()
 	g.views.beforeSwap = g.prepareView
 	g.slots = newSlotLimiter()
+	g.statements = newStatements(&g.config.Headers)
 	g.crashNotices = newCrashNoticeQueue()
 	g.keyLoad = newKeyLoad()
 	g.peers = newPeerSet()
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -25,6 +25,10 @@
 	fieldTransfer = fieldPrefix + "Transfer"
 	// fieldTrial is the number of the trial under which a suspected request runs.
 	fieldTrial = fieldPrefix + "Trial"
+	// fieldLimit is the rate limit that the instance stated, as the sender knows, and
+	// fieldAdmitsAfter the time in milliseconds until it has room for another request.
+	fieldLimit       = fieldPrefix + "Limit"
+	fieldAdmitsAfter = fieldPrefix + "Admits-After-Ms"
 	// fieldRequestsRunning is how many requests the back end was running when it crashed.
 	fieldRequestsRunning = fieldPrefix + "At-Work"
 	// fieldReportsCrashes marks a message about crashed back ends.
@@ -92,9 +96,9 @@
 	return keyspace.Key(value), true
 }
 
-// warmUpRateUnit scales the warm-up rate of a cold back end, in requests a second, to a
-// whole number.
-const warmUpRateUnit = 1000
+// maxRateUnit scales the rate that a back end can serve, in requests a second, to a whole
+// number.
+const maxRateUnit = 1000
 
 // formatLoad formats a load for the header field between gateways.
 func formatLoad(load peerLoad) string {
@@ -113,7 +117,7 @@
 	buffer = append(buffer, ',')
 	buffer = strconv.AppendInt(buffer, load.linkBacklog.Microseconds(), 10)
 	buffer = append(buffer, ',')
-	buffer = strconv.AppendInt(buffer, int64(math.Round(load.coldRate*warmUpRateUnit)), 10)
+	buffer = strconv.AppendInt(buffer, int64(math.Round(min(load.maxRate, maxReportedRate)*maxRateUnit)), 10)
 	return string(buffer)
 }
 
@@ -122,14 +126,14 @@
 	// reported load: more than the connections of any machine.
 	maxLoadRequests = 1 << 20
 	maxLoadSlots    = 1 << 16
-	// maxLoadMicros is the longest duration that is accepted, and maxWarmUpRate the highest
-	// warm-up rate, in thousandths of a request a second.
-	maxLoadMicros = int64(24 * time.Hour / time.Microsecond)
-	maxWarmUpRate = 1_000_000 * warmUpRateUnit
+	// maxLoadMicros is the longest duration that is accepted, and maxReportedRate the highest
+	// rate in requests a second.
+	maxLoadMicros   = int64(24 * time.Hour / time.Microsecond)
+	maxReportedRate = 1_000_000
 )
 
 // maxLoadValues are the highest accepted values of a load's numbers, in their order.
-var maxLoadValues = [...]int64{maxLoadRequests, maxLoadRequests, maxLoadSlots, maxLoadMicros, maxLoadMicros, maxLoadMicros, maxLoadMicros, maxWarmUpRate}
+var maxLoadValues = [...]int64{maxLoadRequests, maxLoadRequests, maxLoadSlots, maxLoadMicros, maxLoadMicros, maxLoadMicros, maxLoadMicros, maxReportedRate * maxRateUnit}
 
 // parseLoad parses the format of formatLoad and rejects any text that formatLoad can't
 // produce.
@@ -155,6 +159,6 @@
 		shortServiceTime: time.Duration(numbers[4]) * time.Microsecond,
 		shortMaxTarget:   time.Duration(numbers[5]) * time.Microsecond,
 		linkBacklog:      time.Duration(numbers[6]) * time.Microsecond,
-		coldRate:         float64(numbers[7]) / warmUpRateUnit,
+		maxRate:          float64(numbers[7]) / maxRateUnit,
 	}, true
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -255,6 +255,8 @@
 	switch result.Reason {
 	case reasonStopping, reasonOwnerLost:
 		base = retryJitter
+	case reasonRateLimited:
+		base = retryJitter
 	case reasonNoSlot:
 		base = max(minRetryWhenFull, retryServiceTimes*result.Load.serviceTime)
 	case reasonLinkFull:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/ratelimit"
 	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 	"github.com/quartzdock/quartzdock/internal/warmup"
@@ -41,9 +42,11 @@
 	shortMaxTarget time.Duration
 	// linkBacklog is the time that the link of its machine needs for the data queued there.
 	linkBacklog time.Duration
-	// coldRate is the number of requests a second that the back end can take while it is cold;
-	// zero means no limit.
-	coldRate float64
+	// maxRate is the number of requests a second that the back end can take, because it is cold or
+	// states a limit; zero means no limit.
+	maxRate float64
+	// admitsAfter is the time until the back end's rate limit allows another request.
+	admitsAfter time.Duration
 }
 
 // serviceTimeFor returns the average time that a request with this latency target occupies a slot.
@@ -63,8 +66,8 @@
 	}
 	utilization := float64(busy+1) / float64(slots)
 	seconds := l.serviceTimeFor(target).Seconds() * (1 + congestionFactor*max(0, utilization-congestionThreshold))
-	if l.coldRate > 0 {
-		seconds += float64(l.waiting) / l.coldRate
+	if l.maxRate > 0 {
+		seconds += float64(l.waiting) / l.maxRate
 	}
 	return seconds
 }
@@ -176,6 +179,7 @@
 		recent:         recent,
 		avoided:        now.Before(p.avoidUntil),
 		linkBacklog:    max(load.linkBacklog-age, 0),
+		limitWait:      max(load.admitsAfter-age, 0),
 	}
 }
 
@@ -268,6 +272,9 @@
 	if request.Transfer {
 		header[fieldTransfer] = []string{"1"}
 	}
+	if request.Limit.Limited {
+		header[fieldLimit] = []string{ratelimit.Format(request.Limit.PerSecond)}
+	}
 	if request.Trial != 0 {
 		header[fieldTrial] = []string{strconv.FormatUint(request.Trial, 10)}
 	}
@@ -296,6 +303,7 @@
 		result.Load, result.loadRead = parseLoad(reported[0])
 	}
 	result.RetryAfter, _ = parseMilliseconds(header.Get(fieldRetryAfter))
+	result.Load.admitsAfter, _ = parseMilliseconds(header.Get(fieldAdmitsAfter))
 	if inProgress, err := strconv.Atoi(header.Get(fieldRequestsRunning)); err == nil {
 		result.RequestsRunning = inProgress
 	}
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -51,6 +51,9 @@
 	if result.RequestsRunning > 0 {
 		header[fieldRequestsRunning] = []string{strconv.Itoa(result.RequestsRunning)}
 	}
+	if result.Load.admitsAfter > 0 {
+		header[fieldAdmitsAfter] = []string{milliseconds(result.Load.admitsAfter)}
+	}
 	if result.RetryAfter > 0 {
 		header[fieldRetryAfter] = []string{milliseconds(result.RetryAfter)}
 	}
@@ -129,6 +132,7 @@
 			return nil, false
 		}
 	}
+	request.Limit = g.decodeLimit(r.Header)
 	request.Header = forwardable(r.Header)
 	if v := g.views.load(); v.table != nil {
 		if service := v.table.Service(request.Service); service != nil && service.Keyed {
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -8,10 +8,34 @@
 	"github.com/quartzdock/quartzdock/internal/ratelimit"
 )
 
+// A back end may state a limit of the requests that it takes from all gateways together. Its local
+// gateway is its only sender, so it enforces the limit exactly. The other gateways send the limits
+// that they have passed on along with their requests, for a local gateway that was restarted and
+// does not know the limit yet.
+
+// rateLimitedError means that a back end has got as many requests as the limit allows that it
+// states, and that waiting for the next one takes too long.
+type rateLimitedError struct {
+	// retryAfter is when there may be room for the request.
+	retryAfter time.Duration
+}
+
+func (e *rateLimitedError) Error() string {
+	return "the back end's rate limit is used up for " + e.retryAfter.String()
+}
+
+// refusalOf returns why a request gets no slot.
+func refusalOf(queue *overload.SlotQueue, wanted demand, now time.Time) error {
+	if retryAfter, limited := queue.RefuseByLimit(wanted, now); limited {
+		return &rateLimitedError{retryAfter}
+	}
+	return errNoSlot
+}
+
 // observeBackend applies what a response of the local back end states about the back end itself. A
 // misdirected request may have been answered by another back end.
 func (g *Gateway) observeBackend(request *forwardRequest, response *http.Response, sentAt time.Time) {
-	if response.StatusCode == http.StatusMisdirectedRequest {
+	if response.StatusCode == http.StatusMisdirectedRequest || g.registry.snapshot().ID != request.Instance {
 		return
 	}
 	g.observeRateLimit(request, response.Header, sentAt)
@@ -27,10 +51,31 @@
 		return
 	}
 	if g.slots.observeLimit(statement, sentAt) {
-		g.config.Log.Info("rate limit of the back end", "request", request.ID, "instance", request.Instance, "limited", statement.Limited, "per_second", statement.PerSecond)
+		g.logRateLimit(request, statement, false)
 	}
 }
 
+// relayRateLimit applies the limit that the caller's gateway has received from the back end.
+func (g *Gateway) relayRateLimit(request *forwardRequest) {
+	if request.Limit.Limited && g.slots.relayLimit(request.Limit.PerSecond) {
+		g.logRateLimit(request, request.Limit, true)
+	}
+}
+
+func (g *Gateway) logRateLimit(request *forwardRequest, statement ratelimit.Statement, relayed bool) {
+	g.config.Log.Info("rate limit of the back end", "request", request.ID, "instance", request.Instance,
+		"limited", statement.Limited, "per_second", statement.PerSecond, "relayed", relayed)
+}
+
+// decodeLimit decodes the limit that another gateway has sent along with a request.
+func (g *Gateway) decodeLimit(header http.Header) ratelimit.Statement {
+	statement, err := ratelimit.Parse(header.Values(fieldLimit))
+	if err != nil {
+		g.metrics.countUnreadable(unreadableLimit)
+	}
+	return statement
+}
+
 // observeLimit applies what a response of the back end states about its limit, and reports a
 // change.
 func (g *slotLimiter) observeLimit(statement ratelimit.Statement, sentAt time.Time) (changed bool) {
@@ -38,6 +83,13 @@
 	return changed
 }
 
+// relayLimit applies a limit that another gateway has received from the back end, and reports a
+// change.
+func (g *slotLimiter) relayLimit(perSecond float64) (changed bool) {
+	g.withQueue(func(queue *overload.SlotQueue, now time.Time) { changed = queue.RelayLimit(perSecond, now) })
+	return changed
+}
+
 // statedLimit returns the back end's statement in force.
 func (g *slotLimiter) statedLimit() (statement ratelimit.Statement) {
 	g.withQueue(func(queue *overload.SlotQueue, _ time.Time) { statement = queue.StatedLimit() })
@@ -55,3 +107,32 @@
 	}
 	return statement.PerSecond
 }
+
+// limitRefusals collects the refusals of one request because of rate limits.
+type limitRefusals struct {
+	count int
+	// earliest is when the first of the instances may have room.
+	earliest time.Duration
+}
+
+// add records the result of an attempt.
+func (r *limitRefusals) add(result *forwardResult) {
+	if result.Reason != reasonRateLimited {
+		return
+	}
+	if r.count == 0 || result.RetryAfter < r.earliest {
+		r.earliest = result.RetryAfter
+	}
+	r.count++
+}
+
+// final reports whether a request that was just refused because of a rate limit is refused at once:
+// no other instance is left, or the next one has no room for limitWait either. The result then says
+// when the first of those that were asked may have room.
+func (r *limitRefusals) final(result *forwardResult, limitWait time.Duration, anotherLeft bool) bool {
+	if result.Reason != reasonRateLimited || anotherLeft && limitWait == 0 {
+		return false
+	}
+	result.RetryAfter = r.earliest
+	return true
+}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -21,9 +21,10 @@
 type slotLimiter struct {
 	mutex sync.Mutex
 	queue *overload.SlotQueue
-	// paceTimer fires when the next waiting request may be sent to a cold back end at its
-	// warm-up rate.
+	// paceTimer fires at paceAt, when the next waiting request may be sent to a back end that
+	// is cold or states a rate limit. It is nil if none waits for that.
 	paceTimer *time.Timer
+	paceAt    time.Time
 }
 
 func newSlotLimiter() *slotLimiter {
@@ -31,21 +32,25 @@
 }
 
 // withQueue calls a function on the queue at the present time, and sets the timer if a request
-// then waits for the warm-up rate of a cold back end.
+// then waits for the rate of a back end that is cold or states a limit.
 func (g *slotLimiter) withQueue(call func(queue *overload.SlotQueue, now time.Time)) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := steady.Reading()
 	call(g.queue, now)
-	if g.paceTimer != nil {
-		return
-	}
-	if wait := g.queue.NextAdmission(now); wait > 0 {
-		g.paceTimer = time.AfterFunc(wait, g.admitPaced)
+	wait := g.queue.NextAdmission(now)
+	switch at := now.Add(wait); {
+	case wait <= 0:
+	case g.paceTimer == nil:
+		g.paceTimer, g.paceAt = time.AfterFunc(wait, g.admitPaced), at
+	case at.Before(g.paceAt): // the rate has increased
+		g.paceTimer.Reset(wait)
+		g.paceAt = at
 	}
 }
 
-// admitPaced admits the next requests that wait for the warm-up rate of a cold back end.
+// admitPaced admits the next requests that wait for the rate of a back end that is cold or states
+// a limit.
 func (g *slotLimiter) admitPaced() {
 	g.mutex.Lock()
 	g.paceTimer = nil
@@ -74,7 +79,8 @@
 		serviceTime:      reported.ServiceTime,
 		shortServiceTime: reported.ShortServiceTime,
 		shortMaxTarget:   reported.ShortMaxTarget,
-		coldRate:         reported.MaxRate,
+		maxRate:          reported.MaxRate,
+		admitsAfter:      reported.AdmitsAfter,
 	}
 }
 
@@ -85,13 +91,18 @@
 	var ticket *overload.Ticket
 	var accepted, hasSlot bool
 	var check time.Duration
+	var refusal error
 	g.withQueue(func(queue *overload.SlotQueue, now time.Time) {
 		ticket, accepted = queue.Arrive(wanted, func() { close(admitted) }, now)
+		if !accepted {
+			refusal = refusalOf(queue, wanted, now)
+			return
+		}
 		check, hasSlot = queue.CheckIn(ticket, now), ticket.HasSlot()
 	})
 	switch {
 	case !accepted:
-		return overload.Slot{}, errNoSlot
+		return overload.Slot{}, refusal
 	case hasSlot:
 		return ticket.Slot(), nil
 	}
@@ -114,15 +125,16 @@
 			return context.Cause(ctx)
 		case <-timer.C:
 		}
-		viable := false
+		var refusal error
 		g.withQueue(func(queue *overload.SlotQueue, now time.Time) {
-			if viable = queue.Check(ticket, now); !viable {
+			if !queue.Check(ticket, now) {
 				queue.Leave(ticket, now)
+				refusal = refusalOf(queue, ticket.Demand, now)
 			}
 			check = queue.CheckIn(ticket, now)
 		})
-		if !viable {
-			return errNoSlot
+		if refusal != nil {
+			return refusal
 		}
 		timer.Reset(check)
 	}
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -193,7 +193,7 @@
 		for range seconds * 100 {
 			for _, g := range gateways {
 				g.setPeerLoad("127.0.0.1:1", 60, time.Second)
-				found, _ := g.choose(&call{service: service, route: route}, 0, false, nil)
+				found, _, _ := g.choose(&call{service: service, route: route}, 0, false, nil)
 				if found.ID == "cold" {
 					sent++
 				}
--- a/internal/overload/cold.go
+++ b/internal/overload/cold.go
@@ -18,6 +18,7 @@
 func (q *SlotQueue) WarmUpFromHeartbeat(left time.Duration, fresh bool, now time.Time) {
 	if fresh {
 		q.warmUp.Reset()
+		q.limit.Reset()
 	}
 	q.warmUp.RecordReport(left, now)
 	q.admit(now)
@@ -37,21 +38,9 @@
 // AdmitsNow reports whether a request that arrives now would not have to wait because the
 // back end is cold.
 func (q *SlotQueue) AdmitsNow(now time.Time) bool {
-	return q.warmUp.Wait(now) == 0 && len(q.short.queue)+len(q.long.queue) == 0
+	return q.warmUp.Wait(now) == 0 && q.inTimeWaiting() == 0
 }
 
-// NextAdmission returns after how long the next waiting request may go to a cold back end and
-// AdmitPaced is to be called; zero if none waits for that.
-func (q *SlotQueue) NextAdmission(now time.Time) time.Duration {
-	if q.short.waiting()+q.long.waiting() == 0 {
-		return 0
-	}
-	return q.warmUp.Wait(now)
-}
-
-// AdmitPaced admits requests that waited for the rate limit of a cold back end.
-func (q *SlotQueue) AdmitPaced(now time.Time) { q.admit(now) }
-
 // warmUpWait returns how long a request waits behind a number of others at the rate that a
 // cold back end can serve; zero if the back end is warm.
 func (q *SlotQueue) warmUpWait(ahead int, now time.Time) time.Duration {
--- a/internal/overload/late.go
+++ b/internal/overload/late.go
@@ -69,7 +69,11 @@
 func (q *SlotQueue) estimateLate(waiting *Ticket, ahead int, now time.Time) time.Duration {
 	const never = time.Hour
 	if q.warmUp.Cold(now) {
-		return q.warmUpWait(len(q.short.queue)+len(q.long.queue)+ahead, now)
+		return q.paceWaitBehind(q.inTimeWaiting()+ahead, now)
+	}
+	limitWait := q.limit.WaitBehind(q.inTimeWaiting()+ahead, now)
+	if limitWait > 0 && q.inTimeWaiting() > 0 {
+		return never // requests in time use the whole rate
 	}
 	slots := q.usable(waiting.short, waiting.Priority)
 	leftOver := q.leftOver(waiting, slots)
@@ -77,9 +81,9 @@
 		return never
 	}
 	use := q.use(waiting.short)
-	inTime := float64(len(q.short.queue)+len(q.long.queue)) / slots
+	inTime := float64(q.inTimeWaiting()) / slots
 	behind := float64(ahead+1) / leftOver
-	return time.Duration(float64(use.serviceTime) * (inTime + behind))
+	return max(limitWait, time.Duration(float64(use.serviceTime)*(inTime+behind)))
 }
 
 // leftOver returns how many of the slots that a late request may use are left over on average,
--- a/internal/overload/refusals.go
+++ b/internal/overload/refusals.go
@@ -17,10 +17,16 @@
 // Add counts one more refusal, and returns how long it takes to serve those before it, at
 // a rate of requests per second.
 func (r *Refusals) Add(rate float64, now time.Time) time.Duration {
+	wait := r.Wait(rate, now)
+	r.count++
+	return wait
+}
+
+// Wait returns how long it takes to serve those that were refused, at a rate of requests per
+// second.
+func (r *Refusals) Wait(rate float64, now time.Time) time.Duration {
 	served := rate * max(now.Sub(r.at), 0).Seconds()
 	r.count = max(r.count-served, 0)
 	r.at = now
-	wait := time.Duration(r.count / rate * float64(time.Second))
-	r.count++
-	return wait
+	return time.Duration(r.count / rate * float64(time.Second))
 }
--- a/internal/overload/slots.go
+++ b/internal/overload/slots.go
@@ -45,8 +45,10 @@
 	target time.Duration
 	// warmUp limits the request rate of the back end while it is cold.
 	warmUp warmup.Limiter
-	// limit is the rate limit that the back end states.
-	limit ratelimit.Tracker
+	// limit keeps to the rate limit that the back end states, and refusedByLimit counts the
+	// requests that were refused because of it.
+	limit          ratelimit.Limiter
+	refusedByLimit Refusals
 }
 
 const (
@@ -100,9 +102,12 @@
 	ServiceTime, ShortServiceTime time.Duration
 	// ShortMaxTarget is the longest target of a short request.
 	ShortMaxTarget time.Duration
-	// MaxRate is how many requests a second the back end can serve while it is cold; zero
-	// is unlimited.
+	// MaxRate is how many requests a second the back end can serve, because it is cold or
+	// states a limit; zero is unlimited.
 	MaxRate float64
+	// AdmitsAfter is how long a request that arrived now would wait for the limit that the back
+	// end states.
+	AdmitsAfter time.Duration
 }
 
 // Load returns the capacity and the load of the back end.
@@ -114,7 +119,8 @@
 		ServiceTime:      q.long.serviceTime,
 		ShortServiceTime: q.short.serviceTime,
 		ShortMaxTarget:   q.shortMaxTarget(),
-		MaxRate:          q.warmUp.EnforcedRate(now),
+		MaxRate:          q.maxRate(now),
+		AdmitsAfter:      q.limit.WaitBehind(q.inTimeWaiting(), now),
 	}
 }
 
@@ -171,7 +177,7 @@
 
 // mayStart reports whether a request of a kind and priority may take a slot now.
 func (q *SlotQueue) mayStart(short bool, priority int, now time.Time) bool {
-	if q.short.running+q.long.running >= q.capacity || q.warmUp.Wait(now) > 0 {
+	if q.short.running+q.long.running >= q.capacity || q.paceWait(now) > 0 {
 		return false
 	}
 	if short {
@@ -218,7 +224,7 @@
 	if !short {
 		ahead += len(q.short.queue)
 	}
-	return max(bySlots, q.warmUpWait(ahead-1, now))
+	return max(bySlots, q.paceWaitBehind(ahead-1, now))
 }
 
 // CheckIn returns after how long Check is to be called for a waiting request: when it can no
@@ -294,6 +300,7 @@
 	}
 	next.admitted = true
 	q.warmUp.Sent(now)
+	q.limit.Sent(now)
 }
 
 // admitFrom admits requests from one queue of each kind while there are free slots.
--- a/lab/platformstandin/limits_test.go
+++ b/lab/platformstandin/limits_test.go
@@ -20,10 +20,9 @@
 // and nothing but slots bounded what a back end got.
 
 const (
-	// loadPause is between two requests of one of the callers, and callersPerSide is their number
-	// at each gateway: several times the limits below.
-	loadPause      = 25 * time.Millisecond
-	callersPerSide = 2
+	// loadPause is between two requests at each gateway, whether earlier ones are answered or not:
+	// several times the limits below.
+	loadPause = 15 * time.Millisecond
 )
 
 // loadCounts are what the callers of a load got.
@@ -65,17 +64,17 @@
 	defer cancel()
 	var all sync.WaitGroup
 	for side := range r.Sides {
-		for caller := range callersPerSide {
-			all.Go(func() {
-				for number := 0; pause.For(ctx, loadPause) == nil; number++ {
-					id := fmt.Sprintf("load-%s-%d-%d-%d-%d", path[1:2], side, caller, number, time.Now().UnixNano())
-					key := fmt.Sprint((number*7919 + side*104729 + caller*1299709) % 65536)
+		all.Go(func() {
+			for number := 0; pause.For(ctx, loadPause) == nil; number++ {
+				all.Go(func() {
+					id := fmt.Sprintf("load-%s-%d-%d-%d", path[1:2], side, number, time.Now().UnixNano())
+					key := fmt.Sprint((number*7919 + side*104729) % 65536)
 					began := time.Now()
 					answer, err := r.Sides[side].Call(r.ctx, method, "a.example", path, id, key, "body")
 					counts.add(answer, err, time.Since(began))
-				}
-			})
-		}
+				})
+			}
+		})
 	}
 	all.Wait()
 	return counts
