Stop sending to back ends that state in their responses that they leave

A back end that leaves says so in all its responses. Only heartbeats and deregistrations were heeded: while those got lost, callers' requests went on reaching it without end, also from gateways that had passed the statement on.

The gateway beside the back end now takes the statement as it takes a heartbeat that says so. Each gateway that has passed it on keeps it by itself and refuses after the same time, so that nothing hangs on the leader or on the gateway beside the back end, which may be restarted and forget it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -229,6 +229,7 @@
 	known, sum := 0, 0.0
 	for _, candidate := range candidates {
 		expected := g.expect(c, candidate, reliance, now)
+		expected.leaving, expected.refused = g.statements.leaving(candidate.ID, g.drainGrace(), now)
 		if expected.measured {
 			known++
 			sum += expected.serviceSeconds
@@ -245,7 +246,7 @@
 		if bound && g.otherRegion(candidate.Zone) {
 			continue
 		}
-		if attempted[candidate.ID] || candidate.State != fleetwire.InstanceReady || v.evacuated(candidate.Zone) || !g.regionAllowed(c, candidate.Zone) {
+		if attempted[candidate.ID] || expectations[i].refused || candidate.State != fleetwire.InstanceReady || v.evacuated(candidate.Zone) || !g.regionAllowed(c, candidate.Zone) {
 			continue
 		}
 		if cost := g.cost(c, candidate, &expectations[i], &others, now); cost < bestCost {
@@ -269,6 +270,9 @@
 	linkBacklog time.Duration
 	// limitWait is how long the instance's rate limit allows no further request.
 	limitWait time.Duration
+	// leaving is set if the instance stated that it is about to stop, and refused if it gets no
+	// more requests for that reason.
+	leaving, refused bool
 }
 
 // comparison is what an instance of which nothing is known is compared with.
@@ -335,7 +339,7 @@
 	if expected.limitWait > 0 {
 		cost += limitedCost + expected.limitWait.Seconds()
 	}
-	if candidate.Leaving {
+	if candidate.Leaving || expected.leaving {
 		cost += leavingCost
 	}
 	if candidate.Cold && !g.withinWarmUpShare(c.service, candidate, now) {
@@ -365,11 +369,16 @@
 		Due:      c.due(),
 		Deadline: c.deadline,
 	}
+	began := steady.Reading()
+	if _, refused := g.statements.leaving(target.ID, g.drainGrace(), began); refused {
+		result := notRun(reasonNotAdmitted)
+		c.recordAttempt(target.ID, target.Node, result, 0)
+		return result
+	}
 	names := &g.config.Headers
 	request.Header.Set(names.CallerService, g.config.Service)
 	request.Header.Del(names.TargetInstance)
 	g.setTenant(request.Header, c.tenant)
-	began := steady.Reading()
 	if target.Node == g.config.Name {
 		result := g.egress.serve(ctx, request)
 		g.statements.observe(target.ID, result, began)
--- a/internal/gateway/candidates_test.go
+++ b/internal/gateway/candidates_test.go
@@ -22,6 +22,7 @@
 		peers:      newPeerSet(),
 		candidates: newCandidateSets(),
 		slots:      newSlotLimiter(),
+		statements: newStatements(&HeaderNames{}),
 	}
 	g.session = newSessionClient(g)
 	g.extendLease(time.Hour)
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -20,6 +20,7 @@
 		peers:      newPeerSet(),
 		candidates: newCandidateSets(),
 		slots:      newSlotLimiter(),
+		statements: newStatements(&HeaderNames{}),
 	}
 	g.session = newSessionClient(g)
 	g.quotas = newQuotaKeeper(g)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -40,6 +40,8 @@
 	// RateLimit is on responses of a back end that limits the requests that it gets, from all
 	// gateways together: their number per second.
 	RateLimit string
+	// Leaving is on responses of a back end that is about to stop; its value is then "1".
+	Leaving string
 }
 
 // GrantOrder grants keys to a back end.
--- a/internal/gateway/egress_test.go
+++ b/internal/gateway/egress_test.go
@@ -64,7 +64,7 @@
 	return HeaderNames{
 		RequestID: "Try-Name", Deadline: "Wait-Ms", Seal: "Seal", TargetInstance: "Only-For",
 		NotExecuted: "Never-Ran", CallerService: "From-Service", Key: "Key",
-		APIKey: "Api-Key", Tenant: "Tenant-Name", RateLimit: "Limit",
+		APIKey: "Api-Key", Tenant: "Tenant-Name", RateLimit: "Limit", Leaving: "Leaving",
 	}
 }
 
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -32,15 +32,6 @@
 	return errNoSlot
 }
 
-// observeBackend applies what a response of the local back end states about the back end itself. A
-// misdirected request may have been answered by another back end.
-func (g *Gateway) observeBackend(request *forwardRequest, response *http.Response, sentAt time.Time) {
-	if response.StatusCode == http.StatusMisdirectedRequest || g.registry.snapshot().ID != request.Instance {
-		return
-	}
-	g.observeRateLimit(request, response.Header, sentAt)
-}
-
 // observeRateLimit applies what a response states about the back end's rate limit. A malformed
 // statement leaves the earlier one in force.
 func (g *Gateway) observeRateLimit(request *forwardRequest, header http.Header, sentAt time.Time) {
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -59,6 +59,9 @@
 	leaderResponded func() bool
 	// reportedState is the state that the current instance last reported.
 	reportedState fleetwire.InstanceState
+	// leaving is set once the current instance has stated in a response that it is about to stop.
+	// Its heartbeats may not say so, or may have been sent before.
+	leaving bool
 	// otherAtAddress is set if another back end has responded at the address since the last
 	// heartbeat of the current instance.
 	otherAtAddress bool
@@ -152,13 +155,17 @@
 	if r.deregistered {
 		return true, true
 	}
-	r.reportedState = registration.State
-	if registration.State == fleetwire.InstanceDraining && r.refusesFrom.IsZero() {
+	state := registration.State
+	if r.leaving {
+		state = fleetwire.InstanceDraining
+	}
+	r.reportedState = state
+	if state == fleetwire.InstanceDraining && r.refusesFrom.IsZero() {
 		r.refusesFrom = now.Add(drainWithin)
 	}
 	before := r.current.State
 	if before != fleetwire.InstanceGone {
-		r.current.State = registration.State
+		r.current.State = state
 	}
 	return true, before != r.current.State
 }
@@ -168,7 +175,7 @@
 	if r.current.ID != "" {
 		r.formerIncarnations[r.current.ID] = true
 	}
-	r.deregistered, r.candidate = false, candidate{}
+	r.deregistered, r.leaving, r.candidate = false, false, candidate{}
 	r.refusesFrom = time.Time{}
 	address, node, zone := r.current.Address, r.current.Node, r.current.Zone
 	r.current = fleetwire.Instance{
@@ -185,6 +192,29 @@
 	return changed
 }
 
+// markLeaving records that an instance has stated in a response that it is about to stop. Like after
+// a heartbeat that says so, it may get requests for drainWithin longer. It reports whether this is
+// new.
+func (r *registry) markLeaving(instance string, drainWithin time.Duration, now time.Time) (first bool) {
+	r.mutex.Lock()
+	first = instance != "" && instance == r.current.ID && !r.leaving
+	if first {
+		r.leaving = true
+		r.reportedState = fleetwire.InstanceDraining
+		if r.current.State == fleetwire.InstanceReady {
+			r.current.State = fleetwire.InstanceDraining
+		}
+		if r.refusesFrom.IsZero() {
+			r.refusesFrom = now.Add(drainWithin)
+		}
+	}
+	r.mutex.Unlock()
+	if first {
+		r.onChange()
+	}
+	return first
+}
+
 // deregister processes a deregistration. One without a start time means the current
 // incarnation under its id.
 func (r *registry) deregister(id string, drainWithin time.Duration, now time.Time) {
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -8,6 +9,28 @@
 	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
+// Back ends state in their responses how many requests they take (see ratelimit.go), and that they
+// are about to stop. The gateway beside a back end applies both. A gateway that has passed a
+// statement on to a caller keeps it as well, since the one beside the back end may be restarted and
+// forget it.
+
+// isLeaving reports whether a response states that its back end is about to stop.
+func isLeaving(names *HeaderNames, header http.Header) bool {
+	return names.Leaving != "" && header.Get(names.Leaving) == "1"
+}
+
+// observeBackend applies what a response of the local back end states about the back end itself. A
+// misdirected request may have been answered by another back end.
+func (g *Gateway) observeBackend(request *forwardRequest, response *http.Response, sentAt time.Time) {
+	if response.StatusCode == http.StatusMisdirectedRequest || g.registry.snapshot().ID != request.Instance {
+		return
+	}
+	g.observeRateLimit(request, response.Header, sentAt)
+	if isLeaving(&g.config.Headers, response.Header) && g.registry.markLeaving(request.Instance, g.drainGrace(), steady.Reading()) {
+		g.config.Log.Info("back end states that it leaves", "request", request.ID, "instance", request.Instance)
+	}
+}
+
 const (
 	// maxStatements is the number of instances above which those are forgotten that have been
 	// silent for statementMaxAge.
@@ -26,6 +49,8 @@
 // statement is what one instance stated.
 type statement struct {
 	limit ratelimit.Tracker
+	// leavingSince is when it first stated that it is about to stop; zero if it has not.
+	leavingSince time.Time
 	// heardAt is when its last response was received.
 	heardAt time.Time
 }
@@ -41,10 +66,11 @@
 		return
 	}
 	limit, err := ratelimit.Parse(result.Header.Values(s.names.RateLimit))
+	leaving := isLeaving(s.names, result.Header)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	entry := s.byInstance[instance]
-	if entry == nil && (err != nil || !limit.Limited) {
+	if entry == nil && !leaving && (err != nil || !limit.Limited) {
 		return // nothing stated so far
 	}
 	now := steady.Reading()
@@ -57,6 +83,9 @@
 	if err == nil {
 		entry.limit.Observe(limit, sentAt, now)
 	}
+	if leaving && entry.leavingSince.IsZero() {
+		entry.leavingSince = now
+	}
 }
 
 // limit returns what an instance stated about its rate limit.
@@ -69,6 +98,18 @@
 	return ratelimit.Statement{}
 }
 
+// leaving reports whether an instance stated that it is about to stop, and whether it did so at
+// least grace ago and gets no more requests.
+func (s *statements) leaving(instance string, grace time.Duration, now time.Time) (leaving, refused bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	entry := s.byInstance[instance]
+	if entry == nil || entry.leavingSince.IsZero() {
+		return false, false
+	}
+	return true, now.Sub(entry.leavingSince) >= grace
+}
+
 // forgetSilent makes room for another instance.
 func (s *statements) forgetSilent(now time.Time) {
 	if len(s.byInstance) < maxStatements {
--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -66,6 +66,8 @@
 	warm warmth
 	// limit is the text of the limit that its answers state; empty states none.
 	limit string
+	// leaves says that its answers state that it leaves, whatever its heartbeats say.
+	leaves bool
 }
 
 // heldRange is a range that an instance holds until a time.
@@ -157,7 +159,7 @@
 func (i *Instance) work(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	i.ledger.limits.arrives(i.ID, id, time.Now())
+	i.checkArrival(id)
 	if i.misdirected(w, r) {
 		return
 	}
--- a/lab/platformstandin/caller.go
+++ b/lab/platformstandin/caller.go
@@ -76,9 +76,13 @@
 // ask sends a request to the machine, and notes what its answer states of the back end.
 func (m *Machine) ask(client *http.Client, request *http.Request) (Answer, error) {
 	answer, err := ask(client, request)
-	if instance, _, _ := strings.Cut(answer.Body, " "); answer.Header.Get(limitField) != "" {
+	instance, _, _ := strings.Cut(answer.Body, " ")
+	if answer.Header.Get(limitField) != "" {
 		m.fleet.Ledger.limits.passedOn(m.Name, instance, time.Now())
 	}
+	if answer.Header.Get(leavingField) != "" {
+		m.fleet.Ledger.leavings.passedOn(m.Name, instance, time.Now())
+	}
 	return answer, err
 }
 
--- a/lab/platformstandin/fleet.go
+++ b/lab/platformstandin/fleet.go
@@ -150,7 +150,7 @@
 		return err
 	}
 	m.started++
-	m.fleet.Ledger.limits.forget(m.Name)
+	m.fleet.Ledger.excuse(m.Name)
 	command := exec.Command(m.fleet.Program, m.Role)
 	command.Env = append(os.Environ(), "QUARTZDOCK_BOOT="+path)
 	log, err := os.OpenFile(filepath.Join(m.fleet.Folder, m.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- /dev/null
+++ b/lab/platformstandin/leaving.go
@@ -0,0 +1,79 @@
+package platformstandin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// leavingField is the platform's: the back end that answers leaves.
+const leavingField = "Server-Leaving"
+
+// drainTime is how long after a machine has passed on that an instance leaves its callers' requests
+// may still reach that instance.
+const drainTime = 2 * time.Second
+
+// leavings checks that instances which have said in their answers that they leave get no new
+// requests from machines that passed such an answer on.
+type leavings struct {
+	mutex sync.Mutex
+	// told are the moments at which a machine first passed on that an instance leaves.
+	told map[machineAndInstance]time.Time
+}
+
+func newLeavings() *leavings { return &leavings{told: map[machineAndInstance]time.Time{}} }
+
+// passedOn notes that a machine has passed on that an instance leaves.
+func (l *leavings) passedOn(machine, instance string, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	of := machineAndInstance{machine, instance}
+	if _, ok := l.told[of]; !ok {
+		l.told[of] = now
+	}
+}
+
+// forget excuses a machine that has been restarted or frozen.
+func (l *leavings) forget(machine string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for of := range l.told {
+		if of.machine == machine {
+			delete(l.told, of)
+		}
+	}
+}
+
+// tooLate reports whether a request that began at a machine must not reach an instance any more,
+// and how long before the machine had passed on that it leaves.
+func (l *leavings) tooLate(began beginning, instance string) (since time.Duration, late bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	told, ok := l.told[machineAndInstance{began.machine, instance}]
+	since = began.at.Sub(told)
+	return since, ok && since > drainTime
+}
+
+// LeaveByAnswers makes the instance say in its answers that it leaves, while its heartbeats say
+// nothing of it, as one whose heartbeats get lost.
+func (i *Instance) LeaveByAnswers() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.leaves = true
+}
+
+// writeLeaving adds to an answer that the instance leaves, if it does. The caller has the mutex.
+func (i *Instance) writeLeaving(header http.Header) {
+	if i.leaves || i.state == "draining" {
+		header.Set(leavingField, "1")
+	}
+}
+
+// checkArrival notes a request that reaches the instance, and what that breaks.
+func (i *Instance) checkArrival(id string) {
+	now := time.Now()
+	i.ledger.limits.arrives(i.ID, id, now)
+	if since, late := i.ledger.leavings.tooLate(i.ledger.limits.beginningOf(id), i.ID); late {
+		i.ledger.Broken("drain: %s got request %s, which was sent %v after its gateway had passed on that the instance leaves", i.ID, id, since.Round(time.Millisecond))
+	}
+}
--- a/lab/platformstandin/ledger.go
+++ b/lab/platformstandin/ledger.go
@@ -21,9 +21,10 @@
 	promised map[string]bool
 	// fences has the highest fence of each key of a service that was granted, with
 	// its holder.
-	fences map[serviceKey]fenceOf
-	owners *Owners
-	limits *limits
+	fences   map[serviceKey]fenceOf
+	owners   *Owners
+	limits   *limits
+	leavings *leavings
 }
 
 // serviceKey is a key of one service; each has its own.
@@ -39,7 +40,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[serviceKey]fenceOf{}, owners: NewOwners(), limits: newLimits()}
+	return &Ledger{ran: map[string]int{}, runs: map[string][]*Run{}, promised: map[string]bool{}, fences: map[serviceKey]fenceOf{}, owners: NewOwners(), limits: newLimits(), leavings: newLeavings()}
 }
 
 // Violations returns every broken promise so far.
@@ -96,6 +97,12 @@
 	l.violate(format, arguments...)
 }
 
+// excuse forgets what a machine has passed on, as it has been restarted or frozen.
+func (l *Ledger) excuse(machine string) {
+	l.limits.forget(machine)
+	l.leavings.forget(machine)
+}
+
 // Totals returns how many requests ran, and how many runs there were beyond the
 // first of each.
 func (l *Ledger) Totals() (requests, repeats int) {
--- a/lab/platformstandin/limits.go
+++ b/lab/platformstandin/limits.go
@@ -28,18 +28,24 @@
 // limits checks that instances get no more than the limits that they state.
 type limits struct {
 	mutex sync.Mutex
-	// begun are the machines at which requests began.
-	begun map[string]string
+	// begun are the machines at which requests began, and when.
+	begun map[string]beginning
 	// told are the moments at which a machine first passed on a limit of an instance.
-	told map[toldLimit]time.Time
+	told map[machineAndInstance]time.Time
 	// stated are the limits of each instance in the order of their times, and arrivals the
 	// requests that count.
 	stated   map[string][]statedLimit
 	arrivals map[string][]time.Time
 }
 
-// toldLimit names an instance, and a machine that has passed on its limit.
-type toldLimit struct{ machine, instance string }
+// beginning is where and when a request was sent by its caller.
+type beginning struct {
+	machine string
+	at      time.Time
+}
+
+// machineAndInstance names an instance, and a machine that has passed on what it states.
+type machineAndInstance struct{ machine, instance string }
 
 // statedLimit is what an instance states from a time on; NaN is nothing.
 type statedLimit struct {
@@ -48,21 +54,28 @@
 }
 
 func newLimits() *limits {
-	return &limits{begun: map[string]string{}, told: map[toldLimit]time.Time{}, stated: map[string][]statedLimit{}, arrivals: map[string][]time.Time{}}
+	return &limits{begun: map[string]beginning{}, told: map[machineAndInstance]time.Time{}, stated: map[string][]statedLimit{}, arrivals: map[string][]time.Time{}}
 }
 
 // begins notes the machine at which a request begins.
 func (l *limits) begins(id, machine string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.begun[id] = machine
+	l.begun[id] = beginning{machine, time.Now()}
+}
+
+// beginningOf returns where and when a request was sent.
+func (l *limits) beginningOf(id string) beginning {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.begun[id]
 }
 
 // passedOn notes that a machine has passed on an answer of an instance with a limit.
 func (l *limits) passedOn(machine, instance string, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	of := toldLimit{machine, instance}
+	of := machineAndInstance{machine, instance}
 	if _, ok := l.told[of]; !ok {
 		l.told[of] = now
 	}
@@ -90,7 +103,7 @@
 func (l *limits) arrives(instance, id string, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	told, ok := l.told[toldLimit{l.begun[id], instance}]
+	told, ok := l.told[machineAndInstance{l.begun[id].machine, instance}]
 	if ok && now.Sub(told) >= toldBefore {
 		l.arrivals[instance] = append(l.arrivals[instance], now)
 	}
@@ -172,4 +185,5 @@
 	if i.limit != "" {
 		header.Set(limitField, i.limit)
 	}
+	i.writeLeaving(header)
 }
--- a/lab/platformstandin/process.go
+++ b/lab/platformstandin/process.go
@@ -69,7 +69,7 @@
 
 // Thaw lets a frozen process go on.
 func (m *Machine) Thaw() {
-	m.fleet.Ledger.limits.forget(m.Name)
+	m.fleet.Ledger.excuse(m.Name)
 	_ = m.command.Process.Signal(syscall.SIGCONT)
 	m.fleet.Timeline.faultsEnd(m.Name, time.Now())
 }
