Move keys away from back ends whose rate limit is used up

Callers of a back end that states a limit were refused for its keys for as long as it stated it, while the other owners of the same service had room: the leader balances by the use of slots, and a back end that takes few requests uses few. Its gateway now reports how many slots the limit lets it use, and the leader takes that for its capacity.

TestBackEndWithARateLimitGivesKeysAway: 2.5 slots of load stayed at a back end that may use 1.0 on the code before; now it keeps less than 1.0, and takes keys back when the limit is lifted.

--- a/internal/fleetwire/messages.go
+++ b/internal/fleetwire/messages.go
@@ -115,6 +115,9 @@
 	RunMicros uint64
 	// Running and Waiting count the requests at the back end.
 	Running, Waiting int
+	// LimitedSlots is how many slots the rate limit that the back end states lets it use, zero if
+	// it states none.
+	LimitedSlots float64
 	// Version is that of the configuration in force.
 	Version routeconfig.Version
 	// Quarantine holds the events that the gateway has observed about requests during which
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -87,6 +87,13 @@
 	return statement
 }
 
+// limitedSlots returns how many slots the back end's limit lets it use on average, zero if it states
+// none.
+func (g *slotLimiter) limitedSlots() (slots float64) {
+	g.withQueue(func(queue *overload.SlotQueue, now time.Time) { slots = queue.LimitedSlots(now) })
+	return slots
+}
+
 // noRateLimit is the value of the rate limit's gauge if the back end states none.
 const noRateLimit = -1
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -321,6 +321,7 @@
 		report.EarlierOver = g.keys.earlierExpired(instance.ID, steady.Reading())
 		g.keyLoad.moveTo(report)
 		report.Running, report.Waiting = g.slots.counts()
+		report.LimitedSlots = g.slots.limitedSlots()
 	}
 	return report
 }
--- a/internal/keylease/instances.go
+++ b/internal/keylease/instances.go
@@ -22,6 +22,20 @@
 	boot uint64
 	// silent is set while its gateway has received nothing from it for some time.
 	silent bool
+	// limitedSlots is how many slots its rate limit lets it use, zero if it states none.
+	limitedSlots float64
+}
+
+// minCapacity bounds the capacity of a back end whose rate limit is near zero.
+const minCapacity = 0.05
+
+// capacity returns how many slots the back end can use.
+func (i *instance) capacity() float64 {
+	slots := float64(max(i.Slots, 1))
+	if i.limitedSlots <= 0 {
+		return slots
+	}
+	return max(min(slots, i.limitedSlots), minCapacity)
 }
 
 // Revision increases whenever the result of Instances changes.
--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -126,9 +126,9 @@
 func (p *Planner) equalize(used *usage, source, target *instance, now time.Duration) bool {
 	difference := used.utilization(source) - used.utilization(target)
 	ratio := used.runTimeRatio(target) / used.runTimeRatio(source)
-	wanted := difference / (1/float64(max(source.Slots, 1)) + ratio/float64(max(target.Slots, 1)))
+	wanted := difference / (1/source.capacity() + ratio/target.capacity())
 	// The demand on a full back end may be many times its slots.
-	wanted = min(wanted, maxMovedShare*float64(source.Slots))
+	wanted = min(wanted, maxMovedShare*source.capacity())
 	chosen := p.chooseParts(p.unmovedParts(used, source), source, wanted)
 	for _, part := range chosen {
 		p.startMove(used.service, part.from, part.keys, target.ID, now)
@@ -174,7 +174,7 @@
 	minWantedShare = 0.4
 	maxWantedShare = 1.25
 	// maxParts bounds the ranges moved by one decision, and maxMovedShare their load
-	// relative to the slots of the source.
+	// relative to the capacity of the source.
 	maxParts      = 16
 	maxMovedShare = 0.6
 )
--- a/internal/keylease/planner.go
+++ b/internal/keylease/planner.go
@@ -133,6 +133,7 @@
 	known.silent = report.Silent
 	known.load.add(report.Load, now)
 	known.runs.add(report.Runs, report.RunMicros, now)
+	known.limitedSlots = report.LimitedSlots
 	p.recordReleases(known, report.Released)
 	if report.EarlierOver {
 		p.releaseSuperseded(known)
--- a/internal/keylease/runtimes.go
+++ b/internal/keylease/runtimes.go
@@ -20,7 +20,7 @@
 	priorRuns = 10
 	// minRunTimeRatio and maxRunTimeRatio bound the estimate.
 	minRunTimeRatio, maxRunTimeRatio = 0.4, 3.0
-	// minHotShare is the share of a back end's slots that a single bucket must need to be
+	// minHotShare is the share of a back end's capacity that a single bucket must need to be
 	// moved to a faster back end on its own.
 	minHotShare = 0.5
 	// maxFasterRatio is the highest ratio of run times, target to source, for which a move
@@ -88,7 +88,7 @@
 			continue
 		}
 		hottest, ok := p.hottest(used, full)
-		if !ok || hottest.load < minHotShare*float64(full.Slots) {
+		if !ok || hottest.load < minHotShare*full.capacity() {
 			continue
 		}
 		faster := used.fastest(ready)
--- a/internal/keylease/usage.go
+++ b/internal/keylease/usage.go
@@ -82,11 +82,11 @@
 	u.slots[moving.to] += load * u.runTimeRatioOf(moving.to) / u.runTimeRatioOf(moving.from)
 }
 
-// utilization returns the share of an instance's slots that its own and incoming keys
+// utilization returns the share of an instance's capacity that its own and incoming keys
 // use.
 func (u *usage) utilization(target *instance) float64 {
 	u.compute()
-	return u.slots[target.ID] / float64(max(target.Slots, 1))
+	return u.slots[target.ID] / target.capacity()
 }
 
 // byLoad returns the targets sorted by utilization, the lowest first.
--- a/internal/overload/ratelimit.go
+++ b/internal/overload/ratelimit.go
@@ -27,6 +27,16 @@
 // StatedLimit returns the back end's statement in force.
 func (q *SlotQueue) StatedLimit() ratelimit.Statement { return q.limit.Statement() }
 
+// LimitedSlots returns how many slots the back end's limit lets it use on average, zero if it states
+// none.
+func (q *SlotQueue) LimitedSlots(now time.Time) float64 {
+	if !q.limit.Limited() {
+		return 0
+	}
+	load := q.Load(now)
+	return q.limit.Rate() * load.ServiceTime.Seconds()
+}
+
 // RefuseByLimit reports whether a request that gets no slot is refused because of the back end's
 // limit, and then counts the refusal and returns after how long the request should come back. A
 // request that can't come back in time takes no turn from others.
