Soak: back ends state limits that change, are malformed and are lifted

The soak draws limits from a stream of their own, so that the other strikes of a seed stay the same.

The check of the stand-in had a fault, which this showed: a limit that was lifted after a window excused the window. Statements are kept by life, since a back end may come back under its id.

--- a/lab/platformstandin/caller.go
+++ b/lab/platformstandin/caller.go
@@ -76,7 +76,7 @@
 // ask sends a request to the machine, and notes what its answer states of the back end.
 func (m *Machine) ask(client *http.Client, request *http.Request) (Answer, error) {
 	answer, err := ask(client, request)
-	instance, _, _ := strings.Cut(answer.Body, " ")
+	instance := answer.Header.Get(lifeField)
 	if answer.Header.Get(limitField) != "" {
 		m.fleet.Ledger.limits.passedOn(m.Name, instance, time.Now())
 	}
--- a/lab/platformstandin/leaving.go
+++ b/lab/platformstandin/leaving.go
@@ -1,6 +1,7 @@
 package platformstandin
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -69,11 +70,17 @@
 	}
 }
 
+// lifeField names the life of an instance that answers: its id may be that of earlier lives.
+const lifeField = "Stand-In-Life"
+
+// lifeName names one life of an instance.
+func (i *Instance) lifeName() string { return fmt.Sprintf("%s (life %d)", i.ID, i.life) }
+
 // checkArrival notes a request that reaches the instance, and what that breaks.
 func (i *Instance) checkArrival(id string) {
 	now := time.Now()
-	i.ledger.limits.arrives(i.ID, id, now)
-	if since, late := i.ledger.leavings.tooLate(i.ledger.limits.beginningOf(id), i.ID); late {
-		i.ledger.Broken("drain: %s got request %s, which was sent %v after its gateway had passed on that the instance leaves", i.ID, id, since.Round(time.Millisecond))
+	i.ledger.limits.arrives(i.lifeName(), id, now)
+	if since, late := i.ledger.leavings.tooLate(i.ledger.limits.beginningOf(id), i.lifeName()); late {
+		i.ledger.Broken("drain: %s got request %s, which was sent %v after its gateway had passed on that the instance leaves", i.lifeName(), id, since.Round(time.Millisecond))
 	}
 }
--- a/lab/platformstandin/limits.go
+++ b/lab/platformstandin/limits.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -141,6 +142,9 @@
 func (l *limits) highestLimit(instance string, from, until time.Time) (highest float64, applies bool) {
 	var since time.Time
 	for i, stated := range l.stated[instance] {
+		if !stated.from.Before(until) {
+			break
+		}
 		end := until
 		if i+1 < len(l.stated[instance]) {
 			end = l.stated[instance][i+1].from
@@ -149,7 +153,7 @@
 		if limited && since.IsZero() {
 			since = stated.from
 		}
-		if stated.from.Before(until) && end.After(from) {
+		if end.After(from) {
 			if !limited {
 				return 0, false
 			}
@@ -168,20 +172,21 @@
 	i.mutex.Lock()
 	i.limit = text
 	i.mutex.Unlock()
-	perSecond, err := strconv.ParseFloat(text, 64)
-	switch {
-	case text == "":
-		perSecond = math.NaN()
-	case err != nil || perSecond < 0:
-		return
+	perSecond := math.NaN()
+	if text != "" {
+		if strings.Trim(text, "0123456789.") != "" {
+			return // malformed
+		}
+		perSecond, _ = strconv.ParseFloat(text, 64)
 	}
-	i.ledger.limits.states(i.ID, perSecond, time.Now())
+	i.ledger.limits.states(i.lifeName(), perSecond, time.Now())
 }
 
 // writeStatements adds what the instance states to an answer.
 func (i *Instance) writeStatements(header http.Header) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	header.Set(lifeField, i.lifeName())
 	if i.limit != "" {
 		header.Set(limitField, i.limit)
 	}
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -229,6 +229,10 @@
 	if isDoor(strike.Kind) {
 		return f.strikeDoor(struck, strike)
 	}
+	if strike.Kind == BackendLimit {
+		f.limitBackend(struck.instance, strike)
+		return nil
+	}
 	switch strike.Kind {
 	case LateGrants:
 		random := rand.New(rand.NewPCG(uint64(strike.At), uint64(strike.Target)))
--- a/lab/platformstandin/soak/plan.go
+++ b/lab/platformstandin/soak/plan.go
@@ -82,9 +82,11 @@
 // draw is Draw with a mean pause between two strikes.
 func draw(seed uint64, duration, mean time.Duration, only []Kind) []Strike {
 	if len(only) == 0 {
-		only = append(append(slices.Clone(kinds), RollingStops), doorKinds...)
+		only = append(append(append(slices.Clone(kinds), RollingStops), doorKinds...), BackendLimit)
 	}
-	single := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return kind == RollingStops || isDoor(kind) })
+	single := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool {
+		return kind == RollingStops || kind == BackendLimit || isDoor(kind)
+	})
 	doors := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return !isDoor(kind) })
 	var strikes []Strike
 	if len(single) > 0 {
@@ -93,6 +95,9 @@
 	if len(doors) > 0 {
 		strikes = append(strikes, drawDoors(seed, duration, mean, doors)...)
 	}
+	if slices.Contains(only, BackendLimit) {
+		strikes = append(strikes, drawLimits(seed, duration)...)
+	}
 	if slices.Contains(only, RollingStops) {
 		first := firstSeries
 		if len(strikes) == 0 {
