Watch a connection of each back end life that may have ended

A request that ends each back end that begins it could take one back end more than it should: where a back end's listener closes last, its end is noticed by watching a connection, and only one connection was watched at a time. The watch of an earlier life may still be open, to its successor at the same address, when that one ends as well; its end was then counted only if the next life sent a heartbeat within two seconds.

TestCrashIsRecordedWhileAnotherIncarnationIsWatched waits for the record and timed out before (10 s). One connection of each incarnation is watched now, so that a watch can't keep another incarnation from being watched.

--- a/internal/gateway/runtracker.go
+++ b/internal/gateway/runtracker.go
@@ -4,7 +4,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/quarantine"
@@ -67,8 +66,8 @@
 	// lastListening is when such a check last succeeded.
 	probing       sync.Mutex
 	lastListening steady.Atomic
-	// watching is set while a connection is watched for a crash.
-	watching atomic.Bool
+	// watched has the incarnations of which a connection is watched for a crash.
+	watched map[string]bool
 }
 
 func (w *runTracker) begin(request *forwardRequest) {
@@ -86,6 +85,26 @@
 	delete(w.runs, request)
 }
 
+// beginWatch reports whether a connection of an incarnation is to be watched: one at a time is.
+func (w *runTracker) beginWatch(incarnation string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.watched[incarnation] {
+		return false
+	}
+	if w.watched == nil {
+		w.watched = map[string]bool{}
+	}
+	w.watched[incarnation] = true
+	return true
+}
+
+func (w *runTracker) endWatch(incarnation string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.watched, incarnation)
+}
+
 // connectionBroke records that the connection of a run closed before its response was
 // complete.
 func (w *runTracker) connectionBroke(request *forwardRequest, now steady.Instant) {
@@ -195,15 +214,16 @@
 }
 
 // watchForCrash records a crash of the back end if a connection to it breaks and others are then
-// refused, as long as runs whose connections broke before still count. One connection is watched
-// at a time.
+// refused, as long as runs whose connections broke before still count. One connection of an
+// incarnation is watched at a time; one of an earlier incarnation may still be open, to its
+// successor.
 func (g *Gateway) watchForCrash(conn net.Conn, ended <-chan struct{}, incarnation string) {
-	if !g.runs.watching.CompareAndSwap(false, true) {
+	if !g.runs.beginWatch(incarnation) {
 		_ = conn.Close()
 		return
 	}
 	go func() {
-		defer g.runs.watching.Store(false)
+		defer g.runs.endWatch(incarnation)
 		defer conn.Close()
 		if staysOpen(ended, brokenRunWindow-crashSettleTime) {
 			return
--- a/internal/gateway/runtracker_test.go
+++ b/internal/gateway/runtracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -107,6 +108,29 @@
 	})
 }
 
+// A back end that ends while a connection of an earlier incarnation is still being watched, as that
+// one's successor listened at once, has crashed as well.
+func TestCrashIsRecordedWhileAnotherIncarnationIsWatched(t *testing.T) {
+	backend := startCrashableBackend(t)
+	e := startEgress(t, backend.Listener.Addr().String())
+	g := e.gateway
+	earlier, other := net.Pipe() // stays open
+	defer other.Close()
+	g.watchForCrash(earlier, endOf(earlier), "earlier")
+
+	results := serveAll(t.Context(), e, "/a")
+	<-backend.started
+	backend.CloseClientConnections()
+	assert.Equal(t, (<-results).Reason, reasonInterrupted, "the listener is still open")
+	backend.crash()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if inProgress, crashed := g.runs.crashed("i"); !crashed || inProgress != 1 {
+			return poll.Continue("crashed: %v, in progress: %d", crashed, inProgress)
+		}
+		return poll.Success()
+	})
+}
+
 // A closed connection, a caller that leaves and an expired deadline do not count as a crash.
 func TestBrokenConnectionIsNotACrash(t *testing.T) {
 	backend := startCrashableBackend(t)
