Give no keys back to a back end while its rate limit is in force and others have room

A back end that may use two slots because of its limit looks free whenever few requests happen to run, got keys, and gave them away again a moment later; callers wait while a key changes hands.

A back end with a limit takes keys only from one that is full. TestBackEndWithARateLimitGivesKeysAway, with a load that swings by its own mean, failed before.

--- a/internal/keylease/load.go
+++ b/internal/keylease/load.go
@@ -110,6 +110,9 @@
 			continue
 		}
 		low, high := used.utilization(target), used.utilization(source)
+		if target.limitedSlots > 0 && high < 1 {
+			continue // its small capacity looks free between two requests
+		}
 		if (high < busyUtilization || high-low < minImbalance) && !used.needsFirstKeys(target, now) {
 			return
 		}
--- a/internal/keylease/ratelimit_test.go
+++ b/internal/keylease/ratelimit_test.go
@@ -1,6 +1,7 @@
 package keylease_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -33,17 +34,19 @@
 		}
 		return sum
 	}
+	noise := 1.0
 	reportAll := func(limited bool) {
 		for node := range nodes {
 			reported := instance(node, 0)
 			report := &fleetwire.Report{Boot: 1, Instance: reported, Runs: 4, RunMicros: uint64(4 * runTime.Microseconds())}
+			swing := 1.0
 			if limited && node == limitedNode {
-				report.LimitedSlots = limitedSlots
+				report.LimitedSlots, swing = limitedSlots, noise
 			}
 			for _, owned := range l.state.Owners(service).OwnedBy(reported.ID) {
 				for key, slots := range load {
 					if owned.First <= key && key <= owned.Last {
-						report.Load = append(report.Load, fleetwire.KeyLoad{Bucket: keylease.BucketOf(key), BusyMicros: uint64(slots * float64(interval.Microseconds()))})
+						report.Load = append(report.Load, fleetwire.KeyLoad{Bucket: keylease.BucketOf(key), BusyMicros: uint64(swing * slots * float64(interval.Microseconds()))})
 					}
 				}
 			}
@@ -62,6 +65,16 @@
 	}
 	assert.Assert(t, slotsOf("i-0-0") <= limitedSlots, "%.1f slots of a limit of %.1f", slotsOf("i-0-0"), limitedSlots)
 	assert.Assert(t, slotsOf("i-0-0") > 0, "the room is used")
+	// Its load swings by more than its small capacity, and the others have room.
+	random := rand.New(rand.NewPCG(1, 2))
+	before := slotsOf("i-0-0")
+	for range 300 {
+		noise = 2 * random.Float64()
+		reportAll(true)
+		assert.Assert(t, slotsOf("i-0-0") <= before, "keys come back while the limit is in force")
+		before = slotsOf("i-0-0")
+	}
+	noise = 1
 	for range 60 {
 		reportAll(false)
 	}
