Refuse a request for what is short, slots or the rate limit

A back end that states a limit near what its slots serve, and whose slots are all in use, refused with the reason of the rate limit and the short time until the rate has room. Callers came back to full slots. The refusal names the limit only where it is the longer wait.

--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -43,11 +43,11 @@
 type statements struct {
 	names      *HeaderNames
 	mutex      sync.Mutex
-	byInstance map[string]*statement
+	byInstance map[string]*instanceStatements
 }
 
-// statement is what one instance stated.
-type statement struct {
+// instanceStatements is what one instance stated.
+type instanceStatements struct {
 	limit ratelimit.Tracker
 	// leavingSince is when it first stated that it is about to stop; zero if it has not.
 	leavingSince time.Time
@@ -56,7 +56,7 @@
 }
 
 func newStatements(names *HeaderNames) *statements {
-	return &statements{names: names, byInstance: map[string]*statement{}}
+	return &statements{names: names, byInstance: map[string]*instanceStatements{}}
 }
 
 // observe records what the result of an attempt that began at sentAt states about the instance. A
@@ -76,7 +76,7 @@
 	now := steady.Reading()
 	if entry == nil {
 		s.forgetSilent(now)
-		entry = &statement{}
+		entry = &instanceStatements{}
 		s.byInstance[instance] = entry
 	}
 	entry.heardAt = now
--- a/internal/overload/ratelimit.go
+++ b/internal/overload/ratelimit.go
@@ -42,7 +42,7 @@
 // request that can't come back in time takes no turn from others.
 func (q *SlotQueue) RefuseByLimit(wanted Demand, now time.Time) (retryAfter time.Duration, limited bool) {
 	wait := q.limit.WaitBehind(q.inTimeWaiting(), now)
-	if wait == 0 {
+	if wait == 0 || wait <= q.slotWait(wanted) {
 		return 0, false
 	}
 	rate := q.limit.Rate()
@@ -53,6 +53,15 @@
 	return retryAfter, true
 }
 
+// slotWait returns how long a request that arrived now would wait for a slot, zero if one is free.
+func (q *SlotQueue) slotWait(wanted Demand) time.Duration {
+	if q.short.running+q.long.running < q.capacity {
+		return 0
+	}
+	use := q.use(wanted.Target <= q.shortMaxTarget())
+	return time.Duration(float64(use.serviceTime) * float64(q.inTimeWaiting()+1) / float64(q.capacity))
+}
+
 // maxRate returns how many requests a second the back end can serve, because it is cold or states
 // a limit; zero is unlimited.
 func (q *SlotQueue) maxRate(now time.Time) float64 {
