Count a drain from statements that came before the back end's heartbeat

A back end that was restarted under its id may respond before its first heartbeat is accepted, and its responses count as its former life's. If they state that it leaves, the gateway beside it took the time anew from the accepted heartbeat, so that requests could reach it for longer than the drain time. If that heartbeat says that it drains, the time counts from the first statement now. TestDrainTimeCountsFromStatementsBeforeTheHeartbeat fails without the change.

The tests of leaving back ends, in which requests run, are as they were.

--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -10,7 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
+	"github.com/quartzdock/quartzdock/internal/incarnation"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
 // A back end states in its responses that it leaves, and no heartbeat says so. The gateway beside
@@ -59,3 +61,23 @@
 	}
 	assert.Assert(t, !isLeaving(&HeaderNames{}, http.Header{"": {"1"}}), "a deployment without the field")
 }
+
+// A back end that was restarted under its id states that it leaves before its heartbeat is accepted,
+// so that this counted as its former life's statement.
+func TestDrainTimeCountsFromStatementsBeforeTheHeartbeat(t *testing.T) {
+	const drain = 2 * time.Second
+	now := steady.Reading()
+	lifeOf := func(born int64) string { return incarnation.Incarnation{ID: "i", Born: born}.Name() }
+	for _, state := range []fleetwire.InstanceState{fleetwire.InstanceDraining, fleetwire.InstanceReady} {
+		r := newRegistry(func() {})
+		r.heartbeat(Registration{ID: lifeOf(1), Service: "s", Slots: 1, State: fleetwire.InstanceReady, Sequence: 1}, drain, now)
+		assert.Assert(t, r.markLeaving(lifeOf(1), drain, now))
+		registration := Registration{ID: lifeOf(2), Service: "s", Slots: 1, State: state, Sequence: 1}
+		for later := now.Add(drain / 2); r.snapshot().ID != lifeOf(2); later = later.Add(drain / 4) {
+			r.heartbeat(registration, drain, later)
+			registration.Sequence++
+		}
+		refused := !r.admits(lifeOf(2), now.Add(drain))
+		assert.Equal(t, refused, state == fleetwire.InstanceDraining)
+	}
+}
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -175,8 +175,13 @@
 	if r.current.ID != "" {
 		r.formerIncarnations[r.current.ID] = true
 	}
+	// A life under the same id may have responded before its heartbeat was accepted, and its
+	// responses counted as the former one's. If it drains, its time counts from there.
+	sameID := incarnation.IDOf(registration.ID) == incarnation.IDOf(r.current.ID)
+	if !sameID || registration.State != fleetwire.InstanceDraining {
+		r.refusesFrom = time.Time{}
+	}
 	r.deregistered, r.leaving, r.candidate = false, false, candidate{}
-	r.refusesFrom = time.Time{}
 	address, node, zone := r.current.Address, r.current.Node, r.current.Zone
 	r.current = fleetwire.Instance{
 		ID: registration.ID, Service: registration.Service, Node: node, Address: address, Zone: zone, Slots: registration.Slots, Cold: registration.WarmUpLeft > 0,
