--- a/lab/platformstandin/leaving.go
+++ b/lab/platformstandin/leaving.go
@@ -18,31 +18,23 @@
 // requests from machines that passed such an answer on.
 type leavings struct {
 	mutex sync.Mutex
-	// told are the moments at which a machine first passed on that an instance leaves.
-	told map[machineAndInstance]time.Time
+	told  toldMachines
 }
 
-func newLeavings() *leavings { return &leavings{told: map[machineAndInstance]time.Time{}} }
+func newLeavings() *leavings { return &leavings{told: toldMachines{}} }
 
 // passedOn notes that a machine has passed on that an instance leaves.
 func (l *leavings) passedOn(machine, instance string, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	of := machineAndInstance{machine, instance}
-	if _, ok := l.told[of]; !ok {
-		l.told[of] = now
-	}
+	l.told.note(machine, instance, now)
 }
 
 // forget excuses a machine that has been restarted or frozen.
 func (l *leavings) forget(machine string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for of := range l.told {
-		if of.machine == machine {
-			delete(l.told, of)
-		}
-	}
+	l.told.forget(machine)
 }
 
 // tooLate reports whether a request that began at a machine must not reach an instance any more,
--- a/lab/platformstandin/limits.go
+++ b/lab/platformstandin/limits.go
@@ -31,8 +31,8 @@
 	mutex sync.Mutex
 	// begun are the machines at which requests began, and when.
 	begun map[string]beginning
-	// told are the moments at which a machine first passed on a limit of an instance.
-	told map[machineAndInstance]time.Time
+	// told are the machines that have passed on a limit of an instance.
+	told toldMachines
 	// stated are the limits of each instance in the order of their times, and arrivals the
 	// requests that count.
 	stated   map[string][]statedLimit
@@ -48,6 +48,26 @@
 // machineAndInstance names an instance, and a machine that has passed on what it states.
 type machineAndInstance struct{ machine, instance string }
 
+// toldMachines are the moments at which machines first passed on a statement of an instance.
+type toldMachines map[machineAndInstance]time.Time
+
+// note records that a machine has passed on a statement of an instance.
+func (t toldMachines) note(machine, instance string, now time.Time) {
+	of := machineAndInstance{machine, instance}
+	if _, ok := t[of]; !ok {
+		t[of] = now
+	}
+}
+
+// forget drops what a machine has passed on.
+func (t toldMachines) forget(machine string) {
+	for of := range t {
+		if of.machine == machine {
+			delete(t, of)
+		}
+	}
+}
+
 // statedLimit is what an instance states from a time on; NaN is nothing.
 type statedLimit struct {
 	perSecond float64
@@ -55,7 +75,7 @@
 }
 
 func newLimits() *limits {
-	return &limits{begun: map[string]beginning{}, told: map[machineAndInstance]time.Time{}, stated: map[string][]statedLimit{}, arrivals: map[string][]time.Time{}}
+	return &limits{begun: map[string]beginning{}, told: toldMachines{}, stated: map[string][]statedLimit{}, arrivals: map[string][]time.Time{}}
 }
 
 // begins notes the machine at which a request begins.
@@ -76,21 +96,14 @@
 func (l *limits) passedOn(machine, instance string, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	of := machineAndInstance{machine, instance}
-	if _, ok := l.told[of]; !ok {
-		l.told[of] = now
-	}
+	l.told.note(machine, instance, now)
 }
 
 // forget excuses a machine that has been restarted, frozen or cut off.
 func (l *limits) forget(machine string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for of := range l.told {
-		if of.machine == machine {
-			delete(l.told, of)
-		}
-	}
+	l.told.forget(machine)
 }
 
 // states notes what an instance states from now on; NaN is nothing.
