--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -90,7 +90,7 @@
 // limitedSlots returns how many slots the back end's limit lets it use on average, zero if it states
 // none.
 func (g *slotLimiter) limitedSlots() (slots float64) {
-	g.withQueue(func(queue *overload.SlotQueue, now time.Time) { slots = queue.LimitedSlots(now) })
+	g.withQueue(func(queue *overload.SlotQueue, _ time.Time) { slots = queue.LimitedSlots() })
 	return slots
 }
 
--- a/internal/overload/ratelimit.go
+++ b/internal/overload/ratelimit.go
@@ -29,12 +29,11 @@
 
 // LimitedSlots returns how many slots the back end's limit lets it use on average, zero if it states
 // none.
-func (q *SlotQueue) LimitedSlots(now time.Time) float64 {
+func (q *SlotQueue) LimitedSlots() float64 {
 	if !q.limit.Limited() {
 		return 0
 	}
-	load := q.Load(now)
-	return q.limit.Rate() * load.ServiceTime.Seconds()
+	return q.limit.Rate() * q.long.serviceTime.Seconds()
 }
 
 // RefuseByLimit reports whether a request that gets no slot is refused because of the back end's
