Log deregistrations and what the leader knows of the back end at a start

Nothing in the logs told whether a deregistration that was acknowledged had come before or after the end of the session, or what the leader told the next process.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,7 +196,11 @@
 
 // Deregister records that a back end is leaving. id names its incarnation.
 func (g *Gateway) Deregister(id string) {
-	g.registry.deregister(id, g.drainGrace(), steady.Reading())
+	now := steady.Reading()
+	current := g.registry.snapshot()
+	g.config.Log.Info("back end deregisters", "instance", id, "current", current.ID, "state", int(current.State),
+		"stopping", g.admission.Stopping(), "session_silence_ms", g.session.leaderSilence(now).Milliseconds(), "leader_responded", g.session.receivedResponse())
+	g.registry.deregister(id, g.drainGrace(), now)
 }
 
 // drainGrace returns how long a leaving back end gets requests from here. It is a part of
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -219,6 +219,7 @@
 func (s *sessionClient) take(message *fleetwire.FromController) error {
 	g := s.gateway
 	if message.Known != nil {
+		g.config.Log.Info("leader knows the back end", "instance", message.Known.ID, "state", int(message.Known.State), "sequence", message.Known.Sequence)
 		g.registry.restore(*message.Known, g.config.DrainWithin, steady.Reading())
 	}
 	if message.View != nil {
