Give the seat of an absent controller to its successor

Seen: four of five core machines are replaced in turn by empty ones at new addresses.

Cause: a successor at a new address got a further seat, and a member that was gone was removed only after 10 s of silence while all other voters were heard. Two losses within 10 s kept both for ever; each replacement added a voter that was gone until these were half.

Change: internal/seats (pure) decides. A controller that joins takes the seat of the voter that has been silent for longest, gets a further one if all were just heard, and waits otherwise. A member that is gone loses its seat also while another is away. Silence counts only while the leader itself runs.

--- a/internal/fleetcontroller/config.go
+++ b/internal/fleetcontroller/config.go
@@ -56,7 +56,7 @@
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration
 	TickInterval      time.Duration
-	// DeadAfter is how long a member must be silent to be removed, if all others respond.
+	// DeadAfter is how long a member must be silent to lose its seat although no successor has come.
 	DeadAfter time.Duration
 
 	Planner keylease.Config
--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -16,6 +16,7 @@
 	"github.com/quartzdock/quartzdock/internal/leadership"
 	"github.com/quartzdock/quartzdock/internal/replica"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/seats"
 	"github.com/quartzdock/quartzdock/internal/transport"
 )
 
@@ -53,9 +54,11 @@
 	newestSessions map[string]uint64
 	leadership     leadership.Leadership
 	// planner, inForce and quotas are nil unless this controller leads.
-	planner         *keylease.Planner
-	inForce         *configlease.Grantor
-	quotas          *quotaState
+	planner *keylease.Planner
+	inForce *configlease.Grantor
+	quotas  *quotaState
+	// silence counts how long each member has not been heard; nil unless this controller leads.
+	silence         *seats.Silence
 	pendingAcks     []pendingAck
 	nextMemberCheck time.Duration
 	published       publishedState
--- a/internal/fleetcontroller/join.go
+++ b/internal/fleetcontroller/join.go
@@ -127,8 +127,8 @@
 	c.config.OnRemoved()
 }
 
-// admit makes a controller a voter; it runs at the leader. The controller sends its Join again
-// until it is one.
+// admit makes a controller a learner and, once there is a seat for it, a voter; it runs at the
+// leader. The controller sends its Join again until it is a voter.
 func (c *Controller) admit(ctx context.Context, join *fleetwire.Join) *fleetwire.Admission {
 	select {
 	case c.membershipLock <- struct{}{}:
@@ -159,8 +159,7 @@
 		}
 		member = added.Member
 	}
-	_, err := c.replica.ChangeMembership(ctx, consensus.Change{Kind: consensus.Promote, Member: member})
-	c.config.Log.Info("member admitted", "id", uint64(member.ID), "address", join.PeerAddress, "error", err)
+	c.giveSeat(ctx, member)
 	return &fleetwire.Admission{}
 }
 
--- a/internal/fleetcontroller/members.go
+++ b/internal/fleetcontroller/members.go
@@ -2,43 +2,30 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/seats"
+	"github.com/quartzdock/quartzdock/internal/topology"
 )
 
 const (
 	// memberCheckInterval is how often the leader checks for dead members.
 	memberCheckInterval = time.Second
-	// aliveTimeout is how recently a message of a member must have arrived for it to count as
-	// alive.
-	aliveTimeout = time.Second
-	// minVoters is the minimum number of voters that must remain, and be alive, after a
-	// removal.
-	minVoters = 3
+	// seatCheckInterval is how often the leader checks whether there is a seat for a learner.
+	seatCheckInterval = 50 * time.Millisecond
 )
 
-// removeDeadMember removes one member that has been silent for DeadAfter, if all others are
-// alive, so that the group still has a quorum after the loss of another member.
-func (c *Controller) removeDeadMember(status consensus.Status, now time.Duration) {
-	var dead consensus.Member
-	alive := 1
-	for _, peer := range status.Peers {
-		lastMessageAt := max(peer.HeardAt, c.control.planner.Began())
-		member, ok := status.Membership.Find(peer.ID)
-		switch {
-		case now < lastMessageAt+aliveTimeout:
-			if ok && !member.Learner {
-				alive++
-			}
-		case now > lastMessageAt+c.config.DeadAfter && ok:
-			dead = member
-		}
-	}
-	if dead.ID == 0 || alive < minVoters || alive < status.Membership.Voters()-1 {
-		return
+// errNotLeading means that this controller stopped leading before it could decide.
+var errNotLeading = errors.New("this controller no longer leads")
+
+// removeDeadMember removes one member that has been silent for DeadAfter.
+func (c *Controller) removeDeadMember(status *consensus.Status) {
+	dead, ok := status.Membership.Find(seats.Remove(c.control.silence.Members(status), c.config.DeadAfter))
+	if ok {
+		go c.removeMember(dead)
 	}
-	go c.removeMember(dead)
 }
 
 func (c *Controller) removeMember(dead consensus.Member) {
@@ -53,3 +40,63 @@
 	_, err := c.replica.ChangeMembership(ctx, consensus.Change{Kind: consensus.Remove, Member: dead})
 	c.config.Log.Info("removal of a silent member ended", "id", uint64(dead.ID), "address", dead.Address, "error", err)
 }
+
+// decideAdmission decides whether a learner gets a seat, and whose.
+func (c *Controller) decideAdmission(ctx context.Context, joining topology.ReplicaID) (seats.Admission, error) {
+	decided := make(chan *seats.Admission, 1)
+	c.replica.Post(func() {
+		if c.control.silence == nil {
+			decided <- nil
+			return
+		}
+		status := c.replica.Status()
+		admission := seats.Admit(c.control.silence.Members(&status), joining)
+		decided <- &admission
+	})
+	select {
+	case admission := <-decided:
+		if admission == nil {
+			return seats.Admission{}, errNotLeading
+		}
+		return *admission, nil
+	case <-ctx.Done():
+		return seats.Admission{}, ctx.Err()
+	}
+}
+
+// awaitSeat waits until there is a seat for a learner, and returns the decision.
+func (c *Controller) awaitSeat(ctx context.Context, learner topology.ReplicaID) (seats.Admission, error) {
+	ticks := time.NewTicker(seatCheckInterval)
+	defer ticks.Stop()
+	for {
+		admission, err := c.decideAdmission(ctx, learner)
+		if err != nil || admission.Action != seats.Wait {
+			return admission, err
+		}
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			return seats.Admission{}, ctx.Err()
+		}
+	}
+}
+
+// giveSeat makes a learner a voter once there is a seat for it.
+func (c *Controller) giveSeat(ctx context.Context, learner consensus.Member) {
+	admission, err := c.awaitSeat(ctx, learner.ID)
+	if err != nil {
+		c.config.Log.Info("member has no seat yet", "id", uint64(learner.ID), "address", learner.Address, "error", err)
+		return
+	}
+	if admission.Action == seats.Replace {
+		// The removal comes first: it doesn't depend on the learner's disk.
+		replaced := consensus.Member{ID: admission.Replaced}
+		_, err = c.replica.ChangeMembership(ctx, consensus.Change{Kind: consensus.Remove, Member: replaced})
+		c.config.Log.Info("voter replaced", "id", uint64(admission.Replaced), "by", uint64(learner.ID), "error", err)
+		if err != nil {
+			return
+		}
+	}
+	_, err = c.replica.ChangeMembership(ctx, consensus.Change{Kind: consensus.Promote, Member: learner})
+	c.config.Log.Info("member admitted", "id", uint64(learner.ID), "address", learner.Address, "error", err)
+}
--- /dev/null
+++ b/internal/seats/seats.go
@@ -0,0 +1,126 @@
+// Package seats decides which controllers vote in a group whose machines come, go and are
+// replaced. It is pure.
+//
+// # Rules
+//
+// A controller that joins is a learner first. Once it has caught up, it takes the seat of the voter
+// that has been silent for longest, if one has been for ReplaceAfter; if all voters are present, it
+// gets a further seat; otherwise it waits until one or the other holds. A voter that has been silent
+// for RemoveAfter loses its seat also if no successor has come.
+//
+// # Why no change costs a majority
+//
+// Let the group have s voters of which a are present, at a leader that hears a quorum: a >= s/2+1.
+// Removing an absent voter leaves a present voters of s-1, whose quorum is at most that of s: as many
+// further losses are borne as before, or one more. Giving a seat to a learner that has caught up
+// then leaves a+1 of s. Each change adds or removes one voter, so that quorums before and after it
+// share a member (Ongaro 2014, section 4.1), and the removal commits by a quorum of the rest, which
+// therefore holds everything that was committed before. A voter that was only cut off loses its
+// seat at no cost but its own rejoining.
+//
+// Silence is counted only while the leader itself runs and hears a quorum (Silence), so that a
+// leader that was suspended takes nobody for silent.
+package seats
+
+import (
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+const (
+	// ReplaceAfter is how long a voter must be silent for a joining controller to take its seat.
+	ReplaceAfter = 1500 * time.Millisecond
+	// PresentWithin is how recently a voter must have been heard to count as present.
+	PresentWithin = 400 * time.Millisecond
+	// minPresentVoters is how many voters must be present to remove one without a successor.
+	minPresentVoters = 3
+)
+
+// Member is a member of the group as its leader sees it, the leader included.
+type Member struct {
+	ID    topology.ReplicaID
+	Voter bool
+	// Silence is how long the member has not been heard; zero for the leader.
+	Silence time.Duration
+	// CaughtUp is set for a member that durably holds all committed entries.
+	CaughtUp bool
+}
+
+// present reports whether a member was heard recently.
+func (m *Member) present() bool { return m.Silence < PresentWithin }
+
+// Action is what a leader does about a joining controller.
+type Action uint8
+
+// Actions.
+const (
+	// Wait leaves the joining controller a learner for now.
+	Wait Action = iota
+	// Promote makes it a voter in addition to the others.
+	Promote
+	// Replace removes a voter and then makes the joining controller one.
+	Replace
+)
+
+// Admission is the decision about a joining controller.
+type Admission struct {
+	Action Action
+	// Replaced is the voter that loses its seat; set only with Replace.
+	Replaced topology.ReplicaID
+}
+
+// Admit decides about a learner that asks for a seat.
+func Admit(members []Member, joining topology.ReplicaID) Admission {
+	if !caughtUp(members, joining) {
+		return Admission{Action: Wait}
+	}
+	if silent, ok := longestSilent(members, isVoter); ok && silent.Silence >= ReplaceAfter {
+		return Admission{Action: Replace, Replaced: silent.ID}
+	}
+	for i := range members {
+		if members[i].Voter && !members[i].present() {
+			return Admission{Action: Wait}
+		}
+	}
+	return Admission{Action: Promote}
+}
+
+// Remove returns a member that is to be removed although no successor has come: the one that has
+// been silent for longest, if for removeAfter. It returns zero if there is none, or if too few voters
+// are present.
+func Remove(members []Member, removeAfter time.Duration) topology.ReplicaID {
+	present := 0
+	for i := range members {
+		if members[i].Voter && members[i].present() {
+			present++
+		}
+	}
+	silent, ok := longestSilent(members, func(*Member) bool { return true })
+	if !ok || silent.Silence < removeAfter || present < minPresentVoters {
+		return 0
+	}
+	return silent.ID
+}
+
+func isVoter(member *Member) bool { return member.Voter }
+
+// longestSilent returns the member that has been silent for longest among those that satisfy a
+// condition.
+func longestSilent(members []Member, condition func(*Member) bool) (longest Member, ok bool) {
+	for i := range members {
+		if condition(&members[i]) && (!ok || members[i].Silence > longest.Silence) {
+			longest, ok = members[i], true
+		}
+	}
+	return longest, ok
+}
+
+func caughtUp(members []Member, id topology.ReplicaID) bool {
+	for i := range members {
+		if members[i].ID == id {
+			return members[i].CaughtUp
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/seats/seats_test.go
@@ -0,0 +1,289 @@
+package seats_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/quartzdock/quartzdock/internal/consensus"
+	_ "github.com/quartzdock/quartzdock/internal/rapidseed"
+	"github.com/quartzdock/quartzdock/internal/seats"
+	"github.com/quartzdock/quartzdock/internal/topology"
+)
+
+const removeAfter = 10 * time.Second
+
+func voter(id topology.ReplicaID, silence time.Duration) seats.Member {
+	return seats.Member{ID: id, Voter: true, Silence: silence, CaughtUp: silence == 0}
+}
+
+func learner(id topology.ReplicaID, caughtUp bool) seats.Member {
+	return seats.Member{ID: id, CaughtUp: caughtUp}
+}
+
+func TestAdmission(t *testing.T) {
+	const absent = seats.ReplaceAfter + time.Second
+	for name, test := range map[string]struct {
+		members []seats.Member
+		want    seats.Admission
+	}{
+		"all voters are present":             {[]seats.Member{voter(1, 0), voter(2, 0), voter(3, 0), learner(4, true)}, seats.Admission{Action: seats.Promote}},
+		"it has not caught up":               {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), learner(4, false)}, seats.Admission{Action: seats.Wait}},
+		"a voter is absent":                  {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), learner(4, true)}, seats.Admission{Action: seats.Replace, Replaced: 2}},
+		"the longest absent one is replaced": {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), voter(4, absent+1), voter(5, 0), learner(6, true)}, seats.Admission{Action: seats.Replace, Replaced: 4}},
+		"it is not clear yet":                {[]seats.Member{voter(1, 0), voter(2, seats.PresentWithin), voter(3, 0), learner(4, true)}, seats.Admission{Action: seats.Wait}},
+		"an absent learner has no seat":      {[]seats.Member{voter(1, 0), voter(2, 0), {ID: 3, Silence: absent}, learner(4, true)}, seats.Admission{Action: seats.Promote}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, seats.Admit(test.members, test.members[len(test.members)-1].ID), test.want)
+		})
+	}
+}
+
+// A member that is gone for good loses its seat also if another one is absent.
+func TestRemovalWithoutSuccessor(t *testing.T) {
+	members := []seats.Member{voter(1, 0), voter(2, removeAfter+1), voter(3, 0), voter(4, removeAfter), voter(5, 0)}
+	assert.Equal(t, seats.Remove(members, removeAfter), topology.ReplicaID(2))
+	assert.Equal(t, seats.Remove(members[:4], removeAfter), topology.ReplicaID(0), "two voters are present")
+	members[1].Silence, members[3].Silence = removeAfter-1, time.Second
+	assert.Equal(t, seats.Remove(members, removeAfter), topology.ReplicaID(0))
+}
+
+// A leader that was suspended takes nobody for silent, however long it was.
+func TestSuspendedLeaderTakesNobodyForSilent(t *testing.T) {
+	status := &consensus.Status{ID: 1, Membership: consensus.NewMembership(consensus.Member{ID: 1}, consensus.Member{ID: 2}), Peers: []consensus.PeerStatus{{ID: 2}}}
+	silence := seats.NewSilence(0)
+	for now := time.Duration(0); now < time.Second; now += 25 * time.Millisecond {
+		status.Peers[0].HeardAt = now
+		silence.Observe(status, now)
+	}
+	silence.Observe(status, time.Hour)
+	assert.Assert(t, silence.Members(status)[1].Silence < seats.PresentWithin)
+	for now := time.Hour; now < time.Hour+seats.ReplaceAfter; now += 25 * time.Millisecond {
+		silence.Observe(status, now)
+	}
+	assert.Assert(t, silence.Members(status)[1].Silence >= seats.ReplaceAfter-25*time.Millisecond)
+}
+
+// machine is a controller's machine of a simulated group.
+type machine struct {
+	id topology.ReplicaID
+	// gone is set for good; absentUntil ends a freeze or a cut.
+	gone        bool
+	absentUntil time.Duration
+	heardAt     time.Duration
+}
+
+// simulation plays a group of controllers against the rules: which machines are present decides
+// whether there is a leader and whether a change of the membership commits.
+type simulation struct {
+	t        *rapid.T
+	now      time.Duration
+	voters   map[topology.ReplicaID]bool
+	machines map[topology.ReplicaID]*machine
+	// joining are the successors that are no voters yet, by when they started.
+	joining map[topology.ReplicaID]time.Duration
+	lastID  topology.ReplicaID
+	// quorumLost is set once no quorum was present.
+	quorumLost bool
+	// admit decides about a joining controller.
+	admit func([]seats.Member, topology.ReplicaID) seats.Admission
+	// remove decides about members without a successor.
+	remove func([]seats.Member) topology.ReplicaID
+}
+
+func newSimulation(t *rapid.T, count int) *simulation {
+	s := &simulation{
+		t: t, voters: map[topology.ReplicaID]bool{}, machines: map[topology.ReplicaID]*machine{}, joining: map[topology.ReplicaID]time.Duration{},
+		admit:  seats.Admit,
+		remove: func(members []seats.Member) topology.ReplicaID { return seats.Remove(members, removeAfter) },
+	}
+	for range count {
+		s.voters[s.start()] = true
+	}
+	return s
+}
+
+func (s *simulation) start() topology.ReplicaID {
+	s.lastID++
+	s.machines[s.lastID] = &machine{id: s.lastID, heardAt: s.now}
+	return s.lastID
+}
+
+func (s *simulation) present(id topology.ReplicaID) bool {
+	m := s.machines[id]
+	return m != nil && !m.gone && s.now >= m.absentUntil
+}
+
+// hasQuorum reports whether a quorum of the voters is present.
+func (s *simulation) hasQuorum() bool {
+	present := 0
+	for id := range s.voters {
+		if s.present(id) {
+			present++
+		}
+	}
+	return present >= len(s.voters)/2+1
+}
+
+// members returns the group as its leader sees it.
+func (s *simulation) members() []seats.Member {
+	var members []seats.Member
+	for id := topology.ReplicaID(1); id <= s.lastID; id++ {
+		_, joins := s.joining[id]
+		if s.voters[id] || joins {
+			members = append(members, seats.Member{ID: id, Voter: s.voters[id], Silence: s.now - s.machines[id].heardAt, CaughtUp: s.present(id)})
+		}
+	}
+	return members
+}
+
+// run plays a time in steps, as the leader's ticks do.
+func (s *simulation) run(length time.Duration) {
+	const step = 100 * time.Millisecond
+	for end := s.now + length; s.now < end; s.now += step {
+		for id, m := range s.machines {
+			if s.present(id) {
+				m.heardAt = s.now
+			}
+		}
+		if !s.hasQuorum() {
+			s.quorumLost = true
+			continue
+		}
+		s.giveSeats()
+		if dead := s.remove(s.members()); dead != 0 {
+			delete(s.voters, dead)
+			delete(s.joining, dead)
+		}
+	}
+}
+
+// giveSeats admits joining controllers. Members that lost their seat join anew.
+func (s *simulation) giveSeats() {
+	const catchUp = 500 * time.Millisecond
+	for id := topology.ReplicaID(1); id <= s.lastID; id++ {
+		_, joins := s.joining[id]
+		if !joins && !s.voters[id] && s.present(id) {
+			s.joining[id] = s.now
+		}
+		if started, joins := s.joining[id]; !joins || !s.present(id) || s.now < started+catchUp {
+			continue
+		}
+		admission := s.admit(s.members(), id)
+		if admission.Action == seats.Wait {
+			continue
+		}
+		delete(s.voters, admission.Replaced)
+		s.voters[id] = true
+		delete(s.joining, id)
+	}
+}
+
+// replace removes voters' machines for good and starts their successors, at the pace that is
+// allowed.
+func (s *simulation) replace(count int) {
+	const successorAfter, countsAgain = 2 * time.Second, 4 * time.Second
+	for range count {
+		s.machines[s.draw("replaced")].gone = true
+	}
+	s.run(successorAfter)
+	for range count {
+		s.joining[s.start()] = s.now
+	}
+	s.run(countsAgain)
+}
+
+// disturb makes a voter absent for a time, which counts as lost for a while after it is back.
+func (s *simulation) disturb() {
+	const countsAgain = 4 * time.Second
+	absent := time.Duration(rapid.IntRange(1, 150).Draw(s.t, "absence")) * 100 * time.Millisecond
+	s.machines[s.draw("disturbed")].absentUntil = s.now + absent
+	s.run(absent + countsAgain)
+}
+
+// draw returns a voter that is present.
+func (s *simulation) draw(label string) topology.ReplicaID {
+	var present []topology.ReplicaID
+	for id := topology.ReplicaID(1); id <= s.lastID; id++ {
+		if s.voters[id] && s.present(id) {
+			present = append(present, id)
+		}
+	}
+	return rapid.SampledFrom(present).Draw(s.t, label)
+}
+
+// presentMachines counts the machines that are there.
+func (s *simulation) presentMachines() int {
+	count := 0
+	for id := range s.machines {
+		if s.present(id) {
+			count++
+		}
+	}
+	return count
+}
+
+// Machines are replaced in turn, with freezes and cuts of others between, as many as are drawn. No
+// more count as lost at a time than is tolerated. The group always has a quorum, and in the end each
+// machine that is there has a seat, and no other.
+func TestReplacementsInTurnKeepTheGroup(t *testing.T) {
+	for count, tolerated := range map[int]int{3: 1, 5: 1, 11: 2, 22: 4} {
+		t.Run(fmt.Sprint(count, " seats"), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				s := newSimulation(t, count)
+				for range rapid.IntRange(1, 3*count).Draw(t, "events") {
+					if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+						s.disturb()
+					} else {
+						s.replace(rapid.IntRange(1, tolerated).Draw(t, "at once"))
+					}
+					assert.Assert(t, !s.quorumLost, "%d voters", len(s.voters))
+				}
+				s.run(2*removeAfter + 4*time.Second)
+				assert.Equal(t, len(s.voters), count)
+				assert.Equal(t, s.presentMachines(), count)
+				for id := range s.voters {
+					assert.Assert(t, s.present(id), "%d has a seat and is gone", id)
+				}
+			})
+		})
+	}
+}
+
+// The group is lost if each successor gets a further seat and an absent voter is removed only while
+// all others are present.
+func TestReplacementsInTurnLoseTheGroupUnderTheRuleOfFurtherSeats(t *testing.T) {
+	for _, count := range []int{3, 5, 11, 22} {
+		lost := false
+		rapid.Check(t, func(t *rapid.T) {
+			s := newSimulation(t, count)
+			s.admit = func([]seats.Member, topology.ReplicaID) seats.Admission {
+				return seats.Admission{Action: seats.Promote}
+			}
+			s.remove = func(members []seats.Member) topology.ReplicaID {
+				absent := 0
+				for _, member := range members {
+					if member.Voter && member.Silence >= time.Second {
+						absent++
+					}
+				}
+				if absent != 1 {
+					return 0
+				}
+				return seats.Remove(members, removeAfter)
+			}
+			for range 3 * count {
+				if s.quorumLost {
+					lost = true
+					return
+				}
+				s.replace(1)
+			}
+		})
+		assert.Assert(t, lost, "%d seats", count)
+	}
+}
--- a/lab/platformstandin/fleet.go
+++ b/lab/platformstandin/fleet.go
@@ -10,8 +10,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/quartzdock/quartzdock/lab/childprocess"
@@ -53,6 +55,8 @@
 	Timeline *Timeline
 
 	usage *usage
+	// coresMade is how many core machines there have been.
+	coresMade int
 }
 
 // portCount is how many ports a machine needs.
@@ -94,10 +98,8 @@
 		return nil, err
 	}
 	fleet := &Fleet{Program: program, Folder: folder, Ports: ports, Ledger: NewLedger(), Timeline: NewTimeline(), usage: newUsage()}
-	for i := range cores {
-		fleet.Cores = append(fleet.Cores, &Machine{
-			Name: fmt.Sprintf("core-%d", i+1), IP: hostIP(firstCore + i), Role: "controller", fleet: fleet,
-		})
+	for range cores {
+		fleet.Cores = append(fleet.Cores, fleet.newCore())
 	}
 	for i, service := range services {
 		fleet.Sides = append(fleet.Sides, &Machine{
@@ -108,6 +110,35 @@
 	return fleet, nil
 }
 
+// newCore lays out a core machine at an address of its own.
+func (f *Fleet) newCore() *Machine {
+	f.coresMade++
+	return &Machine{Name: fmt.Sprintf("core-%d", f.coresMade), IP: hostIP(firstCore + f.coresMade - 1), Role: "controller", fleet: f}
+}
+
+// RemoveCore takes a core machine away for good, with SIGTERM where that is planned. The fleet has no
+// machine in its place until AddCore.
+func (f *Fleet) RemoveCore(ctx context.Context, number int, planned bool) {
+	removed := f.Cores[number]
+	f.Cores = slices.Delete(slices.Clone(f.Cores), number, number+1)
+	if planned {
+		removed.StopPlanned(ctx, Grace)
+		return
+	}
+	removed.Signal(syscall.SIGKILL)
+}
+
+// AddCore starts a core machine with a new address and an empty disk.
+func (f *Fleet) AddCore() error {
+	if f.coresMade == mostCores {
+		return fmt.Errorf("there are addresses for %d controllers", mostCores)
+	}
+	added := f.newCore()
+	added.started = 1 // only the first start of the whole system is a bootstrap
+	f.Cores = append(f.Cores, added)
+	return added.Start()
+}
+
 func (m *Machine) address(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 
 // Control is the machine's address for operators or its back end.
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -176,6 +176,13 @@
 			"MAJORITY_IS_ENOUGH", "EARLIER_ROUNDS_COUNT", "ANY_PROCESS_ANSWERS", "ANY_PROCESS_VOTES", "VOTER_HAS_HEARD_A_LEADER",
 		},
 	},
+	{
+		name:    "seats of controllers whose machines are replaced in turn",
+		model:   "seats.pml",
+		bounds:  []string{"SEATS=5", "LOSSES=4"},
+		short:   []string{"SEATS=3", "LOSSES=4"},
+		defects: []string{"FURTHER_SEATS"},
+	},
 	{
 		name:    "a process that only looks dead, beside restarts and changes of leader",
 		model:   "lookalike.pml",
