Send a request again to a back end over a new connection only

Seen: a back end turns an unsafe request away (429, Not-Executed), and a surplus copy of that answer comes late.

Cause: an answer is matched by its request id and by its place on a connection. An id names the request, not the sending, and the second sending took the connection used last, which had carried the first one.

A further sending of it goes over a connection that has carried nothing (upstream.Pool.DoOnNewConnection).

Why this holds: on such a connection the first answer can only be to this sending. It needs no other gateway's word, so that it covers attempts, reruns, keyed requests, large responses and peers of any version alike.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -42,6 +42,7 @@
 type egress struct {
 	gateway *Gateway
 	pool    *upstream.Pool
+	sent    *sentIDs
 }
 
 func newEgress(g *Gateway) (*egress, error) {
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &egress{gateway: g, pool: pool}, nil
+	return &egress{gateway: g, pool: pool, sent: newSentIDs()}, nil
 }
 
 // setSlots applies the back end's number of slots.
@@ -256,7 +257,7 @@
 	e.gateway.runs.begin(request)
 	defer e.gateway.runs.end(request)
 	sentAt := steady.Reading()
-	response, err := e.pool.Do(ctx, outgoing)
+	response, err := e.send(ctx, request, outgoing)
 	if err != nil {
 		return e.classifyError(ctx, request, err)
 	}
@@ -272,6 +273,16 @@
 	return e.classifyResponse(request, response, body)
 }
 
+// send sends a request over a connection that has carried none with the same id: a surplus answer to
+// an earlier sending of it would be taken for the answer to this one.
+func (e *egress) send(ctx context.Context, request *forwardRequest, outgoing *http.Request) (*http.Response, error) {
+	if !e.sent.add(request.ID, request.Deadline, steady.Reading()) {
+		return e.pool.Do(ctx, outgoing)
+	}
+	e.gateway.metrics.sentAgain.Inc()
+	return e.pool.DoOnNewConnection(ctx, outgoing)
+}
+
 // newBackendRequest builds the request for the back end.
 func (e *egress) newBackendRequest(request *forwardRequest) (*http.Request, error) {
 	target, err := url.ParseRequestURI(request.URI)
--- /dev/null
+++ b/internal/gateway/sentids_test.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/internal/steady"
+)
+
+// startRepeatingBackend starts a back end that refuses the first sending of each request, and sends
+// each refusal a second time when the next request arrives on the connection. It runs all other
+// sendings and counts them in runs.
+func startRepeatingBackend(t *testing.T, runs *atomic.Int32) *rawBackend {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var refused atomic.Bool
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader, surplus := bufio.NewReader(conn), ""
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			text := surplus
+			surplus = ""
+			if refused.CompareAndSwap(false, true) {
+				surplus = responseText("429 X", request.Header.Get("Try-Name"), "Never-Ran: 1\r\n", "")
+				text += surplus
+			} else {
+				runs.Add(1)
+				text += responseText("200 OK", request.Header.Get("Try-Name"), seal, "done")
+			}
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return &rawBackend{listener: listener}
+}
+
+// A surplus copy of a refusal comes in the place of the answer to the next sending of the same
+// request. It was taken for proof that this one has not run, and the caller was told so.
+func TestSurplusRefusalIsNotTakenForTheAnswerToTheNextSending(t *testing.T) {
+	var runs atomic.Int32
+	g := gatewayWithBackend(t, startRepeatingBackend(t, &runs))
+	first := g.egress.serve(t.Context(), testRequest("r1"))
+	assert.Equal(t, first.Outcome, outcomeNotRun)
+	assert.Equal(t, first.Reason, reasonRefused)
+	second := g.egress.serve(t.Context(), testRequest("r1"))
+	assert.Equal(t, second.Outcome, outcomeAnswered)
+	assert.Equal(t, string(second.Body), "done")
+	assert.Equal(t, runs.Load(), int32(1))
+	assert.Equal(t, g.egress.pool.Stats().Dials, uint64(2))
+}
+
+// Other requests go on using the connections that are open.
+func TestOnlyRepeatedSendingsUseNewConnections(t *testing.T) {
+	backend := startRawBackend(t, func(r *http.Request) string { return responseText("200 OK", r.Header.Get("Try-Name"), seal, "done") })
+	g := gatewayWithBackend(t, backend)
+	for number := range 20 {
+		assert.Equal(t, g.egress.serve(t.Context(), testRequest(fmt.Sprint("r", number))).Outcome, outcomeAnswered)
+	}
+	assert.Equal(t, g.egress.pool.Stats().Dials, uint64(1))
+}
+
+// An id is known until the deadline of its last sending, and forgotten soon after.
+func TestSentIDsAreKnownUntilTheirDeadline(t *testing.T) {
+	s, now := newSentIDs(), steady.Reading()
+	assert.Assert(t, !s.add("a", now.Add(3*time.Second), now))
+	assert.Assert(t, !s.add("b", now.Add(time.Second), now))
+	assert.Assert(t, s.add("a", now.Add(5*time.Second), now))
+	assert.Assert(t, s.add("a", now.Add(time.Second), now.Add(4900*time.Millisecond)), "the latest deadline applies")
+	assert.Equal(t, s.count(), 1, "the other one is forgotten")
+	for step := range 10000 {
+		at := now.Add(time.Duration(step) * 10 * time.Millisecond)
+		s.add(fmt.Sprint(step), at.Add(time.Second), at)
+	}
+	assert.Assert(t, s.count() < 400, "%d ids", s.count())
+	assert.Assert(t, !s.add("a", now.Add(time.Hour), now.Add(time.Hour)))
+	assert.Equal(t, s.count(), 1)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -39,6 +39,18 @@
 // connection or Config.Linger is over.
 func (pool *Pool) DoNotify(ctx context.Context, request *http.Request, ended func()) (*http.Response, error) {
 	connection, err := pool.acquire(ctx)
+	return pool.start(ctx, request, connection, err, ended)
+}
+
+// DoOnNewConnection is like Do, on a connection that has carried no request before. What a peer
+// sends late in answer to an earlier request can't be taken for the answer to this one.
+func (pool *Pool) DoOnNewConnection(ctx context.Context, request *http.Request) (*http.Response, error) {
+	connection, err := pool.acquireNew(ctx)
+	return pool.start(ctx, request, connection, err, func() {})
+}
+
+// start begins the exchange on an acquired connection; err is that of acquiring it.
+func (pool *Pool) start(ctx context.Context, request *http.Request, connection *conn, err error, ended func()) (*http.Response, error) {
 	if err != nil {
 		closeBody(request)
 		ended()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,6 +19,8 @@
 	ErrInterrupted = errors.New("request interrupted")
 	// ErrUndelimited means that the response had neither length nor chunks.
 	ErrUndelimited = errors.New("answer without length or chunks")
+	// ErrNoRoom means that MaxConnections are open and in use.
+	ErrNoRoom = errors.New("no room for another connection")
 	// ErrClosed means that the pool was closed.
 	ErrClosed = errors.New("connection pool closed")
 )
@@ -238,6 +240,48 @@
 	return pool.awaitConnection(ctx, waiting)
 }
 
+// acquireNew dials a connection for the caller's exclusive use until release or discard. It closes
+// the connection that has been idle for longest if MaxConnections are open, and fails with
+// ErrNoRoom if none is idle.
+func (pool *Pool) acquireNew(ctx context.Context) (*conn, error) {
+	if err := pool.reserveDial(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, pool.config.DialTimeout)
+	defer cancel()
+	netConn, err := pool.config.Dial(ctx, pool.config.Address)
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.dialling--
+	if err != nil {
+		pool.stats.DialFailures++
+		pool.dialForWaiters()
+		return nil, err
+	}
+	pool.open++
+	return newConn(netConn), nil
+}
+
+// reserveDial counts a dial that is about to begin within MaxConnections.
+func (pool *Pool) reserveDial() error {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	switch full := pool.open+pool.dialling >= pool.config.MaxConnections; {
+	case pool.closed:
+		return ErrClosed
+	case full && len(pool.idle) == 0:
+		return ErrNoRoom
+	case full:
+		oldest := pool.idle[0]
+		pool.idle = pool.idle[1:]
+		pool.open--
+		oldest.close()
+	}
+	pool.dialling++
+	pool.stats.Dials++
+	return nil
+}
+
 // awaitConnection waits for the result of a waiter. When the context ends first,
 // a connection that arrives at the same time goes back to the pool.
 func (pool *Pool) awaitConnection(ctx context.Context, waiting *waiter) (*conn, error) {
