Soak: back ends that deregister while their gateways stop, start and are killed

The randomized soak drew drains by heartbeat alone, which the next heartbeat repeats, so that it could not see an acknowledged deregistration being lost. It draws four kinds now, from a stream of their own, so that a seed's other strikes stay as they were: alone, at any moment of a planned stop, before a kill, and at a gateway that has just started, beside killed and frozen controllers.

TestSeriesOfStops checks the new stream as it does the others.

--- /dev/null
+++ b/lab/platformstandin/soak/departures.go
@@ -0,0 +1,104 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/quartzdock/quartzdock/lab/pause"
+	"github.com/quartzdock/quartzdock/lab/platformstandin"
+)
+
+// Kinds in which a back end deregisters without having said that it drains, serves on and ends.
+// Its heartbeats go on saying that it is ready.
+const (
+	// BackendDeregister leaves its gateway alone.
+	BackendDeregister Kind = "back-end-deregister"
+	// DeregisterInStop stops the gateway as planned meanwhile, and starts it again.
+	DeregisterInStop Kind = "deregister-in-stop"
+	// DeregisterAndKill kills the gateway once the deregistration is acknowledged.
+	DeregisterAndKill Kind = "deregister-and-kill"
+	// DeregisterAtStart sends the deregistration to a gateway that has just started.
+	DeregisterAtStart Kind = "deregister-at-start"
+)
+
+// departureKinds are drawn from a stream of their own.
+var departureKinds = []Kind{BackendDeregister, DeregisterInStop, DeregisterAndKill, DeregisterAtStart}
+
+const (
+	// departureStream keeps the draw of these kinds apart from that of other strikes.
+	departureStream = 0xde9a
+	// departurePause is the mean pause between two of them.
+	departurePause = 3 * time.Second
+	// deregisterPause is between two deregistrations of a back end, and deregistersFor bounds the
+	// time for which it sends them.
+	deregisterPause = 100 * time.Millisecond
+	deregistersFor  = 5 * time.Second
+	// latestInStop is the latest time after the beginning of a planned stop at which the first
+	// deregistration is sent.
+	latestInStop = 5 * time.Second
+)
+
+func isDeparture(kind Kind) bool { return slices.Contains(departureKinds, kind) }
+
+// drawDepartures returns the strikes of a seed of these kinds.
+func drawDepartures(seed uint64, duration time.Duration, only []Kind) []Strike {
+	random := rand.New(rand.NewPCG(seed, departureStream))
+	var strikes []Strike
+	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(departurePause)) {
+		strikes = append(strikes, Strike{
+			Kind: only[random.IntN(len(only))], At: at, Target: random.IntN(1 << 16), For: time.Duration(random.Int64N(int64(latestInStop))),
+		})
+	}
+	return strikes
+}
+
+// strikeDeparture does one strike of these kinds. The caller has the back end's place, and gateway
+// is that of the machine.
+func (f *fleet) strikeDeparture(struck, gateway *place, strike Strike) error {
+	var err error
+	switch strike.Kind {
+	case DeregisterInStop:
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.strikeProcess(gateway, Strike{Kind: GatewayStop}) }()
+		_ = pause.For(f.ctx, strike.For)
+		f.deregister(struck.instance)
+		err = <-stopped
+	case DeregisterAndKill:
+		f.deregister(struck.instance)
+		err = f.strikeProcess(gateway, Strike{Kind: GatewayKill})
+	case DeregisterAtStart:
+		err = f.killAndDeregister(struck.instance, gateway)
+	default:
+		f.deregister(struck.instance)
+	}
+	if err != nil {
+		return err
+	}
+	_ = pause.For(f.ctx, drainTime)
+	struck.instance.Stop()
+	return f.startBackend(struck)
+}
+
+// deregister sends deregistrations until one is acknowledged or the back end gives up.
+func (f *fleet) deregister(instance *platformstandin.Instance) {
+	for end := time.Now().Add(deregistersFor); time.Now().Before(end) && f.ctx.Err() == nil; {
+		if instance.Deregister(f.ctx) {
+			return
+		}
+		_ = pause.For(f.ctx, deregisterPause)
+	}
+}
+
+// killAndDeregister kills a gateway, starts it again and deregisters its back end at once.
+func (f *fleet) killAndDeregister(instance *platformstandin.Instance, gateway *place) error {
+	gateway.mutex.Lock()
+	defer gateway.mutex.Unlock()
+	gateway.machine.Signal(syscall.SIGKILL)
+	if err := f.start(gateway.machine); err != nil {
+		return err
+	}
+	f.deregister(instance)
+	return nil
+}
--- a/lab/platformstandin/soak/doc.go
+++ b/lab/platformstandin/soak/doc.go
@@ -2,7 +2,7 @@
 // users' platform, as processes of one machine against the stand-in of that
 // platform, and strikes them with faults drawn from a seed: processes are killed,
 // stopped (also in series, many at once), paused and started anew, disks are lost,
-// back ends crash, drain, take grants late, close their listener while they live, and
+// back ends crash, drain, deregister, take grants late, close their listener while they live, and
 // have their next life at their address. Faults overlap and come twice.
 //
 // While it runs, callers and back ends check what the platform's pages promise:
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -177,7 +177,8 @@
 	case RollingStops:
 		return f.rollingStops(strike)
 	default:
-		return f.strikeBackend(f.backends[strike.Target%len(f.backends)], strike)
+		number := strike.Target % len(f.backends)
+		return f.strikeBackend(f.backends[number], f.gateways[number], strike)
 	}
 }
 
@@ -223,9 +224,13 @@
 // drainTime is how long a back end serves on after its announcement.
 const drainTime = 3 * time.Second
 
-func (f *fleet) strikeBackend(struck *place, strike Strike) error {
+// strikeBackend does one strike of a back end, which is beside a gateway.
+func (f *fleet) strikeBackend(struck, gateway *place, strike Strike) error {
 	struck.mutex.Lock()
 	defer struck.mutex.Unlock()
+	if isDeparture(strike.Kind) {
+		return f.strikeDeparture(struck, gateway, strike)
+	}
 	if isDoor(strike.Kind) {
 		return f.strikeDoor(struck, strike)
 	}
--- a/lab/platformstandin/soak/plan.go
+++ b/lab/platformstandin/soak/plan.go
@@ -82,12 +82,13 @@
 // draw is Draw with a mean pause between two strikes.
 func draw(seed uint64, duration, mean time.Duration, only []Kind) []Strike {
 	if len(only) == 0 {
-		only = append(append(append(slices.Clone(kinds), RollingStops), doorKinds...), BackendLimit)
+		only = slices.Concat(kinds, []Kind{RollingStops, BackendLimit}, doorKinds, departureKinds)
 	}
 	single := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool {
-		return kind == RollingStops || kind == BackendLimit || isDoor(kind)
+		return kind == RollingStops || kind == BackendLimit || isDoor(kind) || isDeparture(kind)
 	})
 	doors := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return !isDoor(kind) })
+	departures := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return !isDeparture(kind) })
 	var strikes []Strike
 	if len(single) > 0 {
 		strikes = drawSingle(seed, duration, mean, single)
@@ -95,6 +96,9 @@
 	if len(doors) > 0 {
 		strikes = append(strikes, drawDoors(seed, duration, mean, doors)...)
 	}
+	if len(departures) > 0 {
+		strikes = append(strikes, drawDepartures(seed, duration, departures)...)
+	}
 	if slices.Contains(only, BackendLimit) {
 		strikes = append(strikes, drawLimits(seed, duration)...)
 	}
--- a/lab/platformstandin/soak/series_test.go
+++ b/lab/platformstandin/soak/series_test.go
@@ -23,7 +23,7 @@
 }
 
 // A seed's series are always the same, overlap within themselves, and leave its
-// other strikes as they are without series. So do strikes of doors, and limits.
+// other strikes as they are without series. So do strikes of doors, limits and departures.
 func TestSeriesOfStops(t *testing.T) {
 	isSeries := func(strike Strike) bool { return strike.Kind == RollingStops }
 	twice := 0
@@ -34,7 +34,11 @@
 		assert.Assert(t, len(series) > 0, "seed %d", seed)
 		limits := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return strike.Kind != BackendLimit })
 		assert.DeepEqual(t, limits, Draw(seed, time.Minute, []Kind{BackendLimit}))
-		withoutDoors := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return isDoor(strike.Kind) || strike.Kind == BackendLimit })
+		departures := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return !isDeparture(strike.Kind) })
+		assert.DeepEqual(t, departures, Draw(seed, time.Minute, departureKinds))
+		withoutDoors := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool {
+			return isDoor(strike.Kind) || isDeparture(strike.Kind) || strike.Kind == BackendLimit
+		})
 		assert.DeepEqual(t, withoutDoors, Draw(seed, time.Minute, append(slices.Clone(kinds), RollingStops)))
 		others := slices.DeleteFunc(slices.Clone(withoutDoors), isSeries)
 		assert.DeepEqual(t, others, Draw(seed, time.Minute, kinds))
