Keep each announced departure that waits for the log once

Read in the diff: gateways repeat an announcement in each report, five times a second, and the leader appended each repetition while a change was being committed. While commits stall this grew with the gateways and the time.

--- a/internal/departure/set.go
+++ b/internal/departure/set.go
@@ -100,11 +100,11 @@
 	return records[len(records)-1].Index
 }
 
-// Missing returns the part of a change that isn't recorded yet.
+// Missing returns the valid announcements of a change that aren't recorded yet.
 func (s *Set) Missing(change *Change) Change {
 	var missing Change
 	for _, announced := range change.Announced {
-		if announced.Check() == nil && !s.Has(announced.Gateway, announced.Instance) && !slices.Contains(missing.Announced, announced) {
+		if announced.Check() == nil && !s.Has(announced.Gateway, announced.Instance) {
 			missing.Announced = append(missing.Announced, announced)
 		}
 	}
--- a/internal/fleetcontroller/departures.go
+++ b/internal/fleetcontroller/departures.go
@@ -1,6 +1,9 @@
 package fleetcontroller
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/quartzdock/quartzdock/internal/departure"
 	"github.com/quartzdock/quartzdock/internal/fleetstate"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
@@ -8,18 +11,24 @@
 
 // departureState is the leader's working state for announced departures of back ends. The control
 // goroutine owns it. One change is proposed at a time; further announcements are collected in
-// pending.
+// pending, each once, since gateways repeat them in each report.
 type departureState struct {
-	pending   departure.Change
+	pending   map[departure.Announcement]bool
 	proposing bool
 }
 
-// recordDepartures proposes to record what a gateway's back ends have announced. Gateways repeat
-// announcements in each report, so at most MaxPerGateway of a report are taken.
+// recordDepartures proposes to record what a gateway's back ends have announced, at most
+// MaxPerGateway of them.
 func (c *Controller) recordDepartures(node string, instances []string) {
-	pending := &c.control.departures.pending
+	if len(instances) == 0 {
+		return
+	}
+	state := &c.control.departures
+	if state.pending == nil {
+		state.pending = map[departure.Announcement]bool{}
+	}
 	for _, instance := range instances[:min(len(instances), departure.MaxPerGateway)] {
-		pending.Announced = append(pending.Announced, departure.Announcement{Gateway: node, Instance: instance})
+		state.pending[departure.Announcement{Gateway: node, Instance: instance}] = true
 	}
 	c.proposeDepartures()
 }
@@ -27,11 +36,12 @@
 // proposeDepartures proposes the pending announcements that aren't recorded yet.
 func (c *Controller) proposeDepartures() {
 	state := &c.control.departures
-	if state.proposing || len(state.pending.Announced) == 0 || c.control.planner == nil {
+	if state.proposing || len(state.pending) == 0 || c.control.planner == nil {
 		return
 	}
-	change := c.control.state.Departures().Missing(&state.pending)
-	state.pending = departure.Change{}
+	announced := departure.Change{Announced: slices.Collect(maps.Keys(state.pending))}
+	state.pending = nil
+	change := c.control.state.Departures().Missing(&announced)
 	if len(change.Announced) == 0 {
 		return
 	}
