Refuse requests to a life whose namesake at the address has announced its departure

Cause, from the logs of its gateway: the gateway was killed as its back end crashed. The next process took over the life that the leader knew (side-9-0@...183166). The next life under the same id (@...125524) deregistered and was acknowledged under its own name. Requests to the former went on, and the back end, which checks the id alone, took them.

Change: the announcement of another life under the current one's id, unless that life is known to be over, also ends new requests to the current one, from its drain time on, until the current one is heard again. The same holds for what the leader has recorded.

Why this holds: as long as the current life has not been heard since the announcement, a request that names the id can reach the other one.

Test: TestDepartureOfAnotherLifeUnderTheSameID, for a deregistration, a heartbeat, one before the leader's word and one recorded before the start.

--- a/internal/gateway/departures_test.go
+++ b/internal/gateway/departures_test.go
@@ -97,3 +97,47 @@
 		})
 	}
 }
+
+// A gateway that has just started knows of a back end only the life that the leader knew, and the next
+// life under the same id announces its departure. The back end checks the id alone, so that requests
+// for the one reach the other: they end with its drain time, unless the life that is known is heard.
+func TestDepartureOfAnotherLifeUnderTheSameID(t *testing.T) {
+	now := steady.Reading()
+	late := now.Add(time.Second)
+	ready := func(name string, sequence uint64) Registration {
+		return registration(name, sequence, fleetwire.InstanceReady)
+	}
+	known := fleetwire.Instance{ID: "i@1", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 4}
+	for name, announce := range map[string]func(*registry){
+		"deregistration": func(r *registry) {
+			r.restore(known, time.Second, now)
+			r.deregister("i@2", time.Second, now)
+		},
+		"heartbeat": func(r *registry) {
+			r.restore(known, time.Second, now)
+			r.announceDeparture("i@2", time.Second, now)
+		},
+		"before the leader's word": func(r *registry) {
+			r.deregister("i@2", time.Second, now)
+			r.restore(known, time.Second, now)
+		},
+		"recorded before the start": func(r *registry) {
+			r.restore(known, time.Second, now)
+			r.restoreDepartures([]string{"i@2"}, now.Add(time.Second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistry(func() {})
+			announce(r)
+			assert.Assert(t, r.admits("i@1", now) && !r.admits("i@1", late))
+			r.heartbeat(ready("i@1", 5), time.Second, late)
+			assert.Assert(t, r.admits("i@1", late.Add(time.Hour)), "it was the other life that had ended")
+		})
+	}
+	r := newRegistry(func() {})
+	r.heartbeat(ready("i@1", 1), time.Second, now)
+	r.heartbeat(ready("i@2", 1), time.Second, now.Add(time.Hour))
+	r.deregister("i@1", time.Second, now.Add(time.Hour))
+	assert.Equal(t, r.snapshot().ID, "i@2")
+	assert.Assert(t, r.admits("i@2", now.Add(2*time.Hour)), "a life that is known to be over says nothing of the current one")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,10 +193,12 @@
 	if service := g.config.Service; service != "" && registration.Service != service {
 		return nil, fmt.Errorf("%.64q, not %q: %w", registration.Service, service, ErrOtherService)
 	}
-	offer := g.applyHeartbeat(registration, steady.Reading())
+	now := steady.Reading()
+	offer := g.applyHeartbeat(registration, now)
 	if registration.State != fleetwire.InstanceDraining {
 		return offer, nil
 	}
+	g.registry.announceDeparture(registration.ID, g.drainGrace(), now)
 	return offer, g.awaitRecorded(ctx, registration.ID)
 }
 
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -36,6 +36,10 @@
 	// refusesFrom is the time from which the current instance gets no new requests; zero as long
 	// as it has neither announced its departure nor stated that it is about to stop.
 	refusesFrom time.Time
+	// sameIDRefusesFrom is the time from which the current instance gets no new requests because
+	// another incarnation under its id has announced its departure. A back end checks the id alone,
+	// so that they could reach that one. It is zero once the current instance is heard again.
+	sameIDRefusesFrom time.Time
 	// formerIncarnations has the incarnations that were replaced, or deregistered while another
 	// one was current.
 	formerIncarnations map[string]bool
@@ -106,9 +110,12 @@
 	if r.current.ID == "" || r.current.ID != instance || r.current.State == fleetwire.InstanceGone {
 		return false
 	}
-	return r.refusesFrom.IsZero() || now.Before(r.refusesFrom)
+	return isBefore(now, r.refusesFrom) && isBefore(now, r.sameIDRefusesFrom)
 }
 
+// isBefore reports whether a time is before another one, or that is zero.
+func isBefore(now, limit time.Time) bool { return limit.IsZero() || now.Before(limit) }
+
 // serves reports whether an instance is the current one and has not announced its departure.
 func (r *registry) serves(instance string) bool {
 	r.mutex.Lock()
@@ -150,6 +157,7 @@
 		r.startIncarnation(registration)
 	}
 	r.lastHeartbeatAt, r.unverified, r.otherAtAddress = now, false, false
+	r.sameIDRefusesFrom = time.Time{}
 	r.onWarmUp(registration.WarmUpLeft, fresh)
 	r.missedIntervals = 0
 	r.current.Sequence = registration.Sequence
@@ -243,15 +251,23 @@
 	if id == incarnation.IDOf(r.current.ID) {
 		instance = r.current.ID
 	}
+	r.depart(instance, now.Add(drainWithin))
 	if r.current.ID != "" && instance != r.current.ID {
 		r.formerIncarnations[instance] = true
 	}
-	r.depart(instance, now.Add(drainWithin))
 	r.mutex.Unlock()
 	r.onChange()
 	return instance
 }
 
+// announceDeparture processes a heartbeat that reports a drain, whether or not it comes from the
+// current incarnation.
+func (r *registry) announceDeparture(instance string, drainWithin time.Duration, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.depart(instance, now.Add(drainWithin))
+}
+
 // restoreDepartures takes over the departures that the leader has recorded. Those that this process
 // did not know were announced to an earlier one, whose drain time counts.
 func (r *registry) restoreDepartures(instances []string, now time.Time) {
@@ -267,12 +283,22 @@
 	}
 }
 
-// depart records a departure and drains the instance if it is the current one. The caller has the
-// mutex.
+// depart records a departure and applies it to the current instance. The caller has the mutex.
 func (r *registry) depart(instance string, refusesFrom time.Time) {
 	r.recordDeparture(instance, refusesFrom)
-	if instance == r.current.ID {
-		r.drainCurrent(r.departures[instance])
+	r.applyDeparture(instance)
+}
+
+// applyDeparture drains the current instance if it is the one that departs. If it has the same id, it
+// is refused new requests until it is heard again. The caller has the mutex.
+func (r *registry) applyDeparture(instance string) {
+	refusesFrom := r.departures[instance]
+	sameID := incarnation.IDOf(instance) == incarnation.IDOf(r.current.ID)
+	switch {
+	case instance == r.current.ID:
+		r.drainCurrent(refusesFrom)
+	case sameID && !r.formerIncarnations[instance] && r.sameIDRefusesFrom.IsZero():
+		r.sameIDRefusesFrom = refusesFrom
 	}
 }
 
@@ -342,8 +368,8 @@
 		if known.State == fleetwire.InstanceDraining {
 			r.recordDeparture(known.ID, now)
 		}
-		if refusesFrom, departs := r.departures[known.ID]; departs {
-			r.drainCurrent(refusesFrom)
+		for instance := range r.departures {
+			r.applyDeparture(instance)
 		}
 	}
 	r.mutex.Unlock()
