Tests: stop an idle gateway only once its server has noticed that it is

The test had read the response; the server notices the end of the request a moment later, and the gateway of these tests is stopped within 1 ms. The tests now wait until no request is in progress, and then require as before that the stop cuts nothing off; a request that never ends fails them by the time limit.

--- a/internal/gateway/leaderless_test.go
+++ b/internal/gateway/leaderless_test.go
@@ -76,7 +76,7 @@
 		Controllers: controllers, Budget: RetryBudget{Ratio: 0.2, Slack: 58},
 	})
 	assert.NilError(t, err)
-	t.Cleanup(func() { assert.Check(t, s.gateway.Stop()) })
+	t.Cleanup(func() { requireIdleStop(t, s.gateway) })
 	_, err = s.gateway.Heartbeat(t.Context(), Registration{ID: "i-g", Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1})
 	assert.NilError(t, err)
 	view := viewOf(true, s.gateway.registry.snapshot())
--- a/internal/gateway/silentleader_test.go
+++ b/internal/gateway/silentleader_test.go
@@ -165,12 +165,25 @@
 		Controllers: []string{controller}, Budget: RetryBudget{Ratio: 0.2, Slack: 58},
 	})
 	assert.NilError(s.t, err)
-	s.t.Cleanup(func() { assert.Check(s.t, g.Stop()) })
+	s.t.Cleanup(func() { requireIdleStop(s.t, g) })
 	_, err = g.Heartbeat(context.Background(), Registration{ID: "i-" + name, Service: "s", Slots: 4, State: fleetwire.InstanceReady, Sequence: 1})
 	assert.NilError(s.t, err)
 	return g
 }
 
+// requireIdleStop stops a gateway whose requests have all been answered, and fails if one is cut off.
+// The server may notice the end of a request only after its caller has read the response.
+func requireIdleStop(t *testing.T, g *Gateway) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if active := g.callers.Open(http.StateActive) + g.inbound.Open(http.StateActive); active > 0 {
+			return poll.Continue("%d requests in progress", active)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(waitTimeout), poll.WithDelay(time.Millisecond))
+	assert.Check(t, g.Stop())
+}
+
 // awaitReported blocks until the leader has responded to a gateway.
 func (s *leaderTest) awaitReported(g *Gateway) {
 	s.t.Helper()
