Drop the rest of a body whose request has been answered

Callers saw their gateway end: 80 uploads of 40 MiB at once, most of them refused, took it to 316 MiB of 280 although it held one body at a time.

Cause: the reader of a pipelined connection goes on reading a body after the handler is over, so that the response isn't lost in a reset, and appended the bytes to the input of the exchange, without the bound of the read-ahead, which waits only for exchanges that are not over.

Now the input of an exchange that is over is dropped, as is what comes for it.

--- a/internal/httpserver/pipeline.go
+++ b/internal/httpserver/pipeline.go
@@ -119,6 +119,8 @@
 		return
 	}
 	e.finished, e.closesConnection = true, closes
+	p.unreadInput -= len(e.input)
+	e.input = nil
 	if e.started {
 		p.inProgress--
 	}
--- a/internal/httpserver/pipelinereader.go
+++ b/internal/httpserver/pipelinereader.go
@@ -272,10 +272,14 @@
 }
 
 // deliver appends to the input of an exchange, and waits while Pipelining.ReadAhead is
-// exceeded. It returns false if the pipeline is closed.
+// exceeded. The input of an exchange that is over is dropped. It returns false if the pipeline is
+// closed.
 func (p *pipeline) deliver(e *exchange, read []byte) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.closed || e.finished {
+		return !p.closed
+	}
 	e.input = append(e.input, read...)
 	p.unreadInput += len(read)
 	e.changed.Broadcast()
--- a/internal/httpserver/pipelining_test.go
+++ b/internal/httpserver/pipelining_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -353,3 +354,37 @@
 	}
 	assert.NilError(t, server.Stop(t.Context()))
 }
+
+// The rest of a body whose request was refused was kept in memory until its connection ended.
+func TestRestOfRefusedBodyIsNotKept(t *testing.T) {
+	_, address := startPipelined(t, func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+	}, httpserver.Pipelining{})
+	c := connect(t, address)
+	const length = 32 << 20
+	before := liveHeap()
+	_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", length)
+	assert.NilError(t, err)
+	status, _, closes := c.readResponse()
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, closes)
+	rest := make([]byte, 64<<10)
+	sent := 0
+	for sent < length-len(rest) {
+		count, err := c.Write(rest)
+		sent += count
+		if err != nil {
+			break
+		}
+	}
+	kept := liveHeap() - before
+	assert.Assert(t, kept < int64(sent)/4, "%d bytes are kept of %d that were sent", kept, sent)
+}
+
+// liveHeap returns the bytes of live objects.
+func liveHeap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
