Reserve the memory for request bodies before they are read

Cause: a gateway checked its bound before a body and counted the body after it had been read whole, at both listeners, so that all bodies that arrive at once passed the check. io.ReadAll doubled them on top.

internal/bodybudget reserves the bytes before they are read: for a stated length all of them, before the first byte; otherwise as the body grows. What doesn't fit is refused at once with 503 and the time after which there may be room. Bodies of callers and those of other gateways have a budget each, so that bodies that wait to be forwarded can't keep all gateways from taking them. One that is larger than the budget is served alone. A body that stops arriving ends with its request's deadline.

Why it works: the sum of the reservations is the memory of all bodies, and nothing is read without one.

--- a/internal/gateway/bufferedbytes.go
+++ b/internal/gateway/bufferedbytes.go
@@ -2,9 +2,9 @@
 
 import "sync/atomic"
 
-// bufferedBytes counts the bytes of bodies that a gateway buffers: of requests until they are
-// answered, and of responses until their readers have received them. Readers on both sides
-// may be slow, and the buffers for them must not use up the memory that other requests need.
+// bufferedBytes counts the bytes of responses that a gateway buffers until their readers have
+// received them. Readers may be slow, and the buffers for them must not use up the memory that
+// other requests need.
 type bufferedBytes struct {
 	// limit is the number of buffered bytes from which no new request is accepted; zero is
 	// unlimited. Responses that are ready are still delivered.
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -137,10 +137,13 @@
 	// LinkBytesPerSecond is the bandwidth of the machine's link. Zero means unknown, and
 	// responses are not paced.
 	LinkBytesPerSecond float64
-	// HeldBytes bounds the memory for bodies of requests and responses that are buffered for
-	// slow readers and back ends. Zero means no bound. Above it new requests are refused as
-	// not run.
+	// HeldBytes bounds the memory for bodies of responses that are buffered for slow readers.
+	// Zero means no bound. Above it new requests are refused as not run.
 	HeldBytes int64
+	// BodyBytes bounds the memory for bodies of requests, separately for those of callers and
+	// those that other gateways forward. Zero means no bound. A request whose body exceeds it is
+	// refused as not run; a single one that is larger than the bound is served.
+	BodyBytes int64
 	// DrainWithin is how long a leaving back end may still get requests after its
 	// announcement.
 	DrainWithin time.Duration
--- a/internal/gateway/egress_test.go
+++ b/internal/gateway/egress_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/bodybudget"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/steady"
 	"gotest.tools/v3/assert"
@@ -73,6 +74,7 @@
 	g := &Gateway{config: config.withDefaults()}
 	g.metrics = newGatewayMetrics(g.config.Registry)
 	g.pacer = newLinkPacer(0)
+	g.peerBodies = bodybudget.New(0)
 	g.views = newViewStore()
 	g.slots = newSlotLimiter()
 	g.keyLoad = newKeyLoad()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -67,7 +67,7 @@
 	// long that another one may have been in force for long, or that the zone may have been
 	// evacuated.
 	reasonStaleConfiguration reason = "configuration-may-be-old"
-	// reasonNoMemory: the gateway buffers as many bytes as it may.
+	// reasonNoMemory: the gateway has as many bytes of bodies in memory as it may.
 	reasonNoMemory reason = "no-memory"
 	// reasonRouteChanged: the route no longer allows requests to run more than once, but the
 	// request was started alongside others of its connection.
@@ -127,7 +127,7 @@
 // persists reports whether another attempt at the same back end shortly afterwards would end
 // the same way.
 func (r reason) persists() bool {
-	return r.isCapacity() || r == reasonRateLimited || r == reasonStopping
+	return r.isCapacity() || r == reasonRateLimited || r == reasonStopping || r == reasonNoMemory
 }
 
 // isCapacity reports whether a request was refused because a resource that it needs is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/quartzdock/quartzdock/internal/bodybudget"
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/plannedstop"
@@ -28,14 +29,19 @@
 	// passed on to callers.
 	statements *statements
 	// firstAttempts estimates when this gateway's own callers made their first attempts.
-	firstAttempts   firstAttempts
-	peers           *peerSet
-	candidates      *candidateSets
-	budgets         *retryBudgets
-	quotas          *quotaKeeper
-	quotaRing       quotaRing
-	pacer           *linkPacer
-	held            bufferedBytes
+	firstAttempts firstAttempts
+	peers         *peerSet
+	candidates    *candidateSets
+	budgets       *retryBudgets
+	quotas        *quotaKeeper
+	quotaRing     quotaRing
+	pacer         *linkPacer
+	held          bufferedBytes
+	// callerBodies and peerBodies bound the request bodies of callers and of other gateways. They
+	// are separate, so that bodies which wait to be forwarded can't keep all gateways from
+	// taking them.
+	callerBodies    *bodybudget.Budget
+	peerBodies      *bodybudget.Budget
 	egress          *egress
 	runs            runTracker
 	quarantine      quarantineTracker
@@ -88,6 +94,8 @@
 	g.budgets = newRetryBudgets(g.config.Budget)
 	g.pacer = newLinkPacer(g.config.LinkBytesPerSecond)
 	g.held.limit = g.config.HeldBytes
+	g.callerBodies = bodybudget.New(g.config.BodyBytes)
+	g.peerBodies = bodybudget.New(g.config.BodyBytes)
 	g.registry = newRegistry(g.instanceChanged)
 	g.registry.onWarmUp = g.slots.updateWarmUpFromHeartbeat
 	g.registry.heartbeatInterval = g.config.HeartbeatInterval
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -103,17 +101,21 @@
 	if !ok {
 		return
 	}
-	c, status := g.newCall(w, r, v, route, began)
-	if c == nil {
-		http.Error(w, "request body not read", status)
-		return
-	}
+	c := g.newCall(r, v, route, began)
 	c.tenant = tenant
 	if !g.admission.Admits(c.deadline) {
 		g.metrics.request(c.service.Name, outcomeNotRun, reasonStopping)
 		g.writeRefusal(w, r, reasonStopping, retryAfter(g.refuseStopping()), nil)
 		return
 	}
+	body, err := readRequestBody(w, r, g.callerBodies, maxBodyBytes(v), c.deadline)
+	if err != nil {
+		g.refuseBody(w, c, err)
+		return
+	}
+	defer body.release()
+	c.body = body.content
+	g.budgets.countRequest(c.service.Name, steady.At(began))
 	ctx, cancel := context.WithTimeout(r.Context(), steady.Until(c.deadline))
 	defer cancel()
 	token, refusal := g.takeToken(ctx, tenant, route.TargetLatency)
@@ -121,14 +123,15 @@
 		g.refuseOverQuota(w, c, refusal)
 		return
 	}
-	g.held.add(len(c.body))
 	result := g.serveWithRetries(ctx, c)
+	c.body = nil
+	body.release()
 	if result.Outcome == outcomeNotRun {
 		g.returnToken(token)
 	}
 	defer result.Stream.close()
 	g.held.add(result.bodySize())
-	defer g.held.add(-len(c.body) - result.bodySize())
+	defer g.held.add(-result.bodySize())
 	g.respond(w, c, result)
 }
 
@@ -150,26 +153,18 @@
 	return reasonNone
 }
 
-// newCall reads a request, or returns the HTTP status of its refusal.
-func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, v *view, route *routeconfig.Route, began time.Time) (*call, int) {
-	limit := v.table.Document().Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	var body []byte
-	if r.ContentLength != 0 {
-		var err error
-		if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit)); err != nil {
-			var tooLarge *http.MaxBytesError
-			if errors.As(err, &tooLarge) {
-				return nil, http.StatusRequestEntityTooLarge
-			}
-			return nil, http.StatusBadRequest
-		}
+// maxBodyBytes returns the length in bytes of the longest request body that a view allows.
+func maxBodyBytes(v *view) int64 {
+	if limit := v.table.Document().Limits.MaxBodyBytes; limit > 0 {
+		return limit
 	}
+	return defaultMaxBody
+}
+
+// newCall returns the call of a request whose body is still to be read.
+func (g *Gateway) newCall(r *http.Request, v *view, route *routeconfig.Route, began time.Time) *call {
 	c := &call{
 		request: r,
-		body:    body,
 		id:      r.Header.Get(g.config.Headers.RequestID),
 		route:   route,
 		service: v.table.Service(route.Pick(rand.Float64())),
@@ -189,8 +184,7 @@
 	if limit := began.Add(route.Timeout); limit.Before(c.deadline) {
 		c.deadline, c.limitedByRoute = limit, true
 	}
-	g.budgets.countRequest(c.service.Name, steady.At(began))
-	return c, 0
+	return c
 }
 
 // respond writes the final response to a request.
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 
+	"github.com/quartzdock/quartzdock/internal/bodybudget"
 	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/steady"
 )
@@ -32,10 +33,13 @@
 		http.Error(w, "not from a gateway", http.StatusBadRequest)
 		return
 	}
-	g.held.add(len(request.Body))
-	result := g.servePeer(r.Context(), request)
+	result, err := g.readAndServe(w, r, request)
+	if err != nil {
+		http.Error(w, "request body not read", http.StatusBadRequest)
+		return
+	}
 	g.held.add(len(result.Body))
-	defer g.held.add(-len(request.Body) - len(result.Body))
+	defer g.held.add(-len(result.Body))
 	header := w.Header()
 	for name, values := range result.Header {
 		header[name] = values
@@ -66,6 +70,23 @@
 	}
 }
 
+// readAndServe reads the body of a request of another gateway and runs the attempt. It returns an
+// error if the body could not be read.
+func (g *Gateway) readAndServe(w http.ResponseWriter, r *http.Request, request *forwardRequest) (*forwardResult, error) {
+	body, err := readRequestBody(w, r, g.peerBodies, 0, request.Deadline)
+	if full := (*bodybudget.FullError)(nil); errors.As(err, &full) {
+		refusal := notRun(reasonNoMemory)
+		refusal.RetryAfter = full.RetryAfter
+		return refusal, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer body.release()
+	request.Body = body.content
+	return g.servePeer(r.Context(), request), nil
+}
+
 // servePeer runs an attempt for another gateway if there is memory for the response.
 func (g *Gateway) servePeer(ctx context.Context, request *forwardRequest) *forwardResult {
 	if g.held.full() {
@@ -97,7 +118,7 @@
 	}
 }
 
-// decodeForward decodes what encodeForward wrote.
+// decodeForward decodes what encodeForward wrote, apart from the body.
 func (g *Gateway) decodeForward(r *http.Request) (*forwardRequest, bool) {
 	names := &g.config.Headers
 	remaining, ok := parseMilliseconds(r.Header.Get(names.Deadline))
@@ -109,15 +130,10 @@
 		return nil, false
 	}
 	now := steady.Reading()
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return nil, false
-	}
 	request := &forwardRequest{
 		Method:   r.Method,
 		URI:      r.RequestURI,
 		Host:     r.Host,
-		Body:     body,
 		ID:       r.Header.Get(names.RequestID),
 		Service:  r.Header.Get(fieldService),
 		Instance: instance,
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -270,3 +270,12 @@
 	stopping.Wait()
 	return errors.Join(failures...)
 }
+
+// LimitRead limits the time in which a handler may read the body of its request: later reads fail
+// with os.ErrDeadlineExceeded. The function that it returns lifts the limit.
+func LimitRead(w http.ResponseWriter, limit time.Duration) (lift func()) {
+	controller := http.NewResponseController(w)
+	// A writer that supports no deadlines has no connection that could stall.
+	_ = controller.SetReadDeadline(time.Now().Add(limit))
+	return func() { _ = controller.SetReadDeadline(time.Time{}) }
+}
--- a/internal/requesthistory/cause.go
+++ b/internal/requesthistory/cause.go
@@ -72,7 +72,7 @@
 	reasonRouteChanged: {[]string{messageInForce, messageNotServed},
 		"its route became one whose requests must not run twice, while it was read concurrently with others of its connection"},
 	reasonNoMemory: {[]string{messageNotServed},
-		"a gateway on its path had buffered as many bytes for slow readers as it may"},
+		"a gateway on its path had as many bytes of bodies in memory as it may"},
 	reasonNoRoute: {[]string{messageInForce, "no route"},
 		"no route of the configuration in force has its host and path"},
 }
--- a/lab/platformstandin/usage.go
+++ b/lab/platformstandin/usage.go
@@ -87,6 +87,14 @@
 // Usage returns what the fleet's processes have used until now.
 func (f *Fleet) Usage() Usage { return f.usage.look() }
 
+// PeakMemory returns the peak of a machine's resident memory until now, in bytes.
+func (f *Fleet) PeakMemory(machine *Machine) int64 {
+	f.usage.look()
+	f.usage.mutex.Lock()
+	defer f.usage.mutex.Unlock()
+	return f.usage.peaks[machine.Name]
+}
+
 // peakMemory reads VmHWM of /proc/PID/status, in bytes.
 func peakMemory(status []byte) int64 {
 	const kilo = 1024
