Forget sent ids by the steady clock, not the time of day

A reading's Unix time jumps with the time of day. Set forward by more than a request's deadline, the clock drops the id at once, and the next sending of the request goes over a connection on which a surplus refusal may come. Set back, it keeps every id until it has caught up.

The set goes by steady.Instant, a type that holds no time of day, in a package of its own.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -12,6 +12,7 @@
 
 	"github.com/quartzdock/quartzdock/internal/incarnation"
 	"github.com/quartzdock/quartzdock/internal/overload"
+	"github.com/quartzdock/quartzdock/internal/sentids"
 	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 )
@@ -42,7 +43,7 @@
 type egress struct {
 	gateway *Gateway
 	pool    *upstream.Pool
-	sent    *sentIDs
+	sent    *sentids.Set
 }
 
 func newEgress(g *Gateway) (*egress, error) {
@@ -56,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &egress{gateway: g, pool: pool, sent: newSentIDs()}, nil
+	return &egress{gateway: g, pool: pool, sent: sentids.New()}, nil
 }
 
 // setSlots applies the back end's number of slots.
@@ -276,7 +277,7 @@
 // send sends a request over a connection that has carried none with the same id: a surplus answer to
 // an earlier sending of it would be taken for the answer to this one.
 func (e *egress) send(ctx context.Context, request *forwardRequest, outgoing *http.Request) (*http.Response, error) {
-	if !e.sent.add(request.ID, request.Deadline, steady.Reading()) {
+	if !e.sent.Add(request.ID, steady.At(request.Deadline), steady.Now()) {
 		return e.pool.Do(ctx, outgoing)
 	}
 	e.gateway.metrics.sentAgain.Inc()
