Probe a back end's warm-up over a connection of its own

A cold back end could get requests at full rate, and requests ended in 502: where a back end sends surplus answers, one to a request came in the place of the answer to the next probe of its health path. It names no instance and states no warm-up, so the gateway took the back end for warm. A surplus answer to a probe, in turn, was read as the answer to the next request, whose id it lacks.

Cause: an answer to a probe names the instance, not the probe, and probes shared the connections of requests.

A probe is sent on a new connection, which is closed after it.

TestSurplusAnswersOfProbesAndRequests fails in both parts before: "the probe's own answer says cold", and outcome unknown in place of answered.

--- a/internal/gateway/sentids_test.go
+++ b/internal/gateway/sentids_test.go
@@ -12,34 +12,28 @@
 	"gotest.tools/v3/assert"
 )
 
-// startRepeatingBackend starts a back end that refuses the first sending of each request, and sends
-// each refusal a second time when the next request arrives on the connection. It runs all other
-// sendings and counts them in runs.
-func startRepeatingBackend(t *testing.T, runs *atomic.Int32) *rawBackend {
+// surplusBackend starts a back end that gives each request the answer of respond. If surplus is set, it
+// sends the answer a second time when the next request arrives on the connection.
+func surplusBackend(t *testing.T, respond func(r *http.Request) (text string, surplus bool)) *rawBackend {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	var refused atomic.Bool
 	serve := func(conn net.Conn) {
 		defer conn.Close()
-		reader, surplus := bufio.NewReader(conn), ""
+		reader, late := bufio.NewReader(conn), ""
 		for {
 			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			text := surplus
-			surplus = ""
-			if refused.CompareAndSwap(false, true) {
-				surplus = responseText("429 X", request.Header.Get("Try-Name"), "Never-Ran: 1\r\n", "")
-				text += surplus
-			} else {
-				runs.Add(1)
-				text += responseText("200 OK", request.Header.Get("Try-Name"), seal, "done")
-			}
-			if _, err := io.WriteString(conn, text); err != nil {
+			text, surplus := respond(request)
+			if _, err := io.WriteString(conn, late+text); err != nil {
 				return
 			}
+			late = ""
+			if surplus {
+				late = text
+			}
 		}
 	}
 	go func() {
@@ -54,6 +48,19 @@
 	return &rawBackend{listener: listener}
 }
 
+// startRepeatingBackend starts a back end that refuses the first sending of each request, with a
+// surplus answer. It runs all other sendings and counts them in runs.
+func startRepeatingBackend(t *testing.T, runs *atomic.Int32) *rawBackend {
+	var refused atomic.Bool
+	return surplusBackend(t, func(request *http.Request) (text string, surplus bool) {
+		if refused.CompareAndSwap(false, true) {
+			return responseText("429 X", request.Header.Get("Try-Name"), "Never-Ran: 1\r\n", ""), true
+		}
+		runs.Add(1)
+		return responseText("200 OK", request.Header.Get("Try-Name"), seal, "done"), false
+	})
+}
+
 // A surplus copy of a refusal comes in the place of the answer to the next sending of the same
 // request. It was taken for proof that this one has not run, and the caller was told so.
 func TestSurplusRefusalIsNotTakenForTheAnswerToTheNextSending(t *testing.T) {
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -104,8 +104,10 @@
 	defer cancel()
 	names := &g.config.Headers
 	header := http.Header{"User-Agent": {""}}
-	response, err := g.egress.pool.Do(ctx, &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Path: service.HealthPath}, Host: g.config.BackendAddress, Header: header,
+	// Nothing in an answer tells which probe it answers, and one to a request states no warm-up. So a
+	// probe has a connection of its own.
+	response, err := g.egress.pool.DoOnNewConnection(ctx, &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Path: service.HealthPath}, Host: g.config.BackendAddress, Header: header, Close: true,
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -130,13 +130,7 @@
 	for name, test := range responses {
 		t.Run(name, func(t *testing.T) {
 			backend := startRawBackend(t, func(*http.Request) string { return test.response })
-			g := gatewayWithBackend(t, backend)
-			g.config.Service = "s"
-			g.config.Headers.WarmUpLeft, g.config.Headers.InstanceID = "Cold-Ms", "Answered-By"
-			g.views.beforeSwap = g.prepareView
-			advance(t, g.views, &fleetwire.View{Document: &routeconfig.Document{Version: 1, Services: []routeconfig.Service{
-				{Name: "s", HealthPath: "/health", WarmupRate: coldRate, Warmup: time.Hour},
-			}}})
+			g := gatewayToProbe(t, backend)
 			cold, probe := g.slots.warmUpState()
 			assert.Assert(t, cold && probe, "before the probe")
 			g.checkWarmUp(t.Context())
@@ -147,6 +141,46 @@
 	}
 }
 
+// gatewayToProbe returns a gateway that does not know whether its back end is cold.
+func gatewayToProbe(t *testing.T, backend *rawBackend) *Gateway {
+	g := gatewayWithBackend(t, backend)
+	g.config.Service = "s"
+	g.config.Headers.WarmUpLeft, g.config.Headers.InstanceID = "Cold-Ms", "Answered-By"
+	g.views.beforeSwap = g.prepareView
+	advance(t, g.views, &fleetwire.View{Document: &routeconfig.Document{Version: 1, Services: []routeconfig.Service{
+		{Name: "s", HealthPath: "/health", WarmupRate: coldRate, Warmup: time.Hour},
+	}}})
+	return g
+}
+
+// A surplus answer to a request came in the place of the answer to the next probe. As it states no
+// warm-up, the back end was taken for warm. A surplus answer to a probe broke the next request off.
+func TestSurplusAnswersOfProbesAndRequests(t *testing.T) {
+	const health = "HTTP/1.1 200 OK\r\nAnswered-By: i-1\r\nCold-Ms: 2500\r\nContent-Length: 0\r\n\r\n"
+	gatewayWithSurplusOf := func(path string) *Gateway {
+		return gatewayToProbe(t, surplusBackend(t, func(r *http.Request) (text string, surplus bool) {
+			if surplus = r.URL.Path == path; r.URL.Path == "/health" {
+				return health, surplus
+			}
+			return responseText("200 OK", r.Header.Get("Try-Name"), seal, "done"), surplus
+		}))
+	}
+	serve := func(g *Gateway) {
+		assert.Equal(t, g.egress.serve(t.Context(), testRequest("r1")).Outcome, outcomeAnswered)
+	}
+	probe := func(g *Gateway) {
+		g.checkWarmUp(t.Context())
+		cold, again := g.slots.warmUpState()
+		assert.Assert(t, cold && !again, "the probe's own answer says that it is cold")
+	}
+	afterRequest := gatewayWithSurplusOf("/a/b/c")
+	serve(afterRequest)
+	probe(afterRequest)
+	afterProbe := gatewayWithSurplusOf("/health")
+	probe(afterProbe)
+	serve(afterProbe)
+}
+
 // The warm-up state in the first heartbeat of an incarnation applies before the
 // incarnation's first request is admitted, and a new incarnation is not treated as warm
 // because the previous one was.
