Offer a back end all of its ranges, in turn

Cause: the bound of 4 KiB was kept by a number of ranges, each assumed to take 52 bytes with a handover, although one that is accepted takes about 30. Ranges were cut off in the lease's order, so that those that the back end held could be left out, which releases them.

An offer is bounded by its bytes. What the back end has accepted comes first and without a handover, which makes room for others in the next offer. The test of the bound by number is replaced by one of its reason, the bytes: with handovers of 100 bytes the old offer takes 7,762 of them, which a back end would not have read.

--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -17,9 +17,6 @@
 // end hold a key for longer than the gateway assumes.
 
 const (
-	// MaxOfferedRanges bounds the ranges of a response, so that it stays below the 4 KiB that a
-	// back end reads: each takes at most 52 bytes, including a handover.
-	MaxOfferedRanges = 64
 	// responseValidity is how long after a heartbeat's arrival a back end may still accept its
 	// response: it waits for one second, on a clock that may run slow.
 	responseValidity = time.Second + time.Duration(clockDrift*float64(time.Second)) + cpuQuotaPause
@@ -296,14 +293,9 @@
 	if hold < minGrantDuration {
 		return nil
 	}
-	wanted := k.leasedRanges
-	if len(wanted) > MaxOfferedRanges {
-		k.gateway.config.Log.Warn("more ranges than an answer holds", "instance", k.instance, "ranges", len(wanted), "offered", MaxOfferedRanges)
-		wanted = wanted[:MaxOfferedRanges]
-	}
 	offer := &KeyOffer{Hold: hold}
 	k.fromHeartbeats.served = nil
-	for _, held := range wanted {
+	for _, held := range k.offerableRanges() {
 		offer.Held = append(offer.Held, k.offerRange(held, hold, now))
 	}
 	return offer
@@ -332,11 +324,7 @@
 	if accepted || sent.unacceptedOffers == 0 {
 		k.fromHeartbeats.served = append(k.fromHeartbeats.served, servedRange{held.Keys, sent.heldUntil})
 	}
-	offered := OfferedRange{Keys: held.Keys, Fence: composeFence(held.Fence, sent.subFence)}
-	if !accepted {
-		offered.Handover = held.Handover
-	}
-	return offered
+	return k.offerRow(held, accepted)
 }
 
 // reportedRanges returns the ranges for which requests may be sent while nothing can be
--- a/internal/gateway/keyheartbeats_test.go
+++ b/internal/gateway/keyheartbeats_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -311,18 +312,61 @@
 	})
 }
 
-// A response must stay below the size that a back end reads.
-func TestAnOfferHasABoundedNumberOfRanges(t *testing.T) {
+// offerSize returns the length of an offer's rows.
+func offerSize(offer *KeyOffer) (bytes int) {
+	for i := range offer.Held {
+		bytes += offer.Held[i].RowBytes()
+	}
+	return bytes
+}
+
+// manyRanges returns leased ranges of every second key.
+func manyRanges(count int, handover string) []fleetwire.Held {
+	var many []fleetwire.Held
+	for i := range keyspace.Key(count) {
+		many = append(many, fleetwire.Held{Keys: keyspace.Range{First: i * 2, Last: i * 2}, Fence: 7, Handover: handover})
+	}
+	return many
+}
+
+// A response must stay below the size that a back end reads, whatever the ranges.
+func TestAnOfferHasABoundedSize(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newHeartbeatRig(t)
-		var many []fleetwire.Held
-		for i := range keyspace.Key(200) {
-			many = append(many, fleetwire.Held{Keys: keyspace.Range{First: i * 2, Last: i * 2}, Fence: 7})
-		}
-		rig.lease(many, nil)
+		rig.lease(manyRanges(400, strings.Repeat("h", 100)), nil)
 		offer := rig.heartbeat(t, "i-1", nil)
-		assert.Equal(t, len(offer.Held), MaxOfferedRanges)
-		assert.Assert(t, !rig.g.keys.holds("i-1", 399, steady.Reading()), "no requests for ranges that are not offered")
+		assert.Assert(t, len(offer.Held) > 10 && offerSize(offer) <= MaxOfferBytes, "%d ranges, %d bytes", len(offer.Held), offerSize(offer))
+		assert.Assert(t, !rig.g.keys.holds("i-1", 799, steady.Reading()), "no requests for ranges that are not offered")
+	})
+}
+
+// An owner of 78 ranges was offered the first 64 of them again and again; requests for the others were
+// refused until ranges were joined. It gets all of them, in turn, and keeps those that it has.
+func TestAnOwnerOfManyRangesGetsAllInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newHeartbeatRig(t)
+		leased := manyRanges(110, "7a21d94b36f85c0e")
+		rig.lease(leased, nil)
+		var held []HeldRange
+		for turn := 0; len(held) < len(leased); turn++ {
+			assert.Assert(t, turn < 6, "%d of %d ranges after %d heartbeats", len(held), len(leased), turn)
+			offer := rig.heartbeat(t, "i-1", held)
+			assert.Assert(t, offerSize(offer) <= MaxOfferBytes)
+			offered := map[keyspace.Range]bool{}
+			for _, row := range offer.Held {
+				offered[row.Keys] = true
+			}
+			for _, row := range held {
+				assert.Assert(t, offered[row.Keys], "an offer leaves out what the back end holds")
+			}
+			held = nil
+			for _, row := range offer.Held {
+				held = append(held, HeldRange{row.Keys, row.Fence})
+			}
+		}
+		for _, held := range leased {
+			assert.Assert(t, rig.g.keys.holds("i-1", held.Keys.First, steady.Reading()))
+		}
 	})
 }
 
