Give the ranges of lost owners to back ends that have few

Cause: the planner chose the target of a lost owner's range by load alone. A back end whose many ranges are small has a low load and got more of them.

Targets with 48 ranges or more, from which on they get none by load balancing, come after all others, and among them the one with the fewest.

--- a/internal/keylease/manyranges_test.go
+++ b/internal/keylease/manyranges_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/fleetstate"
+	"github.com/quartzdock/quartzdock/internal/fleetwire"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"gotest.tools/v3/assert"
 )
@@ -57,3 +58,44 @@
 	const each = 20
 	assert.Assert(t, allocated < uint64(each*ranges), "%d allocations for %d ranges", allocated, ranges)
 }
+
+// A back end that had many small ranges and a low load got those of a lost one too, more than an answer to
+// its heartbeat holds, while others had few ranges.
+func TestRangesOfLostOwnerGoToBackEndsWithFewRanges(t *testing.T) {
+	l := newLeader()
+	for range 60 {
+		for node := range 4 {
+			l.report(instance(node, 0))
+		}
+		l.advance(100 * time.Millisecond)
+	}
+	const fragments, size = 60, 20
+	var batch fleetstate.ChangeOwnership
+	// The first keys go in turn to node 0, which will be lost, and to node 1, which has no other keys.
+	for i := range 2 * fragments {
+		keys := keyspace.Range{First: keyspace.Key(i * size), Last: keyspace.Key((i+1)*size - 1)}
+		to := instance(i%2, 0)
+		batch.Changes = append(batch.Changes, fleetstate.OwnershipChange{Service: service, Keys: keys, From: "i-0-0", To: to.ID, Node: to.Node, Boot: 1})
+	}
+	for _, owned := range l.state.Owners(service).All() {
+		if rest := owned.Range.Without(keyspace.Range{First: 0, Last: 2*fragments*size - 1}); owned.Owner < "i-2" && len(rest) > 0 {
+			batch.Changes = append(batch.Changes, fleetstate.OwnershipChange{Service: service, Keys: rest[0], From: owned.Owner, To: "i-2-0", Node: "node-2", Boot: 1})
+		}
+	}
+	l.apply(&fleetstate.Command{Ownership: &batch})
+	draining := instance(0, 0)
+	draining.State = fleetwire.InstanceDraining
+	for range 20 {
+		lease := l.report(draining)
+		l.report(draining, releasesOf(lease.Release, "")...)
+		for node := 1; node < 4; node++ {
+			l.report(instance(node, 0))
+		}
+		l.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(l.state.Owners(service).OwnedBy("i-0-0")), 0)
+	for node := 1; node < 4; node++ {
+		ranges := len(l.state.Owners(service).OwnedBy(instance(node, 0).ID))
+		assert.Assert(t, ranges <= fragments, "node %d has %d ranges", node, ranges)
+	}
+}
--- a/internal/keylease/merge.go
+++ b/internal/keylease/merge.go
@@ -11,10 +11,10 @@
 const (
 	// mergeThreshold is the number of ranges of one owner from which its adjacent ranges are
 	// merged. Each range takes an entry in a lease and in the response to a heartbeat, which is
-	// limited to gateway.MaxOfferedRanges.
+	// limited to gateway.MaxOfferBytes.
 	mergeThreshold = 16
 	// maxOwnedRanges is the number of ranges from which an owner gets no more keys by
-	// load balancing.
+	// load balancing, and those of owners that are lost only after all others.
 	maxOwnedRanges = 48
 	// mergeDelay is how long ranges must be unchanged before they are merged. By then
 	// the back end knows of them and has taken over the previous owner's handover.
--- a/internal/keylease/usage.go
+++ b/internal/keylease/usage.go
@@ -22,6 +22,8 @@
 	// slots is how many slots each instance uses, with incoming keys and without
 	// outgoing ones.
 	slots map[string]float64
+	// ranges is how many ranges each instance has, with incoming ones.
+	ranges map[string]int
 	// meanRun is the mean run time over the targets, in seconds.
 	meanRun float64
 }
@@ -46,12 +48,13 @@
 		return
 	}
 	p, service := u.planner, u.service
-	u.owned, u.slots = map[string][]keyspace.Assignment{}, map[string]float64{}
+	u.owned, u.slots, u.ranges = map[string][]keyspace.Assignment{}, map[string]float64{}, map[string]int{}
 	u.meanRun = meanRun(u.targets)
 	owners := p.state.Owners(service)
 	for _, assignment := range owners.All() {
 		u.owned[assignment.Owner] = append(u.owned[assignment.Owner], assignment)
 		u.slots[assignment.Owner] += float64(assignment.Size()) * keyWeight
+		u.ranges[assignment.Owner]++
 	}
 	for id, known := range p.instances {
 		if known.Service == service && len(u.owned[id]) > 0 {
@@ -78,6 +81,7 @@
 	if from, ok := u.planner.instances[moving.from]; ok {
 		load = from.load.loadOf(moving.held.Keys)
 	}
+	u.ranges[moving.to]++
 	u.slots[moving.from] -= load
 	u.slots[moving.to] += load * u.runTimeRatioOf(moving.to) / u.runTimeRatioOf(moving.from)
 }
@@ -96,18 +100,22 @@
 	return ordered
 }
 
-// leastLoaded returns the given number of targets, the least loaded first.
+// leastLoaded returns the given number of targets, the least loaded first. Those that have
+// maxOwnedRanges come after all others, the one with the fewest ranges first.
 func (u *usage) leastLoaded(targets []*instance, count int) []*instance {
 	if count > 1 {
-		return u.byLoad(targets)[:count]
+		ordered := slices.Clone(targets)
+		slices.SortStableFunc(ordered, u.comparePreference)
+		return ordered[:count]
 	}
-	lowest := targets[0]
-	for _, target := range targets[1:] {
-		if u.utilization(target) < u.utilization(lowest) {
-			lowest = target
-		}
-	}
-	return []*instance{lowest}
+	return []*instance{slices.MinFunc(targets, u.comparePreference)}
+}
+
+// comparePreference compares two targets for further keys; the preferred one is less.
+func (u *usage) comparePreference(a, b *instance) int {
+	u.compute()
+	surplus := func(target *instance) int { return max(u.ranges[target.ID]-maxOwnedRanges+1, 0) }
+	return cmp.Or(cmp.Compare(surplus(a), surplus(b)), cmp.Compare(u.utilization(a), u.utilization(b)))
 }
 
 // loadOwnedBy returns the load of the buckets that an owner holds, in busy slots.
