Soak: surplus answers, controllers replaced in turn, large bodies

Three classes of faults were found by a review and not by the soak, which did not draw them. It does now, each from a stream of its own, so that a seed's other strikes stay:

- surplus-answers: a back end sends up to 0.9 of its answers twice, behind the first one or when the next request comes, those to grants and releases too, and turns up to 0.3 of its requests away with Not-Executed.
Other strikes hit it meanwhile, so that keys move.
- controllers-replaced: one to four are removed for good, every second one as planned, each with a successor 2 s later, the next one 4 s after that.
No other disk is lost meanwhile.
- large-bodies: 6 to 23 bodies of 1 to 48 MiB at one gateway at once.
The peak memory of each gateway is checked against its settings.

--- a/lab/platformstandin/backend.go
+++ b/lab/platformstandin/backend.go
@@ -68,6 +68,10 @@
 	limit string
 	// leaves says that its answers state that it leaves, whatever its heartbeats say.
 	leaves bool
+	// surplus and refusals draw which answers are sent twice, and which requests are turned away; nil
+	// is none.
+	surplus  func() Surplus
+	refusals func() bool
 }
 
 // heldRange is a range that an instance holds until a time.
@@ -80,7 +84,8 @@
 // StartInstance serves a back end at an address and begins its heartbeats, which
 // end with the context.
 func StartInstance(ctx context.Context, ledger *Ledger, address string, instance *Instance) error {
-	instance.server, instance.door.address, instance.said.sent = &http.Server{Handler: instance.routes()}, address, make(chan struct{})
+	instance.server = &http.Server{Handler: instance.routes(), ConnState: noteState}
+	instance.door.address, instance.said.sent = address, make(chan struct{})
 	instance.ledger = ledger
 	instance.warm.until = time.Now().Add(instance.Cold)
 	instance.state = "ready"
@@ -160,7 +165,7 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	i.ledger.limits.arrives(i.lifeName(), id, time.Now())
-	if i.misdirected(w, r) {
+	if i.misdirected(w, r) || i.turnsAway(w) {
 		return
 	}
 	if i.Keyed {
--- a/lab/platformstandin/door.go
+++ b/lab/platformstandin/door.go
@@ -45,7 +45,7 @@
 	}
 	i.door.listener = listener
 	// The server returns when the door closes.
-	go func() { _ = i.server.Serve(listener) }()
+	go func() { _ = i.server.Serve(&surplusListener{Listener: listener, draw: i.drawSurplus}) }()
 	return nil
 }
 
--- a/lab/platformstandin/fleet.go
+++ b/lab/platformstandin/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -55,10 +56,15 @@
 	Timeline *Timeline
 
 	usage *usage
+	// coresMutex guards Cores where core machines are replaced while the fleet runs.
+	coresMutex sync.Mutex
 	// coresMade is how many core machines there have been.
 	coresMade int
 }
 
+// MemoryMB is the memory of a process, as the settings files name it, in units of 1 MiB.
+const MemoryMB = 280
+
 // portCount is how many ports a machine needs.
 const portCount = 8
 
@@ -116,11 +122,19 @@
 	return &Machine{Name: fmt.Sprintf("core-%d", f.coresMade), IP: hostIP(firstCore + f.coresMade - 1), Role: "controller", fleet: f}
 }
 
+// presentCores returns the core machines that the fleet has now.
+func (f *Fleet) presentCores() []*Machine {
+	f.coresMutex.Lock()
+	defer f.coresMutex.Unlock()
+	return slices.Clone(f.Cores)
+}
+
 // RemoveCore takes a core machine away for good, with SIGTERM where that is planned. The fleet has no
 // machine in its place until AddCore.
-func (f *Fleet) RemoveCore(ctx context.Context, number int, planned bool) {
-	removed := f.Cores[number]
-	f.Cores = slices.Delete(slices.Clone(f.Cores), number, number+1)
+func (f *Fleet) RemoveCore(ctx context.Context, removed *Machine, planned bool) {
+	f.coresMutex.Lock()
+	f.Cores = slices.DeleteFunc(slices.Clone(f.Cores), func(core *Machine) bool { return core == removed })
+	f.coresMutex.Unlock()
 	if planned {
 		removed.StopPlanned(ctx, Grace)
 		return
@@ -129,14 +143,17 @@
 }
 
 // AddCore starts a core machine with a new address and an empty disk.
-func (f *Fleet) AddCore() error {
+func (f *Fleet) AddCore() (*Machine, error) {
+	f.coresMutex.Lock()
 	if f.coresMade == mostCores {
-		return fmt.Errorf("there are addresses for %d controllers", mostCores)
+		f.coresMutex.Unlock()
+		return nil, fmt.Errorf("there are addresses for %d controllers", mostCores)
 	}
 	added := f.newCore()
 	added.started = 1 // only the first start of the whole system is a bootstrap
-	f.Cores = append(f.Cores, added)
-	return added.Start()
+	f.Cores = append(slices.Clone(f.Cores), added)
+	f.coresMutex.Unlock()
+	return added, added.Start()
 }
 
 func (m *Machine) address(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
@@ -154,11 +171,12 @@
 func (m *Machine) settings() (string, error) {
 	ports := &m.fleet.Ports
 	var seeds []string
-	for _, core := range m.fleet.Cores[:min(3, len(m.fleet.Cores))] {
+	cores := m.fleet.presentCores()
+	for _, core := range cores[:min(3, len(cores))] {
 		seeds = append(seeds, fmt.Sprintf("    - %q\n", core.Control()))
 	}
-	self := fmt.Sprintf("self:\n  nodeName: %q\n  ip: %q\n  zone: \"z\"\n  bootstrap: %v\n  limits:\n    memoryMb: 280\n  futureField: 1\n",
-		m.Name, m.IP, m.started == 0)
+	self := fmt.Sprintf("self:\n  nodeName: %q\n  ip: %q\n  zone: \"z\"\n  bootstrap: %v\n  limits:\n    memoryMb: %d\n  futureField: 1\n",
+		m.Name, m.IP, m.started == 0, MemoryMB)
 	if m.Role == "controller" {
 		self += fmt.Sprintf("  dataDir: %q\n", m.DataDir())
 	} else {
@@ -207,7 +225,7 @@
 
 // Stop ends all processes.
 func (f *Fleet) Stop() {
-	for _, machine := range append(append([]*Machine{}, f.Sides...), f.Cores...) {
+	for _, machine := range append(append([]*Machine{}, f.Sides...), f.presentCores()...) {
 		if machine.command != nil {
 			machine.kill()
 		}
@@ -218,7 +236,7 @@
 // answer, as an operator does.
 func (f *Fleet) Operate(ctx context.Context, path, body string) (int, error) {
 	for ctx.Err() == nil {
-		for _, core := range f.Cores {
+		for _, core := range f.presentCores() {
 			attempt, cancel := context.WithTimeout(ctx, time.Second)
 			status, err := post(attempt, "http://"+core.Control()+path, body)
 			cancel()
@@ -233,7 +251,7 @@
 // Configuration reads the newest configuration from a controller.
 func (f *Fleet) Configuration(ctx context.Context) (string, error) {
 	for ctx.Err() == nil {
-		for _, core := range f.Cores {
+		for _, core := range f.presentCores() {
 			response, err := http.Get("http://" + core.Control() + "/config/get")
 			if err != nil {
 				continue
--- a/lab/platformstandin/replacedcores_test.go
+++ b/lab/platformstandin/replacedcores_test.go
@@ -25,9 +25,10 @@
 	r := newRig(t)
 	version := 5
 	for round := range 5 {
-		r.RemoveCore(r.ctx, 0, round%2 == 1)
+		r.RemoveCore(r.ctx, r.Cores[0], round%2 == 1)
 		_ = pause.For(r.ctx, successorAfter)
-		assert.NilError(t, r.AddCore())
+		_, err := r.AddCore()
+		assert.NilError(t, err)
 		_ = pause.For(r.ctx, countsAgain)
 		version = r.changeConfiguration(version)
 		if round == 2 {
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,7 +47,9 @@
 	mutex    sync.Mutex
 	machine  *platformstandin.Machine
 	instance *platformstandin.Instance
-	lives    int
+	// live is the instance, for strikes that do not have the place.
+	live  atomic.Pointer[platformstandin.Instance]
+	lives int
 	// id is the number in the id of the present life.
 	id int
 }
@@ -62,6 +65,8 @@
 	controllers []*place
 	gateways    []*place
 	backends    []*place
+	// diskLosses is held while a disk is lost and until it counts as replaced.
+	diskLosses sync.Mutex
 }
 
 func startFleet(ctx context.Context, config Config, folder string, services []string) (*fleet, error) {
@@ -126,6 +131,7 @@
 		ByHeartbeat: f.grants == ByHeartbeat, Control: side.Control(), Slots: slotsOfBackend, ListenLate: listenLate, Ends: f.ending.endsBackEnd,
 		Calls: func(ctx context.Context, call platformstandin.LookUp) { f.callers.lookUp(ctx, side, call) },
 	}
+	backend.live.Store(backend.instance)
 	return platformstandin.StartInstance(f.ctx, f.Ledger, side.App(), backend.instance)
 }
 
@@ -170,12 +176,25 @@
 	switch strike.Kind {
 	case GatewayKill, GatewayStop, GatewayFreeze:
 		return f.strikeProcess(f.gateways[strike.Target%len(f.gateways)], strike)
-	case ControllerKill, ControllerStop, ControllerPause, ControllerWipe:
+	case ControllerWipe:
+		f.diskLosses.Lock()
+		defer f.diskLosses.Unlock()
+		defer func() { _ = pause.For(f.ctx, countsAgain) }()
+		return f.strikeProcess(f.controllers[strike.Target%len(f.controllers)], strike)
+	case ControllerKill, ControllerStop, ControllerPause:
 		return f.strikeProcess(f.controllers[strike.Target%len(f.controllers)], strike)
 	case ControllersKill:
 		return f.strikeAll(f.controllers, strike)
 	case RollingStops:
 		return f.rollingStops(strike)
+	case ControllersReplaced:
+		return f.replaceControllers(strike)
+	case LargeBodies:
+		f.sendUploads(strike)
+		return nil
+	case SurplusAnswers:
+		f.strikeSurplus(f.backends[strike.Target%len(f.backends)].live.Load(), strike)
+		return nil
 	default:
 		number := strike.Target % len(f.backends)
 		return f.strikeBackend(f.backends[number], f.gateways[number], strike)
@@ -234,11 +253,10 @@
 	if isDoor(strike.Kind) {
 		return f.strikeDoor(struck, strike)
 	}
-	if strike.Kind == BackendLimit {
+	switch strike.Kind {
+	case BackendLimit:
 		f.limitBackend(struck.instance, strike)
 		return nil
-	}
-	switch strike.Kind {
 	case LateGrants:
 		random := rand.New(rand.NewPCG(uint64(strike.At), uint64(strike.Target)))
 		struck.instance.SetLate(lateGrants(random))
--- a/lab/platformstandin/soak/plan.go
+++ b/lab/platformstandin/soak/plan.go
@@ -60,19 +60,29 @@
 	// Target numbers the machine among those of its kind.
 	Target int `json:"target"`
 	// Gap is the time between two stops of a series, and Rounds is how often it
-	// goes over all machines.
+	// goes over all machines, or how many machines are replaced or bodies sent.
 	Gap    time.Duration `json:"gap,omitempty"`
 	Rounds int           `json:"rounds,omitempty"`
 }
 
 // String implements fmt.Stringer.
 func (s Strike) String() string {
-	if s.Kind == RollingStops {
+	switch s.Kind {
+	case ControllersReplaced, LargeBodies:
+		return fmt.Sprintf("%v %s from %d, %d of them", s.At.Round(time.Millisecond), s.Kind, s.Target, s.Rounds)
+	case RollingStops:
 		return fmt.Sprintf("%v %s from %d each %v, %d rounds", s.At.Round(time.Millisecond), s.Kind, s.Target, s.Gap.Round(time.Millisecond), s.Rounds)
+	default:
+		return fmt.Sprintf("%v %s %d for %v", s.At.Round(time.Millisecond), s.Kind, s.Target, s.For.Round(time.Millisecond))
 	}
-	return fmt.Sprintf("%v %s %d for %v", s.At.Round(time.Millisecond), s.Kind, s.Target, s.For.Round(time.Millisecond))
 }
 
+// ownStreams are the kinds that are drawn each from a stream of its own.
+var ownStreams = []struct {
+	kind Kind
+	draw func(seed uint64, duration time.Duration) []Strike
+}{{BackendLimit, drawLimits}, {SurplusAnswers, drawSurplus}, {ControllersReplaced, drawReplacements}, {LargeBodies, drawUploads}}
+
 // Draw returns the strikes of a seed, in the order of their times. Only is the
 // kinds to draw from; none is all.
 func Draw(seed uint64, duration time.Duration, only []Kind) []Strike {
@@ -82,25 +92,28 @@
 // draw is Draw with a mean pause between two strikes.
 func draw(seed uint64, duration, mean time.Duration, only []Kind) []Strike {
 	if len(only) == 0 {
-		only = slices.Concat(kinds, []Kind{RollingStops, BackendLimit}, doorKinds, departureKinds)
+		only = slices.Concat(kinds, []Kind{RollingStops}, doorKinds, departureKinds)
+		for _, drawn := range ownStreams {
+			only = append(only, drawn.kind)
+		}
+	}
+	ofFamily := func(belongs func(Kind) bool) []Kind {
+		return slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return !belongs(kind) })
 	}
-	single := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool {
-		return kind == RollingStops || kind == BackendLimit || isDoor(kind) || isDeparture(kind)
-	})
-	doors := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return !isDoor(kind) })
-	departures := slices.DeleteFunc(slices.Clone(only), func(kind Kind) bool { return !isDeparture(kind) })
 	var strikes []Strike
-	if len(single) > 0 {
+	if single := ofFamily(isSingle); len(single) > 0 {
 		strikes = drawSingle(seed, duration, mean, single)
 	}
-	if len(doors) > 0 {
+	if doors := ofFamily(isDoor); len(doors) > 0 {
 		strikes = append(strikes, drawDoors(seed, duration, mean, doors)...)
 	}
-	if len(departures) > 0 {
+	if departures := ofFamily(isDeparture); len(departures) > 0 {
 		strikes = append(strikes, drawDepartures(seed, duration, departures)...)
 	}
-	if slices.Contains(only, BackendLimit) {
-		strikes = append(strikes, drawLimits(seed, duration)...)
+	for _, drawn := range ownStreams {
+		if slices.Contains(only, drawn.kind) {
+			strikes = append(strikes, drawn.draw(seed, duration)...)
+		}
 	}
 	if slices.Contains(only, RollingStops) {
 		first := firstSeries
@@ -113,6 +126,8 @@
 	return strikes
 }
 
+func isSingle(kind Kind) bool { return slices.Contains(kinds, kind) }
+
 // drawSingle returns the strikes of a seed that are no series.
 func drawSingle(seed uint64, duration, mean time.Duration, only []Kind) []Strike {
 	random := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
--- a/lab/platformstandin/soak/run.go
+++ b/lab/platformstandin/soak/run.go
@@ -195,6 +195,7 @@
 		f.Ledger.Broken("after the strikes: %v", err)
 	}
 	operators.verify(ctx)
+	f.checkMemory()
 	report := f.report(config, strikes, clients, operators)
 	var longest time.Duration
 	report.Stalls, longest = still.told()
--- a/lab/platformstandin/uploads_test.go
+++ b/lab/platformstandin/uploads_test.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// memoryLimit is the memory of a process, as its settings file names it.
-	memoryLimit = 280 << 20
+	// memoryLimit is the memory of a process in bytes.
+	memoryLimit = MemoryMB << 20
 	// uploadSize is the size of a body, which the configuration allows.
 	uploadSize = 40 << 20
 )
