Agent: believe only the answer to the message of grants that was sent

A shard could get a second owner: the agent took an answer to an earlier message of grants, sent twice by its back end, for the answer to the next one, and with it a revocation for applied that the back end had not read.

Cause: messages and answers were matched by their order on a kept connection, although an answer has the highest sequence number that the back end has applied, and a refusal names the shard.

An answer that says "applied" or "overtaken" must have read the message's sequence number, one that says "applied" must come from the process that the message is for, and a lower epoch must be one of the message's. Otherwise it is not known whether the message was applied, and it is sent anew.

--- a/internal/backendapi/client.go
+++ b/internal/backendapi/client.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -38,6 +39,10 @@
 // It applied no part of this one.
 var ErrStaleMessage = errors.New("message was overtaken by a later one")
 
+// ErrSurplusAnswer is returned if an answer came that can't be the one to the message: a back end may
+// answer an earlier message twice. It is not known whether it applied this one.
+var ErrSurplusAnswer = errors.New("answer to another message")
+
 // LowerEpochError is returned if the back end has seen a higher epoch of a shard.
 // It applied no part of the message.
 type LowerEpochError struct {
@@ -127,27 +132,44 @@
 		if err := json.Unmarshal(body, &reading); err != nil {
 			return Reading{}, fmt.Errorf("%s: %w", grantsPath, err)
 		}
-		return reading, grantError(status, message, reading)
+		err := grantError(status, message, reading)
+		if errors.Is(err, ErrSurplusAnswer) {
+			return Reading{}, err
+		}
+		return reading, err
 	case http.StatusConflict:
 		lowerEpoch := &LowerEpochError{}
 		if err := json.Unmarshal(body, lowerEpoch); err != nil {
 			return Reading{}, fmt.Errorf("%s: %w", grantsPath, err)
 		}
+		if !slices.ContainsFunc(message.Grants, func(grant Grant) bool { return grant.Shard == lowerEpoch.Shard && grant.Epoch == lowerEpoch.Epoch }) {
+			return Reading{}, surplusAnswer(status)
+		}
 		return Reading{}, lowerEpoch
 	}
 	return Reading{}, &StatusError{Path: grantsPath, Status: status}
 }
 
-// grantError returns the error for the status of an answer to a message of grants.
-// Status 412 has two causes, which the reading distinguishes.
+// surplusAnswer returns the error for an answer with a status that is not to the message.
+func surplusAnswer(status int) error {
+	return fmt.Errorf("%s: status %d: %w: %w", grantsPath, status, upstream.ErrInterrupted, ErrSurplusAnswer)
+}
+
+// grantError returns the error for the status of an answer to a message of grants. Status 412 has two
+// causes, which the reading distinguishes. A back end that has applied the message, or a later one,
+// reads at least its sequence number.
 func grantError(status int, message Grants, reading Reading) error {
 	switch {
+	case status == http.StatusPreconditionFailed && message.Boot != reading.Boot:
+		return ErrRestarted
+	case message.Boot != "" && message.Boot != reading.Boot:
+		return surplusAnswer(status)
+	case reading.Sequence < message.Sequence:
+		return surplusAnswer(status)
 	case status == http.StatusOK:
 		return nil
-	case message.Boot == reading.Boot:
-		return ErrStaleMessage
 	}
-	return ErrRestarted
+	return ErrStaleMessage
 }
 
 // Warm asks the back end to load a shard's state, and returns when it is ready.
