Agent: tell the answers to two sendings apart

A request that must not run twice was told as not run although it ran, and its next sending would have run it twice: a back end's surplus refusal came in the place of the answer to the next sending of the request, or of another one.

Each sending has a number that the back end repeats, and an answer with another number ends the exchange as interrupted. Back ends that don't repeat it are covered for the same request: one that was refused and must not run twice is sent again over a new connection, for as long as the record allows it to be sent again.

Cost: one header field each way; a connection for each refused request that is sent again.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/quartzdock/quartzdock/internal/plannedstop"
 	"github.com/quartzdock/quartzdock/internal/requestrecord"
 	"github.com/quartzdock/quartzdock/internal/routing"
+	"github.com/quartzdock/quartzdock/internal/sentids"
 	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/subscription"
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -53,12 +54,16 @@
 // Agent holds the lease of one back end, grants it shards and forwards requests
 // to it.
 type Agent struct {
-	config       Config
-	start        time.Time
-	holder       *ownership.Holder
-	lease        *lease
-	record       *requestrecord.Record
-	requests     *upstream.Pool
+	config   Config
+	start    time.Time
+	holder   *ownership.Holder
+	lease    *lease
+	record   *requestrecord.Record
+	requests *upstream.Pool
+	// sendings numbers what is sent to the back end. refusedIDs has the requests that must not run
+	// twice and that it has refused: they may be sent again.
+	sendings     atomic.Uint64
+	refusedIDs   *sentids.Set
 	controlPool  *upstream.Pool
 	backend      *backendapi.Client
 	gate         *gate.Gate
@@ -121,6 +126,8 @@
 		start:   steady.Reading(),
 		events:  make(chan func(*controlLoop), eventQueueLength),
 		stopped: make(chan struct{}),
+
+		refusedIDs: sentids.New(),
 	}
 	agent.view.Store(newView(nil, nil))
 	// Unknown until the back end has replaced the grants of an earlier process.
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -10,6 +12,8 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/admission"
+	"github.com/quartzdock/quartzdock/internal/requestrecord"
+	"github.com/quartzdock/quartzdock/internal/steady"
 	"github.com/quartzdock/quartzdock/internal/topology"
 	"github.com/quartzdock/quartzdock/internal/upstream"
 	"github.com/quartzdock/quartzdock/internal/wire"
@@ -36,6 +40,7 @@
 	wire.HeaderReason:   true,
 	wire.HeaderDeadline: true,
 	wire.HeaderRevision: true,
+	wire.HeaderSending:  true,
 }
 
 // copyHeader copies the end-to-end headers of one message to another.
@@ -106,7 +111,7 @@
 	if isLookup {
 		agent.fitness.lookupSent(started)
 	}
-	response, err := agent.requests.DoNotify(ctx, backendRequest(ctx, r, body, parsed.admittedTo), onEnd)
+	response, err := agent.sendRequest(ctx, parsed, backendRequest(ctx, r, body, parsed.admittedTo), onEnd)
 	if isLookup {
 		agent.fitness.lookupDone()
 	}
@@ -115,6 +120,9 @@
 	}
 	defer response.Body.Close()
 	if response.Header.Get(wire.HeaderOutcome) == string(wire.OutcomeNotRun) {
+		if parsed.nonRepeatable {
+			agent.refusedIDs.Add(parsed.id.String(), steady.Now().Add(cmp.Or(agent.config.Record.Retention, requestrecord.DefaultRetention)), steady.Now())
+		}
 		return refusedResult(agent.backendRefusal(parsed, response))
 	}
 	relayed := agent.relay(w, r, parsed, response)
@@ -122,6 +130,30 @@
 	return relayed
 }
 
+// errSurplusAnswer means that an answer came which is not to this sending of the request.
+var errSurplusAnswer = errors.New("answer to another sending")
+
+// sendRequest sends a request, and returns the answer to just this sending: a back end may answer twice. The
+// number that an answer repeats tells which sending it is to. Not all back ends repeat it, so a
+// request that must not run twice is sent again only over a connection that has not carried it.
+func (agent *Agent) sendRequest(ctx context.Context, parsed request, outgoing *http.Request, onEnd func()) (*http.Response, error) {
+	number := strconv.FormatUint(agent.sendings.Add(1), decimal)
+	outgoing.Header.Set(wire.HeaderSending, number)
+	exchange := agent.requests.DoNotify
+	if parsed.nonRepeatable && agent.refusedIDs.Has(parsed.id.String(), steady.Now()) {
+		exchange = agent.requests.DoNotifyOnNewConnection
+	}
+	response, err := exchange(ctx, outgoing, onEnd)
+	if err != nil {
+		return nil, err
+	}
+	if repeated := response.Header.Get(wire.HeaderSending); repeated != "" && repeated != number {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("%w: %w: %.20q in place of %s", upstream.ErrInterrupted, errSurplusAnswer, repeated, number)
+	}
+	return response, nil
+}
+
 // recordExchange records what the result of an exchange says about the back
 // end's fitness.
 func (agent *Agent) recordExchange(parsed request, status int, ended result, took time.Duration) {
--- a/internal/sentids/sentids.go
+++ b/internal/sentids/sentids.go
@@ -44,6 +44,15 @@
 	return again
 }
 
+// Has reports whether an id is remembered.
+func (s *Set) Has(id string, now steady.Instant) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.forget(now)
+	_, known := s.deadlines[id]
+	return known
+}
+
 func stepOf(at steady.Instant) int64 { return int64(at / steady.Instant(step)) }
 
 // forget drops the ids whose deadline is over. The caller has the mutex.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -45,8 +45,13 @@
 // DoOnNewConnection is like Do, on a connection that has carried no request before. What a peer
 // sends late in answer to an earlier request can't be taken for the answer to this one.
 func (pool *Pool) DoOnNewConnection(ctx context.Context, request *http.Request) (*http.Response, error) {
+	return pool.DoNotifyOnNewConnection(ctx, request, func() {})
+}
+
+// DoNotifyOnNewConnection is like DoNotify and DoOnNewConnection together.
+func (pool *Pool) DoNotifyOnNewConnection(ctx context.Context, request *http.Request, ended func()) (*http.Response, error) {
 	connection, err := pool.acquireNew(ctx)
-	return pool.start(ctx, request, connection, err, func() {})
+	return pool.start(ctx, request, connection, err, ended)
 }
 
 // start begins the exchange on an acquired connection; err is that of acquiring it.
--- a/internal/wire/headers.go
+++ b/internal/wire/headers.go
@@ -24,6 +24,9 @@
 	// HeaderKey is the hash of the key in hexadecimal, router to agent. It is sent
 	// together with a shard; the agent uses it to detect hot keys.
 	HeaderKey = "Quartzdock-Key"
+	// HeaderSending numbers each sending of a request, agent to back end. A back end repeats it in
+	// its answer, so that a surplus answer to an earlier sending is recognized.
+	HeaderSending = "Quartzdock-Sending"
 	// HeaderOutcome is on every answer: "answered", "not-run" or "unknown".
 	HeaderOutcome = "Quartzdock-Outcome"
 	// HeaderReason says why a request was not run or its outcome is unknown.
--- a/lab/backend/requests.go
+++ b/lab/backend/requests.go
@@ -64,6 +64,7 @@
 }
 
 func (b *Backend) handleRequest(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.HeaderSending, r.Header.Get(wire.HeaderSending))
 	// The body is read first: a request is whole before it takes a slot.
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxRequestBytes)); err != nil {
 		refuse(w, http.StatusBadRequest, "body incomplete")
