--- a/lab/platformstandin/soak/departures.go
+++ b/lab/platformstandin/soak/departures.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -23,6 +24,10 @@
 	DeregisterAtStart Kind = "deregister-at-start"
 )
 
+// DeregisterInElection deregisters a back end while controllers are killed, most of whose leaders are among
+// them, and kills the gateway once the deregistration is acknowledged. It is drawn from a stream of its own.
+const DeregisterInElection Kind = "deregister-in-election"
+
 // departureKinds are drawn from a stream of their own.
 var departureKinds = []Kind{BackendDeregister, DeregisterInStop, DeregisterAndKill, DeregisterAtStart}
 
@@ -38,9 +43,29 @@
 	// latestInStop is the latest time after the beginning of a planned stop at which the first
 	// deregistration is sent.
 	latestInStop = 5 * time.Second
+	// electionStream keeps the draw of DeregisterInElection apart from that of other strikes, and
+	// electionPause is the mean pause between two. latestElection is the latest time after the first
+	// deregistration at which the controllers are killed: a record takes some milliseconds.
+	electionStream = 0xe1ec
+	electionPause  = 4 * time.Second
+	latestElection = 25 * time.Millisecond
 )
 
-func isDeparture(kind Kind) bool { return slices.Contains(departureKinds, kind) }
+func isDeparture(kind Kind) bool {
+	return slices.Contains(departureKinds, kind) || kind == DeregisterInElection
+}
+
+// drawElections returns the strikes of a seed of the kind DeregisterInElection.
+func drawElections(seed uint64, duration time.Duration) []Strike {
+	random := rand.New(rand.NewPCG(seed, electionStream))
+	var strikes []Strike
+	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(electionPause)) {
+		strikes = append(strikes, Strike{
+			Kind: DeregisterInElection, At: at, Target: random.IntN(1 << 16), For: time.Duration(random.Int64N(int64(latestElection))),
+		})
+	}
+	return strikes
+}
 
 // drawDepartures returns the strikes of a seed of these kinds.
 func drawDepartures(seed uint64, duration time.Duration, only []Kind) []Strike {
@@ -70,6 +95,11 @@
 		err = f.strikeProcess(gateway, Strike{Kind: GatewayKill})
 	case DeregisterAtStart:
 		err = f.killAndDeregister(struck.instance, gateway)
+	case DeregisterInElection:
+		elected := make(chan error, 1)
+		go func() { elected <- f.killMinority(strike) }()
+		f.deregister(struck.instance)
+		err = errors.Join(f.strikeProcess(gateway, Strike{Kind: GatewayKill}), <-elected)
 	default:
 		f.deregister(struck.instance)
 	}
@@ -102,3 +132,19 @@
 	f.deregister(instance)
 	return nil
 }
+
+// killMinority kills as many controllers as leave a majority, a time after the strike has begun, and
+// starts them again.
+func (f *fleet) killMinority(strike Strike) error {
+	_ = pause.For(f.ctx, strike.For)
+	var numbers []int
+	for number := range (len(f.controllers) - 1) / 2 {
+		numbers = append(numbers, (strike.Target+number)%len(f.controllers))
+	}
+	slices.Sort(numbers) // places are taken in one order, so that two strikes don't wait for each other
+	var struck []*place
+	for _, number := range numbers {
+		struck = append(struck, f.controllers[number])
+	}
+	return f.strikeAll(struck, Strike{For: shortest})
+}
--- a/lab/platformstandin/soak/plan.go
+++ b/lab/platformstandin/soak/plan.go
@@ -81,7 +81,7 @@
 var ownStreams = []struct {
 	kind Kind
 	draw func(seed uint64, duration time.Duration) []Strike
-}{{BackendLimit, drawLimits}, {SurplusAnswers, drawSurplus}, {ControllersReplaced, drawReplacements}, {LargeBodies, drawUploads}}
+}{{BackendLimit, drawLimits}, {SurplusAnswers, drawSurplus}, {ControllersReplaced, drawReplacements}, {LargeBodies, drawUploads}, {DeregisterInElection, drawElections}}
 
 // Draw returns the strikes of a seed, in the order of their times. Only is the
 // kinds to draw from; none is all.
@@ -107,7 +107,7 @@
 	if doors := ofFamily(isDoor); len(doors) > 0 {
 		strikes = append(strikes, drawDoors(seed, duration, mean, doors)...)
 	}
-	if departures := ofFamily(isDeparture); len(departures) > 0 {
+	if departures := ofFamily(func(kind Kind) bool { return slices.Contains(departureKinds, kind) }); len(departures) > 0 {
 		strikes = append(strikes, drawDepartures(seed, duration, departures)...)
 	}
 	for _, drawn := range ownStreams {
