Bound the length of a body that another gateway may state

A gateway would end where something at its listener for other gateways states an absurd length: with the budget for bodies a stated length is allocated at once, and a body larger than the budget is served alone, whatever its length.

A body longer than the longest one that the configuration allows, or 64 MiB, is refused as not run. TestForwardedBodyBeyondTheLongestOneIsRefused states 1 PiB.

--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -73,13 +73,16 @@
 // readAndServe reads the body of a request of another gateway and runs the attempt. It returns an
 // error if the body could not be read.
 func (g *Gateway) readAndServe(w http.ResponseWriter, r *http.Request, request *forwardRequest) (*forwardResult, error) {
-	body, err := readRequestBody(w, r, g.peerBodies, 0, request.Deadline)
-	if full := (*bodybudget.FullError)(nil); errors.As(err, &full) {
+	body, err := readRequestBody(w, r, g.peerBodies, longestForwardedBody(g.views.load()), request.Deadline)
+	full := (*bodybudget.FullError)(nil)
+	switch {
+	case errors.As(err, &full):
 		refusal := notRun(reasonNoMemory)
 		refusal.RetryAfter = full.RetryAfter
 		return refusal, nil
-	}
-	if err != nil {
+	case errors.Is(err, errBodyTooLarge):
+		return notRun(reasonNoMemory), nil
+	case err != nil:
 		return nil, err
 	}
 	defer body.release()
@@ -87,6 +90,15 @@
 	return g.servePeer(r.Context(), request), nil
 }
 
+// longestForwardedBody returns the length in bytes of the longest body that is taken from another
+// gateway, whose configuration may be another one.
+func longestForwardedBody(v *view) int64 {
+	if v.table == nil {
+		return defaultMaxBody
+	}
+	return max(maxBodyBytes(v), defaultMaxBody)
+}
+
 // servePeer runs an attempt for another gateway if there is memory for the response.
 func (g *Gateway) servePeer(ctx context.Context, request *forwardRequest) *forwardResult {
 	if g.held.full() {
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -34,13 +34,13 @@
 }
 
 // readRequestBody reads the body of a request that ends at a deadline, and reserves its bytes before
-// it reads them. A limit in bytes of zero is none. It returns a *bodybudget.FullError if there is no
-// room, before it reads any of a body whose length is stated; or errBodyTooLarge.
+// it reads them. It returns a *bodybudget.FullError if there is no room, before it reads any of a body
+// whose length is stated; or errBodyTooLarge if the body is longer than a limit in bytes.
 func readRequestBody(w http.ResponseWriter, r *http.Request, budget *bodybudget.Budget, limit int64, deadline time.Time) (*requestBody, error) {
 	switch {
 	case r.ContentLength == 0:
 		return &requestBody{}, nil
-	case limit > 0 && r.ContentLength > limit:
+	case r.ContentLength > limit:
 		return nil, errBodyTooLarge
 	}
 	size := r.ContentLength
@@ -73,7 +73,7 @@
 		count, err := source.Read(b.content[length:])
 		length += count
 		switch {
-		case limit > 0 && int64(length) > limit:
+		case int64(length) > limit:
 			return errBodyTooLarge
 		case err == io.EOF:
 			b.content = b.content[:length]
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -135,6 +135,21 @@
 	eventually(t, func() bool { return hops.near.callerBodies.Reserved() == 0 })
 }
 
+// A length that no gateway forwards is refused before memory is taken for it.
+func TestForwardedBodyBeyondTheLongestOneIsRefused(t *testing.T) {
+	hops := startTwoHops(t, twoHopsConfig{timeout: 20 * time.Second}, newBlockingBackend())
+	conn, err := net.Dial("tcp", hops.far.config.PeerListen)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /a/b HTTP/1.1\r\nHost: h\r\nWait-Ms: 1000\r\n%s: 500\r\n%s: 300\r\n%s: 1\r\n%s: i\r\nContent-Length: %d\r\n\r\n",
+		fieldDue, fieldTarget, fieldPriority, fieldInstance, int64(1)<<50)
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.Header.Get(fieldOutcome), string(outcomeNotRun))
+	assert.Equal(t, hops.far.peerBodies.Reserved(), int64(0))
+}
+
 func TestBodyBeyondTheConfiguredLengthIsRefused(t *testing.T) {
 	hops := startTwoHops(t, twoHopsConfig{timeout: 20 * time.Second}, newBlockingBackend())
 	_, reader := hops.sendHeader(t, "r-1", "20000", defaultMaxBody+1)
