Agent: an answer to a message that asks only for a reading needs no sequence number

Such an answer is taken as a reading now. Two stand-ins of the agent's tests answered messages of grants without the sequence number, which docs/operators/backends.md asks for; they repeat it now, as the lab's back end does. The tests check what they did before.

--- a/internal/backendapi/client.go
+++ b/internal/backendapi/client.go
@@ -162,7 +162,9 @@
 	switch {
 	case status == http.StatusPreconditionFailed && message.Boot != reading.Boot:
 		return ErrRestarted
-	case message.Boot != "" && message.Boot != reading.Boot:
+	case message.Boot == "":
+		return nil // it asked only for a reading
+	case message.Boot != reading.Boot:
 		return surplusAnswer(status)
 	case reading.Sequence < message.Sequence:
 		return surplusAnswer(status)
