Soak: each kind with a stream of its own leaves a seed's other strikes

TestSeriesOfStops failed: it takes all kinds for series, doors, departures, limits or single strikes, and the kinds that were added are none of these. It checks each kind that has a stream of its own in the way in which it checked limits.

--- a/lab/platformstandin/soak/departures.go
+++ b/lab/platformstandin/soak/departures.go
@@ -51,9 +51,7 @@
 	latestElection = 25 * time.Millisecond
 )
 
-func isDeparture(kind Kind) bool {
-	return slices.Contains(departureKinds, kind) || kind == DeregisterInElection
-}
+func isDeparture(kind Kind) bool { return slices.Contains(departureKinds, kind) }
 
 // drawElections returns the strikes of a seed of the kind DeregisterInElection.
 func drawElections(seed uint64, duration time.Duration) []Strike {
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -247,7 +247,7 @@
 func (f *fleet) strikeBackend(struck, gateway *place, strike Strike) error {
 	struck.mutex.Lock()
 	defer struck.mutex.Unlock()
-	if isDeparture(strike.Kind) {
+	if isDeparture(strike.Kind) || strike.Kind == DeregisterInElection {
 		return f.strikeDeparture(struck, gateway, strike)
 	}
 	if isDoor(strike.Kind) {
--- a/lab/platformstandin/soak/plan.go
+++ b/lab/platformstandin/soak/plan.go
@@ -107,7 +107,7 @@
 	if doors := ofFamily(isDoor); len(doors) > 0 {
 		strikes = append(strikes, drawDoors(seed, duration, mean, doors)...)
 	}
-	if departures := ofFamily(func(kind Kind) bool { return slices.Contains(departureKinds, kind) }); len(departures) > 0 {
+	if departures := ofFamily(isDeparture); len(departures) > 0 {
 		strikes = append(strikes, drawDepartures(seed, duration, departures)...)
 	}
 	for _, drawn := range ownStreams {
--- a/lab/platformstandin/soak/series_test.go
+++ b/lab/platformstandin/soak/series_test.go
@@ -22,8 +22,18 @@
 	return program
 }
 
+func hasOwnStream(kind Kind) bool {
+	for _, drawn := range ownStreams {
+		if drawn.kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
 // A seed's series are always the same, overlap within themselves, and leave its
-// other strikes as they are without series. So do strikes of doors, limits and departures.
+// other strikes as they are without series. So do strikes of doors and departures, and each kind that is
+// drawn from a stream of its own.
 func TestSeriesOfStops(t *testing.T) {
 	isSeries := func(strike Strike) bool { return strike.Kind == RollingStops }
 	twice := 0
@@ -32,12 +42,14 @@
 		assert.DeepEqual(t, all, Draw(seed, time.Minute, nil))
 		series := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return !isSeries(strike) })
 		assert.Assert(t, len(series) > 0, "seed %d", seed)
-		limits := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return strike.Kind != BackendLimit })
-		assert.DeepEqual(t, limits, Draw(seed, time.Minute, []Kind{BackendLimit}))
+		for _, drawn := range ownStreams {
+			ofKind := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return strike.Kind != drawn.kind })
+			assert.DeepEqual(t, ofKind, Draw(seed, time.Minute, []Kind{drawn.kind}))
+		}
 		departures := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool { return !isDeparture(strike.Kind) })
 		assert.DeepEqual(t, departures, Draw(seed, time.Minute, departureKinds))
 		withoutDoors := slices.DeleteFunc(slices.Clone(all), func(strike Strike) bool {
-			return isDoor(strike.Kind) || isDeparture(strike.Kind) || strike.Kind == BackendLimit
+			return isDoor(strike.Kind) || isDeparture(strike.Kind) || hasOwnStream(strike.Kind)
 		})
 		assert.DeepEqual(t, withoutDoors, Draw(seed, time.Minute, append(slices.Clone(kinds), RollingStops)))
 		others := slices.DeleteFunc(slices.Clone(withoutDoors), isSeries)
