Agent's client: no special case for the reading beside a surplus answer

Grant dropped the reading where the answer is to another message. Its doc says with which errors the reading is valid, and its one caller reads it with these alone (grants.State.Answered). Two cases of grantError that gave the same error are one. Tests of backendapi, grants and agent pass unchanged.

--- a/internal/backendapi/client.go
+++ b/internal/backendapi/client.go
@@ -132,11 +132,7 @@
 		if err := json.Unmarshal(body, &reading); err != nil {
 			return Reading{}, fmt.Errorf("%s: %w", grantsPath, err)
 		}
-		err := grantError(status, message, reading)
-		if errors.Is(err, ErrSurplusAnswer) {
-			return Reading{}, err
-		}
-		return reading, err
+		return reading, grantError(status, message, reading)
 	case http.StatusConflict:
 		lowerEpoch := &LowerEpochError{}
 		if err := json.Unmarshal(body, lowerEpoch); err != nil {
@@ -164,9 +160,7 @@
 		return ErrRestarted
 	case message.Boot == "":
 		return nil // it asked only for a reading
-	case message.Boot != reading.Boot:
-		return surplusAnswer(status)
-	case reading.Sequence < message.Sequence:
+	case message.Boot != reading.Boot || reading.Sequence < message.Sequence:
 		return surplusAnswer(status)
 	case status == http.StatusOK:
 		return nil
