Gateway: build each row of an offer once

The row of each leased range was built and its grant looked up twice for an offer, once to see whether it fits and once to offer it, and the sizes of all rows were computed in both passes of the selection, over two slices kept in step. A candidate carries its range, row and whether it is accepted; its size is computed once. Offers are the same: all tests of the gateway and the platform pass unchanged.

--- a/internal/gateway/keyheartbeats.go
+++ b/internal/gateway/keyheartbeats.go
@@ -295,14 +295,15 @@
 	}
 	offer := &KeyOffer{Hold: hold}
 	k.fromHeartbeats.served = nil
-	for _, held := range k.offerableRanges() {
-		offer.Held = append(offer.Held, k.offerRange(held, hold, now))
+	for _, offered := range k.offerable() {
+		k.recordOffer(offered.held, hold, now)
+		offer.Held = append(offer.Held, offered.row)
 	}
 	return offer
 }
 
-// offerRange records and returns one range of an offer.
-func (k *grantManager) offerRange(held fleetwire.Held, hold time.Duration, now time.Time) OfferedRange {
+// recordOffer records that a range is offered.
+func (k *grantManager) recordOffer(held fleetwire.Held, hold time.Duration, now time.Time) {
 	key := fencedRange{held.Keys, held.Fence}
 	sent, ok := k.grants[key]
 	if !ok {
@@ -324,7 +325,6 @@
 	if accepted || sent.unacceptedOffers == 0 {
 		k.fromHeartbeats.served = append(k.fromHeartbeats.served, servedRange{held.Keys, sent.heldUntil})
 	}
-	return k.offerRow(held, accepted)
 }
 
 // reportedRanges returns the ranges for which requests may be sent while nothing can be
--- a/internal/gateway/keyoffers.go
+++ b/internal/gateway/keyoffers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"github.com/quartzdock/quartzdock/internal/fleetwire"
@@ -23,48 +24,51 @@
 	return rowPunctuation + digits(uint64(r.Keys.First)) + digits(uint64(r.Keys.Last)) + digits(uint64(r.Fence)) + len(handover)
 }
 
-// selectOffers returns which rows fit into an offer. The ranges that the back end has accepted come
-// first: what an offer leaves out, the back end releases. An accepted range's row has no handover, so
-// that more of the others fit into the next offer.
-func selectOffers(rows []OfferedRange, accepted []bool, bytes int) []bool {
-	chosen := make([]bool, len(rows))
-	for _, first := range []bool{true, false} {
-		for i := range rows {
-			if size := rows[i].RowBytes(); accepted[i] == first && size <= bytes {
-				bytes -= size
-				chosen[i] = true
+// offerCandidate is a leased range with its row in an offer.
+type offerCandidate struct {
+	held fleetwire.Held
+	row  OfferedRange
+	// accepted is set if the back end holds the range; chosen if the offer has the row.
+	accepted, chosen bool
+}
+
+// selectOffers returns the candidates whose rows fit into an offer, in their order. The ranges that the
+// back end has accepted come first: what an offer leaves out, the back end releases. An accepted
+// range's row has no handover, so that more of the others fit into the next offer.
+func selectOffers(candidates []offerCandidate, bytes int) []offerCandidate {
+	choose := func(candidate *offerCandidate) {
+		if size := candidate.row.RowBytes(); size <= bytes {
+			bytes -= size
+			candidate.chosen = true
+		}
+	}
+	for _, accepted := range []bool{true, false} {
+		for i := range candidates {
+			if candidates[i].accepted == accepted {
+				choose(&candidates[i])
 			}
 		}
 	}
-	return chosen
+	return slices.DeleteFunc(candidates, func(candidate offerCandidate) bool { return !candidate.chosen })
 }
 
-// offerableRanges returns the leased ranges that fit into one response. The caller has the mutex.
-func (k *grantManager) offerableRanges() []fleetwire.Held {
-	rows, accepted := make([]OfferedRange, len(k.leasedRanges)), make([]bool, len(k.leasedRanges))
-	for i, held := range k.leasedRanges {
+// offerable returns the leased ranges that fit into one response. The caller has the mutex.
+func (k *grantManager) offerable() []offerCandidate {
+	var candidates []offerCandidate
+	for _, held := range k.leasedRanges {
 		sent := k.grants[fencedRange{held.Keys, held.Fence}]
-		accepted[i] = sent != nil && !sent.confirmedAt.IsZero()
-		rows[i] = k.offerRow(held, accepted[i])
-	}
-	var offered []fleetwire.Held
-	for i, chosen := range selectOffers(rows, accepted, MaxOfferBytes) {
-		if chosen {
-			offered = append(offered, k.leasedRanges[i])
+		candidate := offerCandidate{
+			held: held, accepted: sent != nil && !sent.confirmedAt.IsZero(),
+			row: OfferedRange{Keys: held.Keys, Fence: composeFence(held.Fence, k.fences.subFences[held.Fence])},
 		}
+		if !candidate.accepted {
+			candidate.row.Handover = held.Handover
+		}
+		candidates = append(candidates, candidate)
 	}
-	if len(offered) < len(rows) {
-		k.gateway.config.Log.Warn("more ranges than an answer holds", "instance", k.instance, "ranges", len(rows), "offered", len(offered))
+	offered := selectOffers(candidates, MaxOfferBytes)
+	if len(offered) < len(k.leasedRanges) {
+		k.gateway.config.Log.Warn("more ranges than an answer holds", "instance", k.instance, "ranges", len(k.leasedRanges), "offered", len(offered))
 	}
 	return offered
 }
-
-// offerRow returns the row of a range under the fence that is in use for it. The caller has the
-// mutex.
-func (k *grantManager) offerRow(held fleetwire.Held, accepted bool) OfferedRange {
-	row := OfferedRange{Keys: held.Keys, Fence: composeFence(held.Fence, k.fences.subFences[held.Fence])}
-	if !accepted {
-		row.Handover = held.Handover
-	}
-	return row
-}
