--- a/lab/platformstandin/soak/departures.go
+++ b/lab/platformstandin/soak/departures.go
@@ -56,25 +56,17 @@
 // drawElections returns the strikes of a seed of the kind DeregisterInElection.
 func drawElections(seed uint64, duration time.Duration) []Strike {
 	random := rand.New(rand.NewPCG(seed, electionStream))
-	var strikes []Strike
-	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(electionPause)) {
-		strikes = append(strikes, Strike{
-			Kind: DeregisterInElection, At: at, Target: random.IntN(1 << 16), For: time.Duration(random.Int64N(int64(latestElection))),
-		})
-	}
-	return strikes
+	return drawStrikes(random, firstStrike, duration, electionPause, func(at time.Duration) Strike {
+		return Strike{Kind: DeregisterInElection, At: at, Target: random.IntN(1 << 16), For: time.Duration(random.Int64N(int64(latestElection)))}
+	})
 }
 
 // drawDepartures returns the strikes of a seed of these kinds.
 func drawDepartures(seed uint64, duration time.Duration, only []Kind) []Strike {
 	random := rand.New(rand.NewPCG(seed, departureStream))
-	var strikes []Strike
-	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(departurePause)) {
-		strikes = append(strikes, Strike{
-			Kind: only[random.IntN(len(only))], At: at, Target: random.IntN(1 << 16), For: time.Duration(random.Int64N(int64(latestInStop))),
-		})
-	}
-	return strikes
+	return drawStrikes(random, firstStrike, duration, departurePause, func(at time.Duration) Strike {
+		return Strike{Kind: only[random.IntN(len(only))], At: at, Target: random.IntN(1 << 16), For: time.Duration(random.Int64N(int64(latestInStop)))}
+	})
 }
 
 // strikeDeparture does one strike of these kinds. The caller has the back end's place, and gateway
--- a/lab/platformstandin/soak/doors.go
+++ b/lab/platformstandin/soak/doors.go
@@ -51,14 +51,9 @@
 // drawDoors returns the strikes of a seed of these kinds.
 func drawDoors(seed uint64, duration, mean time.Duration, only []Kind) []Strike {
 	random := rand.New(rand.NewPCG(seed, doorStream))
-	var strikes []Strike
-	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(mean)) {
-		strikes = append(strikes, Strike{
-			Kind: only[random.IntN(len(only))], At: at, Target: random.IntN(1 << 16),
-			For: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
-		})
-	}
-	return strikes
+	return drawStrikes(random, firstStrike, duration, mean, func(at time.Duration) Strike {
+		return Strike{Kind: only[random.IntN(len(only))], At: at, Target: random.IntN(1 << 16), For: drawLength(random, shortest, longest)}
+	})
 }
 
 // strikeDoor does one strike of these kinds. The caller has the place.
--- a/lab/platformstandin/soak/limits.go
+++ b/lab/platformstandin/soak/limits.go
@@ -31,14 +31,9 @@
 // drawLimits returns the limits of a seed.
 func drawLimits(seed uint64, duration time.Duration) []Strike {
 	random := rand.New(rand.NewPCG(seed, limitStream))
-	var strikes []Strike
-	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(limitPause)) {
-		strikes = append(strikes, Strike{
-			Kind: BackendLimit, At: at, Target: random.IntN(1 << 16),
-			For: shortestLimit + time.Duration(random.Int64N(int64(longestLimit-shortestLimit))),
-		})
-	}
-	return strikes
+	return drawStrikes(random, firstStrike, duration, limitPause, func(at time.Duration) Strike {
+		return Strike{Kind: BackendLimit, At: at, Target: random.IntN(1 << 16), For: drawLength(random, shortestLimit, longestLimit)}
+	})
 }
 
 // limitBackend makes a back end state a limit for the time of a strike. Half-way it states another
--- a/lab/platformstandin/soak/plan.go
+++ b/lab/platformstandin/soak/plan.go
@@ -126,18 +126,29 @@
 	return strikes
 }
 
+// drawStrikes returns the strikes that a function draws, one after the other from a time on, with a mean pause
+// between two.
+func drawStrikes(random *rand.Rand, first, duration, mean time.Duration, one func(at time.Duration) Strike) []Strike {
+	var strikes []Strike
+	for at := first; at < duration; at += time.Duration(random.ExpFloat64() * float64(mean)) {
+		strikes = append(strikes, one(at))
+	}
+	return strikes
+}
+
+// drawLength draws how long a strike lasts.
+func drawLength(random *rand.Rand, shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(random.Int64N(int64(longest-shortest)))
+}
+
 func isSingle(kind Kind) bool { return slices.Contains(kinds, kind) }
 
 // drawSingle returns the strikes of a seed that are no series.
 func drawSingle(seed uint64, duration, mean time.Duration, only []Kind) []Strike {
 	random := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
-	var strikes []Strike
 	wipeAfter := time.Duration(0)
-	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(mean)) {
-		strike := Strike{
-			Kind: only[random.IntN(len(only))], At: at, Target: random.IntN(1 << 16),
-			For: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
-		}
+	return drawStrikes(random, firstStrike, duration, mean, func(at time.Duration) Strike {
+		strike := Strike{Kind: only[random.IntN(len(only))], At: at, Target: random.IntN(1 << 16), For: drawLength(random, shortest, longest)}
 		if strike.Kind == ControllerWipe {
 			if at < wipeAfter {
 				strike.Kind = ControllerKill
@@ -145,7 +156,6 @@
 				wipeAfter = at + wipePause
 			}
 		}
-		strikes = append(strikes, strike)
-	}
-	return strikes
+		return strike
+	})
 }
--- a/lab/platformstandin/soak/replacements.go
+++ b/lab/platformstandin/soak/replacements.go
@@ -29,11 +29,9 @@
 // drawReplacements returns the strikes of a seed of this kind.
 func drawReplacements(seed uint64, duration time.Duration) []Strike {
 	random := rand.New(rand.NewPCG(seed, replacementStream))
-	var strikes []Strike
-	for at := firstReplacement; at < duration; at += time.Duration(random.ExpFloat64() * float64(replacementPause)) {
-		strikes = append(strikes, Strike{Kind: ControllersReplaced, At: at, Target: random.IntN(1 << 16), Rounds: 1 + random.IntN(mostReplaced)})
-	}
-	return strikes
+	return drawStrikes(random, firstReplacement, duration, replacementPause, func(at time.Duration) Strike {
+		return Strike{Kind: ControllersReplaced, At: at, Target: random.IntN(1 << 16), Rounds: 1 + random.IntN(mostReplaced)}
+	})
 }
 
 // replaceControllers does one strike of this kind. No other disk is lost meanwhile.
--- a/lab/platformstandin/soak/surplus.go
+++ b/lab/platformstandin/soak/surplus.go
@@ -27,13 +27,9 @@
 // drawSurplus returns the strikes of a seed of this kind.
 func drawSurplus(seed uint64, duration time.Duration) []Strike {
 	random := rand.New(rand.NewPCG(seed, surplusStream))
-	var strikes []Strike
-	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(surplusPause)) {
-		strikes = append(strikes, Strike{
-			Kind: SurplusAnswers, At: at, Target: random.IntN(1 << 16), For: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
-		})
-	}
-	return strikes
+	return drawStrikes(random, firstStrike, duration, surplusPause, func(at time.Duration) Strike {
+		return Strike{Kind: SurplusAnswers, At: at, Target: random.IntN(1 << 16), For: drawLength(random, shortest, longest)}
+	})
 }
 
 // strikeSurplus does one strike of this kind. Others may strike the back end meanwhile: keys that move
--- a/lab/platformstandin/soak/uploads.go
+++ b/lab/platformstandin/soak/uploads.go
@@ -31,11 +31,9 @@
 // drawUploads returns the strikes of a seed of this kind.
 func drawUploads(seed uint64, duration time.Duration) []Strike {
 	random := rand.New(rand.NewPCG(seed, uploadStream))
-	var strikes []Strike
-	for at := firstStrike; at < duration; at += time.Duration(random.ExpFloat64() * float64(uploadPause)) {
-		strikes = append(strikes, Strike{Kind: LargeBodies, At: at, Target: random.IntN(1 << 16), Rounds: fewestUploads + random.IntN(mostUploads-fewestUploads)})
-	}
-	return strikes
+	return drawStrikes(random, firstStrike, duration, uploadPause, func(at time.Duration) Strike {
+		return Strike{Kind: LargeBodies, At: at, Target: random.IntN(1 << 16), Rounds: fewestUploads + random.IntN(mostUploads-fewestUploads)}
+	})
 }
 
 // sendUploads does one strike of this kind.
