Stand-in: one ReplaceCore and one place for its times and the memory of a process

The test of replacements and the soak each removed a core machine, waited and added its successor, with two copies of the two times; the limit of a process's memory was computed twice beside the settings. Nothing else changes: TestControllersAreReplacedInTurn and TestLargeBodiesStayWithinTheMemory pass as before.

--- a/lab/platformstandin/fleet.go
+++ b/lab/platformstandin/fleet.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/lab/childprocess"
+	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
 // Ports that every machine has alike.
@@ -62,8 +63,15 @@
 	coresMade int
 }
 
-// MemoryMB is the memory of a process, as the settings files name it, in units of 1 MiB.
-const MemoryMB = 280
+const (
+	// MemoryLimit is the memory of a process in bytes, as the settings files name it.
+	MemoryLimit = memoryMB << 20
+	memoryMB    = 280
+	// successorAfter is the time from the end of a core machine until its successor starts, and
+	// CountsAgain from then until another machine may be lost.
+	successorAfter = 2 * time.Second
+	CountsAgain    = 4 * time.Second
+)
 
 // portCount is how many ports a machine needs.
 const portCount = 8
@@ -129,9 +137,9 @@
 	return slices.Clone(f.Cores)
 }
 
-// RemoveCore takes a core machine away for good, with SIGTERM where that is planned. The fleet has no
-// machine in its place until AddCore.
-func (f *Fleet) RemoveCore(ctx context.Context, removed *Machine, planned bool) {
+// removeCore takes a core machine away for good, with SIGTERM where that is planned. The fleet has no
+// machine in its place until addCore.
+func (f *Fleet) removeCore(ctx context.Context, removed *Machine, planned bool) {
 	f.coresMutex.Lock()
 	f.Cores = slices.DeleteFunc(slices.Clone(f.Cores), func(core *Machine) bool { return core == removed })
 	f.coresMutex.Unlock()
@@ -142,8 +150,8 @@
 	removed.Signal(syscall.SIGKILL)
 }
 
-// AddCore starts a core machine with a new address and an empty disk.
-func (f *Fleet) AddCore() (*Machine, error) {
+// addCore starts a core machine with a new address and an empty disk.
+func (f *Fleet) addCore() (*Machine, error) {
 	f.coresMutex.Lock()
 	if f.coresMade == mostCores {
 		f.coresMutex.Unlock()
@@ -156,6 +164,13 @@
 	return added, added.Start()
 }
 
+// ReplaceCore takes a core machine away for good and starts its successor, which it returns.
+func (f *Fleet) ReplaceCore(ctx context.Context, removed *Machine, planned bool) (*Machine, error) {
+	f.removeCore(ctx, removed, planned)
+	_ = pause.For(ctx, successorAfter)
+	return f.addCore()
+}
+
 func (m *Machine) address(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 
 // Control is the machine's address for operators or its back end.
@@ -176,7 +191,7 @@
 		seeds = append(seeds, fmt.Sprintf("    - %q\n", core.Control()))
 	}
 	self := fmt.Sprintf("self:\n  nodeName: %q\n  ip: %q\n  zone: \"z\"\n  bootstrap: %v\n  limits:\n    memoryMb: %d\n  futureField: 1\n",
-		m.Name, m.IP, m.started == 0, MemoryMB)
+		m.Name, m.IP, m.started == 0, memoryMB)
 	if m.Role == "controller" {
 		self += fmt.Sprintf("  dataDir: %q\n", m.DataDir())
 	} else {
--- a/lab/platformstandin/replacedcores_test.go
+++ b/lab/platformstandin/replacedcores_test.go
@@ -4,20 +4,12 @@
 	"net/http"
 	"syscall"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
-const (
-	// successorAfter is the time from the end of a core machine until its successor starts, and
-	// countsAgain from then until another machine may be lost.
-	successorAfter = 2 * time.Second
-	countsAgain    = 4 * time.Second
-)
-
 // Each core machine is replaced by one with a new address, more often than there are seats, as planned
 // and not, with a restart of another one between. The group takes a change after each replacement,
 // and reads back what was acknowledged.
@@ -25,16 +17,14 @@
 	r := newRig(t)
 	version := 5
 	for round := range 5 {
-		r.RemoveCore(r.ctx, r.Cores[0], round%2 == 1)
-		_ = pause.For(r.ctx, successorAfter)
-		_, err := r.AddCore()
+		_, err := r.ReplaceCore(r.ctx, r.Cores[0], round%2 == 1)
 		assert.NilError(t, err)
-		_ = pause.For(r.ctx, countsAgain)
+		_ = pause.For(r.ctx, CountsAgain)
 		version = r.changeConfiguration(version)
 		if round == 2 {
 			r.Cores[1].Signal(syscall.SIGKILL)
 			assert.NilError(t, r.Cores[1].Start())
-			_ = pause.For(r.ctx, countsAgain)
+			_ = pause.For(r.ctx, CountsAgain)
 			version = r.changeConfiguration(version)
 		}
 	}
--- a/lab/platformstandin/soak/fleet.go
+++ b/lab/platformstandin/soak/fleet.go
@@ -179,7 +179,7 @@
 	case ControllerWipe:
 		f.diskLosses.Lock()
 		defer f.diskLosses.Unlock()
-		defer func() { _ = pause.For(f.ctx, countsAgain) }()
+		defer func() { _ = pause.For(f.ctx, platformstandin.CountsAgain) }()
 		return f.strikeProcess(f.controllers[strike.Target%len(f.controllers)], strike)
 	case ControllerKill, ControllerStop, ControllerPause:
 		return f.strikeProcess(f.controllers[strike.Target%len(f.controllers)], strike)
--- a/lab/platformstandin/soak/replacements.go
+++ b/lab/platformstandin/soak/replacements.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/lab/pause"
+	"github.com/quartzdock/quartzdock/lab/platformstandin"
 )
 
 // ControllersReplaced replaces controllers one after the other, each by one with a new address and an
@@ -20,10 +21,6 @@
 	replacementPause = 20 * time.Second
 	// mostReplaced bounds the machines of a series, which is more than half of the usual ones.
 	mostReplaced = 4
-	// successorAfter is the time from the end of a machine until its successor starts, and
-	// countsAgain from then until another disk may be lost.
-	successorAfter = 2 * time.Second
-	countsAgain    = 4 * time.Second
 )
 
 // drawReplacements returns the strikes of a seed of this kind.
@@ -46,7 +43,7 @@
 		if err := f.replaceController(struck, round%2 == 1); err != nil {
 			return err
 		}
-		_ = pause.For(f.ctx, countsAgain)
+		_ = pause.For(f.ctx, platformstandin.CountsAgain)
 	}
 	return nil
 }
@@ -55,9 +52,7 @@
 func (f *fleet) replaceController(struck *place, planned bool) error {
 	struck.mutex.Lock()
 	defer struck.mutex.Unlock()
-	f.RemoveCore(f.ctx, struck.machine, planned)
-	_ = pause.For(f.ctx, successorAfter)
-	added, err := f.AddCore()
+	added, err := f.ReplaceCore(f.ctx, struck.machine, planned)
 	if added != nil {
 		struck.machine = added
 	}
--- a/lab/platformstandin/soak/uploads.go
+++ b/lab/platformstandin/soak/uploads.go
@@ -24,8 +24,6 @@
 	mostUploads   = 24
 	leastUpload   = 1 << 20
 	mostUpload    = 48 << 20
-	// memoryLimit is what the settings allow a process, in bytes.
-	memoryLimit = platformstandin.MemoryMB << 20
 )
 
 // drawUploads returns the strikes of a seed of this kind.
@@ -62,8 +60,8 @@
 // checkMemory notes the machines whose processes have exceeded their memory.
 func (f *fleet) checkMemory() {
 	for _, gateway := range f.gateways {
-		if used := f.PeakMemory(gateway.machine); used > memoryLimit {
-			f.Ledger.Broken("memory: %s used %d MiB of %d", gateway.machine.Name, used>>20, memoryLimit>>20)
+		if used := f.PeakMemory(gateway.machine); used > platformstandin.MemoryLimit {
+			f.Ledger.Broken("memory: %s used %d MiB of %d", gateway.machine.Name, used>>20, platformstandin.MemoryLimit>>20)
 		}
 	}
 }
--- a/lab/platformstandin/uploads_test.go
+++ b/lab/platformstandin/uploads_test.go
@@ -14,12 +14,8 @@
 	"github.com/quartzdock/quartzdock/lab/pause"
 )
 
-const (
-	// memoryLimit is the memory of a process in bytes.
-	memoryLimit = MemoryMB << 20
-	// uploadSize is the size of a body, which the configuration allows.
-	uploadSize = 40 << 20
-)
+// uploadSize is the size of a body, which the configuration allows.
+const uploadSize = 40 << 20
 
 // Many large bodies that arrive at once ended a gateway: together they exceed its memory. Those beyond
 // the bound are refused, and requests without a body are served meanwhile.
@@ -33,7 +29,7 @@
 			for _, side := range r.Sides {
 				t.Logf("%s used %d MiB at most", side.Name, r.PeakMemory(side)>>20)
 				assert.Assert(t, !side.hasEnded())
-				assert.Assert(t, r.PeakMemory(side) < memoryLimit, "%s used %d MiB", side.Name, r.PeakMemory(side)>>20)
+				assert.Assert(t, r.PeakMemory(side) < MemoryLimit, "%s used %d MiB", side.Name, r.PeakMemory(side)>>20)
 			}
 			r.waitServed(r.Sides[0])
 			r.checkPromises()
