Tests: one peer that sends answers twice

The gateway's and the platform's tests each had a raw server with the same loop, one sending an answer a second time when the next request comes. lab/rawpeer serves both. The gateway's file is named after what it tests, since the set of sent ids has a package of its own.

--- a/internal/gateway/sentids_test.go
+++ b/internal/gateway/surplus_test.go
@@ -1,50 +1,23 @@
 package gateway
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/quartzdock/quartzdock/lab/rawpeer"
 )
 
-// surplusBackend starts a back end that gives each request the answer of respond. If surplus is set, it
-// sends the answer a second time when the next request arrives on the connection.
-func surplusBackend(t *testing.T, respond func(r *http.Request) (text string, surplus bool)) *rawBackend {
+// surplusBackend starts a back end that gives each request the answer of respond.
+func surplusBackend(t *testing.T, respond rawpeer.Respond) *rawBackend {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	serve := func(conn net.Conn) {
-		defer conn.Close()
-		reader, late := bufio.NewReader(conn), ""
-		for {
-			request, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			text, surplus := respond(request)
-			if _, err := io.WriteString(conn, late+text); err != nil {
-				return
-			}
-			late = ""
-			if surplus {
-				late = text
-			}
-		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
+	go rawpeer.Serve(listener, respond)
 	return &rawBackend{listener: listener}
 }
 
