Review: three slow readers block all larger answers of a gateway

Six of 26 clients of a machine read slowly; most requests of the others have no final answer half a second after the timeout.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -17,7 +17,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
-	"lost-seed": lostSeed,
+	"lost-seed":    lostSeed,
+	"slow-readers": slowReaders,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
