--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"lost-seed":    lostSeed,
 	"slow-readers": slowReaders,
+	"empty-host":   emptyHost,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
