--- a/review/cases2/fleet.go
+++ b/review/cases2/fleet.go
@@ -19,6 +19,9 @@
 // ports are the same on every machine, as on the users' platform.
 type ports struct{ inbound, ready, outbound, control, app, own int }
 
+// maxFds is how many descriptors a process has.
+const maxFds = 4100
+
 // fleet is a small deployment on loopback addresses.
 type fleet struct {
 	program string
@@ -122,7 +125,7 @@
 	}
 	fmt.Fprintf(&b, "grants: \"call\"\nself:\n  nodeName: %q\n  role: %q\n  machineClass: %q\n  ip: %q\n  zone: \"hall-a\"\n  region: \"se-west\"\n", m.name, m.role, class, m.ip)
 	fmt.Fprintf(&b, "  countsTowardFaults: %v\n  bootstrap: %v\n  dataDir: %s\n  appAddr: %s\n  service: %s\n", class == "core", m.boot, dataDir, app, service)
-	fmt.Fprintf(&b, "  limits:\n    cpuShare: %v\n    cpuCores: 1\n    memoryMb: %d\n    maxFds: 4096\n    linkMbps: 1000.0\n    diskMb: %d\n", cpu, memory, disk)
+	fmt.Fprintf(&b, "  limits:\n    cpuShare: %v\n    cpuCores: 1\n    memoryMb: %d\n    maxFds: %d\n    linkMbps: 1000.0\n    diskMb: %d\n", cpu, memory, maxFds, disk)
 	fmt.Fprintf(&b, "network:\n  bindAddrs:\n    inbound: %q\n    outbound: %q\n    ready: %q\n    control: %q\n", m.address(p.inbound), m.outbound(), m.address(p.ready), m.control())
 	fmt.Fprintf(&b, "  ephemeralPorts:\n    - %d\n    - %d\n  seedNodes:\n", p.own, p.own+2)
 	for _, seed := range m.fleet.seeds {
@@ -151,7 +154,9 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(m.fleet.program, m.role)
+	// The platform gives a process maxFds descriptors, of which 200 are kept for files.
+	limited := fmt.Sprintf("ulimit -n %d && exec %s %s", maxFds, m.fleet.program, m.role)
+	command := exec.Command("/bin/sh", "-c", limited)
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "QUARTZDOCK_BOOT=" + path}
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
