Review: dead voters stay in the core's group when its leader changes while a machine is replaced

Machines of the core are replaced one after the other and the processes of the others killed once each time; after 4 to 7 rounds nobody leads any more and the acknowledged configuration is not read back.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -20,6 +20,7 @@
 	"lost-seed":    lostSeed,
 	"slow-readers": slowReaders,
 	"empty-host":   emptyHost,
+	"lost-seats":   lostSeats,
 	"idle-clients": idleConnections,
 }
 
