Gateway: a stalled body gives up its place on the link

Seen: six clients that read larger answers slowly.

Cause: at most three bodies of 16 KiB or more are written at a time, and a body kept its place while it waited for its reader, or for its source. Three slow readers blocked all larger answers of the machine, to other gateways as well.

Change: linkplace.go. A body that waits for its reader or source for longer than the pacer writes ahead gives up its place and goes on without one; and the body that has waited for longest gets a further place whenever the link is idle.

Why this holds: the order of bodies is kept while the holders use the link. If they don't, the link runs idle, and then the next one is written, however many holders there are.

Test, which fails before: TestStalledLargeResponsesDoNotHoldUpOthers, with 200 stalled readers, and with 200 senders that stop in the middle of an answer ("not written although the link is idle", a minute, both).

--- a/internal/gateway/linkpacer.go
+++ b/internal/gateway/linkpacer.go
@@ -25,17 +25,21 @@
 	// pacedLinkFraction is the fraction of the link's rate that paced bodies use. The rest
 	// is for packet headers (40 of 1,500 bytes) and small responses.
 	pacedLinkFraction = 0.93
-	// maxPacedWriters is how many paced bodies are written concurrently. Sent one after the
-	// other, bodies arrive earlier on average than all at once; more than one is allowed so
-	// that a stalled reader does not block the others.
+	// maxPacedWriters is how many paced bodies are written concurrently, apart from those that
+	// wait for their reader or their source. Sent one after the other, bodies arrive earlier
+	// on average than all at once.
 	maxPacedWriters = 3
+	// maxStall is how long a body may wait for its reader or its source and keep its place.
+	// After that the link has sent what the body was ahead.
+	maxStall = maxPacingLead
 )
 
-// linkPacer writes large bodies no faster than the machine's network link sends them.
+// linkPacer writes large bodies one after the other and no faster than the machine's network link sends them.
 // Otherwise they would queue in the socket buffers of many connections, and small responses,
-// for which other requests are waiting, would queue behind them.
+// for which other requests are waiting, would queue behind them. A body that waits for its reader
+// or its source does not keep the others from the link.
 type linkPacer struct {
-	writers chan struct{}
+	places linkPlaces
 
 	mutex sync.Mutex
 	link  *overload.Link
@@ -45,7 +49,9 @@
 // unknown.
 func newLinkPacer(bytesPerSecond float64) *linkPacer {
 	link := overload.NewLink(pacedLinkFraction * bytesPerSecond)
-	return &linkPacer{link: link, writers: make(chan struct{}, maxPacedWriters)}
+	p := &linkPacer{link: link}
+	p.places.idle = func() bool { return p.countSent(0) == 0 }
+	return p
 }
 
 // withLink calls a function on the link at the present time, with the mutex held.
@@ -107,22 +113,21 @@
 func (p *linkPacer) copy(ctx context.Context, w http.ResponseWriter, source io.Reader, length int) error {
 	p.addWaiting(length)
 	defer func() { p.addWaiting(-length) }() // the rest that was not written
-	select {
-	case p.writers <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
+	place, err := p.places.acquire(ctx)
+	if err != nil {
+		return err
 	}
-	defer func() { <-p.writers }()
+	defer place.release()
 	buffer := make([]byte, min(pacedChunk, length))
 	for length > 0 {
 		chunk := buffer[:min(len(buffer), length)]
-		if _, err := io.ReadFull(source, chunk); err != nil {
+		if err := place.whileWaiting(func() error { _, err := io.ReadFull(source, chunk); return err }); err != nil {
 			return err
 		}
 		if !sleep(ctx, p.countSent(len(chunk))-maxPacingLead) {
 			return context.Cause(ctx)
 		}
-		if _, err := w.Write(chunk); err != nil {
+		if err := place.whileWaiting(func() error { _, err := w.Write(chunk); return err }); err != nil {
 			return err
 		}
 		p.addWaiting(-len(chunk))
--- a/internal/gateway/linkpacer_test.go
+++ b/internal/gateway/linkpacer_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"net"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -100,6 +102,71 @@
 	})
 }
 
+// stalledWriter is an http.ResponseWriter whose reader reads nothing until it leaves.
+type stalledWriter struct {
+	*httptest.ResponseRecorder
+	left <-chan struct{}
+}
+
+func (w stalledWriter) Write([]byte) (int, error) {
+	<-w.left
+	return 0, net.ErrClosed
+}
+
+// stalledSource is a body of which nothing arrives until its sender is given up.
+type stalledSource struct{ givenUp <-chan struct{} }
+
+func (s stalledSource) Read([]byte) (int, error) {
+	<-s.givenUp
+	return 0, net.ErrClosed
+}
+
+// Large responses whose readers read nothing, or whose sender has stopped in their middle, must not
+// keep those of other callers from the link.
+func TestStalledLargeResponsesDoNotHoldUpOthers(t *testing.T) {
+	const stalled, responses, size = 200, 20, 90_000
+	for name, stall := range map[string]func(*linkPacer, <-chan struct{}) error{
+		"readers": func(pacer *linkPacer, left <-chan struct{}) error {
+			return pacer.copy(context.Background(), stalledWriter{httptest.NewRecorder(), left}, bytes.NewReader(make([]byte, size)), size)
+		},
+		"senders": func(pacer *linkPacer, left <-chan struct{}) error {
+			return pacer.copy(context.Background(), httptest.NewRecorder(), stalledSource{left}, size)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				link := &slowLink{rate: slowLinkRate}
+				pacer := newLinkPacer(slowLinkRate)
+				left := make(chan struct{})
+				var all, others sync.WaitGroup
+				for range stalled {
+					all.Go(func() { assert.Check(t, stall(pacer, left) != nil) })
+				}
+				time.Sleep(20 * time.Second) // longer than the link takes for all of them
+				began := steady.Reading()
+				for range responses {
+					others.Go(func() {
+						w := &linkWriter{httptest.NewRecorder(), link}
+						assert.Check(t, pacer.writeBody(t.Context(), w, make([]byte, size)))
+					})
+				}
+				ended := make(chan struct{})
+				go func() { others.Wait(); close(ended) }()
+				select {
+				case <-ended:
+				case <-time.After(time.Minute):
+					t.Error("responses were not written although the link is idle")
+				}
+				took := steady.Elapsed(began).Seconds()
+				assert.Check(t, took < responses*size/slowLinkRate*1.1, "%.1f s", took)
+				close(left)
+				all.Wait()
+				others.Wait()
+			})
+		})
+	}
+}
+
 // A response to a caller that has disconnected uses no more of the link.
 func TestResponseToDisconnectedCallerIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/gateway/linkplace.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// linkPlaces decides which bodies are written to the link: maxPacedWriters at a time, in the order
+// in which they asked, and a further one whenever the link is idle although bodies wait for it.
+// The holders of places that don't use the link therefore hold nobody up.
+type linkPlaces struct {
+	// idle reports whether everything that was handed over to the link has been sent.
+	idle func() bool
+
+	mutex sync.Mutex
+	taken int
+	// waiting holds a channel for each body that waits, which is closed once it has a place.
+	waiting []chan struct{}
+	// watched is set while watch runs.
+	watched bool
+}
+
+// linkPlace is the place of a body that is being written.
+type linkPlace struct {
+	places   *linkPlaces
+	released sync.Once
+}
+
+// acquire waits for a place, or until the context ends.
+func (p *linkPlaces) acquire(ctx context.Context) (*linkPlace, error) {
+	granted := p.enqueue()
+	select {
+	case <-granted:
+		return &linkPlace{places: p}, nil
+	case <-ctx.Done():
+		p.withdraw(granted)
+		return nil, ctx.Err()
+	}
+}
+
+func (p *linkPlaces) enqueue() (granted chan struct{}) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	granted = make(chan struct{})
+	p.waiting = append(p.waiting, granted)
+	if p.taken < maxPacedWriters {
+		p.grant()
+	} else if !p.watched {
+		p.watched = true
+		go p.watch()
+	}
+	return granted
+}
+
+// withdraw takes back what enqueue has asked for.
+func (p *linkPlaces) withdraw(granted chan struct{}) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if at := slices.Index(p.waiting, granted); at >= 0 {
+		p.waiting = slices.Delete(p.waiting, at, at+1)
+		return
+	}
+	p.free()
+}
+
+// grant gives a place to the body that has waited for longest. The caller holds the mutex.
+func (p *linkPlaces) grant() {
+	if len(p.waiting) == 0 {
+		return
+	}
+	p.taken++
+	close(p.waiting[0])
+	p.waiting = p.waiting[1:]
+}
+
+// free ends the use of a place. The caller holds the mutex.
+func (p *linkPlaces) free() {
+	p.taken--
+	if p.taken < maxPacedWriters {
+		p.grant()
+	}
+}
+
+// watch gives a further place whenever the link is idle, until no body waits.
+func (p *linkPlaces) watch() {
+	ticks := time.NewTicker(maxPacingLead)
+	defer ticks.Stop()
+	for range ticks.C {
+		if !p.grantWhileIdle() {
+			return
+		}
+	}
+}
+
+// grantWhileIdle reports whether bodies wait.
+func (p *linkPlaces) grantWhileIdle() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.idle() {
+		p.grant()
+	}
+	p.watched = len(p.waiting) > 0
+	return p.watched
+}
+
+// release gives the place to another body. It may be called more than once.
+func (l *linkPlace) release() {
+	l.released.Do(func() {
+		l.places.mutex.Lock()
+		defer l.places.mutex.Unlock()
+		l.places.free()
+	})
+}
+
+// whileWaiting calls a function that may wait for the body's reader or source. The place is given
+// up if that takes longer than maxStall; the rest of the body is then written without one.
+func (l *linkPlace) whileWaiting(call func() error) error {
+	stalled := time.AfterFunc(maxStall, l.release)
+	defer stalled.Stop()
+	return call()
+}
