Upstream: a status outside of 100 to 599 is no answer

Seen (reported by other operators, shown by the test): a back end in trouble answers with the status 000. The head was skipped, and the bytes after it were read as the answer: a body that looks like an answer reached the caller as a 200. A status of 600 or more was passed on.

Cause: everything below 200 was taken for an interim response and skipped.

Why this works: bytes after a head that means nothing are never read as an answer.

Tests: TestInvalidStatusIsNoAnswer fails before (000, 001, 099: got 200 "hidden"; 600 and 999 passed on). TestAnswerCutAnywhereIsNoAnswer tries the report of an answer that is cut in its head, at each byte of three answers; it holds on the code before, too: that fault does not occur here.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -16,6 +16,9 @@
 // response is seen.
 const inlineBodyLimit = 32 << 10
 
+// maxStatus is the highest status code (RFC 9110, section 15).
+const maxStatus = 599
+
 var errHeaderTooLarge = fmt.Errorf("answer header longer than %d bytes", maxHeaderBytes)
 
 // Do sends the request once and returns the response when its header has
@@ -164,11 +167,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
+		switch status := response.StatusCode; {
+		case status == http.StatusSwitchingProtocols:
 			return nil, errors.New("peer switched protocols unasked")
-		}
-		if response.StatusCode >= http.StatusOK {
+		case status >= http.StatusOK && status <= maxStatus:
 			return response, nil
+		case status < http.StatusContinue || status > maxStatus:
+			return nil, fmt.Errorf("status %03d is not an HTTP status code", status)
 		}
 	}
 }
