Upstream: all heads of one answer have one bound

Cause: the bound of 64 KiB was set anew for each interim response.

Change: it is set once for all heads that answer a request.

Test: TestHeadWithoutEndIsGivenUp fails before for interim heads (deadline after 10 s); endless garbage, status lines and fields were bounded already.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -158,12 +158,13 @@
 }
 
 // readHeader reads the final response's header and discards interim responses
-// (1xx).
+// (1xx). All of them together may have maxHeaderBytes, so that interim responses
+// without end are no answer.
 func (e *exchange) readHeader(request *http.Request) (*http.Response, error) {
+	e.conn.netReader.remaining = maxHeaderBytes
+	defer func() { e.conn.netReader.remaining = math.MaxInt64 }()
 	for {
-		e.conn.netReader.remaining = maxHeaderBytes
 		response, err := http.ReadResponse(e.conn.reader, request)
-		e.conn.netReader.remaining = math.MaxInt64
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +73,27 @@
 		assert.Check(t, err, "%s: whole", name)
 	}
 }
+
+// Bytes without end in place of an answer's head are given up after maxHeaderBytes, not at the
+// request's deadline.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	for name, endless := range map[string]string{
+		"no answer":     "x",
+		"status line":   "HTTP/1.1 200 O",
+		"fields":        "HTTP/1.1 200 OK\r\nField: value\r\n",
+		"interim heads": "HTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		repeated := strings.TrimPrefix(endless, "HTTP/1.1 200 OK\r\n")
+		peer := startPeer(t, func(_ int, conn net.Conn, next func() (*http.Request, error)) {
+			if _, err := next(); err != nil {
+				return
+			}
+			_, err := io.WriteString(conn, endless)
+			for err == nil {
+				_, err = io.WriteString(conn, strings.Repeat(repeated, 100))
+			}
+		})
+		_, _, err := fetch(t, peer)
+		assert.Check(t, errors.Is(err, ErrInterrupted) && !errors.Is(err, context.DeadlineExceeded), "%s: %v", name, err)
+	}
+}
