Gateway: bodies without end are given up when memory is full

Cause: the bound holds for one response, and what was being read did not count as buffered.

Change: bytes of a body of unstated length count as buffered while they are read, so that new requests are refused at the limit as for slow readers. While the limit is reached, such a body that is longer than 1/64 of it is given up, its connection is closed, and the caller is told that the request may have run. Shorter bodies and those of stated length are still read.

Why this works: the sum of all bodies without end is bounded by the limit and by 1/64 of it for each further one.

--- a/internal/gateway/bufferedbytes.go
+++ b/internal/gateway/bufferedbytes.go
@@ -1,6 +1,18 @@
 package gateway
 
-import "sync/atomic"
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+// unstatedShare is the share of the limit that a body of unstated length may take while the limit is
+// reached. A longer one may be without end.
+const unstatedShare = 1.0 / 64
+
+// errNoMemoryForResponse means that a response body of unstated length was given up for lack of memory.
+var errNoMemoryForResponse = errors.New("no memory for the rest of a response of unstated length")
 
 // bufferedBytes counts the bytes of responses that a gateway buffers until their readers have
 // received them. Readers may be slow, and the buffers for them must not use up the memory that
@@ -26,3 +38,60 @@
 	}
 	return len(r.Body)
 }
+
+// countedReader counts the bytes of a body of unstated length as buffered while they are read.
+type countedReader struct {
+	source   io.Reader
+	buffered *bufferedBytes
+	read     int
+}
+
+// Read implements io.Reader.
+func (r *countedReader) Read(buffer []byte) (int, error) {
+	if r.buffered.full() && float64(r.read) > unstatedShare*float64(r.buffered.limit) {
+		return 0, errNoMemoryForResponse
+	}
+	count, err := r.source.Read(buffer)
+	r.read += count
+	r.buffered.add(count)
+	return count, err
+}
+
+// release ends the count of the bytes that were read.
+func (r *countedReader) release() { r.buffered.add(-r.read) }
+
+// readBody reads the whole body of a response. It fails if the body has more bytes than the limit,
+// or if there is no memory for a body that may be without end.
+func (h *bufferedBytes) readBody(response *http.Response, limit int64) ([]byte, error) {
+	if response.ContentLength > limit {
+		return nil, errInvalidResponse
+	}
+	if response.ContentLength > 0 {
+		return readStatedBody(response)
+	}
+	source := &countedReader{source: response.Body, buffered: h}
+	defer source.release()
+	body, err := io.ReadAll(io.LimitReader(source, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errInvalidResponse
+	}
+	return body, err
+}
+
+// readResponseBody reads the whole body of a response of another gateway, which states its length.
+func readResponseBody(response *http.Response) ([]byte, error) {
+	return (&bufferedBytes{}).readBody(response, maxResponseBody)
+}
+
+// readStatedBody reads a body whose length is stated.
+func readStatedBody(response *http.Response) ([]byte, error) {
+	body := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		return nil, err
+	}
+	// One more read lets the connection see the end of the body.
+	if _, err := response.Body.Read(make([]byte, 1)); err != io.EOF {
+		return nil, errInvalidResponse
+	}
+	return body, nil
+}
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -267,7 +267,7 @@
 		return e.brokenExchange(request, errInvalidResponse)
 	}
 	e.gateway.observeBackend(request, response, sentAt)
-	body, err := readResponseBody(response)
+	body, err := e.gateway.held.readBody(response, maxResponseBody)
 	if err != nil {
 		return e.classifyIncomplete(ctx, request, err)
 	}
@@ -305,34 +305,6 @@
 	return outgoing, nil
 }
 
-func readResponseBody(response *http.Response) ([]byte, error) {
-	return readBodyWithin(response, maxResponseBody)
-}
-
-// readBodyWithin reads the whole body of a response. It fails if the body has more bytes than the
-// limit.
-func readBodyWithin(response *http.Response, limit int64) ([]byte, error) {
-	if response.ContentLength > limit {
-		return nil, errInvalidResponse
-	}
-	if response.ContentLength > 0 {
-		body := make([]byte, response.ContentLength)
-		if _, err := io.ReadFull(response.Body, body); err != nil {
-			return nil, err
-		}
-		// One more read lets the connection see the end of the body.
-		if _, err := response.Body.Read(make([]byte, 1)); err != io.EOF {
-			return nil, errInvalidResponse
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errInvalidResponse
-	}
-	return body, err
-}
-
 // classifyError returns the result of an exchange that got no response.
 func (e *egress) classifyError(ctx context.Context, request *forwardRequest, err error) *forwardResult {
 	e.gateway.handleBackendError(request.Instance, err)
--- a/internal/gateway/responsebody_test.go
+++ b/internal/gateway/responsebody_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -19,7 +21,7 @@
 			if stated {
 				response.ContentLength = int64(length)
 			}
-			body, err := readBodyWithin(response, limit)
+			body, err := (&bufferedBytes{}).readBody(response, limit)
 			if length > limit {
 				assert.ErrorIs(t, err, errInvalidResponse)
 				continue
@@ -29,3 +31,40 @@
 		}
 	}
 }
+
+// endlessBody is a body without end. It records the most that was buffered of all bodies at a time.
+type endlessBody struct {
+	held *bufferedBytes
+	most *atomic.Int64
+}
+
+func (b endlessBody) Read(buffer []byte) (int, error) {
+	for held, most := b.held.count.Load(), b.most.Load(); held > most; most = b.most.Load() {
+		b.most.CompareAndSwap(most, held)
+	}
+	return len(buffer), nil
+}
+
+// Back ends that send bytes without end must not use up the memory of the gateway, however many
+// requests they are answering. Other responses are still read, also while the memory is full.
+func TestBodiesWithoutEndAreGivenUpWhenMemoryIsFull(t *testing.T) {
+	const bound, atOnce = 8 << 20, 20
+	held := &bufferedBytes{limit: bound}
+	var all sync.WaitGroup
+	var most atomic.Int64
+	for range atOnce {
+		all.Go(func() {
+			response := &http.Response{ContentLength: -1, Body: io.NopCloser(endlessBody{held, &most})}
+			_, err := held.readBody(response, maxResponseBody)
+			assert.Check(t, err != nil)
+		})
+	}
+	all.Wait()
+	assert.Assert(t, most.Load() < 2*bound, "%d bytes were buffered", most.Load())
+	assert.Equal(t, held.count.Load(), int64(0))
+
+	held.add(bound)
+	body, err := held.readBody(&http.Response{ContentLength: -1, Body: io.NopCloser(strings.NewReader("whole"))}, maxResponseBody)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "whole")
+}
