Gateway: an answer waits for the link until its deadline, before its head

Cause: a request is admitted if its deadline is before the end of the stop, but the deadline bounded only the run. After the head was written, a larger body waited for its turn on the link for as long as its connection was open. Ruled out: admission itself (with a link of 3 MB/s every request of the stop is answered).

Change: the turn on the link comes before the head and is awaited until the request's deadline; then the caller gets a failure that is complete and in time. Answers to other gateways go the same way.

Why this works: after the head only the writing itself is left, and it is bounded by the link's rate, which the stop accounts for.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -189,6 +189,8 @@
 
 // respond writes the final response to a request.
 func (g *Gateway) respond(w http.ResponseWriter, c *call, result *forwardResult) {
+	body, result := g.beginAnswer(c.request.Context(), c.deadline, result)
+	defer body.end()
 	took := steady.Elapsed(c.began)
 	if c.request.Context().Err() != nil {
 		g.metrics.callerLeft(c.service.Name)
@@ -205,10 +207,11 @@
 			header[name] = values
 		}
 		if result.Stream != nil {
-			g.streamResponse(w, c, result)
+			g.streamResponse(w, c, result, body)
 			return
 		}
-		if g.writeResponse(c.request.Context(), w, result.Status, result.Body) {
+		writeResponseHeader(w, result.Status, len(result.Body))
+		if body.write(c.request.Context(), w, result.Body) {
 			g.pacer.completed(result.linkReservation)
 		}
 		return
--- a/internal/gateway/linkadmission_test.go
+++ b/internal/gateway/linkadmission_test.go
@@ -69,7 +69,7 @@
 		}
 		time.Sleep(transferRun)
 		pacer.settle(reservation, true, transferSize)
-		pacer.writeBody(t.Context(), &linkWriter{httptest.NewRecorder(), link}, make([]byte, transferSize))
+		writePaced(t.Context(), pacer, &linkWriter{httptest.NewRecorder(), link}, transferSize)
 		time.Sleep(pacer.link.TimeFor(transferSize))
 		switch took := steady.Elapsed(sentAt); {
 		case took <= transferTarget:
--- a/internal/gateway/linkpacer.go
+++ b/internal/gateway/linkpacer.go
@@ -1,10 +1,7 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -85,6 +82,15 @@
 	return busy
 }
 
+// longestWrite returns how long a body takes to be written, beside as many others as are written at
+// a time.
+func (p *linkPacer) longestWrite(length int) time.Duration {
+	if !p.link.Bounded() || length < minPacedBody {
+		return 0
+	}
+	return p.countSent(0) + maxPacedWriters*p.link.TimeFor(length)
+}
+
 // countSent counts bytes that are written to the link and returns how long the link is busy
 // with the bytes before them.
 func (p *linkPacer) countSent(bytes int) (busy time.Duration) {
@@ -97,45 +103,6 @@
 	p.withLink(func(link *overload.Link, _ time.Time) { link.AddWaiting(bytes) })
 }
 
-// writeBody writes a body and reports whether all of it was written. It returns early if the
-// context ends or the reader disconnects.
-func (p *linkPacer) writeBody(ctx context.Context, w http.ResponseWriter, body []byte) (whole bool) {
-	if !p.link.Bounded() || len(body) < minPacedBody {
-		p.countSent(len(body))
-		_, err := w.Write(body)
-		return err == nil
-	}
-	return p.copy(ctx, w, bytes.NewReader(body), len(body)) == nil
-}
-
-// copy writes a body of known length while it is being read from the source. It returns the
-// error of the source, the writer or the context that stopped it early.
-func (p *linkPacer) copy(ctx context.Context, w http.ResponseWriter, source io.Reader, length int) error {
-	p.addWaiting(length)
-	defer func() { p.addWaiting(-length) }() // the rest that was not written
-	place, err := p.places.acquire(ctx)
-	if err != nil {
-		return err
-	}
-	defer place.release()
-	buffer := make([]byte, min(pacedChunk, length))
-	for length > 0 {
-		chunk := buffer[:min(len(buffer), length)]
-		if err := place.whileWaiting(func() error { _, err := io.ReadFull(source, chunk); return err }); err != nil {
-			return err
-		}
-		if !sleep(ctx, p.countSent(len(chunk))-maxPacingLead) {
-			return context.Cause(ctx)
-		}
-		if err := place.whileWaiting(func() error { _, err := w.Write(chunk); return err }); err != nil {
-			return err
-		}
-		p.addWaiting(-len(chunk))
-		length -= len(chunk)
-	}
-	return nil
-}
-
 // sleep sleeps and reports whether the context is still active.
 func sleep(ctx context.Context, pause time.Duration) bool {
 	if pause <= 0 {
--- a/internal/gateway/linkpacer_test.go
+++ b/internal/gateway/linkpacer_test.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/internal/steady"
@@ -47,6 +50,27 @@
 	return w.ResponseRecorder.Write(body)
 }
 
+// writePaced writes a body of some length once its turn on the link has come, and reports whether all
+// of it was written.
+func writePaced(ctx context.Context, pacer *linkPacer, w http.ResponseWriter, length int) (whole bool) {
+	body, err := pacer.begin(ctx, length)
+	if err != nil {
+		return false
+	}
+	defer body.end()
+	return body.write(ctx, w, make([]byte, length))
+}
+
+// copyPaced writes a body from a source once its turn on the link has come.
+func copyPaced(pacer *linkPacer, w http.ResponseWriter, source io.Reader, length int) error {
+	body, err := pacer.begin(context.Background(), length)
+	if err != nil {
+		return err
+	}
+	defer body.end()
+	return body.copy(context.Background(), w, source)
+}
+
 // slowLinkRate is the link rate of the users' small machines, in bytes a second.
 const slowLinkRate = 1.05e6
 
@@ -62,7 +86,7 @@
 		for range responses {
 			all.Go(func() {
 				w := &linkWriter{httptest.NewRecorder(), link}
-				pacer.writeBody(t.Context(), w, make([]byte, size))
+				writePaced(t.Context(), pacer, w, size)
 				assert.Check(t, w.Body.Len() == size)
 			})
 		}
@@ -87,7 +111,7 @@
 		began := steady.Reading()
 		for range responses {
 			go func() {
-				pacer.writeBody(t.Context(), &linkWriter{httptest.NewRecorder(), link}, make([]byte, size))
+				writePaced(t.Context(), pacer, &linkWriter{httptest.NewRecorder(), link}, size)
 				finished <- struct{}{}
 			}()
 		}
@@ -127,10 +151,10 @@
 	const stalled, responses, size = 200, 20, 90_000
 	for name, stall := range map[string]func(*linkPacer, <-chan struct{}) error{
 		"readers": func(pacer *linkPacer, left <-chan struct{}) error {
-			return pacer.copy(context.Background(), stalledWriter{httptest.NewRecorder(), left}, bytes.NewReader(make([]byte, size)), size)
+			return copyPaced(pacer, stalledWriter{httptest.NewRecorder(), left}, bytes.NewReader(make([]byte, size)), size)
 		},
 		"senders": func(pacer *linkPacer, left <-chan struct{}) error {
-			return pacer.copy(context.Background(), httptest.NewRecorder(), stalledSource{left}, size)
+			return copyPaced(pacer, httptest.NewRecorder(), stalledSource{left}, size)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -147,7 +171,7 @@
 				for range responses {
 					others.Go(func() {
 						w := &linkWriter{httptest.NewRecorder(), link}
-						assert.Check(t, pacer.writeBody(t.Context(), w, make([]byte, size)))
+						assert.Check(t, writePaced(t.Context(), pacer, w, size))
 					})
 				}
 				ended := make(chan struct{})
@@ -167,6 +191,31 @@
 	}
 }
 
+// An answer for which the link is not free by the request's deadline must not keep its caller waiting:
+// the caller gets a failure then.
+func TestAnswerThatWaitsForTheLinkEndsAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, before, timeout = 90_000, 10, 100 * time.Millisecond
+		g := &Gateway{pacer: newLinkPacer(slowLinkRate), metrics: newGatewayMetrics(prometheus.NewRegistry())}
+		var others sync.WaitGroup
+		for range before {
+			others.Go(func() { assert.Check(t, writePaced(t.Context(), g.pacer, httptest.NewRecorder(), size)) })
+		}
+		synctest.Wait()
+		began := steady.Reading()
+		answered := &forwardResult{Outcome: outcomeAnswered, Status: http.StatusOK, Body: make([]byte, size)}
+		body, result := g.beginAnswer(t.Context(), began.Add(timeout), answered)
+		body.end()
+		assert.Equal(t, result.Outcome, outcomeUnknown)
+		assert.Equal(t, result.Reason, reasonTimeout)
+		assert.Equal(t, steady.Elapsed(began), timeout)
+		others.Wait()
+		body, result = g.beginAnswer(t.Context(), steady.Reading().Add(timeout), answered)
+		assert.Equal(t, result, answered)
+		body.end()
+	})
+}
+
 // A response to a caller that has disconnected uses no more of the link.
 func TestResponseToDisconnectedCallerIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -178,7 +227,7 @@
 			time.Sleep(50 * time.Millisecond)
 			cancel()
 		}()
-		pacer.writeBody(ctx, w, make([]byte, 1<<20))
+		writePaced(ctx, pacer, w, 1<<20)
 		assert.Assert(t, w.Body.Len() < 200<<10, "%d bytes", w.Body.Len())
 		time.Sleep(time.Second)
 		assert.Equal(t, pacer.backlog(), time.Duration(0))
@@ -190,7 +239,7 @@
 		pacer := newLinkPacer(0)
 		began := steady.Reading()
 		w := httptest.NewRecorder()
-		pacer.writeBody(t.Context(), w, make([]byte, 10<<20))
+		writePaced(t.Context(), pacer, w, 10<<20)
 		assert.Equal(t, w.Body.Len(), 10<<20)
 		assert.Equal(t, steady.Elapsed(began), time.Duration(0))
 	})
--- a/internal/gateway/linkplace.go
+++ b/internal/gateway/linkplace.go
@@ -32,6 +32,11 @@
 func (p *linkPlaces) acquire(ctx context.Context) (*linkPlace, error) {
 	granted := p.enqueue()
 	select {
+	case <-granted: // whether the context has ended or not
+		return &linkPlace{places: p}, nil
+	default:
+	}
+	select {
 	case <-granted:
 		return &linkPlace{places: p}, nil
 	case <-ctx.Done():
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -58,6 +58,9 @@
 	suspendedSeconds prometheus.Counter
 	// sentAgain counts requests that were sent to the back end more than once.
 	sentAgain prometheus.Counter
+	// notDelivered counts answers that were replaced by a failure because they could not be written
+	// in time.
+	notDelivered prometheus.Counter
 	// noticesSent counts crash notices to other gateways.
 	noticesSent *prometheus.CounterVec
 	// heartbeats counts responses to heartbeats by whether they were delayed.
@@ -97,9 +100,10 @@
 	m.backendCrashes = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "back_end_ends_total", Help: "Ends of the back end while it was at work."})
 	m.interruptedRuns = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "requests_cut_by_ends_total", Help: "Requests that the back end was at work on when it ended."})
 	m.suspendedSeconds = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "suspended_seconds_total", Help: "Time for which the machine was suspended since the process started."})
+	m.notDelivered = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "answers_not_delivered_total", Help: "Answers of back ends that were replaced by a failure, since the link was not free for them by the deadline or the end of a planned stop."})
 	m.sentAgain = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "sent_again_total", Help: "Requests that were sent to the back end once more, each over a new connection."})
 	m.noticesSent = counters("ends_told_total", "Other gateways that were told of ends of back ends, by what became of it.", "result")
-	registry.MustRegister(m.backendCrashes, m.interruptedRuns, m.suspendedSeconds, m.noticesSent, m.heartbeats, m.requests, m.latency, m.attempts, m.retries, m.callersLeft, m.queue, m.run, m.grants, m.releases, m.peerRefreshes, m.heartbeatsRefused, m.keysFreed, m.departures, m.sentAgain, m.unreadable)
+	registry.MustRegister(m.backendCrashes, m.interruptedRuns, m.suspendedSeconds, m.noticesSent, m.heartbeats, m.requests, m.latency, m.attempts, m.retries, m.callersLeft, m.queue, m.run, m.grants, m.releases, m.peerRefreshes, m.heartbeatsRefused, m.keysFreed, m.departures, m.sentAgain, m.notDelivered, m.unreadable)
 	return m
 }
 
--- a/internal/gateway/peerrefresh.go
+++ b/internal/gateway/peerrefresh.go
@@ -173,5 +173,11 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	g.writeResponse(r.Context(), w, http.StatusOK, body.Bytes())
+	paced, err := g.beginBody(r.Context(), body.Len())
+	if err != nil {
+		panic(http.ErrAbortHandler) // returning would send an empty success
+	}
+	defer paced.end()
+	writeResponseHeader(w, http.StatusOK, body.Len())
+	paced.write(r.Context(), w, body.Bytes())
 }
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -7,7 +7,6 @@
 	"strconv"
 
 	"github.com/quartzdock/quartzdock/internal/bodybudget"
-	"github.com/quartzdock/quartzdock/internal/httpserver"
 	"github.com/quartzdock/quartzdock/internal/steady"
 )
 
@@ -40,6 +39,8 @@
 	}
 	g.held.add(len(result.Body))
 	defer g.held.add(-len(result.Body))
+	body, result := g.beginAnswer(r.Context(), request.Deadline, result)
+	defer body.end()
 	header := w.Header()
 	for name, values := range result.Header {
 		header[name] = values
@@ -65,7 +66,8 @@
 	if status == 0 {
 		status = http.StatusServiceUnavailable
 	}
-	if g.writeResponse(r.Context(), w, status, result.Body) {
+	writeResponseHeader(w, status, len(result.Body))
+	if body.write(r.Context(), w, result.Body) {
 		g.pacer.completed(result.linkReservation)
 	}
 }
@@ -107,16 +109,8 @@
 	return g.egress.serve(ctx, request)
 }
 
-// writeResponse writes a complete response with its length and reports whether all of it was
-// written. The length lets the reader detect a truncated body.
-func (g *Gateway) writeResponse(ctx context.Context, w http.ResponseWriter, status int, body []byte) (whole bool) {
-	writeResponseHeader(ctx, w, status, len(body))
-	return g.pacer.writeBody(ctx, w, body)
-}
-
-// writeResponseHeader writes the header of a response whose body has the given length. Before a
-// large body it waits until the earlier responses on the connection have been written.
-func writeResponseHeader(ctx context.Context, w http.ResponseWriter, status, length int) {
+// writeResponseHeader writes the header of a response whose body has the given length.
+func writeResponseHeader(w http.ResponseWriter, status, length int) {
 	header := w.Header()
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // prevent content sniffing
@@ -125,9 +119,6 @@
 		header["Content-Length"] = []string{strconv.Itoa(length)}
 	}
 	w.WriteHeader(status)
-	if length >= minPacedBody {
-		httpserver.AwaitTurn(ctx) // here, so that it does not occupy the link while it waits
-	}
 }
 
 // decodeForward decodes what encodeForward wrote, apart from the body.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -132,12 +132,12 @@
 
 // streamResponse passes a response on to the caller. If the stream ends early, the caller's
 // connection is aborted.
-func (g *Gateway) streamResponse(w http.ResponseWriter, c *call, result *forwardResult) {
+func (g *Gateway) streamResponse(w http.ResponseWriter, c *call, result *forwardResult, body *pacedBody) {
 	ctx, stream := c.request.Context(), result.Stream
 	stop := context.AfterFunc(ctx, func() { stream.cancel(context.Cause(ctx)) })
 	defer stop()
-	writeResponseHeader(ctx, w, result.Status, len(stream.content))
-	if err := g.pacer.copy(ctx, w, stream, len(stream.content)); err != nil {
+	writeResponseHeader(w, result.Status, len(stream.content))
+	if err := body.copy(ctx, w, stream); err != nil {
 		g.config.Log.Info("response aborted while streaming it to the caller", append(g.requestFields(c.request), "bytes", len(stream.content), "error", err)...)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -51,7 +51,7 @@
 		}()
 		stream := newResponseStream(body, 40<<10, func(error) {})
 		defer stream.close()
-		g.streamResponse(w, &call{request: r}, &forwardResult{Outcome: outcomeAnswered, Status: http.StatusOK, Stream: stream})
+		g.streamResponse(w, &call{request: r}, &forwardResult{Outcome: outcomeAnswered, Status: http.StatusOK, Stream: stream}, &pacedBody{pacer: g.pacer, length: 40 << 10})
 	}))
 	defer server.Close()
 	response, err := http.Get(server.URL)
