Gateway: bodies whose readers have stalled are no load of the link

Other callers' requests with large answers are refused for lack of link capacity, while the link is idle: 50 stalled readers make a backlog of 4.6 s.

Cause: the rest of a body counted as waiting for the link until it was written, however long its reader took.

Change: a body that leaves the link to others because its reader or source has stalled does not count any more (pacedBody.leave).

Why this works: the backlog is what the link still has to send to those that read.

Test: TestStalledBodiesAreNoLinkLoad fails without it (backlog of 4.6 s).

--- a/internal/gateway/linkadmission_test.go
+++ b/internal/gateway/linkadmission_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net/http/httptest"
 	"sync"
@@ -170,10 +171,37 @@
 	synctest.Test(t, func(t *testing.T) {
 		pacer := newLinkPacer(slowLinkRate)
 		pacer.settle(overload.Reservation{}, true, transferSize)
-		pacer.addWaiting(20 * transferSize) // none of it is written to the link
+		waiting := &pacedBody{pacer: pacer}
+		waiting.count(20 * transferSize) // none of it is written to the link
 		now := steady.Reading()
 		wanted := overload.Transfer{Due: now.Add(transferTarget), Deadline: now.Add(transferTimeout), Target: transferTarget, Run: transferRun}
 		_, ok := pacer.admit(wanted)
 		assert.Assert(t, !ok)
 	})
 }
+
+// Bodies whose readers have stalled don't use the link. They must not keep the gateway from admitting
+// requests with large responses.
+func TestStalledBodiesAreNoLinkLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const stalled = 50
+		pacer := newLinkPacer(slowLinkRate)
+		pacer.settle(overload.Reservation{}, true, transferSize)
+		left := make(chan struct{})
+		var all sync.WaitGroup
+		for range stalled {
+			all.Go(func() {
+				source := bytes.NewReader(make([]byte, transferSize))
+				assert.Check(t, copyPaced(pacer, stalledWriter{httptest.NewRecorder(), left}, source, transferSize) != nil)
+			})
+		}
+		time.Sleep(20 * time.Second)
+		now := steady.Reading()
+		reservation, ok := pacer.admit(overload.Transfer{Due: now.Add(transferTarget), Deadline: now.Add(transferTimeout), Target: transferTarget, Run: transferRun})
+		assert.Assert(t, ok, "the link is idle, and its backlog is %v", pacer.backlog())
+		pacer.settle(reservation, false, 0)
+		close(left)
+		all.Wait()
+		assert.Equal(t, pacer.backlog(), time.Duration(0))
+	})
+}
--- a/internal/gateway/linkpacer.go
+++ b/internal/gateway/linkpacer.go
@@ -26,9 +26,9 @@
 	// wait for their reader or their source. Sent one after the other, bodies arrive earlier
 	// on average than all at once.
 	maxPacedWriters = 3
-	// maxStall is how long a body may wait for its reader or its source and keep its place.
-	// After that the link has sent what the body was ahead.
-	maxStall = maxPacingLead
+	// maxStall is how long a body may wait for its reader or its source and keep its place. It
+	// is longer than a pause of this process by a CPU quota (100 ms).
+	maxStall = 200 * time.Millisecond
 )
 
 // linkPacer writes large bodies one after the other and no faster than the machine's network link sends them.
@@ -98,11 +98,6 @@
 	return busy
 }
 
-// addWaiting counts bytes that wait to be written, or, if negative, that no longer do.
-func (p *linkPacer) addWaiting(bytes int) {
-	p.withLink(func(link *overload.Link, _ time.Time) { link.AddWaiting(bytes) })
-}
-
 // sleep sleeps and reports whether the context is still active.
 func sleep(ctx context.Context, pause time.Duration) bool {
 	if pause <= 0 {
--- a/internal/gateway/linkplace.go
+++ b/internal/gateway/linkplace.go
@@ -118,11 +118,3 @@
 		l.places.free()
 	})
 }
-
-// whileWaiting calls a function that may wait for the body's reader or source. The place is given
-// up if that takes longer than maxStall; the rest of the body is then written without one.
-func (l *linkPlace) whileWaiting(call func() error) error {
-	stalled := time.AfterFunc(maxStall, l.release)
-	defer stalled.Stop()
-	return call()
-}
--- a/internal/gateway/pacedbody.go
+++ b/internal/gateway/pacedbody.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
+	"time"
+
+	"github.com/quartzdock/quartzdock/internal/overload"
 )
 
 // pacedBody is the body of a response whose turn on the link has come. It must be ended with end.
@@ -14,6 +18,8 @@
 	place *linkPlace
 	// length is the number of bytes that are not written yet.
 	length int
+	// counted is how many of them count as waiting for the link. The pacer's mutex guards it.
+	counted int
 }
 
 // begin waits until a body may be written. It returns the error of the context if that ends first.
@@ -23,24 +29,53 @@
 	if !p.link.Bounded() || length < minPacedBody {
 		return body, nil
 	}
-	p.addWaiting(length)
+	body.count(length)
 	place, err := p.places.acquire(ctx)
 	if err != nil {
-		p.addWaiting(-length)
+		body.uncount(length)
 		return nil, err
 	}
 	body.place = place
 	return body, nil
 }
 
+// count counts bytes as waiting for the link.
+func (b *pacedBody) count(bytes int) {
+	b.pacer.withLink(func(link *overload.Link, _ time.Time) {
+		b.counted += bytes
+		link.AddWaiting(bytes)
+	})
+}
+
+// uncount ends the count of bytes, as far as they are counted.
+func (b *pacedBody) uncount(bytes int) {
+	b.pacer.withLink(func(link *overload.Link, _ time.Time) {
+		bytes = min(bytes, b.counted)
+		b.counted -= bytes
+		link.AddWaiting(-bytes)
+	})
+}
+
+// leave gives up the body's place on the link. What is left of the body doesn't count as waiting for
+// the link any more. It may be called more than once.
+func (b *pacedBody) leave() {
+	b.place.release()
+	b.uncount(math.MaxInt)
+}
+
 // end ends the use of the link. It may be called more than once.
 func (b *pacedBody) end() {
-	if b.place == nil {
-		return
+	if b.place != nil {
+		b.leave()
 	}
-	b.place.release()
-	b.pacer.addWaiting(-b.length) // the rest that was not written
-	b.length = 0
+}
+
+// whileWaiting calls a function that may wait for the body's reader or source. If that takes longer
+// than maxStall, the body leaves the link to others, and the rest is written without a place.
+func (b *pacedBody) whileWaiting(call func() error) error {
+	stalled := time.AfterFunc(maxStall, b.leave)
+	defer stalled.Stop()
+	return call()
 }
 
 // write writes the body and reports whether all of it was written. It returns early if the context
@@ -64,16 +99,16 @@
 	buffer := make([]byte, min(pacedChunk, b.length))
 	for b.length > 0 {
 		chunk := buffer[:min(len(buffer), b.length)]
-		if err := b.place.whileWaiting(func() error { _, err := io.ReadFull(source, chunk); return err }); err != nil {
+		if err := b.whileWaiting(func() error { _, err := io.ReadFull(source, chunk); return err }); err != nil {
 			return err
 		}
 		if !sleep(ctx, b.pacer.countSent(len(chunk))-maxPacingLead) {
 			return context.Cause(ctx)
 		}
-		if err := b.place.whileWaiting(func() error { _, err := w.Write(chunk); return err }); err != nil {
+		if err := b.whileWaiting(func() error { _, err := w.Write(chunk); return err }); err != nil {
 			return err
 		}
-		b.pacer.addWaiting(-len(chunk))
+		b.uncount(len(chunk))
 		b.length -= len(chunk)
 	}
 	return nil
