Gateway: slow readers do not make the link look slow

Seen (the same cause, shown by the test): after some answers to callers that read slowly, other requests with large answers are refused although the link is idle.

Cause: the time from the admission of a large answer until it was written whole teaches by how much answers take longer than computed, up to three times as long. It held the time that the reader took.

Change: a body that has stalled teaches nothing (pacedBody.delivered).

Test: TestSlowReadersDoNotMakeTheLinkLookSlow fails without it ("the link is idle").

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -212,7 +212,7 @@
 		}
 		writeResponseHeader(w, result.Status, len(result.Body))
 		if body.write(c.request.Context(), w, result.Body) {
-			g.pacer.completed(result.linkReservation)
+			body.delivered(result.linkReservation)
 		}
 		return
 	case outcomeNotRun:
--- a/internal/gateway/linkadmission_test.go
+++ b/internal/gateway/linkadmission_test.go
@@ -205,3 +205,38 @@
 		assert.Equal(t, pacer.backlog(), time.Duration(0))
 	})
 }
+
+// slowWriter is an http.ResponseWriter whose reader takes its time for each part.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	pause time.Duration
+}
+
+func (w slowWriter) Write(body []byte) (int, error) {
+	time.Sleep(w.pause)
+	return w.ResponseRecorder.Write(body)
+}
+
+// The time that slow readers take for their responses says nothing about the link. It must not make
+// the gateway refuse requests that the link has capacity for.
+func TestSlowReadersDoNotMakeTheLinkLookSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const responses, pause = 50, time.Second
+		pacer := newLinkPacer(slowLinkRate)
+		pacer.settle(overload.Reservation{}, true, transferSize)
+		wanted := func() overload.Transfer {
+			now := steady.Reading()
+			return overload.Transfer{Due: now.Add(2 * transferRun), Deadline: now.Add(2 * transferRun), Target: transferTarget, Run: transferRun}
+		}
+		for range responses {
+			reservation, ok := pacer.admit(wanted())
+			assert.Assert(t, ok, "the link is idle")
+			pacer.settle(reservation, true, transferSize)
+			body, err := pacer.begin(t.Context(), transferSize)
+			assert.NilError(t, err)
+			assert.Assert(t, body.write(t.Context(), slowWriter{httptest.NewRecorder(), pause}, make([]byte, transferSize)))
+			body.delivered(reservation)
+			body.end()
+		}
+	})
+}
--- a/internal/gateway/linkpacer.go
+++ b/internal/gateway/linkpacer.go
@@ -71,11 +71,6 @@
 	p.withLink(func(link *overload.Link, _ time.Time) { link.Release(reservation, answered, bytes) })
 }
 
-// completed records that a large response has been written completely.
-func (p *linkPacer) completed(reservation overload.Reservation) {
-	p.withLink(func(link *overload.Link, now time.Time) { link.Sent(reservation, now) })
-}
-
 // backlog is how long a large response would wait for the link.
 func (p *linkPacer) backlog() (busy time.Duration) {
 	p.withLink(func(link *overload.Link, now time.Time) { busy = link.Backlog(now) })
--- a/internal/gateway/pacedbody.go
+++ b/internal/gateway/pacedbody.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/overload"
@@ -18,6 +19,8 @@
 	place *linkPlace
 	// length is the number of bytes that are not written yet.
 	length int
+	// stalled is set once the body has waited for its reader or source for longer than maxStall.
+	stalled atomic.Bool
 	// counted is how many of them count as waiting for the link. The pacer's mutex guards it.
 	counted int
 }
@@ -73,11 +76,23 @@
 // whileWaiting calls a function that may wait for the body's reader or source. If that takes longer
 // than maxStall, the body leaves the link to others, and the rest is written without a place.
 func (b *pacedBody) whileWaiting(call func() error) error {
-	stalled := time.AfterFunc(maxStall, b.leave)
-	defer stalled.Stop()
+	stall := time.AfterFunc(maxStall, func() {
+		b.stalled.Store(true)
+		b.leave()
+	})
+	defer stall.Stop()
 	return call()
 }
 
+// delivered records that the whole body has been written, which tells how fast the link sends what
+// admit reserves, unless the time went by at the reader.
+func (b *pacedBody) delivered(reservation overload.Reservation) {
+	if b.stalled.Load() {
+		return
+	}
+	b.pacer.withLink(func(link *overload.Link, now time.Time) { link.Sent(reservation, now) })
+}
+
 // write writes the body and reports whether all of it was written. It returns early if the context
 // ends or the reader disconnects.
 func (b *pacedBody) write(ctx context.Context, w http.ResponseWriter, content []byte) (whole bool) {
--- a/internal/gateway/peerserver.go
+++ b/internal/gateway/peerserver.go
@@ -68,7 +68,7 @@
 	}
 	writeResponseHeader(w, status, len(result.Body))
 	if body.write(r.Context(), w, result.Body) {
-		g.pacer.completed(result.linkReservation)
+		body.delivered(result.linkReservation)
 	}
 }
 
