Seats: a learner that has ended gets no seat

Cause: a learner that had caught up counted as ready for as long as nothing more was committed, whether it was still there or not.

Test: TestAdmission, "it was never heard" and "it has ended since"; with the rule before both get a seat.

--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -77,7 +77,7 @@
 
 // Admit decides about a learner that asks for a seat.
 func Admit(members []Member, joining topology.ReplicaID) Admission {
-	if !caughtUp(members, joining) {
+	if !ready(members, joining) {
 		return Admission{Action: Wait}
 	}
 	if silent, ok := longestSilent(members, isVoter); ok && silent.Silence >= ReplaceAfter {
@@ -121,10 +121,12 @@
 	return longest, ok
 }
 
-func caughtUp(members []Member, id topology.ReplicaID) bool {
+// ready reports whether a joining controller has caught up and is still present: the log of one that
+// has ended since stays caught up until the next entry.
+func ready(members []Member, joining topology.ReplicaID) bool {
 	for i := range members {
-		if members[i].ID == id {
-			return members[i].CaughtUp
+		if members[i].ID == joining {
+			return members[i].CaughtUp && members[i].present()
 		}
 	}
 	return false
--- a/internal/seats/seats_test.go
+++ b/internal/seats/seats_test.go
@@ -21,7 +21,7 @@
 }
 
 func learner(id topology.ReplicaID, caughtUp bool) seats.Member {
-	return seats.Member{ID: id, CaughtUp: caughtUp}
+	return seats.Member{ID: id, Heard: true, CaughtUp: caughtUp}
 }
 
 func TestAdmission(t *testing.T) {
@@ -32,6 +32,8 @@
 	}{
 		"all voters are present":             {[]seats.Member{voter(1, 0), voter(2, 0), voter(3, 0), learner(4, true)}, seats.Admission{Action: seats.Promote}},
 		"it has not caught up":               {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), learner(4, false)}, seats.Admission{Action: seats.Wait}},
+		"it was never heard":                 {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), {ID: 4, CaughtUp: true}}, seats.Admission{Action: seats.Wait}},
+		"it has ended since":                 {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), {ID: 4, Heard: true, Silence: absent, CaughtUp: true}}, seats.Admission{Action: seats.Wait}},
 		"a voter is absent":                  {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), learner(4, true)}, seats.Admission{Action: seats.Replace, Replaced: 2}},
 		"the longest absent one is replaced": {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), voter(4, absent+1), voter(5, 0), learner(6, true)}, seats.Admission{Action: seats.Replace, Replaced: 4}},
 		"it is not clear yet":                {[]seats.Member{voter(1, 0), voter(2, seats.PresentWithin), voter(3, 0), learner(4, true)}, seats.Admission{Action: seats.Wait}},
