Controller: a learner that waits for its seat does not lock the membership

Seen (one slow peer holds what others need; shown by the test): controllers that never catch up keep another one that has caught up from becoming a voter, and keep members that are gone from being removed.

Cause: the leader held the lock of the membership for up to 3 s for each request to join, while the learner waited for its seat.

Change: the lock is held for one decision and its change.

Why this works: decision and change are one step under the lock as before, so no two changes rest on the same view of the group; waiting changes nothing.

--- a/internal/fleetcontroller/join.go
+++ b/internal/fleetcontroller/join.go
@@ -130,37 +130,54 @@
 // admit makes a controller a learner and, once there is a seat for it, a voter; it runs at the
 // leader. The controller sends its Join again until it is a voter.
 func (c *Controller) admit(ctx context.Context, join *fleetwire.Join) *fleetwire.Admission {
-	select {
-	case c.membershipLock <- struct{}{}:
-	case <-ctx.Done():
+	if !c.lockMembership(ctx) {
 		return &fleetwire.Admission{}
 	}
-	defer c.unlockMembership()
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
+	learner, refused := c.addLearner(ctx, join)
+	c.unlockMembership()
+	if learner != nil {
+		c.giveSeat(ctx, *learner)
+	}
+	return &fleetwire.Admission{Refused: refused}
+}
+
+// addLearner makes a controller a learner and returns it. It returns nil if there is no seat to be
+// given: the controller is a voter, was removed from the group (refused), or could not be added. The
+// caller has locked the membership.
+func (c *Controller) addLearner(ctx context.Context, join *fleetwire.Join) (learner *consensus.Member, refused bool) {
 	if c.replica.ReadBarrier(ctx) != nil {
-		return &fleetwire.Admission{}
+		return nil, false
 	}
 	membership := c.replica.Status().Membership
 	if join.Replica != 0 && !membership.HasIncarnation(join.Replica, join.Incarnation) {
-		return &fleetwire.Admission{Refused: true}
-	}
-	member, ok := findIncarnation(membership, join.Incarnation)
-	if ok && !member.Learner {
-		return &fleetwire.Admission{}
+		return nil, true
 	}
-	if !ok {
-		c.replaceLostDisk(ctx, membership, join)
-		change := consensus.Change{Kind: consensus.AddLearner, Member: consensus.Member{Incarnation: join.Incarnation, Address: join.PeerAddress}}
-		added, err := c.replica.ChangeMembership(ctx, change)
-		if err != nil {
-			c.config.Log.Warn("member not added", "address", join.PeerAddress, "error", err)
-			return &fleetwire.Admission{}
+	if member, ok := findIncarnation(membership, join.Incarnation); ok {
+		if !member.Learner {
+			return nil, false
 		}
-		member = added.Member
+		return &member, false
+	}
+	c.replaceLostDisk(ctx, membership, join)
+	change := consensus.Change{Kind: consensus.AddLearner, Member: consensus.Member{Incarnation: join.Incarnation, Address: join.PeerAddress}}
+	added, err := c.replica.ChangeMembership(ctx, change)
+	if err != nil {
+		c.config.Log.Warn("member not added", "address", join.PeerAddress, "error", err)
+		return nil, false
+	}
+	return &added.Member, false
+}
+
+// lockMembership begins a change of the membership. It returns false if the context ends first.
+func (c *Controller) lockMembership(ctx context.Context) bool {
+	select {
+	case c.membershipLock <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	c.giveSeat(ctx, member)
-	return &fleetwire.Admission{}
 }
 
 // unlockMembership allows the next change of the membership.
--- a/internal/fleetcontroller/members.go
+++ b/internal/fleetcontroller/members.go
@@ -64,29 +64,36 @@
 	}
 }
 
-// awaitSeat waits until there is a seat for a learner, and returns the decision.
-func (c *Controller) awaitSeat(ctx context.Context, learner topology.ReplicaID) (seats.Admission, error) {
+// giveSeat makes a learner a voter once there is a seat for it. The membership is not locked while the
+// learner waits, since others may join or leave meanwhile.
+func (c *Controller) giveSeat(ctx context.Context, learner consensus.Member) {
 	ticks := time.NewTicker(seatCheckInterval)
 	defer ticks.Stop()
 	for {
-		admission, err := c.decideAdmission(ctx, learner)
-		if err != nil || admission.Action != seats.Wait {
-			return admission, err
+		given, err := c.giveFreeSeat(ctx, learner)
+		if err != nil {
+			c.config.Log.Info("member has no seat yet", "id", uint64(learner.ID), "address", learner.Address, "error", err)
+		}
+		if given || err != nil {
+			return
 		}
 		select {
 		case <-ticks.C:
 		case <-ctx.Done():
-			return seats.Admission{}, ctx.Err()
+			return
 		}
 	}
 }
 
-// giveSeat makes a learner a voter once there is a seat for it.
-func (c *Controller) giveSeat(ctx context.Context, learner consensus.Member) {
-	admission, err := c.awaitSeat(ctx, learner.ID)
-	if err != nil {
-		c.config.Log.Info("member has no seat yet", "id", uint64(learner.ID), "address", learner.Address, "error", err)
-		return
+// giveFreeSeat makes a learner a voter if there is a seat for it, and reports whether there is one.
+func (c *Controller) giveFreeSeat(ctx context.Context, learner consensus.Member) (given bool, err error) {
+	if !c.lockMembership(ctx) {
+		return false, ctx.Err()
+	}
+	defer c.unlockMembership()
+	admission, err := c.decideAdmission(ctx, learner.ID)
+	if err != nil || admission.Action == seats.Wait {
+		return false, err
 	}
 	if admission.Action == seats.Replace {
 		// The removal comes first: it doesn't depend on the learner's disk.
@@ -94,9 +101,10 @@
 		_, err = c.replica.ChangeMembership(ctx, consensus.Change{Kind: consensus.Remove, Member: replaced})
 		c.config.Log.Info("voter replaced", "id", uint64(admission.Replaced), "by", uint64(learner.ID), "error", err)
 		if err != nil {
-			return
+			return false, err
 		}
 	}
 	_, err = c.replica.ChangeMembership(ctx, consensus.Change{Kind: consensus.Promote, Member: learner})
 	c.config.Log.Info("member admitted", "id", uint64(learner.ID), "address", learner.Address, "error", err)
+	return true, nil
 }
