Seats: silence of a member carries over to the next leader

Seen (the same cause as the successor beside a dead voter, shown by the test): when all processes of the core end again and again, each leadership is shorter than the 1.5 s for which a voter must be silent to lose its seat. Voters that are gone for good keep theirs, until the group has no majority.

Cause: each leader counted silence from zero.

Change: a leader records in the log for how long members have been silent, each 0.25 s of it while one is; the next one adds it once it has not heard the member for 0.4 s itself. At most 8.5 s carry over. Presence never does.

Why this works: only what a leader has itself missed is added up, a member that is heard starts from zero, and the removal of an absent voter costs no majority (docs/decisions/002).

--- a/internal/fleetcontroller/controller.go
+++ b/internal/fleetcontroller/controller.go
@@ -58,10 +58,12 @@
 	inForce *configlease.Grantor
 	quotas  *quotaState
 	// silence counts how long each member has not been heard while this controller leads.
-	silence         seats.Silence
-	pendingAcks     []pendingAck
-	nextMemberCheck time.Duration
-	published       publishedState
+	silence seats.Silence
+	// recordingSilence is set while a record of it is being committed.
+	recordingSilence bool
+	pendingAcks      []pendingAck
+	nextMemberCheck  time.Duration
+	published        publishedState
 	// nextPublish is the earliest time of the next view that isn't urgent. instanceSetNumber
 	// is the number of the last published set of instances.
 	nextPublish       time.Duration
--- a/internal/fleetcontroller/members.go
+++ b/internal/fleetcontroller/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/consensus"
+	"github.com/quartzdock/quartzdock/internal/fleetstate"
 	"github.com/quartzdock/quartzdock/internal/seats"
 	"github.com/quartzdock/quartzdock/internal/topology"
 )
@@ -41,6 +42,24 @@
 	c.config.Log.Info("removal of a silent member ended", "id", uint64(dead.ID), "address", dead.Address, "error", err)
 }
 
+// recordSilence proposes to record how long members have not been heard, for the next leader.
+func (c *Controller) recordSilence() {
+	if c.control.recordingSilence {
+		return
+	}
+	record, changed := c.control.silence.Record(c.control.state.Silence(), c.config.DeadAfter-seats.ReplaceAfter)
+	if !changed {
+		return
+	}
+	data, err := (&fleetstate.Command{Silence: &fleetstate.SilenceRecord{Members: record}}).Encode()
+	if err != nil {
+		c.config.Log.Error("encoding the record of silent members failed", "error", err)
+		return
+	}
+	c.control.recordingSilence = true
+	c.replica.ProposeAsync(data, func(any, error) { c.control.recordingSilence = false })
+}
+
 // decideAdmission decides whether a learner gets a seat, and whose.
 func (c *Controller) decideAdmission(ctx context.Context, joining topology.ReplicaID) (seats.Admission, error) {
 	decided := make(chan *seats.Admission, 1)
--- a/internal/fleetcontroller/statemachine.go
+++ b/internal/fleetcontroller/statemachine.go
@@ -68,6 +68,7 @@
 	if !duty.MayAct || control.planner == nil {
 		return
 	}
+	c.recordSilence()
 	c.proposeMoves(now)
 	c.reviewQuarantine(now)
 	c.publish()
@@ -115,6 +116,7 @@
 		c.metrics.leaderships.Inc()
 		c.config.Log.Info("leadership begins", "term", term, "version", uint64(c.control.state.Version()), "all_started_anew", status.StartedAnew)
 		c.control.planner = keylease.New(c.config.Planner, c.control.state, status.EarlierLeasesEnd, now)
+		c.control.silence.Inherit(c.control.state.Silence())
 		c.control.inForce = configlease.NewGrantor(c.config.Configuration, status.EarlierLeasesEnd)
 		c.control.quotas = newQuotaState(c.config.Quota, status.EarlierLeasesEnd)
 		c.publish()
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -1,6 +1,6 @@
 // Package fleetstate is the replicated state of a fleet of gateways: the
-// configuration document, the owners of keys, evacuated zones, suspect requests and
-// announced departures of back ends. It is a deterministic state
+// configuration document, the owners of keys, evacuated zones, suspect requests,
+// announced departures of back ends and silent controllers. It is a deterministic state
 // machine, driven by the commands of a replicated log.
 //
 // # Changes of the configuration
@@ -31,6 +31,7 @@
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/quarantine"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/seats"
 )
 
 // Digest identifies the content of a change.
@@ -70,8 +71,12 @@
 	Evacuation    *ChangeEvacuation
 	Quarantine    *quarantine.Change
 	Departures    *departure.Change
+	Silence       *SilenceRecord
 }
 
+// SilenceRecord replaces the record of controllers that were not heard by their leader.
+type SilenceRecord struct{ Members seats.Record }
+
 // Encode returns the command as the data of a log entry.
 func (c *Command) Encode() ([]byte, error) {
 	var buffer bytes.Buffer
@@ -133,6 +138,7 @@
 	evacuations evacuations
 	quarantine  quarantine.Set
 	departures  departure.Set
+	silence     seats.Record
 }
 
 // New returns an empty state.
@@ -166,6 +172,9 @@
 // OwnersIndex returns the log index of the last change of an owner.
 func (s *State) OwnersIndex() uint64 { return s.ownersIndex }
 
+// Silence returns the controllers that were not heard by their leaders, and for how long.
+func (s *State) Silence() seats.Record { return s.silence }
+
 // AllOwners returns the owners of keys by service, for every service that has any.
 func (s *State) AllOwners() map[string]*keyspace.Map {
 	all := make(map[string]*keyspace.Map, len(s.owners))
@@ -192,6 +201,8 @@
 		return s.changeQuarantine(index, command.Quarantine)
 	case command.Departures != nil:
 		return s.recordDepartures(index, command.Departures)
+	case command.Silence != nil:
+		s.silence = command.Silence.Members
 	}
 	return Result{Outcome: Accepted, Current: s.Version()}
 }
@@ -261,6 +272,7 @@
 	Evacuations evacuations
 	Quarantine  quarantine.Set
 	Departures  []departure.Record
+	Silence     seats.Record
 }
 
 // check rejects content that no sequence of log entries produces: owners that leave gaps or
@@ -282,7 +294,7 @@
 // Encode returns a snapshot of the state.
 func (s *State) Encode() ([]byte, error) {
 	var buffer bytes.Buffer
-	snapshot := image{s.document, s.accepted, s.owners, s.ownersIndex, s.evacuations, s.quarantine, s.departures.Records()}
+	snapshot := image{s.document, s.accepted, s.owners, s.ownersIndex, s.evacuations, s.quarantine, s.departures.Records(), s.silence}
 	if err := gob.NewEncoder(&buffer).Encode(snapshot); err != nil {
 		return nil, fmt.Errorf("encode fleet state: %w", err)
 	}
@@ -323,7 +335,7 @@
 	if snapshot.Evacuations.Since != nil {
 		fresh.evacuations.Since = snapshot.Evacuations.Since
 	}
-	fresh.quarantine = snapshot.Quarantine
+	fresh.quarantine, fresh.silence = snapshot.Quarantine, snapshot.Silence
 	*s = *fresh
 	return nil
 }
--- a/internal/fleetstate/state_test.go
+++ b/internal/fleetstate/state_test.go
@@ -7,6 +7,7 @@
 	"github.com/quartzdock/quartzdock/internal/fleetstate"
 	"github.com/quartzdock/quartzdock/internal/keyspace"
 	"github.com/quartzdock/quartzdock/internal/routeconfig"
+	"github.com/quartzdock/quartzdock/internal/seats"
 	"gotest.tools/v3/assert"
 )
 
@@ -114,3 +115,18 @@
 	repeated := fleetstate.ChangeConfiguration{Digest: fleetstate.Digest{1}}
 	assert.Equal(t, restored.Check(&repeated).Outcome, fleetstate.Repeated)
 }
+
+// What a leader has recorded of silent controllers must outlive it, in snapshots as well: the next
+// leader would count from zero again.
+func TestRecordOfSilentControllersSurvivesSnapshots(t *testing.T) {
+	h := newHarness(t)
+	record := seats.Record{3: 700 * time.Millisecond}
+	assert.Equal(t, h.apply(fleetstate.Command{Silence: &fleetstate.SilenceRecord{Members: record}}).Outcome, fleetstate.Accepted)
+	snapshot, err := h.state.Encode()
+	assert.NilError(t, err)
+	restored := fleetstate.New()
+	assert.NilError(t, restored.Decode(snapshot))
+	assert.DeepEqual(t, restored.Silence(), record)
+	h.apply(fleetstate.Command{Silence: &fleetstate.SilenceRecord{}})
+	assert.Equal(t, len(h.state.Silence()), 0)
+}
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -46,7 +46,7 @@
 	// Heard is set if this leader has heard the member since its election; always for the leader.
 	Heard bool
 	// Silence is how long the member has not been heard; zero for the leader. That of a member
-	// that was never heard is counted from the election.
+	// that was never heard is counted from the election, with what earlier leaders have recorded.
 	Silence time.Duration
 	// CaughtUp is set for a member that durably holds all committed entries.
 	CaughtUp bool
--- a/internal/seats/seats_test.go
+++ b/internal/seats/seats_test.go
@@ -124,6 +124,10 @@
 	// term counts the leaderships. In each the count of silence begins anew.
 	term    uint64
 	silence seats.Silence
+	// record is what leaders have recorded in the log.
+	record seats.Record
+	// inherited is what was recorded when the present leadership began.
+	inherited seats.Record
 	// quorumLost is set once no quorum was present.
 	quorumLost bool
 	// admit decides about a joining controller.
@@ -179,6 +183,7 @@
 // elect begins a new leadership. The new leader has heard nobody yet.
 func (s *simulation) elect() {
 	s.term++
+	s.inherited = s.record
 	for _, m := range s.machines {
 		m.heardAt = 0
 	}
@@ -219,6 +224,10 @@
 			continue
 		}
 		s.silence.Observe(s.status(), s.now)
+		s.silence.Inherit(s.inherited)
+		if record, changed := s.silence.Record(s.record, removeAfter-seats.ReplaceAfter); changed {
+			s.record = record
+		}
 		s.giveSeats()
 		if dead := s.remove(s.members()); dead != 0 {
 			delete(s.voters, dead)
@@ -253,34 +262,37 @@
 	}
 }
 
+// restartAll ends all processes at once. After a while they are back and elect a leader.
+func (s *simulation) restartAll() {
+	const ledAgainAfter = 500 * time.Millisecond
+	s.now += ledAgainAfter
+	s.elect()
+}
+
 // replace removes voters' machines for good and starts their successors, at the pace that is
-// allowed. Meanwhile all processes may end at once, after which there is a new leadership.
-func (s *simulation) replace(count int) {
+// allowed. Meanwhile all processes may end at once, a number of times.
+func (s *simulation) replace(count, restarts int) {
 	const successorAfter, countsAgain = 2 * time.Second, 4 * time.Second
-	const latestRestart, ledAgainAfter = 25, 500 * time.Millisecond
-	restartAfter := time.Duration(rapid.IntRange(0, latestRestart).Draw(s.t, "restart")) * 100 * time.Millisecond
 	for range count {
 		s.machines[s.draw("replaced")].gone = true
 	}
-	join := func() {
-		for range count {
-			s.joining[s.start()] = s.now
-		}
+	s.runWithRestarts(successorAfter, restarts/2)
+	for range count {
+		s.joining[s.start()] = s.now
 	}
-	if restartAfter <= successorAfter {
-		s.run(restartAfter)
-		s.now += ledAgainAfter
-		s.elect()
-		s.run(successorAfter - restartAfter)
-		join()
-	} else {
-		s.run(successorAfter)
-		join()
-		s.run(restartAfter - successorAfter)
-		s.now += ledAgainAfter
-		s.elect()
+	s.runWithRestarts(countsAgain, restarts-restarts/2)
+}
+
+// runWithRestarts plays a time that is divided by restarts of all processes.
+func (s *simulation) runWithRestarts(length time.Duration, restarts int) {
+	const step = 100 * time.Millisecond
+	for ; restarts > 0; restarts-- {
+		led := time.Duration(rapid.IntRange(0, int(length/step)/restarts).Draw(s.t, "led for")) * step
+		s.run(led)
+		s.restartAll()
+		length -= led
 	}
-	s.run(countsAgain)
+	s.run(length)
 }
 
 // disturb makes a voter absent for a time, which counts as lost for a while after it is back.
@@ -314,7 +326,7 @@
 }
 
 // Machines are replaced in turn, with freezes and cuts of others between, as many as are drawn, and
-// with a new leadership during each replacement. No more count as lost at a time than is tolerated. The group always has a quorum, and in the end each
+// with new leaderships during replacements. No more count as lost at a time than is tolerated. The group always has a quorum, and in the end each
 // machine that is there has a seat, and no other.
 func TestReplacementsInTurnKeepTheGroup(t *testing.T) {
 	for count, tolerated := range map[int]int{3: 1, 5: 1, 11: 2, 22: 4} {
@@ -325,7 +337,7 @@
 					if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
 						s.disturb()
 					} else {
-						s.replace(rapid.IntRange(1, tolerated).Draw(t, "at once"))
+						s.replace(rapid.IntRange(1, tolerated).Draw(t, "at once"), rapid.IntRange(0, 2).Draw(t, "restarts"))
 					}
 					assert.Assert(t, !s.quorumLost, "%d voters", len(s.voters))
 				}
@@ -340,6 +352,36 @@
 	}
 }
 
+// All processes end again and again while machines are replaced, so that no leader lasts long enough
+// to miss a voter for ReplaceAfter. Under leaders that count anew the seats of the machines that are
+// gone would be kept, until there is no quorum.
+func TestShortLeadershipsGiveSeatsToSuccessors(t *testing.T) {
+	for _, count := range []int{3, 5, 11} {
+		t.Run(fmt.Sprint(count, " seats"), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				s := newSimulation(t, count)
+				for range 2 * count {
+					s.machines[s.draw("replaced")].gone = true
+					s.runInShortTerms(2 * time.Second)
+					s.joining[s.start()] = s.now
+					s.runInShortTerms(6 * time.Second)
+					assert.Assert(t, !s.quorumLost, "%d voters", len(s.voters))
+				}
+			})
+		})
+	}
+}
+
+// runInShortTerms plays a time in leaderships that are shorter than ReplaceAfter.
+func (s *simulation) runInShortTerms(length time.Duration) {
+	const step = 100 * time.Millisecond
+	shortest, longest := int(2*seats.PresentWithin/step), int(seats.ReplaceAfter/step)-1
+	for end := s.now + length; s.now < end; {
+		s.run(time.Duration(rapid.IntRange(shortest, longest).Draw(s.t, "led for")) * step)
+		s.restartAll()
+	}
+}
+
 // The group is lost if each successor gets a further seat and an absent voter is removed only while
 // all others are present.
 func TestReplacementsInTurnLoseTheGroupUnderTheRuleOfFurtherSeats(t *testing.T) {
@@ -367,7 +409,7 @@
 					lost = true
 					return
 				}
-				s.replace(1)
+				s.replace(1, 0)
 			}
 		})
 		assert.Assert(t, lost, "%d seats", count)
