Gateway: bodies of stated length count as buffered while they are read

Seen (the same cause as bodies without end, shown by the test): back ends that state large bodies. Each was read into memory up to 64 MiB and counted once it was whole: 20 of 4 MiB buffered 80 MiB at a bound of 8.

Change: the stated length counts from the beginning, and a body is not read while more than twice the limit is buffered, unless it is the only one.

Why this works: the sum of all bodies is bounded by twice the limit, a single larger one apart.

--- a/internal/gateway/bufferedbytes.go
+++ b/internal/gateway/bufferedbytes.go
@@ -11,8 +11,12 @@
 // reached. A longer one may be without end.
 const unstatedShare = 1.0 / 64
 
-// errNoMemoryForResponse means that a response body of unstated length was given up for lack of memory.
-var errNoMemoryForResponse = errors.New("no memory for the rest of a response of unstated length")
+// maxStatedRatio is the ratio of buffered bytes to the limit above which a body of stated length is not
+// read, unless it is the only one.
+const maxStatedRatio = 2
+
+// errNoMemoryForResponse means that a response body was given up for lack of memory.
+var errNoMemoryForResponse = errors.New("no memory for the body of a response")
 
 // bufferedBytes counts the bytes of responses that a gateway buffers until their readers have
 // received them. Readers may be slow, and the buffers for them must not use up the memory that
@@ -67,7 +71,7 @@
 		return nil, errInvalidResponse
 	}
 	if response.ContentLength > 0 {
-		return readStatedBody(response)
+		return h.readStatedBody(response)
 	}
 	source := &countedReader{source: response.Body, buffered: h}
 	defer source.release()
@@ -83,9 +87,16 @@
 	return (&bufferedBytes{}).readBody(response, maxResponseBody)
 }
 
-// readStatedBody reads a body whose length is stated.
-func readStatedBody(response *http.Response) ([]byte, error) {
-	body := make([]byte, response.ContentLength)
+// readStatedBody reads a body whose length is stated. All of it counts as buffered from the beginning.
+func (h *bufferedBytes) readStatedBody(response *http.Response) ([]byte, error) {
+	length := int(response.ContentLength)
+	h.add(length)
+	defer h.add(-length)
+	buffered := h.count.Load()
+	if h.limit > 0 && buffered > maxStatedRatio*h.limit && buffered > int64(length) {
+		return nil, errNoMemoryForResponse
+	}
+	body := make([]byte, length)
 	if _, err := io.ReadFull(response.Body, body); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/responsebody_test.go
+++ b/internal/gateway/responsebody_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -68,3 +69,34 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "whole")
 }
+
+// Back ends that state large bodies must not use up the memory of the gateway either, however many
+// requests they are answering. A single body may be larger than the limit.
+func TestStatedBodiesAreNotReadWithoutMemory(t *testing.T) {
+	const bound, atOnce, length = 8 << 20, 20, 4 << 20
+	held := &bufferedBytes{limit: bound}
+	var all sync.WaitGroup
+	var most atomic.Int64
+	for range atOnce {
+		all.Go(func() {
+			source := io.LimitReader(endlessBody{held, &most}, length)
+			slow := readerFunc(func(buffer []byte) (int, error) {
+				time.Sleep(time.Millisecond)
+				return source.Read(buffer[:min(len(buffer), length/8)])
+			})
+			_, _ = held.readBody(&http.Response{ContentLength: length, Body: io.NopCloser(slow)}, maxResponseBody)
+		})
+	}
+	all.Wait()
+	assert.Assert(t, most.Load() <= (maxStatedRatio+1)*bound, "%d bytes were buffered", most.Load())
+	assert.Equal(t, held.count.Load(), int64(0))
+	alone := &http.Response{ContentLength: 3 * bound, Body: io.NopCloser(io.LimitReader(endlessBody{held, &most}, 3*bound))}
+	body, err := held.readBody(alone, maxResponseBody)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), 3*bound)
+}
+
+// readerFunc is an io.Reader that is a function.
+type readerFunc func(buffer []byte) (int, error)
+
+func (f readerFunc) Read(buffer []byte) (int, error) { return f(buffer) }
