Gateway: an idle link is given to the next body within milliseconds

Seen (trial of the stalled readers at a higher rate): 100 stalled readers a second and 100 callers that read at once. Answers to the latter were written later and later, after 0.5 to over 0.9 s, on an idle link of 125 MB/s.

Cause: a body that had not stalled for 200 ms yet kept its place, and an idle link was given to one more body each 25 ms only.

Change: the link is looked at again when it has sent what was handed over to it, each 5 ms at most.

--- a/internal/gateway/linkpacer.go
+++ b/internal/gateway/linkpacer.go
@@ -47,7 +47,7 @@
 func newLinkPacer(bytesPerSecond float64) *linkPacer {
 	link := overload.NewLink(pacedLinkFraction * bytesPerSecond)
 	p := &linkPacer{link: link}
-	p.places.idle = func() bool { return p.countSent(0) == 0 }
+	p.places.busy = func() time.Duration { return p.countSent(0) }
 	return p
 }
 
--- a/internal/gateway/linkpacer_test.go
+++ b/internal/gateway/linkpacer_test.go
@@ -216,6 +216,33 @@
 	})
 }
 
+// Readers that read nothing keep coming, faster than they are found to have stalled. On a link that is
+// idle the responses to other callers must still be written at once.
+func TestStreamOfStalledReadersDoesNotHoldUpOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const fastLinkRate, size = 125e6, 90_000
+		const responses, pause, patience = 300, 10 * time.Millisecond, 500 * time.Millisecond
+		pacer := newLinkPacer(fastLinkRate)
+		left := make(chan struct{})
+		var all sync.WaitGroup
+		for range responses {
+			all.Go(func() {
+				source := bytes.NewReader(make([]byte, size))
+				assert.Check(t, copyPaced(pacer, stalledWriter{httptest.NewRecorder(), left}, source, size) != nil)
+			})
+			all.Go(func() {
+				began := steady.Reading()
+				assert.Check(t, writePaced(t.Context(), pacer, httptest.NewRecorder(), size))
+				assert.Check(t, steady.Elapsed(began) < patience, "written after %v", steady.Elapsed(began))
+			})
+			time.Sleep(pause)
+		}
+		time.Sleep(patience)
+		close(left)
+		all.Wait()
+	})
+}
+
 // A response to a caller that has disconnected uses no more of the link.
 func TestResponseToDisconnectedCallerIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/linkplace.go
+++ b/internal/gateway/linkplace.go
@@ -7,12 +7,15 @@
 	"time"
 )
 
+// minIdleCheck is the least time between two checks whether the link is idle.
+const minIdleCheck = 5 * time.Millisecond
+
 // linkPlaces decides which bodies are written to the link: maxPacedWriters at a time, in the order
 // in which they asked, and a further one whenever the link is idle although bodies wait for it.
 // The holders of places that don't use the link therefore hold nobody up.
 type linkPlaces struct {
-	// idle reports whether everything that was handed over to the link has been sent.
-	idle func() bool
+	// busy returns how long the link takes for what was handed over to it.
+	busy func() time.Duration
 
 	mutex sync.Mutex
 	taken int
@@ -90,24 +93,24 @@
 
 // watch gives a further place whenever the link is idle, until no body waits.
 func (p *linkPlaces) watch() {
-	ticks := time.NewTicker(maxPacingLead)
-	defer ticks.Stop()
-	for range ticks.C {
-		if !p.grantWhileIdle() {
-			return
-		}
+	for wait := minIdleCheck; wait > 0; wait = p.grantIfIdle() {
+		time.Sleep(wait)
 	}
 }
 
-// grantWhileIdle reports whether bodies wait.
-func (p *linkPlaces) grantWhileIdle() bool {
+// grantIfIdle returns after what time to check again, or zero if no body waits.
+func (p *linkPlaces) grantIfIdle() time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.idle() {
+	busy := p.busy()
+	if busy == 0 {
 		p.grant()
 	}
 	p.watched = len(p.waiting) > 0
-	return p.watched
+	if !p.watched {
+		return 0
+	}
+	return max(busy, minIdleCheck)
 }
 
 // release gives the place to another body. It may be called more than once.
