--- a/internal/fleetcontroller/members.go
+++ b/internal/fleetcontroller/members.go
@@ -88,20 +88,18 @@
 func (c *Controller) giveSeat(ctx context.Context, learner consensus.Member) {
 	ticks := time.NewTicker(seatCheckInterval)
 	defer ticks.Stop()
-	for {
-		given, err := c.giveFreeSeat(ctx, learner)
-		if err != nil {
-			c.config.Log.Info("member has no seat yet", "id", uint64(learner.ID), "address", learner.Address, "error", err)
-		}
-		if given || err != nil {
-			return
-		}
+	given, err := c.giveFreeSeat(ctx, learner)
+	for !given && err == nil {
 		select {
 		case <-ticks.C:
+			given, err = c.giveFreeSeat(ctx, learner)
 		case <-ctx.Done():
-			return
+			err = ctx.Err()
 		}
 	}
+	if err != nil {
+		c.config.Log.Info("member has no seat yet", "id", uint64(learner.ID), "address", learner.Address, "error", err)
+	}
 }
 
 // giveFreeSeat makes a learner a voter if there is a seat for it, and reports whether there is one.
--- a/internal/gateway/answerbody.go
+++ b/internal/gateway/answerbody.go
@@ -23,7 +23,9 @@
 	if err == nil {
 		body.end()
 	}
-	g.metrics.notDelivered.Inc()
+	if ctx.Err() == nil { // else its reader has left
+		g.metrics.notDelivered.Inc()
+	}
 	return &pacedBody{pacer: g.pacer}, &forwardResult{Outcome: outcomeUnknown, Reason: reasonTimeout, Sent: true, Load: result.Load}
 }
 
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -21,7 +21,9 @@
 // Silence is counted only while the leader itself runs and hears a quorum (Silence), so that a
 // leader that was suspended takes nobody for silent. A new leader takes nobody for present that it
 // has not heard itself: otherwise a voter that is gone for good would look present at the beginning of
-// each leadership, and its successor would get a further seat.
+// each leadership, and its successor would get a further seat. How long a member was silent under
+// earlier leaders is recorded in the log and counts on (Record), or leaderships shorter than
+// ReplaceAfter would keep the seat of a voter that is gone.
 package seats
 
 import (
