Stand-in: a back end's address is free as soon as its listener ends

Cause: a process that is being started has copies of all descriptors of its parent from clone to exec. Close of a listener in the parent leaves the copy listening until then, and the next life's bind fails.

Why it works: shutdown ends the listening itself, for all copies of the descriptor. The test holds a copy open and failed before with "address already in use".

--- a/lab/platformstandin/backend_test.go
+++ b/lab/platformstandin/backend_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -178,3 +179,19 @@
 	_, err = send(newClient(t), address, "/health", "", nil)
 	assert.NilError(t, err)
 }
+
+// Guards against "address already in use" where a back end's next life starts while a process is being
+// started: until that process runs its program it has a copy of the listener's descriptor.
+func TestAnAddressIsFreeAtOnceWhileACopyOfItsListenerIsOpen(t *testing.T) {
+	instance := &Instance{ID: "a"}
+	address := startAlone(t, instance)
+	copied, err := instance.door.listener.File()
+	assert.NilError(t, err)
+	defer copied.Close()
+	instance.Stop()
+	next := &Instance{ID: "a", Service: "keyed", Keyed: true, Slots: 8, Control: instance.Control}
+	assert.NilError(t, StartInstance(t.Context(), NewLedger(), address, next))
+	next.Stop()
+	_, err = net.DialTimeout("tcp", address, time.Second)
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
--- a/lab/platformstandin/door.go
+++ b/lab/platformstandin/door.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/quartzdock/quartzdock/lab/pause"
@@ -15,7 +16,7 @@
 	address string
 	mutex   sync.Mutex
 	// listener is nil while the door is closed.
-	listener net.Listener
+	listener *net.TCPListener
 	// closed says that it was closed, and not opened since; forGood says that it does not open again.
 	closed, forGood bool
 }
@@ -43,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	i.door.listener = listener
+	i.door.listener = listener.(*net.TCPListener)
 	// The server returns when the door closes.
 	go func() { _ = i.server.Serve(&surplusListener{Listener: listener, draw: i.drawSurplus}) }()
 	return nil
@@ -58,11 +59,20 @@
 	defer i.door.mutex.Unlock()
 	i.door.closed, i.door.forGood = true, i.door.forGood || forGood
 	if i.door.listener != nil {
-		_ = i.door.listener.Close()
+		endListening(i.door.listener)
 		i.door.listener = nil
 	}
 }
 
+// endListening closes a listener and frees its address at once. A process that is just being started
+// has a copy of the descriptor until it runs its program, and Close alone leaves that copy listening.
+func endListening(listener *net.TCPListener) {
+	if raw, err := listener.SyscallConn(); err == nil {
+		_ = raw.Control(func(descriptor uintptr) { _ = syscall.Shutdown(int(descriptor), syscall.SHUT_RDWR) })
+	}
+	_ = listener.Close()
+}
+
 // listenLate begins to listen after the first heartbeat, unless the listener was closed
 // meanwhile.
 func (i *Instance) listenLate(ctx context.Context) {
