replica: a restarted member survives a notice of bootstrap

What callers saw: nothing on the users' platform, which sets bootstrap only at the first start of the whole system. In a group with configured peers, a controller that lost its disk and was started again with its settings sends notices every 100 ms; each member that had been restarted since the founding crashed on the first one, and again after each restart, until no controller was left.

Cause: bootstrap.r was set by load, which runs only where the folder has no group yet. receive answers a notice on any member, and took the nil replica's files.

Evidence: found while a test for another fault started a wiped controller with its first settings: "invalid memory address or nil pointer dereference" at bootstrap.receive. TestReplicaWithLostDiskRejoinsAsNewMember didn't see it, as its members are never restarted.

Why it works: the replica is given where bootstrap is made. The new test restarts all members, one with an empty disk, and failed before with the same panic.

--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -58,14 +58,13 @@
 
 func (b *bootstrap) path() string { return b.r.config.DataDir + "/" + bootstrapFileName }
 
-func (b *bootstrap) load(r *Replica) error {
-	b.r = r
+func (b *bootstrap) load() error {
 	if len(b.initialMembers()) == 0 {
-		r.config.Logger.Info("waiting to be added to the group as a new member",
-			"incarnation", formatIncarnation(r.incarnation), "peer_address", r.Address())
+		b.r.config.Logger.Info("waiting to be added to the group as a new member",
+			"incarnation", formatIncarnation(b.r.incarnation), "peer_address", b.r.Address())
 	}
 	b.notices = map[topology.ReplicaID]bootstrapNotice{}
-	content, err := vfs.ReadAll(r.config.FS, b.path())
+	content, err := vfs.ReadAll(b.r.config.FS, b.path())
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
 	}
--- a/internal/replica/control.go
+++ b/internal/replica/control.go
@@ -65,6 +65,7 @@
 		r:                r,
 		pendingProposals: map[uint64]proposal{},
 		pendingReads:     map[uint64]func(any, error){},
+		bootstrap:        bootstrap{r: r},
 	}
 	c := &r.control
 	if recovered.tornBytes > 0 {
@@ -75,7 +76,7 @@
 	}
 	if !recovered.bootstrapped {
 		c.bootstrap.unverified = recovered.unverified
-		if err := c.bootstrap.load(r); err != nil {
+		if err := c.bootstrap.load(); err != nil {
 			return err
 		}
 		c.publishStatus()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -212,6 +212,41 @@
 	}
 }
 
+// bootstrappedLine sends to the channel when a replica logs that its group is already bootstrapped.
+type bootstrappedLine chan struct{}
+
+func (b bootstrappedLine) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("the group is already bootstrapped")) {
+		b <- struct{}{}
+	}
+	return len(line), nil
+}
+
+// Guards against members that crash, once they have been restarted, when one that lost its disk asks for a
+// new group.
+func TestRestartedMembersRespondToOneThatLostItsDisk(t *testing.T) {
+	g := newTestGroup(t, 3, nil)
+	g.propose("a")
+	const lost = topology.ReplicaID(3)
+	for id := range g.configs {
+		g.stop(id)
+	}
+	config := g.configs[lost]
+	config.DataDir = t.TempDir()
+	told := make(bootstrappedLine, 1)
+	config.Logger = slog.New(slog.NewTextHandler(told, nil))
+	g.configs[lost] = config
+	for id := range g.configs {
+		g.start(id)
+	}
+	select {
+	case <-told:
+	case <-testContext(t).Done():
+		t.Fatal("the replica with the empty disk was told nothing")
+	}
+	g.propose("b")
+}
+
 func TestReplicaWithLostDiskRejoinsAsNewMember(t *testing.T) {
 	g := newTestGroup(t, 3, nil)
 	g.propose("a")
