seats: a controller with an empty disk gets its own seat back

Cause: the voter of a lost disk was removed before its new identity joined, and nothing recorded that its seat was vacant. The new identity took the seat of another voter that was only away. That one came back without a seat, five seats had become four voters, and two replacements later no majority was left. A leader that failed between the two steps of any replacement did the same.

Why it works: the learner is added first, and the entry that removes a member gives its seat to that learner (Change.Successor, Member.Seat). The membership is in the log, so any later leader finds the seat and promotes the learner once it has caught up, whoever else is silent.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -18,8 +18,13 @@
 	Address string
 	// Learner members receive the log but do not vote or count toward a quorum.
 	Learner bool
+	// Seat is set for a learner that is to vote in place of a member that was removed for it.
+	Seat bool
 }
 
+// HoldsSeat reports whether the member votes or has the seat of a removed one.
+func (m Member) HoldsSeat() bool { return !m.Learner || m.Seat }
+
 // Membership lists a group's members by ascending ID.
 type Membership struct {
 	Members []Member
@@ -37,7 +42,7 @@
 	AddLearner ChangeKind = iota + 1
 	// Promote makes a learner that has caught up a voter.
 	Promote
-	// Remove removes a member.
+	// Remove removes a member. Its seat, if it holds one, goes to Successor.
 	Remove
 )
 
@@ -60,6 +65,9 @@
 type Change struct {
 	Kind   ChangeKind
 	Member Member
+	// Successor is the learner that gets the seat of a removed member, in the same entry. Zero gives
+	// the seat up.
+	Successor topology.ReplicaID
 }
 
 // NewMembership returns a membership of the given members, sorted by ID.
@@ -168,15 +176,33 @@
 	case change.Kind == Promote && !member.Learner:
 		return m, change, &ChangeError{change, "it is a voter already"}
 	case change.Kind == Promote:
-		m.Members[position].Learner = false
+		m.Members[position].Learner, m.Members[position].Seat = false, false
+		return m, change, nil
 	case !member.Learner && m.Voters() == 1:
 		return m, change, &ChangeError{change, "it is the last voter"}
-	default:
-		m.Members = slices.Delete(m.Members, position, position+1)
 	}
+	if change.Successor != 0 && member.HoldsSeat() {
+		if reason := m.reserveSeat(change.Successor); reason != "" {
+			return m, change, &ChangeError{change, reason}
+		}
+	}
+	m.Members = slices.Delete(m.Members, position, position+1)
 	return m, change, nil
 }
 
+// reserveSeat gives a learner the seat of a member that is removed. It returns why it can't.
+func (m Membership) reserveSeat(successor topology.ReplicaID) (reason string) {
+	position := slices.IndexFunc(m.Members, func(member Member) bool { return member.ID == successor })
+	switch {
+	case position < 0:
+		return "its successor is no member"
+	case m.Members[position].HoldsSeat():
+		return "its successor holds a seat already"
+	}
+	m.Members[position].Seat = true
+	return ""
+}
+
 func encodeMembership(membership Membership) []byte {
 	var buffer bytes.Buffer
 	if err := gob.NewEncoder(&buffer).Encode(membership); err != nil {
--- a/internal/consensus/membership_test.go
+++ b/internal/consensus/membership_test.go
@@ -68,6 +68,9 @@
 		"promotion of a non-member":   {Kind: Promote, Member: testMember(3)},
 		"removal of a non-member":     {Kind: Remove, Member: testMember(3)},
 		"removal of the zero ID":      {Kind: Remove},
+		"successor that is a voter":   {Kind: Remove, Member: testMember(1), Successor: 2},
+		"successor unknown":           {Kind: Remove, Member: testMember(1), Successor: 3},
+		"successor of itself":         {Kind: Remove, Member: testMember(1), Successor: 1},
 	} {
 		_, _, err := membership.With(change)
 		refused, ok := err.(*ChangeError)
@@ -96,6 +99,41 @@
 	})
 }
 
+// The entry that removes a member gives its seat to its successor, and a later leader finds it there.
+func TestSeatOfARemovedMemberGoesToItsSuccessor(t *testing.T) {
+	c := newCluster(t, 38, 3)
+	c.commit("a")
+	old := c.waitForLeader()
+	removed := c.others(old.member.ID)[0]
+	learner := c.add(testMember(4))
+	c.change(Change{Kind: AddLearner, Member: learner.member})
+	c.change(Change{Kind: Remove, Member: removed.member, Successor: 4})
+	membership := c.waitForLeader().core.Membership()
+	member, _ := membership.Find(4)
+	assert.Assert(t, member.Learner && member.Seat && membership.Voters() == 2, "%+v", membership)
+	_, _, err := membership.With(Change{Kind: Remove, Member: old.member, Successor: 4})
+	assert.ErrorContains(t, err, "holds a seat already")
+	c.crash(old.member.ID)
+	c.restart(old.member.ID)
+	member, _ = c.waitForLeader().core.Membership().Find(4)
+	assert.Assert(t, member.Seat)
+	c.change(Change{Kind: Promote, Member: learner.member})
+	member, _ = c.waitForLeader().core.Membership().Find(4)
+	assert.Assert(t, !member.Learner && !member.Seat, "%+v", member)
+}
+
+// A learner that was only to get a seat passes it on, and one without a seat has none to pass on.
+func TestSeatOfALearnerGoesToItsSuccessor(t *testing.T) {
+	membership := NewMembership(testMember(1), testMember(2), Member{ID: 3, Incarnation: 3, Learner: true, Seat: true}, Member{ID: 4, Incarnation: 4, Learner: true})
+	next, _, err := membership.With(Change{Kind: Remove, Member: Member{ID: 3}, Successor: 4})
+	assert.NilError(t, err)
+	member, _ := next.Find(4)
+	assert.Assert(t, member.Seat)
+	next, _, err = membership.With(Change{Kind: Remove, Member: Member{ID: 4}, Successor: 3})
+	assert.NilError(t, err)
+	assert.Equal(t, len(next.Members), 3)
+}
+
 // A replica whose disk was lost starts with a new incarnation. The other
 // replicas ignore its messages under the old ID, and it has no vote.
 func TestReplicaWithLostDiskHasNoVote(t *testing.T) {
--- a/internal/fleetcontroller/controller_test.go
+++ b/internal/fleetcontroller/controller_test.go
@@ -54,20 +54,26 @@
 
 func startGroup(t *testing.T) *group {
 	t.Helper()
-	g := &group{t: t, controllers: make([]*fleetcontroller.Controller, members)}
+	return startGroupOf(t, members)
+}
+
+// startGroupOf starts a group of so many controllers.
+func startGroupOf(t *testing.T, count int) *group {
+	t.Helper()
+	g := &group{t: t, controllers: make([]*fleetcontroller.Controller, count)}
 	peer, session := freePorts(t)
 	var seeds []string
-	for i := range members {
+	for i := range count {
 		seeds = append(seeds, fmt.Sprintf("127.78.0.%d:%s", i+1, session))
 	}
-	for i := range members {
+	for i := range count {
 		g.configs = append(g.configs, fleetcontroller.Config{
 			Group: 1, Name: fmt.Sprint("c", i+1), DataDir: filepath.Join(t.TempDir(), "data"),
 			PeerListen: fleetcontroller.WithPort(seeds[i], ":"+peer), SessionListen: seeds[i], Bootstrap: true, Seeds: seeds,
 			Zones: []string{"a", "b"},
 		})
 	}
-	for i := range members {
+	for i := range count {
 		g.start(i)
 	}
 	t.Cleanup(func() {
--- a/internal/fleetcontroller/join.go
+++ b/internal/fleetcontroller/join.go
@@ -154,20 +154,23 @@
 	if join.Replica != 0 && !membership.HasIncarnation(join.Replica, join.Incarnation) {
 		return nil, true
 	}
-	if member, ok := findIncarnation(membership, join.Incarnation); ok {
-		if !member.Learner {
+	member, ok := findIncarnation(membership, join.Incarnation)
+	if ok && !member.Learner {
+		return nil, false
+	}
+	if !ok {
+		change := consensus.Change{Kind: consensus.AddLearner, Member: consensus.Member{Incarnation: join.Incarnation, Address: join.PeerAddress}}
+		added, err := c.replica.ChangeMembership(ctx, change)
+		if err != nil {
+			c.config.Log.Warn("member not added", "address", join.PeerAddress, "error", err)
 			return nil, false
 		}
-		return &member, false
+		member = added.Member
 	}
-	c.replaceLostDisk(ctx, membership, join)
-	change := consensus.Change{Kind: consensus.AddLearner, Member: consensus.Member{Incarnation: join.Incarnation, Address: join.PeerAddress}}
-	added, err := c.replica.ChangeMembership(ctx, change)
-	if err != nil {
-		c.config.Log.Warn("member not added", "address", join.PeerAddress, "error", err)
+	if !c.replaceLostDisk(ctx, membership, member) {
 		return nil, false
 	}
-	return &added.Member, false
+	return &member, false
 }
 
 // lockMembership begins a change of the membership. It returns false if the context ends first.
@@ -183,16 +186,27 @@
 // unlockMembership allows the next change of the membership.
 func (c *Controller) unlockMembership() { <-c.membershipLock }
 
-// replaceLostDisk removes the member that has the address of the joining one. The two are
-// the same controller, which has lost its disk and with it its identity.
-func (c *Controller) replaceLostDisk(ctx context.Context, membership consensus.Membership, join *fleetwire.Join) {
+// replaceLostDisk removes other members that have the address of a learner. They are the same
+// controller, which has lost its disk and with it its identity, and the learner gets their seat. It
+// reports whether none is left.
+func (c *Controller) replaceLostDisk(ctx context.Context, membership consensus.Membership, learner consensus.Member) bool {
+	seated := learner.Seat
 	for _, member := range membership.Members {
-		if member.Address != join.PeerAddress {
+		if member.Address != learner.Address || member.ID == learner.ID {
 			continue
 		}
-		_, err := c.replica.ChangeMembership(ctx, consensus.Change{Kind: consensus.Remove, Member: member})
-		c.config.Log.Info("removal of a member with a lost disk ended", "id", uint64(member.ID), "address", member.Address, "error", err)
+		change := consensus.Change{Kind: consensus.Remove, Member: member}
+		if !seated {
+			change.Successor = learner.ID
+		}
+		_, err := c.replica.ChangeMembership(ctx, change)
+		c.config.Log.Info("removal of a member with a lost disk ended", "id", uint64(member.ID), "address", member.Address, "successor", uint64(change.Successor), "error", err)
+		if err != nil {
+			return false
+		}
+		seated = seated || member.HoldsSeat()
 	}
+	return true
 }
 
 func findIncarnation(membership consensus.Membership, incarnation topology.Incarnation) (consensus.Member, bool) {
--- a/internal/fleetcontroller/members.go
+++ b/internal/fleetcontroller/members.go
@@ -114,8 +114,8 @@
 	}
 	if admission.Action == seats.Replace {
 		// The removal comes first: it doesn't depend on the learner's disk.
-		replaced := consensus.Member{ID: admission.Replaced}
-		_, err = c.replica.ChangeMembership(ctx, consensus.Change{Kind: consensus.Remove, Member: replaced})
+		change := consensus.Change{Kind: consensus.Remove, Member: consensus.Member{ID: admission.Replaced}, Successor: learner.ID}
+		_, err = c.replica.ChangeMembership(ctx, change)
 		c.config.Log.Info("voter replaced", "id", uint64(admission.Replaced), "by", uint64(learner.ID), "error", err)
 		if err != nil {
 			return false, err
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -3,10 +3,19 @@
 //
 // # Rules
 //
-// A controller that joins is a learner first. Once it has caught up, it takes the seat of the voter
-// that has been silent for longest, if one has been for ReplaceAfter; if all voters are present, it
-// gets a further seat; otherwise it waits until one or the other holds. A voter that has been silent
-// for RemoveAfter loses its seat also if no successor has come.
+// A controller that joins is a learner first. One that comes back with an empty disk gets its own seat
+// at once, to vote as soon as it has caught up, whoever else is silent (consensus.Change.Successor). Any
+// other one takes, once it has caught up, the seat that has been silent for longest, if one has been for
+// ReplaceAfter; if all that hold seats are present, it gets a further seat; otherwise it waits until one
+// or the other holds. A member that has been silent for RemoveAfter loses its seat also if no successor
+// has come.
+//
+// # Why the number of seats is kept
+//
+// The entry that removes a member for a successor gives the seat to that successor, so that any later
+// leader finds it in the membership and completes the change. Seats become fewer only by RemoveAfter.
+// Otherwise a controller with an empty disk could take the seat of another that is only away: that one
+// comes back without a seat, and the group has a voter fewer than machines.
 //
 // # Why no change costs a majority
 //
@@ -27,6 +36,7 @@
 package seats
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quartzdock/quartzdock/internal/topology"
@@ -45,6 +55,8 @@
 type Member struct {
 	ID    topology.ReplicaID
 	Voter bool
+	// Seat is set for a learner that has the seat of a member that was removed for it.
+	Seat bool
 	// Heard is set if this leader has heard the member since its election; always for the leader.
 	Heard bool
 	// Silence is how long the member has not been heard; zero for the leader. That of a member
@@ -57,6 +69,13 @@
 // present reports whether a member was heard recently.
 func (m *Member) present() bool { return m.Heard && m.Silence < PresentWithin }
 
+// holdsSeat reports whether the member votes or is to vote in place of a removed one.
+func (m *Member) holdsSeat() bool { return m.Voter || m.Seat }
+
+// ready reports whether a joining controller has caught up and is still present: the log of one that
+// has ended since stays caught up until the next entry.
+func (m *Member) ready() bool { return m.CaughtUp && m.present() }
+
 // Action is what a leader does about a joining controller.
 type Action uint8
 
@@ -79,14 +98,18 @@
 
 // Admit decides about a learner that asks for a seat.
 func Admit(members []Member, joining topology.ReplicaID) Admission {
-	if !ready(members, joining) {
+	position := slices.IndexFunc(members, func(member Member) bool { return member.ID == joining })
+	if position < 0 || !members[position].ready() {
 		return Admission{Action: Wait}
 	}
-	if silent, ok := longestSilent(members, isVoter); ok && silent.Silence >= ReplaceAfter {
+	if members[position].Seat {
+		return Admission{Action: Promote}
+	}
+	if silent, ok := longestSilent(members, (*Member).holdsSeat); ok && silent.Silence >= ReplaceAfter {
 		return Admission{Action: Replace, Replaced: silent.ID}
 	}
 	for i := range members {
-		if members[i].Voter && !members[i].present() {
+		if members[i].holdsSeat() && !members[i].present() {
 			return Admission{Action: Wait}
 		}
 	}
@@ -110,8 +133,6 @@
 	return silent.ID
 }
 
-func isVoter(member *Member) bool { return member.Voter }
-
 // longestSilent returns the member that has been silent for longest among those that satisfy a
 // condition.
 func longestSilent(members []Member, condition func(*Member) bool) (longest Member, ok bool) {
@@ -122,14 +143,3 @@
 	}
 	return longest, ok
 }
-
-// ready reports whether a joining controller has caught up and is still present: the log of one that
-// has ended since stays caught up until the next entry.
-func ready(members []Member, joining topology.ReplicaID) bool {
-	for i := range members {
-		if members[i].ID == joining {
-			return members[i].CaughtUp && members[i].present()
-		}
-	}
-	return false
-}
--- a/internal/seats/seats_test.go
+++ b/internal/seats/seats_test.go
@@ -37,6 +37,10 @@
 		"a voter is absent":                  {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), learner(4, true)}, seats.Admission{Action: seats.Replace, Replaced: 2}},
 		"the longest absent one is replaced": {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), voter(4, absent+1), voter(5, 0), learner(6, true)}, seats.Admission{Action: seats.Replace, Replaced: 4}},
 		"it is not clear yet":                {[]seats.Member{voter(1, 0), voter(2, seats.PresentWithin), voter(3, 0), learner(4, true)}, seats.Admission{Action: seats.Wait}},
+		"its own seat, beside an absent one": {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), {ID: 4, Seat: true, Heard: true, CaughtUp: true}}, seats.Admission{Action: seats.Promote}},
+		"it has a seat and is behind":        {[]seats.Member{voter(1, 0), voter(2, absent), voter(3, 0), {ID: 4, Seat: true, Heard: true}}, seats.Admission{Action: seats.Wait}},
+		"an absent learner has a seat":       {[]seats.Member{voter(1, 0), voter(2, 0), {ID: 3, Seat: true, Heard: true, Silence: absent}, learner(4, true)}, seats.Admission{Action: seats.Replace, Replaced: 3}},
+		"one with a seat is not clear yet":   {[]seats.Member{voter(1, 0), voter(2, 0), {ID: 3, Seat: true}, learner(4, true)}, seats.Admission{Action: seats.Wait}},
 		"an absent learner has no seat":      {[]seats.Member{voter(1, 0), voter(2, 0), {ID: 3, Silence: absent}, learner(4, true)}, seats.Admission{Action: seats.Promote}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -111,6 +115,10 @@
 	heardAt time.Duration
 }
 
+// noticesAfter is how long a member that is back takes to find out that it has lost its seat, to start
+// again with an empty folder and to ask for admission.
+const noticesAfter = 4500 * time.Millisecond
+
 // simulation plays a group of controllers against the rules: which machines are present decides
 // whether there is a leader and whether a change of the membership commits.
 type simulation struct {
@@ -120,7 +128,11 @@
 	machines map[topology.ReplicaID]*machine
 	// joining are the successors that are no voters yet, by when they started.
 	joining map[topology.ReplicaID]time.Duration
-	lastID  topology.ReplicaID
+	// reserved are those of them that have the seat of a removed member.
+	reserved map[topology.ReplicaID]bool
+	// givesUpSeats is set for the rule by which one with an empty disk gets no seat of its own.
+	givesUpSeats bool
+	lastID       topology.ReplicaID
 	// term counts the leaderships. In each the count of silence begins anew.
 	term    uint64
 	silence seats.Silence
@@ -139,7 +151,7 @@
 func newSimulation(t *rapid.T, count int) *simulation {
 	s := &simulation{
 		t: t, term: 1, now: time.Second, voters: map[topology.ReplicaID]bool{}, machines: map[topology.ReplicaID]*machine{}, joining: map[topology.ReplicaID]time.Duration{},
-		admit:  seats.Admit,
+		reserved: map[topology.ReplicaID]bool{}, admit: seats.Admit,
 		remove: func(members []seats.Member) topology.ReplicaID { return seats.Remove(members, removeAfter) },
 	}
 	for range count {
@@ -198,7 +210,7 @@
 		if !s.voters[id] && !joins {
 			continue
 		}
-		members = append(members, consensus.Member{ID: id, Learner: joins})
+		members = append(members, consensus.Member{ID: id, Learner: joins, Seat: s.reserved[id]})
 		if id == status.ID {
 			continue
 		}
@@ -232,6 +244,7 @@
 		if dead := s.remove(s.members()); dead != 0 {
 			delete(s.voters, dead)
 			delete(s.joining, dead)
+			delete(s.reserved, dead)
 		}
 		for id, m := range s.machines {
 			if s.present(id) {
@@ -246,7 +259,7 @@
 	const catchUp = 500 * time.Millisecond
 	for id := topology.ReplicaID(1); id <= s.lastID; id++ {
 		_, joins := s.joining[id]
-		if !joins && !s.voters[id] && s.present(id) {
+		if !joins && !s.voters[id] && s.present(id) && s.now >= s.machines[id].absentUntil+noticesAfter {
 			s.joining[id] = s.now
 		}
 		if started, joins := s.joining[id]; !joins || !s.present(id) || s.now < started+catchUp {
@@ -257,11 +270,35 @@
 			continue
 		}
 		delete(s.voters, admission.Replaced)
+		delete(s.reserved, admission.Replaced)
 		s.voters[id] = true
 		delete(s.joining, id)
+		delete(s.reserved, id)
 	}
 }
 
+// emptyDisk makes a voter's machine come back at once with an empty disk, as a new member.
+func (s *simulation) emptyDisk(old topology.ReplicaID) {
+	s.machines[old].gone = true
+	joining := s.start()
+	s.joining[joining] = s.now
+	s.reserved[joining] = !s.givesUpSeats
+	delete(s.voters, old)
+}
+
+// loseDiskBesideSilentMember makes a voter absent for less than it takes to lose its seat without a
+// successor, and another one lose its disk meanwhile. The leader may be another one at any moment.
+func (s *simulation) loseDiskBesideSilentMember() {
+	const countsAgain = 4 * time.Second
+	silent := s.draw("silent")
+	absent := time.Duration(rapid.IntRange(30, 90).Draw(s.t, "absence")) * 100 * time.Millisecond
+	s.machines[silent].absentUntil = s.now + absent
+	before := time.Duration(rapid.IntRange(0, int(absent/time.Second)).Draw(s.t, "absence before")) * time.Second
+	s.runWithRestarts(before, rapid.IntRange(0, 1).Draw(s.t, "restarts before"))
+	s.emptyDisk(s.draw("wiped"))
+	s.runWithRestarts(absent-before+countsAgain, rapid.IntRange(0, 2).Draw(s.t, "restarts"))
+}
+
 // restartAll ends all processes at once. After a while they are back and elect a leader.
 func (s *simulation) restartAll() {
 	const ledAgainAfter = 500 * time.Millisecond
@@ -352,6 +389,47 @@
 	}
 }
 
+// A voter comes back with an empty disk beside another one that is only away, and gets its own seat: the
+// group keeps its seats, and bears the next losses.
+func TestEmptyDiskBesideASilentMemberKeepsTheSeats(t *testing.T) {
+	for _, count := range []int{5, 11, 22} {
+		t.Run(fmt.Sprint(count, " seats"), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				s := newSimulation(t, count)
+				for range rapid.IntRange(1, count).Draw(t, "rounds") {
+					s.loseDiskBesideSilentMember()
+					assert.Equal(t, len(s.voters)+len(s.reserved), count)
+					s.disturbTwo()
+					assert.Assert(t, !s.quorumLost, "%d voters", len(s.voters))
+				}
+			})
+		})
+	}
+}
+
+// The group is lost if the seat of one that comes back with an empty disk is given up.
+func TestEmptyDiskBesideASilentMemberLosesTheGroupIfItsSeatIsGivenUp(t *testing.T) {
+	lost := false
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t, 5)
+		s.givesUpSeats = true
+		for range 5 {
+			s.loseDiskBesideSilentMember()
+			s.disturbTwo()
+			lost = lost || s.quorumLost
+		}
+	})
+	assert.Assert(t, lost)
+}
+
+// disturbTwo makes two voters absent for a time.
+func (s *simulation) disturbTwo() {
+	const absent, countsAgain = 2 * time.Second, 4 * time.Second
+	s.machines[s.draw("first")].absentUntil = s.now + absent
+	s.machines[s.draw("second")].absentUntil = s.now + absent
+	s.run(absent + countsAgain)
+}
+
 // All processes end again and again while machines are replaced, so that no leader lasts long enough
 // to miss a voter for ReplaceAfter. Under leaders that count anew the seats of the machines that are
 // gone would be kept, until there is no quorum.
--- a/internal/seats/silence.go
+++ b/internal/seats/silence.go
@@ -96,8 +96,10 @@
 	members := []Member{{ID: status.ID, Voter: status.Membership.IsVoter(status.ID), Heard: true, CaughtUp: true}}
 	for _, peer := range status.Peers {
 		counted := s.members[peer.ID]
+		member, _ := status.Membership.Find(peer.ID)
 		members = append(members, Member{
-			ID: peer.ID, Voter: status.Membership.IsVoter(peer.ID), Heard: counted.heardAt > 0, Silence: s.total(peer.ID), CaughtUp: peer.Match >= status.Commit,
+			ID: peer.ID, Voter: status.Membership.IsVoter(peer.ID), Seat: member.Seat,
+			Heard: counted.heardAt > 0, Silence: s.total(peer.ID), CaughtUp: peer.Match >= status.Commit,
 		})
 	}
 	return members
--- a/spec/seats.pml
+++ b/spec/seats.pml
@@ -30,23 +30,33 @@
 bool counts[MACHINES];		/* counts as lost */
 bool voter[MACHINES];
 bool learner[MACHINES];
+bool reserved[MACHINES];	/* a learner that has the seat of a removed member */
 
 byte losses, made;
-byte m, s, i, voters, here, absent, longest, lost;
+byte seats = SEATS;		/* as many as are to be kept */
+byte m, s, i, voters, held, here, absent, longest, lost;
 
 inline count() {
-	voters = 0; here = 0; absent = 0; lost = 0; longest = MACHINES; i = 0;
+	voters = 0; held = 0; here = 0; absent = 0; lost = 0; longest = MACHINES; i = 0;
 	do
 	:: i < MACHINES ->
 		if
 		:: voter[i] -> voters++;
 			if
 			:: absence[i] == HERE -> here++
-			:: else -> absent++;
+			:: else
+			fi
+		:: else
+		fi;
+		if
+		:: voter[i] || reserved[i] -> held++;
+			if
+			:: absence[i] != HERE -> absent++;
 				if
 				:: longest == MACHINES || absence[i] > absence[longest] -> longest = i
 				:: else
 				fi
+			:: else
 			fi
 		:: else
 		fi;
@@ -78,9 +88,16 @@
 #define LOSES_ITS_SEAT (absence[m] == OVER && here >= 3)
 #endif
 
+#ifdef SEAT_IS_GIVEN_UP
+#define SEAT_IS_KEPT false
+#else
+#define SEAT_IS_KEPT true
+#endif
+
 inline check() {
 	count();
-	assert(QUORUM_HERE)
+	assert(QUORUM_HERE);
+	assert(held == seats)
 }
 
 active proctype group() {
@@ -121,6 +138,15 @@
 			:: else -> learner[m] = true
 			fi
 
+		/* One that was lost for a time is back with an empty disk, as a new member that
+		 * has its own seat. */
+		:: m == s && voter[m] && absence[m] != HERE && !gone[m] && QUORUM_HERE ->
+			absence[m] = HERE;
+			voter[m] = false;
+			learner[m] = true;
+			reserved[m] = SEAT_IS_KEPT;
+			check()
+
 		/* The successor of one that is gone starts once that has been away for a while. */
 		:: m != s && gone[m] && counts[m] && IS_LONG(absence[m]) && s == made && made < MACHINES ->
 			made++;
@@ -129,27 +155,35 @@
 			counts[s] = true;
 			counts[m] = false
 
-		/* A learner gets the seat of an absent voter, or a further one. */
-		:: m != s && learner[s] && absence[s] == HERE && voter[m] && TAKES_A_SEAT && m == longest && QUORUM_HERE ->
+		/* A learner gets the seat of an absent member, or a further one. */
+		:: m != s && learner[s] && !reserved[s] && absence[s] == HERE && (voter[m] || reserved[m]) && TAKES_A_SEAT && m == longest && QUORUM_HERE ->
 			voter[m] = false;
-			check();
+			reserved[m] = false;
+			reserved[s] = SEAT_IS_KEPT;
+			check()
+		:: m == s && learner[s] && !reserved[s] && absence[s] == HERE && FURTHER_SEAT && QUORUM_HERE ->
+			seats++;
 			voter[s] = true;
 			learner[s] = false;
 			counts[s] = false;
 			check()
-		:: m == s && learner[s] && absence[s] == HERE && FURTHER_SEAT && QUORUM_HERE ->
+
+		/* A learner that has a seat votes once it has caught up. */
+		:: m == s && learner[s] && reserved[s] && absence[s] == HERE && QUORUM_HERE ->
 			voter[s] = true;
 			learner[s] = false;
+			reserved[s] = false;
 			counts[s] = false;
 			check()
 
 		/* An absent voter loses its seat although no successor has come. */
 		:: m == s && voter[m] && LOSES_ITS_SEAT && QUORUM_HERE ->
+			seats--;
 			voter[m] = false;
 			check()
 		:: else
 		fi;
-		m = 0; s = 0; voters = 0; here = 0; absent = 0; lost = 0; longest = 0
+		m = 0; s = 0; voters = 0; held = 0; here = 0; absent = 0; lost = 0; longest = 0
 	}
 	od
 }
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -183,6 +183,13 @@
 		short:   []string{"SEATS=3", "LOSSES=4"},
 		defects: []string{"FURTHER_SEATS", "UNHEARD_VOTER_IS_PRESENT"},
 	},
+	{
+		name:    "seats of controllers of which two are lost at once, and come back with their disks or without",
+		model:   "seats.pml",
+		bounds:  []string{"SEATS=5", "LOSSES=3", "TOLERATED=2"},
+		short:   []string{"SEATS=5", "LOSSES=2", "TOLERATED=2"},
+		defects: []string{"SEAT_IS_GIVEN_UP"},
+	},
 	{
 		name:    "a process that only looks dead, beside restarts and changes of leader",
 		model:   "lookalike.pml",
