gateway: an exchange reads on past an answer to another request

What callers saw: 502 "broken-off" for a request whose back end was at work, where a second copy of an earlier answer came in the place of its own. One that must not be repeated was lost to its caller, and the back end's run was cut by the close of the connection.

Cause: the egress compared the id of the first answer with the request's and broke the exchange off where they differ. PROTOCOL.md says that a surplus answer may come in the place of the next one and that the id tells them apart.

A connection that carried one is not used again. An answer without an id keeps the rule before. A request that is sent again has a connection of its own, so an id tells sendings apart. Discarded answers are counted (surplus_answers_total).

TestSurplusAnswerOfAnotherRequestIsDiscarded failed before with "broken-off".

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -53,6 +53,7 @@
 		MinWarm:        -1,
 		DialTimeout:    backendDialTimeout,
 		IdleTimeout:    backendIdleTimeout,
+		IsSurplus:      g.isSurplusResponse,
 	})
 	if err != nil {
 		return nil, err
@@ -60,6 +61,18 @@
 	return &egress{gateway: g, pool: pool, sent: sentids.New()}, nil
 }
 
+// isSurplusResponse reports whether a back end's response states the id of another request, and counts
+// such responses. Requests without an id are probes, which have connections of their own.
+func (g *Gateway) isSurplusResponse(request *http.Request, response *http.Response) bool {
+	name := g.config.Headers.RequestID
+	due, stated := request.Header.Get(name), response.Header.Get(name)
+	if due == "" || stated == "" || stated == due {
+		return false
+	}
+	g.metrics.surplus.Inc()
+	return true
+}
+
 // setSlots applies the back end's number of slots.
 func (e *egress) setSlots(slots int) {
 	e.pool.SetMaxConnections(slots + extraBackendConnections)
@@ -321,7 +334,7 @@
 // response had arrived.
 func (e *egress) classifyIncomplete(ctx context.Context, request *forwardRequest, err error) *forwardResult {
 	result := e.brokenExchange(request, err)
-	if ctx.Err() != nil || errors.Is(err, errInvalidResponse) {
+	if ctx.Err() != nil || errors.Is(err, errInvalidResponse) || errors.Is(err, upstream.ErrSurplus) {
 		// The deadline passed, the caller disconnected, or the response was invalid.
 		return result
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -58,6 +58,9 @@
 	suspendedSeconds prometheus.Counter
 	// sentAgain counts requests that were sent to the back end more than once.
 	sentAgain prometheus.Counter
+	// surplus counts responses of the back end that were discarded, since they state the id of another
+	// request than the one whose response was due.
+	surplus prometheus.Counter
 	// notDelivered counts answers that were replaced by a failure because they could not be written
 	// in time.
 	notDelivered prometheus.Counter
@@ -103,7 +106,8 @@
 	m.notDelivered = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "answers_not_delivered_total", Help: "Answers of back ends that were replaced by a failure, since the link was not free for them by the deadline or the end of a planned stop."})
 	m.sentAgain = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "sent_again_total", Help: "Requests that were sent to the back end once more, each over a new connection."})
 	m.noticesSent = counters("ends_told_total", "Other gateways that were told of ends of back ends, by what became of it.", "result")
-	registry.MustRegister(m.backendCrashes, m.interruptedRuns, m.suspendedSeconds, m.noticesSent, m.heartbeats, m.requests, m.latency, m.attempts, m.retries, m.callersLeft, m.queue, m.run, m.grants, m.releases, m.peerRefreshes, m.heartbeatsRefused, m.keysFreed, m.departures, m.sentAgain, m.notDelivered, m.unreadable)
+	m.surplus = prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: subsystem, Name: "surplus_answers_total", Help: "Answers of the back end that were discarded, since they answer another request than the one that was due."})
+	registry.MustRegister(m.surplus, m.backendCrashes, m.interruptedRuns, m.suspendedSeconds, m.noticesSent, m.heartbeats, m.requests, m.latency, m.attempts, m.retries, m.callersLeft, m.queue, m.run, m.grants, m.releases, m.peerRefreshes, m.heartbeatsRefused, m.keysFreed, m.departures, m.sentAgain, m.notDelivered, m.unreadable)
 	return m
 }
 
--- a/internal/gateway/surplus_test.go
+++ b/internal/gateway/surplus_test.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
 	"github.com/quartzdock/quartzdock/lab/rawpeer"
@@ -58,3 +59,22 @@
 	}
 	assert.Equal(t, g.egress.pool.Stats().Dials, uint64(1))
 }
+
+// Guards against 502 for a request that runs, since the answer to an earlier one came once more in the
+// place of its own.
+func TestSurplusAnswerOfAnotherRequestIsDiscarded(t *testing.T) {
+	var runs atomic.Int32
+	g := gatewayWithBackend(t, surplusBackend(t, func(request *http.Request) (text string, surplus bool) {
+		runs.Add(1)
+		id := request.Header.Get("Try-Name")
+		return responseText("200 OK", id, seal, "done "+id), true
+	}))
+	for number := range 10 {
+		id := fmt.Sprint("r", number)
+		result := g.egress.serve(t.Context(), testRequest(id))
+		assert.Equal(t, result.Outcome, outcomeAnswered, "%s: %s", id, result.Reason)
+		assert.Equal(t, string(result.Body), "done "+id)
+	}
+	assert.Equal(t, runs.Load(), int32(10))
+	assert.Equal(t, testutil.ToFloat64(g.metrics.surplus), 5.0)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -93,7 +93,9 @@
 	written   atomic.Bool
 	bodyError atomic.Pointer[error]
 	keepAlive bool
-	endOnce   sync.Once
+	// surplusRead is set once a response to another request was discarded.
+	surplusRead bool
+	endOnce     sync.Once
 }
 
 // run writes the request and reads the response's header.
@@ -107,14 +109,14 @@
 	} else {
 		go func() { _ = e.write(request) }()
 	}
-	response, err := e.readHeader(request)
+	response, err := e.readResponse(request)
 	if err != nil {
 		return nil, err
 	}
 	if isUndelimited(response) {
 		return nil, ErrUndelimited
 	}
-	e.keepAlive = !response.Close && !request.Close
+	e.keepAlive = !response.Close && !request.Close && !e.surplusRead
 	if response.Body == http.NoBody {
 		e.end(true)
 		return response, nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -55,6 +56,10 @@
 	// request when it notices has then done so before the connection counts as
 	// closed. Zero closes at once.
 	Linger time.Duration
+	// IsSurplus reports whether a response, by its header, answers another request than the given one.
+	// Such a response is discarded and the next one is read, within bounds (see ErrSurplus). It is called
+	// once for each response. Nil takes each response for the answer.
+	IsSurplus func(request *http.Request, response *http.Response) bool
 	// Dial opens a connection to Address; nil dials TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
