agent: an exchange reads on past an answer to another sending

What callers saw: an unknown outcome for a request that may run, where a back end sent an earlier answer once more in the place of its own: the same fault as at the gateway, on the other path.

Cause: the number of the sending was compared after the exchange had ended with the first answer, and the connection was closed under the request.

Evidence: TestSurplusRefusalIsNotTakenForTheAnswerToAnotherRequest asserted the unknown outcome. It asserts now that the request gets its own answer, which failed before, and as before that it ran once.

Why it works: the pool discards answers that repeat another number (upstream.Config.IsSurplus), within the same bounds, and reads on. One that repeats no number keeps the rule before. quartzdock_agent_surplus_answers_total counts them.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -168,6 +168,7 @@
 		MinWarm:        agent.config.WarmConnections,
 		DialTimeout:    agent.config.DialTimeout,
 		Linger:         cancelLinger,
+		IsSurplus:      agent.isSurplusAnswer,
 	})
 	if err != nil {
 		return err
--- a/internal/agent/counts.go
+++ b/internal/agent/counts.go
@@ -17,6 +17,7 @@
 	recordsLost     atomic.Uint64
 	recordsReceived atomic.Uint64
 	transfersFailed atomic.Uint64
+	surplusAnswers  atomic.Uint64
 	// outcomes counts requests by outcome and reason.
 	outcomes *prometheus.CounterVec
 	// slotTime is for how long requests that were sent to the back end held
@@ -88,6 +89,8 @@
 			agent.counts.transfersFailed.Load),
 		counter("grant_failures_total", "Messages of grants that the back end did not answer.",
 			agent.counts.grantFailures.Load),
+		counter("surplus_answers_total", "Answers of the back end that were discarded, since they answer another sending than the one that was due.",
+			agent.counts.surplusAnswers.Load),
 	}
 }
 
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -130,12 +129,19 @@
 	return relayed
 }
 
-// errSurplusAnswer means that an answer came which is not to this sending of the request.
-var errSurplusAnswer = errors.New("answer to another sending")
+// isSurplusAnswer reports whether an answer repeats the number of another sending, and counts such answers.
+func (agent *Agent) isSurplusAnswer(sent *http.Request, answer *http.Response) bool {
+	repeated := answer.Header.Get(wire.HeaderSending)
+	if repeated == "" || repeated == sent.Header.Get(wire.HeaderSending) {
+		return false
+	}
+	agent.counts.surplusAnswers.Add(1)
+	return true
+}
 
 // sendRequest sends a request, and returns the answer to just this sending: a back end may answer twice. The
-// number that an answer repeats tells which sending it is to. Not all back ends repeat it, so a
-// request that must not run twice is sent again only over a connection that has not carried it.
+// number that an answer repeats tells which sending it is to (isSurplusAnswer). Not all back ends repeat it,
+// so a request that must not run twice is sent again only over a connection that has not carried it.
 func (agent *Agent) sendRequest(ctx context.Context, parsed request, outgoing *http.Request, onEnd func()) (*http.Response, error) {
 	number := strconv.FormatUint(agent.sendings.Add(1), decimal)
 	outgoing.Header.Set(wire.HeaderSending, number)
@@ -143,15 +149,7 @@
 	if parsed.nonRepeatable && agent.refusedIDs.Has(parsed.id.String(), steady.Now()) {
 		exchange = agent.requests.DoNotifyOnNewConnection
 	}
-	response, err := exchange(ctx, outgoing, onEnd)
-	if err != nil {
-		return nil, err
-	}
-	if repeated := response.Header.Get(wire.HeaderSending); repeated != "" && repeated != number {
-		_ = response.Body.Close()
-		return nil, fmt.Errorf("%w: %w: %.20q in place of %s", upstream.ErrInterrupted, errSurplusAnswer, repeated, number)
-	}
-	return response, nil
+	return exchange(ctx, outgoing, onEnd)
 }
 
 // recordExchange records what the result of an exchange says about the back
--- a/internal/agent/surplus_test.go
+++ b/internal/agent/surplus_test.go
@@ -119,7 +119,7 @@
 }
 
 // A surplus refusal of one request is not taken for the answer to another one either, if the back end
-// repeats the number of the sending.
+// repeats the number of the sending: it is discarded, and that one gets its own answer.
 func TestSurplusRefusalIsNotTakenForTheAnswerToAnotherRequest(t *testing.T) {
 	proxy := &surplusProxy{}
 	r := startHarnessWithSurplus(t, proxy)
@@ -127,7 +127,7 @@
 	assert.Equal(t, r.send(r.post(r.freshID())).outcome, wire.OutcomeNotRun)
 	r.setBehaviour(`{}`)
 	id := r.freshID()
-	assert.Equal(t, r.send(r.post(id)).outcome, wire.OutcomeUnknown)
+	assert.Equal(t, r.send(r.post(id)).outcome, wire.OutcomeAnswered)
 	assert.Equal(t, proxy.surplus.Load(), int32(1))
 	assert.Equal(t, r.countEntries(id, ledger.KindRun), 1)
 }
